Lay down the whole path, thin

Cause: nothing ran yet; every later change needs a running product. Change: kernel with registered parts, checked TOML settings, HTTP shells on h11, peer links on websockets with CBOR, log folds with read-back, stand-ins of platform, engine and plain service, an entry and a batch role, the demo. Conclusion: the ground stands; the parts behind it are thin and named so.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# VENV may name an environment that is already made.
+VENV ?= .venv
+PYTHON ?= python3.11
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+RUN := PYTHONPATH=. $(BIN)/python
+
+.PHONY: demo test style format clean
+demo: $(STAMP)
+	$(RUN) -m camphortray.demo
+
+test: $(STAMP)
+	$(RUN) -m pytest
+
+style: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 camphortray tests bench spec
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix-only -q .
+	$(BIN)/ruff format .
+
+$(STAMP): constraints.txt pyproject.toml
+	command -v $(PYTHON) >/dev/null && $(PYTHON) -m venv $(VENV) \
+	  || python3 -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check \
+	  -c constraints.txt -e '.[test,style]'
+	touch $@
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis out
--- /dev/null
+++ b/camphortray/batch.py
@@ -0,0 +1,35 @@
+"""``camphortray-batch``: takes, owns and runs batch jobs."""
+
+__all__ = ["batch", "main"]
+
+import sys
+
+import defopt
+
+from camphortray import jobapi
+from camphortray import program
+
+# Importing a part registers it with the kernel.
+PARTS = (jobapi,)
+
+
+def batch(settings: str, *, check: bool = False) -> int:
+    """Take, own and run batch jobs.
+
+    A process of its own, so that a large job never holds up online
+    requests. SIGTERM drains: shards are given up and results kept.
+
+    Args:
+      settings: TOML file with the settings of this host.
+      check: Check the settings, list every fault, and end.
+    """
+    return program.run_program("batch", settings, check)
+
+
+def main() -> None:
+    """Run from the command line."""
+    sys.exit(defopt.run(batch, cli_options="all"))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/camphortray/config.py
@@ -0,0 +1,248 @@
+"""Settings of one host, read from a TOML file and checked."""
+
+__all__ = [
+    "Address",
+    "BatchConfig",
+    "Config",
+    "EntryConfig",
+    "HostConfig",
+    "LoggingConfig",
+    "PeerConfig",
+    "PlatformConfig",
+    "ShardsConfig",
+    "StreamConfig",
+    "TlsConfig",
+]
+
+import dataclasses
+import pathlib
+import tomllib
+from typing import Annotated
+from typing import Any
+from typing import Literal
+from typing import NamedTuple
+
+import msgspec
+
+from camphortray import check
+from camphortray import errors
+
+ADDRESS_PATTERN = r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$"
+AddressText = Annotated[str, msgspec.Meta(pattern=ADDRESS_PATTERN)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    ip: str
+    port: int
+
+    @classmethod
+    def from_text(cls, text: str) -> "Address":
+        """Parse ``IP:PORT``.
+
+        >>> Address.from_text("127.0.0.1:80")
+        Address(ip='127.0.0.1', port=80)
+        """
+        ip, _, port = text.rpartition(":")
+        return cls(ip.strip("[]"), int(port))
+
+    def __str__(self) -> str:
+        ip = f"[{self.ip}]" if ":" in self.ip else self.ip
+        return f"{ip}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True)
+class HostConfig:
+    """Who this host is.
+
+    Attributes:
+      name: Unique name of the host.
+      availability_zone: Where it stands.
+      region: Root of its part of the settings tree.
+    """
+
+    name: Name
+    availability_zone: Name
+    region: Name
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryConfig:
+    """How callers reach the entry role.
+
+    Attributes:
+      listen: Address to listen on; port 0 takes a free one.
+      advertise: Address told to callers, if it differs.
+      keep_s: Seconds a caller may keep an answer of ``/v1/hosts``.
+      drain_s: Longest time a drain may take before requests still in
+        flight are named in the log and the program ends.
+      max_body_bytes: Largest request body.
+      header_timeout_s: Longest time to send a request's head.
+      idle_timeout_s: Longest time a kept connection may rest.
+    """
+
+    listen: AddressText = "127.0.0.1:8000"
+    advertise: str = ""
+    keep_s: Seconds = 30.0
+    drain_s: Seconds = 600.0
+    max_body_bytes: Count = 16_777_216
+    header_timeout_s: Seconds = 10.0
+    idle_timeout_s: Seconds = 75.0
+
+
+@dataclasses.dataclass(frozen=True)
+class BatchConfig:
+    """How the batch role is reached and bounded.
+
+    Attributes:
+      listen: Address of its HTTP port; entries pass job calls to it.
+      max_job_bytes: Largest body of one job.
+      memory_mb: Bound on held-back results during an outage.
+    """
+
+    listen: AddressText = "127.0.0.1:8100"
+    advertise: str = ""
+    max_job_bytes: Count = 1_073_741_824
+    memory_mb: Count = 200
+    drain_s: Seconds = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerConfig:
+    """Links between hosts.
+
+    Attributes:
+      entry_listen: Where the entry role takes peer links.
+      batch_listen: Where the batch role takes peer links.
+      seeds: Peer addresses to ask first.
+      shared_key: Secret all hosts share, unless mutual TLS is set.
+    """
+
+    entry_listen: AddressText = "127.0.0.1:8200"
+    batch_listen: AddressText = "127.0.0.1:8300"
+    seeds: tuple[AddressText, ...] = ()
+    shared_key: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class TlsConfig:
+    """Certificates; empty names mean plain TCP.
+
+    Attributes:
+      certificate: PEM chain of this host.
+      key: PEM key of this host.
+      peer_ca: PEM of the CA that signs hosts; turns on mutual TLS.
+      callers: Whether the callers' port speaks TLS.
+    """
+
+    certificate: str = ""
+    key: str = ""
+    peer_ca: str = ""
+    callers: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class PlatformConfig:
+    """Where an outer party is and which plug-in speaks to it."""
+
+    address: AddressText
+    plugin: str = "http"
+    timeout_s: Seconds = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamConfig:
+    """What the platform's log allows this deployment.
+
+    Attributes:
+      append_budget: Appends a second for the whole fleet.
+      record_limit_bytes: Largest record.
+      retention_s: How long records are kept.
+      min_flush_s: Shortest time over which appends are grouped.
+    """
+
+    append_budget: Annotated[float, msgspec.Meta(gt=0)] = 300.0
+    record_limit_bytes: Annotated[int, msgspec.Meta(ge=4096)] = 1_048_576
+    retention_s: Seconds = 604_800.0
+    min_flush_s: Seconds = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class ShardsConfig:
+    """Number of streams of each kind; alike on all hosts, for ever."""
+
+    jobs: Count = 16
+    calls: Count = 16
+    orders: Count = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class LoggingConfig:
+    """Form and level of the log lines."""
+
+    format: Literal["text", "json"] = "text"
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+@dataclasses.dataclass(frozen=True)
+class Config:
+    """All settings of one host.
+
+    Attributes:
+      plugins: Modules to import, whose plug-ins register themselves.
+    """
+
+    host: HostConfig
+    log: PlatformConfig
+    hostlist: PlatformConfig
+    weights: PlatformConfig | None = None
+    entry: EntryConfig = dataclasses.field(default_factory=EntryConfig)
+    batch: BatchConfig = dataclasses.field(default_factory=BatchConfig)
+    peer: PeerConfig = dataclasses.field(default_factory=PeerConfig)
+    tls: TlsConfig = dataclasses.field(default_factory=TlsConfig)
+    streams: StreamConfig = dataclasses.field(default_factory=StreamConfig)
+    shards: ShardsConfig = dataclasses.field(default_factory=ShardsConfig)
+    logging: LoggingConfig = dataclasses.field(default_factory=LoggingConfig)
+    plugins: tuple[str, ...] = ()
+
+    @classmethod
+    def from_toml(cls, text: str, file: str = "settings") -> "Config":
+        """Read settings.
+
+        Args:
+          text: TOML text.
+          file: Name to give in faults.
+
+        Raises:
+          ConfigError: with every fault found, not only the first.
+        """
+        try:
+            data: dict[str, Any] = tomllib.loads(text)
+        except tomllib.TOMLDecodeError as error:
+            fault = errors.Fault(file, "(syntax)", str(error), "valid TOML")
+            raise errors.ConfigError((fault,)) from error
+        return cls.from_data(data, file)
+
+    @classmethod
+    def from_data(cls, data: dict[str, Any], file: str = "") -> "Config":
+        """Build from plain data; see ``from_toml``."""
+        outcome = check.build(cls, data, file=file)
+        if outcome.is_err():
+            raise errors.ConfigError(outcome.unwrap_err())
+        return outcome.unwrap()
+
+    @classmethod
+    def from_file(cls, path: str) -> "Config":
+        """Read settings from a file; see ``from_toml``."""
+        try:
+            text = pathlib.Path(path).read_text(encoding="utf-8")
+        except OSError as error:
+            fault = errors.Fault(
+                path, "(file)", error.strerror or "", "a file"
+            )
+            raise errors.ConfigError((fault,)) from error
+        return cls.from_toml(text, path)
--- /dev/null
+++ b/camphortray/hostlist.py
@@ -0,0 +1,72 @@
+"""The platform's list of live and leaving hosts, which lags."""
+
+__all__ = ["HOST_LISTS", "HostList", "ListedHost", "MemoryHostList"]
+
+import abc
+import dataclasses
+from typing import Literal
+
+from camphortray import config as configs
+from camphortray import errors
+from camphortray import registry
+
+ListedStatus = Literal["live", "leaving", "gone"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedHost:
+    """One line of the list.
+
+    Attributes:
+      name: Name of the host or upstream.
+      kind: What it is.
+      status: As the platform last saw it; a host missing from the list
+        may just not have been seen yet.
+      peer_address: Where it takes peer links, for hosts.
+    """
+
+    name: str
+    kind: Literal["host", "upstream"]
+    status: ListedStatus
+    peer_address: str = ""
+
+
+class HostList(abc.ABC):
+    """The list of live and leaving hosts."""
+
+    @classmethod
+    @abc.abstractmethod
+    def from_config(cls, config: configs.PlatformConfig) -> "HostList":
+        """Build from settings."""
+
+    @abc.abstractmethod
+    async def read(self) -> tuple[ListedHost, ...]:
+        """Return the list as the platform has it now.
+
+        Raises:
+          CamphortrayError: the platform does not answer.
+        """
+
+    async def close(self) -> None:
+        """Release connections."""
+
+
+HOST_LISTS: registry.Registry[HostList] = registry.Registry("host list")
+
+
+@HOST_LISTS.register("memory")
+class MemoryHostList(HostList):
+    """A list in memory, for tests."""
+
+    def __init__(self) -> None:
+        self.hosts: dict[str, ListedHost] = {}
+        self.down = False
+
+    @classmethod
+    def from_config(cls, config: configs.PlatformConfig) -> "MemoryHostList":
+        return cls()
+
+    async def read(self) -> tuple[ListedHost, ...]:
+        if self.down:
+            raise errors.CamphortrayError("down", step="list", peer="memory")
+        return tuple(self.hosts.values())
--- /dev/null
+++ b/camphortray/httpclient.py
@@ -0,0 +1,449 @@
+"""HTTP/1.1 client shell on h11, with a pool of connections."""
+
+__all__ = ["ClientResponse", "HttpClient", "Timeouts"]
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+import dataclasses
+import ssl
+from typing import Any
+from typing import cast
+
+import h11
+
+from camphortray import config as configs
+from camphortray import errors
+
+# Unread bytes at which the shell stops reading the socket.
+HIGH_WATER = 262_144
+MAX_HEAD_BYTES = 32_768
+# Idle connections kept for one address.
+MAX_IDLE = 64
+
+Headers = Sequence[tuple[str, str]]
+Body = bytes | AsyncIterator[bytes]
+
+
+@dataclasses.dataclass(frozen=True)
+class Timeouts:
+    """Longest waits, in seconds.
+
+    Attributes:
+      connect_s: For a new connection.
+      head_s: From the request to the head of the answer.
+      chunk_s: From one piece of the answer to the next.
+    """
+
+    connect_s: float = 1.0
+    head_s: float = 30.0
+    chunk_s: float = 30.0
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to an upstream, serving one request at a time."""
+
+    def __init__(self, peer: str) -> None:
+        self.peer = peer
+        self.h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.head: h11.Response | None = None
+        self.chunks: list[bytes] = []
+        self.buffered = 0
+        self.complete = False
+        self.idle = False
+        self.lost = False
+        self.failure = ""
+        self.uses = 0
+        self.waiter: asyncio.Future[None] | None = None
+        self.can_write: asyncio.Future[None] | None = None
+        self.reading_paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+        if not self.complete:
+            self.on_eof()
+        if not self.complete:
+            self.failure = self.failure or str(exc or "connection closed")
+        self.resume_writing()
+        self.wake()
+
+    def pause_writing(self) -> None:
+        self.can_write = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        if self.can_write is not None and not self.can_write.done():
+            self.can_write.set_result(None)
+        self.can_write = None
+
+    def data_received(self, data: bytes) -> None:
+        if self.idle:
+            # Bytes nobody asked for would be read as the next caller's
+            # answer; dropping the connection is enough, as it is idle.
+            self.abort()
+            return
+        try:
+            self.h11.receive_data(data)
+            self.pump()
+        except h11.RemoteProtocolError as error:
+            self.failure = f"malformed answer: {error}"
+            self.abort()
+        self.wake()
+
+    def on_eof(self) -> None:
+        """Let h11 judge whether the end of the stream ends the body."""
+        try:
+            self.h11.receive_data(b"")
+            self.pump()
+        except (h11.RemoteProtocolError, RuntimeError):
+            self.failure = self.failure or "answer was cut off"
+
+    def pump(self) -> None:
+        """Work through what has been received."""
+        while not self.complete:
+            event = self.h11.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Data):
+                self.chunks.append(bytes(event.data))
+                self.buffered += len(event.data)
+            elif isinstance(event, h11.Response):
+                self.head = event
+            elif isinstance(event, h11.EndOfMessage):
+                self.complete = True
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+        if self.buffered > HIGH_WATER and not self.reading_paused:
+            self.reading_paused = True
+            self.transport.pause_reading()
+
+    def wake(self) -> None:
+        """Wake whoever waits for the answer."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def take(self) -> bytes:
+        """Return all body bytes received and not yet taken."""
+        if len(self.chunks) == 1:
+            data = self.chunks[0]
+        else:
+            data = b"".join(self.chunks)
+        self.chunks.clear()
+        self.buffered = 0
+        if self.reading_paused:
+            self.reading_paused = False
+            self.transport.resume_reading()
+        return data
+
+    async def wait(self, seconds: float, step: str) -> None:
+        """Wait until something happens.
+
+        Raises:
+          UpstreamTimeout: nothing happened in time.
+        """
+        loop = asyncio.get_running_loop()
+        waiter = self.waiter = loop.create_future()
+        timer = loop.call_later(seconds, expire, waiter)
+        try:
+            if await waiter:
+                raise errors.UpstreamTimeout(
+                    f"silent for {seconds:g} s",
+                    ran=True,
+                    step=step,
+                    peer=self.peer,
+                )
+        finally:
+            timer.cancel()
+            self.waiter = None
+
+    def send(self, event: Any) -> None:
+        """Send one event."""
+        data = self.h11.send(event)
+        if data and not self.lost:
+            self.transport.write(data)
+
+    async def send_request(
+        self, method: str, target: str, headers: Headers, body: Body
+    ) -> None:
+        """Send a request with its body."""
+        self.uses += 1
+        self.head = None
+        self.complete = False
+        self.send(
+            h11.Request(method=method, target=target, headers=list(headers))
+        )
+        if isinstance(body, bytes):
+            if body:
+                self.send(h11.Data(data=body))
+        else:
+            async for chunk in body:
+                if self.lost or self.head is not None:
+                    break
+                self.send(h11.Data(data=chunk))
+                if self.can_write is not None:
+                    await self.can_write
+        if not self.lost and self.h11.our_state is h11.SEND_BODY:
+            self.send(h11.EndOfMessage())
+
+    def reusable(self) -> bool:
+        """Return whether another request may follow on it."""
+        return (
+            self.complete
+            and not self.lost
+            and not self.chunks
+            and self.h11.our_state is h11.DONE
+            and self.h11.their_state is h11.DONE
+            and not self.h11.trailing_data[0]
+        )
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        if not self.lost:
+            self.transport.abort()
+
+
+def expire(waiter: "asyncio.Future[Any]") -> None:
+    """Let a waiter know that its time is over."""
+    if not waiter.done():
+        waiter.set_result(True)
+
+
+class ClientResponse:
+    """An answer whose body is read as it comes.
+
+    Attributes:
+      status: HTTP status.
+      headers: Lower-case names.
+      new: Whether it came on a connection made for it.
+    """
+
+    def __init__(
+        self,
+        client: "HttpClient",
+        address: configs.Address,
+        connection: ClientConnection,
+        timeouts: Timeouts,
+    ) -> None:
+        self.client = client
+        self.address = address
+        self.connection = connection
+        self.timeouts = timeouts
+        self.new = connection.uses == 1
+        head = connection.head
+        assert head is not None
+        self.status = head.status_code
+        self.headers = {
+            name.decode("ascii"): value.decode("latin1")
+            for name, value in head.headers
+        }
+
+    async def read(self, timeout_s: float = 0.0) -> bytes:
+        """Return all bytes that have come, or ``b""`` at a clean end.
+
+        Args:
+          timeout_s: Longest wait; 0 takes the time limit of the call.
+
+        Raises:
+          UpstreamBroken: the answer was cut off.
+          UpstreamTimeout: nothing came in time.
+        """
+        connection = self.connection
+        while not connection.chunks:
+            if connection.complete:
+                self.close()
+                return b""
+            if connection.lost:
+                raise errors.UpstreamBroken(
+                    connection.failure or "answer was cut off",
+                    ran=True,
+                    step="read",
+                    peer=connection.peer,
+                )
+            await connection.wait(timeout_s or self.timeouts.chunk_s, "read")
+        return connection.take()
+
+    async def body(self) -> bytes:
+        """Return the whole body."""
+        parts = []
+        while data := await self.read():
+            parts.append(data)
+        return b"".join(parts)
+
+    def close(self) -> None:
+        """Give the connection back, or drop it if not fully read."""
+        self.client.release(self.address, self.connection)
+
+
+class HttpClient:
+    """Sends requests over kept connections.
+
+    A connection with unread or unasked bytes is never used again.
+    """
+
+    def __init__(
+        self,
+        timeouts: Timeouts | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.timeouts = timeouts or Timeouts()
+        self.tls = tls
+        self.idle: dict[configs.Address, list[ClientConnection]] = {}
+        self.busy: set[ClientConnection] = set()
+        self.closed = False
+
+    async def request(
+        self,
+        address: configs.Address,
+        method: str,
+        target: str,
+        headers: Headers = (),
+        body: Body = b"",
+        *,
+        timeouts: Timeouts | None = None,
+        fresh: bool = False,
+    ) -> ClientResponse:
+        """Send a request and return once the head of the answer is here.
+
+        Args:
+          address: Where to send it.
+          method: HTTP method.
+          target: Path and query.
+          headers: Further headers; host and length are added.
+          body: Bytes, or an iterator of chunks.
+          timeouts: Time limits, if they differ from the client's.
+          fresh: Whether to insist on a new connection.
+
+        Raises:
+          UpstreamBroken: with ``ran`` False if no byte had left.
+          UpstreamTimeout: no answer in time.
+        """
+        limits = timeouts or self.timeouts
+        connection = await self.connect(address, limits, fresh)
+        self.busy.add(connection)
+        try:
+            await connection.send_request(
+                method, target, framing(address, headers, body), body
+            )
+            while connection.head is None:
+                if connection.lost:
+                    raise errors.UpstreamBroken(
+                        connection.failure or "connection closed",
+                        ran=True,
+                        step="head",
+                        peer=connection.peer,
+                    )
+                await connection.wait(limits.head_s, "head")
+        except BaseException:
+            self.discard(connection)
+            raise
+        return ClientResponse(self, address, connection, limits)
+
+    async def call(
+        self,
+        address: configs.Address,
+        method: str,
+        target: str,
+        headers: Headers = (),
+        body: Body = b"",
+        *,
+        timeouts: Timeouts | None = None,
+        fresh: bool = False,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request; return status, headers and whole body."""
+        response = await self.request(
+            address,
+            method,
+            target,
+            headers,
+            body,
+            timeouts=timeouts,
+            fresh=fresh,
+        )
+        try:
+            content = await response.body()
+        finally:
+            response.close()
+        return response.status, response.headers, content
+
+    async def connect(
+        self, address: configs.Address, limits: Timeouts, fresh: bool
+    ) -> ClientConnection:
+        """Return a kept connection or a new one."""
+        kept = self.idle.get(address)
+        while kept and not fresh:
+            connection = kept.pop()
+            if not connection.lost:
+                connection.idle = False
+                connection.h11.start_next_cycle()
+                return connection
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(limits.connect_s):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(str(address)),
+                    address.ip,
+                    address.port,
+                    ssl=self.tls,
+                    server_hostname=address.ip if self.tls else None,
+                )
+        except TimeoutError as error:
+            raise errors.UpstreamTimeout(
+                "no connection in time",
+                ran=False,
+                step="connect",
+                peer=str(address),
+            ) from error
+        except OSError as error:
+            raise errors.UpstreamBroken(
+                str(error), ran=False, step="connect", peer=str(address)
+            ) from error
+        return connection
+
+    def release(
+        self, address: configs.Address, connection: ClientConnection
+    ) -> None:
+        """Keep a connection for later, or drop it."""
+        if connection not in self.busy:
+            return
+        self.busy.discard(connection)
+        kept = self.idle.setdefault(address, [])
+        if self.closed or not connection.reusable() or len(kept) >= MAX_IDLE:
+            connection.abort()
+            return
+        connection.idle = True
+        kept.append(connection)
+
+    def discard(self, connection: ClientConnection) -> None:
+        """Drop a connection."""
+        self.busy.discard(connection)
+        connection.abort()
+
+    def forget(self, address: configs.Address) -> None:
+        """Drop all kept connections to an address."""
+        for connection in self.idle.pop(address, []):
+            connection.abort()
+
+    async def close(self) -> None:
+        """Drop every connection."""
+        self.closed = True
+        for address in list(self.idle):
+            self.forget(address)
+        for connection in list(self.busy):
+            self.discard(connection)
+
+
+def framing(
+    address: configs.Address, headers: Headers, body: Body
+) -> list[tuple[str, str]]:
+    """Return headers with host and framing added."""
+    framed = [("host", str(address)), *headers]
+    if isinstance(body, bytes):
+        framed.append(("content-length", str(len(body))))
+    else:
+        framed.append(("transfer-encoding", "chunked"))
+    return framed
--- /dev/null
+++ b/camphortray/httpserver.py
@@ -0,0 +1,527 @@
+"""HTTP/1.1 server shell on h11."""
+
+__all__ = ["Connection", "HttpServer", "Limits", "Request", "Response"]
+
+import abc
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+import dataclasses
+import ssl
+from typing import Any
+from typing import cast
+import urllib.parse
+import uuid
+
+import h11
+import msgspec
+
+from camphortray import config as configs
+from camphortray import errors
+from camphortray import logs
+
+LOG = logs.logger("http")
+# Unread bytes of one body at which the shell stops reading the socket.
+HIGH_WATER = 262_144
+MAX_HEAD_BYTES = 32_768
+REQUEST_ID_HEADER = "x-request-id"
+RAN_HEADER = "Camphortray-Ran"
+
+Headers = Sequence[tuple[str, str]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Bounds on one connection; times in seconds."""
+
+    max_body_bytes: int = 16_777_216
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+
+
+class Request:
+    """One request; its body can be read whole or as it comes.
+
+    Attributes:
+      id: The caller's ``X-Request-Id`` or a new one.
+      method: e.g. ``"POST"``.
+      path: Path without the query, percent-decoded.
+      target: Path and query as sent.
+      query: Decoded query fields; the last of a name wins.
+      headers: Lower-case names; repeated ones are joined by a comma.
+      keep_running: Set by a handler whose work outlives its caller;
+        else the handler is cancelled when the caller goes.
+    """
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        connection: "Connection | None" = None,
+        max_body_bytes: int = 16_777_216,
+    ) -> None:
+        self.method = method
+        self.target = target
+        path, _, query = target.partition("?")
+        self.path = urllib.parse.unquote(path)
+        self.query = dict(urllib.parse.parse_qsl(query))
+        self.headers = headers
+        self.id = headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
+        self.keep_running = False
+        self.connection = connection
+        self.max_body_bytes = max_body_bytes
+        self.received = 0
+        self.buffered = 0
+        self.chunks: list[bytes] = []
+        self.complete = False
+        self.broken = False
+        self.waiter: asyncio.Future[None] | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Take body bytes from the connection."""
+        self.received += len(data)
+        self.buffered += len(data)
+        self.chunks.append(data)
+        self.wake()
+
+    def finish(self, broken: bool = False) -> None:
+        """Mark the body as ended, or as cut off."""
+        self.complete = not broken
+        self.broken = broken
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the reader of the body."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    async def iter_body(self, limit: int = 0) -> AsyncIterator[bytes]:
+        """Yield the body as it comes; reading paces the sender.
+
+        Args:
+          limit: Largest size in bytes; 0 takes the connection's limit.
+
+        Raises:
+          Refused: the body is too large or was cut off.
+        """
+        limit = limit or self.max_body_bytes
+        declared = self.headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > limit:
+            raise too_large(limit)
+        if self.connection is not None:
+            self.connection.send_continue()
+        while True:
+            if self.received > limit:
+                raise too_large(limit)
+            if self.chunks:
+                data = b"".join(self.chunks)
+                self.chunks.clear()
+                self.buffered = 0
+                if self.connection is not None:
+                    self.connection.resume_reading()
+                yield data
+            elif self.complete:
+                return
+            elif self.broken:
+                raise errors.Refused(400, "body_cut", "the body was cut off")
+            else:
+                self.waiter = asyncio.get_running_loop().create_future()
+                await self.waiter
+
+    async def body(self, limit: int = 0) -> bytes:
+        """Return the whole body; see ``iter_body``."""
+        return b"".join([chunk async for chunk in self.iter_body(limit)])
+
+    async def json(self) -> dict[str, Any]:
+        """Return the body as a JSON object.
+
+        Raises:
+          Refused: it is not one.
+        """
+        body = await self.body()
+        try:
+            data = msgspec.json.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise errors.Refused(
+                400, "bad_json", f"body is not JSON: {error}", field="(body)"
+            ) from error
+        if not isinstance(data, dict):
+            raise errors.Refused(
+                400, "bad_json", "body is not an object", field="(body)"
+            )
+        return data
+
+
+def too_large(limit: int) -> errors.Refused:
+    """Return the refusal of an oversize body."""
+    return errors.Refused(
+        413,
+        "body_too_large",
+        f"body is larger than {limit} bytes",
+        field="(body)",
+    )
+
+
+class Response:
+    """The answer to one request.
+
+    Attributes:
+      status: Status sent, or 0 while none is.
+    """
+
+    def __init__(self, connection: "Connection", request: Request) -> None:
+        self.connection = connection
+        self.request = request
+        self.status = 0
+        self.ended = False
+
+    def start(self, status: int, headers: Headers = ()) -> None:
+        """Send the head of a chunked answer."""
+        self.status = status
+        head = [*headers, (REQUEST_ID_HEADER, self.request.id)]
+        self.connection.send(h11.Response(status_code=status, headers=head))
+
+    def write(self, data: bytes) -> None:
+        """Send body bytes; call ``flush`` now and then."""
+        self.connection.send(h11.Data(data=data))
+
+    async def flush(self) -> None:
+        """Wait until the caller has room for more."""
+        await self.connection.writable()
+
+    def end(self) -> None:
+        """End the answer cleanly."""
+        self.ended = True
+        self.connection.send(h11.EndOfMessage())
+
+    def abort(self) -> None:
+        """Cut the answer off, so that it cannot look complete."""
+        self.ended = True
+        self.connection.abort()
+
+    def send(self, status: int, body: bytes, headers: Headers = ()) -> None:
+        """Send a whole answer."""
+        self.start(status, [*headers, ("content-length", str(len(body)))])
+        if body:
+            self.write(body)
+        self.end()
+
+    def send_json(self, status: int, data: Any, headers: Headers = ()) -> None:
+        """Send a whole answer of JSON."""
+        body = msgspec.json.encode(data)
+        self.send(
+            status, body, [*headers, ("content-type", "application/json")]
+        )
+
+    def refuse(self, refusal: errors.Refused) -> None:
+        """Send a refusal, in the form OpenAI clients read."""
+        headers = [(RAN_HEADER, refusal.ran)]
+        if refusal.retry_after is not None:
+            seconds = max(1, round(refusal.retry_after))
+            headers.append(("Retry-After", str(seconds)))
+        if not self.request.complete:
+            headers.append(("Connection", "close"))
+        self.send_json(refusal.status, refusal_body(refusal), headers)
+
+
+def refusal_body(refusal: errors.Refused) -> dict[str, Any]:
+    """Return the JSON body of a refusal."""
+    return {
+        "error": {
+            "message": refusal.message,
+            "type": "camphortray_refusal",
+            "code": refusal.code,
+            "param": refusal.field or None,
+            "ran": refusal.ran,
+        }
+    }
+
+
+class Handler(abc.ABC):
+    """Whatever answers requests."""
+
+    @abc.abstractmethod
+    async def handle(self, request: Request, response: Response) -> None:
+        """Answer one request; a ``Refused`` raised becomes JSON."""
+
+
+class Connection(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self.server = server
+        self.limits = server.limits
+        self.h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.request: Request | None = None
+        self.response: Response | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.can_write: asyncio.Future[None] | None = None
+        self.reading_paused = False
+        self.lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.server.connections.add(self)
+        self.arm(self.limits.header_timeout_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+        self.server.connections.discard(self)
+        self.disarm()
+        if self.can_write is not None and not self.can_write.done():
+            self.can_write.set_result(None)
+        if self.request is None:
+            return
+        if not self.request.complete:
+            self.request.finish(broken=True)
+        if self.task is not None and not self.request.keep_running:
+            self.task.cancel()
+
+    def pause_writing(self) -> None:
+        self.can_write = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        if self.can_write is not None and not self.can_write.done():
+            self.can_write.set_result(None)
+        self.can_write = None
+
+    async def writable(self) -> None:
+        """Wait until the transport takes more."""
+        if self.can_write is not None:
+            await self.can_write
+
+    def resume_reading(self) -> None:
+        """Read on, after backpressure."""
+        if self.reading_paused and not self.lost:
+            self.reading_paused = False
+            self.transport.resume_reading()
+
+    def pause_reading(self) -> None:
+        """Stop reading until there is room."""
+        if not self.reading_paused:
+            self.reading_paused = True
+            self.transport.pause_reading()
+
+    def arm(self, seconds: float) -> None:
+        """Close the connection unless something comes in time."""
+        self.disarm()
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(seconds, self.on_timeout)
+
+    def disarm(self) -> None:
+        """Forget the timer."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def on_timeout(self) -> None:
+        """Give up on a caller that sends nothing."""
+        if self.request is not None and not self.request.complete:
+            self.request.finish(broken=True)
+            return
+        self.transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        self.h11.receive_data(data)
+        if self.request is None and self.timer is not None:
+            self.arm(self.limits.header_timeout_s)
+        self.pump()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def pump(self) -> None:
+        """Work through what has been received."""
+        try:
+            while True:
+                event = self.h11.next_event()
+                if event is h11.NEED_DATA:
+                    return
+                if event is h11.PAUSED:
+                    self.pause_reading()
+                    return
+                if not self.on_event(event):
+                    return
+        except h11.RemoteProtocolError as error:
+            self.on_bad_request(error)
+
+    def on_event(self, event: Any) -> bool:
+        """Take one event; return whether to go on."""
+        if isinstance(event, h11.Request):
+            self.begin(event)
+        elif isinstance(event, h11.Data) and self.request is not None:
+            self.arm(self.limits.idle_timeout_s)
+            self.request.feed(bytes(event.data))
+            if self.request.buffered > HIGH_WATER:
+                self.pause_reading()
+        elif isinstance(event, h11.EndOfMessage) and self.request is not None:
+            self.disarm()
+            self.request.finish()
+        elif isinstance(event, h11.ConnectionClosed):
+            self.transport.close()
+            return False
+        return True
+
+    def begin(self, event: h11.Request) -> None:
+        """Start the handler of a new request."""
+        headers: dict[str, str] = {}
+        for raw_name, raw_value in event.headers:
+            name, value = raw_name.decode("ascii"), raw_value.decode("latin1")
+            seen = headers.get(name)
+            headers[name] = f"{seen}, {value}" if seen else value
+        self.request = Request(
+            event.method.decode("ascii"),
+            event.target.decode("latin1"),
+            headers,
+            self,
+            self.limits.max_body_bytes,
+        )
+        self.response = Response(self, self.request)
+        self.arm(self.limits.idle_timeout_s)
+        self.task = asyncio.get_running_loop().create_task(
+            self.serve(self.request, self.response)
+        )
+
+    async def serve(self, request: Request, response: Response) -> None:
+        """Run the handler and bring the connection to its next request."""
+        logs.REQUEST_ID.set(request.id)
+        try:
+            await self.server.handler.handle(request, response)
+        except errors.Refused as refusal:
+            self.conclude(response, refusal)
+        except asyncio.CancelledError:
+            response.abort()
+            raise
+        except Exception as error:
+            LOG.error("Handler failed: {!r}", error)
+            # What had happened by then is not known, so neither is ran.
+            self.conclude(
+                response,
+                errors.Refused(
+                    500, "internal", "internal error", ran="unknown"
+                ),
+            )
+        if not response.ended:
+            response.abort()
+        self.next_request()
+
+    def conclude(self, response: Response, refusal: errors.Refused) -> None:
+        """Refuse if no answer has begun, else cut the answer off."""
+        if response.status == 0:
+            response.refuse(refusal)
+        else:
+            response.abort()
+
+    def next_request(self) -> None:
+        """Make ready for the next request, or close."""
+        self.request = None
+        self.response = None
+        self.task = None
+        if self.lost:
+            return
+        if (
+            self.h11.our_state is h11.DONE
+            and self.h11.their_state is h11.DONE
+            and not self.server.closing
+        ):
+            self.h11.start_next_cycle()
+            self.arm(self.limits.idle_timeout_s)
+            self.resume_reading()
+            self.pump()
+        else:
+            self.transport.close()
+
+    def on_bad_request(self, error: h11.RemoteProtocolError) -> None:
+        """Refuse malformed HTTP."""
+        if self.request is not None:
+            self.request.finish(broken=True)
+            return
+        self.request = Request("?", "/", {}, self)
+        status = error.error_status_hint or 400
+        response = Response(self, self.request)
+        response.refuse(
+            errors.Refused(status, "bad_http", f"malformed HTTP: {error}")
+        )
+        self.transport.close()
+
+    def send(self, event: Any) -> None:
+        """Send an event; on a lost connection it is dropped."""
+        if self.lost:
+            return
+        data = self.h11.send(event)
+        if data:
+            self.transport.write(data)
+
+    def send_continue(self) -> None:
+        """Answer ``Expect: 100-continue``."""
+        if self.h11.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        if not self.lost:
+            self.transport.abort()
+
+
+class HttpServer:
+    """Listens and hands requests to a handler.
+
+    Attributes:
+      address: Where it listens, known once started.
+      closing: Whether connections close after their request.
+      connection_class: Made for each connection.
+    """
+
+    connection_class: type[Connection] = Connection
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Limits | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits or Limits()
+        self.tls = tls
+        self.connections: set[Connection] = set()
+        self.closing = False
+        self.server: asyncio.Server | None = None
+        self.address = configs.Address("", 0)
+
+    async def start(self, address: configs.Address) -> None:
+        """Listen; port 0 takes a free one."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: self.connection_class(self),
+            address.ip,
+            address.port,
+            ssl=self.tls,
+            backlog=1024,
+        )
+        name = self.server.sockets[0].getsockname()
+        self.address = configs.Address(name[0], name[1])
+
+    def in_flight(self) -> list[str]:
+        """Return a line for each request being served."""
+        return [
+            f"{c.request.method} {c.request.path} {c.request.id}"
+            for c in self.connections
+            if c.request is not None
+        ]
+
+    async def stop(self) -> None:
+        """Stop listening and drop what is left."""
+        if self.server is None:
+            return
+        self.server.close()
+        tasks = [c.task for c in self.connections if c.task is not None]
+        for connection in list(self.connections):
+            connection.abort()
+        if tasks:
+            await asyncio.wait(tasks, timeout=1.0)
+        self.server = None
--- /dev/null
+++ b/camphortray/messages.py
@@ -0,0 +1,105 @@
+"""Typed CBOR messages between hosts.
+
+A message on the wire is the CBOR array ``[version, kind, number, reply,
+body]``. Unknown fields of a body are ignored, so that two releases can
+talk; an unknown kind or version is refused.
+"""
+
+__all__ = [
+    "Envelope",
+    "MAX_MESSAGE_BYTES",
+    "PROTOCOL_VERSION",
+    "decode",
+    "encode",
+    "message",
+]
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+import cbor2
+import msgspec
+
+from camphortray import errors
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 1_048_576
+
+KINDS: dict[str, type] = {}
+NAMES: dict[type, str] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Envelope:
+    """A message as it travels.
+
+    Attributes:
+      number: 0 for one-way messages, else the number of the question.
+      reply: Whether it answers question ``number``.
+      message: An instance of a registered data class.
+    """
+
+    number: int
+    reply: bool
+    message: Any
+
+
+def message(kind: str) -> Callable[[type], type]:
+    """Return a decorator that registers a data class as a message."""
+
+    def decorate(cls: type) -> type:
+        KINDS[kind] = cls
+        NAMES[cls] = kind
+        return cls
+
+    return decorate
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the bytes of a message.
+
+    Raises:
+      MessageError: it is larger than ``MAX_MESSAGE_BYTES``.
+    """
+    body = msgspec.to_builtins(envelope.message, builtin_types=(bytes,))
+    data = cbor2.dumps(
+        [
+            PROTOCOL_VERSION,
+            NAMES[type(envelope.message)],
+            envelope.number,
+            envelope.reply,
+            body,
+        ]
+    )
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise errors.MessageError(
+            f"{len(data)} bytes are over the limit", step="encode"
+        )
+    return data
+
+
+def decode(data: bytes) -> Envelope:
+    """Read a message and check it.
+
+    Raises:
+      MessageError: it is not a message this release knows.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise errors.MessageError("over the size limit", step="decode")
+    try:
+        version, kind, number, reply, body = cbor2.loads(data)
+        if version != PROTOCOL_VERSION:
+            raise errors.MessageError(f"version {version}", step="decode")
+        cls = KINDS[kind]
+        content: Any = msgspec.convert(body, cls)
+        if type(number) is not int or type(reply) is not bool:
+            raise errors.MessageError("bad envelope", step="decode")
+    except errors.MessageError:
+        raise
+    except Exception as error:
+        # The bytes come from outside, and cbor2 raises many types.
+        raise errors.MessageError(
+            f"cannot be read: {error!r}", step="decode"
+        ) from error
+    return Envelope(number, reply, content)
--- /dev/null
+++ b/camphortray/plugins/openai_engine.py
@@ -0,0 +1,178 @@
+"""Speaks to engines with an OpenAI-like HTTP interface."""
+
+__all__ = ["HttpEngineStream", "OpenAiEngine"]
+
+from typing import Any
+
+import msgspec
+
+from camphortray import engine
+from camphortray import errors
+from camphortray import httpclient
+from camphortray.plugins import http_service
+
+DEADLINE = http_service.DEADLINE
+NOT_RUN = http_service.NOT_RUN
+REQUEST_ID = http_service.REQUEST_ID
+RESUME_TOKENS = "x-resume-tokens"
+HEAD_TIMEOUT_S = 120.0
+CONTROL = httpclient.Timeouts(1.0, 2.0, 2.0)
+
+
+class HttpEngineStream(engine.EngineStream):
+    """An answer that comes over HTTP."""
+
+    def __init__(self, response: httpclient.ClientResponse) -> None:
+        self.response = response
+        self.status = response.status
+        self.content_type = response.headers.get("content-type", "")
+
+    async def read(self, timeout_s: float) -> bytes:
+        return await self.response.read(timeout_s)
+
+    def close(self) -> None:
+        self.response.close()
+
+
+@engine.ENGINES.register("openai")
+class OpenAiEngine(engine.Engine):
+    """Engines over HTTP."""
+
+    def __init__(self) -> None:
+        self.client = httpclient.HttpClient()
+
+    @classmethod
+    def from_config(cls) -> "OpenAiEngine":
+        return cls()
+
+    async def open(
+        self,
+        upstream: engine.Upstream,
+        request: engine.EngineRequest,
+        fresh: bool = False,
+    ) -> engine.EngineStream:
+        limit = min(request.deadline_s or HEAD_TIMEOUT_S, HEAD_TIMEOUT_S)
+        response = await self.client.request(
+            upstream.address,
+            "POST",
+            request.path,
+            request_headers(request),
+            request_body(request),
+            timeouts=httpclient.Timeouts(1.0, limit, limit),
+            fresh=fresh,
+        )
+        try:
+            http_service.check_echo(response.headers, request.id, upstream)
+            if response.status != 200:
+                await refuse(response, upstream)
+        except BaseException:
+            response.close()
+            raise
+        return HttpEngineStream(response)
+
+    async def cancel(self, upstream: engine.Upstream, request_id: str) -> None:
+        await self.control(
+            upstream, "POST", f"/v1/requests/{request_id}/cancel"
+        )
+
+    async def load(self, upstream: engine.Upstream) -> engine.LoadReport:
+        body = await self.control(upstream, "GET", "/v1/load")
+        return msgspec.json.decode(body, type=engine.LoadReport)
+
+    async def events(
+        self, upstream: engine.Upstream, after: int
+    ) -> engine.CacheEvents:
+        body = await self.control(
+            upstream, "GET", f"/v1/cache-events?after={after}"
+        )
+        return msgspec.json.decode(body, type=engine.CacheEvents)
+
+    async def order(
+        self, upstream: engine.Upstream, order: engine.Order
+    ) -> engine.OrderAnswer:
+        body = await self.control(
+            upstream, "POST", "/v1/orders", msgspec.json.encode(order)
+        )
+        return msgspec.json.decode(body, type=engine.OrderAnswer)
+
+    async def state(self, upstream: engine.Upstream) -> engine.EngineState:
+        body = await self.control(upstream, "GET", "/v1/state")
+        return msgspec.json.decode(body, type=engine.EngineState)
+
+    async def control(
+        self,
+        upstream: engine.Upstream,
+        method: str,
+        target: str,
+        body: bytes = b"",
+    ) -> bytes:
+        """Make a short call and return its body.
+
+        Raises:
+          UpstreamRefused: status other than 200.
+          UpstreamBroken: no answer.
+        """
+        status, _, content = await self.client.call(
+            upstream.address, method, target, (), body, timeouts=CONTROL
+        )
+        if status != 200:
+            raise errors.UpstreamRefused(
+                f"status {status}",
+                status=status,
+                ran=True,
+                step=target,
+                peer=upstream.name,
+            )
+        return content
+
+    async def close(self) -> None:
+        await self.client.close()
+
+
+def request_headers(request: engine.EngineRequest) -> list[tuple[str, str]]:
+    """Return the headers of a request to an engine."""
+    headers = [
+        ("content-type", "application/json"),
+        (REQUEST_ID, request.id),
+    ]
+    if request.deadline_s is not None:
+        headers.append((DEADLINE, f"{request.deadline_s:.3f}"))
+    if request.resume_tokens:
+        headers.append((RESUME_TOKENS, str(request.resume_tokens)))
+    return headers
+
+
+def request_body(request: engine.EngineRequest) -> bytes:
+    """Return the body, with the text to resume from if there is one."""
+    if not request.resume_tokens:
+        return request.body
+    data: dict[str, Any] = msgspec.json.decode(request.body)
+    data["resume"] = {
+        "text": request.resume_text,
+        "tokens": request.resume_tokens,
+    }
+    return msgspec.json.encode(data)
+
+
+async def refuse(
+    response: httpclient.ClientResponse, upstream: engine.Upstream
+) -> None:
+    """Raise the refusal that an answer stands for."""
+    body = await response.body()
+    not_run = NOT_RUN in response.headers
+    raise errors.UpstreamRefused(
+        message_of(body),
+        status=response.status,
+        ran=not not_run,
+        leaving="x-leaving" in response.headers,
+        step="open",
+        peer=upstream.name,
+    )
+
+
+def message_of(body: bytes) -> str:
+    """Return the message of a JSON error."""
+    try:
+        return str(msgspec.json.decode(body)["error"]["message"])
+    except (msgspec.DecodeError, LookupError, TypeError):
+        return body[:200].decode("latin1")
--- /dev/null
+++ b/camphortray/tree.py
@@ -0,0 +1,78 @@
+"""Follows the settings stream and keeps the view in force."""
+
+__all__ = ["Tree"]
+
+from collections.abc import Callable
+from typing import ClassVar
+
+from camphortray import fold as folds
+from camphortray import journal
+from camphortray import kernel
+from camphortray import logs
+from camphortray import outer
+from camphortray import records
+from camphortray import settings
+
+LOG = logs.logger("settings")
+
+
+@kernel.PARTS.register("entry", "batch")
+class Tree(kernel.Part):
+    """The settings in force on this host.
+
+    Attributes:
+      view: The tree at the newest revision known; never goes back.
+      journal: The settings stream.
+    """
+
+    name: ClassVar[str] = "settings"
+    requires: ClassVar[tuple[str, ...]] = ("outer",)
+
+    def __init__(self, context: kernel.Context) -> None:
+        self.context = context
+        self.fold = settings.SettingsFold()
+        self.view = settings.View(self.fold, context.config.host.region)
+        self.listeners: list[Callable[[settings.View], None]] = []
+        writer = records.Writer(
+            f"{context.config.host.name}/{context.program}",
+            context.incarnation,
+        )
+        self.journal = journal.Journal(
+            context.part(outer.Outer).log,
+            settings.STREAM,
+            self.fold,
+            writer,
+            context.rng,
+        )
+
+    @classmethod
+    def from_config(cls, context: kernel.Context) -> "Tree":
+        return cls(context)
+
+    async def start(self) -> None:
+        self.journal.listen(self.on_outcome)
+        self.journal.start()
+
+    def on_outcome(self, outcome: folds.Outcome) -> None:
+        """Put a valid change in force."""
+        if outcome.valid and self.fold.revision > self.view.revision:
+            self.put_in_force()
+
+    def put_in_force(self) -> None:
+        """Make a new view of the fold and tell who listens."""
+        region = self.context.config.host.region
+        self.view = settings.View(self.fold, region)
+        LOG.info("Revision {} is in force.", self.view.revision)
+        for listener in self.listeners:
+            listener(self.view)
+
+    def listen(self, listener: Callable[[settings.View], None]) -> None:
+        """Call ``listener`` with each new view, and with the present one."""
+        self.listeners.append(listener)
+        listener(self.view)
+
+    def ready(self) -> str:
+        return "" if self.view.revision else "no settings yet"
+
+    async def stop(self) -> None:
+        await self.journal.stop()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; each module mirrors one of the package."""
