Name the seams: signals, admission, slots, ownership

Cause: routing, batch slots and shards will be built side by side and need fixed places to meet. Conclusion: each concern can now grow in its own module.

--- a/camphortray/dispatch.py
+++ b/camphortray/dispatch.py
@@ -14,8 +14,9 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import outer as outer_module
-from camphortray import routing
 from camphortray import settings
+from camphortray import signals as signals_module
+from camphortray import slots as slots_module
 from camphortray import upstreams as upstreams_module
 
 LOG = logs.logger("dispatch")
@@ -27,16 +28,12 @@
 class Runner:
     """Runs items; a passing fault is tried again elsewhere."""
 
-    def __init__(
-        self,
-        context: kernel.Context,
-        outer: outer_module.Outer,
-        upstreams: upstreams_module.Upstreams,
-    ) -> None:
+    def __init__(self, context: kernel.Context) -> None:
         self.context = context
-        self.outer = outer
-        self.upstreams = upstreams
-        self.router = routing.Router(context.rng)
+        self.outer = context.part(outer_module.Outer)
+        self.upstreams = context.part(upstreams_module.Upstreams)
+        self.slots = context.part(slots_module.Slots)
+        self.signals = context.part(signals_module.Signals)
 
     async def run_all(
         self, service: settings.Service, job: jobs.Job, shard: Any
@@ -90,17 +87,24 @@
         body: bytes,
     ) -> bytes:
         """Run an item on one upstream and return its answer."""
-        candidates = self.upstreams.candidates(service, frozenset())
-        if not candidates:
-            raise errors.UpstreamBroken("no upstream", ran=False)
-        upstream = self.router.choose(candidates)
         request = engine.EngineRequest(
             f"{accept.job}-{index}", accept.path, body, False, batch=True
         )
+        slot = await self.slots.acquire(service)
+        upstream = slot.upstream
+        told = service.name, upstream.name, True
         party = self.outer.engine(upstream.plugin)
-        with self.upstreams.count(upstream):
-            stream = await party.open(upstream, request)
-            try:
-                return await engine.read_all(stream, 60.0)
-            finally:
-                stream.close()
+        self.signals.begun(*told)
+        good = False
+        try:
+            with self.upstreams.count(upstream):
+                stream = await party.open(upstream, request)
+                try:
+                    answer = await engine.read_all(stream, 60.0)
+                    good = True
+                    return answer
+                finally:
+                    stream.close()
+        finally:
+            self.signals.ended(*told, good)
+            await self.slots.release(slot)
--- a/camphortray/jobapi.py
+++ b/camphortray/jobapi.py
@@ -20,10 +20,10 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import outer
+from camphortray import ownership
 from camphortray import records
 from camphortray import shards
 from camphortray import tree
-from camphortray import upstreams
 from camphortray import web
 
 LOG = logs.logger("jobs")
@@ -38,6 +38,7 @@
     def __init__(self, number: int, held: journal.Journal) -> None:
         self.number = number
         self.journal = held
+        self.owner = ownership.Owner(held)
         self.uploads = 0
 
     @property
@@ -47,24 +48,12 @@
         assert isinstance(fold, jobs.JobsFold)
         return fold
 
-    @property
-    def owned(self) -> bool:
-        """Whether this process owns the shard."""
-        return self.fold.ownership.owner == self.journal.writer
-
-    async def claim(self) -> None:
-        """Own the shard if nobody does."""
-        await self.journal.caught_up.wait()
-        if self.fold.ownership.owner is None:
-            claim = folds.Claim(self.fold.ownership.epoch)
-            await self.journal.append(folds.CLAIM, dataclasses.asdict(claim))
-
     async def append(self, kind: str, body: Any) -> folds.Outcome:
         """Append a record in this host's epoch."""
         return await self.journal.append(
             kind,
             msgspec.to_builtins(body, builtin_types=(bytes,)),
-            self.fold.ownership.epoch,
+            self.owner.epoch,
             APPEND_S,
         )
 
@@ -88,16 +77,18 @@
     """All shards of jobs on this host, and the HTTP calls on them."""
 
     name: ClassVar[str] = "jobs"
-    requires: ClassVar[tuple[str, ...]] = ("outer", "routes", "upstreams")
+    requires: ClassVar[tuple[str, ...]] = (
+        "outer",
+        "routes",
+        "upstreams",
+        "slots",
+        "signals",
+    )
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.tree = context.part(tree.Tree)
-        self.runner = dispatch.Runner(
-            context,
-            context.part(outer.Outer),
-            context.part(upstreams.Upstreams),
-        )
+        self.runner = dispatch.Runner(context)
         writer = records.Writer(
             f"{context.config.host.name}/batch", context.incarnation
         )
@@ -129,7 +120,7 @@
     async def start(self) -> None:
         for shard in self.shards:
             shard.journal.start()
-        await asyncio.gather(*(shard.claim() for shard in self.shards))
+        await asyncio.gather(*(shard.owner.claim() for shard in self.shards))
         for shard in self.shards:
             for job in shard.fold.jobs.values():
                 self.run(shard, job)
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import ClassVar
 
+from camphortray import admission
 from camphortray import engine
 from camphortray import errors
 from camphortray import kernel
@@ -13,6 +14,7 @@
 from camphortray import outer
 from camphortray import routing
 from camphortray import settings
+from camphortray import signals
 from camphortray import tree
 from camphortray import upstreams
 from camphortray import web
@@ -31,6 +33,8 @@
         "routes",
         "upstreams",
         "membership",
+        "admission",
+        "signals",
     )
 
     def __init__(self, context: kernel.Context) -> None:
@@ -38,6 +42,8 @@
         self.tree = context.part(tree.Tree)
         self.outer = context.part(outer.Outer)
         self.upstreams = context.part(upstreams.Upstreams)
+        self.admission = context.part(admission.Admission)
+        self.signals = context.part(signals.Signals)
         self.router = routing.Router(context.rng)
         routes = context.part(web.Routes)
         access = web.Access.WORKSPACE
@@ -89,6 +95,21 @@
             bool(data.get("stream")),
             service.get("limit.deadline_s"),
         )
+        now = self.context.clock.monotonic()
+        deadline_at = now + service.get("limit.deadline_s")
+        ticket = await self.admission.enter(service, call.caller, deadline_at)
+        try:
+            await self.answer(call, service, request)
+        finally:
+            self.admission.leave(ticket)
+
+    async def answer(
+        self,
+        call: web.Call,
+        service: settings.Service,
+        request: engine.EngineRequest,
+    ) -> None:
+        """Try upstreams until one has answered."""
         tried: frozenset[str] = frozenset()
         while True:
             upstream = self.choose(service, tried)
@@ -135,23 +156,47 @@
         request: engine.EngineRequest,
     ) -> None:
         """Send a request to an upstream and its answer to the caller."""
-        silence = service.get("limit.silence_s")
+        told = service.name, upstream.name, False
         party = self.outer.engine(upstream.plugin)
-        stream = await party.open(upstream, request)
+        self.signals.begun(*told)
+        good = False
         try:
-            response = call.response
-            headers = [("content-type", stream.content_type)]
-            if not request.stream:
-                body = await engine.read_all(stream, request.deadline_s or 60)
-                response.send(stream.status, body, headers)
-                return
-            response.start(stream.status, headers)
-            while data := await stream.read(silence):
-                response.write(data)
-                await response.flush()
-            response.end()
+            stream = await party.open(upstream, request)
+            try:
+                await self.copy(call, service, upstream, request, stream)
+            finally:
+                stream.close()
+            good = True
         finally:
-            stream.close()
+            self.signals.ended(*told, good)
+
+    async def copy(
+        self,
+        call: web.Call,
+        service: settings.Service,
+        upstream: engine.Upstream,
+        request: engine.EngineRequest,
+        stream: engine.EngineStream,
+    ) -> None:
+        """Copy an answer to the caller."""
+        response = call.response
+        headers = [("content-type", stream.content_type)]
+        if not request.stream:
+            body = await engine.read_all(stream, request.deadline_s or 60)
+            response.send(stream.status, body, headers)
+            return
+        clock = self.context.clock
+        silence = service.get("limit.silence_s")
+        tell = self.signals.first_token
+        last = clock.monotonic()
+        response.start(stream.status, headers)
+        while data := await stream.read(silence):
+            now = clock.monotonic()
+            tell(service.name, upstream.name, False, now - last)
+            tell, last = self.signals.next_token, now
+            response.write(data)
+            await response.flush()
+        response.end()
 
     def on_failure(
         self,
