Resume, route, retry and keep suspects apart on the online path

Requests are checked field by field and sent on as received. A broken stream goes on at the next token elsewhere; tries follow a budget; an upstream is probed before it is held down; the requests in flight at a crash run apart until one is proved to cause it.

--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -67,6 +67,9 @@
       resume_tokens: Number of tokens in ``resume_text``.
       batch: Whether it is batch work; engines know no priorities, so
         this is for the record only.
+      silence_s: Longest silence to be expected before the answer begins;
+        a kept connection silent for longer is taken for dead, a new one
+        after four times as long. 0 for no such limit.
     """
 
     id: str
@@ -77,6 +80,7 @@
     resume_text: str = ""
     resume_tokens: int = 0
     batch: bool = False
+    silence_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -14,12 +14,16 @@
 
 from camphortray import config as configs
 from camphortray import errors
+from camphortray import timers
 
 # Unread bytes at which the shell stops reading the socket.
 HIGH_WATER = 262_144
 MAX_HEAD_BYTES = 32_768
 # Idle connections kept for one address.
 MAX_IDLE = 64
+# Servers close idle connections too; one kept longer than this is likely
+# to be closed just as a request leaves on it.
+MAX_IDLE_S = 60.0
 
 Headers = Sequence[tuple[str, str]]
 Body = bytes | AsyncIterator[bytes]
@@ -33,11 +37,14 @@
       connect_s: For a new connection.
       head_s: From the request to the head of the answer.
       chunk_s: From one piece of the answer to the next.
+      kept_head_s: As ``head_s`` on a connection used before, which may
+        have gone silent for good; 0 for no difference.
     """
 
     connect_s: float = 1.0
     head_s: float = 30.0
     chunk_s: float = 30.0
+    kept_head_s: float = 0.0
 
 
 class ClientConnection(asyncio.Protocol):
@@ -57,7 +64,10 @@
         self.lost = False
         self.failure = ""
         self.uses = 0
-        self.waiter: asyncio.Future[None] | None = None
+        self.loop = asyncio.get_running_loop()
+        self.timer = timers.LazyTimer(self.on_silence)
+        self.heard_at = self.loop.time()
+        self.waiter: asyncio.Future[bool] | None = None
         self.can_write: asyncio.Future[None] | None = None
         self.reading_paused = False
 
@@ -66,6 +76,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
+        self.timer.stop()
         if not self.complete:
             self.on_eof()
         if not self.complete:
@@ -82,6 +93,7 @@
         self.can_write = None
 
     def data_received(self, data: bytes) -> None:
+        self.heard_at = self.loop.time()
         if self.idle:
             # Bytes nobody asked for would be read as the next caller's
             # answer; dropping the connection is enough, as it is idle.
@@ -125,7 +137,12 @@
     def wake(self) -> None:
         """Wake whoever waits for the answer."""
         if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_result(None)
+            self.waiter.set_result(False)
+
+    def on_silence(self) -> None:
+        """Let the waiter know that its time is over."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(True)
 
     def take(self) -> bytes:
         """Return all body bytes received and not yet taken."""
@@ -146,24 +163,24 @@
         Raises:
           UpstreamTimeout: nothing happened in time.
         """
-        loop = asyncio.get_running_loop()
-        waiter = self.waiter = loop.create_future()
-        timer = loop.call_later(seconds, expire, waiter)
+        self.waiter = self.loop.create_future()
+        self.timer.set(seconds)
         try:
-            if await waiter:
-                raise errors.UpstreamTimeout(
-                    f"silent for {seconds:g} s",
-                    ran=True,
-                    step=step,
-                    peer=self.peer,
-                )
+            silent = await self.waiter
         finally:
-            timer.cancel()
             self.waiter = None
+            self.timer.pause()
+        if silent:
+            raise errors.UpstreamTimeout(
+                f"silent for {seconds:.3g} s",
+                ran=True,
+                step=step,
+                peer=self.peer,
+            )
 
-    def send(self, event: Any) -> None:
-        """Send one event."""
-        data = self.h11.send(event)
+    def send(self, *events: Any) -> None:
+        """Send events in one write."""
+        data = b"".join([self.h11.send(event) or b"" for event in events])
         if data and not self.lost:
             self.transport.write(data)
 
@@ -174,19 +191,17 @@
         self.uses += 1
         self.head = None
         self.complete = False
-        self.send(
-            h11.Request(method=method, target=target, headers=list(headers))
-        )
+        head = h11.Request(method=method, target=target, headers=list(headers))
         if isinstance(body, bytes):
-            if body:
-                self.send(h11.Data(data=body))
-        else:
-            async for chunk in body:
-                if self.lost or self.head is not None:
-                    break
-                self.send(h11.Data(data=chunk))
-                if self.can_write is not None:
-                    await self.can_write
+            self.send(head, h11.Data(data=body), h11.EndOfMessage())
+            return
+        self.send(head)
+        async for chunk in body:
+            if self.lost or self.head is not None:
+                break
+            self.send(h11.Data(data=chunk))
+            if self.can_write is not None:
+                await self.can_write
         if not self.lost and self.h11.our_state is h11.SEND_BODY:
             self.send(h11.EndOfMessage())
 
@@ -207,12 +222,6 @@
             self.transport.abort()
 
 
-def expire(waiter: "asyncio.Future[Any]") -> None:
-    """Let a waiter know that its time is over."""
-    if not waiter.done():
-        waiter.set_result(True)
-
-
 class ClientResponse:
     """An answer whose body is read as it comes.
 
@@ -264,7 +273,12 @@
                     step="read",
                     peer=connection.peer,
                 )
-            await connection.wait(timeout_s or self.timeouts.chunk_s, "read")
+            seconds = timeout_s or self.timeouts.chunk_s
+            try:
+                await connection.wait(seconds, "read")
+            except errors.UpstreamTimeout:
+                self.client.distrust(self.address, seconds)
+                raise
         return connection.take()
 
     async def body(self) -> bytes:
@@ -337,9 +351,14 @@
                         step="head",
                         peer=connection.peer,
                     )
-                await connection.wait(limits.head_s, "head")
-        except BaseException:
+                seconds = limits.head_s
+                if connection.uses > 1 and limits.kept_head_s:
+                    seconds = min(seconds, limits.kept_head_s)
+                await connection.wait(seconds, "head")
+        except BaseException as error:
             self.discard(connection)
+            if isinstance(error, errors.UpstreamTimeout):
+                self.distrust(address, seconds)
             raise
         return ClientResponse(self, address, connection, limits)
 
@@ -377,7 +396,10 @@
         kept = self.idle.get(address)
         while kept and not fresh:
             connection = kept.pop()
-            if not connection.lost:
+            idle_s = connection.loop.time() - connection.heard_at
+            if idle_s > MAX_IDLE_S:
+                connection.abort()
+            elif not connection.lost:
                 connection.idle = False
                 connection.h11.start_next_cycle()
                 return connection
@@ -416,6 +438,7 @@
             connection.abort()
             return
         connection.idle = True
+        connection.timer.stop()
         kept.append(connection)
 
     def discard(self, connection: ClientConnection) -> None:
@@ -423,6 +446,20 @@
         self.busy.discard(connection)
         connection.abort()
 
+    def distrust(self, address: configs.Address, silence_s: float) -> None:
+        """Drop kept connections not heard of during a silence.
+
+        What lost track of one connection has often lost track of others
+        made before it; the next request would wait on those in turn.
+        Connections that have carried bytes since are known to work.
+        """
+        since = asyncio.get_running_loop().time() - silence_s
+        kept = self.idle.get(address, [])
+        for connection in kept:
+            if connection.heard_at <= since:
+                connection.abort()
+        self.idle[address] = [c for c in kept if c.heard_at > since]
+
     def forget(self, address: configs.Address) -> None:
         """Drop all kept connections to an address."""
         for connection in self.idle.pop(address, []):
--- a/camphortray/httpserver.py
+++ b/camphortray/httpserver.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 import dataclasses
+import re
 import ssl
 from typing import Any
 from typing import cast
@@ -19,12 +20,15 @@
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import logs
+from camphortray import timers
 
 LOG = logs.logger("http")
 # Unread bytes of one body at which the shell stops reading the socket.
 HIGH_WATER = 262_144
 MAX_HEAD_BYTES = 32_768
 REQUEST_ID_HEADER = "x-request-id"
+# An id from outside goes into logs, headers and paths of other calls.
+REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 RAN_HEADER = "Camphortray-Ran"
 
 Headers = Sequence[tuple[str, str]]
@@ -43,7 +47,7 @@
     """One request; its body can be read whole or as it comes.
 
     Attributes:
-      id: The caller's ``X-Request-Id`` or a new one.
+      id: The caller's ``X-Request-Id`` if it is a plain word, or a new one.
       method: e.g. ``"POST"``.
       path: Path without the query, percent-decoded.
       target: Path and query as sent.
@@ -67,7 +71,9 @@
         self.path = urllib.parse.unquote(path)
         self.query = dict(urllib.parse.parse_qsl(query))
         self.headers = headers
-        self.id = headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
+        self.id = headers.get(REQUEST_ID_HEADER, "")
+        if not REQUEST_ID_PATTERN.fullmatch(self.id):
+            self.id = uuid.uuid4().hex
         self.keep_running = False
         self.connection = connection
         self.max_body_bytes = max_body_bytes
@@ -177,10 +183,10 @@
         self.ended = False
 
     def start(self, status: int, headers: Headers = ()) -> None:
-        """Send the head of a chunked answer."""
+        """Send the head of a chunked answer, with what follows first."""
         self.status = status
         head = [*headers, (REQUEST_ID_HEADER, self.request.id)]
-        self.connection.send(h11.Response(status_code=status, headers=head))
+        self.connection.hold(h11.Response(status_code=status, headers=head))
 
     def write(self, data: bytes) -> None:
         """Send body bytes; call ``flush`` now and then."""
@@ -190,6 +196,11 @@
         """Wait until the caller has room for more."""
         await self.connection.writable()
 
+    @property
+    def blocked(self) -> bool:
+        """Whether ``flush`` would wait."""
+        return self.connection.can_write is not None
+
     def end(self) -> None:
         """End the answer cleanly."""
         self.ended = True
@@ -200,11 +211,22 @@
         self.ended = True
         self.connection.abort()
 
+    def cut(self, refusal: errors.Refused) -> None:
+        """End an event stream as an error, never as a clean end.
+
+        The caller reads the reason as an event; the body stays without
+        its last chunk, so that readers of bytes see it cut off too.
+        """
+        event = msgspec.json.encode(refusal_body(refusal))
+        self.write(b"data: " + event + b"\n\n")
+        self.ended = True
+        self.connection.close()
+
     def send(self, status: int, body: bytes, headers: Headers = ()) -> None:
         """Send a whole answer."""
         self.start(status, [*headers, ("content-length", str(len(body)))])
         if body:
-            self.write(body)
+            self.connection.hold(h11.Data(data=body))
         self.end()
 
     def send_json(self, status: int, data: Any, headers: Headers = ()) -> None:
@@ -259,7 +281,8 @@
         self.request: Request | None = None
         self.response: Response | None = None
         self.task: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer = timers.LazyTimer(self.on_timeout)
+        self.held: list[bytes] = []
         self.can_write: asyncio.Future[None] | None = None
         self.reading_paused = False
         self.lost = False
@@ -267,12 +290,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.server.connections.add(self)
-        self.arm(self.limits.header_timeout_s)
+        self.timer.set(self.limits.header_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
         self.server.connections.discard(self)
-        self.disarm()
+        self.timer.stop()
         if self.can_write is not None and not self.can_write.done():
             self.can_write.set_result(None)
         if self.request is None:
@@ -292,6 +315,9 @@
 
     async def writable(self) -> None:
         """Wait until the transport takes more."""
+        if self.held and not self.lost:
+            self.transport.write(b"".join(self.held))
+            self.held.clear()
         if self.can_write is not None:
             await self.can_write
 
@@ -307,18 +333,6 @@
             self.reading_paused = True
             self.transport.pause_reading()
 
-    def arm(self, seconds: float) -> None:
-        """Close the connection unless something comes in time."""
-        self.disarm()
-        loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(seconds, self.on_timeout)
-
-    def disarm(self) -> None:
-        """Forget the timer."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
     def on_timeout(self) -> None:
         """Give up on a caller that sends nothing."""
         if self.request is not None and not self.request.complete:
@@ -328,8 +342,8 @@
 
     def data_received(self, data: bytes) -> None:
         self.h11.receive_data(data)
-        if self.request is None and self.timer is not None:
-            self.arm(self.limits.header_timeout_s)
+        if self.request is None:
+            self.timer.set(self.limits.header_timeout_s)
         self.pump()
 
     def eof_received(self) -> bool:
@@ -355,12 +369,12 @@
         if isinstance(event, h11.Request):
             self.begin(event)
         elif isinstance(event, h11.Data) and self.request is not None:
-            self.arm(self.limits.idle_timeout_s)
+            self.timer.set(self.limits.idle_timeout_s)
             self.request.feed(bytes(event.data))
             if self.request.buffered > HIGH_WATER:
                 self.pause_reading()
         elif isinstance(event, h11.EndOfMessage) and self.request is not None:
-            self.disarm()
+            self.timer.pause()
             self.request.finish()
         elif isinstance(event, h11.ConnectionClosed):
             self.transport.close()
@@ -382,7 +396,7 @@
             self.limits.max_body_bytes,
         )
         self.response = Response(self, self.request)
-        self.arm(self.limits.idle_timeout_s)
+        self.timer.set(self.limits.idle_timeout_s)
         self.task = asyncio.get_running_loop().create_task(
             self.serve(self.request, self.response)
         )
@@ -430,7 +444,7 @@
             and not self.server.closing
         ):
             self.h11.start_next_cycle()
-            self.arm(self.limits.idle_timeout_s)
+            self.timer.set(self.limits.idle_timeout_s)
             self.resume_reading()
             self.pump()
         else:
@@ -453,10 +467,23 @@
         """Send an event; on a lost connection it is dropped."""
         if self.lost:
             return
-        data = self.h11.send(event)
+        data = self.h11.send(event) or b""
+        if self.held:
+            data = b"".join([*self.held, data])
+            self.held.clear()
         if data:
             self.transport.write(data)
 
+    def hold(self, event: Any) -> None:
+        """Keep an event back, to leave in one write with the next."""
+        if not self.lost:
+            self.held.append(self.h11.send(event) or b"")
+
+    def close(self) -> None:
+        """Close once what was written has left."""
+        if not self.lost:
+            self.transport.close()
+
     def send_continue(self) -> None:
         """Answer ``Expect: 100-continue``."""
         if self.h11.they_are_waiting_for_100_continue:
--- a/camphortray/plugins/openai_engine.py
+++ b/camphortray/plugins/openai_engine.py
@@ -16,6 +16,7 @@
 REQUEST_ID = http_service.REQUEST_ID
 RESUME_TOKENS = "x-resume-tokens"
 HEAD_TIMEOUT_S = 120.0
+CONNECT_S = 1.0
 CONTROL = httpclient.Timeouts(1.0, 2.0, 2.0)
 
 
@@ -51,14 +52,13 @@
         request: engine.EngineRequest,
         fresh: bool = False,
     ) -> engine.EngineStream:
-        limit = min(request.deadline_s or HEAD_TIMEOUT_S, HEAD_TIMEOUT_S)
         response = await self.client.request(
             upstream.address,
             "POST",
             request.path,
             request_headers(request),
             request_body(request),
-            timeouts=httpclient.Timeouts(1.0, limit, limit),
+            timeouts=timeouts_of(request),
             fresh=fresh,
         )
         try:
@@ -96,7 +96,9 @@
         return msgspec.json.decode(body, type=engine.OrderAnswer)
 
     async def state(self, upstream: engine.Upstream) -> engine.EngineState:
-        body = await self.control(upstream, "GET", "/v1/state")
+        # State is asked to learn whether an upstream can be reached; a
+        # kept connection that went silent would say nothing of that.
+        body = await self.control(upstream, "GET", "/v1/state", fresh=True)
         return msgspec.json.decode(body, type=engine.EngineState)
 
     async def control(
@@ -105,6 +107,7 @@
         method: str,
         target: str,
         body: bytes = b"",
+        fresh: bool = False,
     ) -> bytes:
         """Make a short call and return its body.
 
@@ -113,7 +116,13 @@
           UpstreamBroken: no answer.
         """
         status, _, content = await self.client.call(
-            upstream.address, method, target, (), body, timeouts=CONTROL
+            upstream.address,
+            method,
+            target,
+            (),
+            body,
+            timeouts=CONTROL,
+            fresh=fresh,
         )
         if status != 200:
             raise errors.UpstreamRefused(
@@ -129,6 +138,19 @@
         await self.client.close()
 
 
+def timeouts_of(request: engine.EngineRequest) -> httpclient.Timeouts:
+    """Return the time limits of a request."""
+    limit = min(request.deadline_s or HEAD_TIMEOUT_S, HEAD_TIMEOUT_S)
+    if not request.silence_s:
+        return httpclient.Timeouts(CONNECT_S, limit, limit)
+    return httpclient.Timeouts(
+        CONNECT_S,
+        min(limit, 4 * request.silence_s),
+        limit,
+        kept_head_s=request.silence_s,
+    )
+
+
 def request_headers(request: engine.EngineRequest) -> list[tuple[str, str]]:
     """Return the headers of a request to an engine."""
     headers = [
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -1,13 +1,16 @@
-"""Answers online requests: chooses an upstream and passes its answer on."""
+"""Answers online requests: checks them and sends them on their way."""
 
 __all__ = ["Relay"]
 
-from typing import Any
+import asyncio
 from typing import ClassVar
 
 from camphortray import admission
-from camphortray import engine
+from camphortray import completion as completions
+from camphortray import deadline
 from camphortray import errors
+from camphortray import exchange as exchanges
+from camphortray import httpserver
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
@@ -15,13 +18,15 @@
 from camphortray import routing
 from camphortray import settings
 from camphortray import signals
+from camphortray import suspects
 from camphortray import tree
 from camphortray import upstreams
 from camphortray import web
 
 LOG = logs.logger("relay")
-# Upstreams tried for one request before it is refused.
-MAX_TRIES = 3
+IDEMPOTENT = "camphortray-idempotent"
+# Longest part of a caller's request id that is passed to engines.
+ID_CHARS = 96
 
 
 @kernel.PARTS.register("entry")
@@ -35,28 +40,29 @@
         "membership",
         "admission",
         "signals",
+        "suspects",
     )
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.tree = context.part(tree.Tree)
-        self.outer = context.part(outer.Outer)
-        self.upstreams = context.part(upstreams.Upstreams)
         self.admission = context.part(admission.Admission)
-        self.signals = context.part(signals.Signals)
-        self.router = routing.Router(context.rng)
+        zone = context.config.host.availability_zone
+        self.parts = exchanges.Parts(
+            context.clock,
+            context.part(outer.Outer),
+            context.part(upstreams.Upstreams),
+            context.part(signals.Signals),
+            context.part(suspects.Suspects),
+            routing.Router(context.rng, zone),
+        )
+        self.count = 0
         routes = context.part(web.Routes)
         access = web.Access.WORKSPACE
         for path in ("/v1/chat/completions", "/v1/completions"):
             routes.add("POST", path, access, self.complete)
         routes.add("GET", "/v1/models", access, self.models)
         routes.add("GET", "/v1/hosts", web.Access.OPEN, self.hosts)
-        routes.add(
-            "*",
-            "/v1/services/{service}/{rest...}",
-            access,
-            self.plain,
-        )
 
     @classmethod
     def from_config(cls, context: kernel.Context) -> "Relay":
@@ -86,50 +92,62 @@
 
     async def complete(self, call: web.Call) -> None:
         """Answer a completion."""
-        data = await call.request.json()
-        service = self.service_of(data)
-        request = engine.EngineRequest(
-            call.request.id,
-            call.request.path,
-            await_body(call, data),
-            bool(data.get("stream")),
-            service.get("limit.deadline_s"),
+        headers = call.request.headers
+        body = await call.request.body()
+        completion = completions.parse(call.request.path, body)
+        service = self.service_of(completion.model)
+        idempotent = is_idempotent(headers.get(IDEMPOTENT, "true"))
+        seconds = deadline.from_headers(
+            headers, service.get("limit.deadline_s")
+        )
+        deadline_at = self.context.clock.monotonic() + seconds
+        exchange = exchanges.Exchange(
+            self.parts,
+            call,
+            service,
+            completion,
+            body,
+            name=self.try_name(call.request),
+            deadline_at=deadline_at,
+            idempotent=idempotent,
         )
-        now = self.context.clock.monotonic()
-        deadline_at = now + service.get("limit.deadline_s")
-        ticket = await self.admission.enter(service, call.caller, deadline_at)
         try:
-            await self.answer(call, service, request)
+            async with asyncio.timeout(seconds):
+                await self.admit(exchange)
+        except TimeoutError as error:
+            ran = "unknown" if exchange.ran else "no"
+            self.end(exchange, deadline.passed(ran), error)
+        except errors.Refused as refusal:
+            self.end(exchange, refusal, refusal.__cause__)
+
+    async def admit(self, exchange: exchanges.Exchange) -> None:
+        """Run an exchange once there is room for it."""
+        ticket = await self.admission.enter(
+            exchange.service, exchange.call.caller, exchange.deadline_at
+        )
+        try:
+            await exchange.run()
         finally:
             self.admission.leave(ticket)
 
-    async def answer(
+    def end(
         self,
-        call: web.Call,
-        service: settings.Service,
-        request: engine.EngineRequest,
+        exchange: exchanges.Exchange,
+        refusal: errors.Refused,
+        cause: BaseException | None,
     ) -> None:
-        """Try upstreams until one has answered."""
-        tried: frozenset[str] = frozenset()
-        while True:
-            upstream = self.choose(service, tried)
-            try:
-                with self.upstreams.count(upstream):
-                    await self.pass_on(call, service, upstream, request)
-                return
-            except errors.UpstreamError as error:
-                self.on_failure(call, upstream, error)
-                tried |= {upstream.name}
-                if error.ran or len(tried) >= MAX_TRIES:
-                    raise refusal_of(error) from error
-
-    def service_of(self, data: dict[str, Any]) -> settings.Service:
-        """Return the service that serves the model asked for."""
-        model = data.get("model")
-        if not isinstance(model, str):
-            raise errors.Refused(
-                400, "bad_field", "model must be a text", field="model"
-            )
+        """Refuse, or end an answer under way as an error.
+
+        Raises:
+          Refused: no answer had begun.
+        """
+        if not exchange.response.status:
+            raise refusal from cause
+        LOG.warning("Answer cut off: {}", refusal)
+        exchange.response.cut(refusal)
+
+    def service_of(self, model: str) -> settings.Service:
+        """Return the service that serves a model."""
         service = self.tree.view.by_model.get(model)
         if service is None:
             raise errors.Refused(
@@ -137,94 +155,28 @@
             )
         return service
 
-    def choose(
-        self, service: settings.Service, tried: frozenset[str]
-    ) -> engine.Upstream:
-        """Return an upstream not tried yet."""
-        candidates = self.upstreams.candidates(service, tried)
-        if not candidates:
-            raise errors.Refused(
-                503, "no_upstream", "no upstream is left", retry_after=1
-            )
-        return self.router.choose(candidates)
-
-    async def pass_on(
-        self,
-        call: web.Call,
-        service: settings.Service,
-        upstream: engine.Upstream,
-        request: engine.EngineRequest,
-    ) -> None:
-        """Send a request to an upstream and its answer to the caller."""
-        told = service.name, upstream.name, False
-        party = self.outer.engine(upstream.plugin)
-        self.signals.begun(*told)
-        good = False
-        try:
-            stream = await party.open(upstream, request)
-            try:
-                await self.copy(call, service, upstream, request, stream)
-            finally:
-                stream.close()
-            good = True
-        finally:
-            self.signals.ended(*told, good)
-
-    async def copy(
-        self,
-        call: web.Call,
-        service: settings.Service,
-        upstream: engine.Upstream,
-        request: engine.EngineRequest,
-        stream: engine.EngineStream,
-    ) -> None:
-        """Copy an answer to the caller."""
-        response = call.response
-        headers = [("content-type", stream.content_type)]
-        if not request.stream:
-            body = await engine.read_all(stream, request.deadline_s or 60)
-            response.send(stream.status, body, headers)
-            return
-        clock = self.context.clock
-        silence = service.get("limit.silence_s")
-        tell = self.signals.first_token
-        last = clock.monotonic()
-        response.start(stream.status, headers)
-        while data := await stream.read(silence):
-            now = clock.monotonic()
-            tell(service.name, upstream.name, False, now - last)
-            tell, last = self.signals.next_token, now
-            response.write(data)
-            await response.flush()
-        response.end()
-
-    def on_failure(
-        self,
-        call: web.Call,
-        upstream: engine.Upstream,
-        error: errors.UpstreamError,
-    ) -> None:
-        """Log a failure; an answer under way is cut off."""
-        LOG.warning("Try failed: {}", error)
-        if isinstance(error, errors.UpstreamRefused) and error.leaving:
-            self.upstreams.note_leaving(upstream.name)
-        if call.response.status:
-            call.response.abort()
-            raise error
-
-    async def plain(self, call: web.Call) -> None:
-        """Pass a call to a plain service."""
-        raise errors.Refused(501, "not_yet", "plain services come next")
-
-
-def await_body(call: web.Call, data: dict[str, Any]) -> bytes:
-    """Return the body to send on."""
-    return engine.json.dumps(data).encode()
-
-
-def refusal_of(error: errors.UpstreamError) -> errors.Refused:
-    """Return the refusal that tells a caller of an upstream's failure."""
-    ran = "unknown" if error.ran else "no"
-    return errors.Refused(
-        502, "upstream_failed", str(error), ran=ran, retry_after=1
-    )
+    def try_name(self, request: httpserver.Request) -> str:
+        """Return a name for a request that no other request has.
+
+        Callers may choose the same id twice, and a cancel at an engine
+        must hit the right one.
+        """
+        self.count += 1
+        start = self.context.incarnation & 0xFFFFFF
+        return f"{request.id[:ID_CHARS]}.{start:x}-{self.count:x}"
+
+
+def is_idempotent(text: str) -> bool:
+    """Return what a caller says of its request.
+
+    Raises:
+      Refused: neither true nor false.
+    """
+    if text.lower() not in ("true", "false"):
+        raise errors.Refused(
+            400,
+            "bad_field",
+            f"{text[:40]!r} is neither true nor false",
+            field="Camphortray-Idempotent",
+        )
+    return text.lower() == "true"
--- a/camphortray/routing.py
+++ b/camphortray/routing.py
@@ -1,12 +1,35 @@
 """Chooses the upstream that should answer first."""
 
-__all__ = ["Candidate", "Router"]
+__all__ = ["Candidate", "LoadBook", "Router", "subset"]
 
+from collections.abc import Collection
 from collections.abc import Sequence
 import dataclasses
 import random
 
+import xxhash
+
 from camphortray import engine
+from camphortray import prefix as prefixes
+from camphortray import shards
+
+# Drawn at random for each request; the one with the least wait is taken.
+DRAWN = 2
+# Seconds until half of what a report said of others' work is forgotten.
+HALF_LIFE_S = 4.0
+# Weight of a new measurement of an upstream's speed.
+LEARN = 0.1
+# Seconds to the first token of an idle upstream, before any was measured.
+FIRST_GUESS_S = 0.05
+# What another availability zone adds, in seconds, both ways.
+FAR_S = 0.004
+# Share of the wait that a cached prefix may save at most.
+PREFIX_GAIN = 0.4
+# Characters of a prompt at which half of that gain is reached.
+PREFIX_HALF_CHARS = 2048
+# Upstreams that one host uses at large sizes. A subset bounds the
+# connections and polls of a host; fewer would make it too coarse.
+SUBSET = 24
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,20 +39,153 @@
     Attributes:
       upstream: The upstream.
       in_flight: Requests this host has there now.
+      wait_s: Expected seconds until the first token.
     """
 
     upstream: engine.Upstream
     in_flight: int
+    wait_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """What is known of the load of one upstream.
+
+    Attributes:
+      own: Requests of this host there, counted at once.
+      others: Requests of other hosts there, by the last report.
+      reported_at: When that report was true.
+      unit_s: Seconds to the first token for each request there.
+    """
+
+    own: int = 0
+    others: float = 0.0
+    reported_at: float = 0.0
+    unit_s: float = FIRST_GUESS_S
+
+
+class LoadBook:
+    """Expected wait at each upstream, by name."""
+
+    def __init__(self) -> None:
+        self.loads: dict[str, Load] = {}
+
+    def load(self, name: str) -> Load:
+        """Return what is known of an upstream."""
+        found = self.loads.get(name)
+        if found is None:
+            found = self.loads[name] = Load()
+        return found
+
+    def report(self, name: str, report: engine.LoadReport, now: float) -> None:
+        """Take an upstream's own report.
+
+        This host's share is taken off, as it is known at once and better.
+        """
+        load = self.load(name)
+        total = report.running + report.waiting
+        load.others = max(0.0, float(total - load.own))
+        load.reported_at = now - report.age_s
+
+    def total(self, name: str, now: float) -> float:
+        """Return the requests expected at an upstream now."""
+        load = self.load(name)
+        if not load.others:
+            return load.own
+        age_s = max(0.0, now - load.reported_at)
+        return load.own + load.others * 0.5 ** (age_s / HALF_LIFE_S)
+
+    def learn(self, name: str, seconds: float, total: float) -> None:
+        """Take the measured time to a first token, sent at ``total``."""
+        load = self.load(name)
+        unit_s = seconds / (total + 1)
+        load.unit_s += LEARN * (unit_s - load.unit_s)
+
+    def wait_s(self, upstream: engine.Upstream, now: float) -> float:
+        """Return the expected seconds to the first token.
+
+        Beyond its slots an upstream queues, and the wait grows by whole
+        answers rather than by steps, so that part counts four times.
+        """
+        total = self.total(upstream.name, now)
+        over = max(0.0, total + 1 - upstream.slots)
+        return self.load(upstream.name).unit_s * (total + 1 + 4 * over)
+
+    def keep(self, names: Collection[str]) -> None:
+        """Forget upstreams that are no longer declared."""
+        for name in set(self.loads) - set(names):
+            if not self.loads[name].own:
+                del self.loads[name]
 
 
 class Router:
-    """Least in flight of two candidates taken at random."""
+    """Least expected wait of two at random and the one with the prefix."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self, rng: random.Random, availability_zone: str = ""
+    ) -> None:
         self.rng = rng
+        self.availability_zone = availability_zone
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate],
+        prefix: prefixes.Prefix | None = None,
+    ) -> engine.Upstream:
+        """Return the upstream to try; ``candidates`` is not empty.
+
+        The prefix is a bonus and not a rule: an upstream with a long
+        queue loses the request although it may hold the prefix.
+        """
+        drawn = self.rng.sample(candidates, min(DRAWN, len(candidates)))
+        favoured = ""
+        if prefix is not None and prefix.key:
+            by_name = {c.upstream.name: c for c in candidates}
+            favoured = shards.preferred(prefix.key, by_name) or ""
+            drawn.append(by_name[favoured])
+        gain = prefix_gain(prefix)
+
+        def cost(candidate: Candidate) -> float:
+            wait_s = candidate.wait_s
+            if candidate.upstream.name == favoured:
+                wait_s *= 1 - gain
+            near = self.availability_zone
+            if near and candidate.upstream.availability_zone != near:
+                wait_s += FAR_S
+            return wait_s
+
+        return min(drawn, key=cost).upstream
+
+
+def prefix_gain(prefix: prefixes.Prefix | None) -> float:
+    """Return the share of the wait that a cached prefix saves."""
+    if prefix is None or not prefix.key:
+        return 0.0
+    return PREFIX_GAIN * prefix.length / (prefix.length + PREFIX_HALF_CHARS)
+
+
+def subset(
+    host: str,
+    hosts: Collection[str],
+    upstreams: Collection[str],
+    size: int = SUBSET,
+) -> list[str]:
+    """Return the upstreams that one host uses, alike on every host.
+
+    Upstreams stand on a ring in the order of their hashes; each host takes
+    ``size`` of them from a place set by its rank among the hosts. So every
+    upstream is used by the same number of hosts, give or take one, which
+    rendezvous hashing does not give, and the loss of a host moves the
+    others by a place or two at most.
+    """
+    if len(upstreams) <= size:
+        return sorted(upstreams)
+    ring = sorted(upstreams, key=hash_key)
+    ranked = sorted({*hosts, host}, key=hash_key)
+    start = ranked.index(host) * len(ring) // len(ranked)
+    return [ring[(start + step) % len(ring)] for step in range(size)]
+
 
-    def choose(self, candidates: Sequence[Candidate]) -> engine.Upstream:
-        """Return the upstream to try; ``candidates`` is not empty."""
-        drawn = self.rng.sample(candidates, min(2, len(candidates)))
-        best = min(drawn, key=lambda c: c.in_flight / c.upstream.slots)
-        return best.upstream
+def hash_key(name: str) -> tuple[int, str]:
+    """Return the place of a name on a ring."""
+    return xxhash.xxh64_intdigest(name.encode()), name
