Hand streamed bytes on without a turn of the loop

Cause: each token woke a task through a future and took a timer from the loop's heap, and events were parsed after each 16 KB. Change: a sink is called as bytes come in; one timer per connection is set anew lazily; a chunk that is alone in its packet is not asked for more; 64 KB of events gather before they are read.

--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -198,6 +198,19 @@
           UpstreamTimeout: silent for ``timeout_s``.
         """
 
+    async def pipe(
+        self, sink: Callable[[bytes], bool], timeout_s: float
+    ) -> bool:
+        """Give the answer to a sink as it comes; see ``read``.
+
+        Return True at a clean end, and False if the sink returned True to
+        ask for a pause; calling again then goes on.
+        """
+        while data := await self.read(timeout_s):
+            if sink(data):
+                return False
+        return True
+
     @abc.abstractmethod
     def close(self) -> None:
         """Stop; an answer not read to its end is cancelled."""
--- a/camphortray/exchange.py
+++ b/camphortray/exchange.py
@@ -306,33 +306,32 @@
         stream: engine.EngineStream,
     ) -> None:
         """Pass events on as they come; runs for each token."""
-        parts = self.parts
+        parts, response, sent = self.parts, self.response, self.sent
         name, service = upstream.name, self.service.name
-        response, sent, read = self.response, self.sent, stream.read
-        now_of = parts.clock.monotonic
+        now_of, next_token = parts.clock.monotonic, parts.signals.next_token
+        begun_at = now_of()
+        total = parts.upstreams.loads.total(name, begun_at)
+        data = await stream.read(4 * request.silence_s)
         last = now_of()
-        limit_s = 4 * request.silence_s
-        silence_s = float(self.service.get("limit.silence_s"))
-        total = parts.upstreams.loads.total(name, last)
-        tell = parts.signals.first_token
-        chunks = 0
-        while data := await read(limit_s):
+        parts.upstreams.loads.learn(name, last - begun_at, total)
+        parts.signals.first_token(service, name, False, last - begun_at)
+        self.write(data)
+        chunks = 1
+
+        def sink(data: bytes) -> bool:
+            nonlocal last, chunks
             now = now_of()
-            tell(service, name, False, now - last)
-            if not chunks:
-                parts.upstreams.loads.learn(name, now - last, total)
-                tell, limit_s = parts.signals.next_token, silence_s
+            next_token(service, name, False, now - last)
             last = now
             chunks += 1
-            data = sent.take(data)
-            if data:
-                if not response.status:
-                    response.start(200, [("content-type", EVENTS)])
-                response.write(data)
-                if response.blocked:
-                    await response.flush()
+            self.write(data)
             if chunks == CLEAR_CHUNKS and self.suspected:
                 self.clear()
+            return response.blocked
+
+        silence_s = float(self.service.get("limit.silence_s"))
+        while not await stream.pipe(sink, silence_s):
+            await response.flush()
         if not sent.done:
             raise errors.UpstreamBroken(
                 "the answer ended without its closing event",
@@ -342,6 +341,14 @@
             )
         response.end()
 
+    def write(self, data: bytes) -> None:
+        """Pass on what is whole of some bytes of an answer."""
+        data = self.sent.take(data)
+        if data:
+            if not self.response.status:
+                self.response.start(200, [("content-type", EVENTS)])
+            self.response.write(data)
+
     def clear(self) -> None:
         """Take the suspicion off a request that went well."""
         if not self.parts.suspects.quiet:
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import ssl
@@ -27,6 +28,8 @@
 
 Headers = Sequence[tuple[str, str]]
 Body = bytes | AsyncIterator[bytes]
+# Takes body bytes; returns whether to stop giving it more for now.
+Sink = Callable[[bytes], bool]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,6 +73,9 @@
         self.waiter: asyncio.Future[bool] | None = None
         self.can_write: asyncio.Future[None] | None = None
         self.reading_paused = False
+        self.sink: Sink | None = None
+        self.sink_s = 0.0
+        self.sink_error: Exception | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -101,10 +107,25 @@
             return
         try:
             self.h11.receive_data(data)
-            self.pump()
+            self.pump(len(data))
         except h11.RemoteProtocolError as error:
             self.failure = f"malformed answer: {error}"
             self.abort()
+        if self.sink is None or self.complete or self.lost:
+            self.wake()
+        elif self.chunks:
+            self.feed_sink(self.sink)
+
+    def feed_sink(self, sink: Sink) -> None:
+        """Give the body to the sink, without a turn of the loop."""
+        try:
+            if not sink(self.take()):
+                self.timer.set(self.sink_s)
+                return
+        except Exception as error:
+            # It is raised again where the sink was handed in.
+            self.sink_error = error
+        self.sink = None
         self.wake()
 
     def on_eof(self) -> None:
@@ -115,8 +136,14 @@
         except (h11.RemoteProtocolError, RuntimeError):
             self.failure = self.failure or "answer was cut off"
 
-    def pump(self) -> None:
-        """Work through what has been received."""
+    def pump(self, received: int = 0) -> None:
+        """Work through what has been received.
+
+        Args:
+          received: Bytes just handed to h11. If all but their framing
+            came back as one piece of body, there is nothing more to ask
+            for, which halves the events of a streamed token.
+        """
         while not self.complete:
             event = self.h11.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
@@ -124,6 +151,8 @@
             if isinstance(event, h11.Data):
                 self.chunks.append(bytes(event.data))
                 self.buffered += len(event.data)
+                if event.chunk_end and received == framed(event.data):
+                    break
             elif isinstance(event, h11.Response):
                 self.head = event
             elif isinstance(event, h11.EndOfMessage):
@@ -222,6 +251,15 @@
             self.transport.abort()
 
 
+def framed(data: Any) -> int:
+    """Return the size of data as one chunk with its framing.
+
+    >>> framed(b"x" * 16) == len(b"10") + 2 + 16 + 2
+    True
+    """
+    return len(data) + (len(data).bit_length() + 3) // 4 + 4
+
+
 class ClientResponse:
     """An answer whose body is read as it comes.
 
@@ -273,14 +311,50 @@
                     step="read",
                     peer=connection.peer,
                 )
-            seconds = timeout_s or self.timeouts.chunk_s
-            try:
-                await connection.wait(seconds, "read")
-            except errors.UpstreamTimeout:
-                self.client.distrust(self.address, seconds)
-                raise
+            await self.wait(timeout_s or self.timeouts.chunk_s)
         return connection.take()
 
+    async def pipe(self, sink: Sink, timeout_s: float) -> bool:
+        """Give the body to a sink as it comes.
+
+        Return whether the body has ended; if not, the sink has asked for
+        a pause, and ``pipe`` goes on when called again.
+
+        Raises:
+          UpstreamBroken: the answer was cut off.
+          UpstreamTimeout: nothing came in time.
+        """
+        connection = self.connection
+        while True:
+            data = await self.read(timeout_s)
+            if not data:
+                return True
+            if sink(data):
+                return False
+            connection.sink, connection.sink_s = sink, timeout_s
+            try:
+                if not connection.complete and not connection.lost:
+                    await self.wait(timeout_s)
+            finally:
+                paused = connection.sink is None
+                connection.sink = None
+            if connection.sink_error is not None:
+                raise connection.sink_error
+            if paused:
+                return False
+
+    async def wait(self, seconds: float) -> None:
+        """Wait until something happens.
+
+        Raises:
+          UpstreamTimeout: nothing happened in time.
+        """
+        try:
+            await self.connection.wait(seconds, "read")
+        except errors.UpstreamTimeout:
+            self.client.distrust(self.address, seconds)
+            raise
+
     async def body(self) -> bytes:
         """Return the whole body."""
         parts = []
--- a/camphortray/plugins/openai_engine.py
+++ b/camphortray/plugins/openai_engine.py
@@ -31,6 +31,9 @@
     async def read(self, timeout_s: float) -> bytes:
         return await self.response.read(timeout_s)
 
+    async def pipe(self, sink: httpclient.Sink, timeout_s: float) -> bool:
+        return await self.response.pipe(sink, timeout_s)
+
     def close(self) -> None:
         self.response.close()
 
--- a/camphortray/resume.py
+++ b/camphortray/resume.py
@@ -16,7 +16,7 @@
 # only where an engine reports an error as an event of the stream.
 ERROR_MARK = b'"error"'
 # Raw bytes kept before they are read into text and count; bounds memory.
-MAX_RAW = 16_384
+MAX_RAW = 65_536
 
 
 class Delta(msgspec.Struct):
