Let operators declare, plan, apply and revert settings

Cause: settings could only be put into the log by hand. Change: declarations as a directory of TOML files, a plan against the tree in force, a publisher that reads each change back and names who won a race, the command line over it; the view takes unchanged nodes over from the view before and leaves out values it cannot use instead of failing.

--- a/camphortray/check.py
+++ b/camphortray/check.py
@@ -26,6 +26,10 @@
         base, *notes = typing.get_args(hint)
         limits = [words(note) for note in notes]
         return " ".join([describe(base), *filter(None, limits)])
+    if typing.get_origin(hint) is typing.Literal:
+        return " or ".join(str(choice) for choice in typing.get_args(hint))
+    if typing.get_origin(hint) is tuple:
+        return f"a list of {describe(typing.get_args(hint)[0])}"
     return getattr(hint, "__name__", None) or str(hint)
 
 
--- a/camphortray/tree.py
+++ b/camphortray/tree.py
@@ -61,8 +61,11 @@
     def put_in_force(self) -> None:
         """Make a new view of the fold and tell who listens."""
         region = self.context.config.host.region
-        self.view = settings.View(self.fold, region)
+        self.view = settings.View(self.fold, region, self.view)
         LOG.info("Revision {} is in force.", self.view.revision)
+        for path, node in self.view.nodes.items():
+            for key, wrong in node.faults.items():
+                LOG.warning("{}: {} is left out: {}", path, key, wrong)
         for listener in self.listeners:
             listener(self.view)
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,13 +12,17 @@
 DECISIONS = (
     "calls",
     "check",
+    "declaration",
     "fold",
     "intake",
     "jobs",
+    "plan",
     "records",
     "routing",
+    "settingkeys",
     "settings",
     "shards",
+    "view",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
 
