--- a/camphortray/view.py
+++ b/camphortray/view.py
@@ -171,7 +171,7 @@
         self.revision = tree.revision
         self.region = region
         held: dict[str, NodeIndex] = before.nodes if before else {}
-        self.nodes = {
+        self.nodes: dict[str, NodeIndex] = {
             path: keep_or_make(node, held.get(path))
             for path, node in tree.nodes.items()
         }
