--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -8,9 +8,10 @@
 
 from camphortray import jobapi
 from camphortray import program
+from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (jobapi,)
+PARTS = (jobapi, settingsapi)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
@@ -28,7 +29,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    sys.exit(defopt.run(batch, cli_options="all"))
+    sys.exit(defopt.run(batch))
 
 
 if __name__ == "__main__":
--- a/camphortray/ctl.py
+++ b/camphortray/ctl.py
@@ -42,7 +42,7 @@
 def main() -> None:
     """Run from the command line."""
     try:
-        code = defopt.run(COMMANDS, cli_options="has_default")
+        code = defopt.run(COMMANDS)
     except errors.CamphortrayError as error:
         print(f"camphortray-ctl: {error}", file=sys.stderr)
         sys.exit(EXIT_FAILED)
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -9,9 +9,10 @@
 from camphortray import jobproxy
 from camphortray import program
 from camphortray import relay
+from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (jobproxy, relay)
+PARTS = (jobproxy, relay, settingsapi)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
@@ -30,7 +31,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    sys.exit(defopt.run(entry, cli_options="all"))
+    sys.exit(defopt.run(entry))
 
 
 if __name__ == "__main__":
--- a/camphortray/standin.py
+++ b/camphortray/standin.py
@@ -88,7 +88,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    sys.exit(defopt.run(standin, cli_options="all"))
+    sys.exit(defopt.run(standin))
 
 
 if __name__ == "__main__":
