--- a/camphortray/fold.py
+++ b/camphortray/fold.py
@@ -8,20 +8,31 @@
 an epoch ends that epoch, as in Lamport, Malkhi and Zhou,
 "Reconfiguring a State Machine", 3.1.1: it is the stop sign of the epoch
 before it, and every later record of the older epoch is void.
+
+Of each writer the fold remembers one number, and only for ``WINDOW``
+offsets. That is enough: a record says up to where its writer had read
+the stream, and one that lies further behind than the window is void. A
+late copy of a record that counted at offset ``o`` was made having read
+``o`` at most, so that by the time its writer is forgotten the copy lies
+behind the window and cannot count a second time.
 """
 
 __all__ = [
+    "Bundle",
     "Challenge",
     "Claim",
     "Fold",
     "Outcome",
     "Ownership",
+    "Refuse",
     "SNAPSHOT",
     "Verdict",
+    "WINDOW",
 ]
 
 import abc
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import enum
 from typing import Any
@@ -33,9 +44,19 @@
 
 CLAIM = "claim"
 CHALLENGE = "challenge"
+RELEASE = "release"
 SNAPSHOT = "snapshot"
+BUNDLE = "bundle"
 # A record with which an owner answers a challenge when it has no other.
 ALIVE = "alive"
+# A record that only decides the fate of its writer's earlier ones.
+FENCE = "fence"
+
+# Offsets for which a writer's number is kept, and by which a record may
+# lag behind. Part of the protocol: all releases must use the same.
+WINDOW = 8192
+# Writers are forgotten at each multiple of this offset.
+PRUNE_EVERY = 512
 
 
 class Verdict(enum.Enum):
@@ -44,6 +65,7 @@
     VALID = "valid"
     DUPLICATE = "duplicate"
     STALE = "stale epoch"
+    LATE = "written too long ago"
     REFUSED = "refused"
     UNREADABLE = "unreadable"
 
@@ -57,12 +79,14 @@
       verdict: Whether it counts.
       reason: Why it does not, in a few words.
       record: The record, or None if it could not be read.
+      parts: Outcomes of the records in a bundle, in order.
     """
 
     offset: int
     verdict: Verdict
     reason: str = ""
     record: records.Record | None = None
+    parts: tuple["Outcome", ...] = ()
 
     @property
     def valid(self) -> bool:
@@ -93,13 +117,20 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bundle:
+    """Records of several writers in one append, each with its own id."""
+
+    records: tuple[bytes, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class Ownership:
     """Who owns a stream.
 
     Attributes:
       epoch: Offset of the claim in force, or ``NO_EPOCH``.
-      owner: Who made it.
+      owner: Who made it, or None before the first and after a release.
       challenge: Offset of a challenge not yet answered, or ``NO_EPOCH``.
     """
 
@@ -121,9 +152,9 @@
     Attributes:
       next: Offset of the next record to apply.
       ownership: Who owns the stream.
-      last: Last incarnation and sequence seen of each writer's name.
+      last: Last incarnation and sequence seen of each writer's name,
+        and the offset of that record.
       owned: Kinds that only the owner may write, in its epoch.
-      snapshot_covers: What the newest snapshot seen covers, or -1.
     """
 
     owned: frozenset[str] = frozenset()
@@ -131,28 +162,62 @@
     def __init__(self) -> None:
         self.next = 0
         self.ownership = Ownership()
-        self.last: dict[str, tuple[int, int]] = {}
-        self.snapshot_covers = -1
-        self.snapshot_offset = -1
+        self.last: dict[str, tuple[int, int, int]] = {}
         self.handlers: dict[str, Callable[[int, records.Record], None]] = {
             CLAIM: self.on_claim,
             CHALLENGE: self.on_challenge,
+            RELEASE: self.on_release,
             ALIVE: self.on_alive,
+            FENCE: self.on_fence,
         }
 
     def apply(self, offset: int, data: bytes) -> Outcome:
         """Apply the record at ``offset``; offsets come without gaps."""
         self.next = offset + 1
+        if offset % PRUNE_EVERY == 0:
+            self.prune(offset)
         try:
             record = records.decode(data)
         except errors.RecordError as error:
             return Outcome(offset, Verdict.UNREADABLE, str(error))
+        if record.kind == BUNDLE:
+            return self.apply_bundle(offset, record)
+        return self.take(offset, record)
+
+    def apply_bundle(self, offset: int, record: records.Record) -> Outcome:
+        """Apply the records of a bundle in order, as if each stood alone.
+
+        The bundle's own id does not matter: each record in it has one,
+        so that a copy appended by its writer as well counts once.
+        """
+        try:
+            bundle = records.typed(record.body, Bundle)
+        except errors.RecordError as error:
+            return Outcome(offset, Verdict.UNREADABLE, str(error), record)
+        parts = []
+        for data in bundle.records:
+            try:
+                parts.append(self.take(offset, records.decode(data)))
+            except errors.RecordError as error:
+                parts.append(Outcome(offset, Verdict.UNREADABLE, str(error)))
+        return Outcome(offset, Verdict.VALID, "", record, tuple(parts))
+
+    def take(self, offset: int, record: records.Record) -> Outcome:
+        """Apply a record unless it is a snapshot, a copy, or too late."""
         if record.kind == SNAPSHOT:
-            return self.on_snapshot(offset, record)
-        place = (record.id.writer.incarnation, record.id.sequence)
-        if place <= self.last.get(record.id.writer.name, (-1, -1)):
+            # A fact about a prefix, whoever wrote it; changes nothing.
+            return Outcome(offset, Verdict.VALID, "", record)
+        if record.seen < offset - WINDOW:
+            return Outcome(offset, Verdict.LATE, "", record)
+        writer = record.id.writer
+        place = (writer.incarnation, record.id.sequence)
+        if place <= self.last.get(writer.name, (-1, -1, 0))[:2]:
             return Outcome(offset, Verdict.DUPLICATE, "", record)
-        self.last[record.id.writer.name] = place
+        self.last[writer.name] = (*place, offset)
+        if self.in_epoch(record):
+            # Any new record of the owner in its epoch answers a
+            # challenge, also one of a kind this release does not know.
+            self.ownership.challenge = records.NO_EPOCH
         return self.judge(offset, record)
 
     def judge(self, offset: int, record: records.Record) -> Outcome:
@@ -168,11 +233,20 @@
             return Outcome(offset, Verdict.REFUSED, str(refusal), record)
         except errors.RecordError as error:
             return Outcome(offset, Verdict.UNREADABLE, str(error), record)
-        if self.in_epoch(record):
-            # Any record of the owner in its epoch answers a challenge.
-            self.ownership.challenge = records.NO_EPOCH
         return Outcome(offset, Verdict.VALID, "", record)
 
+    def prune(self, offset: int) -> None:
+        """Forget writers whose last record lies behind the window.
+
+        Hosts are replaced all day, and their names would pile up in
+        every snapshot.
+        """
+        horizon = offset - WINDOW
+        if horizon > 0:
+            self.last = {
+                name: at for name, at in self.last.items() if at[2] >= horizon
+            }
+
     def in_epoch(self, record: records.Record) -> bool:
         """Return whether the owner wrote it in the epoch in force."""
         held = self.ownership
@@ -188,15 +262,18 @@
         held = self.ownership
         if claim.after != held.epoch:
             raise Refuse("another claim came first")
-        unanswered = (
-            claim.challenge != records.NO_EPOCH
-            and claim.challenge == held.challenge
-        )
-        if held.owner is not None and not (claim.gone or unanswered):
+        if held.owner is not None and not self.may_end(claim):
             raise Refuse("the owner answered")
         self.ownership = Ownership(offset, record.id.writer)
         self.on_epoch(offset)
 
+    def may_end(self, claim: Claim) -> bool:
+        """Return whether a claim may end the epoch of an owner."""
+        unanswered = claim.challenge == self.ownership.challenge
+        return claim.gone or (
+            unanswered and claim.challenge != records.NO_EPOCH
+        )
+
     def on_epoch(self, epoch: int) -> None:
         """Drop what only the owner before had begun."""
 
@@ -208,23 +285,42 @@
         if self.ownership.challenge == records.NO_EPOCH:
             self.ownership.challenge = offset
 
+    def on_release(self, offset: int, record: records.Record) -> None:
+        """Let the owner give the stream up; its epoch writes no more."""
+        if not self.in_epoch(record):
+            raise Refuse("not the owner")
+        self.ownership = Ownership(self.ownership.epoch)
+
     def on_alive(self, offset: int, record: records.Record) -> None:
-        """Answer a challenge; ``judge`` does the rest."""
+        """Answer a challenge; ``take`` does the rest."""
         if not self.in_epoch(record):
             raise Refuse("not the owner")
 
-    def on_snapshot(self, offset: int, record: records.Record) -> Outcome:
-        """Note a snapshot: a fact about a prefix, whoever wrote it."""
-        covers = record.body.get("covers")
-        if type(covers) is not int or covers >= offset:
-            return Outcome(offset, Verdict.UNREADABLE, "covers", record)
-        if covers > self.snapshot_covers:
-            self.snapshot_covers = covers
-            self.snapshot_offset = offset
-        return Outcome(offset, Verdict.VALID, "", record)
+    def on_fence(self, offset: int, record: records.Record) -> None:
+        """Do nothing; earlier records of the writer are void from here."""
+
+    def needed(self) -> Iterable[int]:
+        """Return offsets of records whose bodies the state points to.
+
+        The owner carries those forward that come near the retention
+        limit, see ``carry``.
+        """
+        return ()
+
+    def carry(
+        self, offset: int, record: records.Record
+    ) -> tuple[str, dict[str, Any]] | None:
+        """Return kind and body of a record that replaces a needed one.
+
+        The owner appends it in its epoch. Its handler must move only
+        pointers that still point to ``offset`` (put it into the body),
+        as the state may have changed before it is read. None says that
+        nothing of the record is needed any more.
+        """
+        return None
 
     def snapshot(self) -> dict[str, Any]:
-        """Return the body of a snapshot of everything applied so far."""
+        """Return everything applied so far as plain data."""
         return {
             "covers": self.next - 1,
             "ownership": msgspec.to_builtins(self.ownership),
@@ -233,15 +329,21 @@
         }
 
     def restore(self, body: dict[str, Any]) -> None:
-        """Become the state that a snapshot describes."""
+        """Become the state that ``snapshot`` described."""
         self.next = body["covers"] + 1
         self.ownership = msgspec.convert(body["ownership"], Ownership)
-        self.last = {name: tuple(at) for name, at in body["last"].items()}
+        self.last = {
+            name: (incarnation, sequence, offset)
+            for name, (incarnation, sequence, offset) in body["last"].items()
+        }
         self.load(body["state"])
 
     @abc.abstractmethod
     def dump(self) -> dict[str, Any]:
-        """Return the state proper as plain data."""
+        """Return the state proper as plain data.
+
+        It must not share what the fold changes later.
+        """
 
     @abc.abstractmethod
     def load(self, state: dict[str, Any]) -> None:
--- a/camphortray/journal.py
+++ b/camphortray/journal.py
@@ -3,6 +3,7 @@
 __all__ = ["Journal"]
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import random
@@ -13,6 +14,7 @@
 from camphortray import log
 from camphortray import logs
 from camphortray import records
+from camphortray import snapshot
 
 LOG = logs.logger("journal")
 # Longest long poll for new records, in seconds.
@@ -22,6 +24,14 @@
 MAX_PAUSE_S = 2.0
 # Time to look for a record whose answer was lost before appending again.
 READ_BACK_S = 0.5
+# Records read from the end when looking for a snapshot; doubles.
+SEARCH_RECORDS = 256
+# An offset past the end of any stream.
+END = 1 << 62
+# Lag from which a snapshot is looked for instead of reading on.
+JUMP_RECORDS = 16_384
+
+Send = Callable[[str, bytes], Awaitable[object]]
 
 
 class Journal:
@@ -31,6 +41,14 @@
       fold: State up to the last record read.
       caught_up: Set once the end of the stream was reached.
       down: Whether the last call to the log failed.
+      failure: Why following has stopped for good, or empty.
+      send: Takes an encoded record to the log, ``service.append`` unless
+        records are handed to another host that groups them.
+      kept_at: Time of the newest whole snapshot, in the log's seconds
+        since 1970, or of the oldest record read if there is none.
+      since_records: Records read since that snapshot.
+      since_bytes: Their bytes.
+      snapshot_bytes: Size of that snapshot.
     """
 
     def __init__(
@@ -40,47 +58,74 @@
         fold: folds.Fold,
         writer: records.Writer,
         rng: random.Random,
+        record_limit: int = 1_048_576,
     ) -> None:
         self.service = service
         self.stream = stream
         self.fold = fold
         self.writer = writer
         self.rng = rng
+        self.record_limit = record_limit
+        self.send: Send = service.append
         self.sequence = 0
         self.lock = asyncio.Lock()
         self.waiting: dict[int, asyncio.Future[folds.Outcome]] = {}
         self.listeners: list[Callable[[folds.Outcome], None]] = []
+        self.restored: list[Callable[[], None]] = []
         self.caught_up = asyncio.Event()
         self.down = False
         self.task: asyncio.Task[None] | None = None
         self.failure = ""
+        self.looked = 0
+        self.kept_at = 0.0
+        self.since_records = 0
+        self.since_bytes = 0
+        self.snapshot_bytes = 0
+        self.collector = snapshot.Collector(0)
 
     def start(self) -> None:
         """Begin to follow the stream."""
-        self.task = asyncio.get_running_loop().create_task(self.follow())
+        if self.task is None:
+            loop = asyncio.get_running_loop()
+            self.task = loop.create_task(self.follow())
 
     async def stop(self) -> None:
-        """Stop following."""
-        if self.task is not None:
-            self.task.cancel()
+        """Stop following; the state stays and ``start`` goes on from it."""
+        task, self.task = self.task, None
+        if task is not None:
+            task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+                await task
 
     def listen(self, listener: Callable[[folds.Outcome], None]) -> None:
         """Call ``listener`` after each record is applied."""
         self.listeners.append(listener)
 
+    def on_restore(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when the state came from a snapshot.
+
+        The records folded into it are not told one by one.
+        """
+        self.restored.append(listener)
+
+    def ready(self) -> str:
+        """Return why the stream is of no use yet, or an empty text."""
+        if self.failure:
+            return f"{self.stream}: {self.failure}"
+        return "" if self.caught_up.is_set() else f"{self.stream}: reading"
+
     async def follow(self) -> None:
         """Read on for ever; an outage is waited out."""
         pause = PAUSE_S
-        while True:
+        while not self.failure:
             try:
+                if self.fold.next == 0 and not self.caught_up.is_set():
+                    await self.jump(0)
                 await self.read_on()
                 pause = PAUSE_S
                 self.down = False
             except errors.LogTruncated as error:
-                if not await self.recover(error.first):
-                    return
+                await self.recover(error)
             except errors.LogError as error:
                 if not self.down:
                     LOG.warning("{} cannot be read: {}", self.stream, error)
@@ -97,16 +142,55 @@
             self.apply(record)
         if self.fold.next >= page.next:
             self.caught_up.set()
+        elif page.next - max(self.fold.next, self.looked) > JUMP_RECORDS:
+            self.looked = page.next
+            await self.jump(self.fold.next)
+
+    async def sync(self) -> None:
+        """Apply everything that the log holds now.
+
+        Raises:
+          LogError: the log cannot be read.
+        """
+        while True:
+            page = await self.service.read(self.stream, self.fold.next)
+            for record in page.records:
+                self.apply(record)
+            if self.fold.next >= page.next:
+                return
 
     def apply(self, record: log.LogRecord) -> None:
         """Apply one record and tell whoever waits for it."""
         if record.offset < self.fold.next:
             return
+        if not self.kept_at:
+            self.kept_at = record.time
+        self.since_records += 1
+        self.since_bytes += len(record.body)
         outcome = self.fold.apply(record.offset, record.body)
         if outcome.record is not None:
+            if outcome.record.kind == folds.SNAPSHOT:
+                self.note_snapshot(record)
             self.resolve(outcome, outcome.record.id)
+        for part in outcome.parts:
+            if part.record is not None:
+                self.resolve(part, part.record.id)
         for listener in self.listeners:
-            listener(outcome)
+            for told in outcome.parts or (outcome,):
+                listener(told)
+
+    def note_snapshot(self, record: log.LogRecord) -> None:
+        """Count anew once a whole snapshot has been read."""
+        self.collector.add(record.offset, record.time, record.body)
+        if self.collector.best is not None:
+            self.count_from(record.time, self.collector.size)
+            self.collector = snapshot.Collector(0)
+
+    def count_from(self, time: float, size: int) -> None:
+        """Start the count of what came after a snapshot."""
+        self.kept_at = time
+        self.since_records = self.since_bytes = 0
+        self.snapshot_bytes = size
 
     def resolve(
         self, outcome: folds.Outcome, record_id: records.RecordId
@@ -119,45 +203,82 @@
             # A duplicate never comes first, so this is the real verdict.
             waiter.set_result(outcome)
 
-    async def recover(self, first: int) -> bool:
-        """Start again from the newest usable snapshot.
+    async def recover(self, truncated: errors.LogTruncated) -> None:
+        """Go on from a snapshot, as the log has forgotten our place."""
+        with contextlib.suppress(errors.LogTruncated):
+            if await self.jump(self.fold.next):
+                return
+            page = await self.service.read(self.stream, END)
+            if page.first <= self.fold.next:
+                return
+            self.failure = f"no usable snapshot, and {truncated.message}"
+            self.caught_up.clear()
+            LOG.error("{}: {}; stopped.", self.stream, self.failure)
+
+    async def jump(self, after: int) -> bool:
+        """Restore the newest usable snapshot that covers ``after``.
 
-        A snapshot is usable only while the log still starts at or before
-        the record behind what it covers: otherwise records would be
-        missing between the two, e.g. a claim, and the state would be
-        one that never was.
+        Returns:
+          Whether there was one.
+
+        Raises:
+          LogError: the log cannot be read.
         """
-        try:
-            found = await self.find_snapshot(first)
-        except errors.LogError as error:
-            LOG.warning("{} cannot be read: {}", self.stream, error)
-            await asyncio.sleep(MAX_PAUSE_S)
-            return True
-        if found is None:
-            self.failure = f"log starts at {first} and holds no snapshot"
-            LOG.error("{}: {}; stopped.", self.stream, self.failure)
+        found = await self.find_snapshot()
+        state = found.best
+        if state is None or state["covers"] < after:
             return False
-        self.fold.restore(found)
+        self.fold.restore(state)
+        self.count_from(found.best_time, found.size)
         LOG.notice(
             "{} restored from a snapshot up to {}.",
             self.stream,
-            found["covers"],
+            state["covers"],
         )
+        self.fail_skipped()
+        for listener in self.restored:
+            listener()
         return True
 
-    async def find_snapshot(self, first: int) -> dict[str, Any] | None:
-        """Return the newest usable snapshot that the log holds."""
-        found: dict[str, Any] | None = None
-        offset = first
-        while True:
-            page = await self.service.read(self.stream, offset)
-            for held in page.records:
-                body = usable_snapshot(held, first)
-                if body and (not found or body["covers"] >= found["covers"]):
-                    found = body
-                offset = held.offset + 1
-            if offset >= page.next:
-                return found
+    def fail_skipped(self) -> None:
+        """End appends whose record may lie in the part not read."""
+        for waiter in self.waiting.values():
+            if not waiter.done():
+                waiter.set_exception(
+                    errors.AppendUnknown(
+                        "the log moved on past it",
+                        step="append",
+                        peer=self.stream,
+                    )
+                )
+
+    async def find_snapshot(self) -> snapshot.Collector:
+        """Look for the newest usable snapshot, from the end backwards.
+
+        So the time it takes does not grow with what the log still keeps
+        from before that snapshot.
+        """
+        page = await self.service.read(self.stream, END)
+        collector = snapshot.Collector(page.first)
+        end, span = page.next, SEARCH_RECORDS
+        while collector.best is None and end > page.first:
+            begin = max(end - span, page.first)
+            await self.search(collector, begin, end)
+            end, span = begin, span * 2
+        return collector
+
+    async def search(
+        self, collector: snapshot.Collector, begin: int, end: int
+    ) -> None:
+        """Show the records of a range to a collector."""
+        while begin < end:
+            page = await self.service.read(self.stream, begin)
+            if not page.records:
+                return
+            for record in page.records:
+                if record.offset < end:
+                    collector.add(record.offset, record.time, record.body)
+            begin = page.records[-1].offset + 1
 
     async def append(
         self,
@@ -168,33 +289,54 @@
     ) -> folds.Outcome:
         """Append a record and wait until it is read back.
 
+        Given up on or cancelled, the record may still land, but only
+        until the next one of this journal does: from then on the fold
+        takes it for a copy. ``settle`` brings that about.
+
         Returns:
           What the fold made of it.
 
         Raises:
-          LogRefused: it was certainly not taken.
+          LogRefused: it was certainly not taken and never will be.
           AppendUnknown: given up; it may still land.
         """
-        async with self.lock:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self.caught_up.wait()
+                await self.lock.acquire()
+        except TimeoutError:
+            raise self.refused(f"not sent within {timeout_s:g} s") from None
+        try:
             self.sequence += 1
+            record_id = records.RecordId(self.writer, self.sequence)
             record = records.Record(
-                records.RecordId(self.writer, self.sequence),
-                kind,
-                epoch,
-                body,
+                record_id, kind, epoch, body, self.fold.next
             )
-            loop = asyncio.get_running_loop()
             waiter = self.waiting[self.sequence] = loop.create_future()
             try:
-                return await self.push(record, waiter, timeout_s)
+                return await self.push(record, waiter, deadline)
             finally:
-                self.waiting.pop(record.id.sequence, None)
+                self.waiting.pop(record_id.sequence, None)
+        finally:
+            self.lock.release()
+
+    async def settle(self, timeout_s: float = 5.0) -> None:
+        """Decide all earlier appends of this journal.
+
+        Afterwards each of them has been applied or never will be.
+
+        Raises:
+          LogError: not done yet.
+        """
+        await self.append(folds.FENCE, {}, timeout_s=timeout_s)
 
     async def push(
         self,
         record: records.Record,
         waiter: "asyncio.Future[folds.Outcome]",
-        timeout_s: float,
+        deadline: float,
     ) -> folds.Outcome:
         """Append until the record is read back or time is over.
 
@@ -202,55 +344,41 @@
         the fold ignores the second.
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
         data = records.encode(record)
+        if len(data) > self.record_limit:
+            raise self.refused(f"{len(data)} bytes are over the limit")
         maybe_taken = False
         pause = PAUSE_S
         last: errors.LogError | None = None
-        while loop.time() < deadline:
-            left = deadline - loop.time()
+        while (left := deadline - loop.time()) > 0:
             try:
                 async with asyncio.timeout(left):
-                    await self.service.append(self.stream, data)
+                    await self.send(self.stream, data)
                 maybe_taken = True
-                done, _ = await asyncio.wait({waiter}, timeout=left)
+                wait_s = left
             except TimeoutError:
                 maybe_taken = True
                 break
             except errors.LogRefused as error:
                 last = error
-                pause_s = min(left, pause * (0.5 + self.rng.random()))
-                done, _ = await asyncio.wait({waiter}, timeout=pause_s)
+                wait_s = pause * (0.5 + self.rng.random())
                 pause = min(pause * 2, MAX_PAUSE_S)
             except errors.LogUnavailable as error:
                 last = error
                 maybe_taken = True
-                wait_s = min(READ_BACK_S, left)
-                done, _ = await asyncio.wait({waiter}, timeout=wait_s)
+                wait_s = READ_BACK_S
+            left = max(deadline - loop.time(), 0)
+            done, _ = await asyncio.wait({waiter}, timeout=min(wait_s, left))
             if done:
-                return waiter.result()
+                break
         if waiter.done():
             return waiter.result()
-        if maybe_taken:
-            raise errors.AppendUnknown(
-                f"not read back in {timeout_s:g} s: {last}",
-                step="append",
-                peer=self.stream,
-            )
-        raise errors.LogRefused(
-            f"refused for {timeout_s:g} s: {last}",
-            step="append",
-            peer=self.stream,
+        if not maybe_taken:
+            raise self.refused(f"refused until the end: {last}")
+        raise errors.AppendUnknown(
+            f"not read back in time: {last}", step="append", peer=self.stream
         )
 
-
-def usable_snapshot(held: log.LogRecord, first: int) -> dict[str, Any] | None:
-    """Return the body of a snapshot from which a log can be replayed."""
-    try:
-        record = records.decode(held.body)
-    except errors.RecordError:
-        return None
-    if record.kind != folds.SNAPSHOT:
-        return None
-    covers = record.body.get("covers", -1)
-    return record.body if first <= covers + 1 else None
+    def refused(self, message: str) -> errors.LogRefused:
+        """Return the error of a record that never reached the log."""
+        return errors.LogRefused(message, step="append", peer=self.stream)
--- a/camphortray/log.py
+++ b/camphortray/log.py
@@ -72,6 +72,9 @@
     ) -> Page:
         """Read on from ``offset``, waiting up to ``wait_s`` for more.
 
+        Past the end of the stream, and without a wait, the page is
+        empty and tells where the stream starts and ends.
+
         Raises:
           LogTruncated: ``offset`` lies before the first kept record.
           LogUnavailable: the log did not answer.
--- a/camphortray/records.py
+++ b/camphortray/records.py
@@ -1,8 +1,8 @@
 """Records of the log: their ids, kinds and bytes.
 
 On the wire a record is the CBOR map ``{"w": [writer, incarnation,
-sequence], "k": kind, "e": epoch, "b": body}``. Fields that a release
-does not know are kept in the body and ignored.
+sequence], "k": kind, "e": epoch, "s": seen, "b": body}``. Fields that a
+release does not know are kept in the body and ignored.
 """
 
 __all__ = [
@@ -60,12 +60,15 @@
       kind: e.g. ``"claim"``.
       epoch: Epoch it was written in, or ``NO_EPOCH``.
       body: Plain data; ``typed`` reads it as a data class.
+      seen: Offset up to which its writer had read the stream when it
+        made the record; bounds how late the record may still count.
     """
 
     id: RecordId
     kind: str
     epoch: int
     body: dict[str, Any]
+    seen: int = 0
 
 
 def encode(record: Record) -> bytes:
@@ -76,6 +79,7 @@
             "w": [writer.name, writer.incarnation, record.id.sequence],
             "k": record.kind,
             "e": record.epoch,
+            "s": record.seen,
             "b": record.body,
         }
     )
@@ -95,13 +99,14 @@
             raw["k"],
             raw["e"],
             raw["b"],
+            raw.get("s", 0),
         )
     except Exception as error:
         # A stream may hold anything, and cbor2 raises many types.
         raise errors.RecordError(
             f"cannot be read: {error!r}", step="decode"
         ) from error
-    numbers = (incarnation, sequence, record.epoch)
+    numbers = (incarnation, sequence, record.epoch, record.seen)
     texts = (name, record.kind)
     if (
         not all(type(number) is int for number in numbers)
--- a/camphortray/tree.py
+++ b/camphortray/tree.py
@@ -51,6 +51,7 @@
 
     async def start(self) -> None:
         self.journal.listen(self.on_outcome)
+        self.journal.on_restore(self.put_in_force)
         self.journal.start()
 
     def on_outcome(self, outcome: folds.Outcome) -> None:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,12 +13,15 @@
     "calls",
     "check",
     "fold",
+    "grouping",
     "intake",
     "jobs",
     "records",
     "routing",
     "settings",
     "shards",
+    "snapshot",
+    "takeover",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
 
