--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -14,6 +14,7 @@
     "check",
     "declaration",
     "fold",
+    "grouping",
     "intake",
     "jobs",
     "plan",
@@ -22,6 +23,8 @@
     "settingkeys",
     "settings",
     "shards",
+    "snapshot",
+    "takeover",
     "view",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
