Grant batch slots for a second at a time and take them back

Cause: batch work held a fixed number of slots on each upstream, whatever online work came. Change: one host per upstream grants slots, is told of online work and yields slots to requests that wait for a first token.

--- /dev/null
+++ b/camphortray/coordinator.py
@@ -0,0 +1,131 @@
+"""Divides the batch slots of one upstream among the hosts that ask."""
+
+__all__ = ["Coordinator", "GRANT_S", "divide"]
+
+import dataclasses
+
+from camphortray import headroom
+
+# Seconds for which a grant holds. A coordinator that is gone stops batch
+# work for at most this long, and its grants end by themselves.
+GRANT_S = 1.2
+# Seconds from one step of growth to the next, so that a coordinator sends
+# each holder at most 20 messages a second while it grows.
+GROW_EVERY_S = 0.05
+# Seconds for which a host's word about its online work is believed; hosts
+# repeat it every second while they have any.
+REPORT_S = 3.0
+
+
+def divide(total: int, wanted: dict[str, int]) -> dict[str, int]:
+    """Divide slots evenly; what one does not want goes to the others.
+
+    >>> divide(10, {"a": 2, "b": 9, "c": 9})
+    {'a': 2, 'b': 4, 'c': 4}
+    >>> divide(1, {"a": 1, "b": 1})
+    {'a': 1, 'b': 0}
+    """
+    shares = {}
+    left = total
+    names = sorted(wanted, key=lambda name: (wanted[name], name))
+    for number, name in enumerate(names):
+        heads = len(names) - number
+        shares[name] = min(wanted[name], -(-left // heads))
+        left -= shares[name]
+    return shares
+
+
+@dataclasses.dataclass(slots=True)
+class Holder:
+    """A host that runs batch work on the upstream.
+
+    Attributes:
+      wanted: Slots it could use, those in use included.
+      granted: Slots it may use.
+      until: When what it wants is forgotten.
+    """
+
+    wanted: int = 0
+    granted: int = 0
+    until: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """Online work of one host at the upstream."""
+
+    load: headroom.Load
+    until: float
+
+
+class Coordinator:
+    """Soft state of one upstream; all of it comes back within seconds.
+
+    Attributes:
+      holders: By name of host.
+      reports: By name of host.
+      room: Decides the total.
+    """
+
+    def __init__(self, room: headroom.Headroom, now: float) -> None:
+        self.room = room
+        self.holders: dict[str, Holder] = {}
+        self.reports: dict[str, Report] = {}
+        # Grants of the coordinator before may run on this long. Until
+        # then hosts keep what they hold but get no more, so that two
+        # coordinators together never fill the upstream twice.
+        self.careful_until = now + GRANT_S
+        self.grown_at = now
+
+    def want(self, now: float, host: str, wanted: int, held: int) -> None:
+        """Take note of what a host could use and what it uses."""
+        holder = self.holders.setdefault(host, Holder())
+        holder.wanted = wanted
+        holder.until = now + GRANT_S
+        if now < self.careful_until and holder.granted < held:
+            holder.granted = held
+
+    def online(self, now: float, host: str, load: headroom.Load) -> None:
+        """Take note of a host's online work at the upstream."""
+        if load.in_flight or load.strain:
+            self.reports[host] = Report(load, now + REPORT_S)
+        else:
+            self.reports.pop(host, None)
+
+    def granted(self) -> int:
+        """Return the number of slots granted."""
+        return sum(holder.granted for holder in self.holders.values())
+
+    def load(self, now: float) -> headroom.Load:
+        """Return online work over all hosts whose word is recent."""
+        for host in [h for h, r in self.reports.items() if r.until <= now]:
+            del self.reports[host]
+        total = headroom.Load()
+        for report in self.reports.values():
+            total += report.load
+        return total
+
+    def growth(self, now: float) -> int:
+        """Return how many slots may be added in this step."""
+        passed = now - self.grown_at
+        if now < self.careful_until or passed < GROW_EVERY_S:
+            return 0
+        self.grown_at = now
+        # After an idle time one step still adds no more than another.
+        return int(self.room.growth(now) * min(passed, 2 * GROW_EVERY_S))
+
+    def decide(self, now: float) -> dict[str, int]:
+        """Return the new grants of the hosts whose grant changes."""
+        for host in [h for h, d in self.holders.items() if d.until <= now]:
+            del self.holders[host]
+        total = self.room.target(now, self.load(now))
+        granted = self.granted()
+        if total > granted:
+            total = min(total, granted + self.growth(now))
+        wanted = {host: d.wanted for host, d in self.holders.items()}
+        changed = {}
+        for host, slots in divide(total, wanted).items():
+            if self.holders[host].granted != slots:
+                self.holders[host].granted = slots
+                changed[host] = slots
+        return changed
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -6,12 +6,13 @@
 
 import defopt
 
+from camphortray import granting
 from camphortray import jobproxy
 from camphortray import program
 from camphortray import relay
 
 # Importing a part registers it with the kernel.
-PARTS = (jobproxy, relay)
+PARTS = (granting, jobproxy, relay)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
--- /dev/null
+++ b/camphortray/granting.py
@@ -0,0 +1,240 @@
+"""Grants the batch slots of the upstreams that this host coordinates.
+
+Tells other coordinators of this host's online work, too. See
+docs/design/slots.md.
+"""
+
+__all__ = ["Granting", "coordinator_of"]
+
+import asyncio
+import collections
+from collections.abc import Iterable
+from typing import ClassVar
+
+from camphortray import config as configs
+from camphortray import coordinator
+from camphortray import headroom
+from camphortray import kernel
+from camphortray import membership
+from camphortray import online
+from camphortray import peers
+from camphortray import settings
+from camphortray import shards
+from camphortray import signals
+from camphortray import slotmessages
+from camphortray import tree
+
+# Seconds from one look at reports and coordinated upstreams to the next.
+TICK_S = 0.02
+
+
+def coordinator_of(
+    upstream: str, members: Iterable[membership.Member]
+) -> membership.Member | None:
+    """Return the entry member that coordinates an upstream, if any."""
+    by_name = {member.name: member for member in members}
+    name = shards.preferred(f"slots/{upstream}", by_name)
+    return by_name[name] if name is not None else None
+
+
+@kernel.PARTS.register("entry")
+class Granting(kernel.Part, signals.Listener):
+    """Coordinator of some upstreams, and reporter to the others'.
+
+    Attributes:
+      coordinators: Soft state by name of upstream.
+      reports: Online work of this host.
+    """
+
+    name: ClassVar[str] = "granting"
+    requires: ClassVar[tuple[str, ...]] = (
+        "peers",
+        "membership",
+        "settings",
+        "signals",
+    )
+
+    def __init__(self, context: kernel.Context) -> None:
+        self.context = context
+        self.clock = context.clock
+        self.peers = context.part(peers.Peers)
+        self.members = context.part(membership.Membership)
+        self.tree = context.part(tree.Tree)
+        self.coordinators: dict[str, coordinator.Coordinator] = {}
+        self.holders: dict[str, configs.Address] = {}
+        self.reports = online.OnlineReports()
+        self.services: dict[str, settings.Service] = {}
+        self.by_upstream: dict[str, settings.Service] = {}
+        self.work = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_config(cls, context: kernel.Context) -> "Granting":
+        return cls(context)
+
+    async def start(self) -> None:
+        self.tree.listen(self.on_view)
+        self.context.part(signals.Signals).add(self)
+        self.peers.on(slotmessages.OnlineWork, self.on_online)
+        self.peers.on(slotmessages.Wants, self.on_wants)
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    def on_view(self, view: settings.View) -> None:
+        """Take new settings; headroom is built anew from them."""
+        self.services = view.services
+        self.by_upstream = {
+            name: service
+            for service in view.services.values()
+            for name in service.upstreams
+        }
+        for name in list(self.coordinators):
+            if name in self.by_upstream:
+                self.coordinators[name].room = self.room_of(name)
+            else:
+                del self.coordinators[name]
+
+    def room_of(self, upstream: str) -> headroom.Headroom:
+        """Return the headroom that an upstream's service asks for."""
+        service = self.by_upstream[upstream]
+        return headroom.headroom_for(
+            service.upstreams[upstream].slots,
+            service.get("priority"),
+            service.get("batch.share"),
+        )
+
+    def begun(self, service: str, upstream: str, batch: bool) -> None:
+        if not batch:
+            self.reports.begun(self.clock.monotonic(), upstream)
+            self.report()
+            self.work.set()
+
+    def first_token(
+        self, service: str, upstream: str, batch: bool, seconds: float
+    ) -> None:
+        if not batch:
+            now = self.clock.monotonic()
+            strain = self.strain(service, "objective.ttft_s", seconds)
+            self.reports.first_token(now, upstream, seconds, strain)
+
+    def next_token(
+        self, service: str, upstream: str, batch: bool, seconds: float
+    ) -> None:
+        if not batch:
+            now = self.clock.monotonic()
+            strain = self.strain(service, "objective.itl_s", seconds)
+            self.reports.next_token(now, upstream, strain)
+
+    def ended(
+        self, service: str, upstream: str, batch: bool, good: bool
+    ) -> None:
+        if not batch:
+            self.reports.ended(upstream)
+
+    def strain(self, service: str, key: str, seconds: float) -> float:
+        """Return a latency as a share of its objective."""
+        held = self.services.get(service)
+        return seconds / held.get(key) if held is not None else 0.0
+
+    def report(self) -> None:
+        """Tell each coordinator what is due."""
+        due = self.reports.due(self.clock.monotonic())
+        grouped: dict[str, dict[str, headroom.Load]] = collections.defaultdict(
+            dict
+        )
+        for upstream, load in due.items():
+            member = coordinator_of(upstream, self.members.live("entry"))
+            if member is not None:
+                grouped[member.peer_address][upstream] = load
+        own = self.members.members[self.members.own_name].peer_address
+        for address, loads in grouped.items():
+            if address == own:
+                self.take_loads(self.context.config.host.name, loads)
+            else:
+                self.peers.tell(
+                    configs.Address.from_text(address),
+                    slotmessages.OnlineWork(loads),
+                )
+
+    async def on_online(
+        self, sender: peers.Sender, message: slotmessages.OnlineWork
+    ) -> None:
+        """Take a host's word about its online work."""
+        self.take_loads(sender.host, message.loads)
+
+    def take_loads(self, host: str, loads: dict[str, headroom.Load]) -> None:
+        """Take back slots where online work has come."""
+        now = self.clock.monotonic()
+        for upstream, load in loads.items():
+            held = self.state_of(upstream)
+            if held is not None:
+                held.online(now, host, load)
+                self.decide(upstream, held)
+
+    async def on_wants(
+        self, sender: peers.Sender, message: slotmessages.Wants
+    ) -> None:
+        """Grant a host what there is, also if nothing has changed."""
+        now = self.clock.monotonic()
+        self.holders[sender.host] = configs.Address.from_text(message.address)
+        for upstream, want in message.wants.items():
+            held = self.state_of(upstream)
+            if held is not None:
+                held.want(now, sender.host, want.wanted, want.held)
+                self.decide(upstream, held)
+        self.renew(sender.host, message)
+        self.work.set()
+
+    def renew(self, host: str, message: slotmessages.Wants) -> None:
+        """Tell a host its grants on all upstreams it asked for."""
+        granted = {
+            upstream: self.coordinators[upstream].holders[host].granted
+            for upstream in message.wants
+            if upstream in self.coordinators
+        }
+        self.grant(host, granted)
+
+    def state_of(self, upstream: str) -> coordinator.Coordinator | None:
+        """Return the state of an upstream, made on first use.
+
+        A host that is asked by mistake coordinates too: what it does not
+        know of makes it grant too much for a moment, which costs speed.
+        """
+        if upstream not in self.coordinators:
+            if upstream not in self.by_upstream:
+                return None
+            self.coordinators[upstream] = coordinator.Coordinator(
+                self.room_of(upstream), self.clock.monotonic()
+            )
+        return self.coordinators[upstream]
+
+    def decide(self, upstream: str, held: coordinator.Coordinator) -> None:
+        """Tell hosts of changed grants."""
+        for host, slots in held.decide(self.clock.monotonic()).items():
+            self.grant(host, {upstream: slots})
+
+    def grant(self, host: str, slots: dict[str, int]) -> None:
+        """Send grants to a host."""
+        self.peers.tell(
+            self.holders[host], slotmessages.Grants(slots, coordinator.GRANT_S)
+        )
+
+    async def run(self) -> None:
+        """Report and decide while there is anything to do."""
+        while True:
+            if not self.reports.works and not self.busy():
+                self.work.clear()
+                await self.work.wait()
+            await asyncio.sleep(TICK_S)
+            self.report()
+            for upstream, held in list(self.coordinators.items()):
+                self.decide(upstream, held)
+
+    def busy(self) -> bool:
+        """Return whether a coordinated upstream is in use."""
+        return any(
+            held.holders or held.reports for held in self.coordinators.values()
+        )
+
+    async def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
--- /dev/null
+++ b/camphortray/holding.py
@@ -0,0 +1,96 @@
+"""Batch slots that this host has been granted, and which it must give up."""
+
+__all__ = ["Holding", "Holdings"]
+
+from collections.abc import Iterator
+import dataclasses
+from typing import Generic
+from typing import TypeVar
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(slots=True)
+class Holding(Generic[T]):
+    """Slots on one upstream.
+
+    Attributes:
+      granted: How many may be in use.
+      until: When the grant ends.
+      used: Those in use, the oldest first.
+      yielding: Those told to stop that have not been given back.
+    """
+
+    granted: int = 0
+    until: float = 0.0
+    used: list[T] = dataclasses.field(default_factory=list)
+    yielding: list[T] = dataclasses.field(default_factory=list)
+
+
+class Holdings(Generic[T]):
+    """Grants and slots of all upstreams."""
+
+    def __init__(self) -> None:
+        self.holdings: dict[str, Holding[T]] = {}
+
+    def of(self, upstream: str) -> Holding[T]:
+        """Return the slots on an upstream."""
+        return self.holdings.setdefault(upstream, Holding())
+
+    def grant(
+        self, now: float, upstream: str, slots: int, seconds: float
+    ) -> list[T]:
+        """Take a grant; return the slots to give up."""
+        holding = self.of(upstream)
+        holding.granted = slots
+        holding.until = now + seconds
+        return self.excess(holding)
+
+    def lapse(self, now: float) -> list[T]:
+        """Return the slots to give up because their grant ended."""
+        lost: list[T] = []
+        for holding in self.holdings.values():
+            if holding.until <= now:
+                holding.granted = 0
+                lost += self.excess(holding)
+        return lost
+
+    def excess(self, holding: Holding[T]) -> list[T]:
+        """Mark the youngest slots above the grant as yielding.
+
+        The youngest have made the fewest tokens, so that reading prompt
+        and tokens again costs least; and those whose prompt is being read
+        right now are what makes the engine's steps long.
+        """
+        kept = max(0, holding.granted)
+        lost = holding.used[kept:]
+        del holding.used[kept:]
+        holding.yielding += lost
+        return lost
+
+    def free(self, now: float, upstream: str) -> int:
+        """Return how many more slots may be taken."""
+        holding = self.of(upstream)
+        if holding.until <= now:
+            return 0
+        # A slot told to stop is still busy at the engine.
+        busy = len(holding.used) + len(holding.yielding)
+        return max(0, holding.granted - busy)
+
+    def take(self, upstream: str, slot: T) -> None:
+        """Count a slot as in use."""
+        self.of(upstream).used.append(slot)
+
+    def give_back(self, upstream: str, slot: T) -> None:
+        """Count a slot as free."""
+        holding = self.of(upstream)
+        for slots in (holding.used, holding.yielding):
+            if slot in slots:
+                slots.remove(slot)
+                return
+
+    def in_use(self) -> Iterator[tuple[str, int]]:
+        """Yield upstreams on which slots are in use and how many."""
+        for name, holding in self.holdings.items():
+            if holding.used or holding.yielding:
+                yield name, len(holding.used) + len(holding.yielding)
--- /dev/null
+++ b/camphortray/online.py
@@ -0,0 +1,156 @@
+"""What a host tells of its online work at each upstream, and how often."""
+
+__all__ = ["OnlineReports", "REPEAT_S"]
+
+import collections
+import dataclasses
+
+from camphortray import headroom
+
+# Seconds after which a report is repeated while there is online work.
+REPEAT_S = 1.0
+# Seconds for which a measured latency counts towards the strain.
+STRAIN_S = 2.0
+# Least seconds from one report on an upstream to the next. A first
+# arrival is told at once all the same.
+SETTLE_S = 0.02
+# A request counts as waiting for its first token for at most this long;
+# one that is not streamed gives no sign when it starts to decode.
+PENDING_S = 1.0
+# Reports a host may send per second in the long run, and at once. A report
+# on one upstream takes about 60 bytes, so that this stays under 1.2 KB/s.
+RATE = 20.0
+BURST = 60.0
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """Online work at one upstream as this host sees it.
+
+    Attributes:
+      begun: When each request still waiting for its first token began.
+      flowing: Requests whose first token has come.
+      strains: Recent latencies as shares of their objectives, by time.
+      told: What was reported last.
+      told_at: When.
+    """
+
+    begun: list[float] = dataclasses.field(default_factory=list)
+    flowing: int = 0
+    strains: collections.deque[tuple[float, float]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    told: headroom.Load = headroom.Load()
+    told_at: float = -REPEAT_S
+
+    def load(self, now: float) -> headroom.Load:
+        """Return the work as it is now."""
+        while self.strains and self.strains[0][0] < now - STRAIN_S:
+            self.strains.popleft()
+        strain = max((s for _, s in self.strains), default=0.0)
+        pending = sum(1 for at in self.begun if at > now - PENDING_S)
+        # Rounded, so that noise alone is no news.
+        return headroom.Load(
+            len(self.begun) + self.flowing, pending, round(strain, 1)
+        )
+
+    def note(self, now: float, strain: float) -> None:
+        """Keep the worst strain of each tenth of a second."""
+        if self.strains and now - self.strains[-1][0] < 0.1:
+            at, worst = self.strains[-1]
+            self.strains[-1] = (at, max(worst, strain))
+        else:
+            self.strains.append((now, strain))
+
+
+class OnlineReports:
+    """Counts online work and says what is due to be told."""
+
+    def __init__(self) -> None:
+        self.works: dict[str, Work] = {}
+        self.allowance = BURST
+        self.allowed_at = 0.0
+
+    def work(self, upstream: str) -> Work:
+        """Return the work at an upstream."""
+        return self.works.setdefault(upstream, Work())
+
+    def begun(self, now: float, upstream: str) -> None:
+        """Count a request sent."""
+        self.work(upstream).begun.append(now)
+
+    def first_token(
+        self, now: float, upstream: str, seconds: float, strain: float
+    ) -> None:
+        """Count a first token, ``seconds`` after its request began."""
+        work = self.work(upstream)
+        work.note(now, strain)
+        if work.begun:
+            began = now - seconds
+            nearest = min(work.begun, key=lambda at: abs(at - began))
+            work.begun.remove(nearest)
+            work.flowing += 1
+
+    def next_token(self, now: float, upstream: str, strain: float) -> None:
+        """Take note of a later token."""
+        self.work(upstream).note(now, strain)
+
+    def ended(self, upstream: str) -> None:
+        """Count a request as gone."""
+        work = self.work(upstream)
+        if work.flowing:
+            work.flowing -= 1
+        elif work.begun:
+            work.begun.pop(0)
+
+    def due(self, now: float) -> dict[str, headroom.Load]:
+        """Return the reports to send now, by upstream."""
+        self.refill(now)
+        due = {}
+        for name, work in self.works.items():
+            load = work.load(now)
+            if self.allowance >= 1 and is_due(now, work, load):
+                self.allowance -= 1
+                work.told = load
+                work.told_at = now
+                due[name] = load
+        self.forget_idle()
+        return due
+
+    def refill(self, now: float) -> None:
+        """Add to the allowance what the time since has earned."""
+        earned = (now - self.allowed_at) * RATE
+        self.allowance = min(BURST, self.allowance + earned)
+        self.allowed_at = now
+
+    def forget_idle(self) -> None:
+        """Drop upstreams with no work that everyone knows of."""
+        idle = [
+            name
+            for name, work in self.works.items()
+            if not work.begun and not work.flowing and not work.strains
+            if work.told == headroom.Load()
+        ]
+        for name in idle:
+            del self.works[name]
+
+
+def is_due(now: float, work: Work, load: headroom.Load) -> bool:
+    """Return whether a report differs enough, or is old enough."""
+    told = work.told
+    if load.pending and not told.pending:
+        return True
+    quiet = now - work.told_at
+    if load == told:
+        return quiet >= REPEAT_S and load != headroom.Load()
+    if quiet < SETTLE_S:
+        return False
+    if bool(load.in_flight) != bool(told.in_flight):
+        return True
+    if bool(load.pending) != bool(told.pending):
+        return True
+    # While requests wait, each one more takes back more slots, until
+    # there are none left to take: a growth by a quarter is news.
+    if load.pending > told.pending * 1.25:
+        return True
+    return quiet >= REPEAT_S / 4
--- a/camphortray/slots.py
+++ b/camphortray/slots.py
@@ -1,4 +1,4 @@
-"""Slots on upstreams that batch work may use."""
+"""Slots on upstreams that batch work of this host may use."""
 
 __all__ = ["Slot", "Slots"]
 
@@ -7,13 +7,27 @@
 import dataclasses
 from typing import ClassVar
 
+from camphortray import config as configs
 from camphortray import engine
+from camphortray import granting
+from camphortray import holding
 from camphortray import kernel
+from camphortray import membership
+from camphortray import peers
 from camphortray import settings
+from camphortray import slotmessages
 from camphortray import upstreams
 
-# Slots of one upstream that batch work of this host may fill.
-FIXED_SLOTS = 4
+# Seconds from one request for slots to the next; grants last longer than
+# two of them, so that one lost message takes no slot away.
+RENEW_S = 0.4
+# Seconds from one look for ended grants to the next.
+LAPSE_S = 0.1
+# Least seconds between two requests sent out of turn.
+HASTE_S = 0.05
+# Share of its slots used on an upstream for which no coordinator is known,
+# as when this host sees no entry member. Online work may be there unseen.
+UNCOORDINATED_SHARE = 0.25
 
 
 @dataclasses.dataclass(eq=False)
@@ -30,22 +44,49 @@
     revoked: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
+@dataclasses.dataclass(eq=False)
+class Waiter:
+    """An item that waits for a slot."""
+
+    service: settings.Service
+    without: frozenset[str]
+    slot: asyncio.Future[Slot]
+
+
 @kernel.PARTS.register("batch")
 class Slots(kernel.Part):
-    """Gives a fixed number of slots on each upstream."""
+    """Asks coordinators for slots and hands out those granted.
+
+    Attributes:
+      holdings: Grants and slots in use.
+      waiters: Items that wait, first come first.
+    """
 
     name: ClassVar[str] = "slots"
-    requires: ClassVar[tuple[str, ...]] = ("upstreams", "signals")
+    requires: ClassVar[tuple[str, ...]] = ("upstreams", "peers", "membership")
 
     def __init__(self, context: kernel.Context) -> None:
+        self.context = context
+        self.clock = context.clock
         self.upstreams = context.part(upstreams.Upstreams)
-        self.used: collections.Counter[str] = collections.Counter()
-        self.freed = asyncio.Condition()
+        self.peers = context.part(peers.Peers)
+        self.members = context.part(membership.Membership)
+        self.holdings: holding.Holdings[Slot] = holding.Holdings()
+        self.waiters: list[Waiter] = []
+        self.known: dict[str, engine.Upstream] = {}
+        self.asked_at = -RENEW_S
+        self.asked: set[str] = set()
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
 
     @classmethod
     def from_config(cls, context: kernel.Context) -> "Slots":
         return cls(context)
 
+    async def start(self) -> None:
+        self.peers.on(slotmessages.Grants, self.on_grants)
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
     async def acquire(
         self,
         service: settings.Service,
@@ -57,30 +98,141 @@
           service: Which service.
           without: Names of upstreams that will not do.
         """
-        async with self.freed:
-            while True:
-                slot = self.free_slot(service, without)
-                if slot is not None:
-                    return slot
-                await self.freed.wait()
+        slot = self.free_slot(service, without)
+        if slot is not None:
+            return slot
+        loop = asyncio.get_running_loop()
+        waiter = Waiter(service, without, loop.create_future())
+        self.waiters.append(waiter)
+        self.wake.set()
+        try:
+            return await waiter.slot
+        except asyncio.CancelledError:
+            # The slot may have come in the same step of the loop; nobody
+            # else would ever give it back.
+            if waiter.slot.done() and not waiter.slot.cancelled():
+                await self.release(waiter.slot.result())
+            raise
+        finally:
+            if waiter in self.waiters:
+                self.waiters.remove(waiter)
 
     def free_slot(
         self, service: settings.Service, without: frozenset[str]
     ) -> Slot | None:
-        """Return a slot on the upstream with the fewest used."""
-        free = [
-            c.upstream
-            for c in self.upstreams.candidates(service, without)
-            if self.used[c.upstream.name] < FIXED_SLOTS
-        ]
-        if not free:
+        """Return a slot on the upstream with the most of them free."""
+        now = self.clock.monotonic()
+        best: engine.Upstream | None = None
+        most = 0
+        for candidate in self.upstreams.candidates(service, without):
+            free = self.holdings.free(now, candidate.upstream.name)
+            if free > most:
+                best, most = candidate.upstream, free
+        if best is None:
             return None
-        chosen = min(free, key=lambda u: self.used[u.name])
-        self.used[chosen.name] += 1
-        return Slot(chosen)
+        slot = Slot(best)
+        self.holdings.take(best.name, slot)
+        return slot
 
     async def release(self, slot: Slot) -> None:
         """Give a slot back."""
-        async with self.freed:
-            self.used[slot.upstream.name] -= 1
-            self.freed.notify_all()
+        self.holdings.give_back(slot.upstream.name, slot)
+        self.hand_out()
+
+    def hand_out(self) -> None:
+        """Give free slots to those who wait."""
+        for waiter in list(self.waiters):
+            slot = self.free_slot(waiter.service, waiter.without)
+            if slot is not None:
+                self.waiters.remove(waiter)
+                if waiter.slot.done():
+                    self.holdings.give_back(slot.upstream.name, slot)
+                else:
+                    waiter.slot.set_result(slot)
+
+    async def on_grants(
+        self, sender: peers.Sender, message: slotmessages.Grants
+    ) -> None:
+        """Take grants; slots above them are revoked."""
+        now = self.clock.monotonic()
+        for upstream, slots in message.slots.items():
+            self.revoke(
+                self.holdings.grant(now, upstream, slots, message.seconds)
+            )
+        self.hand_out()
+
+    def revoke(self, slots: list[Slot]) -> None:
+        """Tell those who hold slots to stop."""
+        for slot in slots:
+            slot.revoked.set()
+            self.context.metrics.inc(
+                "batch_slots_revoked_total",
+                "Batch slots taken back while in use.",
+                {"upstream": slot.upstream.name},
+            )
+
+    def wants(self) -> dict[str, slotmessages.Want]:
+        """Return what this host could use, by upstream."""
+        waiting: collections.Counter[str] = collections.Counter()
+        for waiter in self.waiters:
+            for candidate in self.upstreams.candidates(
+                waiter.service, waiter.without
+            ):
+                self.known[candidate.upstream.name] = candidate.upstream
+                waiting[candidate.upstream.name] += 1
+        used = dict(self.holdings.in_use())
+        return {
+            name: slotmessages.Want(
+                waiting[name] + used.get(name, 0), used.get(name, 0)
+            )
+            for name in sorted({*waiting, *used, *self.asked})
+        }
+
+    def ask(self) -> None:
+        """Ask every coordinator for what could be used."""
+        wants = self.wants()
+        self.asked = {name for name, want in wants.items() if want.wanted}
+        grouped: dict[str, dict[str, slotmessages.Want]] = (
+            collections.defaultdict(dict)
+        )
+        live = self.members.live("entry")
+        for name, want in wants.items():
+            member = granting.coordinator_of(name, live)
+            if member is None:
+                self.grant_alone(name, want)
+            else:
+                grouped[member.peer_address][name] = want
+        own = str(self.peers.address)
+        for address, asked in grouped.items():
+            self.peers.tell(
+                configs.Address.from_text(address),
+                slotmessages.Wants(own, asked),
+            )
+        self.asked_at = self.clock.monotonic()
+
+    def grant_alone(self, name: str, want: slotmessages.Want) -> None:
+        """Use a small share of an upstream that nobody coordinates."""
+        upstream = self.known.get(name)
+        limit = upstream.slots if upstream is not None else 0
+        allowed = min(want.wanted, max(1, int(limit * UNCOORDINATED_SHARE)))
+        now = self.clock.monotonic()
+        self.revoke(self.holdings.grant(now, name, allowed, 2 * RENEW_S))
+        self.hand_out()
+
+    async def run(self) -> None:
+        """Ask in time and give up what has ended."""
+        while True:
+            if not self.waiters and not any(self.holdings.in_use()):
+                self.wake.clear()
+                await self.wake.wait()
+            now = self.clock.monotonic()
+            new = any(name not in self.asked for name in self.wants())
+            waited = now - self.asked_at
+            if waited >= RENEW_S or (new and waited >= HASTE_S):
+                self.ask()
+            self.revoke(self.holdings.lapse(self.clock.monotonic()))
+            await asyncio.sleep(LAPSE_S if self.asked else HASTE_S)
+
+    async def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,9 +12,13 @@
 DECISIONS = (
     "calls",
     "check",
+    "coordinator",
     "fold",
+    "headroom",
+    "holding",
     "intake",
     "jobs",
+    "online",
     "records",
     "routing",
     "settings",
