--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,174 +1,228 @@
-"""Starts the real programs as processes on loopback, for benches."""
+"""A fleet in virtual time: real parts, modelled engines and network.
 
-__all__ = ["Fleet"]
+The parts ``granting``, ``slots``, ``signals``, ``membership`` and
+``upstreams`` are those of the product. Links between hosts only delay and
+count messages; engines are the timing model of the stand-in engine.
+"""
+
+__all__ = ["Fleet", "MeasuredModel", "Network", "VirtualPeers"]
 
 import asyncio
 import dataclasses
-import json
-import os
-import pathlib
-import signal
-import sys
-import tempfile
+import random
 from typing import Any
 
-from camphortray import cluster
+from camphortray import clock as clocks
 from camphortray import config as configs
-from camphortray import httpclient
+from camphortray import granting
+from camphortray import kernel
+from camphortray import membership
+from camphortray import messages
+from camphortray import metrics
+from camphortray import peers
+from camphortray import settings
+from camphortray import signals
+from camphortray import slots
+from camphortray import standin_engine
+from camphortray import tree
+from camphortray import upstreams
+
+# One way between hosts, and between a host and an engine, in seconds.
+HOP_S = 0.001
+REGION = "region"
+SERVICE = "lm"
+
+
+class Network:
+    """Delivers messages late; hosts can be cut off.
 
-READY_S = 30.0
-POLL_S = 0.05
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+    Attributes:
+      cut: Names of hosts whose messages are lost, both ways.
+      sent: Bytes sent by each program, without framing.
+    """
 
+    def __init__(self) -> None:
+        self.nodes: dict[configs.Address, VirtualPeers] = {}
+        self.cut: set[str] = set()
+        self.sent: dict[str, int] = {}
 
-@dataclasses.dataclass
-class Program:
-    """One running program.
+    def send(
+        self, source: "VirtualPeers", target: configs.Address, message: Any
+    ) -> None:
+        """Deliver a message after one hop."""
+        data = messages.encode(messages.Envelope(0, False, message))
+        name = str(source.sender)
+        self.sent[name] = self.sent.get(name, 0) + len(data)
+        node = self.nodes[target]
+        if {source.sender.host, node.sender.host} & self.cut:
+            return
+        content = messages.decode(data).message
+        asyncio.get_running_loop().call_later(
+            HOP_S,
+            lambda: node.spawn(node.dispatch(source.sender, content)),
+        )
+
+
+class VirtualPeers(peers.Peers):
+    """Links over a ``Network``."""
+
+    def __init__(self, context: kernel.Context, network: Network) -> None:
+        super().__init__(context)
+        self.network = network
+        self.address = configs.Address("127.0.0.1", 1000 + len(network.nodes))
+        network.nodes[self.address] = self
+
+    async def start(self) -> None:
+        """Open no socket."""
+
+    def tell(self, address: configs.Address, message: Any) -> None:
+        self.network.send(self, address, message)
+
+    async def stop(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+
+
+class FixedTree(tree.Tree):
+    """Settings that follow no log."""
+
+    def __init__(self, values: dict[str, Any]) -> None:
+        fold = settings.SettingsFold()
+        fold.nodes[f"{REGION}/{SERVICE}"] = settings.Node(1, values)
+        fold.revision = 1
+        self.listeners = []
+        self.view = settings.View(fold, REGION)
+
+
+class MeasuredModel(standin_engine.EngineModel):
+    """An engine that adds up how much of it was in use.
 
     Attributes:
-      name: ``HOST/PROGRAM``, or the name of a stand-in.
-      address: Where it serves HTTP.
-      process: The process.
+      used_s: Seconds of the whole engine, in parts: time for prompts
+        counts whole, the rest by the share of ``slots`` in use.
+      steps: Number of steps made.
     """
 
-    name: str
-    address: configs.Address
-    process: asyncio.subprocess.Process
+    slots = 32
+
+    def __init__(self, timing: standin_engine.TimingModel) -> None:
+        super().__init__(timing)
+        self.used_s = 0.0
+        self.steps = 0
+
+    def plan_step(self) -> tuple[float, list[standin_engine.Sequence]]:
+        before = sum(s.prefill_left for s in self.running)
+        seconds, decoding = super().plan_step()
+        read = before - sum(s.prefill_left for s in self.running)
+        prompts_s = read * self.timing.per_prefill_s
+        share = min(1.0, len(self.running) / self.slots)
+        self.used_s += prompts_s + (seconds - prompts_s) * share
+        self.steps += 1
+        return seconds, decoding
 
-    def cpu_s(self) -> float:
-        """Return the processor time used so far, in seconds."""
-        stat = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text()
-        fields = stat.rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
-    def rss_mb(self) -> float:
-        """Return the resident memory, in MB."""
-        statm = pathlib.Path(f"/proc/{self.process.pid}/statm").read_text()
-        return int(statm.split()[1]) * PAGE_BYTES / 1e6
+@dataclasses.dataclass
+class Program:
+    """One program of one host, with just the parts at work here."""
 
-    def signal(self, number: int) -> None:
-        """Send a signal, if it still runs."""
-        if self.process.returncode is None:
-            self.process.send_signal(number)
+    context: kernel.Context
+
+    def part(self, cls: type[kernel.P]) -> kernel.P:
+        """Return a part."""
+        return self.context.part(cls)
 
 
 class Fleet:
-    """Processes of one bench; all are ended on the way out.
+    """Hosts and engines.
 
     Attributes:
-      programs: By name.
-      settings: Plain settings of each host, by name.
+      entries: Entry programs.
+      batches: Batch programs.
+      engines: Models by name of upstream.
     """
 
-    def __init__(self) -> None:
-        self.folder = tempfile.TemporaryDirectory()
-        self.programs: dict[str, Program] = {}
-        self.settings: dict[str, dict[str, Any]] = {}
-        self.client = httpclient.HttpClient()
-        self.platform = cluster.free_address()
-
-    async def __aenter__(self) -> "Fleet":
-        await self.run_standin("platform", "platform", self.platform)
-        return self
-
-    async def __aexit__(self, *exc: object) -> None:
-        for program in self.programs.values():
-            program.signal(signal.SIGKILL)
-        for program in self.programs.values():
-            await program.process.wait()
-        await self.client.close()
-        self.folder.cleanup()
-
-    async def run_standin(
-        self, kind: str, name: str, address: str, *more: str
-    ) -> Program:
-        """Start a stand-in and wait until it listens."""
-        return await self.run(
-            name, "standin", address, kind, address, "--name", name, *more
-        )
-
-    async def run(
-        self, name: str, module: str, address: str, *arguments: str
-    ) -> Program:
-        """Start a program and wait until it answers."""
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            f"camphortray.{module}",
-            *arguments,
-            stderr=asyncio.subprocess.DEVNULL,
-        )
-        at = configs.Address.from_text(address)
-        program = self.programs[name] = Program(name, at, process)
-        async with asyncio.timeout(READY_S):
-            while not await self.answers(program):
-                await asyncio.sleep(POLL_S)
-        return program
-
-    async def answers(self, program: Program) -> bool:
-        """Return whether a program answers HTTP."""
-        if program.process.returncode is not None:
-            raise RuntimeError(f"{program.name} ended early")
-        try:
-            await self.client.call(program.address, "GET", "/healthz")
-        except Exception:
-            return False
-        return True
-
-    def write_settings(self, name: str, zone: str) -> str:
-        """Write the settings of a host; return the file's name."""
-        seeds = [s["peer"]["entry_listen"] for s in self.settings.values()]
-        data: dict[str, Any] = {
-            "host": {
-                "name": name,
-                "availability_zone": zone,
-                "region": cluster.REGION,
-            },
-            "log": {"address": self.platform},
-            "hostlist": {"address": self.platform},
-            "entry": {"listen": cluster.free_address()},
-            "batch": {"listen": cluster.free_address()},
-            "peer": {
-                "entry_listen": cluster.free_address(),
-                "batch_listen": cluster.free_address(),
-                "shared_key": cluster.HOST_KEY,
-                "seeds": seeds[:3],
-            },
-            "shards": {"jobs": 2, "calls": 2, "orders": 1},
-            "logging": {"level": "WARNING"},
-        }
-        self.settings[name] = data
-        path = pathlib.Path(self.folder.name) / f"{name}.toml"
-        path.write_text(to_toml(data))
-        return str(path)
-
-    async def run_host(
-        self, name: str, zone: str, programs: tuple[str, ...]
+    def __init__(
+        self, hosts: int, engines: int, values: dict[str, Any], seed: int
     ) -> None:
-        """Start programs of a host."""
-        file = self.write_settings(name, zone)
-        data = self.settings[name]
-        await asyncio.gather(
-            *(
-                self.run(f"{name}/{p}", p, data[p]["listen"], file)
-                for p in programs
-            )
+        self.rng = random.Random(seed)
+        self.network = Network()
+        timing = standin_engine.TimingModel()
+        names = [f"engine-{number}" for number in range(engines)]
+        self.engines = {name: MeasuredModel(timing) for name in names}
+        for number, name in enumerate(names):
+            values[f"upstream.{name}.address"] = f"127.0.0.1:{number + 1}"
+            values[f"upstream.{name}.slots"] = MeasuredModel.slots
+        self.tree = FixedTree(values)
+        self.service = self.tree.view.services[SERVICE]
+        self.entries = [self.program(n, "entry") for n in range(hosts)]
+        self.batches = [self.program(n, "batch") for n in range(hosts)]
+
+    def program(self, number: int, name: str) -> Program:
+        """Build the parts of one program."""
+        config = configs.Config.from_data(
+            {
+                "host": {
+                    "name": f"host-{number}",
+                    "availability_zone": f"zone-{number % 3}",
+                    "region": REGION,
+                },
+                "log": {"address": "127.0.0.1:1"},
+                "hostlist": {"address": "127.0.0.1:1"},
+            }
         )
-
-    async def fetch(self, program: Program, target: str, key: str) -> Any:
-        """Return the JSON a program answers with."""
-        headers = [("authorization", f"Bearer {key}")]
-        _, _, body = await self.client.call(
-            program.address, "GET", target, headers
+        clock = clocks.SystemClock()
+        context = kernel.Context(
+            config,
+            name,
+            1,
+            clock,
+            random.Random(self.rng.random()),
+            metrics.Metrics(),
         )
-        return json.loads(body)
-
-
-def to_toml(data: dict[str, Any]) -> str:
-    """Return plain settings as TOML; JSON's values are TOML's here."""
-    lines = []
-    for section, values in data.items():
-        lines.append(f"[{section}]")
-        lines += [f"{k} = {json.dumps(v)}" for k, v in values.items()]
-    return "\n".join(lines) + "\n"
+        made: list[kernel.Part] = [
+            VirtualPeers(context, self.network),
+            self.tree,
+        ]
+        context.parts = {part.name: part for part in made}
+        classes: list[type[kernel.Part]] = [
+            membership.Membership,
+            upstreams.Upstreams,
+            signals.Signals,
+        ]
+        classes.append(granting.Granting if name == "entry" else slots.Slots)
+        for cls in classes:
+            context.parts[cls.name] = cls.from_config(context)
+        return Program(context)
+
+    async def start(self) -> None:
+        """Start all parts and let everyone know everyone."""
+        members = []
+        for program in self.entries + self.batches:
+            own = program.part(membership.Membership)
+            members.append(
+                membership.Member(
+                    own.own_name,
+                    1,
+                    membership.Status.ALIVE,
+                    program.context.config.host.availability_zone,
+                    str(program.part(peers.Peers).address),
+                    "",
+                )
+            )
+        for program in self.entries + self.batches:
+            for member in members:
+                program.part(membership.Membership).put(member)
+            last = granting.Granting, slots.Slots
+            for part in program.context.parts.values():
+                if isinstance(part, last):
+                    await part.start()
+
+    async def stop(self) -> None:
+        """Stop all parts and engines."""
+        for program in self.entries + self.batches:
+            for part in reversed(list(program.context.parts.values())):
+                if part is not self.tree:
+                    await part.stop()
+        for engine in self.engines.values():
+            if engine.task is not None:
+                engine.task.cancel()
--- a/bench/settings.py
+++ b/bench/settings.py
@@ -11,7 +11,7 @@
 import sys
 import time
 
-from bench import fleet
+from bench import processes
 from camphortray import cluster
 from camphortray import config as configs
 from camphortray import plan as plans
@@ -77,7 +77,7 @@
 
 async def measure(size: int) -> dict[str, float]:
     """Run one fleet of ``size`` processes."""
-    async with fleet.Fleet() as running:
+    async with processes.ProcessFleet() as running:
         await first_settings(running.platform)
         for number in range(size // 2):
             await running.run_host(
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -6,13 +6,14 @@
 
 import defopt
 
+from camphortray import granting
 from camphortray import jobproxy
 from camphortray import program
 from camphortray import relay
 from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (jobproxy, relay, settingsapi)
+PARTS = (granting, jobproxy, relay, settingsapi)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
