--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -7,11 +7,12 @@
 import defopt
 
 from camphortray import jobapi
+from camphortray import orderdriver
 from camphortray import program
 from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (jobapi, settingsapi)
+PARTS = (jobapi, orderdriver, settingsapi)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
--- a/camphortray/ctl.py
+++ b/camphortray/ctl.py
@@ -35,6 +35,7 @@
         "list": ctl_hosts.list_hosts,
         "drain": ctl_hosts.drain,
     },
+    "orders": {"status": ctl_hosts.orders_status},
 }
 EXIT_FAILED = 1
 
--- a/camphortray/ctl_hosts.py
+++ b/camphortray/ctl_hosts.py
@@ -1,6 +1,6 @@
 """Operators' commands on hosts."""
 
-__all__ = ["drain", "list_hosts", "settings_status"]
+__all__ = ["drain", "list_hosts", "orders_status", "settings_status"]
 
 import asyncio
 from typing import Any
@@ -56,3 +56,23 @@
         lag = " (behind)" if member in behind else ""
         print(f"{member['name']:<28} {member['revision']}{lag}")
     return EXIT_BEHIND if behind else 0
+
+
+def orders_status(*, entry: str = ctl_client.ENTRY_ADDRESS) -> int:
+    """List the last order to each upstream and what became of it.
+
+    An operator's key is taken from CAMPHORTRAY_KEY.
+
+    Args:
+      entry: ``IP:PORT`` of an entry host.
+    """
+    answer = asyncio.run(ctl_client.fetch(entry, "GET", "/v1/admin/orders"))
+    for row in answer["orders"]:
+        what = row["role"] or f"{row['model']} {row['version']}"
+        became = "accepted" if row["accepted"] else row["reason"]
+        print(
+            f"{row['service']:<28} {row['upstream']:<20} {row['action']}"
+            f" {what} {row['adapter']} (epoch {row['epoch']},"
+            f" {row['owner'] or 'no owner'}): {became}"
+        )
+    return 0
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -8,12 +8,13 @@
 
 from camphortray import granting
 from camphortray import jobproxy
+from camphortray import ordersapi
 from camphortray import program
 from camphortray import relay
 from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (granting, jobproxy, relay, settingsapi)
+PARTS = (granting, jobproxy, ordersapi, relay, settingsapi)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
