Let hosts watch each other and spread what changes

A new connection is tried before any doubt. Changes and facts go once to each neighbour; probes carry a digest, and what differs is exchanged.

--- /dev/null
+++ b/camphortray/facts.py
@@ -0,0 +1,103 @@
+"""Small facts that all hosts should know, each with version and expiry."""
+
+__all__ = ["Fact", "FactTable"]
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from camphortray import errors
+from camphortray import members
+
+# Largest value of a fact; it travels to every host.
+MAX_VALUE_BYTES = 4096
+# Milliseconds by which a version may lie in the future. A host whose
+# clock is far ahead would else pin a key for as long.
+MAX_AHEAD_MS = 60_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fact:
+    """A small fact for all hosts; the highest version of a key wins.
+
+    Attributes:
+      kind: e.g. ``"upstream-leaving"``.
+      key: What it is about.
+      version: Wall-clock milliseconds of its origin.
+      value: Plain data.
+      keep_s: Seconds after ``version`` at which it is forgotten.
+    """
+
+    kind: str
+    key: str
+    version: int
+    value: Any
+    keep_s: float = 60.0
+
+    @property
+    def name(self) -> str:
+        """Kind and key as one text."""
+        return f"{self.kind} {self.key}"
+
+    @property
+    def order(self) -> tuple[int, bytes]:
+        """What decides between two; the value breaks a tie alike."""
+        return self.version, msgspec.json.encode(self.value)
+
+    def expired(self, wall_ms: int) -> bool:
+        """Return whether it is to be forgotten."""
+        return self.version + self.keep_s * 1000 <= wall_ms
+
+
+class FactTable:
+    """Facts as one host knows them.
+
+    Attributes:
+      facts: By kind and key, as one text.
+      buckets: One digest each; see ``members.Directory``.
+    """
+
+    def __init__(self) -> None:
+        self.facts: dict[str, Fact] = {}
+        self.buckets = [0] * members.BUCKETS
+
+    def make(
+        self, kind: str, key: str, value: Any, keep_s: float, wall_ms: int
+    ) -> Fact:
+        """Return a fact that is newer than what is held of its key.
+
+        Raises:
+          MessageError: its value is too large to travel to every host.
+        """
+        held = self.facts.get(f"{kind} {key}")
+        version = max(wall_ms, held.version + 1) if held else wall_ms
+        fact = Fact(kind, key, version, value, keep_s)
+        if len(msgspec.json.encode(value)) > MAX_VALUE_BYTES:
+            raise errors.MessageError("value too large", step="publish")
+        return fact
+
+    def take(self, fact: Fact, wall_ms: int) -> bool:
+        """Hold a fact if it is newer; return whether it was."""
+        held = self.facts.get(fact.name)
+        if held is not None and held.order >= fact.order:
+            return False
+        if fact.expired(wall_ms) or fact.version > wall_ms + MAX_AHEAD_MS:
+            return False
+        if held is not None:
+            self.toggle(held)
+        self.facts[fact.name] = fact
+        self.toggle(fact)
+        return True
+
+    def toggle(self, fact: Fact) -> None:
+        """Add a fact to its bucket's digest, or take it out."""
+        digest = members.digest_of(fact.name, fact.version)
+        self.buckets[members.bucket_of(fact.name)] ^= digest
+
+    def prune(self, wall_ms: int) -> None:
+        """Forget what has expired."""
+        for fact in list(self.facts.values()):
+            if fact.expired(wall_ms):
+                self.toggle(fact)
+                del self.facts[fact.name]
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -2,118 +2,121 @@
 
 __all__ = ["Fact", "Member", "Membership", "Status"]
 
+import asyncio
 from collections.abc import Callable
-import dataclasses
-import enum
+import contextlib
 from typing import Any
 from typing import ClassVar
 
+from camphortray import antientropy
+from camphortray import config as configs
+from camphortray import errors
+from camphortray import facts
+from camphortray import gossip
+from camphortray import hostlist
 from camphortray import kernel
+from camphortray import logs
+from camphortray import members
+from camphortray import node as nodes
+from camphortray import outer
 from camphortray import peers
+from camphortray import tree
+from camphortray import watch
 
+LOG = logs.logger("membership")
+Fact = facts.Fact
+Member = members.Member
+Status = members.Status
+# Seconds from one look at what is due to the next.
+TICK_S = 0.1
+# Longest wait for an answer of a peer, in seconds.
+ASK_S = 1.0
+# Seconds over which the fleet reads the platform's list once for each
+# host: all together read it about once a second, whatever their number.
+LIST_S_PER_HOST = 1.0
+MIN_LIST_S = 2.0
+MESSAGES = (gossip.Ping, gossip.News, antientropy.Sync, watch.Doubt)
 
-class Status(enum.StrEnum):
-    """How a member is; a later one wins at the same incarnation."""
 
-    ALIVE = "alive"
-    SUSPECT = "suspect"
-    LEAVING = "leaving"
-    DEAD = "dead"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
-    """One program of one host.
-
-    Attributes:
-      name: ``HOST/PROGRAM``.
-      incarnation: Raised by the member itself, to refute a suspicion.
-      status: As far as this host knows.
-      availability_zone: Where it stands.
-      peer_address: Where it takes peer links.
-      http_address: Where it serves HTTP.
-      revision: Settings revision in force there.
-    """
-
-    name: str
-    incarnation: int
-    status: Status
-    availability_zone: str
-    peer_address: str
-    http_address: str
-    revision: int = 0
-
-    @property
-    def host(self) -> str:
-        """Name of the host."""
-        return self.name.partition("/")[0]
-
-    @property
-    def program(self) -> str:
-        """``"entry"`` or ``"batch"``."""
-        return self.name.partition("/")[2]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fact:
-    """A small fact for all hosts; the highest version of a key wins.
+@kernel.PARTS.register("entry", "batch")
+class Membership(kernel.Part):
+    """Members and facts as this host knows them; drives a ``Node``.
 
     Attributes:
-      kind: e.g. ``"upstream-leaving"``.
-      key: What it is about.
-      version: Wall-clock milliseconds of its origin.
-      value: Plain data.
-      keep_s: Seconds after ``version`` at which it is forgotten.
+      node: What decides.
+      own_name: ``HOST/PROGRAM`` of this program.
+      listed: The platform's list as last read.
     """
 
-    kind: str
-    key: str
-    version: int
-    value: Any
-    keep_s: float = 60.0
-
-
-@kernel.PARTS.register("entry", "batch")
-class Membership(kernel.Part):
-    """Members and facts as this host knows them."""
-
     name: ClassVar[str] = "membership"
     requires: ClassVar[tuple[str, ...]] = ("peers", "settings")
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
-        self.members: dict[str, Member] = {}
-        self.facts: dict[tuple[str, str], Fact] = {}
+        self.clock = context.clock
+        self.links = context.part(peers.Peers)
+        self.tree = context.part(tree.Tree)
+        self.outer = context.part(outer.Outer)
+        config = context.config
+        self.own_name = f"{config.host.name}/{context.program}"
+        own = Member(
+            self.own_name,
+            context.incarnation,
+            Status.ALIVE,
+            config.host.availability_zone,
+            "",
+            "",
+            started=context.incarnation,
+        )
+        offset = self.clock.wall() - self.clock.monotonic()
+        self.node = nodes.Node(
+            own,
+            config.peer.seeds,
+            context.rng,
+            offset,
+            sibling_of(config, context.program),
+        )
+        self.node.on_member = self.tell_member
+        self.node.on_fact = self.tell_fact
         self.fact_listeners: dict[str, list[Callable[[Fact], None]]] = {}
         self.listeners: list[Callable[[Member], None]] = []
-        self.own_name = f"{context.config.host.name}/{context.program}"
+        self.list_listeners: list[
+            Callable[[tuple[hostlist.ListedHost, ...]], None]
+        ] = []
+        self.listed: tuple[hostlist.ListedHost, ...] = ()
+        self.http_address = ""
+        self.list_at = 0.0
+        self.list_task: asyncio.Task[None] | None = None
+        self.task: asyncio.Task[None] | None = None
+        for cls in MESSAGES:
+            self.links.on(cls, self.on_message)
 
     @classmethod
     def from_config(cls, context: kernel.Context) -> "Membership":
         return cls(context)
 
     async def start(self) -> None:
-        links = self.context.part(peers.Peers)
-        own = Member(
-            self.own_name,
-            self.context.incarnation,
-            Status.ALIVE,
-            self.context.config.host.availability_zone,
-            str(links.address),
-            "",
-        )
-        self.members[own.name] = own
+        now = self.clock.monotonic()
+        self.node.change(now, peer_address=str(self.links.address))
+        self.node.start(now)
+        self.tree.listen(self.on_view)
+        self.task = asyncio.get_running_loop().create_task(self.run())
 
-    def set_http_address(self, address: str) -> None:
-        """Tell where this program serves HTTP."""
-        own = self.members[self.own_name]
-        self.put(dataclasses.replace(own, http_address=address))
+    # What other parts use.
 
-    def put(self, member: Member) -> None:
-        """Take over what is known of a member and tell who listens."""
-        self.members[member.name] = member
-        for listener in self.listeners:
-            listener(member)
+    @property
+    def members(self) -> dict[str, Member]:
+        """All members by name, those held for dead included."""
+        return self.node.directory.members
+
+    @property
+    def facts(self) -> dict[str, Fact]:
+        """All facts, by kind and key as one text."""
+        return self.node.facts.facts
+
+    def member(self, name: str) -> Member | None:
+        """Return a member, or None if it has not been heard of."""
+        return self.members.get(name)
 
     def live(self, program: str) -> list[Member]:
         """Return members of a program that may get work, this one too."""
@@ -124,27 +127,160 @@
             if member.program == program and member.status in wanted
         ]
 
+    def is_gone(self, host_name: str, started: int = 0) -> bool:
+        """Return whether a host is gone; see ``node.Node.is_gone``."""
+        return self.node.is_gone(host_name, started)
+
+    def set_http_address(self, address: str) -> None:
+        """Tell where this program serves HTTP, once it is ready."""
+        self.http_address = address
+        self.announce()
+
+    def leave(self) -> None:
+        """Tell all hosts that this program takes no new callers."""
+        self.node.leave(self.clock.monotonic())
+        self.act(self.node.flush(self.clock.monotonic()))
+
     def listen(self, listener: Callable[[Member], None]) -> None:
         """Call ``listener`` whenever something about a member changes."""
         self.listeners.append(listener)
 
+    def listen_list(
+        self, listener: Callable[[tuple[hostlist.ListedHost, ...]], None]
+    ) -> None:
+        """Call ``listener`` with the platform's list after each look."""
+        self.list_listeners.append(listener)
+
     def publish(
         self, kind: str, key: str, value: Any, keep_s: float = 60.0
     ) -> None:
         """Tell all hosts a fact, this one at once."""
-        version = int(self.context.clock.wall() * 1000)
-        self.take_fact(Fact(kind, key, version, value, keep_s))
-
-    def take_fact(self, fact: Fact) -> bool:
-        """Take a fact in; return whether it was new."""
-        held = self.facts.get((fact.kind, fact.key))
-        if held is not None and held.version >= fact.version:
-            return False
-        self.facts[(fact.kind, fact.key)] = fact
-        for listener in self.fact_listeners.get(fact.kind, []):
-            listener(fact)
-        return True
+        now = self.clock.monotonic()
+        self.node.publish(kind, key, value, keep_s, now)
+        self.act(self.node.flush(now))
 
     def on_fact(self, kind: str, listener: Callable[[Fact], None]) -> None:
         """Call ``listener`` with each new fact of a kind."""
         self.fact_listeners.setdefault(kind, []).append(listener)
+
+    # What the node tells.
+
+    def tell_member(self, member: Member) -> None:
+        """Tell whoever listens, and close links of no more use."""
+        if member.status is not Status.ALIVE:
+            LOG.info("{} is {}.", member.name, member.status)
+        if member.dead and member.name != self.own_name:
+            address = configs.Address.from_text(member.peer_address)
+            self.links.forget(address)
+        if self.node.replaced and member.name == self.own_name:
+            LOG.error("Another process has taken the name {}.", member.name)
+        for listener in self.listeners:
+            listener(member)
+
+    def tell_fact(self, fact: Fact) -> None:
+        """Tell whoever listens to that kind."""
+        for listener in self.fact_listeners.get(fact.kind, []):
+            listener(fact)
+
+    def on_view(self, view: Any) -> None:
+        """Take note of the settings revision in force."""
+        self.node.revision = view.revision
+        self.node.directory.note_revision(self.own_name, view.revision)
+
+    # Driving it.
+
+    async def run(self) -> None:
+        """Do what is due, for ever."""
+        while True:
+            now = self.clock.monotonic()
+            self.announce()
+            self.act(self.node.tick(now))
+            if now >= self.list_at or self.node.wants_list:
+                self.look_at_list(now)
+            await asyncio.sleep(TICK_S)
+
+    def announce(self) -> None:
+        """Tell the HTTP address once callers may come."""
+        shown = self.node.own.http_address
+        if self.http_address == shown or self.context.not_ready():
+            return
+        now = self.clock.monotonic()
+        self.node.change(now, http_address=self.http_address)
+
+    def act(self, asks: list[nodes.Ask]) -> None:
+        """Carry out effects."""
+        for ask in asks:
+            self.links.spawn(self.carry_out(ask))
+
+    async def carry_out(self, ask: nodes.Ask) -> None:
+        """Ask a peer and hand on its answer."""
+        address = configs.Address.from_text(ask.address)
+        method = self.links.ask_anew if ask.fresh else self.links.ask
+        reply = None
+        with contextlib.suppress(errors.MessageError):
+            reply = await method(address, ask.message, ASK_S)
+        now = self.clock.monotonic()
+        self.act(self.node.answered(ask, reply, now))
+
+    async def on_message(self, sender: peers.Sender, message: Any) -> Any:
+        """Hand a message to the node."""
+        now = self.clock.monotonic()
+        return self.node.receive(str(sender), message, now)
+
+    def look_at_list(self, now: float) -> None:
+        """Read the platform's list in the background, now and then."""
+        busy = self.list_task is not None and not self.list_task.done()
+        if busy or now < self.list_at - self.list_pause() + MIN_LIST_S:
+            return
+        self.list_at = now + self.list_pause() * (
+            0.5 + self.context.rng.random()
+        )
+        self.list_task = asyncio.get_running_loop().create_task(
+            self.read_list()
+        )
+
+    def list_pause(self) -> float:
+        """Return the mean time between two looks at the list."""
+        hosts = len(self.node.directory.by_host)
+        return max(MIN_LIST_S, hosts * LIST_S_PER_HOST)
+
+    async def read_list(self) -> None:
+        """Read the list and hand it on."""
+        try:
+            self.listed = await self.outer.hosts.read()
+        except errors.CamphortrayError as error:
+            LOG.debug("No list: {}", error)
+            return
+        hosts = [line for line in self.listed if line.kind == "host"]
+        self.node.note_list(
+            {line.name: line.status for line in hosts},
+            [
+                line.peer_address
+                for line in hosts
+                if line.peer_address and line.status == "live"
+            ],
+        )
+        for listener in self.list_listeners:
+            listener(self.listed)
+
+    async def drain(self) -> None:
+        """Tell that this program leaves, if nobody has yet."""
+        self.leave()
+
+    async def stop(self) -> None:
+        for task in (self.task, self.list_task):
+            if task is not None:
+                task.cancel()
+        if self.node.own.status is not Status.LEAVING:
+            return
+        # Hosts need not find out by probing what this one can tell.
+        asks = self.node.end(self.clock.monotonic())
+        await asyncio.gather(*(self.carry_out(ask) for ask in asks))
+
+
+def sibling_of(config: configs.Config, program: str) -> str:
+    """Return the peer address of this host's other program."""
+    peer = config.peer
+    other = peer.batch_listen if program == "entry" else peer.entry_listen
+    # Port 0 takes any free one, so the address is not known beforehand.
+    return "" if other.endswith(":0") else other
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,15 +10,23 @@
 PACKAGE = pathlib.Path(camphortray.__file__).parent
 # Modules that decide. What they need of time and chance is handed in.
 DECISIONS = (
+    "antientropy",
     "calls",
     "check",
+    "facts",
     "fold",
+    "gossip",
     "intake",
     "jobs",
+    "members",
+    "neighbours",
+    "node",
     "records",
+    "ring",
     "routing",
     "settings",
     "shards",
+    "watch",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
 
