--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,20 +10,27 @@
 PACKAGE = pathlib.Path(camphortray.__file__).parent
 # Modules that decide. What they need of time and chance is handed in.
 DECISIONS = (
+    "antientropy",
     "calls",
     "check",
     "coordinator",
     "declaration",
+    "facts",
     "fold",
+    "gossip",
     "grouping",
     "headroom",
     "holding",
     "intake",
     "jobs",
+    "members",
+    "neighbours",
+    "node",
     "online",
     "orders",
     "plan",
     "records",
+    "ring",
     "rollout",
     "routing",
     "settingkeys",
@@ -32,6 +39,7 @@
     "snapshot",
     "takeover",
     "view",
+    "watch",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
 
