--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,16 +12,20 @@
 DECISIONS = (
     "calls",
     "check",
+    "declaration",
     "fold",
     "grouping",
     "intake",
     "jobs",
+    "plan",
     "records",
     "routing",
+    "settingkeys",
     "settings",
     "shards",
     "snapshot",
     "takeover",
+    "view",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
 
