--- a/camphortray/cluster.py
+++ b/camphortray/cluster.py
@@ -29,6 +29,9 @@
 OPERATOR_KEY = "key-of-operator"
 HOST_KEY = "key-of-hosts"
 PROGRAMS = (entry, batch)
+# Longest wait for hosts to become ready, and from one look to the next.
+READY_S = 20.0
+READY_LOOK_S = 0.01
 
 
 def free_port() -> int:
@@ -132,6 +135,17 @@
             self.add_host(f"host-{number}", f"zone-{number % 3}")
         for host in self.hosts.values():
             await asyncio.gather(host.start("entry"), host.start("batch"))
+        await self.until_ready()
+
+    async def until_ready(self) -> None:
+        """Wait until all programs that run would take callers."""
+        async with asyncio.timeout(READY_S):
+            while any(
+                core.not_ready()
+                for host in self.hosts.values()
+                for core in host.kernels.values()
+            ):
+                await asyncio.sleep(READY_LOOK_S)
 
     def add_host(self, name: str, availability_zone: str) -> Host:
         """Make a host; it is not started."""
--- /dev/null
+++ b/camphortray/forward.py
@@ -0,0 +1,94 @@
+"""Hands a caller's request on to another program of ours, both ways."""
+
+__all__ = ["Forwarder"]
+
+from camphortray import config as configs
+from camphortray import errors
+from camphortray import httpclient
+from camphortray import web
+
+# Headers that belong to one connection and are not passed on.
+HOP_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Set on a request that was handed on once; it is not handed on again, so
+# that two hosts that take each other for the owner cannot pass it forever.
+HOP = "camphortray-hop"
+TIMEOUTS = httpclient.Timeouts(1.0, 120.0, 120.0)
+
+
+class Forwarder:
+    """Streams requests on; nothing is held whole."""
+
+    def __init__(self, config: configs.Config) -> None:
+        self.config = config
+        self.client = httpclient.HttpClient(TIMEOUTS)
+
+    async def pass_on(self, call: web.Call, to: configs.Address) -> None:
+        """Hand a call on and its answer back.
+
+        Raises:
+          Refused: the other program cannot be reached.
+        """
+        request = call.request
+        headers = [
+            (name, value)
+            for name, value in request.headers.items()
+            if name not in HOP_HEADERS and not name.startswith("camphortray-h")
+        ]
+        headers += web.host_headers(self.config, call.caller)
+        headers.append((HOP, "1"))
+        limit = self.config.batch.max_job_bytes
+        body = request.iter_body(limit) if has_body(request.headers) else b""
+        try:
+            answer = await self.client.request(
+                to, request.method, request.target, headers, body
+            )
+        except errors.UpstreamBroken as error:
+            raise errors.Refused(
+                503,
+                "owner_unreachable",
+                str(error),
+                ran="unknown" if error.ran else "no",
+                retry_after=1,
+            ) from error
+        await self.copy(call, answer)
+
+    async def copy(
+        self, call: web.Call, answer: httpclient.ClientResponse
+    ) -> None:
+        """Copy an answer to the caller; one cut off stays cut off."""
+        try:
+            kept = [
+                (name, value)
+                for name, value in answer.headers.items()
+                if name not in HOP_HEADERS and name != "x-request-id"
+            ]
+            call.response.start(answer.status, kept)
+            while data := await answer.read():
+                call.response.write(data)
+                await call.response.flush()
+            call.response.end()
+        except errors.UpstreamBroken:
+            call.response.abort()
+        finally:
+            answer.close()
+
+    async def close(self) -> None:
+        """Drop all connections."""
+        await self.client.close()
+
+
+def has_body(headers: dict[str, str]) -> bool:
+    """Return whether a request announces a body."""
+    length = headers.get("content-length", "0")
+    return "transfer-encoding" in headers or length != "0"
--- a/camphortray/intake.py
+++ b/camphortray/intake.py
@@ -1,36 +1,102 @@
-"""Reads the lines of a job as they come and checks each."""
+"""Reads the lines of a job as they come and checks each.
 
-__all__ = ["LineReader", "check_line"]
+A line is one JSON object: either the body of a request as it stands, or
+``{"body": {...}}``, to which ``custom_id``, ``method`` and ``url`` may be
+added as in OpenAI's batch files. An object with a ``body`` is the second.
+"""
+
+__all__ = ["Line", "LineReader", "check_line", "parse_line", "prefix_of"]
 
 from collections.abc import Iterator
 from typing import Any
 
 import msgspec
+import xxhash
 
 from camphortray import errors
 
 # Largest item, in bytes.
 MAX_ITEM_BYTES = 262_144
+# Characters of a prompt that say whether an engine's cache may serve it.
+PREFIX_CHARS = 512
+
+
+class Line(msgspec.Struct, frozen=True):
+    """One line of a job.
+
+    Attributes:
+      body: JSON of the request's body.
+      custom_id: The caller's own id, or empty.
+      method, url: As in OpenAI's batch files, or empty.
+    """
+
+    body: msgspec.Raw
+    custom_id: str = ""
+    method: str = ""
+    url: str = ""
+
 
+class Body(msgspec.Struct, frozen=True):
+    """What is looked at in the body of a request."""
 
-def check_line(line: bytes, number: int) -> bytes:
-    """Return an item's body if the line is one.
+    model: str = ""
+    messages: tuple[Any, ...] = ()
+    prompt: Any = ""
+
+
+def parse_line(data: bytes) -> tuple[Line, Body]:
+    """Return a line and what its body says.
+
+    Raises:
+      ValueError: it is no item; the text says why.
+    """
+    try:
+        fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+        line = (
+            msgspec.json.decode(data, type=Line)
+            if "body" in fields
+            else Line(msgspec.Raw(data))
+        )
+        body = msgspec.json.decode(line.body, type=Body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ValueError(str(error)) from error
+    return line, body
+
+
+def prefix_of(body: Body) -> int:
+    """Return a hash of the model and the start of the prompt."""
+    start: Any = body.prompt
+    if body.messages:
+        first = body.messages[0]
+        start = first.get("content", "") if isinstance(first, dict) else first
+    text = f"{body.model}\0{str(start)[:PREFIX_CHARS]}"
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+def check_line(
+    line: bytes, number: int, path: str = "", limit: int = MAX_ITEM_BYTES
+) -> bytes:
+    """Return an item if the line is one.
 
     Args:
       line: One line without its end.
       number: Line number from 1, for the refusal.
+      path: Interface of the job, to which ``url`` must agree; if given.
+      limit: Largest line in bytes.
 
     Raises:
       Refused: with the line number.
     """
-    if len(line) > MAX_ITEM_BYTES:
-        raise bad_line(number, f"longer than {MAX_ITEM_BYTES} bytes")
+    if len(line) > limit:
+        raise bad_line(number, f"longer than {limit} bytes")
     try:
-        data: Any = msgspec.json.decode(line)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        parsed, _ = parse_line(line)
+    except ValueError as error:
         raise bad_line(number, str(error)) from error
-    if not isinstance(data, dict):
-        raise bad_line(number, "not a JSON object")
+    if parsed.method not in ("", "POST"):
+        raise bad_line(number, f"method {parsed.method!r} is not POST")
+    if path and parsed.url not in ("", path):
+        raise bad_line(number, f"url {parsed.url!r} is not {path}")
     return line
 
 
@@ -51,7 +117,9 @@
     [b'{"b":2}']
     """
 
-    def __init__(self) -> None:
+    def __init__(self, path: str = "", limit: int = MAX_ITEM_BYTES) -> None:
+        self.path = path
+        self.limit = limit
         self.rest = b""
         self.number = 0
 
@@ -65,10 +133,13 @@
         """
         lines = (self.rest + data).split(b"\n")
         self.rest = b"" if last else lines.pop()
-        if len(self.rest) > MAX_ITEM_BYTES:
-            raise bad_line(self.number + 1, "too long")
+        if len(self.rest) > self.limit:
+            raise bad_line(self.number + 1, f"longer than {self.limit} bytes")
         for line in lines:
             self.number += 1
             line = line.strip()
             if line:
-                yield self.number, check_line(line, self.number)
+                yield (
+                    self.number,
+                    check_line(line, self.number, self.path, self.limit),
+                )
--- a/camphortray/jobs.py
+++ b/camphortray/jobs.py
@@ -5,43 +5,68 @@
 """
 
 __all__ = [
+    "FileAccept",
+    "FileForget",
+    "InputFile",
     "ItemResult",
     "Job",
     "JobAccept",
     "JobCancel",
+    "JobCarry",
     "JobChunk",
     "JobCrash",
+    "JobDrop",
     "JobForget",
     "JobResults",
     "JobStart",
     "JobStatus",
     "JobsFold",
     "job_id",
+    "shard_of",
 ]
 
 import array
+from collections.abc import Iterator
 import dataclasses
 import enum
 from typing import Any
-from typing import Literal
+import zlib
 
 import msgspec
 import xxhash
 
 from camphortray import fold as folds
+from camphortray import jobrecords
 from camphortray import records
 
-CHUNK = "job.chunk"
-ACCEPT = "job.accept"
-RESULTS = "job.results"
-START = "job.start"
-CRASH = "job.crash"
-CANCEL = "job.cancel"
-FORGET = "job.forget"
-
-NO_OFFSET = -1
-
-ItemStatus = Literal["done", "failed", "unknown"]
+CHUNK = jobrecords.CHUNK
+DROP = jobrecords.DROP
+ACCEPT = jobrecords.ACCEPT
+RESULTS = jobrecords.RESULTS
+START = jobrecords.START
+CRASH = jobrecords.CRASH
+CANCEL = jobrecords.CANCEL
+FORGET = jobrecords.FORGET
+CARRY = jobrecords.CARRY
+FILE = jobrecords.FILE
+FILE_FORGET = jobrecords.FILE_FORGET
+FileAccept = jobrecords.FileAccept
+FileForget = jobrecords.FileForget
+ItemResult = jobrecords.ItemResult
+JobAccept = jobrecords.JobAccept
+JobCancel = jobrecords.JobCancel
+JobCarry = jobrecords.JobCarry
+JobChunk = jobrecords.JobChunk
+JobCrash = jobrecords.JobCrash
+JobDrop = jobrecords.JobDrop
+JobForget = jobrecords.JobForget
+JobResults = jobrecords.JobResults
+JobStart = jobrecords.JobStart
+
+# Entry of an item without a result; others are record number plus one.
+NO_RESULT = 0
+# Ids of forgotten jobs kept to answer 410, oldest dropped first.
+MAX_FORGOTTEN = 10_000
 
 
 class JobStatus(enum.StrEnum):
@@ -57,103 +82,16 @@
     return xxhash.xxh3_128_hexdigest(f"{workspace}\0{key}".encode())
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobChunk:
-    """Some items of a job that is being taken.
-
-    Attributes:
-      job: Id of the job.
-      upload: Number of this taking; two resends do not mix.
-      first: Index of the first item.
-      items: Bodies, one JSON object each.
-    """
-
-    job: str
-    upload: int
-    first: int
-    items: tuple[bytes, ...]
-
+def shard_of(job: str, count: int) -> int:
+    """Return the shard of a job or file; its id alone tells it.
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobAccept:
-    """Makes a job of the chunks of one upload.
+    The leading 16 digits decide, so that a batch can be given an id in
+    the shard of its input file.
 
-    Attributes:
-      job: Id of the job.
-      upload: Whose chunks.
-      workspace: Who asked.
-      key: The workspace's idempotency key.
-      service: Which service runs it.
-      count: Number of items.
-      digest: Of all items, to tell another job under the same key.
-      due: When it should be done, in seconds since 1970, or 0.
-      keep_s: How long results are kept after the end.
-      idempotent: Whether an item may be run again.
-      path: Interface the items are for.
-      taken_at: When it was taken, in seconds since 1970; for people.
+    >>> shard_of("00000000000000050000000000000000", 4)
+    1
     """
-
-    job: str
-    upload: int
-    workspace: str
-    key: str
-    service: str
-    count: int
-    digest: str
-    due: float = 0.0
-    keep_s: float = 86400.0
-    idempotent: bool = True
-    path: str = "/v1/chat/completions"
-    taken_at: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ItemResult:
-    """Result of one item."""
-
-    job: str
-    item: int
-    status: ItemStatus
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobResults:
-    """Results of items of any jobs of the shard, grouped."""
-
-    results: tuple[ItemResult, ...]
-    written_at: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobStart:
-    """Says that non-idempotent items are about to be dispatched."""
-
-    job: str
-    items: tuple[int, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobCrash:
-    """Says that an item was in flight alone when an upstream crashed."""
-
-    job: str
-    item: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobCancel:
-    """Stops a job; no later result counts."""
-
-    job: str
-    at: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobForget:
-    """Ends the keeping time of a job."""
-
-    job: str
+    return int(job[:16], 16) % count
 
 
 @dataclasses.dataclass(slots=True)
@@ -163,23 +101,30 @@
     Attributes:
       accept: As accepted.
       chunks: Offset of the record and index of its first item, in order.
-      results: Offset of the record with each item's result, or -1.
+      results: For each item the number of its result's record in
+        ``records`` plus one, or ``NO_RESULT``; four bytes an item.
+      records: Offsets of the records with results, as they came.
       started: Non-idempotent items dispatched, with the epoch.
       crashes: Crashes by item.
       done, failed, unknown: Numbers of items that ended so.
       cancelled: Whether it was cancelled.
-      ended_at: When its last result was written, seconds since 1970.
+      last_at: When its last result was written, seconds since 1970.
+      ended_at: When it ended, seconds since 1970, or 0.
     """
 
     accept: JobAccept
-    chunks: tuple[tuple[int, int], ...]
+    chunks: list[tuple[int, int]]
     results: "array.array[int]"
+    records: "array.array[int]" = dataclasses.field(
+        default_factory=lambda: array.array("q")
+    )
     started: dict[int, int] = dataclasses.field(default_factory=dict)
     crashes: dict[int, int] = dataclasses.field(default_factory=dict)
     done: int = 0
     failed: int = 0
     unknown: int = 0
     cancelled: bool = False
+    last_at: float = 0.0
     ended_at: float = 0.0
 
     @property
@@ -196,6 +141,47 @@
             return JobStatus.FINISHED
         return JobStatus.RUNNING
 
+    def has_result(self, item: int) -> bool:
+        """Return whether an item has ended."""
+        return self.results[item] != NO_RESULT
+
+    def take(self, number: int, result: ItemResult) -> None:
+        """Count the first result of an item, in record ``number``."""
+        self.results[result.item] = number + 1
+        self.started.pop(result.item, None)
+        self.crashes.pop(result.item, None)
+        if result.status == "done":
+            self.done += 1
+        elif result.status == "failed":
+            self.failed += 1
+        else:
+            self.unknown += 1
+
+    def move(self, of: int, offset: int) -> bool:
+        """Note that a record now stands at ``offset`` as well."""
+        moved = False
+        for index, (held, first) in enumerate(self.chunks):
+            if held == of:
+                self.chunks[index] = (offset, first)
+                moved = True
+        if of in self.records:
+            self.records[self.records.index(of)] = offset
+            moved = True
+        return moved
+
+
+@dataclasses.dataclass(slots=True)
+class InputFile:
+    """A file kept for later batches.
+
+    Attributes:
+      accept: As accepted.
+      chunks: As in ``Job``.
+    """
+
+    accept: FileAccept
+    chunks: list[tuple[int, int]]
+
 
 @dataclasses.dataclass(slots=True)
 class Upload:
@@ -206,24 +192,46 @@
 
 
 class JobsFold(folds.Fold):
-    """All jobs of a shard, by id."""
+    """All jobs and files of a shard, by id.
 
-    owned = frozenset({CHUNK, ACCEPT, RESULTS, START, CRASH, CANCEL, FORGET})
+    Anyone may cancel: the order in the log decides whether a result came
+    first, so a cancel needs no owner.
+    """
+
+    owned = frozenset(
+        {
+            CHUNK,
+            DROP,
+            ACCEPT,
+            RESULTS,
+            START,
+            CRASH,
+            FORGET,
+            CARRY,
+            FILE,
+            FILE_FORGET,
+        }
+    )
 
     def __init__(self) -> None:
         super().__init__()
         self.jobs: dict[str, Job] = {}
+        self.files: dict[str, InputFile] = {}
         self.uploads: dict[tuple[str, int], Upload] = {}
         self.forgotten: dict[str, int] = {}
         self.handlers.update(
             {
                 CHUNK: self.on_chunk,
+                DROP: self.on_drop,
                 ACCEPT: self.on_accept,
                 RESULTS: self.on_results,
                 START: self.on_start,
                 CRASH: self.on_crash,
                 CANCEL: self.on_cancel,
                 FORGET: self.on_forget,
+                CARRY: self.on_carry,
+                FILE: self.on_file,
+                FILE_FORGET: self.on_file_forget,
             }
         )
 
@@ -234,67 +242,96 @@
     def on_chunk(self, offset: int, record: records.Record) -> None:
         """Take a chunk that follows the one before it."""
         chunk = records.typed(record.body, JobChunk)
-        upload = self.uploads.setdefault((chunk.job, chunk.upload), Upload())
-        if chunk.first != upload.count:
+        held = self.uploads.get((chunk.job, chunk.upload), Upload())
+        if chunk.first != held.count:
             raise folds.Refuse("chunk out of order")
-        upload.chunks.append((offset, chunk.first))
-        upload.count += len(chunk.items)
+        self.uploads[(chunk.job, chunk.upload)] = held
+        held.chunks.append((offset, chunk.first))
+        held.count += len(chunk.items)
+
+    def on_drop(self, offset: int, record: records.Record) -> None:
+        """Forget the chunks of a taking that failed."""
+        drop = records.typed(record.body, JobDrop)
+        if self.uploads.pop((drop.job, drop.upload), None) is None:
+            raise folds.Refuse("no such upload")
 
     def on_accept(self, offset: int, record: records.Record) -> None:
         """Accept a job whose chunks are all there."""
         accept = records.typed(record.body, JobAccept)
         upload = self.uploads.pop((accept.job, accept.upload), Upload())
-        if accept.job in self.jobs:
+        if accept.job in self.jobs or accept.job in self.forgotten:
             raise folds.Refuse("accepted before")
-        if upload.count != accept.count:
+        if accept.file:
+            held = self.files.get(accept.file)
+            if held is None:
+                raise folds.Refuse("no such file")
+            upload = Upload(held.accept.count, list(held.chunks))
+        if upload.count != accept.count or not accept.count:
             raise folds.Refuse("chunks are missing")
         self.jobs[accept.job] = Job(
             accept,
-            tuple(upload.chunks),
-            array.array("q", [NO_OFFSET]) * accept.count,
+            upload.chunks,
+            array.array("I", [NO_RESULT]) * accept.count,
         )
 
+    def on_file(self, offset: int, record: records.Record) -> None:
+        """Keep a file whose chunks are all there."""
+        accept = records.typed(record.body, FileAccept)
+        upload = self.uploads.pop((accept.file, accept.upload), Upload())
+        if upload.count != accept.count or accept.file in self.files:
+            raise folds.Refuse("chunks are missing")
+        self.files[accept.file] = InputFile(accept, upload.chunks)
+
+    def on_file_forget(self, offset: int, record: records.Record) -> None:
+        """Drop a file; jobs made of it keep their chunks."""
+        forget = records.typed(record.body, FileForget)
+        if self.files.pop(forget.file, None) is None:
+            raise folds.Refuse("no such file")
+
     def on_results(self, offset: int, record: records.Record) -> None:
         """Count the first result of each item."""
         body = records.typed(record.body, JobResults)
         for result in body.results:
             job = self.jobs.get(result.job)
-            if job is None or job.cancelled:
+            if job is None or job.status is not JobStatus.RUNNING:
                 continue
             if not 0 <= result.item < job.accept.count:
                 continue
-            if job.results[result.item] != NO_OFFSET:
+            if job.has_result(result.item):
                 continue
-            job.results[result.item] = offset
-            job.started.pop(result.item, None)
-            job.crashes.pop(result.item, None)
-            setattr(job, result.status, getattr(job, result.status) + 1)
+            if not job.records or job.records[-1] != offset:
+                job.records.append(offset)
+            job.take(len(job.records) - 1, result)
+            job.last_at = body.written_at
             if job.ended == job.accept.count:
                 job.ended_at = body.written_at
 
     def on_start(self, offset: int, record: records.Record) -> None:
         """Note items about to be dispatched; each only once, ever."""
         start = records.typed(record.body, JobStart)
-        job = self.running(start.job)
+        job = self.running(start.job, start.items)
         if any(
-            item in job.started or job.results[item] != NO_OFFSET
-            for item in start.items
+            item in job.started or job.has_result(item) for item in start.items
         ):
             raise folds.Refuse("started before")
         for item in start.items:
             job.started[item] = record.epoch
 
     def on_crash(self, offset: int, record: records.Record) -> None:
-        """Count a crash."""
+        """Count a crash of each item that has no result."""
         crash = records.typed(record.body, JobCrash)
-        job = self.running(crash.job)
-        job.crashes[crash.item] = job.crashes.get(crash.item, 0) + 1
+        job = self.running(crash.job, crash.items)
+        for item in crash.items:
+            if not job.has_result(item):
+                job.crashes[item] = job.crashes.get(item, 0) + 1
 
     def on_cancel(self, offset: int, record: records.Record) -> None:
         """Stop a job."""
         cancel = records.typed(record.body, JobCancel)
         job = self.running(cancel.job)
         job.cancelled = True
+        job.started.clear()
+        job.crashes.clear()
         job.ended_at = cancel.at
 
     def on_forget(self, offset: int, record: records.Record) -> None:
@@ -305,61 +342,114 @@
             raise folds.Refuse("not ended")
         del self.jobs[forget.job]
         self.forgotten[forget.job] = offset
-
-    def running(self, job: str) -> Job:
-        """Return a job that is running."""
+        while len(self.forgotten) > MAX_FORGOTTEN:
+            del self.forgotten[next(iter(self.forgotten))]
+
+    def on_carry(self, offset: int, record: records.Record) -> None:
+        """Note the new place of a record carried forward."""
+        carry = records.typed(record.body, JobCarry)
+        moved = [job.move(carry.of, offset) for job in self.jobs.values()]
+        for held in self.files.values():
+            for index, (at, first) in enumerate(held.chunks):
+                if at == carry.of:
+                    held.chunks[index] = (offset, first)
+                    moved.append(True)
+        if not any(moved):
+            raise folds.Refuse("not needed")
+
+    def running(self, job: str, items: tuple[int, ...] = ()) -> Job:
+        """Return a job that is running and has these items."""
         held = self.jobs.get(job)
         if held is None or held.status is not JobStatus.RUNNING:
             raise folds.Refuse("not running")
+        if not all(0 <= item < held.accept.count for item in items):
+            raise folds.Refuse("no such item")
         return held
 
+    def needed(self) -> Iterator[int]:
+        """Yield the offsets of all records that are still read."""
+        for job in self.jobs.values():
+            yield from job.records
+            if job.status is JobStatus.RUNNING:
+                yield from (offset for offset, _ in job.chunks)
+        for held in self.files.values():
+            yield from (offset for offset, _ in held.chunks)
+
+    def carry(
+        self, offset: int, record: records.Record
+    ) -> tuple[str, dict[str, Any]] | None:
+        """Return what to append so that a needed record lasts."""
+        kind, body = record.kind, record.body
+        if kind == CARRY:
+            kind, body = body["kind"], body["body"]
+        if kind not in (CHUNK, RESULTS):
+            return None
+        return CARRY, {"of": offset, "kind": kind, "body": body}
+
     def dump(self) -> dict[str, Any]:
         return {
             "jobs": {key: dump_job(job) for key, job in self.jobs.items()},
+            "files": {
+                key: [dataclasses.asdict(held.accept), held.chunks]
+                for key, held in self.files.items()
+            },
             "uploads": [
                 [job, number, upload.count, upload.chunks]
                 for (job, number), upload in self.uploads.items()
             ],
-            "forgotten": self.forgotten,
+            "forgotten": dict(self.forgotten),
         }
 
     def load(self, state: dict[str, Any]) -> None:
         self.jobs = {key: load_job(raw) for key, raw in state["jobs"].items()}
+        self.files = {
+            key: InputFile(msgspec.convert(accept, FileAccept), pairs(chunks))
+            for key, (accept, chunks) in state["files"].items()
+        }
         self.uploads = {
-            (job, number): Upload(count, [tuple(c) for c in chunks])
+            (job, number): Upload(count, pairs(chunks))
             for job, number, count, chunks in state["uploads"]
         }
         self.forgotten = dict(state["forgotten"])
 
 
+def pairs(raw: Any) -> list[tuple[int, int]]:
+    """Return chunks as the fold holds them."""
+    return [(offset, first) for offset, first in raw]
+
+
 def dump_job(job: Job) -> dict[str, Any]:
     """Return a job as plain data."""
     return {
         "accept": dataclasses.asdict(job.accept),
         "chunks": [list(chunk) for chunk in job.chunks],
-        "results": job.results.tobytes(),
-        "started": job.started,
-        "crashes": job.crashes,
+        "results": zlib.compress(job.results.tobytes(), 1),
+        "records": list(job.records),
+        "started": dict(job.started),
+        "crashes": dict(job.crashes),
         "counts": [job.done, job.failed, job.unknown],
         "cancelled": job.cancelled,
-        "ended_at": job.ended_at,
+        "times": [job.last_at, job.ended_at],
     }
 
 
 def load_job(raw: dict[str, Any]) -> Job:
     """Build a job from what ``dump_job`` gave."""
-    results = array.array("q")
-    results.frombytes(raw["results"])
+    results = array.array("I")
+    results.frombytes(zlib.decompress(raw["results"]))
     done, failed, unknown = raw["counts"]
+    last_at, ended_at = raw["times"]
     return Job(
         msgspec.convert(raw["accept"], JobAccept),
-        tuple((offset, first) for offset, first in raw["chunks"]),
+        pairs(raw["chunks"]),
         results,
+        array.array("q", raw["records"]),
         dict(raw["started"]),
         dict(raw["crashes"]),
         done,
         failed,
         unknown,
         raw["cancelled"],
-        raw["ended_at"],
+        last_at,
+        ended_at,
     )
--- a/camphortray/standin_engine.py
+++ b/camphortray/standin_engine.py
@@ -499,7 +499,9 @@
         sequence = make_sequence(request, data, self.crash_marker)
         self.requests[request.id] = sequence
         self.model.submit(sequence)
-        form = Form(request, model, sequence)
+        options = data.get("stream_options") or {}
+        counts = bool(options.get("continuous_usage_stats"))
+        form = Form(request, model, sequence, counts)
         try:
             if data.get("stream"):
                 await stream_answer(response, sequence, form)
@@ -555,10 +557,16 @@
     """Shapes tokens as the interface asks."""
 
     def __init__(
-        self, request: httpserver.Request, model: str, sequence: Sequence
+        self,
+        request: httpserver.Request,
+        model: str,
+        sequence: Sequence,
+        counts: bool = False,
     ) -> None:
         self.chat = "chat" in request.path
         self.sequence = sequence
+        # A chunk may hold several tokens; asked to, it counts them.
+        self.counts = counts
         self.head = {
             "id": f"cmpl-{request.id}",
             "created": int(time.time()),
@@ -584,7 +592,7 @@
             choice["text"] = text
         kind = "chat.completion.chunk" if self.chat else "text_completion"
         data = {**self.head, "object": kind, "choices": [choice]}
-        if finish:
+        if finish or self.counts:
             data["usage"] = self.usage()
         return b"data: " + msgspec.json.encode(data) + b"\n\n"
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,6 +12,7 @@
 DECISIONS = (
     "calls",
     "check",
+    "completion",
     "coordinator",
     "declaration",
     "fold",
@@ -19,6 +20,10 @@
     "headroom",
     "holding",
     "intake",
+    "itempolicy",
+    "jobparams",
+    "jobqueue",
+    "jobrecords",
     "jobs",
     "online",
     "plan",
