Let parts put what they know of a member

Cause: parts and tests that stand in for gossip had no way in after members became decisions of their own. Change: Membership.put hands an entry to the node. Conclusion: the seam is the same as before for all its users.

--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -118,6 +118,10 @@
         """Return a member, or None if it has not been heard of."""
         return self.members.get(name)
 
+    def put(self, member: Member) -> None:
+        """Take over what is known of a member, from elsewhere."""
+        self.node.put(member, self.clock.monotonic())
+
     def live(self, program: str) -> list[Member]:
         """Return members of a program that may get work, this one too."""
         wanted = (Status.ALIVE, Status.SUSPECT)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -110,11 +110,7 @@
         members = membership.Membership.from_config(context)
         context.parts["membership"] = members
         await context.part(tree.Tree).start()
-        members.put(
-            membership.Member(
-                f"{name}/batch", 1, membership.Status.ALIVE, "", "", ""
-            )
-        )
+        members.put(member(name, membership.Status.ALIVE))
         driver = orderdriver.OrderDriver.from_config(context)
         await driver.start()
         self.drivers.append(driver)
@@ -129,6 +125,12 @@
             await driver.context.part(tree.Tree).stop()
 
 
+def member(name, status):
+    """Return the batch role of a host."""
+    at = "127.0.0.1:9"
+    return membership.Member(f"{name}/batch", 1, status, "", at, at)
+
+
 async def settle(site, version="2"):
     """Wait until all engines serve just this version."""
     async with asyncio.timeout(120):
@@ -177,9 +179,7 @@
         await old.context.part(tree.Tree).stop()
         new = await site.add_driver("south", 2)
         new.context.part(membership.Membership).put(
-            membership.Member(
-                "north/batch", 1, membership.Status.DEAD, "", "", ""
-            )
+            member("north", membership.Status.DEAD)
         )
         site.publish({"model.lm.version": "2"})
         await settle(site)
