--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -12,9 +12,10 @@
 from camphortray import program
 from camphortray import relay
 from camphortray import settingsapi
+from camphortray import settingskeeper
 
 # Importing a part registers it with the kernel.
-PARTS = (granting, jobproxy, ordersapi, relay, settingsapi)
+PARTS = (granting, jobproxy, ordersapi, relay, settingsapi, settingskeeper)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
--- a/camphortray/tree.py
+++ b/camphortray/tree.py
@@ -60,7 +60,13 @@
             self.put_in_force()
 
     def put_in_force(self) -> None:
-        """Make a new view of the fold and tell who listens."""
+        """Make a new view of the fold and tell who listens.
+
+        A view is never followed by one of an older revision: callers
+        would see a setting come back that had been replaced.
+        """
+        if self.fold.revision < self.view.revision:
+            return
         region = self.context.config.host.region
         self.view = settings.View(self.fold, region, self.view)
         LOG.info("Revision {} is in force.", self.view.revision)
@@ -76,6 +82,8 @@
         listener(self.view)
 
     def ready(self) -> str:
+        if self.journal.failure:
+            return self.journal.failure
         return "" if self.view.revision else "no settings yet"
 
     async def stop(self) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from camphortray import compaction
 from camphortray import declaration
 from camphortray import errors
 from camphortray import log
@@ -272,3 +273,25 @@
         told = await both.ana.publish(back, "reverts 2")
         assert told.revision == 3
         assert both.ana.fold.nodes[SERVICE].values == {"limit.queue": 5}
+
+
+@pytest.mark.looptime
+async def test_settings_outlive_the_log_that_held_them():
+    # The log forgets the changes after a snapshot was written. A host
+    # that starts then has the same tree, and an operator's next change
+    # against it is accepted.
+    async with Operators() as both:
+        for value in (5, 6):
+            plan = edit(both.ana, SERVICE, "limit.queue", value)
+            await both.ana.publish(plan, "")
+        keeper = compaction.Compactor(
+            both.ana.journal, 100.0, lambda: 0.0, lambda: 0
+        )
+        await keeper.write_snapshot()
+        both.log.truncate(settings.STREAM, both.ana.fold.next - 1)
+        late = publishers.Publisher(both.log, "late")
+        await late.start()
+        assert late.fold.nodes[SERVICE].values == {"limit.queue": 6}
+        told = await late.publish(edit(late, SERVICE, "limit.queue", 7), "")
+        assert told.verdict == "accepted" and told.revision > 2
+        await late.stop()
