Name the collector of streamed answers after what it does

Cause: two modules wanted the name completion. Change: the one that puts a whole answer together is collector. Conclusion: no behaviour changes.

--- a/camphortray/itemrun.py
+++ b/camphortray/itemrun.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from camphortray import completion
+from camphortray import collector
 from camphortray import engine
 from camphortray import errors
 from camphortray import kernel
@@ -43,7 +43,7 @@
     id: str
     path: str
     body: bytes
-    collector: completion.Collector
+    collector: collector.Collector
     idempotent: bool = True
     incarnation: int | None = None
 
@@ -51,7 +51,7 @@
         """Return the request that goes on where the last one stopped."""
         held = self.collector
         if not held.resumable or not held.text:
-            held = self.collector = completion.Collector()
+            held = self.collector = collector.Collector()
         held.restart()
         data: dict[str, Any] = msgspec.json.decode(self.body)
         data["stream"] = True
--- a/camphortray/jobqueue.py
+++ b/camphortray/jobqueue.py
@@ -6,7 +6,7 @@
 import dataclasses
 import heapq
 
-from camphortray import completion
+from camphortray import collector
 
 # A job whose slack is below this many seconds is urgent.
 URGENT_SLACK_S = 600.0
@@ -45,8 +45,8 @@
     avoid: str = ""
     crashes: int = 0
     started: bool = False
-    kept: completion.Collector = dataclasses.field(
-        default_factory=completion.Collector
+    kept: collector.Collector = dataclasses.field(
+        default_factory=collector.Collector
     )
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,7 +13,7 @@
     "antientropy",
     "calls",
     "check",
-    "completion",
+    "collector",
     "coordinator",
     "declaration",
     "facts",
