--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -7,10 +7,12 @@
 import defopt
 
 from camphortray import jobapi
+from camphortray import orderdriver
 from camphortray import program
+from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (jobapi,)
+PARTS = (jobapi, orderdriver, settingsapi)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
@@ -28,7 +30,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    sys.exit(defopt.run(batch, cli_options="all"))
+    sys.exit(defopt.run(batch))
 
 
 if __name__ == "__main__":
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -6,12 +6,16 @@
 
 import defopt
 
+from camphortray import granting
 from camphortray import jobproxy
+from camphortray import ordersapi
 from camphortray import program
 from camphortray import relay
+from camphortray import settingsapi
+from camphortray import settingskeeper
 
 # Importing a part registers it with the kernel.
-PARTS = (jobproxy, relay)
+PARTS = (granting, jobproxy, ordersapi, relay, settingsapi, settingskeeper)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
@@ -30,7 +34,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    sys.exit(defopt.run(entry, cli_options="all"))
+    sys.exit(defopt.run(entry))
 
 
 if __name__ == "__main__":
