--- a/camphortray/calls.py
+++ b/camphortray/calls.py
@@ -8,9 +8,12 @@
     "CallClaim",
     "CallForget",
     "CallsFold",
+    "Forgotten",
 ]
 
+from collections.abc import Callable
 import dataclasses
+import itertools
 from typing import Any
 
 import msgspec
@@ -38,12 +41,17 @@
     """Claims a call; the first of a key wins.
 
     Attributes:
-      key: Workspace and the caller's idempotency key.
+      key: Workspace, service and the caller's idempotency key.
       digest: Of the request, to tell another one under the same key.
+      at: When it was made, in seconds since 1970; only for the owner's
+        decision to forget it.
+      keep_s: How long it is kept from then.
     """
 
     key: str
     digest: str
+    at: float = 0.0
+    keep_s: float = 86400.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,11 +69,23 @@
     key: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forgotten:
+    """One call whose keeping time is over.
+
+    The offset tells a claim from a later one of the same key: a claim
+    given back and made anew meanwhile must not be dropped while it runs.
+    """
+
+    key: str
+    offset: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallForget:
     """Ends the keeping time of calls."""
 
-    keys: tuple[str, ...]
+    calls: tuple[Forgotten, ...]
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,12 +96,14 @@
       offset: Of its claim.
       writer: Who claimed it; nobody else may ever send it.
       digest: Of the request.
+      until: End of the keeping time, in seconds since 1970.
       answer: The kept answer, or None while there is none.
     """
 
     offset: int
     writer: records.Writer
     digest: str
+    until: float = 0.0
     answer: Answer | None = None
 
 
@@ -107,7 +129,10 @@
         claim = records.typed(record.body, CallClaim)
         if claim.key in self.calls:
             raise folds.Refuse("claimed before")
-        self.calls[claim.key] = Call(offset, record.id.writer, claim.digest)
+        until = claim.at + claim.keep_s
+        self.calls[claim.key] = Call(
+            offset, record.id.writer, claim.digest, until
+        )
 
     def on_answer(self, offset: int, record: records.Record) -> None:
         """Keep the answer given to the claim's writer."""
@@ -133,8 +158,31 @@
 
     def on_forget(self, offset: int, record: records.Record) -> None:
         """Drop calls whose keeping time is over."""
-        for key in records.typed(record.body, CallForget).keys:
-            self.calls.pop(key, None)
+        for call in records.typed(record.body, CallForget).calls:
+            held = self.calls.get(call.key)
+            if held is not None and held.offset == call.offset:
+                del self.calls[call.key]
+
+    def expired(
+        self, now: float, lost: Callable[[records.Writer], bool], limit: int
+    ) -> CallForget:
+        """Return what an owner may forget, at most ``limit`` calls.
+
+        A call without an answer is kept on while its claimer lives: it
+        may still be running, and once forgotten a resend would run it a
+        second time.
+
+        Args:
+          now: Seconds since 1970.
+          lost: Says whether a claimer is certainly not at work.
+          limit: Most calls in one record.
+        """
+        found = (
+            Forgotten(key, call.offset)
+            for key, call in self.calls.items()
+            if call.until <= now and (call.answer or lost(call.writer))
+        )
+        return CallForget(tuple(itertools.islice(found, limit)))
 
     def dump(self) -> dict[str, Any]:
         calls = {key: dataclasses.asdict(c) for key, c in self.calls.items()}
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -9,9 +9,10 @@
 from camphortray import jobproxy
 from camphortray import program
 from camphortray import relay
+from camphortray import services
 
 # Importing a part registers it with the kernel.
-PARTS = (jobproxy, relay)
+PARTS = (jobproxy, relay, services)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
--- a/camphortray/plugins/http_log.py
+++ b/camphortray/plugins/http_log.py
@@ -43,6 +43,7 @@
                 timeouts=self.timeouts(),
             )
         except errors.UpstreamBroken as error:
+            self.on_broken(error)
             kind = errors.LogUnavailable if error.ran else errors.LogRefused
             raise kind(error.message, step="append", peer=self.peer) from error
         if status == 200:
@@ -63,6 +64,7 @@
                 timeouts=self.timeouts(wait_s),
             )
         except errors.UpstreamBroken as error:
+            self.on_broken(error)
             raise errors.LogUnavailable(
                 error.message, step="read", peer=self.peer
             ) from error
@@ -78,5 +80,14 @@
         records = tuple(log.LogRecord(*fields) for fields in page["records"])
         return log.Page(page["first"], page["next"], records)
 
+    def on_broken(self, error: errors.UpstreamBroken) -> None:
+        """Use new connections after a silence.
+
+        Kept ones may all have gone silent for good at once, and trying
+        them in turn would look like an outage of many time limits.
+        """
+        if isinstance(error, errors.UpstreamTimeout):
+            self.client.forget(self.address)
+
     async def close(self) -> None:
         await self.client.close()
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -51,12 +51,6 @@
             routes.add("POST", path, access, self.complete)
         routes.add("GET", "/v1/models", access, self.models)
         routes.add("GET", "/v1/hosts", web.Access.OPEN, self.hosts)
-        routes.add(
-            "*",
-            "/v1/services/{service}/{rest...}",
-            access,
-            self.plain,
-        )
 
     @classmethod
     def from_config(cls, context: kernel.Context) -> "Relay":
@@ -212,10 +206,6 @@
             call.response.abort()
             raise error
 
-    async def plain(self, call: web.Call) -> None:
-        """Pass a call to a plain service."""
-        raise errors.Refused(501, "not_yet", "plain services come next")
-
 
 def await_body(call: web.Call, data: dict[str, Any]) -> bytes:
     """Return the body to send on."""
