--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -6,13 +6,19 @@
 
 import defopt
 
+from camphortray import granting
 from camphortray import jobproxy
+from camphortray import ordersapi
 from camphortray import program
 from camphortray import relay
 from camphortray import services
 
 # Importing a part registers it with the kernel.
 PARTS = (jobproxy, relay, services)
+from camphortray import settingsapi
+
+# Importing a part registers it with the kernel.
+PARTS = (granting, jobproxy, ordersapi, relay, settingsapi)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
@@ -31,7 +37,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    sys.exit(defopt.run(entry, cli_options="all"))
+    sys.exit(defopt.run(entry))
 
 
 if __name__ == "__main__":
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,15 +10,33 @@
 PACKAGE = pathlib.Path(camphortray.__file__).parent
 # Modules that decide. What they need of time and chance is handed in.
 DECISIONS = (
+    "antientropy",
     "calls",
     "check",
+    "completion",
+    "coordinator",
     "declaration",
+    "facts",
     "fold",
+    "gossip",
     "grouping",
+    "headroom",
+    "holding",
     "intake",
+    "itempolicy",
+    "jobparams",
+    "jobqueue",
+    "jobrecords",
     "jobs",
+    "members",
+    "neighbours",
+    "node",
+    "online",
+    "orders",
     "plan",
     "records",
+    "ring",
+    "rollout",
     "routing",
     "settingkeys",
     "settings",
@@ -26,6 +44,7 @@
     "snapshot",
     "takeover",
     "view",
+    "watch",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
 
