Serve OpenAI's files and batches over jobs

Cause: the stock client's batch calls had no answer. Change: an input file is kept as chunks in the log, and a batch takes the chunks over where they stand; output and error files are made from the results when read.

--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -7,11 +7,13 @@
 import defopt
 
 from camphortray import jobapi
+from camphortray import openai_batch
+from camphortray import openai_files
 from camphortray import program
 from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (jobapi, settingsapi)
+PARTS = (jobapi, openai_batch, openai_files, settingsapi)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
--- a/camphortray/forward.py
+++ b/camphortray/forward.py
@@ -23,6 +23,8 @@
 # Set on a request that was handed on once; it is not handed on again, so
 # that two hosts that take each other for the owner cannot pass it forever.
 HOP = "camphortray-hop"
+# Largest body that is read before it is known who answers, in bytes.
+MAX_SMALL_BYTES = 65_536
 TIMEOUTS = httpclient.Timeouts(1.0, 120.0, 120.0)
 
 
@@ -33,9 +35,16 @@
         self.config = config
         self.client = httpclient.HttpClient(TIMEOUTS)
 
-    async def pass_on(self, call: web.Call, to: configs.Address) -> None:
+    async def pass_on(
+        self, call: web.Call, to: configs.Address, read: bytes | None = None
+    ) -> None:
         """Hand a call on and its answer back.
 
+        Args:
+          call: The call.
+          to: Address of the other program's HTTP port.
+          read: Its body, if that has been read.
+
         Raises:
           Refused: the other program cannot be reached.
         """
@@ -48,7 +57,9 @@
         headers += web.host_headers(self.config, call.caller)
         headers.append((HOP, "1"))
         limit = self.config.batch.max_job_bytes
-        body = request.iter_body(limit) if has_body(request.headers) else b""
+        body: httpclient.Body = read or b""
+        if read is None and has_body(request.headers):
+            body = request.iter_body(limit)
         try:
             answer = await self.client.request(
                 to, request.method, request.target, headers, body
--- a/camphortray/intake.py
+++ b/camphortray/intake.py
@@ -5,7 +5,14 @@
 added as in OpenAI's batch files. An object with a ``body`` is the second.
 """
 
-__all__ = ["Line", "LineReader", "check_line", "parse_line", "prefix_of"]
+__all__ = [
+    "FileCheck",
+    "Line",
+    "LineCheck",
+    "LineReader",
+    "parse_line",
+    "prefix_of",
+]
 
 from collections.abc import Iterator
 from typing import Any
@@ -73,31 +80,53 @@
     return xxhash.xxh64_intdigest(text.encode())
 
 
-def check_line(
-    line: bytes, number: int, path: str = "", limit: int = MAX_ITEM_BYTES
-) -> bytes:
-    """Return an item if the line is one.
+class LineCheck:
+    """Checks the lines of a job.
 
-    Args:
-      line: One line without its end.
-      number: Line number from 1, for the refusal.
-      path: Interface of the job, to which ``url`` must agree; if given.
-      limit: Largest line in bytes.
+    Attributes:
+      path: Interface of the job, to which ``url`` must agree.
+    """
 
-    Raises:
-      Refused: with the line number.
+    def __init__(self, path: str = "") -> None:
+        self.path = path
+
+    def check(self, line: Line, body: Body, number: int) -> None:
+        """Check one line.
+
+        Raises:
+          Refused: with the line number.
+        """
+        if line.method not in ("", "POST"):
+            raise bad_line(number, f"method {line.method!r} is not POST")
+        if self.path and line.url not in ("", self.path):
+            raise bad_line(number, f"url {line.url!r} is not {self.path}")
+
+
+class FileCheck(LineCheck):
+    """Checks the lines of an input file, before its batch is known.
+
+    Attributes:
+      path: Taken from the first line; the others must agree.
+      model: Of the first line.
     """
-    if len(line) > limit:
-        raise bad_line(number, f"longer than {limit} bytes")
-    try:
-        parsed, _ = parse_line(line)
-    except ValueError as error:
-        raise bad_line(number, str(error)) from error
-    if parsed.method not in ("", "POST"):
-        raise bad_line(number, f"method {parsed.method!r} is not POST")
-    if path and parsed.url not in ("", path):
-        raise bad_line(number, f"url {parsed.url!r} is not {path}")
-    return line
+
+    def __init__(self, paths: tuple[str, ...]) -> None:
+        super().__init__()
+        self.paths = paths
+        self.model = ""
+        self.seen: set[int] = set()
+
+    def check(self, line: Line, body: Body, number: int) -> None:
+        if not self.path:
+            if line.url not in self.paths:
+                allowed = ", ".join(self.paths)
+                raise bad_line(number, f"url {line.url!r} is not {allowed}")
+            self.path, self.model = line.url, body.model
+        super().check(line, body, number)
+        mark = xxhash.xxh64_intdigest(line.custom_id.encode())
+        if not line.custom_id or mark in self.seen:
+            raise bad_line(number, "custom_id is missing or not unique")
+        self.seen.add(mark)
 
 
 def bad_line(number: int, reason: str) -> errors.Refused:
@@ -117,8 +146,10 @@
     [b'{"b":2}']
     """
 
-    def __init__(self, path: str = "", limit: int = MAX_ITEM_BYTES) -> None:
-        self.path = path
+    def __init__(
+        self, check: LineCheck | None = None, limit: int = MAX_ITEM_BYTES
+    ) -> None:
+        self.check = check or LineCheck()
         self.limit = limit
         self.rest = b""
         self.number = 0
@@ -129,7 +160,7 @@
         """Yield line number and item for each line now whole.
 
         Raises:
-          Refused: a line is no item.
+          Refused: a line is no item; its number is told.
         """
         lines = (self.rest + data).split(b"\n")
         self.rest = b"" if last else lines.pop()
@@ -139,7 +170,15 @@
             self.number += 1
             line = line.strip()
             if line:
-                yield (
-                    self.number,
-                    check_line(line, self.number, self.path, self.limit),
-                )
+                self.look(line)
+                yield self.number, line
+
+    def look(self, line: bytes) -> None:
+        """Check one line."""
+        if len(line) > self.limit:
+            raise bad_line(self.number, f"longer than {self.limit} bytes")
+        try:
+            parsed, body = parse_line(line)
+        except ValueError as error:
+            raise bad_line(self.number, str(error)) from error
+        self.check.check(parsed, body, self.number)
--- a/camphortray/jobapi.py
+++ b/camphortray/jobapi.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from camphortray import errors
+from camphortray import intake
 from camphortray import jobparams
 from camphortray import jobs
 from camphortray import jobshard
@@ -63,7 +64,7 @@
             shard,
             job,
             self.context.config.streams,
-            path=params.path,
+            check=intake.LineCheck(params.path),
             max_items=params.service.get("job.max_items"),
             store=not known,
         )
--- a/camphortray/jobrecords.py
+++ b/camphortray/jobrecords.py
@@ -123,6 +123,8 @@
       size: Bytes of all lines with their ends.
       keep_s: How long it is kept.
       taken_at: When it was taken, in seconds since 1970.
+      path: Interface that its lines are for.
+      model: That its first line names.
     """
 
     file: str
@@ -133,6 +135,8 @@
     size: int
     keep_s: float
     taken_at: float
+    path: str
+    model: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/camphortray/openai_batch.py
@@ -0,0 +1,187 @@
+"""OpenAI's ``/v1/batches``: jobs made of input files."""
+
+__all__ = ["OpenAiBatches"]
+
+from typing import Any
+from typing import ClassVar
+
+import msgspec
+import xxhash
+
+from camphortray import errors
+from camphortray import forward
+from camphortray import jobs
+from camphortray import kernel
+from camphortray import openai_format
+from camphortray import shardset
+from camphortray import tree
+from camphortray import web
+
+MAX_PAGE = 100
+DEFAULT_PAGE = 20
+MAX_METADATA = 16
+
+
+class BatchRequest(msgspec.Struct):
+    """What a caller asks for."""
+
+    input_file_id: str
+    endpoint: str
+    completion_window: str = "24h"
+    metadata: dict[str, str] | None = None
+
+
+@kernel.PARTS.register("batch")
+class OpenAiBatches(kernel.Part):
+    """Batches; each is a job in the shard of its input file."""
+
+    name: ClassVar[str] = "openaibatches"
+    requires: ClassVar[tuple[str, ...]] = ("jobs", "routes")
+
+    def __init__(self, context: kernel.Context) -> None:
+        self.context = context
+        self.tree = context.part(tree.Tree)
+        self.shards = context.part(shardset.ShardSet)
+        routes = context.part(web.Routes)
+        access = web.Access.WORKSPACE
+        routes.add("POST", "/v1/batches", access, self.create)
+        routes.add("GET", "/v1/batches", access, self.list)
+        routes.add("GET", "/v1/batches/{batch}", access, self.retrieve)
+        routes.add("POST", "/v1/batches/{batch}/cancel", access, self.cancel)
+
+    @classmethod
+    def from_config(cls, context: kernel.Context) -> "OpenAiBatches":
+        return cls(context)
+
+    async def create(self, call: web.Call) -> None:
+        """Make a job of a file."""
+        asked, data = await read_request(call)
+        shard, held = await self.shards.find_file(
+            asked.input_file_id, call.caller
+        )
+        if not shard.owner.owned:
+            await self.shards.to_owner(call, shard, data)
+            return
+        self.shards.check_log(shard)
+        accept = self.record(call, asked, held.accept)
+        _, job = await self.shards.accept(shard, accept)
+        if job.accept.digest != accept.digest:
+            raise errors.Refused(
+                409,
+                "other_job",
+                "another batch has this key",
+                field="Idempotency-Key",
+            )
+        call.response.send_json(200, openai_format.batch_object(job))
+
+    def record(
+        self, call: web.Call, asked: BatchRequest, file: jobs.FileAccept
+    ) -> jobs.JobAccept:
+        """Return the record that accepts a batch."""
+        window_s = openai_format.window_s(asked.completion_window)
+        if asked.endpoint != file.path:
+            raise errors.Refused(
+                400,
+                "bad_field",
+                f"the file's lines are for {file.path}",
+                field="endpoint",
+            )
+        service = self.tree.view.by_model.get(file.model)
+        if service is None:
+            raise errors.Refused(
+                400,
+                "unknown_model",
+                f"no model {file.model!r}",
+                field="input_file_id",
+            )
+        now = self.context.clock.wall()
+        key = call.request.headers.get("idempotency-key")
+        key = key or f"batch {call.request.id}"
+        mark = xxhash.xxh64_hexdigest(f"{call.caller}\0{key}".encode())
+        return jobs.JobAccept(
+            file.file[:16] + mark,
+            0,
+            call.caller,
+            key,
+            service.name,
+            file.count,
+            f"{file.file} {asked.endpoint}",
+            now + window_s,
+            service.get("job.keep_s"),
+            True,
+            file.path,
+            now,
+            service.get("job.weight"),
+            file.file,
+            asked.metadata or {},
+        )
+
+    async def find(self, call: web.Call) -> Any:
+        """Return shard and job of the batch a call names."""
+        name = call.params["batch"].removeprefix(openai_format.BATCH)
+        return await self.shards.find(name, call.caller)
+
+    async def retrieve(self, call: web.Call) -> None:
+        """Tell where a batch stands."""
+        _, job = await self.find(call)
+        call.response.send_json(200, openai_format.batch_object(job))
+
+    async def list(self, call: web.Call) -> None:
+        """List the caller's batches, newest first, a page at a time."""
+        query = call.request.query
+        limit = query.get("limit", str(DEFAULT_PAGE))
+        if not limit.isdigit() or not 0 < int(limit) <= MAX_PAGE:
+            raise errors.Refused(
+                400, "bad_field", f"limit is 1 to {MAX_PAGE}", field="limit"
+            )
+        found = [
+            openai_format.batch_object(job)
+            for job in sorted(
+                self.shards.jobs_of(call.caller),
+                key=lambda job: (-job.accept.taken_at, job.accept.job),
+            )
+            if job.accept.file
+        ]
+        names = [batch["id"] for batch in found]
+        after = query.get("after", "")
+        begin = names.index(after) + 1 if after in names else 0
+        page = found[begin : begin + int(limit)]
+        call.response.send_json(
+            200,
+            {
+                "object": "list",
+                "data": page,
+                "first_id": page[0]["id"] if page else None,
+                "last_id": page[-1]["id"] if page else None,
+                "has_more": begin + len(page) < len(found),
+            },
+        )
+
+    async def cancel(self, call: web.Call) -> None:
+        """Stop a batch."""
+        shard, job = await self.find(call)
+        if await self.shards.cancel(call, shard, job):
+            call.response.send_json(200, openai_format.batch_object(job))
+
+
+async def read_request(call: web.Call) -> tuple[BatchRequest, bytes]:
+    """Return what a caller asks for, and its bytes.
+
+    Raises:
+      Refused: a field is missing or wrong.
+    """
+    data = await call.request.body(forward.MAX_SMALL_BYTES)
+    try:
+        asked = msgspec.json.decode(data, type=BatchRequest)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.Refused(
+            400, "bad_field", str(error), field="(body)"
+        ) from error
+    if len(asked.metadata or {}) > MAX_METADATA:
+        raise errors.Refused(
+            400,
+            "bad_field",
+            f"more than {MAX_METADATA} entries",
+            field="metadata",
+        )
+    return asked, data
--- /dev/null
+++ b/camphortray/openai_files.py
@@ -0,0 +1,229 @@
+"""OpenAI's ``/v1/files`` over chunks in the log."""
+
+__all__ = ["OpenAiFiles"]
+
+from collections.abc import AsyncIterator
+from typing import Any
+from typing import ClassVar
+import uuid
+
+from camphortray import errors
+from camphortray import intake
+from camphortray import jobapi
+from camphortray import jobparams
+from camphortray import jobs
+from camphortray import jobshard
+from camphortray import kernel
+from camphortray import multipart
+from camphortray import openai_format
+from camphortray import records
+from camphortray import results
+from camphortray import shardset
+from camphortray import taking
+from camphortray import web
+
+# Largest field of the form besides the file, in bytes.
+MAX_FIELD_BYTES = 4096
+# Most lines of a file, and how long one is kept, in seconds. A file is
+# of no service yet, so no node of the settings tree speaks of it.
+MAX_LINES = 140_000
+KEEP_S = 86_400.0
+
+
+@kernel.PARTS.register("batch")
+class OpenAiFiles(kernel.Part):
+    """Input files, kept as chunks; files of results, made when read.
+
+    A host has no disk: the lines of a file go into the stream of a shard
+    and a batch takes them over where they stand.
+    """
+
+    name: ClassVar[str] = "openaifiles"
+    requires: ClassVar[tuple[str, ...]] = ("jobs", "routes")
+
+    def __init__(self, context: kernel.Context) -> None:
+        self.context = context
+        self.shards = context.part(shardset.ShardSet)
+        routes = context.part(web.Routes)
+        access = web.Access.WORKSPACE
+        routes.add("POST", "/v1/files", access, self.create)
+        routes.add("GET", "/v1/files", access, self.list)
+        routes.add("GET", "/v1/files/{file}", access, self.retrieve)
+        routes.add("DELETE", "/v1/files/{file}", access, self.delete)
+        routes.add("GET", "/v1/files/{file}/content", access, self.content)
+
+    @classmethod
+    def from_config(cls, context: kernel.Context) -> "OpenAiFiles":
+        return cls(context)
+
+    async def create(self, call: web.Call) -> None:
+        """Take a file; its lines are checked as they come."""
+        shard = self.shards.owned_shard()
+        if shard is None:
+            await self.shards.to_owner(call, self.shards.random_shard())
+            return
+        self.shards.check_log(shard)
+        name = self.new_id(shard)
+        check = intake.FileCheck(jobparams.PATHS)
+        taker = taking.Taker(
+            shard,
+            name,
+            self.context.config.streams,
+            check=check,
+            max_items=MAX_LINES,
+        )
+        form = FormReader(call, self.context.config.batch.max_job_bytes)
+        taken = await taker.take(form.file())
+        if form.fields.get("purpose") != "batch":
+            await taker.drop()
+            raise errors.Refused(
+                400, "bad_field", "purpose must be batch", field="purpose"
+            )
+        accept = jobs.FileAccept(
+            name,
+            taken.upload,
+            call.caller,
+            form.filename,
+            taken.count,
+            taken.size,
+            KEEP_S,
+            self.context.clock.wall(),
+            check.path,
+            check.model,
+        )
+        await self.shards.write(shard, jobs.FILE, accept)
+        call.response.send_json(200, openai_format.file_object(accept))
+
+    def new_id(self, shard: jobshard.JobShard) -> str:
+        """Return a new id in a shard; it names the shard by itself."""
+        count = len(self.shards.shards)
+        while True:
+            name = uuid.UUID(int=self.context.rng.getrandbits(128)).hex
+            if jobs.shard_of(name, count) == shard.number:
+                return name
+
+    async def list(self, call: web.Call) -> None:
+        """List the caller's input files, newest first."""
+        found = [
+            held.accept
+            for shard in self.shards.shards
+            for held in shard.fold.files.values()
+            if held.accept.workspace == call.caller
+        ]
+        found.sort(key=lambda accept: -accept.taken_at)
+        call.response.send_json(
+            200,
+            {
+                "object": "list",
+                "data": [openai_format.file_object(a) for a in found],
+                "has_more": False,
+            },
+        )
+
+    async def retrieve(self, call: web.Call) -> None:
+        """Tell of a file."""
+        text = call.params["file"]
+        for prefix in (openai_format.OUTPUT, openai_format.ERRORS):
+            if text.startswith(prefix):
+                job_id = text.removeprefix(prefix)
+                _, job = await self.shards.find(job_id, call.caller)
+                shown = openai_format.result_file_object(job, prefix)
+                call.response.send_json(200, shown)
+                return
+        _, held = await self.shards.find_file(text, call.caller)
+        shown = openai_format.file_object(held.accept)
+        call.response.send_json(200, shown)
+
+    async def delete(self, call: web.Call) -> None:
+        """Forget an input file; batches made of it go on."""
+        text = call.params["file"]
+        shard, held = await self.shards.find_file(text, call.caller)
+        if not shard.owner.owned:
+            await self.shards.to_owner(call, shard)
+            return
+        gone = jobs.FileForget(held.accept.file)
+        await self.shards.write(shard, jobs.FILE_FORGET, gone)
+        call.response.send_json(
+            200, {"id": text, "object": "file", "deleted": True}
+        )
+
+    async def content(self, call: web.Call) -> None:
+        """Stream a file's lines."""
+        text = call.params["file"]
+        headers = [jobapi.JSON_LINES]
+        if text.startswith((openai_format.OUTPUT, openai_format.ERRORS)):
+            good = text.startswith(openai_format.OUTPUT)
+            job_id = text.rpartition("-")[2]
+            shard, job = await self.shards.find(job_id, call.caller)
+            found = result_lines(results.ResultReader(shard, job), good)
+        else:
+            shard, held = await self.shards.find_file(text, call.caller)
+            found = input_lines(shard, held)
+        await jobapi.stream(call, found, plain_line, headers)
+
+
+async def result_lines(
+    reader: results.ResultReader, good: bool
+) -> AsyncIterator[tuple[str, bytes]]:
+    """Yield the lines of a job's output file, or of its error file."""
+    line_of = openai_format.output_line if good else openai_format.error_line
+    async for cursor, result in reader.in_order():
+        if (result.status == "done") is good:
+            yield cursor, line_of(result)
+
+
+async def input_lines(
+    shard: jobshard.JobShard, held: jobs.InputFile
+) -> AsyncIterator[tuple[str, bytes]]:
+    """Yield the lines of an input file."""
+    for number in range(len(held.chunks)):
+        record = await shard.read(held.chunks[number][0])
+        raw = record.body["body"] if record.kind == jobs.CARRY else record.body
+        for line in records.typed(raw, jobs.JobChunk).items:
+            yield "", line
+
+
+def plain_line(line: Any, cursor: str) -> bytes:
+    """Return a line with its end."""
+    return bytes(line) + b"\n"
+
+
+class FormReader:
+    """Reads an upload form; the file is passed on as it comes.
+
+    Attributes:
+      fields: The other fields, by name.
+      filename: As the caller named the file.
+    """
+
+    def __init__(self, call: web.Call, limit: int) -> None:
+        self.request = call.request
+        self.limit = limit
+        self.form = multipart.Form.from_content_type(
+            call.request.headers.get("content-type", "")
+        )
+        self.fields: dict[str, str] = {}
+        self.filename = ""
+
+    async def file(self) -> AsyncIterator[bytes]:
+        """Yield the bytes of the field ``file``."""
+        name = ""
+        async for data in self.request.iter_body(self.limit):
+            for event in self.form.feed(data):
+                if isinstance(event, multipart.Part):
+                    name = event.name
+                    if name == "file":
+                        self.filename = event.filename
+                elif name == "file":
+                    yield event.body
+                else:
+                    self.add(name, event.body)
+        if not self.form.ended:
+            raise multipart.bad("the form is not whole")
+
+    def add(self, name: str, data: bytes) -> None:
+        """Take bytes of a small field."""
+        text = self.fields.get(name, "") + data.decode("utf-8", "replace")
+        if len(text) > MAX_FIELD_BYTES:
+            raise multipart.bad(f"field {name!r} is too long")
+        self.fields[name] = text
--- a/camphortray/shardrun.py
+++ b/camphortray/shardrun.py
@@ -106,7 +106,9 @@
         if name not in self.running:
             return
         held = self.dispatcher.add_job(job, self.outbox, self.epoch)
-        started = self.end_started(job)
+        # Begun by an earlier owner: they may have run, and whoever sent
+        # them asked that none runs twice.
+        started = frozenset(job.started)
         for number in range(len(job.chunks)):
             if name not in self.running:
                 return
@@ -118,21 +120,8 @@
                 held.space.clear()
                 await held.space.wait()
 
-    def end_started(self, job: jobs.Job) -> frozenset[int]:
-        """End items that an earlier owner had begun as unknown.
-
-        They may have run, and their callers asked that none runs twice.
-        """
-        started = frozenset(job.started)
-        body = dispatch.reason("begun by a host that was lost")
-        for item in started:
-            self.outbox.add(
-                jobs.ItemResult(job.accept.job, item, "unknown", body)
-            )
-        return started
-
     async def push_chunk(
-        self, job: jobs.Job, number: int, skip: frozenset[int]
+        self, job: jobs.Job, number: int, started: frozenset[int]
     ) -> None:
         """Queue the items of one chunk that have no result."""
         first = job.chunks[number][1]
@@ -140,15 +129,14 @@
         if number + 1 < len(job.chunks):
             end = job.chunks[number + 1][1]
         wanted = [
-            item
-            for item in range(first, end)
-            if not job.has_result(item) and item not in skip
+            item for item in range(first, end) if not job.has_result(item)
         ]
         if not wanted:
             return
         chunk = await self.read_chunk(job, number)
         for item in wanted:
-            self.push_item(job, item, chunk.items[item - first])
+            line = chunk.items[item - first]
+            self.push_item(job, item, line, item in started)
 
     async def read_chunk(self, job: jobs.Job, number: int) -> jobs.JobChunk:
         """Read a chunk, waiting for as long as the log is away."""
@@ -164,7 +152,9 @@
                 raw = raw["body"]
             return records.typed(raw, jobs.JobChunk)
 
-    def push_item(self, job: jobs.Job, index: int, line: bytes) -> None:
+    def push_item(
+        self, job: jobs.Job, index: int, line: bytes, started: bool
+    ) -> None:
         """Queue an item, or end it if it can never be done."""
         name = job.accept.job
         item = jobqueue.Item(
@@ -173,17 +163,19 @@
         held = self.dispatcher.held.get(name)
         if held is None:
             return
+        if started:
+            why = dispatch.reason("begun by a host that was lost")
+            self.dispatcher.end(held, item, "unknown", why)
+            return
         service = self.tree.view.services[job.accept.service]
         try:
             _, body = intake.parse_line(line)
+            if body.model not in service.models:
+                raise ValueError(f"no model {body.model!r}")
         except ValueError as error:
             why = dispatch.reason(str(error))
             self.dispatcher.end(held, item, "failed", why)
             return
-        if body.model not in service.models:
-            why = dispatch.reason(f"no model {body.model!r}")
-            self.dispatcher.end(held, item, "failed", why)
-            return
         item.prefix = intake.prefix_of(body)
         self.dispatcher.push(item)
 
--- a/camphortray/shardset.py
+++ b/camphortray/shardset.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from typing import Any
 from typing import ClassVar
 
 from camphortray import compaction
@@ -249,9 +250,19 @@
             )
         return configs.Address.from_text(member.http_address)
 
-    async def to_owner(self, call: web.Call, shard: jobshard.JobShard) -> None:
+    async def to_owner(
+        self,
+        call: web.Call,
+        shard: jobshard.JobShard,
+        read: bytes | None = None,
+    ) -> None:
         """Hand a call to the owner of a shard.
 
+        Args:
+          call: The call.
+          shard: Whose owner is to answer.
+          read: Body of the call, if that has been read.
+
         Raises:
           Refused: it was handed on before, or the owner is not there.
         """
@@ -259,7 +270,59 @@
             raise errors.Refused(
                 503, "no_owner", "the shard changes hands", retry_after=1
             )
-        await self.forwarder.pass_on(call, self.owner_address(shard))
+        await self.forwarder.pass_on(call, self.owner_address(shard), read)
+
+    def owned_shard(self) -> jobshard.JobShard | None:
+        """Return a shard owned here, any of them, or None."""
+        owned = [shard for shard in self.shards if shard.owner.owned]
+        return self.context.rng.choice(owned) if owned else None
+
+    def random_shard(self) -> jobshard.JobShard:
+        """Return any shard."""
+        return self.context.rng.choice(self.shards)
+
+    async def find_file(
+        self, text: str, workspace: str
+    ) -> tuple[jobshard.JobShard, jobs.InputFile]:
+        """Return an input file of a workspace.
+
+        Raises:
+          Refused: there is none.
+        """
+        name = text.removeprefix("file-")
+        shard = self.shard_of(name)
+        if name not in shard.fold.files:
+            await self.catch_up(shard)
+        held = shard.fold.files.get(name)
+        if held is None or held.accept.workspace != workspace:
+            raise errors.Refused(
+                404, "unknown_file", f"no file {text!r}", field="file"
+            )
+        return shard, held
+
+    async def write(
+        self, shard: jobshard.JobShard, kind: str, body: Any
+    ) -> None:
+        """Append a record that must count.
+
+        Raises:
+          Refused: it does not, or that is not known.
+        """
+        try:
+            outcome = await shard.append(kind, body)
+        except errors.LogRefused as error:
+            raise taking.no_log(error) from error
+        except errors.LogError as error:
+            raise errors.Refused(
+                503, "log_down", str(error), ran="unknown", retry_after=5
+            ) from error
+        if not outcome.valid:
+            raise errors.Refused(
+                503,
+                "owner_changed",
+                f"{outcome.verdict.value} {outcome.reason}",
+                retry_after=1,
+            )
 
     async def accept(
         self, shard: jobshard.JobShard, accept: jobs.JobAccept
--- a/camphortray/taking.py
+++ b/camphortray/taking.py
@@ -52,7 +52,7 @@
         job: str,
         streams: configs.StreamConfig,
         *,
-        path: str,
+        check: intake.LineCheck,
         max_items: int,
         store: bool = True,
     ) -> None:
@@ -62,7 +62,7 @@
         self.max_items = max_items
         # A chunk and one more item together stay below the limit.
         self.limit = min(CHUNK_BYTES, streams.record_limit_bytes // 3)
-        self.reader = intake.LineReader(path, self.limit)
+        self.reader = intake.LineReader(check, self.limit)
         self.digest = xxhash.xxh3_128()
         shard.uploads += 1
         self.upload = shard.uploads
