--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,12 +10,15 @@
 PACKAGE = pathlib.Path(camphortray.__file__).parent
 # Modules that decide. What they need of time and chance is handed in.
 DECISIONS = (
+    "antientropy",
     "calls",
     "check",
     "completion",
     "coordinator",
     "declaration",
+    "facts",
     "fold",
+    "gossip",
     "grouping",
     "headroom",
     "holding",
@@ -25,11 +28,17 @@
     "jobqueue",
     "jobrecords",
     "jobs",
+    "members",
     "multipart",
+    "neighbours",
+    "node",
     "online",
     "openai_format",
+    "orders",
     "plan",
     "records",
+    "ring",
+    "rollout",
     "routing",
     "settingkeys",
     "settings",
@@ -37,6 +46,7 @@
     "snapshot",
     "takeover",
     "view",
+    "watch",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
 
