--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -7,12 +7,14 @@
 import defopt
 
 from camphortray import jobapi
+from camphortray import openai_batch
+from camphortray import openai_files
 from camphortray import orderdriver
 from camphortray import program
 from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (jobapi, orderdriver, settingsapi)
+PARTS = (jobapi, openai_batch, openai_files, orderdriver, settingsapi)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
