--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -11,6 +11,10 @@
 from camphortray import ordersapi
 from camphortray import program
 from camphortray import relay
+from camphortray import services
+
+# Importing a part registers it with the kernel.
+PARTS = (jobproxy, relay, services)
 from camphortray import settingsapi
 from camphortray import settingskeeper
 
