--- a/camphortray/exchange.py
+++ b/camphortray/exchange.py
@@ -214,7 +214,7 @@
                     stream.close()
             good = True
         except errors.UpstreamError as error:
-            gone = not error.ran or await self.on_failure(flight, error)
+            gone = await self.on_failure(flight, error)
             self.ran = ran_before or error.ran
             raise
         finally:
@@ -239,7 +239,12 @@
         held.failed(flight.upstream)
         if isinstance(error, errors.UpstreamTimeout):
             held.spawn(self.look_at(flight.upstream))
-            return False
+            return not error.ran
+        if not error.ran:
+            # It could not be reached; unless it is held down at once, it
+            # looks idle and gets every further try too.
+            await held.probe(flight.upstream)
+            return True
         return await self.parts.suspects.broke(flight)
 
     async def look_at(self, upstream: engine.Upstream) -> None:
--- a/camphortray/suspects.py
+++ b/camphortray/suspects.py
@@ -8,6 +8,8 @@
 from typing import Any
 from typing import ClassVar
 
+import msgspec
+
 from camphortray import config as configs
 from camphortray import engine
 from camphortray import errors
@@ -29,6 +31,8 @@
 PAUSE_S = 0.1
 # A coordinator takes a permit back after this long at the latest.
 PERMIT_S = 120.0
+# Fingerprints in one fact, which has a largest size.
+PER_FACT = 128
 
 
 @messages.message("apart.ask")
@@ -58,6 +62,21 @@
     holder: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """What one host saw of a crash; the value of a fact.
+
+    Attributes:
+      upstream: What crashed.
+      at: When, wall-clock seconds.
+      suspects: Fingerprints of what this host had in flight there.
+    """
+
+    upstream: str
+    at: float
+    suspects: tuple[str, ...]
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class Flight:
     """A request at an upstream.
@@ -170,16 +189,15 @@
             # It said that it would go, so its end accuses nobody.
             return False
         LOG.warning("{} crashed, {} suspects.", upstream.name, len(suspects))
-        self.members.publish(
-            CRASH,
-            f"{upstream.name}/{self.members.own_name}/{at:.3f}",
-            {
-                "upstream": upstream.name,
-                "at": at,
-                "suspects": sorted(suspects),
-            },
-            keep_s=poison.SUSPECT_S,
-        )
+        names = sorted(suspects)
+        for start in range(0, len(names), PER_FACT):
+            part = names[start : start + PER_FACT]
+            self.members.publish(
+                CRASH,
+                f"{upstream.name}/{self.members.own_name}/{at:.3f}/{start}",
+                {"upstream": upstream.name, "at": at, "suspects": part},
+                keep_s=poison.SUSPECT_S,
+            )
         self.peers.spawn(self.tell_quarantined(suspects))
         return True
 
@@ -190,7 +208,7 @@
         self.book.decide(now)
         for name in suspects & set(self.book.quarantined):
             until = self.book.quarantined[name]
-            if (QUARANTINE, name) not in self.members.facts:
+            if f"{QUARANTINE} {name}" not in self.members.facts:
                 LOG.warning("{} is quarantined.", name)
                 self.members.publish(QUARANTINE, name, until, until - now)
 
@@ -202,9 +220,12 @@
 
     def on_crash(self, fact: membership.Fact) -> None:
         """Take a host's report of a crash."""
-        value = fact.value
-        suspects = set(value["suspects"])
-        self.book.report(value["upstream"], value["at"], suspects)
+        try:
+            told = msgspec.convert(fact.value, CrashReport)
+        except msgspec.ValidationError as error:
+            LOG.error("Cannot read {}: {}", fact.key, error)
+            return
+        self.book.report(told.upstream, told.at, set(told.suspects))
 
     def on_cleared(self, fact: membership.Fact) -> None:
         """Take the word that a request went well."""
--- /dev/null
+++ b/tests/test_online_decisions.py
@@ -0,0 +1,314 @@
+"""Tables of the decisions of the online path, without any socket."""
+
+import collections
+import random
+
+import pytest
+
+from camphortray import completion
+from camphortray import config as configs
+from camphortray import deadline
+from camphortray import engine
+from camphortray import errors
+from camphortray import hostlist
+from camphortray import leaving
+from camphortray import outlier
+from camphortray import poison
+from camphortray import prefix
+from camphortray import retry
+from camphortray import routing
+from camphortray import shards
+
+CHAT = "/v1/chat/completions"
+PLAIN = "/v1/completions"
+SAID = '"messages":[{"role":"user","content":"hi"}]'
+
+
+def said(fields):
+    """Return a chat body with fields before its messages."""
+    return "{" + fields + SAID + "}"
+
+
+def upstream(name, zone="", slots=32):
+    return engine.Upstream(name, configs.Address("", 1), zone, slots=slots)
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "code", "field"),
+    [
+        (CHAT, "{", "bad_json", "(body)"),
+        (CHAT, b"\xff\xfe", "bad_json", "(body)"),
+        (CHAT, "[1]", "bad_field", "(body)"),
+        (CHAT, '{"x":' + "[" * 100_000, "bad_json", "(body)"),
+        (CHAT, said(""), "bad_field", "model"),
+        (CHAT, said('"model":7,'), "bad_field", "model"),
+        (CHAT, said('"model":"",'), "bad_field", "model"),
+        (CHAT, '{"model":"m","messages":"hi"}', "bad_field", "messages"),
+        (CHAT, '{"model":"m","messages":[]}', "bad_field", "messages"),
+        (CHAT, '{"model":"m"}', "bad_field", "messages"),
+        (
+            CHAT,
+            '{"model":"m","messages":[{"role":"user","content":1}]}',
+            "bad_field",
+            "messages[0].content",
+        ),
+        (
+            CHAT,
+            '{"model":"m","messages":[{"content":"x"}]}',
+            "bad_field",
+            "messages[0].role",
+        ),
+        (CHAT, said('"model":"m","stream":1,'), "bad_field", "stream"),
+        (CHAT, said('"model":"m","n":0,'), "bad_field", "n"),
+        (
+            CHAT,
+            said('"model":"m","max_tokens":"9",'),
+            "bad_field",
+            "max_tokens",
+        ),
+        (
+            CHAT,
+            said('"model":"m","max_tokens":-1,'),
+            "bad_field",
+            "max_tokens",
+        ),
+        (PLAIN, '{"model":"m"}', "bad_field", "prompt"),
+        (PLAIN, '{"model":"m","prompt":{}}', "bad_field", "prompt"),
+    ],
+)
+def test_a_bad_body_is_refused_by_its_field(path, body, code, field):
+    raw = body if isinstance(body, bytes) else body.encode()
+    with pytest.raises(errors.Refused) as caught:
+        completion.parse(path, raw)
+    refusal = caught.value
+    assert (refusal.status, refusal.code) == (400, code)
+    assert (refusal.field, refusal.ran) == (field, "no")
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [(None, 9.0), ("2.5", 2.5), ("1e9", deadline.MAX_S), ("inf", 3600.0)],
+)
+def test_a_deadline_is_honoured_and_bounded(text, seconds):
+    headers = {} if text is None else {deadline.HEADER: text}
+    assert deadline.from_headers(headers, 9.0) == seconds
+
+
+@pytest.mark.parametrize(
+    ("text", "status"), [("soon", 400), ("nan", 400), ("0", 504), ("-1", 504)]
+)
+def test_a_deadline_that_cannot_be_met_is_refused(text, status):
+    with pytest.raises(errors.Refused) as caught:
+        deadline.from_headers({deadline.HEADER: text}, 9.0)
+    assert (caught.value.status, caught.value.ran) == (status, "no")
+
+
+@pytest.mark.parametrize(
+    ("share", "successes", "allowed"),
+    [(0.2, 0, 32), (0.2, 1000, 232), (0.0, 1000, 32)],
+)
+def test_an_outage_is_not_multiplied(share, successes, allowed):
+    # Callers see refusals at once while all upstreams fail. Each failed
+    # try asks for another; the budget lets a share of what lately worked
+    # through, so that the load on upstreams does not grow with failure.
+    budget = retry.RetryBudget(share)
+    for step in range(successes):
+        budget.succeeded(100 + step * 0.01)
+    assert sum(budget.allow(111.0) for _ in range(5000)) == allowed
+    assert not budget.allow(125.0)
+    assert budget.allow(200.0)
+
+
+def test_outliers_are_put_aside_longer_each_time_and_never_too_many():
+    book = outlier.Outliers()
+    names = ["a", "b", "c", "d"]
+    for name in names[:3]:
+        for _ in range(outlier.FAILURES):
+            book.failed(name, 10.0)
+    assert len(book.ejected(names, 10.5)) == 2
+    assert book.ejected(["a"], 10.5) == set()
+    assert book.ejected(names, 12.5) == set()
+    book.failed("a", 12.5)
+    assert book.ejected(names, 16.0) == {"a"}
+    book.succeeded("a")
+    assert book.ejected(names, 16.0) == set()
+    book.failed("a", 16.0)
+    assert book.ejected(names, 16.0) == set()
+
+
+LIVE, GOES, GONE = "live", "leaving", "gone"
+DRAINS = engine.EngineState((), draining=True)
+SERVES = engine.EngineState(())
+
+
+@pytest.mark.parametrize(
+    ("lists", "state", "back"),
+    [
+        # Its own refusal marked it; a late list proves nothing.
+        ([LIVE], DRAINS, False),
+        ([LIVE], None, False),
+        ([LIVE], SERVES, True),
+        ([], SERVES, True),
+        # The list sends it away and takes it back.
+        ([GOES], SERVES, False),
+        ([GONE], None, False),
+        ([GOES, LIVE], None, True),
+        ([GOES, LIVE], DRAINS, False),
+        ([LIVE, GOES], SERVES, False),
+    ],
+)
+def test_a_leaving_upstream_comes_back_only_on_good_word(lists, state, back):
+    book = leaving.LeavingBook()
+    book.mark("e", True)
+    for status in lists:
+        book.on_list([hostlist.ListedHost("e", "upstream", status)])
+    assert book.is_back("e", state) is back
+
+
+def test_the_list_sends_away_once_and_hosts_are_not_its_matter():
+    book = leaving.LeavingBook()
+    lines = [
+        hostlist.ListedHost("e", "upstream", GOES),
+        hostlist.ListedHost("h", "host", GOES),
+    ]
+    assert book.on_list(lines) == ["e"]
+    book.mark("e", True)
+    assert book.on_list(lines) == []
+
+
+def test_own_work_counts_at_once_and_reports_fade():
+    book = routing.LoadBook()
+    book.report("e", engine.LoadReport(8, 4, 0.5, age_s=0.0), 100.0)
+    assert book.total("e", 100.0) == 12
+    book.load("e").own += 3
+    assert book.total("e", 100.0) == 15
+    assert book.total("e", 100.0 + routing.HALF_LIFE_S) == 9
+    book.report("e", engine.LoadReport(8, 4, 0.5, age_s=4.0), 104.0)
+    assert book.total("e", 104.0) == pytest.approx(3 + 9 / 2)
+
+
+def chosen(waits, zones=None, zone="", key=None, rounds=400):
+    """Return how often each upstream is chosen."""
+    router = routing.Router(random.Random(1), zone)
+    found = [
+        routing.Candidate(upstream(n, (zones or {}).get(n, "")), 0, w)
+        for n, w in waits.items()
+    ]
+    return collections.Counter(
+        router.choose(found, key).name for _ in range(rounds)
+    )
+
+
+def test_the_slowest_gets_nothing_and_the_near_one_wins_a_tie():
+    assert chosen({"a": 0.1, "b": 0.2, "c": 0.3})["c"] == 0
+    zones = {"a": "x", "b": "y"}
+    assert chosen({"a": 0.1, "b": 0.1}, zones, "y") == {"b": 400}
+    assert chosen({"a": 0.1, "b": 0.2}, zones, "y") == {"a": 400}
+
+
+def test_a_prefix_is_a_bonus_and_not_a_rule():
+    key = prefix.prefix_of("m", "preamble " * 500)
+    home = shards.preferred(key.key, "abcdef")
+    even = dict.fromkeys("abcdef", 0.1)
+    assert chosen(even, key=key) == {home: 400}
+    assert chosen({**even, home: 0.3}, key=key)[home] == 0
+
+
+def test_subsets_are_balanced_and_steady():
+    hosts = [f"host-{n}" for n in range(390)]
+    engines = [f"engine-{n}" for n in range(600)]
+
+    def subsets(among):
+        return {h: set(routing.subset(h, among, engines)) for h in among}
+
+    full = subsets(hosts)
+    assert {len(s) for s in full.values()} == {routing.SUBSET}
+    users = collections.Counter(e for s in full.values() for e in s)
+    assert min(users.values()) >= 15 and max(users.values()) <= 16
+    less = subsets(hosts[1:])
+    moved = [len(full[h] - less[h]) for h in hosts[1:]]
+    assert max(moved) <= 2
+    assert routing.subset("h", [], ["b", "a"]) == ["a", "b"]
+
+
+P, X, Y = "poison", "innocent-x", "innocent-y"
+
+
+@pytest.mark.parametrize(
+    ("reports", "cleared", "guilty", "apart"),
+    [
+        # One crash proves nothing, not even to one alone.
+        ([("a", 0, {P, X})], [], set(), {P, X}),
+        ([("a", 0, {P})], [], set(), {P}),
+        # Hosts report the same crash; it stays one.
+        ([("a", 0, {P, X}), ("a", 1, {P, Y})], [], set(), {P, X, Y}),
+        # Common to two crashes is only the poison; the rest are free.
+        ([("a", 0, {P, X}), ("b", 9, {P, Y})], [], {P}, set()),
+        ([("a", 0, {P, X}), ("a", 9, {P, Y})], [], {P}, set()),
+        # Two in common: nobody can tell, until one is cleared.
+        ([("a", 0, {P, X}), ("b", 9, {P, X})], [], set(), {P, X}),
+        ([("a", 0, {P, X}), ("b", 9, {P, X})], [(X, 12)], {P}, set()),
+        # Success clears only of the crashes before it.
+        ([("a", 0, {X}), ("b", 9, {X})], [(X, 5)], set(), {X}),
+        # A rack is lost: several others go down with the second.
+        (
+            [("a", 0, {X}), ("b", 9, {X}), ("c", 9, {Y}), ("d", 10, set())],
+            [],
+            set(),
+            {X, Y},
+        ),
+        # Two poison requests at a time do not let each other off.
+        ([("a", 0, {P, X}), ("b", 9, {P}), ("c", 9, {Y})], [], {P}, {Y}),
+    ],
+)
+def test_only_the_one_common_to_two_crashes_is_quarantined(
+    reports, cleared, guilty, apart
+):
+    book = poison.PoisonBook(100.0)
+    for name, at, suspects in reports:
+        book.report(name, 1000.0 + at, suspects)
+    for name, at in cleared:
+        book.clear(name, 1000.0 + at)
+    standing = {n: book.verdict(n, 1014.0).standing for n in (P, X, Y)}
+    kind = poison.Standing
+    assert {n for n, s in standing.items() if s is kind.QUARANTINED} == guilty
+    assert {n for n, s in standing.items() if s is kind.APART} == apart
+
+
+def test_suspicion_and_quarantine_end_with_time_and_wait_for_reports():
+    book = poison.PoisonBook(100.0)
+    book.report("a", 1000.0, {P, X})
+    assert book.verdict(P, 1000.0).at == 1000.0 + poison.SETTLE_S
+    book.report("b", 1010.0, {P})
+    assert book.verdict(P, 1011.0).standing is poison.Standing.APART
+    assert book.verdict(P, 1013.0).standing is poison.Standing.QUARANTINED
+    book.report("c", 1014.0, {P, Y})
+    assert book.verdict(Y, 1020.0) == poison.FREE
+    assert book.verdict(P, 1111.0) == poison.FREE
+    book.report("d", 2000.0, {X})
+    assert book.verdict(X, 2000.0 + poison.SUSPECT_S + 1) == poison.FREE
+
+
+def test_one_suspect_at_a_time_on_an_upstream():
+    permits = poison.Permits()
+    assert permits.ask("e", "one", 10.0, 0.0)
+    assert not permits.ask("e", "two", 10.0, 1.0)
+    assert permits.ask("f", "two", 10.0, 1.0)
+    permits.done("e", "two")
+    assert not permits.ask("e", "two", 10.0, 1.0)
+    permits.done("e", "one")
+    assert permits.ask("e", "two", 10.0, 1.0)
+    assert permits.ask("e", "three", 30.0, 11.0)
+
+
+def test_a_request_sent_again_keeps_its_fingerprint():
+    one, two = (
+        completion.parse(CHAT, body).text
+        for body in (
+            b'{"model":"m","messages":[{"role":"u","content":"a  b"}]}',
+            b'{"model":"m","temperature":1,"messages":'
+            b'[{"role":"u","content":"a b "}]}',
+        )
+    )
+    assert poison.fingerprint("m", one) == poison.fingerprint("m", two)
+    assert poison.fingerprint("m", one) != poison.fingerprint("n", one)
