--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -14,7 +14,13 @@
 from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (jobapi, openai_batch, openai_files, orderdriver, settingsapi)
+PARTS = (
+    jobapi,
+    openai_batch,
+    openai_files,
+    orderdriver,
+    settingsapi,
+)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -12,14 +12,19 @@
 from camphortray import program
 from camphortray import relay
 from camphortray import services
-
-# Importing a part registers it with the kernel.
-PARTS = (jobproxy, relay, services)
 from camphortray import settingsapi
 from camphortray import settingskeeper
 
 # Importing a part registers it with the kernel.
-PARTS = (granting, jobproxy, ordersapi, relay, settingsapi, settingskeeper)
+PARTS = (
+    granting,
+    jobproxy,
+    ordersapi,
+    relay,
+    services,
+    settingsapi,
+    settingskeeper,
+)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
