Tell callers addresses in an order of their own and drain gracefully

A leaving host vanishes from answers at once, serves on while answers may be kept and requests are in flight, says Connection: close on each answer, and only then stops listening. Operators list members and drain a host.

--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -6,12 +6,13 @@
 
 import defopt
 
+from camphortray import hostsapi
 from camphortray import jobapi
 from camphortray import program
 from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (jobapi, settingsapi)
+PARTS = (hostsapi, jobapi, settingsapi)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -6,14 +6,16 @@
 
 import defopt
 
+from camphortray import addresses
 from camphortray import granting
+from camphortray import hostsapi
 from camphortray import jobproxy
 from camphortray import program
 from camphortray import relay
 from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (granting, jobproxy, relay, settingsapi)
+PARTS = (addresses, granting, hostsapi, jobproxy, relay, settingsapi)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
--- a/camphortray/httpserver.py
+++ b/camphortray/httpserver.py
@@ -180,6 +180,10 @@
         """Send the head of a chunked answer."""
         self.status = status
         head = [*headers, (REQUEST_ID_HEADER, self.request.id)]
+        if self.connection.server.closing and not names_connection(head):
+            # A caller that is not told would send its next request into
+            # a connection that is being closed, and have it cut off.
+            head.append(("Connection", "close"))
         self.connection.send(h11.Response(status_code=status, headers=head))
 
     def write(self, data: bytes) -> None:
@@ -225,6 +229,11 @@
         self.send_json(refusal.status, refusal_body(refusal), headers)
 
 
+def names_connection(headers: Headers) -> bool:
+    """Return whether headers already say what becomes of a connection."""
+    return any(name.lower() == "connection" for name, _ in headers)
+
+
 def refusal_body(refusal: errors.Refused) -> dict[str, Any]:
     """Return the JSON body of a refusal."""
     return {
@@ -263,6 +272,7 @@
         self.can_write: asyncio.Future[None] | None = None
         self.reading_paused = False
         self.lost = False
+        self.served = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -272,6 +282,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
         self.server.connections.discard(self)
+        self.server.look_idle()
         self.disarm()
         if self.can_write is not None and not self.can_write.done():
             self.can_write.set_result(None)
@@ -422,6 +433,8 @@
         self.request = None
         self.response = None
         self.task = None
+        self.served += 1
+        self.server.look_idle()
         if self.lost:
             return
         if (
@@ -491,6 +504,7 @@
         self.connections: set[Connection] = set()
         self.closing = False
         self.server: asyncio.Server | None = None
+        self.idle: asyncio.Future[None] | None = None
         self.address = configs.Address("", 0)
 
     async def start(self, address: configs.Address) -> None:
@@ -514,6 +528,38 @@
             if c.request is not None
         ]
 
+    def busy(self) -> bool:
+        """Return whether a request is in flight or may be on its way.
+
+        A connection on which none has come yet was opened to send one.
+        """
+        return any(
+            c.request is not None or not c.served for c in self.connections
+        )
+
+    def look_idle(self) -> None:
+        """Wake whoever waits for the last request to end."""
+        if self.idle is not None and not self.idle.done() and not self.busy():
+            self.idle.set_result(None)
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in flight."""
+        while self.busy():
+            self.idle = asyncio.get_running_loop().create_future()
+            await self.idle
+
+    async def drain(self, serve_on_s: float) -> None:
+        """Serve on for a time, then until no request is in flight.
+
+        Connections are closed after their next answer, which says so.
+        """
+        self.closing = True
+        await asyncio.sleep(serve_on_s)
+        await self.wait_idle()
+        if self.server is not None:
+            self.server.close()
+        await self.wait_idle()
+
     async def stop(self) -> None:
         """Stop listening and drop what is left."""
         if self.server is None:
--- a/camphortray/kernel.py
+++ b/camphortray/kernel.py
@@ -33,6 +33,10 @@
 P = TypeVar("P", bound="Part")
 
 
+def do_nothing() -> None:
+    """Stand in until a kernel runs."""
+
+
 @dataclasses.dataclass
 class Context:
     """What every part of one program shares.
@@ -47,6 +51,7 @@
       metrics: Counters and histograms of the program.
       parts: Parts made so far, by name.
       not_ready: Gives the reasons why callers should not come yet.
+      request_drain: Drains the program, as SIGTERM does.
     """
 
     config: configs.Config
@@ -57,6 +62,7 @@
     metrics: metrics_module.Metrics
     parts: dict[str, "Part"] = dataclasses.field(default_factory=dict)
     not_ready: Callable[[], list[str]] = list
+    request_drain: Callable[[], None] = do_nothing
 
     @classmethod
     def from_config(
@@ -169,6 +175,7 @@
     def __init__(self, context: Context) -> None:
         self.context = context
         context.not_ready = self.not_ready
+        context.request_drain = self.request_drain
         self.parts: list[Part] = []
         self.draining = False
         self.ended = asyncio.Event()
@@ -231,10 +238,15 @@
                 LOG.error("{} failed to stop: {}", part.name, error)
         self.ended.set()
 
+    def request_drain(self) -> None:
+        """Drain and end; asked again, go on doing so."""
+        if self.drain_task is None:
+            self.drain_task = asyncio.ensure_future(self.drain_and_end())
+
     def on_signal(self) -> None:
         """Drain on the first signal, end on the second."""
         if self.drain_task is None:
-            self.drain_task = asyncio.ensure_future(self.drain_and_end())
+            self.request_drain()
             return
         for work in self.in_flight():
             LOG.warning("Still in flight: {}", work)
--- a/camphortray/members.py
+++ b/camphortray/members.py
@@ -50,6 +50,7 @@
       http_address: Where it serves HTTP; empty until it is ready.
       revision: Settings revision last heard from it; 0 if unheard of.
       started: Incarnation of its process, as in its log records.
+      left: Whether it said that it leaves.
     """
 
     name: str
@@ -60,6 +61,7 @@
     http_address: str
     revision: int = 0
     started: int = 0
+    left: bool = False
 
     @property
     def host(self) -> str:
--- a/camphortray/node.py
+++ b/camphortray/node.py
@@ -159,7 +159,7 @@
     def leave(self, now: float) -> None:
         """Tell all that this member is leaving."""
         if self.own.status is members.Status.ALIVE:
-            self.change(now, status=members.Status.LEAVING)
+            self.change(now, status=members.Status.LEAVING, left=True)
 
     def end(self, now: float) -> list[Ask]:
         """Tell the neighbours that this member ends."""
@@ -172,15 +172,14 @@
 
         Two processes of one name would contradict each other for ever;
         the one that started later wins. One that has only just started
-        is the later one, whatever the clocks of the two hosts say.
+        contradicts whatever its name left behind, so that a clock that
+        is behind does not make it give way to a process that is gone.
         """
-        if member.started > self.own.started:
-            if self.joined and now - self.born > NEWBORN_S:
-                self.replaced = True
-                self.put(member, now)
-                return
-            started = member.started + 1
-            self.own = dataclasses.replace(self.own, started=started)
+        grown = self.joined and now - self.born > NEWBORN_S
+        if member.started > self.own.started and grown:
+            self.replaced = True
+            self.put(member, now)
+            return
         number = max(self.own.incarnation, member.incarnation)
         self.own = dataclasses.replace(self.own, incarnation=number)
         self.change(now)
@@ -527,10 +526,14 @@
     def is_gone(self, host: str, started: int = 0) -> bool:
         """Return whether a host, or one member of it, is gone for good.
 
+        That it is dead for its watchers is not enough: hosts that cannot
+        reach each other would take from each other what both hold. So it
+        must have said that it leaves, or the platform's list must say
+        that it is gone, or a later process must bear its name.
+
         Args:
           host: Name of a host, or ``HOST/PROGRAM``.
-          started: Incarnation of the process meant; a later one under
-            the same name means that it is gone.
+          started: Incarnation of the process meant, if one is.
         """
         name, _, program = host.partition("/")
         held = [
@@ -538,15 +541,14 @@
             for each in self.directory.by_host.get(name, ())
             if program in ("", each.partition("/")[2])
         ]
-        listed_gone = self.listed.get(name) == "gone"
-        if not held:
-            return listed_gone
-        if all(m.dead or 0 < started < m.started for m in held):
+        if held and all(
+            (m.dead and m.left) or 0 < started < m.started for m in held
+        ):
             return True
         # The list lags, and a replacement may bear the name of the host
         # that it still calls gone.
         well = any(m.status is members.Status.ALIVE for m in held)
-        return listed_gone and not well
+        return self.listed.get(name) == "gone" and not well
 
 
 def ignore_head(name: str, head: int) -> None:
--- a/camphortray/ownership.py
+++ b/camphortray/ownership.py
@@ -66,8 +66,7 @@
         return [m.name for m in self.members.live(self.context.program)]
 
     def sight(self, owner: records.Writer) -> takeover.Sight:
-        is_gone = getattr(self.members, "is_gone", None)
-        if is_gone is not None and is_gone(owner.name):
+        if self.members.is_gone(owner.name, owner.incarnation):
             return takeover.Sight.GONE
         member = self.members.members.get(owner.name)
         if member is None:
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -10,7 +10,6 @@
 from camphortray import errors
 from camphortray import kernel
 from camphortray import logs
-from camphortray import membership
 from camphortray import outer
 from camphortray import routing
 from camphortray import settings
@@ -50,7 +49,6 @@
         for path in ("/v1/chat/completions", "/v1/completions"):
             routes.add("POST", path, access, self.complete)
         routes.add("GET", "/v1/models", access, self.models)
-        routes.add("GET", "/v1/hosts", web.Access.OPEN, self.hosts)
         routes.add(
             "*",
             "/v1/services/{service}/{rest...}",
@@ -71,19 +69,6 @@
         ]
         call.response.send_json(200, {"object": "list", "data": data})
 
-    async def hosts(self, call: web.Call) -> None:
-        """Tell the addresses to use."""
-        members = self.context.part(membership.Membership)
-        hosts = [
-            {
-                "address": member.http_address,
-                "availability_zone": member.availability_zone,
-            }
-            for member in members.live("entry")
-        ]
-        keep_s = self.context.config.entry.keep_s
-        call.response.send_json(200, {"hosts": hosts, "keep_s": keep_s})
-
     async def complete(self, call: web.Call) -> None:
         """Answer a completion."""
         data = await call.request.json()
--- a/camphortray/web.py
+++ b/camphortray/web.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Access", "Call", "Callers", "Routes"]
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
@@ -21,6 +22,9 @@
 from camphortray import tree
 
 LOG = logs.logger("callers")
+# Seconds in which all hosts come to know that one leaves; until then they
+# still name it to callers, or pass calls on to it.
+SPREAD_S = 3.0
 HOST_KEY_HEADER = "camphortray-host-key"
 WORKSPACE_HEADER = "camphortray-workspace"
 
@@ -238,6 +242,10 @@
             idle_timeout_s=config.entry.idle_timeout_s,
         )
         secure = context.program == "entry"
+        self.members = context.part(membership.Membership)
+        self.serve_on_s = (
+            config.entry.keep_s + SPREAD_S if secure else SPREAD_S
+        )
         self.server = httpserver.HttpServer(
             context.part(Routes),
             limits,
@@ -252,9 +260,24 @@
         address = configs.Address.from_text(self.settings.listen)
         await self.server.start(address)
         shown = self.settings.advertise or str(self.server.address)
-        self.context.part(membership.Membership).set_http_address(shown)
+        self.members.set_http_address(shown)
         LOG.notice("Serves on {}.", self.server.address)
 
+    async def drain(self) -> None:
+        """Leave the addresses at once, yet serve on.
+
+        Callers keep an answer of ``/v1/hosts`` for a while and go on
+        coming until it has run out; then nothing new comes, and what is
+        in flight is waited for.
+        """
+        self.members.leave()
+        try:
+            async with asyncio.timeout(self.settings.drain_s):
+                await self.server.drain(self.serve_on_s)
+        except TimeoutError:
+            for work in self.in_flight():
+                LOG.warning("Cut off by the end of the drain: {}", work)
+
     def in_flight(self) -> list[str]:
         return self.server.in_flight()
 
