--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -8,11 +8,13 @@
 
 from camphortray import hostsapi
 from camphortray import jobapi
+from camphortray import orderdriver
 from camphortray import program
 from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
 PARTS = (hostsapi, jobapi, settingsapi)
+PARTS = (jobapi, orderdriver, settingsapi)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -10,12 +10,15 @@
 from camphortray import granting
 from camphortray import hostsapi
 from camphortray import jobproxy
+from camphortray import ordersapi
 from camphortray import program
 from camphortray import relay
 from camphortray import settingsapi
+from camphortray import settingskeeper
 
 # Importing a part registers it with the kernel.
 PARTS = (addresses, granting, hostsapi, jobproxy, relay, settingsapi)
+PARTS = (granting, jobproxy, ordersapi, relay, settingsapi, settingskeeper)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
