--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -6,6 +6,7 @@
 
 import defopt
 
+from camphortray import hostsapi
 from camphortray import jobapi
 from camphortray import openai_batch
 from camphortray import openai_files
@@ -15,6 +16,7 @@
 
 # Importing a part registers it with the kernel.
 PARTS = (
+    hostsapi,
     jobapi,
     openai_batch,
     openai_files,
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -6,7 +6,9 @@
 
 import defopt
 
+from camphortray import addresses
 from camphortray import granting
+from camphortray import hostsapi
 from camphortray import jobproxy
 from camphortray import ordersapi
 from camphortray import program
@@ -17,7 +19,9 @@
 
 # Importing a part registers it with the kernel.
 PARTS = (
+    addresses,
     granting,
+    hostsapi,
     jobproxy,
     ordersapi,
     relay,
