--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -6,6 +6,7 @@
 
 import defopt
 
+from camphortray import burnkeeper
 from camphortray import hostsapi
 from camphortray import jobapi
 from camphortray import openai_batch
@@ -16,6 +17,7 @@
 
 # Importing a part registers it with the kernel.
 PARTS = (
+    burnkeeper,
     hostsapi,
     jobapi,
     openai_batch,
--- a/camphortray/dispatch.py
+++ b/camphortray/dispatch.py
@@ -20,6 +20,7 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import outbox as outboxes
+from camphortray import signals as signals_module
 from camphortray import slots as slots_module
 from camphortray import tree
 from camphortray import upstreams as upstreams_module
@@ -71,6 +72,7 @@
         self.context = context
         self.tree = context.part(tree.Tree)
         self.slots = context.part(slots_module.Slots)
+        self.signals = context.part(signals_module.Signals)
         self.upstreams = context.part(upstreams_module.Upstreams)
         self.runner = itemrun.ItemRunner(context)
         self.queue = jobqueue.JobQueue()
@@ -394,6 +396,8 @@
             return
         queued = self.queue.jobs[item.job]
         queued.left -= 1
+        service = held.job.accept.service
+        self.signals.answered(service, True, status == "done")
         now = self.context.clock.monotonic()
         if self.last_end is not None:
             step = now - self.last_end
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -7,6 +7,7 @@
 import defopt
 
 from camphortray import addresses
+from camphortray import burnkeeper
 from camphortray import granting
 from camphortray import hostsapi
 from camphortray import jobproxy
@@ -20,6 +21,7 @@
 # Importing a part registers it with the kernel.
 PARTS = (
     addresses,
+    burnkeeper,
     granting,
     hostsapi,
     jobproxy,
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -24,6 +24,8 @@
 
 LOG = logs.logger("relay")
 IDEMPOTENT = "camphortray-idempotent"
+# Statuses of refusals for a request's own fault; they burn no budget.
+OWN_FAULT = frozenset({400, 401, 404, 413, 422})
 # Longest part of a caller's request id that is passed to engines.
 ID_CHARS = 96
 
@@ -99,6 +101,7 @@
         try:
             async with asyncio.timeout(seconds):
                 await self.admit(exchange)
+            self.parts.signals.answered(service.name, False, True)
         except TimeoutError as error:
             ran = "unknown" if exchange.ran else "no"
             self.end(exchange, deadline.passed(ran), error)
@@ -126,6 +129,9 @@
         Raises:
           Refused: no answer had begun.
         """
+        if refusal.status not in OWN_FAULT:
+            name = exchange.service.name
+            self.parts.signals.answered(name, False, False)
         if not exchange.response.status:
             raise refusal from cause
         LOG.warning("Answer cut off: {}", refusal)
--- a/camphortray/signals.py
+++ b/camphortray/signals.py
@@ -32,6 +32,13 @@
     ) -> None:
         """Take note: the request left the upstream."""
 
+    def answered(self, service: str, batch: bool, good: bool) -> None:
+        """Take note: a request has ended for whoever asked.
+
+        ``good`` says whether it was answered in full. A request refused
+        for its own fault is not told.
+        """
+
 
 @kernel.PARTS.register("entry", "batch")
 class Signals(kernel.Part):
@@ -79,3 +86,8 @@
         """See ``Listener``."""
         for listener in self.listeners:
             listener.ended(service, upstream, batch, good)
+
+    def answered(self, service: str, batch: bool, good: bool) -> None:
+        """See ``Listener``."""
+        for listener in self.listeners:
+            listener.answered(service, batch, good)
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -39,11 +39,13 @@
     return process.returncode, out.decode()
 
 
-@pytest.mark.parametrize("module", ["entry", "batch", "ctl", "standin"])
+@pytest.mark.parametrize(
+    "module", ["entry", "batch", "ctl", "report", "standin"]
+)
 async def test_help_tells_enough(module):
     code, out = await run(module, "--help")
     assert code == 0
-    assert "usage" in out and "positional arguments" in out
+    assert "usage" in out and "options:" in out
 
 
 async def test_bad_settings_are_told_whole_with_exit_code_2(tmp_path):
