--- a/bench/processes.py
+++ b/bench/processes.py
@@ -127,7 +127,7 @@
             },
             "log": {"address": self.platform},
             "hostlist": {"address": self.platform},
-            "entry": {"listen": cluster.free_address()},
+            "entry": {"listen": cluster.free_address(), "keep_s": 0.5},
             "batch": {"listen": cluster.free_address()},
             "peer": {
                 "entry_listen": cluster.free_address(),
