Pass settings on between hosts

Cause: a host cut off from the platform's log kept old settings, and one that started meanwhile had none. Change: probes and one gossiped fact tell how far the settings stream goes. A host that is behind for a second asks a neighbour for the log's own records, in order and without gaps, or for the fold of a prefix.

--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -11,10 +11,16 @@
 from camphortray import orderdriver
 from camphortray import program
 from camphortray import settingsapi
+from camphortray import spread
 
 # Importing a part registers it with the kernel.
-PARTS = (hostsapi, jobapi, settingsapi)
-PARTS = (jobapi, orderdriver, settingsapi)
+PARTS = (
+    hostsapi,
+    jobapi,
+    orderdriver,
+    settingsapi,
+    spread,
+)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -15,10 +15,20 @@
 from camphortray import relay
 from camphortray import settingsapi
 from camphortray import settingskeeper
+from camphortray import spread
 
 # Importing a part registers it with the kernel.
-PARTS = (addresses, granting, hostsapi, jobproxy, relay, settingsapi)
-PARTS = (granting, jobproxy, ordersapi, relay, settingsapi, settingskeeper)
+PARTS = (
+    addresses,
+    granting,
+    hostsapi,
+    jobproxy,
+    ordersapi,
+    relay,
+    settingsapi,
+    settingskeeper,
+    spread,
+)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
--- a/camphortray/journal.py
+++ b/camphortray/journal.py
@@ -71,6 +71,7 @@
         self.lock = asyncio.Lock()
         self.waiting: dict[int, asyncio.Future[folds.Outcome]] = {}
         self.listeners: list[Callable[[folds.Outcome], None]] = []
+        self.recorders: list[Callable[[log.LogRecord], None]] = []
         self.restored: list[Callable[[], None]] = []
         self.caught_up = asyncio.Event()
         self.down = False
@@ -168,6 +169,8 @@
         self.since_records += 1
         self.since_bytes += len(record.body)
         outcome = self.fold.apply(record.offset, record.body)
+        for recorder in self.recorders:
+            recorder(record)
         if outcome.record is not None:
             if outcome.record.kind == folds.SNAPSHOT:
                 self.note_snapshot(record)
@@ -228,8 +231,18 @@
         state = found.best
         if state is None or state["covers"] < after:
             return False
+        return self.adopt(state, found.best_time, found.size)
+
+    def adopt(self, state: dict[str, Any], time: float, size: int) -> bool:
+        """Go on from a snapshot; return False if it is behind.
+
+        Meanwhile records may have come from elsewhere, so it is looked
+        at again whether the snapshot is ahead of them.
+        """
+        if state["covers"] < self.fold.next:
+            return False
         self.fold.restore(state)
-        self.count_from(found.best_time, found.size)
+        self.count_from(time, size)
         LOG.notice(
             "{} restored from a snapshot up to {}.",
             self.stream,
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -163,6 +163,10 @@
         self.node.publish(kind, key, value, keep_s, now)
         self.act(self.node.flush(now))
 
+    def offer(self, fact: Fact) -> None:
+        """Tell all hosts a fact whose version others may tell as well."""
+        self.node.take_fact(fact, self.clock.monotonic())
+
     def on_fact(self, kind: str, listener: Callable[[Fact], None]) -> None:
         """Call ``listener`` with each new fact of a kind."""
         self.fact_listeners.setdefault(kind, []).append(listener)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -34,6 +34,7 @@
     "online",
     "orders",
     "plan",
+    "recent",
     "records",
     "ring",
     "rollout",
