--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -8,6 +8,8 @@
 
 from camphortray import hostsapi
 from camphortray import jobapi
+from camphortray import openai_batch
+from camphortray import openai_files
 from camphortray import orderdriver
 from camphortray import program
 from camphortray import settingsapi
@@ -17,6 +19,8 @@
 PARTS = (
     hostsapi,
     jobapi,
+    openai_batch,
+    openai_files,
     orderdriver,
     settingsapi,
     spread,
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -13,6 +13,7 @@
 from camphortray import ordersapi
 from camphortray import program
 from camphortray import relay
+from camphortray import services
 from camphortray import settingsapi
 from camphortray import settingskeeper
 from camphortray import spread
@@ -25,6 +26,7 @@
     jobproxy,
     ordersapi,
     relay,
+    services,
     settingsapi,
     settingskeeper,
     spread,
