Let any host's batch role take a job call

An entry asks its own host's batch role, else another host's by what membership holds. A body that may have run is never sent again; calls that only read are.

--- /dev/null
+++ b/tests/test_jobproxy.py
@@ -0,0 +1,99 @@
+"""Tests of the choice of a batch role."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from camphortray import cluster as clusters
+from camphortray import config as configs
+from camphortray import httpclient
+from camphortray import httpserver
+from camphortray import jobproxy
+from camphortray import members
+from camphortray import membership
+
+OWN = configs.HostConfig("h0", "z0", "r")
+KEY = [("authorization", f"Bearer {clusters.WORKSPACE_KEY}")]
+
+
+def batch(host, zone, status="alive", address="set"):
+    status = members.Status(status)
+    shown = host if address else ""
+    return members.Member(f"{host}/batch", 1, status, zone, "", shown)
+
+
+@pytest.mark.parametrize(
+    ("live", "expected"),
+    [
+        ([], []),
+        ([batch("h1", "z1"), batch("h0", "z0")], ["h0", "h1"]),
+        ([batch("h1", "z1"), batch("h2", "z0")], ["h2", "h1"]),
+        ([batch("h1", "z1"), batch("h0", "z0", "suspect")], ["h1", "h0"]),
+        ([batch("h1", "z1"), batch("h0", "z0", address="")], ["h1"]),
+    ],
+)
+def test_the_own_role_comes_first_if_it_is_well(live, expected):
+    assert jobproxy.candidates(OWN, live) == expected
+
+
+class Breaks(httpserver.Handler):
+    """A batch role that ends the connection after it read the body."""
+
+    def __init__(self):
+        self.bodies = 0
+
+    async def handle(self, request, response):
+        await request.body()
+        self.bodies += 1
+        response.abort()
+
+
+@pytest.mark.parametrize(
+    ("method", "ran", "sent"), [("POST", "unknown", 1), ("GET", "unknown", 2)]
+)
+async def test_a_job_that_may_have_run_is_not_sent_again(
+    method, ran, sent, monkeypatch
+):
+    # The batch role breaks off after it has read a job. It may have taken
+    # it, so the caller is told "unknown" and no other role gets it; what
+    # only reads is asked elsewhere.
+    handler = Breaks()
+    server = httpserver.HttpServer(handler)
+    await server.start(configs.Address("127.0.0.1", 0))
+    async with clusters.Cluster(engines=1) as cluster:
+        host = cluster.hosts["host-0"]
+        proxy = host.part("entry", jobproxy.JobProxy)
+        monkeypatch.setattr(proxy, "targets", lambda: [server.address] * 2)
+        client = httpclient.HttpClient()
+        body = b"{}" if method == "POST" else b""
+        status, headers, _ = await client.call(
+            host.address, method, "/v1/jobs", KEY, body
+        )
+        assert (status, headers["camphortray-ran"]) == (503, ran)
+        assert handler.bodies == sent
+        await client.close()
+    await server.stop()
+
+
+async def test_another_host_takes_jobs_while_the_own_role_is_away():
+    # A host's batch program is down; its entry still takes jobs and has
+    # another host's batch program do the work. Nothing had been sent when
+    # the connection was refused, so trying the next one is safe.
+    async with clusters.Cluster(engines=1, hosts=2) as cluster:
+        host = cluster.hosts["host-0"]
+        seen = host.part("entry", membership.Membership)
+        known = asyncio.Event()
+        seen.listen(lambda m: len(seen.live("batch")) == 2 and known.set())
+        async with asyncio.timeout(20):
+            await known.wait()
+            while not all(m.http_address for m in seen.live("batch")):
+                await asyncio.sleep(0)
+        await host.stop("batch")
+        client = httpclient.HttpClient()
+        status, _, body = await client.call(
+            host.address, "GET", "/v1/jobs/none", KEY
+        )
+        assert status == 404, body
+        assert msgspec.json.decode(body)["error"]["code"] != "no_batch"
+        await client.close()
