--- a/camphortray/members.py
+++ b/camphortray/members.py
@@ -11,9 +11,13 @@
 
 import dataclasses
 import enum
+from typing import Annotated
 
+import msgspec
 import xxhash
 
+from camphortray import config as configs
+
 # Buckets into which all keys fall, so that two hosts find what differs
 # without sending everything.
 BUCKETS = 32
@@ -23,6 +27,15 @@
 # Older than the version of any entry.
 NO_VERSION = (-1, -1)
 
+# What an entry that comes from a peer must look like to be taken in.
+Name = Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*/[a-z]+$")
+]
+Incarnation = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+AddressOrNone = Annotated[
+    str, msgspec.Meta(pattern=f"^$|{configs.ADDRESS_PATTERN}")
+]
+
 
 class Status(enum.StrEnum):
     """How a member is; a later one wins at the same incarnation."""
@@ -53,12 +66,12 @@
       left: Whether it said that it leaves.
     """
 
-    name: str
-    incarnation: int
+    name: Name
+    incarnation: Incarnation
     status: Status
     availability_zone: str
-    peer_address: str
-    http_address: str
+    peer_address: configs.AddressText
+    http_address: AddressOrNone
     revision: int = 0
     started: int = 0
     left: bool = False
--- a/camphortray/peers.py
+++ b/camphortray/peers.py
@@ -209,9 +209,11 @@
         except LINK_ERRORS as error:
             LOG.debug("Link to {} ended: {}", self.address, error)
         finally:
+            # A link that was dropped before has failed its questions; those
+            # that wait now were asked on the one that took its place.
             if self.socket is socket:
                 self.socket = None
-            self.fail_waiting()
+                self.fail_waiting()
 
     def take(self, data: str | bytes) -> None:
         """Hand an answer to whoever asked."""
@@ -238,6 +240,7 @@
         socket, self.socket = self.socket, None
         if socket is not None:
             socket.transport.abort()
+        self.fail_waiting()
         if self.reader is not None:
             self.reader.cancel()
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,6 +10,8 @@
 PACKAGE = pathlib.Path(camphortray.__file__).parent
 # Modules that decide. What they need of time and chance is handed in.
 DECISIONS = (
+    "addressbook",
+    "addresses",
     "antientropy",
     "calls",
     "check",
