--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -14,6 +14,7 @@
 from camphortray import orderdriver
 from camphortray import program
 from camphortray import settingsapi
+from camphortray import spread
 
 # Importing a part registers it with the kernel.
 PARTS = (
@@ -24,6 +25,7 @@
     openai_files,
     orderdriver,
     settingsapi,
+    spread,
 )
 
 
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -17,6 +17,7 @@
 from camphortray import services
 from camphortray import settingsapi
 from camphortray import settingskeeper
+from camphortray import spread
 
 # Importing a part registers it with the kernel.
 PARTS = (
@@ -30,6 +31,7 @@
     services,
     settingsapi,
     settingskeeper,
+    spread,
 )
 
 
