Find the owner anew when a member changes; pass on one workspace only

Cause: a call handed on carried its workspace twice and was taken for another's; an owner's loss was noticed only at the next look. Change: headers of our own are set anew for each hop, and a changed member wakes the owners.

--- a/camphortray/cluster.py
+++ b/camphortray/cluster.py
@@ -13,6 +13,7 @@
 from camphortray import httpserver
 from camphortray import kernel
 from camphortray import log
+from camphortray import membership
 from camphortray import records
 from camphortray import settings
 from camphortray import standin_engine
@@ -138,15 +139,25 @@
         await self.until_ready()
 
     async def until_ready(self) -> None:
-        """Wait until all programs that run would take callers."""
+        """Wait until all programs take callers and know of each other."""
         async with asyncio.timeout(READY_S):
-            while any(
-                core.not_ready()
-                for host in self.hosts.values()
-                for core in host.kernels.values()
-            ):
+            while not self.ready():
                 await asyncio.sleep(READY_LOOK_S)
 
+    def ready(self) -> bool:
+        """Return whether every program is ready and known to all."""
+        running = {
+            f"{host.config.host.name}/{program}": core
+            for host in self.hosts.values()
+            for program, core in host.kernels.items()
+        }
+        for core in running.values():
+            members = core.context.part(membership.Membership).members
+            known = {n for n, m in members.items() if m.http_address}
+            if core.not_ready() or not set(running) <= known:
+                return False
+        return True
+
     def add_host(self, name: str, availability_zone: str) -> Host:
         """Make a host; it is not started."""
         seeds = [h.config.peer.entry_listen for h in self.hosts.values()]
--- a/camphortray/forward.py
+++ b/camphortray/forward.py
@@ -23,6 +23,9 @@
 # Set on a request that was handed on once; it is not handed on again, so
 # that two hosts that take each other for the owner cannot pass it forever.
 HOP = "camphortray-hop"
+# Set anew for each hop; a second value would be joined to the first, and
+# the call would appear to come from another workspace.
+OWN_HEADERS = frozenset({HOP, web.HOST_KEY_HEADER, web.WORKSPACE_HEADER})
 # Largest body that is read before it is known who answers, in bytes.
 MAX_SMALL_BYTES = 65_536
 TIMEOUTS = httpclient.Timeouts(1.0, 120.0, 120.0)
@@ -52,7 +55,7 @@
         headers = [
             (name, value)
             for name, value in request.headers.items()
-            if name not in HOP_HEADERS and not name.startswith("camphortray-h")
+            if name not in HOP_HEADERS and name not in OWN_HEADERS
         ]
         headers += web.host_headers(self.config, call.caller)
         headers.append((HOP, "1"))
--- a/camphortray/shardset.py
+++ b/camphortray/shardset.py
@@ -65,6 +65,7 @@
         self.settled = False
         count = context.config.shards.jobs
         self.shards = [self.make_shard(number) for number in range(count)]
+        self.members.listen(self.on_member)
         self.compactors = [self.make_compactor(s) for s in self.shards]
 
     @classmethod
@@ -119,6 +120,12 @@
         self.settled = all(s.fold.ownership.owner for s in self.shards)
         return "" if self.settled else "shards have no owner yet"
 
+    def on_member(self, member: membership.Member) -> None:
+        """Look anew who should own what, e.g. as a host was lost."""
+        if member.program == self.context.program:
+            for shard in self.shards:
+                shard.owner.wake()
+
     def paused(self) -> bool:
         """Return whether no further item may begin.
 
