--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -6,6 +6,7 @@
 
 import defopt
 
+from camphortray import hostsapi
 from camphortray import jobapi
 from camphortray import openai_batch
 from camphortray import openai_files
@@ -14,7 +15,14 @@
 from camphortray import settingsapi
 
 # Importing a part registers it with the kernel.
-PARTS = (jobapi, openai_batch, openai_files, orderdriver, settingsapi)
+PARTS = (
+    hostsapi,
+    jobapi,
+    openai_batch,
+    openai_files,
+    orderdriver,
+    settingsapi,
+)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -67,6 +67,9 @@
       resume_tokens: Number of tokens in ``resume_text``.
       batch: Whether it is batch work; engines know no priorities, so
         this is for the record only.
+      silence_s: Longest silence to be expected before the answer begins;
+        a kept connection silent for longer is taken for dead, a new one
+        after four times as long. 0 for no such limit.
     """
 
     id: str
@@ -77,6 +80,7 @@
     resume_text: str = ""
     resume_tokens: int = 0
     batch: bool = False
+    silence_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,6 +198,19 @@
           UpstreamTimeout: silent for ``timeout_s``.
         """
 
+    async def pipe(
+        self, sink: Callable[[bytes], bool], timeout_s: float
+    ) -> bool:
+        """Give the answer to a sink as it comes; see ``read``.
+
+        Return True at a clean end, and False if the sink returned True to
+        ask for a pause; calling again then goes on.
+        """
+        while data := await self.read(timeout_s):
+            if sink(data):
+                return False
+        return True
+
     @abc.abstractmethod
     def close(self) -> None:
         """Stop; an answer not read to its end is cancelled."""
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -6,15 +6,29 @@
 
 import defopt
 
+from camphortray import addresses
 from camphortray import granting
+from camphortray import hostsapi
 from camphortray import jobproxy
 from camphortray import ordersapi
 from camphortray import program
 from camphortray import relay
+from camphortray import services
 from camphortray import settingsapi
+from camphortray import settingskeeper
 
 # Importing a part registers it with the kernel.
-PARTS = (granting, jobproxy, ordersapi, relay, settingsapi)
+PARTS = (
+    addresses,
+    granting,
+    hostsapi,
+    jobproxy,
+    ordersapi,
+    relay,
+    services,
+    settingsapi,
+    settingskeeper,
+)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
