--- a/camphortray/dispatch.py
+++ b/camphortray/dispatch.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from camphortray import completion
 from camphortray import errors
 from camphortray import intake
 from camphortray import itempolicy
@@ -20,7 +21,9 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import outbox as outboxes
+from camphortray import poison
 from camphortray import slots as slots_module
+from camphortray import suspects as suspects_module
 from camphortray import tree
 from camphortray import upstreams as upstreams_module
 
@@ -32,6 +35,10 @@
 LOOK_S = 0.5
 # Share of the newest measurement in the pace.
 PACE_SHARE = 0.1
+# Longest time a suspect has an upstream for itself, and from one try to
+# get one to the next, in seconds.
+APART_S = 120.0
+APART_PAUSE_S = 0.2
 # Most items of a service that wait for a slot at once.
 MAX_SEEKERS = 64
 
@@ -210,15 +217,54 @@
     ) -> None:
         """Run one item, apart from others if it is suspect."""
         try:
-            if not item.crashes:
-                await self.run_once(held, item, slot)
-                return
-            async with self.apart(slot.upstream.name):
+            told = self.verdict(held, item)
+            if told.standing is poison.Standing.QUARANTINED:
+                self.end(held, item, "failed", reason("has crashed upstreams"))
+            elif told.standing is poison.Standing.APART:
+                await self.run_apart(held, item, slot, told.at)
+            else:
                 await self.run_once(held, item, slot)
         except errors.CamphortrayError as error:
             LOG.error("Item {} of {}: {}", item.index, item.job, error)
             self.defer(item, "", LOOK_S)
 
+    def verdict(self, held: Held, item: jobqueue.Item) -> poison.Verdict:
+        """Return how an item may run, by what the fleet and the log say."""
+        suspects = self.runner.suspects
+        if item.crashes:
+            # As the log has it: a host that took over knows nothing else.
+            known = poison.Verdict(poison.Standing.APART)
+        else:
+            known = poison.FREE
+        if suspects.quiet:
+            return known
+        service = self.tree.view.services[held.job.accept.service]
+        name = fingerprint(held.job.accept.path, item)
+        told = suspects.verdict(service, name)
+        return known if told.standing is poison.Standing.FREE else told
+
+    async def run_apart(
+        self,
+        held: Held,
+        item: jobqueue.Item,
+        slot: slots_module.Slot,
+        at: float,
+    ) -> None:
+        """Run a suspect where no other suspect and no item of ours is."""
+        wait_s = at - self.context.clock.wall()
+        upstream = slot.upstream.name
+        holder = f"{item.job}-{item.index}.{self.sent}"
+        suspects = self.runner.suspects
+        ask = suspects_module.ApartAsk(upstream, holder, APART_S)
+        if wait_s > 0 or not await suspects.ask(ask):
+            self.defer(item, "", max(wait_s, APART_PAUSE_S))
+            return
+        try:
+            async with self.apart(upstream):
+                await self.run_once(held, item, slot)
+        finally:
+            suspects.release(upstream, holder)
+
     @contextlib.asynccontextmanager
     async def apart(self, upstream: str) -> AsyncIterator[None]:
         """Keep an upstream free of other items of this host.
@@ -258,11 +304,14 @@
             bytes(line.body),
             item.kept,
             accept.idempotent,
+            lambda: fingerprint(accept.path, item),
         )
         try:
             answer = await self.runner.run(
                 service, attempt, slot, fresh=item.tries > 0
             )
+            if item.crashes:
+                self.runner.suspects.passed(attempt.fingerprint())
             self.end(held, item, "done", answer)
         except itemrun.Revoked:
             item.kept = attempt.collector
@@ -329,16 +378,11 @@
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
             self.upstreams.note_leaving(upstream.name)
         accept = held.job.accept
-        broken = isinstance(error, errors.UpstreamBroken) and error.ran
-        blamed = not self.reserved & {upstream.name} or item.crashes
-        crashed = bool(broken and blamed) and await self.runner.crashed(
-            upstream, attempt.incarnation
-        )
         service = self.tree.view.services[accept.service]
         decision = itempolicy.decide(
             item,
             error,
-            crashed=crashed,
+            crashed=self.to_blame(item, upstream.name, attempt),
             idempotent=accept.idempotent,
             attempts=service.get("job.attempts"),
             rng=self.context.rng,
@@ -363,6 +407,28 @@
                 item.refusals = 0 if error.ran else item.refusals + 1
                 self.defer(item, upstream.name, pause_s)
 
+    def to_blame(
+        self, item: jobqueue.Item, upstream: str, attempt: itemrun.Try
+    ) -> bool:
+        """Return whether a crash counts against an item.
+
+        Not against one that was beside a suspect; nor a second time if
+        others crash now without it, as when a zone is lost.
+        """
+        if not attempt.crashed:
+            return False
+        if not item.crashes:
+            return upstream not in self.reserved
+        now, name = self.context.clock.wall(), attempt.fingerprint()
+        others = {
+            crash.upstream
+            for crash in self.runner.suspects.book.crashes
+            if crash.upstream != upstream
+            and now - crash.at <= poison.RELATED_S
+            and name not in crash.suspects
+        }
+        return len(others) < poison.RELATED
+
     def on_crash(
         self,
         item: jobqueue.Item,
@@ -423,6 +489,19 @@
         await self.runner.stop()
 
 
+def fingerprint(path: str, item: jobqueue.Item) -> str:
+    """Return what tells an item's request from others.
+
+    One that could not be sent online gets a text of its own.
+    """
+    line, _ = intake.parse_line(item.line)
+    try:
+        asked = completion.parse(path, bytes(line.body))
+    except errors.Refused:
+        return f"{item.job}-{item.index}"
+    return poison.fingerprint(asked.model, asked.text)
+
+
 def reason(text: str) -> bytes:
     """Return the body of a result that is no answer."""
     return msgspec.json.encode({"error": {"message": text}})
--- a/camphortray/intake.py
+++ b/camphortray/intake.py
@@ -164,14 +164,14 @@
         """
         lines = (self.rest + data).split(b"\n")
         self.rest = b"" if last else lines.pop()
-        if len(self.rest) > self.limit:
-            raise bad_line(self.number + 1, f"longer than {self.limit} bytes")
         for line in lines:
             self.number += 1
             line = line.strip()
             if line:
                 self.look(line)
                 yield self.number, line
+        if len(self.rest) > self.limit:
+            raise bad_line(self.number + 1, f"longer than {self.limit} bytes")
 
     def look(self, line: bytes) -> None:
         """Check one line."""
--- a/camphortray/itemrun.py
+++ b/camphortray/itemrun.py
@@ -3,6 +3,7 @@
 __all__ = ["ItemRunner", "Revoked", "Try"]
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 from typing import Any
 
@@ -17,6 +18,7 @@
 from camphortray import settings
 from camphortray import signals as signals_module
 from camphortray import slots as slots_module
+from camphortray import suspects as suspects_module
 from camphortray import upstreams as upstreams_module
 
 LOG = logs.logger("dispatch")
@@ -37,7 +39,8 @@
       body: Body of the request, as the caller wrote it.
       collector: What has come so far.
       idempotent: Whether it may be cancelled and run on elsewhere.
-      incarnation: Life of the engine it was last sent to, if known.
+      fingerprint: Gives what tells the request from others.
+      crashed: Whether the upstream of the last try crashed.
     """
 
     id: str
@@ -45,7 +48,8 @@
     body: bytes
     collector: collector.Collector
     idempotent: bool = True
-    incarnation: int | None = None
+    fingerprint: Callable[[], str] = str
+    crashed: bool = False
 
     def request(self) -> engine.EngineRequest:
         """Return the request that goes on where the last one stopped."""
@@ -75,8 +79,8 @@
         self.outer = context.part(outer_module.Outer)
         self.upstreams = context.part(upstreams_module.Upstreams)
         self.signals = context.part(signals_module.Signals)
+        self.suspects = context.part(suspects_module.Suspects)
         self.cancels: set[asyncio.Task[None]] = set()
-        self.incarnations: dict[str, int] = {}
 
     async def run(
         self,
@@ -93,18 +97,34 @@
         """
         upstream = slot.upstream
         told = service.name, upstream.name, True
-        await self.learn_incarnation(upstream)
-        attempt.incarnation = self.incarnations.get(upstream.name)
+        attempt.crashed = good = False
+        flight = self.suspects.begin(upstream, attempt.fingerprint)
         self.signals.begun(*told)
-        good = False
         try:
             with self.upstreams.count(upstream):
                 answer = await self.watched(service, attempt, slot, fresh)
             good = True
+            self.upstreams.outliers.succeeded(upstream.name)
             return answer
+        except errors.UpstreamError as error:
+            attempt.crashed = await self.look_at(flight, error)
+            raise
         finally:
+            self.suspects.end(flight)
             self.signals.ended(*told, good)
 
+    async def look_at(
+        self, flight: suspects_module.Flight, error: errors.UpstreamError
+    ) -> bool:
+        """Return whether a failure means that the upstream crashed."""
+        refused = isinstance(error, errors.UpstreamRefused)
+        if refused or not isinstance(error, errors.UpstreamBroken):
+            return False
+        self.upstreams.failed(flight.upstream)
+        if isinstance(error, errors.UpstreamTimeout) or not error.ran:
+            return False
+        return await self.suspects.broke(flight)
+
     async def watched(
         self,
         service: settings.Service,
@@ -187,39 +207,6 @@
         except errors.UpstreamError as error:
             LOG.debug("Not cancelled: {}", error)
 
-    async def learn_incarnation(self, upstream: engine.Upstream) -> None:
-        """Note which life an engine is in, once."""
-        if upstream.name in self.incarnations:
-            return
-        try:
-            state = await self.outer.engine(upstream.plugin).state(upstream)
-            self.incarnations[upstream.name] = state.incarnation
-        except errors.UpstreamError:
-            return
-
-    async def crashed(
-        self, upstream: engine.Upstream, incarnation: int | None
-    ) -> bool:
-        """Return whether an upstream crashed, after an answer broke.
-
-        A connection may break while the engine goes on; blaming the
-        items on it would end innocent ones as poison. Only an engine
-        that takes no connection, or is in another life, has crashed.
-
-        Args:
-          upstream: Where the answer broke.
-          incarnation: Life it was in when the item was sent.
-        """
-        try:
-            state = await self.outer.engine(upstream.plugin).state(upstream)
-        except errors.UpstreamTimeout:
-            return False
-        except errors.UpstreamError:
-            self.incarnations.pop(upstream.name, None)
-            return True
-        self.incarnations[upstream.name] = state.incarnation
-        return incarnation is not None and state.incarnation != incarnation
-
     async def stop(self) -> None:
         """Wait until engines were told of all cancels."""
         if self.cancels:
--- a/camphortray/shardset.py
+++ b/camphortray/shardset.py
@@ -49,6 +49,7 @@
         "upstreams",
         "slots",
         "signals",
+        "suspects",
         "membership",
     )
 
