--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -7,6 +7,7 @@
 import defopt
 
 from camphortray import addresses
+from camphortray import burnkeeper
 from camphortray import granting
 from camphortray import hostsapi
 from camphortray import jobproxy
@@ -16,10 +17,12 @@
 from camphortray import services
 from camphortray import settingsapi
 from camphortray import settingskeeper
+from camphortray import spread
 
 # Importing a part registers it with the kernel.
 PARTS = (
     addresses,
+    burnkeeper,
     granting,
     hostsapi,
     jobproxy,
@@ -28,6 +31,7 @@
     services,
     settingsapi,
     settingskeeper,
+    spread,
 )
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,7 +10,11 @@
 PACKAGE = pathlib.Path(camphortray.__file__).parent
 # Modules that decide. What they need of time and chance is handed in.
 DECISIONS = (
+    "addressbook",
+    "addresses",
     "antientropy",
+    "burn",
+    "burnrate",
     "calls",
     "check",
     "collector",
@@ -42,6 +46,7 @@
     "plan",
     "poison",
     "prefix",
+    "recent",
     "records",
     "resume",
     "retry",
