--- a/camphortray/suspects.py
+++ b/camphortray/suspects.py
@@ -100,7 +100,8 @@
 
     For whoever sends requests: ``verdict`` before each try; ``begin`` and
     ``end`` around it; ``broke`` when its connection breaks; ``passed``
-    when it went well. A suspect takes its ``turn`` and needs ``acquire`` before it is begun.
+    when it went well. A suspect takes its ``turn`` and needs ``acquire``
+    before it is begun.
     """
 
     name: ClassVar[str] = "suspects"
