--- a/camphortray/client.py
+++ b/camphortray/client.py
@@ -1,7 +1,9 @@
 """A small library for callers: finds hosts, connects, and tries again.
 
->>> client = Client(["10.0.0.1:8000"], key="secret")  # doctest: +SKIP
->>> answer = await client.request("GET", "/v1/models")  # doctest: +SKIP
+For example::
+
+    client = Client(["10.0.0.1:8000"], key="secret")
+    answer = await client.request("GET", "/v1/models")
 """
 
 __all__ = ["Answer", "Client"]
--- /dev/null
+++ b/tests/test_plugins.py
@@ -0,0 +1,57 @@
+"""Tests of plug-ins: found by name, also from outside the package."""
+
+import random
+
+import pytest
+
+from camphortray import clock
+from camphortray import config as configs
+from camphortray import engine
+from camphortray import errors
+from camphortray import kernel
+from camphortray import metrics
+from camphortray import outer
+from tests import test_config
+
+TAPE = test_config.GOOD.replace('"127.0.0.1:9000"', '"127.0.0.1:9"', 1)
+TAPE = TAPE.replace('"127.0.0.1:9"', '"127.0.0.1:9"\nplugin = "tape"')
+
+
+def make_outer(text, modules):
+    config = configs.Config.from_toml(f"plugins = {modules!r}\n{text}")
+    context = kernel.Context(
+        config,
+        "entry",
+        1,
+        clock.ManualClock(),
+        random.Random(0),
+        metrics.Metrics(),
+    )
+    return outer.Outer.from_config(context)
+
+
+async def test_a_plugin_from_outside_takes_the_place_of_the_log():
+    made = make_outer(TAPE, ["tests.outside.tape"])
+    assert type(made.log).__name__ == "Tape"
+    assert made.log.address == "127.0.0.1:9"
+    assert await made.log.append("s", b"record") == 0
+
+
+async def test_a_plugin_from_outside_speaks_to_engines():
+    made = make_outer(TAPE, ["tests.outside.tape"])
+    upstream = engine.Upstream("e", configs.Address("127.0.0.1", 1), "")
+    request = engine.EngineRequest("r", "/v1/completions", b"{}", False)
+    stream = await made.engine("parrot").open(upstream, request)
+    assert await engine.read_all(stream, 1.0) == b"{}"
+
+
+@pytest.mark.parametrize(
+    ("text", "modules", "match"),
+    [
+        (TAPE.replace("tape", "paper"), [], "no log plug-in 'paper'; known"),
+        (TAPE, ["tests.outside.nowhere"], "load tests.outside.nowhere"),
+    ],
+)
+def test_what_cannot_be_had_is_named(text, modules, match):
+    with pytest.raises(errors.PluginError, match=match):
+        make_outer(text, modules)
