--- a/camphortray/messages.py
+++ b/camphortray/messages.py
@@ -28,6 +28,7 @@
 
 KINDS: dict[str, type] = {}
 NAMES: dict[type, str] = {}
+DEFAULTS: dict[type, dict[str, Any]] = {}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +52,11 @@
     def decorate(cls: type) -> type:
         KINDS[kind] = cls
         NAMES[cls] = kind
+        DEFAULTS[cls] = {
+            field.name: field.default
+            for field in dataclasses.fields(cls)
+            if field.default is not dataclasses.MISSING
+        }
         return cls
 
     return decorate
@@ -63,6 +69,10 @@
       MessageError: it is larger than ``MAX_MESSAGE_BYTES``.
     """
     body = msgspec.to_builtins(envelope.message, builtin_types=(bytes,))
+    # Probes are most of all messages, and most of their fields rest.
+    for name, default in DEFAULTS[type(envelope.message)].items():
+        if getattr(envelope.message, name) == default:
+            del body[name]
     data = cbor2.dumps(
         [
             PROTOCOL_VERSION,
