--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -7,6 +7,7 @@
 import defopt
 
 from camphortray import addresses
+from camphortray import burnkeeper
 from camphortray import granting
 from camphortray import hostsapi
 from camphortray import jobproxy
@@ -21,6 +22,7 @@
 # Importing a part registers it with the kernel.
 PARTS = (
     addresses,
+    burnkeeper,
     granting,
     hostsapi,
     jobproxy,
