--- a/camphortray/peers.py
+++ b/camphortray/peers.py
@@ -33,6 +33,10 @@
 HELLO_HEADER = "Camphortray-Hello"
 # Seconds by which the clocks of two hosts may differ.
 MAX_SKEW_S = 60.0
+# Bytes by which a client's frames are longer, as they are masked, and of
+# the two sides of a handshake as measured; for the count of traffic.
+MASK_BYTES = 4
+HANDSHAKE_BYTES = (310, 203)
 # Faults that mean "this link is of no use any more".
 LINK_ERRORS = (
     OSError,
@@ -59,6 +63,44 @@
         return f"{self.host}/{self.program}"
 
 
+class Traffic:
+    """Counts what links carry, handshakes and frames included.
+
+    Attributes:
+      sent_bytes: Bytes handed to TCP.
+      received_bytes: Likewise taken.
+      messages: Number of messages, both ways.
+    """
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.messages = 0
+
+    def sent(self, size: int) -> None:
+        """Count a message sent."""
+        self.messages += 1
+        self.sent_bytes += framed(size)
+
+    def received(self, size: int) -> None:
+        """Count a message received."""
+        self.messages += 1
+        self.received_bytes += framed(size)
+
+    def opened(self, client: bool) -> None:
+        """Count the handshake of a link."""
+        ask, answer = HANDSHAKE_BYTES if client else HANDSHAKE_BYTES[::-1]
+        self.sent_bytes += ask
+        self.received_bytes += answer
+
+
+def framed(size: int) -> int:
+    """Return the size of a message with the header of its frame."""
+    if size < 126:
+        return size + 2
+    return size + (4 if size < 65_536 else 10)
+
+
 Handler = Callable[[Sender, Any], Awaitable[Any]]
 
 
@@ -188,7 +230,7 @@
         """Send over the open link, or over a new one."""
         data = messages.encode(envelope)
         socket = await self.open()
-        self.peers.sent_bytes += len(data)
+        self.peers.traffic.sent(len(data) + MASK_BYTES)
         await socket.send(data)
 
     async def open(self) -> ws_connection.Connection:
@@ -219,7 +261,7 @@
         """Hand an answer to whoever asked."""
         if isinstance(data, str):
             return
-        self.peers.received_bytes += len(data)
+        self.peers.traffic.received(len(data))
         try:
             envelope = messages.decode(data)
         except errors.MessageError as error:
@@ -296,6 +338,7 @@
         """Answer messages until the link ends."""
         request = socket.request
         assert request is not None
+        self.peers.traffic.opened(client=False)
         sender = Hello.from_text(request.headers[HELLO_HEADER]).sender
         try:
             async for data in socket:
@@ -312,7 +355,7 @@
         """Run the handler of one message in the background."""
         if isinstance(data, str):
             return
-        self.peers.received_bytes += len(data)
+        self.peers.traffic.received(len(data) + MASK_BYTES)
         try:
             envelope = messages.decode(data)
         except errors.MessageError as error:
@@ -335,7 +378,7 @@
         data = messages.encode(
             messages.Envelope(envelope.number, True, reply or Ack())
         )
-        self.peers.sent_bytes += len(data)
+        self.peers.traffic.sent(len(data))
         try:
             await socket.send(data)
         except LINK_ERRORS as error:
@@ -354,8 +397,7 @@
 
     Attributes:
       address: Where this program takes links.
-      sent_bytes: Bytes of messages sent, without framing.
-      received_bytes: Likewise received.
+      traffic: Counts of all links.
     """
 
     name: ClassVar[str] = "peers"
@@ -367,8 +409,7 @@
         self.links: dict[configs.Address, Link] = {}
         self.server = PeerServer(self)
         self.address = configs.Address("", 0)
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.traffic = Traffic()
         self.tasks: set[asyncio.Task[None]] = set()
         self.sender = Sender(
             context.config.host.name, context.program, context.incarnation
@@ -422,6 +463,7 @@
             self.config.peer.shared_key,
         )
         scheme = "wss" if secure else "ws"
+        self.traffic.opened(client=True)
         return await ws_client.connect(
             f"{scheme}://{address}/",
             ssl=secure,
