--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -21,6 +21,7 @@
 from camphortray import messages
 from camphortray import metrics
 from camphortray import peers
+from camphortray import routing
 from camphortray import settings
 from camphortray import signals
 from camphortray import slots
@@ -136,6 +137,52 @@
         self.view = settings.View(fold, REGION)
 
 
+class FixedMembership(membership.Membership):
+    """Members that a fleet puts there."""
+
+    def __init__(self, context: kernel.Context) -> None:
+        self.context = context
+        self.own_name = f"{context.config.host.name}/{context.program}"
+        self.held: dict[str, membership.Member] = {}
+
+    @property
+    def members(self) -> dict[str, membership.Member]:
+        return self.held
+
+    def put(self, member: membership.Member) -> None:
+        self.held[member.name] = member
+
+    def listen(self, listener: Any) -> None:
+        """Tell nobody: members change by hand."""
+
+    async def stop(self) -> None:
+        """Stop nothing."""
+
+
+class FixedUpstreams(upstreams.Upstreams):
+    """Upstreams that are all well, known by this host's own work alone."""
+
+    def __init__(self, context: kernel.Context) -> None:
+        self.context = context
+        self.loads = routing.LoadBook()
+
+    def candidates(
+        self, service: settings.Service, without: frozenset[str]
+    ) -> list[routing.Candidate]:
+        return [
+            routing.Candidate(
+                upstream,
+                self.loads.load(name).own,
+                self.loads.wait_s(upstream, 0.0),
+            )
+            for name, upstream in service.upstreams.items()
+            if name not in without
+        ]
+
+    async def stop(self) -> None:
+        """Stop nothing."""
+
+
 class MeasuredModel(standin_engine.EngineModel):
     """An engine that adds up how much of it was in use.
 
@@ -227,8 +274,8 @@
         ]
         context.parts = {part.name: part for part in made}
         classes: list[type[kernel.Part]] = [
-            membership.Membership,
-            upstreams.Upstreams,
+            FixedMembership,
+            FixedUpstreams,
             signals.Signals,
         ]
         classes.append(granting.Granting if name == "entry" else slots.Slots)
--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -6,11 +6,27 @@
 
 import defopt
 
+from camphortray import burnkeeper
+from camphortray import hostsapi
 from camphortray import jobapi
+from camphortray import openai_batch
+from camphortray import openai_files
+from camphortray import orderdriver
 from camphortray import program
+from camphortray import settingsapi
+from camphortray import spread
 
 # Importing a part registers it with the kernel.
-PARTS = (jobapi,)
+PARTS = (
+    burnkeeper,
+    hostsapi,
+    jobapi,
+    openai_batch,
+    openai_files,
+    orderdriver,
+    settingsapi,
+    spread,
+)
 
 
 def batch(settings: str, *, check: bool = False) -> int:
@@ -28,7 +44,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    sys.exit(defopt.run(batch, cli_options="all"))
+    sys.exit(defopt.run(batch))
 
 
 if __name__ == "__main__":
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -6,13 +6,33 @@
 
 import defopt
 
+from camphortray import addresses
+from camphortray import burnkeeper
 from camphortray import granting
+from camphortray import hostsapi
 from camphortray import jobproxy
+from camphortray import ordersapi
 from camphortray import program
 from camphortray import relay
+from camphortray import services
+from camphortray import settingsapi
+from camphortray import settingskeeper
+from camphortray import spread
 
 # Importing a part registers it with the kernel.
-PARTS = (granting, jobproxy, relay)
+PARTS = (
+    addresses,
+    burnkeeper,
+    granting,
+    hostsapi,
+    jobproxy,
+    ordersapi,
+    relay,
+    services,
+    settingsapi,
+    settingskeeper,
+    spread,
+)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
@@ -31,7 +51,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    sys.exit(defopt.run(entry, cli_options="all"))
+    sys.exit(defopt.run(entry))
 
 
 if __name__ == "__main__":
--- a/camphortray/slots.py
+++ b/camphortray/slots.py
@@ -78,6 +78,7 @@
         self.asked_at = -RENEW_S
         self.asked: set[str] = set()
         self.wake = asyncio.Event()
+        self.pacing = False
         self.task: asyncio.Task[None] | None = None
 
     @classmethod
@@ -141,7 +142,7 @@
         if best is None:
             return None
         slot = Slot(best)
-        self.holdings.take(best.name, slot)
+        self.holdings.take(now, best.name, slot)
         return slot
 
     async def release(self, slot: Slot) -> None:
@@ -161,6 +162,7 @@
             if self.holdings.free(now, name)
         }
         if not free:
+            self.hand_out_later()
             return
         for waiter in sorted(
             self.waiters, key=lambda waiter: waiter.prefer not in free
@@ -174,6 +176,20 @@
                     self.holdings.give_back(slot.upstream.name, slot)
                 else:
                     waiter.slot.set_result(slot)
+        self.hand_out_later()
+
+    def hand_out_later(self) -> None:
+        """Look again once another slot may be taken, if one is granted."""
+        if self.pacing or not self.waiters or not self.holdings.paced():
+            return
+        self.pacing = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(holding.PACE_S, self.hand_out_paced)
+
+    def hand_out_paced(self) -> None:
+        """Hand out what the pace now allows."""
+        self.pacing = False
+        self.hand_out()
 
     async def on_grants(
         self, sender: peers.Sender, message: slotmessages.Grants
--- a/camphortray/tree.py
+++ b/camphortray/tree.py
@@ -51,6 +51,7 @@
 
     async def start(self) -> None:
         self.journal.listen(self.on_outcome)
+        self.journal.on_restore(self.put_in_force)
         self.journal.start()
 
     def on_outcome(self, outcome: folds.Outcome) -> None:
@@ -59,10 +60,19 @@
             self.put_in_force()
 
     def put_in_force(self) -> None:
-        """Make a new view of the fold and tell who listens."""
+        """Make a new view of the fold and tell who listens.
+
+        A view is never followed by one of an older revision: callers
+        would see a setting come back that had been replaced.
+        """
+        if self.fold.revision < self.view.revision:
+            return
         region = self.context.config.host.region
-        self.view = settings.View(self.fold, region)
+        self.view = settings.View(self.fold, region, self.view)
         LOG.info("Revision {} is in force.", self.view.revision)
+        for path, node in self.view.nodes.items():
+            for key, wrong in node.faults.items():
+                LOG.warning("{}: {} is left out: {}", path, key, wrong)
         for listener in self.listeners:
             listener(self.view)
 
@@ -72,6 +82,8 @@
         listener(self.view)
 
     def ready(self) -> str:
+        if self.journal.failure:
+            return self.journal.failure
         return "" if self.view.revision else "no settings yet"
 
     async def stop(self) -> None:
