--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -23,6 +23,7 @@
     "deadline",
     "declaration",
     "facts",
+    "fairness",
     "fold",
     "gossip",
     "grouping",
@@ -35,6 +36,7 @@
     "jobrecords",
     "jobs",
     "leaving",
+    "limits",
     "members",
     "multipart",
     "neighbours",
@@ -58,8 +60,10 @@
     "shards",
     "snapshot",
     "takeover",
+    "trace",
     "view",
     "watch",
+    "window",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
 
