--- a/camphortray/callkeeper.py
+++ b/camphortray/callkeeper.py
@@ -242,15 +242,11 @@
             # It may land yet; from now on it is never dispatched.
             self.give_back(shard, request.name)
             raise unconfirmed(str(error)) from error
-        held = shard.fold.calls.get(request.name)
-        if not outcome.valid:
-            if held is None:
-                raise unconfirmed(outcome.reason or outcome.verdict.value)
-            return held
-        if held is None or held.offset != outcome.offset:
-            # Read late, e.g. by a process that was paused for longer
-            # than the keeping time: somebody else may have run it since.
-            raise unconfirmed("the claim is not in force any more")
+        standing = shard.fold.standing(request.name, outcome)
+        if standing is calls.Standing.VOID:
+            raise unconfirmed(outcome.reason or "the claim does not stand")
+        if standing is calls.Standing.OTHER:
+            return shard.fold.calls[request.name]
         return None
 
     async def settle(self, shard: callshard.CallShard, name: str) -> None:
--- a/camphortray/calls.py
+++ b/camphortray/calls.py
@@ -9,10 +9,12 @@
     "CallForget",
     "CallsFold",
     "Forgotten",
+    "Standing",
 ]
 
 from collections.abc import Callable
 import dataclasses
+import enum
 import itertools
 from typing import Any
 
@@ -107,6 +109,20 @@
     answer: Answer | None = None
 
 
+class Standing(enum.Enum):
+    """What came of a claim.
+
+    Attributes:
+      MINE: It stands; its claimer may dispatch, once.
+      OTHER: The call was claimed before.
+      VOID: It does not stand, and nothing else is known of the call.
+    """
+
+    MINE = "mine"
+    OTHER = "other"
+    VOID = "void"
+
+
 class CallsFold(folds.Fold):
     """All calls of a shard, by key."""
 
@@ -163,6 +179,22 @@
             if held is not None and held.offset == call.offset:
                 del self.calls[call.key]
 
+    def standing(self, name: str, outcome: folds.Outcome) -> Standing:
+        """Return what came of a claim that was read back.
+
+        Args:
+          name: The call's key.
+          outcome: What the fold made of the claim.
+        """
+        held = self.calls.get(name)
+        if not outcome.valid:
+            return Standing.VOID if held is None else Standing.OTHER
+        if held is None or held.offset != outcome.offset:
+            # Read late, e.g. by a process that was paused for longer
+            # than the keeping time: somebody else may have run it since.
+            return Standing.VOID
+        return Standing.MINE
+
     def expired(
         self, now: float, lost: Callable[[records.Writer], bool], limit: int
     ) -> CallForget:
--- a/camphortray/fold.py
+++ b/camphortray/fold.py
@@ -155,9 +155,13 @@
       last: Last incarnation and sequence seen of each writer's name,
         and the offset of that record.
       owned: Kinds that only the owner may write, in its epoch.
+      window: See ``WINDOW``; other values are for model checking.
+      prune_every: See ``PRUNE_EVERY``.
     """
 
     owned: frozenset[str] = frozenset()
+    window = WINDOW
+    prune_every = PRUNE_EVERY
 
     def __init__(self) -> None:
         self.next = 0
@@ -174,7 +178,7 @@
     def apply(self, offset: int, data: bytes) -> Outcome:
         """Apply the record at ``offset``; offsets come without gaps."""
         self.next = offset + 1
-        if offset % PRUNE_EVERY == 0:
+        if offset % self.prune_every == 0:
             self.prune(offset)
         try:
             record = records.decode(data)
@@ -207,19 +211,29 @@
         if record.kind == SNAPSHOT:
             # A fact about a prefix, whoever wrote it; changes nothing.
             return Outcome(offset, Verdict.VALID, "", record)
-        if record.seen < offset - WINDOW:
+        if self.is_late(offset, record):
             return Outcome(offset, Verdict.LATE, "", record)
-        writer = record.id.writer
-        place = (writer.incarnation, record.id.sequence)
-        if place <= self.last.get(writer.name, (-1, -1, 0))[:2]:
+        if self.is_copy(record):
             return Outcome(offset, Verdict.DUPLICATE, "", record)
-        self.last[writer.name] = (*place, offset)
+        writer = record.id.writer
+        place = (writer.incarnation, record.id.sequence, offset)
+        self.last[writer.name] = place
         if self.in_epoch(record):
             # Any new record of the owner in its epoch answers a
             # challenge, also one of a kind this release does not know.
             self.ownership.challenge = records.NO_EPOCH
         return self.judge(offset, record)
 
+    def is_late(self, offset: int, record: records.Record) -> bool:
+        """Return whether its writer may have been forgotten since."""
+        return record.seen < offset - self.window
+
+    def is_copy(self, record: records.Record) -> bool:
+        """Return whether it, or a later one of its writer, was seen."""
+        writer = record.id.writer
+        place = (writer.incarnation, record.id.sequence)
+        return place <= self.last.get(writer.name, (-1, -1, 0))[:2]
+
     def judge(self, offset: int, record: records.Record) -> Outcome:
         """Apply a record seen for the first time."""
         if record.kind in self.owned and not self.in_epoch(record):
@@ -241,7 +255,7 @@
         Hosts are replaced all day, and their names would pile up in
         every snapshot.
         """
-        horizon = offset - WINDOW
+        horizon = offset - self.window
         if horizon > 0:
             self.last = {
                 name: at for name, at in self.last.items() if at[2] >= horizon
--- a/camphortray/journal.py
+++ b/camphortray/journal.py
@@ -9,6 +9,7 @@
 import random
 from typing import Any
 
+from camphortray import attempt
 from camphortray import errors
 from camphortray import fold as folds
 from camphortray import log
@@ -347,37 +348,29 @@
         data = records.encode(record)
         if len(data) > self.record_limit:
             raise self.refused(f"{len(data)} bytes are over the limit")
-        maybe_taken = False
+        tried = attempt.Attempt()
         pause = PAUSE_S
-        last: errors.LogError | None = None
         while (left := deadline - loop.time()) > 0:
+            wait_s = left
             try:
                 async with asyncio.timeout(left):
                     await self.send(self.stream, data)
-                maybe_taken = True
-                wait_s = left
+                tried.on_taken()
             except TimeoutError:
-                maybe_taken = True
-                break
-            except errors.LogRefused as error:
-                last = error
-                wait_s = pause * (0.5 + self.rng.random())
-                pause = min(pause * 2, MAX_PAUSE_S)
-            except errors.LogUnavailable as error:
-                last = error
-                maybe_taken = True
+                tried.on_silence()
+            except errors.LogError as error:
+                tried.on_error(error)
                 wait_s = READ_BACK_S
+                if isinstance(error, errors.LogRefused):
+                    wait_s = pause * (0.5 + self.rng.random())
+                    pause = min(pause * 2, MAX_PAUSE_S)
             left = max(deadline - loop.time(), 0)
             done, _ = await asyncio.wait({waiter}, timeout=min(wait_s, left))
             if done:
                 break
         if waiter.done():
             return waiter.result()
-        if not maybe_taken:
-            raise self.refused(f"refused until the end: {last}")
-        raise errors.AppendUnknown(
-            f"not read back in time: {last}", step="append", peer=self.stream
-        )
+        raise tried.given_up(self.stream)
 
     def refused(self, message: str) -> errors.LogRefused:
         """Return the error of a record that never reached the log."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -11,6 +11,7 @@
 # Modules that decide. What they need of time and chance is handed in.
 DECISIONS = (
     "antientropy",
+    "attempt",
     "calls",
     "check",
     "completion",
