--- a/camphortray/completion.py
+++ b/camphortray/completion.py
@@ -1,155 +1,131 @@
-"""Builds a whole completion out of a streamed one."""
+"""A completion as a caller asks for it, checked field by field."""
 
-__all__ = ["Collector"]
+__all__ = ["Completion", "Message", "parse"]
 
+import re
+from typing import Annotated
 from typing import Any
 
 import msgspec
 
 from camphortray import errors
 
-DONE = b"[DONE]"
-# Fields of a chunk's choice that are put together here, not copied.
-STREAMED = frozenset({"index", "delta", "text", "logprobs", "finish_reason"})
+CHAT_PATH = "/v1/chat/completions"
+# Where msgspec names the place of a fault, e.g. "... - at `$.n`".
+PLACE = re.compile(r"(?P<what>.*) - at `\$\.?(?P<field>.*)`$", re.DOTALL)
+MISSING = re.compile(r"Object missing required field `(?P<field>\w+)`")
 
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+Choices = Annotated[int, msgspec.Meta(ge=1, le=128)]
+Number = Annotated[float, msgspec.Meta(ge=-1e6, le=1e6)]
+Text = Annotated[str, msgspec.Meta(min_length=1)]
 
-class Collector:
-    """Takes the bytes of an event stream and puts the answer together.
+
+class Message(msgspec.Struct):
+    """One message of a chat."""
+
+    role: Text
+    content: str | list[dict[str, Any]] | None = None
+
+
+class StreamOptions(msgspec.Struct):
+    """What a caller wants in a stream beside the text."""
+
+    include_usage: bool | None = None
+
+
+class Completion(msgspec.Struct):
+    """The fields that are checked here; all others go to the engine.
 
     Attributes:
-      text: Text of the first choice so far; a resumed answer goes on
-        right behind it.
-      tokens: Tokens in ``text``.
-      complete: Whether the stream said that it is done.
-      resumable: Whether ``text`` and ``tokens`` are all there is to it.
-
-    >>> c = Collector()
-    >>> c.feed(b'data: {"id":"x","choices":[{"index":0,"text":"a "')
-    >>> c.feed(b'}]}\\n\\ndata: [DONE]\\n\\n')
-    >>> c.complete, c.text, c.tokens
-    (True, 'a ', 1)
+      model: Which model.
+      messages: The chat, for the chat path.
+      prompt: Text or tokens, for the plain path.
+      stream: Whether the answer comes as events.
+      max_tokens: Longest answer.
+      n: How many answers.
     """
 
-    def __init__(self) -> None:
-        self.rest = b""
-        self.head: dict[str, Any] = {}
-        self.choices: dict[int, dict[str, Any]] = {}
-        self.usage: dict[str, Any] | None = None
-        self.text = ""
-        self.tokens = 0
-        self.complete = False
-        self.resumable = True
-
-    def restart(self) -> None:
-        """Make ready for the stream that goes on behind this one."""
-        self.rest = b""
-        self.complete = False
-
-    def feed(self, data: bytes) -> None:
-        """Take bytes.
-
-        Raises:
-          UpstreamBroken: they are no event stream of a completion.
-        """
-        *lines, self.rest = (self.rest + data).split(b"\n")
-        for line in lines:
-            if not line.startswith(b"data:"):
-                continue
-            payload = line[5:].strip()
-            if payload == DONE:
-                self.complete = True
-            elif payload:
-                self.take(payload)
-
-    def take(self, payload: bytes) -> None:
-        """Take one event."""
-        try:
-            chunk = msgspec.json.decode(payload)
-            choices = chunk.get("choices") or []
-            if "error" in chunk:
-                raise ValueError(str(chunk["error"]))
-            for choice in choices:
-                self.add(choice)
-        except (msgspec.DecodeError, AttributeError, ValueError) as error:
-            raise errors.UpstreamBroken(
-                f"malformed event: {error}", ran=True, step="read"
-            ) from error
-        self.usage = chunk.pop("usage", None) or self.usage
-        if self.usage is not None:
-            self.tokens = int(self.usage.get("completion_tokens", 0))
-        chunk.pop("choices", None)
-        self.head = {**chunk, **self.head}
-
-    def add(self, choice: dict[str, Any]) -> None:
-        """Add one chunk of a choice."""
-        index = choice.get("index", 0)
-        held = self.choices.setdefault(index, {"index": index})
-        delta = choice.get("delta")
-        if delta is not None:
-            message = held.setdefault("message", {"role": "assistant"})
-            merge(message, delta)
-            plain = set(delta) <= {"role", "content"}
-        else:
-            delta = {"content": choice.get("text") or ""}
-            held["text"] = held.get("text", "") + delta["content"]
-            plain = True
-        if choice.get("logprobs") is not None:
-            merge(held.setdefault("logprobs", {}), choice["logprobs"])
-            plain = False
-        if choice.get("finish_reason") is not None:
-            held["finish_reason"] = choice["finish_reason"]
-        for key in set(choice) - STREAMED:
-            held[key] = choice[key]
-        self.resumable = self.resumable and plain and index == 0
-        if delta.get("content"):
-            # One token a chunk, unless the engine sends its own count.
-            self.text += delta["content"]
-            self.tokens += 1
-
-    def body(self) -> bytes:
-        """Return the whole completion as JSON."""
-        chat = any("message" in c for c in self.choices.values())
-        whole = {
-            **self.head,
-            "object": "chat.completion" if chat else "text_completion",
-            "choices": [self.choices[i] for i in sorted(self.choices)],
-        }
-        for choice in whole["choices"]:
-            choice.setdefault("finish_reason", None)
-        if self.usage is not None:
-            whole["usage"] = self.usage
-        return msgspec.json.encode(whole)
-
-
-def merge(held: dict[str, Any], more: dict[str, Any]) -> None:
-    """Add a delta: texts and lists grow, indexed entries merge.
-
-    >>> held = {"content": "a"}
-    >>> merge(held, {"content": "b", "tool_calls": [{"index": 0, "x": "1"}]})
-    >>> merge(held, {"tool_calls": [{"index": 0, "x": "2"}]})
-    >>> held
-    {'content': 'ab', 'tool_calls': [{'index': 0, 'x': '12'}]}
+    model: Text
+    messages: list[Message] | None = None
+    prompt: str | list[str | int | list[int]] | None = None
+    stream: bool | None = None
+    max_tokens: Positive | None = None
+    max_completion_tokens: Positive | None = None
+    n: Choices | None = None
+    temperature: Number | None = None
+    top_p: Number | None = None
+    stop: str | list[str] | None = None
+    stream_options: StreamOptions | None = None
+
+    @property
+    def limit_tokens(self) -> int:
+        """Longest answer in tokens, or 0 where none is given."""
+        return self.max_tokens or self.max_completion_tokens or 0
+
+    @property
+    def wants_usage(self) -> bool:
+        """Whether an event with usage has to come before the end."""
+        options = self.stream_options
+        return options is not None and bool(options.include_usage)
+
+    @property
+    def text(self) -> str:
+        """The prompt as one text, for fingerprints and prefixes."""
+        if self.messages is None:
+            prompt = self.prompt
+            return prompt if isinstance(prompt, str) else repr(prompt)
+        return "\n".join(
+            f"{m.role}: {m.content if isinstance(m.content, str) else ''}"
+            if m.content is None or isinstance(m.content, str)
+            else f"{m.role}: {m.content!r}"
+            for m in self.messages
+        )
+
+
+DECODER = msgspec.json.Decoder(Completion)
+
+
+def parse(path: str, body: bytes) -> Completion:
+    """Read and check a request body.
+
+    Raises:
+      Refused: it is not JSON, or a field is wrong.
+    """
+    try:
+        found = DECODER.decode(body)
+    except msgspec.ValidationError as error:
+        raise wrong_field(str(error)) from error
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise errors.Refused(
+            400, "bad_json", f"body is not JSON: {error}", field="(body)"
+        ) from error
+    if path == CHAT_PATH and not found.messages:
+        raise errors.Refused(
+            400, "bad_field", "messages must be a list", field="messages"
+        )
+    if path != CHAT_PATH and not found.prompt:
+        raise errors.Refused(
+            400, "bad_field", "prompt must be a text or list", field="prompt"
+        )
+    return found
+
+
+def wrong_field(told: str) -> errors.Refused:
+    """Return the refusal of a field at fault.
+
+    >>> wrong_field("Expected `bool`, got `int` - at `$.stream`").field
+    'stream'
     """
-    for key, value in more.items():
-        before = held.get(key)
-        if before is None or key in ("role", "type", "id", "index"):
-            held[key] = value
-        elif isinstance(before, str) and isinstance(value, str):
-            held[key] = before + value
-        elif isinstance(before, dict) and isinstance(value, dict):
-            merge(before, value)
-        elif isinstance(before, list) and isinstance(value, list):
-            for entry in value:
-                merge_entry(before, entry)
-        elif value is not None:
-            held[key] = value
-
-
-def merge_entry(entries: list[Any], entry: Any) -> None:
-    """Add an entry to a list, or to the entry of the same index."""
-    if isinstance(entry, dict) and "index" in entry:
-        for held in entries:
-            if held.get("index") == entry["index"]:
-                merge(held, entry)
-                return
-    entries.append(entry)
+    missing = MISSING.search(told)
+    place = PLACE.match(told)
+    field = place["field"] if place else ""
+    if missing:
+        field = f"{field}.{missing['field']}".strip(".")
+    what = place["what"] if place else told
+    return errors.Refused(
+        400,
+        "bad_field",
+        f"{field or 'body'}: {what}",
+        field=field or "(body)",
+    )
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -6,16 +6,33 @@
 
 import defopt
 
+from camphortray import addresses
+from camphortray import burnkeeper
 from camphortray import granting
+from camphortray import hostsapi
 from camphortray import jobproxy
 from camphortray import ordersapi
 from camphortray import program
 from camphortray import relay
 from camphortray import services
 from camphortray import settingsapi
+from camphortray import settingskeeper
+from camphortray import spread
 
 # Importing a part registers it with the kernel.
-PARTS = (granting, jobproxy, ordersapi, relay, services, settingsapi)
+PARTS = (
+    addresses,
+    burnkeeper,
+    granting,
+    hostsapi,
+    jobproxy,
+    ordersapi,
+    relay,
+    services,
+    settingsapi,
+    settingskeeper,
+    spread,
+)
 
 
 def entry(settings: str, *, check: bool = False) -> int:
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import ssl
@@ -14,15 +15,21 @@
 
 from camphortray import config as configs
 from camphortray import errors
+from camphortray import timers
 
 # Unread bytes at which the shell stops reading the socket.
 HIGH_WATER = 262_144
 MAX_HEAD_BYTES = 32_768
 # Idle connections kept for one address.
 MAX_IDLE = 64
+# Servers close idle connections too; one kept longer than this is likely
+# to be closed just as a request leaves on it.
+MAX_IDLE_S = 60.0
 
 Headers = Sequence[tuple[str, str]]
 Body = bytes | AsyncIterator[bytes]
+# Takes body bytes; returns whether to stop giving it more for now.
+Sink = Callable[[bytes], bool]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,11 +40,14 @@
       connect_s: For a new connection.
       head_s: From the request to the head of the answer.
       chunk_s: From one piece of the answer to the next.
+      kept_head_s: As ``head_s`` on a connection used before, which may
+        have gone silent for good; 0 for no difference.
     """
 
     connect_s: float = 1.0
     head_s: float = 30.0
     chunk_s: float = 30.0
+    kept_head_s: float = 0.0
 
 
 class ClientConnection(asyncio.Protocol):
@@ -57,15 +67,22 @@
         self.lost = False
         self.failure = ""
         self.uses = 0
-        self.waiter: asyncio.Future[None] | None = None
+        self.loop = asyncio.get_running_loop()
+        self.timer = timers.LazyTimer(self.on_silence)
+        self.heard_at = self.loop.time()
+        self.waiter: asyncio.Future[bool] | None = None
         self.can_write: asyncio.Future[None] | None = None
         self.reading_paused = False
+        self.sink: Sink | None = None
+        self.sink_s = 0.0
+        self.sink_error: Exception | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
+        self.timer.stop()
         if not self.complete:
             self.on_eof()
         if not self.complete:
@@ -82,6 +99,7 @@
         self.can_write = None
 
     def data_received(self, data: bytes) -> None:
+        self.heard_at = self.loop.time()
         if self.idle:
             # Bytes nobody asked for would be read as the next caller's
             # answer; dropping the connection is enough, as it is idle.
@@ -89,10 +107,25 @@
             return
         try:
             self.h11.receive_data(data)
-            self.pump()
+            self.pump(len(data))
         except h11.RemoteProtocolError as error:
             self.failure = f"malformed answer: {error}"
             self.abort()
+        if self.sink is None or self.complete or self.lost:
+            self.wake()
+        elif self.chunks:
+            self.feed_sink(self.sink)
+
+    def feed_sink(self, sink: Sink) -> None:
+        """Give the body to the sink, without a turn of the loop."""
+        try:
+            if not sink(self.take()):
+                self.timer.set(self.sink_s)
+                return
+        except Exception as error:
+            # It is raised again where the sink was handed in.
+            self.sink_error = error
+        self.sink = None
         self.wake()
 
     def on_eof(self) -> None:
@@ -103,8 +136,14 @@
         except (h11.RemoteProtocolError, RuntimeError):
             self.failure = self.failure or "answer was cut off"
 
-    def pump(self) -> None:
-        """Work through what has been received."""
+    def pump(self, received: int = 0) -> None:
+        """Work through what has been received.
+
+        Args:
+          received: Bytes just handed to h11. If all but their framing
+            came back as one piece of body, there is nothing more to ask
+            for, which halves the events of a streamed token.
+        """
         while not self.complete:
             event = self.h11.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
@@ -112,6 +151,8 @@
             if isinstance(event, h11.Data):
                 self.chunks.append(bytes(event.data))
                 self.buffered += len(event.data)
+                if event.chunk_end and received == framed(event.data):
+                    break
             elif isinstance(event, h11.Response):
                 self.head = event
             elif isinstance(event, h11.EndOfMessage):
@@ -125,7 +166,12 @@
     def wake(self) -> None:
         """Wake whoever waits for the answer."""
         if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_result(None)
+            self.waiter.set_result(False)
+
+    def on_silence(self) -> None:
+        """Let the waiter know that its time is over."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(True)
 
     def take(self) -> bytes:
         """Return all body bytes received and not yet taken."""
@@ -146,24 +192,24 @@
         Raises:
           UpstreamTimeout: nothing happened in time.
         """
-        loop = asyncio.get_running_loop()
-        waiter = self.waiter = loop.create_future()
-        timer = loop.call_later(seconds, expire, waiter)
+        self.waiter = self.loop.create_future()
+        self.timer.set(seconds)
         try:
-            if await waiter:
-                raise errors.UpstreamTimeout(
-                    f"silent for {seconds:g} s",
-                    ran=True,
-                    step=step,
-                    peer=self.peer,
-                )
+            silent = await self.waiter
         finally:
-            timer.cancel()
             self.waiter = None
+            self.timer.pause()
+        if silent:
+            raise errors.UpstreamTimeout(
+                f"silent for {seconds:.3g} s",
+                ran=True,
+                step=step,
+                peer=self.peer,
+            )
 
-    def send(self, event: Any) -> None:
-        """Send one event."""
-        data = self.h11.send(event)
+    def send(self, *events: Any) -> None:
+        """Send events in one write."""
+        data = b"".join([self.h11.send(event) or b"" for event in events])
         if data and not self.lost:
             self.transport.write(data)
 
@@ -174,19 +220,17 @@
         self.uses += 1
         self.head = None
         self.complete = False
-        self.send(
-            h11.Request(method=method, target=target, headers=list(headers))
-        )
+        head = h11.Request(method=method, target=target, headers=list(headers))
         if isinstance(body, bytes):
-            if body:
-                self.send(h11.Data(data=body))
-        else:
-            async for chunk in body:
-                if self.lost or self.head is not None:
-                    break
-                self.send(h11.Data(data=chunk))
-                if self.can_write is not None:
-                    await self.can_write
+            self.send(head, h11.Data(data=body), h11.EndOfMessage())
+            return
+        self.send(head)
+        async for chunk in body:
+            if self.lost or self.head is not None:
+                break
+            self.send(h11.Data(data=chunk))
+            if self.can_write is not None:
+                await self.can_write
         if not self.lost and self.h11.our_state is h11.SEND_BODY:
             self.send(h11.EndOfMessage())
 
@@ -207,10 +251,13 @@
             self.transport.abort()
 
 
-def expire(waiter: "asyncio.Future[Any]") -> None:
-    """Let a waiter know that its time is over."""
-    if not waiter.done():
-        waiter.set_result(True)
+def framed(data: Any) -> int:
+    """Return the size of data as one chunk with its framing.
+
+    >>> framed(b"x" * 16) == len(b"10") + 2 + 16 + 2
+    True
+    """
+    return len(data) + (len(data).bit_length() + 3) // 4 + 4
 
 
 class ClientResponse:
@@ -264,9 +311,50 @@
                     step="read",
                     peer=connection.peer,
                 )
-            await connection.wait(timeout_s or self.timeouts.chunk_s, "read")
+            await self.wait(timeout_s or self.timeouts.chunk_s)
         return connection.take()
 
+    async def pipe(self, sink: Sink, timeout_s: float) -> bool:
+        """Give the body to a sink as it comes.
+
+        Return whether the body has ended; if not, the sink has asked for
+        a pause, and ``pipe`` goes on when called again.
+
+        Raises:
+          UpstreamBroken: the answer was cut off.
+          UpstreamTimeout: nothing came in time.
+        """
+        connection = self.connection
+        while True:
+            data = await self.read(timeout_s)
+            if not data:
+                return True
+            if sink(data):
+                return False
+            connection.sink, connection.sink_s = sink, timeout_s
+            try:
+                if not connection.complete and not connection.lost:
+                    await self.wait(timeout_s)
+            finally:
+                paused = connection.sink is None
+                connection.sink = None
+            if connection.sink_error is not None:
+                raise connection.sink_error
+            if paused:
+                return False
+
+    async def wait(self, seconds: float) -> None:
+        """Wait until something happens.
+
+        Raises:
+          UpstreamTimeout: nothing happened in time.
+        """
+        try:
+            await self.connection.wait(seconds, "read")
+        except errors.UpstreamTimeout:
+            self.client.distrust(self.address, seconds)
+            raise
+
     async def body(self) -> bytes:
         """Return the whole body."""
         parts = []
@@ -337,9 +425,14 @@
                         step="head",
                         peer=connection.peer,
                     )
-                await connection.wait(limits.head_s, "head")
-        except BaseException:
+                seconds = limits.head_s
+                if connection.uses > 1 and limits.kept_head_s:
+                    seconds = min(seconds, limits.kept_head_s)
+                await connection.wait(seconds, "head")
+        except BaseException as error:
             self.discard(connection)
+            if isinstance(error, errors.UpstreamTimeout):
+                self.distrust(address, seconds)
             raise
         return ClientResponse(self, address, connection, limits)
 
@@ -377,7 +470,10 @@
         kept = self.idle.get(address)
         while kept and not fresh:
             connection = kept.pop()
-            if not connection.lost:
+            idle_s = connection.loop.time() - connection.heard_at
+            if idle_s > MAX_IDLE_S:
+                connection.abort()
+            elif not connection.lost:
                 connection.idle = False
                 connection.h11.start_next_cycle()
                 return connection
@@ -416,6 +512,7 @@
             connection.abort()
             return
         connection.idle = True
+        connection.timer.stop()
         kept.append(connection)
 
     def discard(self, connection: ClientConnection) -> None:
@@ -423,6 +520,20 @@
         self.busy.discard(connection)
         connection.abort()
 
+    def distrust(self, address: configs.Address, silence_s: float) -> None:
+        """Drop kept connections not heard of during a silence.
+
+        What lost track of one connection has often lost track of others
+        made before it; the next request would wait on those in turn.
+        Connections that have carried bytes since are known to work.
+        """
+        since = asyncio.get_running_loop().time() - silence_s
+        kept = self.idle.get(address, [])
+        for connection in kept:
+            if connection.heard_at <= since:
+                connection.abort()
+        self.idle[address] = [c for c in kept if c.heard_at > since]
+
     def forget(self, address: configs.Address) -> None:
         """Drop all kept connections to an address."""
         for connection in self.idle.pop(address, []):
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -39,11 +39,13 @@
     return process.returncode, out.decode()
 
 
-@pytest.mark.parametrize("module", ["entry", "batch", "ctl", "standin"])
+@pytest.mark.parametrize(
+    "module", ["entry", "batch", "ctl", "report", "standin"]
+)
 async def test_help_tells_enough(module):
     code, out = await run(module, "--help")
     assert code == 0
-    assert "usage" in out and "positional arguments" in out
+    assert "usage" in out and "options:" in out
 
 
 async def test_bad_settings_are_told_whole_with_exit_code_2(tmp_path):
@@ -94,7 +96,6 @@
         await run_job(fleet, entry)
         for name in ("host-1/entry", "host-1/batch"):
             fleet.programs[name].signal(signal.SIGTERM)
-            fleet.programs[name].signal(signal.SIGTERM)
         async with asyncio.timeout(20):
             for name in ("host-1/entry", "host-1/batch"):
                 assert await fleet.programs[name].process.wait() == 0
