--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,6 +13,7 @@
     "addressbook",
     "addresses",
     "antientropy",
+    "attempt",
     "burn",
     "burnrate",
     "calls",
