--- a/camphortray/ownership.py
+++ b/camphortray/ownership.py
@@ -27,6 +27,10 @@
 # Time after the start during which a host that is not known yet may only
 # be one that was not heard of, in seconds.
 SETTLE_S = 2.0
+# A suspected owner is challenged at once. If it lives it answers through
+# the log, which costs two records; waiting until it is held for dead would
+# cost its jobs the seconds that a refutation may take.
+DOUBTED = frozenset({membership.Status.SUSPECT, membership.Status.DEAD})
 
 
 class Roster(abc.ABC):
@@ -73,7 +77,7 @@
             age_s = self.context.clock.monotonic() - self.since
             known = age_s < SETTLE_S
         else:
-            known = member.status is not membership.Status.DEAD
+            known = member.status not in DOUBTED
         return takeover.Sight.LIVE if known else takeover.Sight.LOST
 
 
--- a/camphortray/shardrun.py
+++ b/camphortray/shardrun.py
@@ -11,6 +11,7 @@
 from camphortray import errors
 from camphortray import fold as folds
 from camphortray import intake
+from camphortray import itemdriver
 from camphortray import jobqueue
 from camphortray import jobs
 from camphortray import jobshard
@@ -164,8 +165,8 @@
         if held is None:
             return
         if started:
-            why = dispatch.reason("begun by a host that was lost")
-            self.dispatcher.end(held, item, "unknown", why)
+            why = itemdriver.reason("begun by a host that was lost")
+            self.dispatcher.driver.end(held, item, "unknown", why)
             return
         service = self.tree.view.services[job.accept.service]
         try:
@@ -173,11 +174,11 @@
             if body.model not in service.models:
                 raise ValueError(f"no model {body.model!r}")
         except ValueError as error:
-            why = dispatch.reason(str(error))
-            self.dispatcher.end(held, item, "failed", why)
+            why = itemdriver.reason(str(error))
+            self.dispatcher.driver.end(held, item, "failed", why)
             return
         item.prefix = intake.prefix_of(body)
-        self.dispatcher.push(item)
+        self.dispatcher.push(held, item)
 
     async def forget(self) -> None:
         """End the keeping time of jobs and files."""
