Challenge an owner that fails a call; test jobs through real parts

Cause: a call handed to a lost owner waited for its full time limit, and the next owner for membership to hold the lost one for dead. Change: an owner that cannot be reached, or has not answered in a second, is challenged in the log, and the call is refused once the shard has changed hands. The stand-in log ends waiting reads at an outage, as a real one does.

--- a/camphortray/jobshard.py
+++ b/camphortray/jobshard.py
@@ -115,6 +115,20 @@
                 break
             self.cache.put(self.journal.stream, held.offset, held.body)
 
+    async def epoch_after(self, epoch: int) -> None:
+        """Wait until another epoch is in force."""
+        changed = asyncio.Event()
+
+        def look(outcome: folds.Outcome) -> None:
+            if self.owner.epoch != epoch:
+                changed.set()
+
+        self.journal.listen(look)
+        try:
+            await changed.wait()
+        finally:
+            self.journal.listeners.remove(look)
+
     async def catch_up(self, timeout_s: float = 2.0) -> None:
         """Wait until all that the log holds now is applied.
 
--- a/camphortray/log.py
+++ b/camphortray/log.py
@@ -104,11 +104,15 @@
         """Add a record and wake readers."""
         offset = self.next
         self.records.append(LogRecord(offset, time, body))
+        self.wake()
+        return offset
+
+    def wake(self) -> None:
+        """Wake readers."""
         waiters, self.waiters = self.waiters, []
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(None)
-        return offset
 
     def page(self, offset: int) -> Page:
         """Return a page from ``offset``."""
--- a/camphortray/shardset.py
+++ b/camphortray/shardset.py
@@ -31,6 +31,9 @@
 LOG = logs.logger("jobs")
 MEGABYTE = 1_000_000
 DRAIN_LOOK_S = 0.05
+# An owner that has not answered a call after this many seconds is asked
+# for a sign of life in the log; one that is busy gives it and goes on.
+DOUBT_S = 1.0
 
 
 @kernel.PARTS.register("batch")
@@ -278,7 +281,34 @@
             raise errors.Refused(
                 503, "no_owner", "the shard changes hands", retry_after=1
             )
-        await self.forwarder.pass_on(call, self.owner_address(shard), read)
+        loop = asyncio.get_running_loop()
+        epoch = shard.owner.epoch
+        work = self.forwarder.pass_on(call, self.owner_address(shard), read)
+        task = loop.create_task(work)
+        doubt = loop.call_later(DOUBT_S, shard.owner.doubt)
+        change = loop.create_task(shard.epoch_after(epoch))
+        try:
+            await asyncio.wait(
+                {task, change}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not task.done():
+                # Its new owner knows whether it was done.
+                raise errors.Refused(
+                    503,
+                    "owner_changed",
+                    "the shard has changed hands",
+                    ran="unknown",
+                    retry_after=1,
+                )
+            task.result()
+        except errors.Refused as refusal:
+            if refusal.code == "owner_unreachable":
+                shard.owner.doubt()
+            raise
+        finally:
+            doubt.cancel()
+            for pending in (task, change):
+                pending.cancel()
 
     def owned_shard(self) -> jobshard.JobShard | None:
         """Return a shard owned here, any of them, or None."""
--- a/camphortray/standin_platform.py
+++ b/camphortray/standin_platform.py
@@ -56,6 +56,13 @@
                 "log_lose_before": 0,
             }
         )
+        self.faults.on("log_down", self.break_off)
+
+    def break_off(self, down: Any) -> None:
+        """Answer the readers that wait, as an outage does."""
+        if down:
+            for stream in self.streams.values():
+                stream.wake()
 
     def stream(self, name: str) -> log.Stream:
         """Return a stream, with old records forgotten."""
--- /dev/null
+++ b/tests/test_jobapi.py
@@ -0,0 +1,406 @@
+"""Tests of jobs through real parts on loopback."""
+
+import asyncio
+import json
+
+import openai
+import pytest
+
+from camphortray import cluster as clusters
+from camphortray import taking
+from tests import jobcluster
+
+item = jobcluster.item
+
+
+@pytest.fixture(autouse=True)
+def hurry(monkeypatch):
+    jobcluster.hurry(monkeypatch)
+
+
+def items(count, text="statement"):
+    return [item(f"{text} {number}") for number in range(count)]
+
+
+async def test_a_job_is_run_and_read_in_any_way_from_any_host(monkeypatch):
+    monkeypatch.setattr(taking, "CHUNK_BYTES", 800)
+    async with jobcluster.JobCluster(hosts=2) as cluster:
+        asked = items(24)
+        asked[5]["model"] = "none"
+        asked[7] = {"body": asked[7], "custom_id": "seven"}
+        status, job = await cluster.submit("k", asked, "host-1")
+        asked[7] = asked[7]["body"]
+        assert status == 201 and job["count"] == 24
+        told = await cluster.ended(job["id"], "host-0")
+        assert (told["done"], told["failed"], told["left_s"]) == (23, 1, 0.0)
+        whole = await cluster.lines(job["id"], "host-0")
+        assert await cluster.lines(job["id"], "host-1") == whole
+        assert [line["item"] for line in whole] == list(range(24))
+        assert whole[7]["custom_id"] == "seven"
+        assert "no model 'none'" in whole[5]["body"]["error"]["message"]
+        late = whole[9]["cursor"]
+        rest = await cluster.lines(job["id"], query=f"?after={late}")
+        assert rest == whole[10:]
+        _, _, data = await cluster.call(
+            "GET", f"/v1/jobs/{job['id']}/results?order=arrival"
+        )
+        came = [json.loads(line) for line in data.splitlines()]
+        assert sorted(line["item"] for line in came) == list(range(24))
+        _, _, data = await cluster.call(
+            "GET",
+            f"/v1/jobs/{job['id']}/results"
+            f"?order=arrival&after={came[9]['cursor']}",
+        )
+        assert [json.loads(x) for x in data.splitlines()] == came[10:]
+        assert cluster.history.finish(cluster.sent()) == []
+
+
+async def test_a_resend_is_the_same_job_and_other_content_is_refused():
+    # A client sends a job to two hosts at once and again later. It gets
+    # one job; the same key with other items, or run otherwise, is told.
+    async with jobcluster.JobCluster(hosts=2) as cluster:
+        asked = items(6)
+        both = await asyncio.gather(
+            cluster.submit("k", asked, "host-0"),
+            cluster.submit("k", asked, "host-1"),
+        )
+        assert sorted(status for status, _ in both) == [200, 201]
+        assert len({told["id"] for _, told in both}) == 1
+        job = both[0][1]["id"]
+        await cluster.ended(job)
+        assert (await cluster.submit("k", asked))[0] == 200
+        assert (await cluster.submit("k", items(5)))[0] == 409
+        other = await cluster.submit("k", asked, query="&idempotent=false")
+        assert other[0] == 409
+        assert [cluster.runs(job, index) for index in range(6)] == [1] * 6
+        fold = cluster.shards("host-0").shard_of(job).fold
+        assert not fold.uploads
+
+
+@pytest.mark.parametrize(
+    ("body", "query", "status", "field"),
+    [
+        (b'{"a":1}\n{"a":1}\nnope\n', "", 400, "line 3"),
+        (b"", "", 400, "(body)"),
+        (b'{"a":1}\n' * 5, "", 413, "line 5"),
+        (b'{"a":1}', "&due=soon", 400, "due"),
+        (b'{"a":1}', "&service=x", 404, "service"),
+    ],
+)
+async def test_a_bad_job_leaves_nothing_behind(body, query, status, field):
+    values = {"job.max_items": 4}
+    async with jobcluster.JobCluster(values=values) as cluster:
+        target = f"/v1/jobs?service={clusters.SERVICE}{query}"
+        got, headers, data = await cluster.call(
+            "POST", target, body, idempotency_key="k"
+        )
+        assert (got, headers["camphortray-ran"]) == (status, "no")
+        assert json.loads(data)["error"]["param"] == field
+        for shard in cluster.shards("host-0").shards:
+            assert not shard.fold.jobs and not shard.fold.uploads
+
+
+async def test_a_cancelled_job_stops_and_engines_are_told():
+    # A job is cancelled, by a host that does not own it, while items are
+    # at engines. They stop, and nothing is added to what was read.
+    async with jobcluster.JobCluster(hosts=2, speed=1.0) as cluster:
+        asked = [item(f"q {n}", tokens=400) for n in range(30)]
+        _, job = await cluster.submit("k", asked)
+        name = job["id"]
+        engines = cluster.engines.values()
+        await cluster.until(lambda: any(e.model.running for e in engines))
+        other = {"host-0": "host-1", "host-1": "host-0"}[cluster.owner(name)]
+        status, _, data = await cluster.call(
+            "POST", f"/v1/jobs/{name}/cancel", host=other
+        )
+        assert (status, json.loads(data)["status"]) == (200, "cancelled")
+        cluster.history.cancelled(name, [])
+        await cluster.until(
+            lambda: (
+                not any(
+                    not s.cancelled for e in engines for s in e.model.running
+                )
+            )
+        )
+        sent = len(cluster.sent())
+        assert (await cluster.submit("k", asked))[1]["status"] == "cancelled"
+        assert len(cluster.sent()) == sent
+        assert await cluster.lines(name) == []
+        assert cluster.history.finish(cluster.sent()) == []
+
+
+async def test_results_end_with_their_keeping_time():
+    async with jobcluster.JobCluster() as cluster:
+        _, job = await cluster.submit("k", items(2), query="&keep_s=0.5")
+        name = job["id"]
+        await cluster.ended(name)
+        assert len(await cluster.lines(name)) == 2
+        fold = cluster.shards("host-0").shard_of(name).fold
+        await cluster.until(lambda: name in fold.forgotten)
+        for path in ("", "/results"):
+            status, _, _ = await cluster.call("GET", f"/v1/jobs/{name}{path}")
+            assert status == 410
+        assert (await cluster.submit("k", items(2)))[0] == 410
+
+
+async def test_others_see_neither_jobs_nor_files():
+    async with jobcluster.JobCluster() as cluster:
+        _, job = await cluster.submit("k", items(1))
+        part = cluster.shards("host-0")
+        with pytest.raises(Exception, match="no job"):
+            await part.find(job["id"], "another")
+        for name in ("x", "0" * 32):
+            status, _, _ = await cluster.call("GET", f"/v1/jobs/{name}")
+            assert status == 404
+
+
+async def test_slots_taken_back_cost_no_tokens():
+    # Online work comes and every slot is taken back over and over. Each
+    # item goes on where it was, and its answer is whole, byte by byte.
+    async with jobcluster.JobCluster(speed=4.0) as cluster:
+        asked = [item(f"q {n}", tokens=60) for n in range(4)]
+        _, job = await cluster.submit("k", asked)
+        part = cluster.shards("host-0").dispatcher.slots
+        revoked = 0
+        for _ in range(6):
+            made = sum(e.model.tokens_made for e in cluster.engines.values())
+            await cluster.until(
+                lambda made=made: (
+                    sum(e.model.tokens_made for e in cluster.engines.values())
+                    > made + 16
+                )
+            )
+            for holding in list(part.holdings.holdings.values()):
+                revoked += len(holding.used)
+                part.revoke(list(holding.used))
+        told = await cluster.ended(job["id"])
+        assert told["done"] == 4 and revoked > 4
+        await cluster.lines(job["id"])
+        assert cluster.history.finish(cluster.sent()) == []
+        made = sum(e.model.tokens_made for e in cluster.engines.values())
+        assert made < 4 * 60 + revoked * 4
+        assert len(cluster.sent()) > 8
+
+
+async def test_a_poison_item_fails_and_the_job_still_finishes():
+    # One item crashes each engine that runs it. Those beside it at the
+    # first crash run apart and are done; it fails after its second.
+    async with jobcluster.JobCluster(engines=2) as cluster:
+        asked = items(12)
+        marker = next(iter(cluster.engines.values())).crash_marker
+        asked[4] = item(f"{marker} 4")
+        _, job = await cluster.submit("k", asked)
+        told = await cluster.ended(job["id"])
+        assert (told["done"], told["failed"]) == (11, 1)
+        found = await cluster.lines(job["id"])
+        assert found[4]["status"] == "failed"
+        assert "crashed" in found[4]["body"]["error"]["message"]
+        assert sum(e.crashes for e in cluster.engines.values()) == 2
+        assert cluster.history.finish(cluster.sent()) == []
+
+
+async def test_a_new_owner_goes_on_counting_crashes():
+    # The owner is lost between the two crashes of a poison item. The next
+    # owner knows of the first from the log: two crashes in all, not three.
+    async with jobcluster.JobCluster(hosts=2, engines=2) as cluster:
+        marker = next(iter(cluster.engines.values())).crash_marker
+        _, job = await cluster.submit("k", [item(f"{marker} 0")])
+        name = job["id"]
+        first = cluster.owner(name)
+        held = cluster.shards(first).shard_of(name).fold.jobs[name]
+        await cluster.until(lambda: held.crashes)
+        await cluster.hosts[first].stop("batch")
+        await cluster.hosts[first].stop("entry")
+        told = await cluster.ended(name)
+        assert told["failed"] == 1
+        assert sum(e.crashes for e in cluster.engines.values()) == 2
+
+
+async def test_a_call_that_may_run_once_is_unknown_after_a_takeover():
+    # A host is lost with such items at engines. They may have run; the
+    # next owner runs the others, and ends these as unknown.
+    async with jobcluster.JobCluster(hosts=2, speed=2.0) as cluster:
+        asked = [item(f"fitter {n}", tokens=40) for n in range(60)]
+        query = "&idempotent=false"
+        _, job = await cluster.submit("k", asked, query=query)
+        name = job["id"]
+        await cluster.until(lambda: len(cluster.sent()) >= 2)
+        first = cluster.owner(name)
+        await cluster.hosts[first].stop("batch")
+        await cluster.hosts[first].stop("entry")
+        told = await cluster.ended(name)
+        assert told["unknown"] >= 2 and told["done"] >= 1
+        await cluster.lines(name)
+        assert cluster.history.finish(cluster.sent()) == []
+
+
+async def test_a_drain_ends_items_and_gives_shards_up():
+    # A host is drained with a job half done: nothing is cut off, results
+    # are kept, and another host goes on without a challenge.
+    async with jobcluster.JobCluster(hosts=2, speed=4.0) as cluster:
+        asked = [item(f"q {n}", tokens=30) for n in range(40)]
+        _, job = await cluster.submit("k", asked)
+        name = job["id"]
+        await cluster.until(lambda: len(cluster.sent()) >= 4)
+        first = cluster.owner(name)
+        await cluster.hosts[first].kernels["batch"].drain()
+        held = cluster.shards(first)
+        assert not held.dispatcher.in_flight()
+        assert not any(shard.owner.owned for shard in held.shards)
+        other = {"host-0": "host-1", "host-1": "host-0"}[first]
+        told = await cluster.ended(name, other)
+        assert told["done"] == 40
+        await cluster.lines(name, other)
+        assert cluster.history.finish(cluster.sent()) == []
+        assert [cluster.runs(name, index) for index in range(40)] == [1] * 40
+
+
+async def test_an_outage_of_the_log_holds_results_back(monkeypatch):
+    # The log is down while a job runs. Items go on, their results are
+    # held until it is back; a new job is refused as not run at once. A
+    # cancel stops dispatch, but is not told as done.
+    async with jobcluster.JobCluster() as cluster:
+        _, job = await cluster.submit("a", items(10))
+        _, more = await cluster.submit("b", items(200, "long"))
+        await cluster.until(lambda: len(cluster.sent()) >= 4)
+        cluster.set(log_down=True)
+        part = cluster.shards("host-0")
+        await cluster.until(lambda: part.shard_of(job["id"]).journal.down)
+        status, told = await cluster.submit("c", items(3))
+        assert (status, told["error"]["ran"]) == (503, "no")
+        cancel = asyncio.ensure_future(
+            cluster.call("POST", f"/v1/jobs/{more['id']}/cancel")
+        )
+        await cluster.until(lambda: more["id"] not in part.dispatcher.held)
+        assert not cancel.done()
+        cluster.set(log_down=False)
+        status, _, data = await cancel
+        assert (status, json.loads(data)["status"]) == (200, "cancelled")
+        cluster.history.cancelled(more["id"], [])
+        cluster.history.jobs[more["id"]].cancelled = None
+        await cluster.ended(job["id"])
+        await cluster.lines(job["id"])
+        assert [cluster.runs(job["id"], n) for n in range(10)] == [1] * 10
+
+
+async def test_dispatch_pauses_when_too_much_is_held_back():
+    async with jobcluster.JobCluster() as cluster:
+        _, job = await cluster.submit("a", items(80))
+        await cluster.until(lambda: len(cluster.sent()) >= 2)
+        cluster.set(log_down=True)
+        part = cluster.shards("host-0")
+        part.context.config.batch.__dict__["memory_mb"] = 0.001
+        await cluster.until(part.paused)
+        held = len(part.dispatcher.held[job["id"]].tasks)
+        sent = len(cluster.sent())
+        await cluster.until(lambda: not part.dispatcher.in_flight())
+        assert len(cluster.sent()) <= sent + held < 80
+        cluster.set(log_down=False)
+        told = await cluster.ended(job["id"])
+        assert told["done"] == 80
+
+
+@pytest.fixture
+async def stock():
+    """Give a cluster and the stock client."""
+    async with jobcluster.JobCluster(hosts=2) as cluster:
+        address = cluster.hosts["host-1"].address
+        async with openai.AsyncOpenAI(
+            api_key=clusters.WORKSPACE_KEY,
+            base_url=f"http://{address}/v1",
+            max_retries=0,
+        ) as client:
+            yield cluster, client
+
+
+def batch_lines(count, **more):
+    return b"\n".join(
+        json.dumps(
+            {
+                "custom_id": f"c{number}",
+                "method": "POST",
+                "url": "/v1/chat/completions",
+                "body": item(f"guide {number}"),
+                **more,
+            }
+        ).encode()
+        for number in range(count)
+    )
+
+
+async def test_the_stock_client_runs_a_batch(stock):
+    cluster, client = stock
+    data = batch_lines(7) + b"\n" + batch_lines(1, custom_id="x", body={})
+    file = await client.files.create(file=("in", data), purpose="batch")
+    assert (await client.files.content(file.id)).content == data + b"\n"
+    batch = await client.batches.create(
+        input_file_id=file.id,
+        endpoint="/v1/chat/completions",
+        completion_window="24h",
+        metadata={"for": "guides"},
+    )
+    await client.files.delete(file.id)
+    name = batch.id.removeprefix("batch_")
+    await cluster.ended(name)
+    batch = await client.batches.retrieve(batch.id)
+    assert (batch.status, batch.metadata) == ("completed", {"for": "guides"})
+    counts = batch.request_counts
+    assert (counts.total, counts.completed, counts.failed) == (8, 7, 1)
+    text = (await client.files.content(batch.output_file_id)).text
+    lines = [json.loads(line) for line in text.splitlines()]
+    assert [line["custom_id"] for line in lines] == [
+        f"c{number}" for number in range(7)
+    ]
+    content = lines[0]["response"]["body"]["choices"][0]["message"]["content"]
+    assert len(content.split()) == 6
+    text = (await client.files.content(batch.error_file_id)).text
+    assert [json.loads(x)["custom_id"] for x in text.splitlines()] == ["x"]
+    listed = [entry.id async for entry in client.batches.list()]
+    assert listed == [batch.id]
+    with pytest.raises(openai.NotFoundError):
+        await client.files.retrieve(file.id)
+
+
+async def test_the_stock_client_cancels_a_batch(stock):
+    cluster, client = stock
+    body = item("long", tokens=5000)
+    data = batch_lines(1, body=body)
+    file = await client.files.create(file=("in", data), purpose="batch")
+    batch = await client.batches.create(
+        input_file_id=file.id,
+        endpoint="/v1/chat/completions",
+        completion_window="24h",
+    )
+    batch = await client.batches.cancel(batch.id)
+    assert batch.status == "cancelled"
+
+
+@pytest.mark.parametrize(
+    ("data", "purpose", "param"),
+    [
+        (batch_lines(2, custom_id="a"), "batch", "line 2"),
+        (batch_lines(2, url="/v1/x"), "batch", "line 1"),
+        (batch_lines(2), "fine-tune", "purpose"),
+        (b"", "batch", "(body)"),
+    ],
+)
+async def test_a_bad_file_is_refused(stock, data, purpose, param):
+    cluster, client = stock
+    with pytest.raises(openai.BadRequestError) as caught:
+        await client.files.create(file=("in", data), purpose=purpose)
+    assert caught.value.param == param
+    for shard in cluster.shards("host-0").shards:
+        assert not shard.fold.files and not shard.fold.uploads
+
+
+async def test_a_batch_must_fit_its_file(stock):
+    _, client = stock
+    file = await client.files.create(
+        file=("in", batch_lines(1)), purpose="batch"
+    )
+    for more in (
+        {"endpoint": "/v1/completions", "completion_window": "24h"},
+        {"endpoint": "/v1/chat/completions", "completion_window": "soon"},
+    ):
+        with pytest.raises(openai.BadRequestError):
+            await client.batches.create(input_file_id=file.id, **more)
