--- a/camphortray/itemdriver.py
+++ b/camphortray/itemdriver.py
@@ -273,6 +273,8 @@
         """Hand a result over to be written."""
         if not self.ended(held, item):
             return
+        service = held.job.accept.service
+        self.runner.signals.answered(service, True, status == "done")
         try:
             custom_id = intake.parse_line(item.line)[0].custom_id
         except ValueError:
