--- a/camphortray/exchange.py
+++ b/camphortray/exchange.py
@@ -61,6 +61,8 @@
     Attributes:
       sent: What of a streamed answer the caller has.
       ran: Whether an upstream may have run it.
+      begun_at: When the present try was sent, on the monotonic clock.
+      load: Requests expected at its upstream then, itself included.
     """
 
     def __init__(
@@ -90,6 +92,8 @@
         self.tried: frozenset[str] = frozenset()
         self.ran = False
         self.suspected = False
+        self.begun_at = 0.0
+        self.load = 0.0
 
     @functools.cached_property
     def text(self) -> str:
@@ -205,6 +209,10 @@
         self.tried |= {upstream.name}
         flight = parts.suspects.begin(upstream, lambda: self.fingerprint)
         parts.signals.begun(*told)
+        self.begun_at = parts.clock.monotonic()
+        self.load = 1 + parts.upstreams.loads.total(
+            upstream.name, self.begun_at
+        )
         good = gone = False
         try:
             with parts.upstreams.count(upstream):
@@ -315,12 +323,13 @@
         parts, response, sent = self.parts, self.response, self.sent
         name, service = upstream.name, self.service.name
         now_of, next_token = parts.clock.monotonic, parts.signals.next_token
-        begun_at = now_of()
-        total = parts.upstreams.loads.total(name, begun_at)
         data = await stream.read(4 * request.silence_s)
         last = now_of()
-        parts.upstreams.loads.learn(name, last - begun_at, total, last)
-        parts.signals.first_token(service, name, False, last - begun_at)
+        # Counted from the send: an engine may hold back the head of its
+        # answer until the first token, or send it at once.
+        waited = last - self.begun_at
+        parts.upstreams.loads.learn(name, waited, self.load, last)
+        parts.signals.first_token(service, name, False, waited)
         self.write(data)
         chunks = 1
 
@@ -362,6 +371,8 @@
             if told.standing is poison.Standing.APART:
                 self.parts.suspects.passed(self.fingerprint)
         self.suspected = False
+        self.begun_at = 0.0
+        self.load = 0.0
 
     def after(self, error: errors.UpstreamError) -> bool:
         """Make ready for another try; return True if none is needed.
--- a/tests/test_online_path.py
+++ b/tests/test_online_path.py
@@ -12,6 +12,7 @@
 from camphortray import httpclient
 from camphortray import membership
 from camphortray import poison
+from camphortray import signals
 from camphortray import standin_engine
 from camphortray import upstreams
 from tests import online
@@ -415,3 +416,27 @@
         with pytest.raises(openai.BadRequestError, match="max_tokens"):
             await ask(model=clusters.MODEL, messages=said, max_tokens=-1)
         await client.close()
+
+
+class FirstTokens(signals.Listener):
+    """Collects the times to a first token, in seconds."""
+
+    def __init__(self):
+        self.times = []
+
+    def first_token(self, service, upstream, batch, seconds):
+        self.times.append(seconds)
+
+
+async def test_time_to_a_first_token_counts_from_the_send():
+    # Operators saw 1 ms where an engine takes longer for any step: the
+    # engine held back the head of its answer until the first token, and
+    # the clock was started by the head.
+    async with make_cluster(engines=1) as cluster:
+        host = cluster.hosts["host-0"]
+        heard = FirstTokens()
+        host.part("entry", signals.Signals).add(heard)
+        cluster.engines["engine-0"].faults.set("open_delay_s", 0.1)
+        status, _, _ = await online.ask(host, online.prompt())
+        assert status == 200
+        assert len(heard.times) == 1 and heard.times[0] >= 0.1
