--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -3,6 +3,7 @@
 __all__ = ["Fact", "Member", "Membership", "Status"]
 
 import asyncio
+import collections
 from collections.abc import Callable
 import contextlib
 from typing import Any
@@ -35,6 +36,8 @@
 # host: all together read it about once a second, whatever their number.
 LIST_S_PER_HOST = 1.0
 MIN_LIST_S = 2.0
+# Seconds from one renewal of the metrics to the next.
+METRICS_S = 1.0
 MESSAGES = (gossip.Ping, gossip.News, antientropy.Sync, watch.Doubt)
 
 
@@ -86,6 +89,7 @@
         self.listed: tuple[hostlist.ListedHost, ...] = ()
         self.http_address = ""
         self.list_at = 0.0
+        self.metrics_at = 0.0
         self.list_task: asyncio.Task[None] | None = None
         self.task: asyncio.Task[None] | None = None
         for cls in MESSAGES:
@@ -205,8 +209,43 @@
             self.act(self.node.tick(now))
             if now >= self.list_at or self.node.wants_list:
                 self.look_at_list(now)
+            if now >= self.metrics_at:
+                self.metrics_at = now + METRICS_S
+                self.show_metrics()
             await asyncio.sleep(TICK_S)
 
+    def show_metrics(self) -> None:
+        """Renew the gauges of members, facts and links."""
+        metrics = self.context.metrics
+        counts = collections.Counter(m.status for m in self.members.values())
+        for status in Status:
+            metrics.set(
+                "camphortray_members",
+                "Members by status.",
+                {"status": str(status)},
+                counts[status],
+            )
+        metrics.set(
+            "camphortray_facts", "Facts held.", {}, len(self.node.facts.facts)
+        )
+        traffic = self.links.traffic
+        metrics.set(
+            "camphortray_peer_messages",
+            "Messages to and from other hosts.",
+            {},
+            traffic.messages,
+        )
+        for direction, count in (
+            ("sent", traffic.sent_bytes),
+            ("received", traffic.received_bytes),
+        ):
+            metrics.set(
+                "camphortray_peer_bytes",
+                "Bytes of messages and frames to and from other hosts.",
+                {"direction": direction},
+                count,
+            )
+
     def announce(self) -> None:
         """Tell the HTTP address once callers may come."""
         shown = self.node.own.http_address
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,6 +13,7 @@
     "addressbook",
     "addresses",
     "antientropy",
+    "attempt",
     "burn",
     "burnrate",
     "calls",
@@ -23,6 +24,7 @@
     "deadline",
     "declaration",
     "facts",
+    "fairness",
     "fold",
     "gossip",
     "grouping",
@@ -35,6 +37,7 @@
     "jobrecords",
     "jobs",
     "leaving",
+    "limits",
     "members",
     "multipart",
     "neighbours",
@@ -58,8 +61,10 @@
     "shards",
     "snapshot",
     "takeover",
+    "trace",
     "view",
     "watch",
+    "window",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
 
