--- a/bench/relay.py
+++ b/bench/relay.py
@@ -203,6 +203,16 @@
     }
 
 
+def end(child: subprocess.Popen[str]) -> None:
+    """End a process; an entry serves on after the first signal."""
+    child.terminate()
+    try:
+        child.wait(1)
+    except subprocess.TimeoutExpired:
+        child.terminate()
+        child.wait(10)
+
+
 async def run(scale: float, speed: float, profile: str) -> dict[str, Any]:
     """Start everything, measure, and end what was started."""
     engine = spawn("--role", "engine", "--speed", str(speed))
@@ -228,8 +238,7 @@
                 return await measure(entry.pid, host.address, at, scale)
     finally:
         for child in reversed(children):
-            child.terminate()
-            child.wait(10)
+            end(child)
 
 
 def relay(
