--- a/camphortray/hostsapi.py
+++ b/camphortray/hostsapi.py
@@ -66,7 +66,7 @@
         room = asyncio.Semaphore(AT_ONCE)
         asked = [
             self.ask_revision(member, room)
-            for member in self.members.node.directory.present()
+            for member in self.members.node.known.directory.present()
             if member.name != self.members.own_name
         ]
         with contextlib.suppress(TimeoutError):
@@ -79,11 +79,11 @@
         """Ask one member; one that does not answer keeps what it had."""
         node = self.members.node
         address = configs.Address.from_text(member.peer_address)
-        message = gossip.Ping(node.own.incarnation, node.digest)
+        message = gossip.Ping(node.known.own.incarnation, node.known.digest)
         async with room:
             with contextlib.suppress(errors.MessageError):
                 pong = await self.links.ask_anew(address, message, ASK_S)
-                node.directory.note_revision(member.name, pong.revision)
+                node.known.directory.note_revision(member.name, pong.revision)
 
     async def drain_host(self, call: web.Call) -> None:
         """Drain both programs of this host, as SIGTERM does."""
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -79,8 +79,8 @@
             offset,
             sibling_of(config, context.program),
         )
-        self.node.on_member = self.tell_member
-        self.node.on_fact = self.tell_fact
+        self.node.known.on_member = self.tell_member
+        self.node.known.on_fact = self.tell_fact
         self.fact_listeners: dict[str, list[Callable[[Fact], None]]] = {}
         self.listeners: list[Callable[[Member], None]] = []
         self.list_listeners: list[
@@ -101,7 +101,7 @@
 
     async def start(self) -> None:
         now = self.clock.monotonic()
-        self.node.change(now, peer_address=str(self.links.address))
+        self.node.known.change(now, peer_address=str(self.links.address))
         self.node.start(now)
         self.tree.listen(self.on_view)
         self.task = asyncio.get_running_loop().create_task(self.run())
@@ -111,12 +111,12 @@
     @property
     def members(self) -> dict[str, Member]:
         """All members by name, those held for dead included."""
-        return self.node.directory.members
+        return self.node.known.directory.members
 
     @property
     def facts(self) -> dict[str, Fact]:
         """All facts, by kind and key as one text."""
-        return self.node.facts.facts
+        return self.node.known.facts.facts
 
     def member(self, name: str) -> Member | None:
         """Return a member, or None if it has not been heard of."""
@@ -124,7 +124,7 @@
 
     def put(self, member: Member) -> None:
         """Take over what is known of a member, from elsewhere."""
-        self.node.put(member, self.clock.monotonic())
+        self.node.known.put(member, self.clock.monotonic())
 
     def live(self, program: str) -> list[Member]:
         """Return members of a program that may get work, this one too."""
@@ -137,7 +137,7 @@
 
     def is_gone(self, host_name: str, started: int = 0) -> bool:
         """Return whether a host is gone; see ``node.Node.is_gone``."""
-        return self.node.is_gone(host_name, started)
+        return self.node.known.is_gone(host_name, started)
 
     def set_http_address(self, address: str) -> None:
         """Tell where this program serves HTTP, once it is ready."""
@@ -169,7 +169,7 @@
 
     def offer(self, fact: Fact) -> None:
         """Tell all hosts a fact whose version others may tell as well."""
-        self.node.take_fact(fact, self.clock.monotonic())
+        self.node.known.take_fact(fact, self.clock.monotonic())
 
     def on_fact(self, kind: str, listener: Callable[[Fact], None]) -> None:
         """Call ``listener`` with each new fact of a kind."""
@@ -184,7 +184,7 @@
         if member.dead and member.name != self.own_name:
             address = configs.Address.from_text(member.peer_address)
             self.links.forget(address)
-        if self.node.replaced and member.name == self.own_name:
+        if self.node.known.replaced and member.name == self.own_name:
             LOG.error("Another process has taken the name {}.", member.name)
         for listener in self.listeners:
             listener(member)
@@ -197,7 +197,7 @@
     def on_view(self, view: Any) -> None:
         """Take note of the settings revision in force."""
         self.node.revision = view.revision
-        self.node.directory.note_revision(self.own_name, view.revision)
+        self.node.known.directory.note_revision(self.own_name, view.revision)
 
     # Driving it.
 
@@ -226,7 +226,10 @@
                 counts[status],
             )
         metrics.set(
-            "camphortray_facts", "Facts held.", {}, len(self.node.facts.facts)
+            "camphortray_facts",
+            "Facts held.",
+            {},
+            len(self.node.known.facts.facts),
         )
         traffic = self.links.traffic
         metrics.set(
@@ -248,11 +251,11 @@
 
     def announce(self) -> None:
         """Tell the HTTP address once callers may come."""
-        shown = self.node.own.http_address
+        shown = self.node.known.own.http_address
         if self.http_address == shown or self.context.not_ready():
             return
         now = self.clock.monotonic()
-        self.node.change(now, http_address=self.http_address)
+        self.node.known.change(now, http_address=self.http_address)
 
     def act(self, asks: list[nodes.Ask]) -> None:
         """Carry out effects."""
@@ -288,7 +291,7 @@
 
     def list_pause(self) -> float:
         """Return the mean time between two looks at the list."""
-        hosts = len(self.node.directory.by_host)
+        hosts = len(self.node.known.directory.by_host)
         return max(MIN_LIST_S, hosts * LIST_S_PER_HOST)
 
     async def read_list(self) -> None:
@@ -318,7 +321,7 @@
         for task in (self.task, self.list_task):
             if task is not None:
                 task.cancel()
-        if self.node.own.status is not Status.LEAVING:
+        if self.node.known.own.status is not Status.LEAVING:
             return
         # Hosts need not find out by probing what this one can tell.
         asks = self.node.end(self.clock.monotonic())
--- a/camphortray/node.py
+++ b/camphortray/node.py
@@ -13,10 +13,9 @@
 from typing import Any
 
 from camphortray import antientropy
-from camphortray import facts
 from camphortray import gossip
+from camphortray import knowledge
 from camphortray import members
-from camphortray import neighbours
 from camphortray import watch
 
 # Time between two ticks beyond which this host was itself paused, in
@@ -26,9 +25,6 @@
 # other, and between exchanges with a member taken at random.
 JOIN_S = 1.0
 ALONE_S = 5.0
-# Seconds from its start in which a process takes itself for the later one
-# of two that bear its name.
-NEWBORN_S = 30.0
 SYNC_S = 60.0
 # Seconds until a neighbour whose digest stays different is asked what
 # differs; doubles up to SYNC_S as long as that brings nothing new.
@@ -72,24 +68,14 @@
     pause_s: float = REPAIR_S
 
 
-def ignore(value: Any) -> None:
-    """Do nothing."""
-
-
 class Node:
-    """Members, facts and the watch as one member of the fleet.
+    """One member as it acts.
 
     Attributes:
-      own: This member's own entry.
-      directory: All entries.
-      facts: All facts.
+      known: What it knows.
       revision: Settings revision in force here.
       head: Offset of the next settings record lacking here.
-      on_member: Called with each entry that changes.
-      on_fact: Called with each new fact.
       on_head: Called with name and head of a member that answered.
-      listed: Status of each host on the platform's list.
-      replaced: Whether another process took this one's name later.
       wants_list: Whether a look at the platform's list would help now.
     """
 
@@ -101,163 +87,49 @@
         wall_offset_s: float = 0.0,
         sibling: str = "",
     ) -> None:
-        self.own = own
+        self.known = knowledge.Knowledge(own, rng, wall_offset_s)
         self.seeds = list(seeds)
         self.sibling = sibling
         self.rng = rng
-        self.wall_offset_s = wall_offset_s
-        self.directory = members.Directory()
-        self.facts = facts.FactTable()
-        self.gossip = gossip.Gossip()
-        self.watch = watch.Watch(own.host, rng)
-        self.neighbours = neighbours.Neighbours(own, self.directory)
         self.revision = 0
         self.head = 0
-        self.on_member: Callable[[members.Member], None] = ignore
-        self.on_fact: Callable[[facts.Fact], None] = ignore
         self.on_head: Callable[[str, int], None] = ignore_head
-        self.listed: dict[str, str] = {}
         self.wants_list = False
-        self.joined = not self.seeds
+        self.known.joined = not self.seeds
         self.join_at = 0.0
         self.join_s = JOIN_S
         self.sync_at = 0.0
         self.repairs: dict[str, Repair] = {}
         self.last_tick: float | None = None
         self.woke_at = 0.0
-        self.born = 0.0
-        self.replaced = False
         self.queue: list[Ask] = []
 
-    def wall_ms(self, now: float) -> int:
-        """Return wall-clock milliseconds."""
-        return int((now + self.wall_offset_s) * 1000)
-
-    @property
-    def digest(self) -> int:
-        """Digest of all entries and facts."""
-        total = 0
-        for digest in (*self.directory.buckets, *self.facts.buckets):
-            total ^= digest
-        return total
-
     # What this member says of itself.
 
     def start(self, now: float) -> None:
         """Become a member."""
-        self.born = now
+        self.known.born = now
         self.sync_at = now + SYNC_S * self.rng.random()
-        self.put(self.own, now)
-
-    def change(self, now: float, **fields: Any) -> None:
-        """Change this member's own entry."""
-        number = self.own.incarnation + 1
-        self.own = dataclasses.replace(self.own, incarnation=number, **fields)
-        if not self.replaced:
-            self.put(self.own, now)
+        self.known.put(self.known.own, now)
 
     def leave(self, now: float) -> None:
         """Tell all that this member is leaving."""
-        if self.own.status is members.Status.ALIVE:
-            self.change(now, status=members.Status.LEAVING, left=True)
+        if self.known.own.status is members.Status.ALIVE:
+            self.known.change(now, status=members.Status.LEAVING, left=True)
 
     def end(self, now: float) -> list[Ask]:
         """Tell the neighbours that this member ends."""
-        self.change(now, status=members.Status.DEAD)
-        self.gossip.busy.clear()
+        self.known.change(now, status=members.Status.DEAD)
+        self.known.gossip.busy.clear()
         return self.flush(now)
 
-    def refute(self, member: members.Member, now: float) -> None:
-        """Contradict what others hold of this member.
-
-        Two processes of one name would contradict each other for ever;
-        the one that started later wins. One that has only just started
-        contradicts whatever its name left behind, so that a clock that
-        is behind does not make it give way to a process that is gone.
-        """
-        grown = self.joined and now - self.born > NEWBORN_S
-        if member.started > self.own.started and grown:
-            self.replaced = True
-            self.put(member, now)
-            return
-        number = max(self.own.incarnation, member.incarnation)
-        self.own = dataclasses.replace(self.own, incarnation=number)
-        self.change(now)
-
     def publish(
         self, kind: str, key: str, value: Any, keep_s: float, now: float
     ) -> None:
         """Tell all hosts a fact, this one at once."""
-        wall_ms = self.wall_ms(now)
-        fact = self.facts.make(kind, key, value, keep_s, wall_ms)
-        self.take_fact(fact, now)
-
-    # What it hears.
-
-    def put(
-        self, member: members.Member, now: float, source: str = ""
-    ) -> None:
-        """Hold an entry, tell neighbours and whoever listens."""
-        held = self.directory.members.get(member.name)
-        if held is not None and held.revision > member.revision:
-            member = dataclasses.replace(member, revision=held.revision)
-        self.directory.put(member, now)
-        if member.status is members.Status.SUSPECT:
-            watching = member.name in self.watch.due_at
-            self.watch.suspected(member.name, watching, now)
-        else:
-            self.watch.cleared(member.name)
-        if held is None or held.dead != member.dead:
-            self.neighbours.place(member)
-        self.gossip.add(member.name, source)
-        self.on_member(member)
-
-    def take_member(
-        self, member: members.Member, now: float, source: str = ""
-    ) -> bool:
-        """Take an entry in; return whether it was new."""
-        if member.name == self.own.name and not self.replaced:
-            if member.version > self.own.version:
-                self.refute(member, now)
-            return False
-        if not self.directory.newer(member):
-            return False
-        self.put(member, now, source)
-        return True
-
-    def take_fact(
-        self, fact: facts.Fact, now: float, source: str = ""
-    ) -> bool:
-        """Take a fact in; return whether it was new."""
-        if not self.facts.take(fact, self.wall_ms(now)):
-            return False
-        self.gossip.add(fact.name, source)
-        self.on_fact(fact)
-        return True
-
-    def take_news(
-        self,
-        news: gossip.News | antientropy.SyncReply,
-        now: float,
-        source: str,
-    ) -> bool:
-        """Take all in; return whether anything was new."""
-        fresh = [self.take_member(m, now, source) for m in news.entries]
-        fresh += [self.take_fact(f, now, source) for f in news.known]
-        return any(fresh)
-
-    def settle(self, now: float) -> None:
-        """Find anew whom to watch and whom to tell, if hosts moved."""
-        if not self.neighbours.moved:
-            return
-        self.neighbours.moved = False
-        self.watch.set_targets(self.neighbours.watched(), now)
-        told = self.neighbours.told()
-        for name in sorted(told - self.gossip.neighbours):
-            self.gossip.add_for(name, self.own.name)
-        self.gossip.set_neighbours(told)
-        for name in self.repairs.keys() - self.watch.due_at.keys():
-            del self.repairs[name]
+        wall_ms = self.known.wall_ms(now)
+        fact = self.known.facts.make(kind, key, value, keep_s, wall_ms)
+        self.known.take_fact(fact, now)
 
     # Time passes.
 
@@ -265,33 +137,30 @@
         """Do what is due; called about ten times a second."""
         if self.last_tick is not None and now - self.last_tick > PAUSED_S:
             self.woke_at = now
-            self.watch.shift(now - self.last_tick)
+            self.known.watch.shift(now - self.last_tick)
         self.last_tick = now
-        for name in self.directory.prune(now):
-            self.watch.cleared(name)
-        self.facts.prune(self.wall_ms(now))
+        for name in self.known.directory.prune(now):
+            self.known.watch.cleared(name)
+        self.known.facts.prune(self.known.wall_ms(now))
         self.ripen(now)
-        self.settle(now)
-        asks = [self.probe(name, now) for name in self.watch.due(now)]
+        self.known.settle(now)
+        self.forget_repairs()
+        asks = [self.probe(name, now) for name in self.known.watch.due(now)]
         asks += self.join(now)
         if now >= self.sync_at:
             self.sync_at = now + SYNC_S * (0.5 + self.rng.random())
             asks += self.sync_at_random(now)
         return asks + self.flush(now)
 
+    def forget_repairs(self) -> None:
+        """Forget repairs with members that are not probed any more."""
+        for name in self.repairs.keys() - self.known.watch.due_at.keys():
+            del self.repairs[name]
+
     def ripen(self, now: float) -> None:
         """Hold for dead whoever did not refute in time."""
-        for name in self.watch.ripe(now):
-            self.mark(name, members.Status.DEAD, now)
-
-    def mark(self, name: str, status: members.Status, now: float) -> None:
-        """Give a member a later status at its incarnation."""
-        held = self.directory.members.get(name)
-        if held is None:
-            return
-        worse = dataclasses.replace(held, status=status)
-        if self.directory.newer(worse):
-            self.put(worse, now)
+        for name in self.known.watch.ripe(now):
+            self.known.mark(name, members.Status.DEAD, now)
 
     def ask(
         self, member: members.Member, message: Any, now: float, fresh: bool
@@ -303,23 +172,28 @@
     def probe(self, name: str, now: float, fresh: bool = False) -> Ask:
         """Return the effect that asks for a sign of life."""
         message = gossip.Ping(
-            self.own.incarnation, self.digest, self.revision, self.head
+            self.known.own.incarnation,
+            self.known.digest,
+            self.revision,
+            self.head,
+        )
+        return self.ask(
+            self.known.directory.members[name], message, now, fresh
         )
-        return self.ask(self.directory.members[name], message, now, fresh)
 
     def flush(self, now: float) -> list[Ask]:
         """Return the effects that tell news, and all that is queued."""
         asks, self.queue = self.queue, []
-        for name, keys in self.gossip.take().items():
-            member = self.directory.members.get(name)
+        for name, keys in self.known.gossip.take().items():
+            member = self.known.directory.members.get(name)
             if member is None:
-                self.gossip.sent(name, [], True)
+                self.known.gossip.sent(name, [], True)
                 continue
             asks.append(
                 Ask(
                     name,
                     member.peer_address,
-                    self.news_of(keys),
+                    self.known.news_of(keys),
                     False,
                     now,
                     tuple(keys),
@@ -327,27 +201,20 @@
             )
         return asks
 
-    def news_of(self, keys: Iterable[str]) -> gossip.News:
-        """Return what is held of these keys now."""
-        # Only the key of a fact has a space.
-        held = [self.directory.members.get(k) for k in keys if " " not in k]
-        known = [self.facts.facts.get(k) for k in keys if " " in k]
-        return gossip.News(
-            tuple(m.trimmed() for m in held if m is not None),
-            tuple(f for f in known if f is not None),
-        )
-
     def join(self, now: float) -> list[Ask]:
         """Ask for all that is known, until somebody has answered."""
         if now < self.join_at:
             return []
         self.join_at = now + self.join_s * (0.5 + self.rng.random())
         asks = []
-        if not self.joined:
+        if not self.known.joined:
             asks += self.ask_seed(now)
         elif self.join_s < SYNC_S:
             self.join_s *= 2
-        if self.sibling and len(self.directory.on_host(self.own.host)) < 2:
+        if (
+            self.sibling
+            and len(self.known.directory.on_host(self.known.own.host)) < 2
+        ):
             # The other program of this host is tried for ever, as it may
             # start at any time, but ever less often.
             message = self.sync_message()
@@ -356,7 +223,9 @@
 
     def ask_seed(self, now: float) -> list[Ask]:
         """Ask any seed for all it knows."""
-        seeds = [each for each in self.seeds if each != self.own.peer_address]
+        seeds = [
+            each for each in self.seeds if each != self.known.own.peer_address
+        ]
         if not seeds:
             return []
         seed = self.rng.choice(seeds)
@@ -364,14 +233,14 @@
 
     def sync_message(self) -> antientropy.Sync:
         """Return a question for what differs."""
-        return antientropy.sync(self.directory, self.facts)
+        return antientropy.sync(self.known.directory, self.known.facts)
 
     def sync_at_random(self, now: float) -> list[Ask]:
         """Exchange what differs with any member of another host."""
         others = [
             member
-            for member in self.directory.members.values()
-            if member.host != self.own.host
+            for member in self.known.directory.members.values()
+            if member.host != self.known.own.host
         ]
         dead = [member for member in others if member.dead]
         if dead and self.rng.random() < DEAD_SHARE:
@@ -391,18 +260,20 @@
         if isinstance(message, gossip.Ping):
             return self.on_ping(sender, message)
         if isinstance(message, antientropy.Sync):
-            return antientropy.reply(message, self.directory, self.facts)
+            return antientropy.reply(
+                message, self.known.directory, self.known.facts
+            )
         if isinstance(message, gossip.News):
-            self.take_news(message, now, sender)
+            self.known.take_news(message, now, sender)
         elif isinstance(message, watch.Doubt):
             self.on_doubt(sender, message, now)
         return None
 
     def on_ping(self, sender: str, ping: gossip.Ping) -> gossip.Pong:
         """Give a sign of life, and say what is held of the asker."""
-        self.directory.note_revision(sender, ping.revision)
+        self.known.directory.note_revision(sender, ping.revision)
         self.on_head(sender, ping.head)
-        held = self.directory.members.get(sender)
+        held = self.known.directory.members.get(sender)
         news: tuple[members.Member, ...] = ()
         if held is not None and (
             held.incarnation > ping.incarnation
@@ -411,16 +282,16 @@
             news = (held.trimmed(),)
         unknown = held is None or held.incarnation < ping.incarnation
         return gossip.Pong(
-            self.digest, self.revision, self.head, unknown, news
+            self.known.digest, self.revision, self.head, unknown, news
         )
 
     def on_doubt(self, sender: str, doubt: watch.Doubt, now: float) -> None:
         """Note another watcher's doubt and look for oneself at once."""
-        held = self.directory.members.get(doubt.name)
+        held = self.known.directory.members.get(doubt.name)
         host = sender.partition("/")[0]
-        if held is None or held.dead or host == self.own.host:
+        if held is None or held.dead or host == self.known.own.host:
             return
-        if held.incarnation != doubt.incarnation or held == self.own:
+        if held.incarnation != doubt.incarnation or held == self.known.own:
             return
         self.weigh(held, host, now)
         self.queue.append(self.probe(doubt.name, now, fresh=True))
@@ -428,7 +299,7 @@
     def answered(self, ask: Ask, reply: Any, now: float) -> list[Ask]:
         """Take the answer to an ``Ask``, or None if there was none."""
         if isinstance(ask.message, gossip.News):
-            self.gossip.sent(ask.name, list(ask.keys), reply is not None)
+            self.known.gossip.sent(ask.name, list(ask.keys), reply is not None)
         elif isinstance(ask.message, antientropy.Sync):
             self.on_sync_reply(ask, reply, now)
         elif isinstance(ask.message, gossip.Ping):
@@ -440,14 +311,14 @@
     def on_pong(self, ask: Ask, pong: gossip.Pong, now: float) -> list[Ask]:
         """Take a sign of life and what came with it."""
         name = ask.name
-        self.watch.reached(name)
-        self.directory.note_revision(name, pong.revision)
+        self.known.watch.reached(name)
+        self.known.directory.note_revision(name, pong.revision)
         self.on_head(name, pong.head)
         for member in pong.news:
-            self.take_member(member, now, name)
+            self.known.take_member(member, now, name)
         if pong.unknown:
-            self.gossip.add_for(name, self.own.name)
-        if pong.digest == self.digest:
+            self.known.gossip.add_for(name, self.known.own.name)
+        if pong.digest == self.known.digest:
             self.repairs.pop(name, None)
             return []
         repair = self.repairs.setdefault(name, Repair(now + REPAIR_S / 2))
@@ -455,12 +326,14 @@
             return []
         repair.at = now + repair.pause_s
         repair.pause_s = min(repair.pause_s * 2, SYNC_S)
-        member = self.directory.members[name]
-        return [self.ask(member, self.sync_message(), now, False)]
+        asked = self.known.directory.members.get(name)
+        if asked is None:
+            return []
+        return [self.ask(asked, self.sync_message(), now, False)]
 
     def on_silence(self, ask: Ask, now: float) -> list[Ask]:
         """Try a new connection, then doubt."""
-        held = self.directory.members.get(ask.name)
+        held = self.known.directory.members.get(ask.name)
         paused = self.last_tick is None or now - self.last_tick > PAUSED_S
         if held is None or held.dead or paused or ask.at <= self.woke_at:
             return []
@@ -469,28 +342,28 @@
             # ones work; only a failed new one says something of the host.
             return [self.probe(ask.name, now, fresh=True)]
         self.wants_list = True
-        self.weigh(held, self.own.host, now)
-        if not self.watch.tells(ask.name, now):
+        self.weigh(held, self.known.own.host, now)
+        if not self.known.watch.tells(ask.name, now):
             return []
         doubt = watch.Doubt(held.name, held.incarnation)
         return [
             self.ask(member, doubt, now, False)
-            for member in self.neighbours.other_watchers(held.host)
+            for member in self.known.neighbours.other_watchers(held.host)
         ]
 
     def weigh(self, held: members.Member, host: str, now: float) -> None:
         """Suspect a member once there are doubts enough."""
-        count = self.watch.doubt(held.name, host, held.incarnation, now)
-        if count and self.listed.get(held.host) in ("gone", "leaving"):
+        count = self.known.watch.doubt(held.name, host, held.incarnation, now)
+        if count and self.known.listed.get(held.host) in ("gone", "leaving"):
             count += 1
-        if not count or count < self.neighbours.enough_doubts(held.host):
+        if not count or count < self.known.neighbours.enough_doubts(held.host):
             return
         if held.status is members.Status.LEAVING:
             # It said so itself; there is nothing to refute.
-            self.mark(held.name, members.Status.DEAD, now)
+            self.known.mark(held.name, members.Status.DEAD, now)
             return
-        self.mark(held.name, members.Status.SUSPECT, now)
-        suspect = self.directory.members[held.name]
+        self.known.mark(held.name, members.Status.SUSPECT, now)
+        suspect = self.known.directory.members[held.name]
         news = gossip.News((suspect.trimmed(),))
         self.queue.append(Ask("", held.peer_address, news, True, now))
 
@@ -499,10 +372,12 @@
         if not isinstance(reply, antientropy.SyncReply):
             return
         if not ask.name:
-            self.joined = True
-        if self.take_news(reply, now, ask.name):
+            self.known.joined = True
+        if self.known.take_news(reply, now, ask.name):
             self.repairs.clear()
-        news = antientropy.lacking(reply, self.directory, self.facts)
+        news = antientropy.lacking(
+            reply, self.known.directory, self.known.facts
+        )
         if news.entries or news.known:
             self.queue.append(Ask("", ask.address, news, ask.fresh, now))
 
@@ -513,43 +388,16 @@
         has heard of is asked, and speaks for itself.
         """
         self.wants_list = False
-        self.listed = listed
-        known = {m.peer_address for m in self.directory.present()}
-        known.add(self.own.peer_address)
-        new = [each for each in addresses if each not in known]
+        self.known.listed = listed
+        held = {m.peer_address for m in self.known.directory.present()}
+        held.add(self.known.own.peer_address)
+        new = [each for each in addresses if each not in held]
         for address in self.rng.sample(new, min(MAX_NEW, len(new))):
             sync = self.sync_message()
             self.queue.append(
                 Ask("", address, sync, True, self.last_tick or 0.0)
             )
 
-    def is_gone(self, host: str, started: int = 0) -> bool:
-        """Return whether a host, or one member of it, is gone for good.
-
-        That it is dead for its watchers is not enough: hosts that cannot
-        reach each other would take from each other what both hold. So it
-        must have said that it leaves, or the platform's list must say
-        that it is gone, or a later process must bear its name.
-
-        Args:
-          host: Name of a host, or ``HOST/PROGRAM``.
-          started: Incarnation of the process meant, if one is.
-        """
-        name, _, program = host.partition("/")
-        held = [
-            self.directory.members[each]
-            for each in self.directory.by_host.get(name, ())
-            if program in ("", each.partition("/")[2])
-        ]
-        if held and all(
-            (m.dead and m.left) or 0 < started < m.started for m in held
-        ):
-            return True
-        # The list lags, and a replacement may bear the name of the host
-        # that it still calls gone.
-        well = any(m.status is members.Status.ALIVE for m in held)
-        return self.listed.get(name) == "gone" and not well
-
 
 def ignore_head(name: str, head: int) -> None:
     """Do nothing."""
--- a/camphortray/spread.py
+++ b/camphortray/spread.py
@@ -126,7 +126,7 @@
             await asyncio.sleep(LOOK_S)
             name = self.behind.choose(
                 self.journal.fold.next,
-                self.members.node.gossip.neighbours,
+                self.members.node.known.gossip.neighbours,
                 self.clock.monotonic(),
             )
             member = self.members.member(name) if name else None
--- a/tests/fakenet.py
+++ b/tests/fakenet.py
@@ -48,7 +48,7 @@
         if seeds is None:
             seeds = list(self.nodes)[:2]
         node = nodes.Node(own, seeds, random.Random(f"{self.rng.random()}"))
-        node.on_member = lambda m: self.log.append(
+        node.known.on_member = lambda m: self.log.append(
             (round(self.now, 3), name, m.name, m.status)
         )
         self.nodes[address] = node
@@ -106,7 +106,7 @@
         if self.held_up(ask.address, self.deliver, src, ask, done):
             return
         sender = self.nodes.get(src)
-        name = sender.own.name if sender else src
+        name = sender.known.own.name if sender else src
         reply = node.receive(name, ask.message, self.now) or "ack"
         if not self.blocked(ask.address, src, ask.fresh):
             self.at(DELAY_S, self.answer, src, ask, reply, done)
@@ -124,6 +124,6 @@
         """Return what the nodes hold of a member."""
         found = set()
         for address in among or self.nodes:
-            held = self.nodes[address].directory.members.get(name)
+            held = self.nodes[address].known.directory.members.get(name)
             found.add(str(held.status) if held else "unknown")
         return found
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -34,6 +34,7 @@
     "jobqueue",
     "jobrecords",
     "jobs",
+    "knowledge",
     "leaving",
     "members",
     "multipart",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -23,12 +23,14 @@
 
 def test_all_find_each_other_and_stay_quiet():
     net = settled(hosts=12, programs=("entry", "batch"))
-    assert len({node.digest for node in net.nodes.values()}) == 1
+    assert len({node.known.digest for node in net.nodes.values()}) == 1
     for node in net.nodes.values():
         watchers = [
-            n for n in net.nodes.values() if node.own.name in n.watch.due_at
+            n
+            for n in net.nodes.values()
+            if node.known.own.name in n.known.watch.due_at
         ]
-        assert len({n.own.host for n in watchers}) == 3
+        assert len({n.known.own.host for n in watchers}) == 3
     net.run(60)
     assert net.log == []
 
@@ -45,11 +47,11 @@
     # Gone for good it is only once the platform says so too; until then
     # what it owns is taken over by a challenge.
     node = net.nodes["h0/entry"]
-    assert not node.is_gone("h1")
+    assert not node.known.is_gone("h1")
     node.note_list({"h1": "gone"}, [])
-    assert node.is_gone("h1") and node.is_gone("h1/entry", 1)
+    assert node.known.is_gone("h1") and node.known.is_gone("h1/entry", 1)
     node.note_list({"h0": "gone"}, [])
-    assert not node.is_gone("h0")
+    assert not node.known.is_gone("h0")
 
 
 def test_a_silent_open_link_does_not_make_a_host_suspected():
@@ -68,7 +70,7 @@
     # Its doubt is told ever less often, so it does not cost for ever.
     net = settled(hosts=6)
     watcher = next(
-        a for a, n in net.nodes.items() if "h1/entry" in n.watch.due_at
+        a for a, n in net.nodes.items() if "h1/entry" in n.known.watch.due_at
     )
     net.blocked = lambda src, dst, fresh: (src, dst) == (watcher, "h1/entry")
     net.run(60)
@@ -87,7 +89,7 @@
     # host is suspected, hears of it from others, and refutes.
     net = settled(hosts=6)
     watcher = next(
-        a for a, n in net.nodes.items() if "h1/entry" in n.watch.due_at
+        a for a, n in net.nodes.items() if "h1/entry" in n.known.watch.due_at
     )
     net.blocked = lambda src, dst, fresh: (src, dst) == (watcher, "h1/entry")
     net.nodes[watcher].note_list({"h1": status}, [])
@@ -95,7 +97,7 @@
     seen = [s for _, _, name, s in net.log if name == "h1/entry"]
     assert members.Status.SUSPECT in seen
     assert net.statuses("h1/entry") == LIVE
-    assert net.nodes["h1/entry"].own.incarnation > 1
+    assert net.nodes["h1/entry"].known.own.incarnation > 1
 
 
 @pytest.mark.parametrize("pause_s", [3, 30])
@@ -121,7 +123,11 @@
     # are there to hold it for dead; inside, the zone goes on telling
     # itself news. Once the cut heals all are alive again everywhere.
     net = settled(hosts=18)
-    zone = {a for a, n in net.nodes.items() if n.own.availability_zone == "z1"}
+    zone = {
+        a
+        for a, n in net.nodes.items()
+        if n.known.own.availability_zone == "z1"
+    }
     rest = set(net.nodes) - zone
     net.blocked = lambda src, dst, fresh: (src in zone) != (dst in zone)
     net.run(30)
@@ -129,12 +135,12 @@
     assert lost >= len(zone) / 2
     net.nodes[sorted(zone)[0]].publish("k", "x", 1, 600, net.now)
     net.run(2)
-    assert all("k x" in net.nodes[a].facts.facts for a in zone)
-    assert not any("k x" in net.nodes[a].facts.facts for a in rest)
+    assert all("k x" in net.nodes[a].known.facts.facts for a in zone)
+    assert not any("k x" in net.nodes[a].known.facts.facts for a in rest)
     net.blocked = lambda src, dst, fresh: False
     net.run(40)
     assert all(net.statuses(name) == LIVE for name in net.nodes)
-    assert all("k x" in n.facts.facts for n in net.nodes.values())
+    assert all("k x" in n.known.facts.facts for n in net.nodes.values())
 
 
 def test_two_halves_find_each_other_again():
@@ -142,7 +148,11 @@
     # other for dead, so that nobody probes across. Exchanges with dead
     # members, now and then, bring the halves together.
     net = settled(hosts=8, zones=2)
-    half = {a for a, n in net.nodes.items() if n.own.availability_zone == "z1"}
+    half = {
+        a
+        for a, n in net.nodes.items()
+        if n.known.own.availability_zone == "z1"
+    }
     net.blocked = lambda src, dst, fresh: (src in half) != (dst in half)
     net.run(180)
     net.blocked = lambda src, dst, fresh: False
@@ -171,7 +181,7 @@
     net.kill("h1/entry")
     net.run(1)
     assert net.statuses("h1/entry") == DEAD
-    assert late.is_gone("h1")
+    assert late.known.is_gone("h1")
     late.note_list({"h1": "live"}, ["h1/entry"])
     net.run(70)
     assert net.statuses("h1/entry") == DEAD
@@ -192,11 +202,11 @@
     net.run(20)
     assert net.statuses("h1/entry") == LIVE
     for node in net.nodes.values():
-        held = node.directory.members["h1/entry"]
-        assert held.peer_address == new.own.peer_address
-    assert old.replaced == (started == 5)
-    assert net.nodes["h0/entry"].is_gone("h1/entry", 1)
-    assert not net.nodes["h0/entry"].is_gone("h1/entry", started)
+        held = node.known.directory.members["h1/entry"]
+        assert held.peer_address == new.known.own.peer_address
+    assert old.known.replaced == (started == 5)
+    assert net.nodes["h0/entry"].known.is_gone("h1/entry", 1)
+    assert not net.nodes["h0/entry"].known.is_gone("h1/entry", started)
 
 
 def test_a_day_of_replacements_leaves_no_traces(monkeypatch):
@@ -209,15 +219,15 @@
         net.kill(gone)
         net.add(f"n{number}", f"z{number % 3}", seeds=list(net.nodes)[:2])
         net.run(15)
-    alive = {n.own.name for n in net.nodes.values()}
+    alive = {n.known.own.name for n in net.nodes.values()}
     for node in net.nodes.values():
-        assert {m.name for m in node.directory.present()} == alive
+        assert {m.name for m in node.known.directory.present()} == alive
     wrong = {n for _, _, n, s in net.log if s != "alive"} & alive
     assert wrong == set()
     net.run(members.TOMBSTONE_S + 70)
     for node in net.nodes.values():
-        assert set(node.directory.members) == alive
-        assert set(node.neighbours.ring.tops) == {
+        assert set(node.known.directory.members) == alive
+        assert set(node.known.neighbours.ring.tops) == {
             a.split("/")[0] for a in alive
         }
 
@@ -231,7 +241,9 @@
     net.blocked = lambda src, dst, fresh: net.rng.random() < loss
     net.nodes["h7/entry"].publish("quarantine", "q", {"why": "x"}, 60, net.now)
     net.run(2)
-    knows = [n for n in net.nodes.values() if "quarantine q" in n.facts.facts]
+    knows = [
+        n for n in net.nodes.values() if "quarantine q" in n.known.facts.facts
+    ]
     assert len(knows) == len(net.nodes)
 
 
@@ -250,9 +262,9 @@
         del held
     net.wake("h5/entry")
     for node in net.nodes.values():
-        node.gossip.pending.clear()
+        node.known.gossip.pending.clear()
     net.run(15)
-    assert "k x" in net.nodes["h5/entry"].facts.facts
+    assert "k x" in net.nodes["h5/entry"].known.facts.facts
 
 
 def test_facts_expire_and_the_newest_wins():
@@ -261,12 +273,12 @@
     a.publish("k", "x", "old", 30, net.now)
     b.publish("k", "x", "new", 30, net.now)
     net.run(3)
-    values = {n.facts.facts["k x"].value for n in net.nodes.values()}
+    values = {n.known.facts.facts["k x"].value for n in net.nodes.values()}
     assert len(values) == 1
     b.publish("k", "x", "last", 5, net.now)
     net.run(1)
-    values = {n.facts.facts["k x"].value for n in net.nodes.values()}
+    values = {n.known.facts.facts["k x"].value for n in net.nodes.values()}
     assert values == {"last"}
     net.run(5)
-    assert not any(n.facts.facts for n in net.nodes.values())
-    assert all(n.digest == a.digest for n in net.nodes.values())
+    assert not any(n.known.facts.facts for n in net.nodes.values())
+    assert all(n.known.digest == a.known.digest for n in net.nodes.values())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -115,7 +115,7 @@
     if isinstance(message, with_answers):
         node.receive("other/entry", message, 100.0)
     node.tick(100.1)
-    assert node.own.status is members.Status.ALIVE
+    assert node.known.own.status is members.Status.ALIVE
 
 
 def read_or_refuse(data):
