Notice links for one-way messages that have gone silent

Cause: a link that carries one-way messages only, as to coordinators, was never found silent; all that was told on it was lost. Change: a peer that says nothing for five seconds while it is told things is asked for a sign of life, and the link is dropped if none comes.

--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -87,6 +87,7 @@
             Callable[[tuple[hostlist.ListedHost, ...]], None]
         ] = []
         self.listed: tuple[hostlist.ListedHost, ...] = ()
+        self.lively: dict[str, list[Member]] = {}
         self.http_address = ""
         self.list_at = 0.0
         self.metrics_at = 0.0
@@ -128,12 +129,16 @@
 
     def live(self, program: str) -> list[Member]:
         """Return members of a program that may get work, this one too."""
-        wanted = (Status.ALIVE, Status.SUSPECT)
-        return [
-            member
-            for member in self.members.values()
-            if member.program == program and member.status in wanted
-        ]
+        kept = self.lively.get(program)
+        if kept is None:
+            # Asked for with every request, and seldom changed.
+            wanted = (Status.ALIVE, Status.SUSPECT)
+            kept = self.lively[program] = [
+                member
+                for member in self.members.values()
+                if member.program == program and member.status in wanted
+            ]
+        return list(kept)
 
     def is_gone(self, host_name: str, started: int = 0) -> bool:
         """Return whether a host is gone; see ``node.Node.is_gone``."""
@@ -186,6 +191,7 @@
             self.links.forget(address)
         if self.node.known.replaced and member.name == self.own_name:
             LOG.error("Another process has taken the name {}.", member.name)
+        self.lively.clear()
         for listener in self.listeners:
             listener(member)
 
--- a/camphortray/peers.py
+++ b/camphortray/peers.py
@@ -30,6 +30,10 @@
 CONNECT_S = 1.0
 # Messages waiting for one peer; the oldest are dropped beyond that.
 MAX_QUEUED = 256
+# Longest a one-way message may take to leave, and for how long a peer may
+# say nothing on a link before it is asked for a sign of life, in seconds.
+SEND_S = 1.0
+QUIET_S = 5.0
 HELLO_HEADER = "Camphortray-Hello"
 # Seconds by which the clocks of two hosts may differ.
 MAX_SKEW_S = 60.0
@@ -110,6 +114,12 @@
     """Answers a question that needs no other answer."""
 
 
+@messages.message("probe")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks for an ``Ack``, to see whether a link still works."""
+
+
 @messages.message("fault")
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerFault:
@@ -172,6 +182,7 @@
         self.lock = asyncio.Lock()
         self.reader: asyncio.Task[None] | None = None
         self.queue: asyncio.Queue[Any] = asyncio.Queue()
+        self.heard_at = asyncio.get_running_loop().time()
         self.sender: asyncio.Task[None] | None = None
 
     async def ask(self, message: Any, timeout_s: float) -> Any:
@@ -221,10 +232,29 @@
         while not self.queue.empty():
             message = self.queue.get_nowait()
             try:
-                await self.send(messages.Envelope(0, False, message))
+                async with asyncio.timeout(SEND_S):
+                    await self.send(messages.Envelope(0, False, message))
             except LINK_ERRORS as error:
                 LOG.debug("Lost a message to {}: {}", self.address, error)
                 self.queue = asyncio.Queue()
+                self.drop()
+            else:
+                await self.probe()
+
+    async def probe(self) -> None:
+        """Ask for a sign of life if the peer has long said nothing.
+
+        One-way messages on a link that has gone silent for good would be
+        lost for ever; ``ask`` drops a link on which no answer comes.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - self.heard_at < QUIET_S:
+            return
+        self.heard_at = now
+        try:
+            await self.ask(Probe(), SEND_S)
+        except errors.MessageError as error:
+            LOG.debug("Silent link to {}: {}", self.address, error)
 
     async def send(self, envelope: messages.Envelope) -> None:
         """Send over the open link, or over a new one."""
@@ -262,6 +292,7 @@
         if isinstance(data, str):
             return
         self.peers.traffic.received(len(data))
+        self.heard_at = asyncio.get_running_loop().time()
         try:
             envelope = messages.decode(data)
         except errors.MessageError as error:
@@ -437,6 +468,8 @@
 
     async def dispatch(self, sender: Sender, message: Any) -> Any:
         """Run the handler of a message; its failure becomes a fault."""
+        if isinstance(message, Probe):
+            return None
         handler = self.handlers.get(type(message))
         if handler is None:
             return PeerFault(f"no handler of {type(message).__name__}")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -320,3 +320,28 @@
     assert (await links.ask(links.address, message, 2.0)).digest == 5
     assert link.socket is not first
     await links.stop()
+
+
+async def test_one_way_messages_pass_again_after_a_silent_link(monkeypatch):
+    # A link that carries one-way messages only goes silent for good. They
+    # are lost, and nobody would notice; so the peer is asked for a sign
+    # of life, the link is dropped, and what is told next arrives.
+    monkeypatch.setattr(peers, "QUIET_S", 0.0)
+    monkeypatch.setattr(peers, "SEND_S", 0.05)
+    links = await links_of(config_of())
+    heard = asyncio.Queue()
+
+    async def hear(sender, news):
+        heard.put_nowait(news)
+
+    links.on(gossip.News, hear)
+    async with asyncio.timeout(LIMIT_S):
+        links.tell(links.address, gossip.News())
+        await heard.get()
+        server_side = next(iter(links.server.server.connections))
+        server_side.transport.pause_reading()
+        links.tell(links.address, gossip.News())
+        await links.link(links.address).sender
+        links.tell(links.address, gossip.News())
+        await heard.get()
+    await links.stop()
