--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -148,6 +148,21 @@
         await server.stop()
 
 
+async def test_what_may_run_once_trusts_no_kept_connection():
+    # A host closes a kept connection just as the caller sends its next
+    # request. On that connection nobody could tell whether it had run, so
+    # a request that may run only once goes over a new one.
+    servers = await start([[]])
+    async with clients.Client([str(servers[0].address)], seed=1) as client:
+        for _ in range(2):
+            answer = await client.request("POST", "/x", b"body")
+            assert await answer.body() == b"good"
+            for connection in servers[0].connections:
+                connection.transport.abort()
+    assert len(servers[0].handler.bodies) == 2
+    await servers[0].stop()
+
+
 async def test_a_lost_host_is_met_by_another_address():
     # The host a caller uses is lost; connections are refused, so nothing
     # ran, and the same request goes to another host. The caller knew one
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -100,6 +100,9 @@
     streams.gate.set()
     assert await stream.read() == b"ended"
     assert await stream.read() == b""
+    for _ in range(100):
+        await asyncio.sleep(0)
+    assert server.server.is_serving()
     writer.write(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n")
     assert (await reader.read()).endswith(b"ok\n")
     async with asyncio.timeout(LIMIT_S):
@@ -112,6 +115,23 @@
     await kept.close()
 
 
+async def test_late_callers_are_served_though_nothing_is_in_flight(pair):
+    # A host leaves while it has nothing to do. Callers that keep an old
+    # answer still come for a while; were it to end at once, their
+    # connections would be refused although nothing has failed.
+    leaving, other = pair
+    core = leaving.kernels["entry"]
+    core.context.part(web.Callers).serve_on_s = 1.0
+    core.request_drain()
+    await heard(other, "host-0/entry", membership.Status.LEAVING)
+    client = httpclient.HttpClient()
+    status, _, _ = await client.call(leaving.address, "GET", "/healthz")
+    assert status == 200
+    await client.close()
+    async with asyncio.timeout(LIMIT_S):
+        await core.ended.wait()
+
+
 async def test_a_drain_ends_in_bounded_time(pair):
     # A stream never ends. The operator has said how long a drain may
     # take; then what is left is named in the log and the program ends.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,5 +1,7 @@
 """Failure tests of membership among pure nodes, in virtual time."""
 
+import dataclasses
+
 import pytest
 
 from camphortray import members
@@ -118,6 +120,32 @@
     assert {n for _, _, n, s in net.log if s != "alive"} <= {"h1/entry"}
 
 
+@pytest.mark.parametrize("case", ["suspicion", "probe"])
+def test_a_host_that_was_itself_paused_accuses_nobody(case):
+    # A host is paused while it suspects another, or while the answer to
+    # its last probe is on the way and lost. When it wakes, time is over by
+    # its clock; but what it has not read yet may tell otherwise, so it
+    # gives the others their time anew.
+    net = settled(hosts=2 if case == "probe" else 6)
+    node = net.nodes["h0/entry"]
+    held = node.known.directory.members["h1/entry"]
+    if case == "suspicion":
+        suspect = dataclasses.replace(held, status=members.Status.SUSPECT)
+        node.known.take_member(suspect, net.now)
+    else:
+        net.blocked = lambda src, dst, fresh: src == "h1/entry"
+        net.send("h0/entry", [node.probe("h1/entry", net.now, fresh=True)])
+    net.pause("h0/entry")
+    net.run(1.5 if case == "probe" else 10)
+    net.blocked = lambda src, dst, fresh: False
+    net.log.clear()
+    net.wake("h0/entry")
+    net.run(10)
+    bad = {"suspect", "dead"} if case == "probe" else {"dead"}
+    seen = {s for _, _, name, s in net.log if name == "h1/entry"}
+    assert not seen & bad
+
+
 def test_a_zone_cut_off_is_dead_outside_and_comes_back():
     # A zone loses all others. Outside, two watchers of each of its hosts
     # are there to hold it for dead; inside, the zone goes on telling
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -108,3 +108,11 @@
         await until(host, 4)
         view = host.part("entry", tree.Tree).view
         assert view.by_model[clusters.MODEL].get("limit.queue") == 7
+        # What leaves a gap, or is old, changes nothing.
+        held = host.part("entry", spread.Spread)
+        body = log.LogRecord(9, 1.0, b"x").body
+        for offset in (9, 0):
+            assert not held.take_records(
+                (spread.PassedRecord(offset, 1.0, body),)
+            )
+        assert held.journal.fold.next == 4
