--- a/camphortray/holding.py
+++ b/camphortray/holding.py
@@ -9,6 +9,10 @@
 
 T = TypeVar("T")
 
+# Least seconds from one slot taken on an upstream to the next. Prompts that
+# come together are read in one step, which an online request then sits out.
+PACE_S = 0.02
+
 
 @dataclasses.dataclass(slots=True)
 class Holding(Generic[T]):
@@ -19,12 +23,14 @@
       until: When the grant ends.
       used: Those in use, the oldest first.
       yielding: Those told to stop that have not been given back.
+      next_at: Before this no further slot is taken.
     """
 
     granted: int = 0
     until: float = 0.0
     used: list[T] = dataclasses.field(default_factory=list)
     yielding: list[T] = dataclasses.field(default_factory=list)
+    next_at: float = 0.0
 
 
 class Holdings(Generic[T]):
@@ -71,15 +77,24 @@
     def free(self, now: float, upstream: str) -> int:
         """Return how many more slots may be taken."""
         holding = self.of(upstream)
-        if holding.until <= now:
+        if holding.until <= now or now < holding.next_at:
             return 0
         # A slot told to stop is still busy at the engine.
         busy = len(holding.used) + len(holding.yielding)
         return max(0, holding.granted - busy)
 
-    def take(self, upstream: str, slot: T) -> None:
+    def paced(self) -> bool:
+        """Return whether a granted slot is held back by the pace."""
+        return any(
+            holding.granted > len(holding.used) + len(holding.yielding)
+            for holding in self.holdings.values()
+        )
+
+    def take(self, now: float, upstream: str, slot: T) -> None:
         """Count a slot as in use."""
-        self.of(upstream).used.append(slot)
+        holding = self.of(upstream)
+        holding.used.append(slot)
+        holding.next_at = now + PACE_S
 
     def give_back(self, upstream: str, slot: T) -> None:
         """Count a slot as free."""
--- a/camphortray/slots.py
+++ b/camphortray/slots.py
@@ -50,6 +50,7 @@
 
     service: settings.Service
     without: frozenset[str]
+    prefer: str
     slot: asyncio.Future[Slot]
 
 
@@ -77,6 +78,7 @@
         self.asked_at = -RENEW_S
         self.asked: set[str] = set()
         self.wake = asyncio.Event()
+        self.pacing = False
         self.task: asyncio.Task[None] | None = None
 
     @classmethod
@@ -91,18 +93,21 @@
         self,
         service: settings.Service,
         without: frozenset[str] = frozenset(),
+        prefer: str = "",
     ) -> Slot:
         """Wait for a slot on an upstream of a service.
 
         Args:
           service: Which service.
           without: Names of upstreams that will not do.
+          prefer: Upstream that holds the item's prefix in its cache, if
+            one does; taken if it has a slot when one is handed out.
         """
-        slot = self.free_slot(service, without)
+        slot = self.free_slot(service, without, prefer)
         if slot is not None:
             return slot
         loop = asyncio.get_running_loop()
-        waiter = Waiter(service, without, loop.create_future())
+        waiter = Waiter(service, without, prefer, loop.create_future())
         self.waiters.append(waiter)
         self.wake.set()
         try:
@@ -118,20 +123,26 @@
                 self.waiters.remove(waiter)
 
     def free_slot(
-        self, service: settings.Service, without: frozenset[str]
+        self,
+        service: settings.Service,
+        without: frozenset[str],
+        prefer: str = "",
     ) -> Slot | None:
-        """Return a slot on the upstream with the most of them free."""
+        """Return a slot on the upstream preferred or with the most free."""
         now = self.clock.monotonic()
         best: engine.Upstream | None = None
         most = 0
         for candidate in self.upstreams.candidates(service, without):
             free = self.holdings.free(now, candidate.upstream.name)
+            if free and candidate.upstream.name == prefer:
+                best = candidate.upstream
+                break
             if free > most:
                 best, most = candidate.upstream, free
         if best is None:
             return None
         slot = Slot(best)
-        self.holdings.take(best.name, slot)
+        self.holdings.take(now, best.name, slot)
         return slot
 
     async def release(self, slot: Slot) -> None:
@@ -140,15 +151,45 @@
         self.hand_out()
 
     def hand_out(self) -> None:
-        """Give free slots to those who wait."""
-        for waiter in list(self.waiters):
-            slot = self.free_slot(waiter.service, waiter.without)
+        """Give free slots to those who wait.
+
+        Items that were preempted come first where their prefix is cached.
+        """
+        now = self.clock.monotonic()
+        free = {
+            name
+            for name in self.holdings.holdings
+            if self.holdings.free(now, name)
+        }
+        if not free:
+            self.hand_out_later()
+            return
+        for waiter in sorted(
+            self.waiters, key=lambda waiter: waiter.prefer not in free
+        ):
+            slot = self.free_slot(
+                waiter.service, waiter.without, waiter.prefer
+            )
             if slot is not None:
                 self.waiters.remove(waiter)
                 if waiter.slot.done():
                     self.holdings.give_back(slot.upstream.name, slot)
                 else:
                     waiter.slot.set_result(slot)
+        self.hand_out_later()
+
+    def hand_out_later(self) -> None:
+        """Look again once another slot may be taken, if one is granted."""
+        if self.pacing or not self.waiters or not self.holdings.paced():
+            return
+        self.pacing = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(holding.PACE_S, self.hand_out_paced)
+
+    def hand_out_paced(self) -> None:
+        """Hand out what the pace now allows."""
+        self.pacing = False
+        self.hand_out()
 
     async def on_grants(
         self, sender: peers.Sender, message: slotmessages.Grants
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,6 +13,7 @@
     "addressbook",
     "addresses",
     "antientropy",
+    "attempt",
     "burn",
     "burnrate",
     "calls",
@@ -23,6 +24,7 @@
     "deadline",
     "declaration",
     "facts",
+    "fairness",
     "fold",
     "gossip",
     "grouping",
@@ -36,6 +38,7 @@
     "jobs",
     "knowledge",
     "leaving",
+    "limits",
     "members",
     "multipart",
     "neighbours",
@@ -59,8 +62,10 @@
     "shards",
     "snapshot",
     "takeover",
+    "trace",
     "view",
     "watch",
+    "window",
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
 
