--- a/camphortray/headroom.py
+++ b/camphortray/headroom.py
@@ -48,6 +48,10 @@
         waits for its first token. Prompts are read in the order of
         arrival and one step reads several, so that each batch stream
         makes exactly the steps longer that a burst waits for.
+      burst_arrivals: Online requests that come within ``BURST_S`` and so
+        make a burst. All slots are taken back until it is over: each
+        request of a burst waits for steps that batch streams lengthen,
+        while for a single one that is not worth reading prompts again.
       growth_per_s: Slots added per second; see ``Headroom.growth``.
       settle_s: Seconds without a waiting request before slots grow.
       strain_high: Strain at which the ceiling is cut.
@@ -55,6 +59,7 @@
     """
 
     yield_per_pending: float
+    burst_arrivals: int
     growth_per_s: float
     settle_s: float
     strain_high: float
@@ -62,9 +67,11 @@
 
 
 PROFILES = {
-    "latency": Profile(8.0, 60.0, 0.25, 0.9, 16.0),
-    "throughput": Profile(4.0, 120.0, 0.05, 1.5, 32.0),
+    "latency": Profile(8.0, 3, 60.0, 0.25, 0.9, 16.0),
+    "throughput": Profile(4.0, 6, 120.0, 0.05, 1.5, 32.0),
 }
+# Seconds in which online requests count as coming together.
+BURST_S = 0.25
 # Slots added per second where no profile says otherwise.
 GROWTH_PER_S = 60.0
 # Least seconds from one cut of the ceiling to the next: the effect of a
@@ -145,6 +152,8 @@
         self.waited_at = -profile.settle_s
         self.cut_at = -CUT_EVERY_S
         self.used_since = 0.0
+        self.pending = 0
+        self.arrivals: collections.deque[float] = collections.deque()
 
     def target(self, now: float, load: Load, granted: int) -> int:
         before = now if self.changed_at is None else self.changed_at
@@ -155,8 +164,19 @@
         if load.pending:
             self.waited_at = now
             room -= self.profile.yield_per_pending * load.pending
+        if self.in_burst(now, load):
+            return 0
         return max(0, int(room))
 
+    def in_burst(self, now: float, load: Load) -> bool:
+        """Return whether online requests come close together."""
+        new = max(0, load.pending - self.pending)
+        self.pending = load.pending
+        self.arrivals.extend([now] * new)
+        while self.arrivals and self.arrivals[0] < now - BURST_S:
+            self.arrivals.popleft()
+        return len(self.arrivals) >= self.profile.burst_arrivals
+
     def growth(self, now: float) -> float:
         if now - self.waited_at < self.profile.settle_s:
             return 0.0
