--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -6,6 +6,8 @@
 
 from spec import appends
 from spec import calls
+from spec import intake
+from spec import items
 from spec import model
 from spec import retention
 from spec import settings
@@ -18,6 +20,9 @@
     calls.SPEC,
     calls.FORGET_SPEC,
     settings.SPEC,
+    intake.SPEC,
+    items.SPEC,
+    items.ENDING_SPEC,
 )
 
 
--- a/spec/model.py
+++ b/spec/model.py
@@ -70,7 +70,8 @@
             candidate=not self.off,
             fields=self.state._fields,
             initial=self.initial(),
-            transitions=self.transitions,
+            # The check of the goal asks for each state's steps again.
+            transitions=functools.cache(self.transitions),
             invariants=self.invariants(),
             goal=None if type(self).goal is Machine.goal else self.goal,
         )
