Pass over a suspected coordinator of batch slots

Cause: after a host was lost its upstreams' coordinator was asked until it was held for dead, and the jobs taken over stood still. Change: a suspected entry coordinates nothing.

--- a/camphortray/granting.py
+++ b/camphortray/granting.py
@@ -32,7 +32,10 @@
     upstream: str, members: Iterable[membership.Member]
 ) -> membership.Member | None:
     """Return the entry member that coordinates an upstream, if any."""
-    by_name = {member.name: member for member in members}
+    # A suspected one may be lost: batch work would stand still until it is
+    # held for dead. Being wrong costs a second coordinator for a moment.
+    alive = membership.Status.ALIVE
+    by_name = {m.name: m for m in members if m.status is alive}
     name = shards.preferred(f"slots/{upstream}", by_name)
     return by_name[name] if name is not None else None
 
