Let a fleet's fixed members keep who is live

Cause: members now keep the list of live ones, and the fleet of the benches that stands in for them had none. Change: it has one, cleared with each change by hand.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -144,6 +144,7 @@
         self.context = context
         self.own_name = f"{context.config.host.name}/{context.program}"
         self.held: dict[str, membership.Member] = {}
+        self.lively: dict[str, list[membership.Member]] = {}
 
     @property
     def members(self) -> dict[str, membership.Member]:
@@ -151,6 +152,7 @@
 
     def put(self, member: membership.Member) -> None:
         self.held[member.name] = member
+        self.lively.clear()
 
     def listen(self, listener: Any) -> None:
         """Tell nobody: members change by hand."""
