Look members up afresh, as a kept list goes stale unseen

Tried: to keep the list of live members between changes. Parts that take members out by hand (tests do) got an old list.

--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -28,6 +28,7 @@
 Fact = facts.Fact
 Member = members.Member
 Status = members.Status
+PRESENT = (Status.ALIVE, Status.SUSPECT)
 # Seconds from one look at what is due to the next.
 TICK_S = 0.1
 # Longest wait for an answer of a peer, in seconds.
@@ -87,7 +88,6 @@
             Callable[[tuple[hostlist.ListedHost, ...]], None]
         ] = []
         self.listed: tuple[hostlist.ListedHost, ...] = ()
-        self.lively: dict[str, list[Member]] = {}
         self.http_address = ""
         self.list_at = 0.0
         self.metrics_at = 0.0
@@ -129,16 +129,12 @@
 
     def live(self, program: str) -> list[Member]:
         """Return members of a program that may get work, this one too."""
-        kept = self.lively.get(program)
-        if kept is None:
-            # Asked for with every request, and seldom changed.
-            wanted = (Status.ALIVE, Status.SUSPECT)
-            kept = self.lively[program] = [
-                member
-                for member in self.members.values()
-                if member.program == program and member.status in wanted
-            ]
-        return list(kept)
+        tail = f"/{program}"
+        return [
+            member
+            for name, member in self.members.items()
+            if name.endswith(tail) and member.status in PRESENT
+        ]
 
     def is_gone(self, host_name: str, started: int = 0) -> bool:
         """Return whether a host is gone; see ``node.Node.is_gone``."""
@@ -191,7 +187,6 @@
             self.links.forget(address)
         if self.node.known.replaced and member.name == self.own_name:
             LOG.error("Another process has taken the name {}.", member.name)
-        self.lively.clear()
         for listener in self.listeners:
             listener(member)
 
