Wake every host on a release; claim in turn; retries of plain services under the budget

A release did not wake the other hosts, so that a shard handed over by a drain stayed without an owner until something else changed (up to 60 s). Two hosts claimed at once after a challenge; the second now waits its turn.

--- a/camphortray/callshard.py
+++ b/camphortray/callshard.py
@@ -52,9 +52,9 @@
         assert isinstance(fold, calls.CallsFold)
         return fold
 
-    def snapshot_rank(self) -> int | None:
-        """Let the owner alone write snapshots."""
-        return 0 if self.owner.owned else None
+    def snapshot_rank(self) -> int:
+        """Let the owner write snapshots, others if it does not."""
+        return 0 if self.owner.owned else self.owner.rank() + 1
 
     def start(self) -> None:
         """Follow, own and tidy."""
--- a/camphortray/orderdriver.py
+++ b/camphortray/orderdriver.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from camphortray import compaction
 from camphortray import engine
 from camphortray import errors
 from camphortray import journal
@@ -58,6 +59,12 @@
         )
         self.owner = ownership.Owner(self.journal, ownership.Members(context))
         self.owner.on_gain = self.on_gain
+        self.compactor = compaction.Compactor(
+            self.journal,
+            config.streams.retention_s,
+            context.clock.wall,
+            lambda: 0 if self.owner.owned else self.owner.rank() + 1,
+        )
         self.gained_at = 0.0
         self.sent_at: dict[str, float] = {}
         self.changed = asyncio.Event()
@@ -96,6 +103,7 @@
         for shard in self.shards:
             shard.journal.start()
             shard.owner.start()
+            shard.compactor.start()
             self.tasks.append(loop.create_task(self.run(shard)))
         self.tree.listen(self.on_view)
 
@@ -304,6 +312,7 @@
         for task in self.tasks:
             task.cancel()
         for shard in self.shards:
+            await shard.compactor.stop()
             await shard.owner.stop()
             await shard.journal.stop()
 
--- a/camphortray/ownership.py
+++ b/camphortray/ownership.py
@@ -109,6 +109,7 @@
         self.on_loss: Callable[[], None] = ignore
         self.before_release: Callable[[], Awaitable[None]] = wait_for_nothing
         self.owned_epoch = records.NO_EPOCH
+        self.seen: object = None
         self.draining = False
         self.changed = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
@@ -128,7 +129,10 @@
     def on_outcome(self, outcome: folds.Outcome) -> None:
         """Look anew after each record that may matter."""
         held = self.journal.fold.ownership
-        if held.challenge != self.policy.challenge[0]:
+        now = (held.epoch, held.owner, held.challenge)
+        if now != self.seen:
+            # Also a release, upon which another host claims at once.
+            self.seen = now
             self.changed.set()
         self.tell()
 
--- a/camphortray/services.py
+++ b/camphortray/services.py
@@ -8,11 +8,13 @@
 from camphortray import admission
 from camphortray import callkeeper
 from camphortray import calls
+from camphortray import deadline
 from camphortray import engine
 from camphortray import errors
 from camphortray import kernel
 from camphortray import logs
 from camphortray import outer
+from camphortray import retry
 from camphortray import routing
 from camphortray import service as plain
 from camphortray import settings
@@ -25,7 +27,6 @@
 MAX_TRIES = 3
 IDEMPOTENCY_KEY = "idempotency-key"
 IDEMPOTENT = "camphortray-idempotent"
-DEADLINE = "camphortray-deadline"
 # Headers of one connection, or between us and one side only.
 NOT_PASSED_ON = frozenset(
     {
@@ -40,7 +41,7 @@
         "transfer-encoding",
         "upgrade",
         "x-request-id",
-        DEADLINE,
+        deadline.HEADER,
         web.HOST_KEY_HEADER,
         web.WORKSPACE_HEADER,
     }
@@ -66,7 +67,9 @@
         self.upstreams = context.part(upstreams.Upstreams)
         self.admission = context.part(admission.Admission)
         self.keeper = context.part(callkeeper.CallKeeper)
-        self.router = routing.Router(context.rng)
+        self.budgets: dict[str, retry.RetryBudget] = {}
+        zone = context.config.host.availability_zone
+        self.router = routing.Router(context.rng, zone)
         path = "/v1/services/{service}/{rest...}"
         context.part(web.Routes).add(
             "*", path, web.Access.WORKSPACE, self.handle
@@ -111,14 +114,10 @@
 
     def deadline_at(self, call: web.Call, service: settings.Service) -> float:
         """Return when the answer is due, on the monotonic clock."""
-        text = call.request.headers.get(DEADLINE, "")
-        try:
-            left = float(text) if text else service.get("limit.deadline_s")
-        except ValueError:
-            raise errors.Refused(
-                400, "bad_field", "not a number", field="Camphortray-Deadline"
-            ) from None
-        return self.context.clock.monotonic() + float(left)
+        left = deadline.from_headers(
+            call.request.headers, service.get("limit.deadline_s")
+        )
+        return self.context.clock.monotonic() + left
 
     async def run(
         self,
@@ -175,12 +174,12 @@
         """
         tried: frozenset[str] = frozenset()
         maybe_ran = False
+        budget = self.budget(service)
         while True:
             upstream = self.choose(service, tried, maybe_ran)
             left = deadline_at - self.context.clock.monotonic()
             if left <= 0:
-                ran = "unknown" if maybe_ran else "no"
-                raise errors.Refused(504, "deadline", "too late", ran=ran)
+                raise deadline.passed("unknown" if maybe_ran else "no")
             passed = plain.ServiceCall(
                 call.request.id,
                 call.request.method,
@@ -191,16 +190,28 @@
             )
             fresh = bool(tried) or not idempotent
             try:
-                return await self.send_once(upstream, passed, fresh)
+                answer = await self.send_once(upstream, passed, fresh)
+                budget.succeeded(self.context.clock.monotonic())
+                return answer
             except errors.UpstreamError as error:
                 self.on_failure(upstream, error)
                 tried |= {upstream.name}
                 maybe_ran = maybe_ran or error.ran
-                again = idempotent or not error.ran
-                if not again or len(tried) >= MAX_TRIES:
-                    error.ran = maybe_ran
+                error.ran = maybe_ran
+                again = idempotent or not maybe_ran
+                now = self.context.clock.monotonic()
+                if not (
+                    again and len(tried) < MAX_TRIES and budget.allow(now)
+                ):
                     raise
 
+    def budget(self, service: settings.Service) -> retry.RetryBudget:
+        """Return the retry budget of a service."""
+        if service.name not in self.budgets:
+            share = service.get("retry.share")
+            self.budgets[service.name] = retry.RetryBudget(share)
+        return self.budgets[service.name]
+
     def choose(
         self,
         service: settings.Service,
--- a/camphortray/takeover.py
+++ b/camphortray/takeover.py
@@ -149,7 +149,8 @@
         """Return what to do against an owner taken for lost."""
         held = seen.held
         if held.challenge != records.NO_EPOCH:
-            left = self.challenge[1] + self.timing.patience_s - now
+            turn_s = seen.rank() * self.timing.stagger_s
+            left = self.challenge[1] + self.timing.patience_s + turn_s - now
             return Step(again_s=left) if left > 0 else self.claim(held)
         left = self.answered_at + self.timing.answered_s - now
         if left > 0:
