--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -36,6 +36,7 @@
     "jobqueue",
     "jobrecords",
     "jobs",
+    "knowledge",
     "leaving",
     "limits",
     "members",
