Tell bursts from single arrivals and pace batch prompts

Cause: single arrivals emptied an engine, several batch prompts were read in one step when a burst came, a busy host ran out of reports in the middle of a burst, and division by wish moved slots between holders for nothing. Change: all slots go only in a burst, items begin a step apart over all holders, arrivals may use the reports' reserve, division keeps what is held.

--- a/camphortray/coordinator.py
+++ b/camphortray/coordinator.py
@@ -9,30 +9,60 @@
 # Seconds for which a grant holds. A coordinator that is gone stops batch
 # work for at most this long, and its grants end by themselves.
 GRANT_S = 1.2
+# Slots by which holders may differ.
+APART = 2
 # Seconds from one step of growth to the next, so that a coordinator sends
-# each holder at most 20 messages a second while it grows.
-GROW_EVERY_S = 0.05
+# each holder at most 10 messages a second while it grows.
+GROW_EVERY_S = 0.1
+# Seconds from one batch item that begins on an upstream to the next.
+PACE_S = 0.015
 # Seconds for which a host's word about its online work is believed; hosts
 # repeat it every second while they have any.
 REPORT_S = 3.0
 
 
-def divide(total: int, wanted: dict[str, int]) -> dict[str, int]:
-    """Divide slots evenly; what one does not want goes to the others.
+def divide(
+    total: int,
+    wanted: dict[str, int],
+    held: dict[str, int],
+    level: bool = True,
+) -> dict[str, int]:
+    """Divide slots about evenly, moving as few as can be.
 
-    >>> divide(10, {"a": 2, "b": 9, "c": 9})
+    Each slot that moves costs a preempted item and two messages, so
+    holders keep what they have: what is missing is taken from those with
+    the most, what is free goes to those with the least, and beyond that
+    slots move only while two holders are further apart than ``APART``.
+
+    Args:
+      total: Slots there are.
+      wanted: Slots each could use.
+      held: Slots each has now.
+      level: Whether slots may move from one holder to another.
+
+    >>> divide(10, {"a": 2, "b": 9, "c": 9}, {})
     {'a': 2, 'b': 4, 'c': 4}
-    >>> divide(1, {"a": 1, "b": 1})
-    {'a': 1, 'b': 0}
+    >>> divide(10, {"a": 9, "b": 9}, {"a": 6, "b": 4})
+    {'a': 6, 'b': 4}
     """
-    shares = {}
-    left = total
-    names = sorted(wanted, key=lambda name: (wanted[name], name))
-    for number, name in enumerate(names):
-        heads = len(names) - number
-        shares[name] = min(wanted[name], -(-left // heads))
-        left -= shares[name]
-    return shares
+    shares = {n: min(held.get(n, 0), wanted[n]) for n in wanted}
+    used = sum(shares.values())
+    while used > total:
+        shares[max(shares, key=lambda n: (shares[n], n))] -= 1
+        used -= 1
+    while True:
+        hungry = [n for n in shares if shares[n] < wanted[n]]
+        if not hungry:
+            return shares
+        least = min(hungry, key=lambda n: (shares[n], n))
+        most = max(shares, key=lambda n: (shares[n], n))
+        if used < total:
+            used += 1
+        elif level and shares[most] - shares[least] > APART:
+            shares[most] -= 1
+        else:
+            return shares
+        shares[least] += 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,6 +125,15 @@
         else:
             self.reports.pop(host, None)
 
+    def pace_s(self) -> float:
+        """Return how far apart one holder's new items should begin.
+
+        Prompts that come together are read in one long step, which an
+        online request that comes meanwhile has to sit out. All holders
+        together begin one item in about the time of a step.
+        """
+        return round(PACE_S * max(1, len(self.holders)), 3)
+
     def granted(self) -> int:
         """Return the number of slots granted."""
         return sum(holder.granted for holder in self.holders.values())
@@ -126,8 +165,11 @@
         if total > granted:
             total = min(total, granted + self.growth(now))
         wanted = {host: d.wanted for host, d in self.holders.items()}
+        held = {host: d.granted for host, d in self.holders.items()}
+        # What the coordinator before granted is not moved about.
+        level = now >= self.careful_until
         changed = {}
-        for host, slots in divide(total, wanted).items():
+        for host, slots in divide(total, wanted, held, level).items():
             if self.holders[host].granted != slots:
                 self.holders[host].granted = slots
                 changed[host] = slots
--- a/camphortray/granting.py
+++ b/camphortray/granting.py
@@ -168,7 +168,7 @@
             held = self.state_of(upstream)
             if held is not None:
                 held.online(now, host, load)
-                self.decide(upstream, held)
+                self.decide(upstream)
 
     async def on_wants(
         self, sender: peers.Sender, message: slotmessages.Wants
@@ -180,7 +180,7 @@
             held = self.state_of(upstream)
             if held is not None:
                 held.want(now, sender.host, want.wanted, want.held)
-                self.decide(upstream, held)
+                self.decide(upstream)
         self.renew(sender.host, message)
         self.work.set()
 
@@ -207,16 +207,27 @@
             )
         return self.coordinators[upstream]
 
-    def decide(self, upstream: str, held: coordinator.Coordinator) -> None:
-        """Tell hosts of changed grants."""
-        for host, slots in held.decide(self.clock.monotonic()).items():
-            self.grant(host, {upstream: slots})
+    def decide(self, *upstreams: str) -> None:
+        """Tell hosts of changed grants, in one message each."""
+        now = self.clock.monotonic()
+        changed: dict[str, dict[str, int]] = collections.defaultdict(dict)
+        for upstream in upstreams:
+            for host, slots in self.coordinators[upstream].decide(now).items():
+                changed[host][upstream] = slots
+        for host, grants in changed.items():
+            self.grant(host, grants)
 
     def grant(self, host: str, slots: dict[str, int]) -> None:
         """Send grants to a host."""
-        self.peers.tell(
-            self.holders[host], slotmessages.Grants(slots, coordinator.GRANT_S)
+        paces = [
+            held.pace_s()
+            for name, held in self.coordinators.items()
+            if name in slots
+        ]
+        message = slotmessages.Grants(
+            slots, coordinator.GRANT_S, max(paces, default=0.0)
         )
+        self.peers.tell(self.holders[host], message)
 
     async def run(self) -> None:
         """Report and decide while there is anything to do."""
@@ -226,8 +237,7 @@
                 await self.work.wait()
             await asyncio.sleep(TICK_S)
             self.report()
-            for upstream, held in list(self.coordinators.items()):
-                self.decide(upstream, held)
+            self.decide(*self.coordinators)
 
     def busy(self) -> bool:
         """Return whether a coordinated upstream is in use."""
--- a/camphortray/headroom.py
+++ b/camphortray/headroom.py
@@ -67,9 +67,11 @@
 
 
 PROFILES = {
-    "latency": Profile(8.0, 3, 60.0, 0.25, 0.9, 16.0),
-    "throughput": Profile(4.0, 6, 120.0, 0.05, 1.5, 32.0),
+    "latency": Profile(4.0, 4, 80.0, 0.1, 0.9, 16.0),
+    "throughput": Profile(2.0, 8, 150.0, 0.05, 1.5, 32.0),
 }
+# Slots in which online work is rounded up.
+STEP = 2
 # Seconds in which online requests count as coming together.
 BURST_S = 0.25
 # Slots added per second where no profile says otherwise.
@@ -160,7 +162,10 @@
         self.changed_at = now
         self.used_since = self.used_since if granted else now
         self.steer(now, max(0.0, now - before), load.strain, granted)
-        room = min(self.ceiling, float(self.slots - load.in_flight))
+        # In whole steps: one request more or less would else send new
+        # grants to every holder each time.
+        taken = -(-load.in_flight // STEP) * STEP
+        room = min(self.ceiling, float(self.slots - taken))
         if load.pending:
             self.waited_at = now
             room -= self.profile.yield_per_pending * load.pending
--- a/camphortray/holding.py
+++ b/camphortray/holding.py
@@ -9,10 +9,6 @@
 
 T = TypeVar("T")
 
-# Least seconds from one slot taken on an upstream to the next. Prompts that
-# come together are read in one step, which an online request then sits out.
-PACE_S = 0.02
-
 
 @dataclasses.dataclass(slots=True)
 class Holding(Generic[T]):
@@ -23,6 +19,7 @@
       until: When the grant ends.
       used: Those in use, the oldest first.
       yielding: Those told to stop that have not been given back.
+      pace_s: Least seconds from one slot taken to the next.
       next_at: Before this no further slot is taken.
     """
 
@@ -30,6 +27,7 @@
     until: float = 0.0
     used: list[T] = dataclasses.field(default_factory=list)
     yielding: list[T] = dataclasses.field(default_factory=list)
+    pace_s: float = 0.0
     next_at: float = 0.0
 
 
@@ -44,10 +42,16 @@
         return self.holdings.setdefault(upstream, Holding())
 
     def grant(
-        self, now: float, upstream: str, slots: int, seconds: float
+        self,
+        now: float,
+        upstream: str,
+        slots: int,
+        seconds: float,
+        pace_s: float = 0.0,
     ) -> list[T]:
         """Take a grant; return the slots to give up."""
         holding = self.of(upstream)
+        holding.pace_s = pace_s
         holding.granted = slots
         holding.until = now + seconds
         return self.excess(holding)
@@ -83,18 +87,20 @@
         busy = len(holding.used) + len(holding.yielding)
         return max(0, holding.granted - busy)
 
-    def paced(self) -> bool:
-        """Return whether a granted slot is held back by the pace."""
-        return any(
-            holding.granted > len(holding.used) + len(holding.yielding)
+    def next_free_at(self) -> float | None:
+        """Return when the pace allows the next granted slot, if one is."""
+        times = [
+            holding.next_at
             for holding in self.holdings.values()
-        )
+            if holding.granted > len(holding.used) + len(holding.yielding)
+        ]
+        return min(times, default=None)
 
     def take(self, now: float, upstream: str, slot: T) -> None:
         """Count a slot as in use."""
         holding = self.of(upstream)
         holding.used.append(slot)
-        holding.next_at = now + PACE_S
+        holding.next_at = now + holding.pace_s
 
     def give_back(self, upstream: str, slot: T) -> None:
         """Count a slot as free."""
--- a/camphortray/online.py
+++ b/camphortray/online.py
@@ -22,6 +22,7 @@
 # on one upstream takes about 60 bytes, so that this stays under 1.2 KB/s.
 RATE = 20.0
 BURST = 60.0
+RESERVE = 30.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,7 +108,9 @@
         due = {}
         for name, work in self.works.items():
             load = work.load(now)
-            if self.allowance >= 1 and is_due(now, work, load):
+            # Arrivals may use all of the allowance, the rest leaves some.
+            least = 1.0 if is_arrival(work, load) else RESERVE
+            if self.allowance >= least and is_due(now, work, load):
                 self.allowance -= 1
                 work.told = load
                 work.told_at = now
@@ -133,10 +136,15 @@
             del self.works[name]
 
 
+def is_arrival(work: Work, load: headroom.Load) -> bool:
+    """Return whether a first request waits, or twice as many as told."""
+    return load.pending >= max(1, 2 * work.told.pending)
+
+
 def is_due(now: float, work: Work, load: headroom.Load) -> bool:
     """Return whether a report differs enough, or is old enough."""
     told = work.told
-    if load.pending >= max(1, 2 * told.pending):
+    if is_arrival(work, load):
         return True
     quiet = now - work.told_at
     if load == told:
--- a/camphortray/slotmessages.py
+++ b/camphortray/slotmessages.py
@@ -50,7 +50,10 @@
     Attributes:
       slots: Takes the place of the grant before.
       seconds: How long it holds from its arrival.
+      pace_s: Least seconds from one slot taken on an upstream to the next,
+        by this host.
     """
 
     slots: dict[str, int]
     seconds: float
+    pace_s: float = 0.0
--- a/camphortray/slots.py
+++ b/camphortray/slots.py
@@ -20,11 +20,13 @@
 
 # Seconds from one request for slots to the next; grants last longer than
 # two of them, so that one lost message takes no slot away.
-RENEW_S = 0.4
+RENEW_S = 0.5
 # Seconds from one look for ended grants to the next.
 LAPSE_S = 0.1
 # Least seconds between two requests sent out of turn.
 HASTE_S = 0.05
+# Least seconds from one look at the pace to the next.
+LEAST_WAIT_S = 0.005
 # Share of its slots used on an upstream for which no coordinator is known,
 # as when this host sees no entry member. Online work may be there unseen.
 UNCOORDINATED_SHARE = 0.25
@@ -180,11 +182,12 @@
 
     def hand_out_later(self) -> None:
         """Look again once another slot may be taken, if one is granted."""
-        if self.pacing or not self.waiters or not self.holdings.paced():
+        at = self.holdings.next_free_at()
+        if self.pacing or not self.waiters or at is None:
             return
         self.pacing = True
-        loop = asyncio.get_running_loop()
-        loop.call_later(holding.PACE_S, self.hand_out_paced)
+        wait_s = max(LEAST_WAIT_S, at - self.clock.monotonic())
+        asyncio.get_running_loop().call_later(wait_s, self.hand_out_paced)
 
     def hand_out_paced(self) -> None:
         """Hand out what the pace now allows."""
@@ -198,7 +201,9 @@
         now = self.clock.monotonic()
         for upstream, slots in message.slots.items():
             self.revoke(
-                self.holdings.grant(now, upstream, slots, message.seconds)
+                self.holdings.grant(
+                    now, upstream, slots, message.seconds, message.pace_s
+                )
             )
         self.hand_out()
 
--- a/camphortray/trace.py
+++ b/camphortray/trace.py
@@ -58,8 +58,8 @@
 
 
 SHAPES = {
-    "winter-morning": Shape(120.0, 2.0, 1.5, 4.5, edge=0.3),
-    "open-day-weekend": Shape(80.0, 10.0, 4.0, 6.0, prompt_words=150),
+    "winter-morning": Shape(180.0, 2.0, 1.5, 4.5, edge=0.3),
+    "open-day-weekend": Shape(120.0, 10.0, 4.0, 6.0, prompt_words=150),
     "night": Shape(40.0, 0.5, 0.5, 8.0),
 }
 
