Wait for slots with the upstreams left out now, not then

Cause: under an engine crash all upstreams may for a moment be kept for suspects; items that asked for a slot just then left all of them out for ever, and the job stood still. Change: the wait is renewed while an upstream is reserved, permits go back to where they were asked, and last five seconds unless asked for again. Ports of a test cluster lie below the ephemeral ones.

--- a/camphortray/cluster.py
+++ b/camphortray/cluster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import random
 import socket
 from typing import Any
 
@@ -30,16 +31,29 @@
 OPERATOR_KEY = "key-of-operator"
 HOST_KEY = "key-of-hosts"
 PROGRAMS = (entry, batch)
+PORTS = (10_000, 32_000)
+GIVEN: set[int] = set()
 # Longest wait for hosts to become ready, and from one look to the next.
 READY_S = 20.0
 READY_LOOK_S = 0.01
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free now and was not given before.
+
+    It lies below the ports that systems give to outgoing connections, so
+    that none of those takes it before it is listened on.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        if port not in GIVEN:
+            GIVEN.add(port)
+            return port
 
 
 def free_address() -> str:
@@ -127,7 +141,8 @@
         any_port = configs.Address(LOOPBACK, 0)
         await self.platform_server.start(any_port)
         for engine in self.engines.values():
-            await engine.start(any_port)
+            # It listens on the same port again after a crash.
+            await engine.start(configs.Address(LOOPBACK, free_port()))
         await self.plain.start(any_port)
         self.publish(REGION, self.region_values())
         self.publish(f"{REGION}/{SERVICE}", self.service_values())
--- a/camphortray/dispatch.py
+++ b/camphortray/dispatch.py
@@ -14,6 +14,7 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import outbox as outboxes
+from camphortray import settings
 from camphortray import slots as slots_module
 from camphortray import tree
 
@@ -120,9 +121,7 @@
         task = asyncio.current_task()
         try:
             service = self.tree.view.services[name]
-            slot = await self.slots.acquire(
-                service, frozenset(self.isolation.reserved)
-            )
+            slot = await self.acquire(service)
         finally:
             self.seekers[name].discard(task)
             self.changed.set()
@@ -134,6 +133,18 @@
             await self.slots.release(slot)
             self.changed.set()
 
+    async def acquire(self, service: settings.Service) -> slots_module.Slot:
+        """Wait for a slot where no suspect of ours runs alone.
+
+        Asked for anew while there is one: whoever waits with the upstreams
+        of that moment left out would wait for ever once all were.
+        """
+        while True:
+            without = frozenset(self.isolation.reserved)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LOOK_S if without else None):
+                    return await self.slots.acquire(service, without)
+
     def pick(self, name: str, upstream: str) -> jobqueue.Item | None:
         """Take the item to run next on an upstream."""
         if upstream in self.isolation.reserved or self.paused():
--- a/camphortray/isolation.py
+++ b/camphortray/isolation.py
@@ -17,8 +17,10 @@
 from camphortray import settings
 from camphortray import suspects as suspects_module
 
-# Longest time a suspect has an upstream for itself, in seconds.
-APART_S = 120.0
+# Time for which a suspect gets an upstream for itself, in seconds; asked
+# for again at half of it. A permit whose holder is lost keeps the other
+# suspects waiting for this long.
+APART_S = 5.0
 
 
 class Isolation:
@@ -72,14 +74,29 @@
           Whether there is leave; no other suspect of the fleet is there.
         """
         ask = suspects_module.ApartAsk(upstream, holder, APART_S)
-        if not await self.suspects.ask(ask):
-            yield False
-            return
+        renewal: asyncio.Task[None] | None = None
+        granted = True
         try:
+            granted = await self.suspects.ask(ask)
+            if not granted:
+                yield False
+                return
+            renewal = asyncio.get_running_loop().create_task(self.renew(ask))
             async with self.alone(upstream):
                 yield True
         finally:
-            self.suspects.release(upstream, holder)
+            if renewal is not None:
+                renewal.cancel()
+            if granted:
+                # Also when stopped while it asked: the answer on its way
+                # may grant what nobody else would give back.
+                self.suspects.release(upstream, holder)
+
+    async def renew(self, ask: suspects_module.ApartAsk) -> None:
+        """Ask again for a permit in use, for ever."""
+        while True:
+            await asyncio.sleep(APART_S / 2)
+            await self.suspects.ask(ask)
 
     @contextlib.asynccontextmanager
     async def alone(self, upstream: str) -> AsyncIterator[None]:
--- a/camphortray/suspects.py
+++ b/camphortray/suspects.py
@@ -116,6 +116,7 @@
         self.upstreams = context.part(upstreams_module.Upstreams)
         self.book = poison.PoisonBook()
         self.permits = poison.Permits()
+        self.asked: dict[tuple[str, str], configs.Address | None] = {}
         self.flights: dict[str, set[Flight]] = {}
         self.breaking: dict[str, set[str]] = {}
         self.checks: dict[str, asyncio.Task[bool]] = {}
@@ -289,16 +290,24 @@
         address = self.coordinator(ask.upstream)
         if address is None:
             return self.grant(ask)
+        self.asked[(ask.upstream, ask.holder)] = address
         try:
             answer: Any = await self.peers.ask(address, ask)
         except errors.CamphortrayError as error:
+            # It may have been granted, and only the answer be lost.
             LOG.debug("No permit: {}", error)
+            self.release(ask.upstream, ask.holder)
             return False
-        return isinstance(answer, ApartAnswer) and answer.granted
+        granted = isinstance(answer, ApartAnswer) and answer.granted
+        if not granted:
+            self.asked.pop((ask.upstream, ask.holder), None)
+        return granted
 
     def release(self, upstream: str, holder: str) -> None:
         """Give a permit back."""
-        address = self.coordinator(upstream)
+        # Another may coordinate by now; the permit lies where it was asked.
+        here = self.coordinator(upstream)
+        address = self.asked.pop((upstream, holder), here)
         if address is None:
             self.permits.done(upstream, holder)
         else:
