--- a/camphortray/poison.py
+++ b/camphortray/poison.py
@@ -4,8 +4,7 @@
 
 import dataclasses
 import enum
-
-import xxhash
+import hashlib
 
 # Reports of one crash come from many hosts, and their clocks differ a
 # little. An engine takes longer than this to come back, so two crashes of
@@ -20,6 +19,8 @@
 # may be another poison request, and must not let this one off.
 RELATED = 2
 RELATED_S = 5.0
+# Hexadecimal digits of a fingerprint.
+DIGITS = 24
 # How long a crash is held against the requests in flight at it.
 SUSPECT_S = 900.0
 
@@ -77,9 +78,11 @@
     True
     """
     words = " ".join(text.split())
-    return xxhash.xxh3_64_hexdigest(
-        f"{model}\0{words}".encode(errors="replace")
-    )
+    content = f"{model}\0{words}".encode(errors="replace")
+    # A caller who could make another's fingerprint could have the other's
+    # requests quarantined, so a fast hash will not do. It is worked out
+    # only while something is under suspicion.
+    return hashlib.sha256(content).hexdigest()[:DIGITS]
 
 
 class PoisonBook:
