--- a/bench/appends.py
+++ b/bench/appends.py
@@ -104,7 +104,9 @@
         waits.extend(now - since for since in taken)
 
 
-def limits_of(writers: int, target: int, max_delay_s: float) -> grouping.Limits:
+def limits_of(
+    writers: int, target: int, max_delay_s: float
+) -> grouping.Limits:
     """Return the limits of a fleet with so many writers."""
     interval = grouping.flush_interval(writers, BUDGET, MIN_FLUSH_S)
     return grouping.Limits(interval, RECORD_BYTES, target, max_delay_s)
