Let a resend share the end of a call that is under way

Cause: walking the tutorial, a resend to another host a moment after the answer was told "unknown": the answer was not in the log yet. On the same host it was told "unknown" while the call was running. Ruled out: waiting for every unanswered claim; that would hold back resends of calls whose claimer itself has no answer. Change: on the same host a resend joins the running call; elsewhere the claimer is asked whether it is still at work, and only then is its answer waited for.

--- a/camphortray/callkeeper.py
+++ b/camphortray/callkeeper.py
@@ -20,6 +20,7 @@
 
 from camphortray import calls
 from camphortray import callshard
+from camphortray import callwatch
 from camphortray import config as configs
 from camphortray import courier
 from camphortray import errors
@@ -39,6 +40,9 @@
 CLAIM_S = 3.0
 # Longest that a resend waits for what the log holds now, in seconds.
 SYNC_S = 1.0
+# Longest that a resend waits for the answer of a call that another host
+# appears to be running, in seconds.
+RESEND_S = 5.0
 PAUSE_S = 1.0
 APPEND_S = 5.0
 # Bytes of answers not yet kept beyond which no new call is taken.
@@ -89,12 +93,25 @@
         return f"{self.workspace}/{self.service}/{self.key}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """A call under way on this host.
+
+    Attributes:
+      digest: Of its request.
+      task: Ends with its answer.
+    """
+
+    digest: str
+    task: "asyncio.Task[calls.Answer]"
+
+
 @kernel.PARTS.register("entry")
 class CallKeeper(kernel.Part):
     """Claims calls, dispatches them once, keeps their answers.
 
     Attributes:
-      active: Names of calls that a request is claiming or running here.
+      active: Calls that a request is claiming or running here, by name.
       given_up: Names of calls whose claim this process gave up and whose
         fate is not settled yet; it dispatches none of them.
       pending: Answers not yet kept, by name.
@@ -138,7 +155,13 @@
         ]
         for shard in self.shards:
             shard.journal.send = self.courier.send
-        self.active: set[str] = set()
+        self.active: dict[str, Running] = {}
+        self.watch = callwatch.CallWatch(
+            context.part(peers.Peers),
+            self.members,
+            self.writer,
+            lambda name: name in self.active or name in self.pending,
+        )
         self.given_up: set[str] = set()
         self.pending: dict[str, calls.Answer] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -190,14 +213,20 @@
           Refused: ``ran`` is "no" only if this call never was and never
             will be dispatched by this request.
         """
-        if request.name in self.active:
-            # To say "not run" would be true of this request, but its
-            # caller would take it for the one that is running.
-            raise no_answer("it is being run")
-        self.active.add(request.name)
+        running = self.active.get(request.name)
+        if running is None:
+            running = self.begin(request, send)
+        elif running.digest != request.digest:
+            raise other_request()
+        # A resend shares the end of the call that is under way.
+        return await asyncio.shield(running.task)
+
+    def begin(self, request: CallRequest, send: Send) -> "Running":
+        """Claim and run a call in the background."""
         task = self.spawn(self.claim_and_run(request, send))
-        task.add_done_callback(lambda _: self.active.discard(request.name))
-        return await asyncio.shield(task)
+        task.add_done_callback(lambda _: self.active.pop(request.name))
+        running = self.active[request.name] = Running(request.digest, task)
+        return running
 
     async def claim_and_run(
         self, request: CallRequest, send: Send
@@ -275,21 +304,27 @@
           Refused: it is another request, or there is no answer.
         """
         if held.digest != request.digest:
-            raise errors.Refused(
-                409,
-                "other_request",
-                "another request was sent under this key",
-                field="Idempotency-Key",
-            )
+            raise other_request()
         answer = held.answer or self.pending.get(request.name)
         if answer is None:
             await shard.sync(SYNC_S)
-            now = shard.fold.calls.get(request.name)
-            answer = now.answer if now is not None else None
+            answer = await self.answer_of_other(shard, request.name, held)
         if answer is None:
             raise no_answer("no answer is known")
         return answer
 
+    async def answer_of_other(
+        self, shard: callshard.CallShard, name: str, held: calls.Call
+    ) -> calls.Answer | None:
+        """Return an answer that is not in the log yet, if one comes."""
+        if held.writer != self.writer:
+            if await self.watch.at_work(held.writer, name):
+                return await shard.answer(name, RESEND_S)
+            # It may have been written while the claimer was asked.
+            await shard.sync(SYNC_S)
+        call = shard.fold.calls.get(name)
+        return call.answer if call is not None else None
+
     async def dispatch(
         self, shard: callshard.CallShard, request: CallRequest, send: Send
     ) -> calls.Answer:
@@ -381,6 +416,16 @@
         self.courier.stop()
 
 
+def other_request() -> errors.Refused:
+    """Return the refusal of another request under a key in use."""
+    return errors.Refused(
+        409,
+        "other_request",
+        "another request was sent under this key",
+        field="Idempotency-Key",
+    )
+
+
 def no_answer(reason: str) -> errors.Refused:
     """Return the refusal of a call claimed before whose end is open."""
     return errors.Refused(
--- a/camphortray/callshard.py
+++ b/camphortray/callshard.py
@@ -44,6 +44,8 @@
             held, retention_s, clock.wall, self.snapshot_rank
         )
         self.task: asyncio.Task[None] | None = None
+        self.news = asyncio.Event()
+        held.listen(self.on_outcome)
 
     @property
     def fold(self) -> calls.CallsFold:
@@ -78,6 +80,27 @@
             async with asyncio.timeout(timeout_s):
                 await self.journal.sync()
 
+    def on_outcome(self, outcome: folds.Outcome) -> None:
+        """Wake those that wait for an answer."""
+        news, self.news = self.news, asyncio.Event()
+        news.set()
+
+    async def answer(self, name: str, timeout_s: float) -> calls.Answer | None:
+        """Wait for the answer of a call.
+
+        Returns:
+          The answer, or None if it stays away or the claim was given
+          back.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while name in self.fold.calls:
+                    if self.fold.calls[name].answer is not None:
+                        break
+                    await self.news.wait()
+        call = self.fold.calls.get(name)
+        return call.answer if call is not None else None
+
     async def tidy(self) -> None:
         """Forget calls whose keeping time is over."""
         while True:
