--- a/bench/membership.py
+++ b/bench/membership.py
@@ -2,9 +2,10 @@
 
 Each size starts that many hosts (entry program only) and a stand-in
 platform on loopback. Cost is taken at rest over a time; then a fact is
-told to one host, one host leaves and one is killed. The last line is
-JSON with all figures and what a straight line through them gives at the
-target. The machine is shared, so times are upper bounds.
+told to one host, one host leaves, one is killed, and one is stopped and
+goes on later. The last line is JSON with all figures and what a straight
+line through them gives at the target. The machine is shared, so times are
+upper bounds.
 """
 
 import asyncio
@@ -247,6 +248,12 @@
         lost = fleet.names[2]
         fleet.program(lost).signal(signal.SIGKILL)
         result["loss"] = shown(await fleet.until_known(count - 2, {lost}))
+        fleet.names.remove(lost)
+        paused = fleet.names[3]
+        fleet.program(paused).signal(signal.SIGSTOP)
+        result["silent"] = shown(await fleet.until_known(count - 3, {paused}))
+        fleet.program(paused).signal(signal.SIGCONT)
+        result["wake"] = shown(await fleet.until_known(count - 2, set()))
         for address in list(fleet.links.links):
             fleet.links.forget(address)
         await fleet.client.close()
