--- a/camphortray/journal.py
+++ b/camphortray/journal.py
@@ -25,8 +25,10 @@
 MAX_PAUSE_S = 2.0
 # Time to look for a record whose answer was lost before appending again.
 READ_BACK_S = 0.5
-# Records read from the end when looking for a snapshot; doubles.
-SEARCH_RECORDS = 256
+# Records read from the end when looking for a snapshot, and the factor by
+# which the next look reaches further back.
+SEARCH_RECORDS = 32
+SEARCH_FACTOR = 4
 # An offset past the end of any stream.
 END = 1 << 62
 # Lag from which a snapshot is looked for instead of reading on.
@@ -278,7 +280,7 @@
         while collector.best is None and end > page.first:
             begin = max(end - span, page.first)
             await self.search(collector, begin, end)
-            end, span = begin, span * 2
+            end, span = begin, span * SEARCH_FACTOR
         return collector
 
     async def search(
--- a/camphortray/snapshot.py
+++ b/camphortray/snapshot.py
@@ -23,7 +23,7 @@
 # Bytes of a record left for everything but the part's data.
 OVERHEAD_BYTES = 512
 # Bytes of records after which a new snapshot pays even for a small state.
-MIN_BYTES = 262_144
+MIN_BYTES = 4_194_304
 # Records after which a reader would feel the replay.
 MAX_RECORDS = 4096
 # A snapshot is written again once this share of the retention is over,
