List and drive the refusals of limits and deadlines

Change: two rows; one driven here, one by the test of admission. The test of a lost coordinator lets members take it for dead instead of reaching into them.

--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -15,6 +15,7 @@
 from camphortray import exchange
 from camphortray import httpclient
 from camphortray import poison
+from camphortray import ratelimits
 from camphortray import shardset
 from camphortray import standin_engine
 from camphortray import suspects
@@ -28,7 +29,10 @@
 # Programs and stand-ins whose refusals reach no caller of a host.
 OUTSIDE = ("ctl", "demo", "faults", "standin", "load")
 # Rows driven by the tests of their own module, by the code's name there.
-ELSEWHERE = {"other_request no": "test_callkeeper"}
+ELSEWHERE = {
+    "other_request no": "test_callkeeper",
+    "too_late no": "test_admission",
+}
 # Rows that no test drives yet; each needs a log or an owner that fails
 # at one certain moment.
 OPEN = {
@@ -181,6 +185,13 @@
     raise errors.Refused(429, "busy", "too many requests", retry_after=1)
 
 
+def over_its_limit(cluster, patch):
+    """Let a workspace's limit be spent."""
+    local = part(cluster, ratelimits.RateLimits).local
+    local.take(0.0, f"{clusters.SERVICE}/{clusters.WORKSPACE}", 1.0, 1)
+    patch.setattr(local, "take", lambda *args: 1.0)
+
+
 def log_down(cluster, patch):
     held = cluster.hosts["host-0"].part("batch", shardset.ShardSet)
     for shard in held.shards:
@@ -245,6 +256,7 @@
             part(cluster, admission.Admission), "enter", full
         )
     ),
+    "rate_limited no": chat(over_its_limit),
     "deadline no": chat(headers=with_deadline("0")),
     "deadline unknown": chat(
         engines_do("open_delay_s", 1.0), headers=with_deadline("0.1")
@@ -290,7 +302,11 @@
 @pytest.mark.parametrize("row", DRIVEN)
 async def test_a_refusal_is_as_its_row_says(row, monkeypatch):
     method, path, headers, body, arrange = DRIVEN[row]
-    values = {"job.max_items": 1, "limit.silence_s": 0.2}
+    values = {
+        "job.max_items": 1,
+        "limit.silence_s": 0.2,
+        f"workspace.{clusters.WORKSPACE}.requests_per_s": 50.0,
+    }
     if row == "other_job no":
         del values["job.max_items"]
     async with clusters.Cluster(
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
 
 import pytest
@@ -109,8 +110,9 @@
         assert sum(others) == 0
         for program in fleet.entries + fleet.batches:
             members = program.part(membership.Membership)
-            lost = members.members.pop(f"{host}/entry")
-            assert lost
+            lost = members.members[f"{host}/entry"]
+            dead = membership.Status.DEAD
+            members.put(dataclasses.replace(lost, status=dead))
         await asyncio.sleep(4)
         others = [n for i, n in enumerate(holders.running) if i != own]
         assert sum(others) == 32
