--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -3,6 +3,7 @@
 __all__ = ["Fact", "Member", "Membership", "Status"]
 
 import asyncio
+import collections
 from collections.abc import Callable
 import contextlib
 from typing import Any
@@ -35,6 +36,8 @@
 # host: all together read it about once a second, whatever their number.
 LIST_S_PER_HOST = 1.0
 MIN_LIST_S = 2.0
+# Seconds from one renewal of the metrics to the next.
+METRICS_S = 1.0
 MESSAGES = (gossip.Ping, gossip.News, antientropy.Sync, watch.Doubt)
 
 
@@ -76,16 +79,18 @@
             offset,
             sibling_of(config, context.program),
         )
-        self.node.on_member = self.tell_member
-        self.node.on_fact = self.tell_fact
+        self.node.known.on_member = self.tell_member
+        self.node.known.on_fact = self.tell_fact
         self.fact_listeners: dict[str, list[Callable[[Fact], None]]] = {}
         self.listeners: list[Callable[[Member], None]] = []
         self.list_listeners: list[
             Callable[[tuple[hostlist.ListedHost, ...]], None]
         ] = []
         self.listed: tuple[hostlist.ListedHost, ...] = ()
+        self.lively: dict[str, list[Member]] = {}
         self.http_address = ""
         self.list_at = 0.0
+        self.metrics_at = 0.0
         self.list_task: asyncio.Task[None] | None = None
         self.task: asyncio.Task[None] | None = None
         for cls in MESSAGES:
@@ -97,7 +102,7 @@
 
     async def start(self) -> None:
         now = self.clock.monotonic()
-        self.node.change(now, peer_address=str(self.links.address))
+        self.node.known.change(now, peer_address=str(self.links.address))
         self.node.start(now)
         self.tree.listen(self.on_view)
         self.task = asyncio.get_running_loop().create_task(self.run())
@@ -107,12 +112,12 @@
     @property
     def members(self) -> dict[str, Member]:
         """All members by name, those held for dead included."""
-        return self.node.directory.members
+        return self.node.known.directory.members
 
     @property
     def facts(self) -> dict[str, Fact]:
         """All facts, by kind and key as one text."""
-        return self.node.facts.facts
+        return self.node.known.facts.facts
 
     def member(self, name: str) -> Member | None:
         """Return a member, or None if it has not been heard of."""
@@ -120,20 +125,24 @@
 
     def put(self, member: Member) -> None:
         """Take over what is known of a member, from elsewhere."""
-        self.node.put(member, self.clock.monotonic())
+        self.node.known.put(member, self.clock.monotonic())
 
     def live(self, program: str) -> list[Member]:
         """Return members of a program that may get work, this one too."""
-        wanted = (Status.ALIVE, Status.SUSPECT)
-        return [
-            member
-            for member in self.members.values()
-            if member.program == program and member.status in wanted
-        ]
+        kept = self.lively.get(program)
+        if kept is None:
+            # Asked for with every request, and seldom changed.
+            wanted = (Status.ALIVE, Status.SUSPECT)
+            kept = self.lively[program] = [
+                member
+                for member in self.members.values()
+                if member.program == program and member.status in wanted
+            ]
+        return list(kept)
 
     def is_gone(self, host_name: str, started: int = 0) -> bool:
         """Return whether a host is gone; see ``node.Node.is_gone``."""
-        return self.node.is_gone(host_name, started)
+        return self.node.known.is_gone(host_name, started)
 
     def set_http_address(self, address: str) -> None:
         """Tell where this program serves HTTP, once it is ready."""
@@ -165,7 +174,7 @@
 
     def offer(self, fact: Fact) -> None:
         """Tell all hosts a fact whose version others may tell as well."""
-        self.node.take_fact(fact, self.clock.monotonic())
+        self.node.known.take_fact(fact, self.clock.monotonic())
 
     def on_fact(self, kind: str, listener: Callable[[Fact], None]) -> None:
         """Call ``listener`` with each new fact of a kind."""
@@ -180,8 +189,9 @@
         if member.dead and member.name != self.own_name:
             address = configs.Address.from_text(member.peer_address)
             self.links.forget(address)
-        if self.node.replaced and member.name == self.own_name:
+        if self.node.known.replaced and member.name == self.own_name:
             LOG.error("Another process has taken the name {}.", member.name)
+        self.lively.clear()
         for listener in self.listeners:
             listener(member)
 
@@ -193,7 +203,7 @@
     def on_view(self, view: Any) -> None:
         """Take note of the settings revision in force."""
         self.node.revision = view.revision
-        self.node.directory.note_revision(self.own_name, view.revision)
+        self.node.known.directory.note_revision(self.own_name, view.revision)
 
     # Driving it.
 
@@ -205,15 +215,53 @@
             self.act(self.node.tick(now))
             if now >= self.list_at or self.node.wants_list:
                 self.look_at_list(now)
+            if now >= self.metrics_at:
+                self.metrics_at = now + METRICS_S
+                self.show_metrics()
             await asyncio.sleep(TICK_S)
 
+    def show_metrics(self) -> None:
+        """Renew the gauges of members, facts and links."""
+        metrics = self.context.metrics
+        counts = collections.Counter(m.status for m in self.members.values())
+        for status in Status:
+            metrics.set(
+                "camphortray_members",
+                "Members by status.",
+                {"status": str(status)},
+                counts[status],
+            )
+        metrics.set(
+            "camphortray_facts",
+            "Facts held.",
+            {},
+            len(self.node.known.facts.facts),
+        )
+        traffic = self.links.traffic
+        metrics.set(
+            "camphortray_peer_messages",
+            "Messages to and from other hosts.",
+            {},
+            traffic.messages,
+        )
+        for direction, count in (
+            ("sent", traffic.sent_bytes),
+            ("received", traffic.received_bytes),
+        ):
+            metrics.set(
+                "camphortray_peer_bytes",
+                "Bytes of messages and frames to and from other hosts.",
+                {"direction": direction},
+                count,
+            )
+
     def announce(self) -> None:
         """Tell the HTTP address once callers may come."""
-        shown = self.node.own.http_address
+        shown = self.node.known.own.http_address
         if self.http_address == shown or self.context.not_ready():
             return
         now = self.clock.monotonic()
-        self.node.change(now, http_address=self.http_address)
+        self.node.known.change(now, http_address=self.http_address)
 
     def act(self, asks: list[nodes.Ask]) -> None:
         """Carry out effects."""
@@ -249,7 +297,7 @@
 
     def list_pause(self) -> float:
         """Return the mean time between two looks at the list."""
-        hosts = len(self.node.directory.by_host)
+        hosts = len(self.node.known.directory.by_host)
         return max(MIN_LIST_S, hosts * LIST_S_PER_HOST)
 
     async def read_list(self) -> None:
@@ -279,7 +327,7 @@
         for task in (self.task, self.list_task):
             if task is not None:
                 task.cancel()
-        if self.node.own.status is not Status.LEAVING:
+        if self.node.known.own.status is not Status.LEAVING:
             return
         # Hosts need not find out by probing what this one can tell.
         asks = self.node.end(self.clock.monotonic())
--- a/camphortray/peers.py
+++ b/camphortray/peers.py
@@ -30,9 +30,17 @@
 CONNECT_S = 1.0
 # Messages waiting for one peer; the oldest are dropped beyond that.
 MAX_QUEUED = 256
+# Longest a one-way message may take to leave, and for how long a peer may
+# say nothing on a link before it is asked for a sign of life, in seconds.
+SEND_S = 1.0
+QUIET_S = 5.0
 HELLO_HEADER = "Camphortray-Hello"
 # Seconds by which the clocks of two hosts may differ.
 MAX_SKEW_S = 60.0
+# Bytes by which a client's frames are longer, as they are masked, and of
+# the two sides of a handshake as measured; for the count of traffic.
+MASK_BYTES = 4
+HANDSHAKE_BYTES = (310, 203)
 # Faults that mean "this link is of no use any more".
 LINK_ERRORS = (
     OSError,
@@ -59,6 +67,44 @@
         return f"{self.host}/{self.program}"
 
 
+class Traffic:
+    """Counts what links carry, handshakes and frames included.
+
+    Attributes:
+      sent_bytes: Bytes handed to TCP.
+      received_bytes: Likewise taken.
+      messages: Number of messages, both ways.
+    """
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.messages = 0
+
+    def sent(self, size: int) -> None:
+        """Count a message sent."""
+        self.messages += 1
+        self.sent_bytes += framed(size)
+
+    def received(self, size: int) -> None:
+        """Count a message received."""
+        self.messages += 1
+        self.received_bytes += framed(size)
+
+    def opened(self, client: bool) -> None:
+        """Count the handshake of a link."""
+        ask, answer = HANDSHAKE_BYTES if client else HANDSHAKE_BYTES[::-1]
+        self.sent_bytes += ask
+        self.received_bytes += answer
+
+
+def framed(size: int) -> int:
+    """Return the size of a message with the header of its frame."""
+    if size < 126:
+        return size + 2
+    return size + (4 if size < 65_536 else 10)
+
+
 Handler = Callable[[Sender, Any], Awaitable[Any]]
 
 
@@ -68,6 +114,12 @@
     """Answers a question that needs no other answer."""
 
 
+@messages.message("probe")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks for an ``Ack``, to see whether a link still works."""
+
+
 @messages.message("fault")
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerFault:
@@ -130,6 +182,7 @@
         self.lock = asyncio.Lock()
         self.reader: asyncio.Task[None] | None = None
         self.queue: asyncio.Queue[Any] = asyncio.Queue()
+        self.heard_at = asyncio.get_running_loop().time()
         self.sender: asyncio.Task[None] | None = None
 
     async def ask(self, message: Any, timeout_s: float) -> Any:
@@ -179,16 +232,35 @@
         while not self.queue.empty():
             message = self.queue.get_nowait()
             try:
-                await self.send(messages.Envelope(0, False, message))
+                async with asyncio.timeout(SEND_S):
+                    await self.send(messages.Envelope(0, False, message))
             except LINK_ERRORS as error:
                 LOG.debug("Lost a message to {}: {}", self.address, error)
                 self.queue = asyncio.Queue()
+                self.drop()
+            else:
+                await self.probe()
+
+    async def probe(self) -> None:
+        """Ask for a sign of life if the peer has long said nothing.
+
+        One-way messages on a link that has gone silent for good would be
+        lost for ever; ``ask`` drops a link on which no answer comes.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - self.heard_at < QUIET_S:
+            return
+        self.heard_at = now
+        try:
+            await self.ask(Probe(), SEND_S)
+        except errors.MessageError as error:
+            LOG.debug("Silent link to {}: {}", self.address, error)
 
     async def send(self, envelope: messages.Envelope) -> None:
         """Send over the open link, or over a new one."""
         data = messages.encode(envelope)
         socket = await self.open()
-        self.peers.sent_bytes += len(data)
+        self.peers.traffic.sent(len(data) + MASK_BYTES)
         await socket.send(data)
 
     async def open(self) -> ws_connection.Connection:
@@ -219,7 +291,8 @@
         """Hand an answer to whoever asked."""
         if isinstance(data, str):
             return
-        self.peers.received_bytes += len(data)
+        self.peers.traffic.received(len(data))
+        self.heard_at = asyncio.get_running_loop().time()
         try:
             envelope = messages.decode(data)
         except errors.MessageError as error:
@@ -296,6 +369,7 @@
         """Answer messages until the link ends."""
         request = socket.request
         assert request is not None
+        self.peers.traffic.opened(client=False)
         sender = Hello.from_text(request.headers[HELLO_HEADER]).sender
         try:
             async for data in socket:
@@ -312,7 +386,7 @@
         """Run the handler of one message in the background."""
         if isinstance(data, str):
             return
-        self.peers.received_bytes += len(data)
+        self.peers.traffic.received(len(data) + MASK_BYTES)
         try:
             envelope = messages.decode(data)
         except errors.MessageError as error:
@@ -335,7 +409,7 @@
         data = messages.encode(
             messages.Envelope(envelope.number, True, reply or Ack())
         )
-        self.peers.sent_bytes += len(data)
+        self.peers.traffic.sent(len(data))
         try:
             await socket.send(data)
         except LINK_ERRORS as error:
@@ -354,8 +428,7 @@
 
     Attributes:
       address: Where this program takes links.
-      sent_bytes: Bytes of messages sent, without framing.
-      received_bytes: Likewise received.
+      traffic: Counts of all links.
     """
 
     name: ClassVar[str] = "peers"
@@ -367,8 +440,7 @@
         self.links: dict[configs.Address, Link] = {}
         self.server = PeerServer(self)
         self.address = configs.Address("", 0)
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.traffic = Traffic()
         self.tasks: set[asyncio.Task[None]] = set()
         self.sender = Sender(
             context.config.host.name, context.program, context.incarnation
@@ -396,6 +468,8 @@
 
     async def dispatch(self, sender: Sender, message: Any) -> Any:
         """Run the handler of a message; its failure becomes a fault."""
+        if isinstance(message, Probe):
+            return None
         handler = self.handlers.get(type(message))
         if handler is None:
             return PeerFault(f"no handler of {type(message).__name__}")
@@ -422,6 +496,7 @@
             self.config.peer.shared_key,
         )
         scheme = "wss" if secure else "ws"
+        self.traffic.opened(client=True)
         return await ws_client.connect(
             f"{scheme}://{address}/",
             ssl=secure,
