--- a/camphortray/cluster.py
+++ b/camphortray/cluster.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import dataclasses
-import random
+import itertools
+import os
 import socket
 from typing import Any
 
@@ -31,8 +32,9 @@
 OPERATOR_KEY = "key-of-operator"
 HOST_KEY = "key-of-hosts"
 PROGRAMS = (entry, batch)
-PORTS = (10_000, 32_000)
-GIVEN: set[int] = set()
+PORTS = range(10_000, 32_000)
+# Far enough apart for some hundred clusters in each of many processes.
+NUMBERS = itertools.count(os.getpid() * 1_013)
 # Longest wait for hosts to become ready, and from one look to the next.
 READY_S = 20.0
 READY_LOOK_S = 0.01
@@ -42,18 +44,17 @@
     """Return a port that is free now and was not given before.
 
     It lies below the ports that systems give to outgoing connections, so
-    that none of those takes it before it is listened on.
+    that none of those takes it before it is listened on; and processes
+    side by side begin at different ones.
     """
     while True:
-        port = random.randrange(*PORTS)
+        port = PORTS[next(NUMBERS) % len(PORTS)]
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
             except OSError:
                 continue
-        if port not in GIVEN:
-            GIVEN.add(port)
-            return port
+        return port
 
 
 def free_address() -> str:
--- a/camphortray/suspects.py
+++ b/camphortray/suspects.py
@@ -120,8 +120,8 @@
         self.upstreams = context.part(upstreams_module.Upstreams)
         self.book = poison.PoisonBook()
         self.permits = poison.Permits()
-        self.asked: dict[tuple[str, str], configs.Address | None] = {}
         self.turn = asyncio.Lock()
+        self.asked: dict[tuple[str, str], configs.Address | None] = {}
         self.flights: dict[str, set[Flight]] = {}
         self.breaking: dict[str, set[str]] = {}
         self.checks: dict[str, asyncio.Task[bool]] = {}
