--- a/camphortray/exchange.py
+++ b/camphortray/exchange.py
@@ -12,6 +12,7 @@
 from camphortray import engine
 from camphortray import errors
 from camphortray import logs
+from camphortray import metrics as metrics_module
 from camphortray import outer
 from camphortray import poison
 from camphortray import prefix
@@ -49,6 +50,7 @@
     signals: signals.Signals
     suspects: suspects.Suspects
     router: routing.Router
+    metrics: metrics_module.Metrics
 
 
 class Exchange:
@@ -113,6 +115,11 @@
                     return
             except errors.UpstreamError as error:
                 LOG.warning("Try {} failed: {}", self.tries, error)
+                self.parts.metrics.inc(
+                    "online_tries_failed_total",
+                    "Tries of online requests that failed.",
+                    {"service": self.service.name, "step": error.step},
+                )
                 if self.after(error):
                     return
 
@@ -345,6 +352,11 @@
         if not position.resumable or (self.completion.n or 1) > 1:
             raise self.refusal_of(error) from error
         LOG.notice("Resumes after {} tokens.", position.tokens)
+        self.parts.metrics.inc(
+            "online_resumed_total",
+            "Streams gone on with at another engine.",
+            {"service": self.service.name},
+        )
         return False
 
     def may_retry(self, error: errors.UpstreamError) -> bool:
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -56,6 +56,7 @@
             context.part(signals.Signals),
             context.part(suspects.Suspects),
             routing.Router(context.rng, zone),
+            context.metrics,
         )
         self.count = 0
         routes = context.part(web.Routes)
@@ -132,6 +133,11 @@
         if refusal.status not in OWN_FAULT:
             name = exchange.service.name
             self.parts.signals.answered(name, False, False)
+        self.context.metrics.inc(
+            "online_refused_total",
+            "Online requests refused or cut off, by the code told.",
+            {"service": exchange.service.name, "code": refusal.code},
+        )
         if not exchange.response.status:
             raise refusal from cause
         LOG.warning("Answer cut off: {}", refusal)
--- a/camphortray/suspects.py
+++ b/camphortray/suspects.py
@@ -195,6 +195,11 @@
             # It said that it would go, so its end accuses nobody.
             return False
         LOG.warning("{} crashed, {} suspects.", upstream.name, len(suspects))
+        self.context.metrics.inc(
+            "upstream_crashes_total",
+            "Crashes of upstreams that this program saw.",
+            {"upstream": upstream.name},
+        )
         names = sorted(suspects)
         for start in range(0, len(names), PER_FACT):
             part = names[start : start + PER_FACT]
@@ -216,6 +221,11 @@
             until = self.book.quarantined[name]
             if f"{QUARANTINE} {name}" not in self.members.facts:
                 LOG.warning("{} is quarantined.", name)
+                self.context.metrics.inc(
+                    "requests_quarantined_total",
+                    "Requests that this host found to crash upstreams.",
+                    {},
+                )
                 self.members.publish(QUARANTINE, name, until, until - now)
 
     def passed(self, fingerprint: str) -> None:
