--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -9,8 +9,10 @@
 import msgspec
 import pytest
 
+from camphortray import clientconnection
 from camphortray import completion
 from camphortray import errors
+from camphortray import httpclient
 from camphortray import httpserver
 from tests import online
 
@@ -38,6 +40,43 @@
     resume_reading = pause_reading
 
 
+@pytest.mark.parametrize("late", [b"", b"HTTP/1.1 200 OK\r\n\r\n", b"x"])
+async def test_a_kept_connection_with_unasked_bytes_is_never_used(late):
+    # The next caller would read them as its own answer. They come right
+    # behind an answer, or later while the connection is kept.
+    answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+    client, address = httpclient.HttpClient(), ("127.0.0.1", 9)
+    for first, second in ((answer + late, b""), (answer, late)):
+        connection = clientconnection.ClientConnection("peer")
+        wire = Wire()
+        connection.connection_made(wire)
+        await connection.send_request("GET", "/", [("host", "a")], b"")
+        connection.data_received(first)
+        assert connection.take() == b"ok"
+        client.busy.add(connection)
+        client.release(address, connection)
+        if second:
+            connection.data_received(second)
+        assert wire.closed == bool(late)
+
+
+async def test_a_refused_body_is_read_on_before_the_connection_closes():
+    # The caller reads why it was refused. It still sends when it is; a
+    # close with unread bytes would reset it before it has read that.
+    server = httpserver.HttpServer(Parse(), httpserver.Limits(2000))
+    connection, wire = httpserver.Connection(server), Wire()
+    connection.connection_made(wire)
+    head = request_bytes(b"x" * 3000)[:-3000]
+    connection.data_received(head + b"x" * 1000)
+    await connection.task
+    assert b"body_too_large" in wire.data and not wire.closed
+    connection.data_received(b"x" * 1999)
+    assert not wire.closed
+    connection.data_received(b"x")
+    assert wire.closed
+    connection.connection_lost(None)
+
+
 class Parse(httpserver.Handler):
     """Takes a completion and answers 200."""
 
--- a/tests/test_online_path.py
+++ b/tests/test_online_path.py
@@ -15,6 +15,7 @@
 from camphortray import signals
 from camphortray import standin_engine
 from camphortray import upstreams
+from camphortray.plugins import openai_engine
 from tests import online
 
 SLOW = standin_engine.TimingModel(speed=4.0)
@@ -133,7 +134,7 @@
         assert (status, head["camphortray-ran"]) == (504, "unknown")
 
 
-async def test_silent_kept_connections_are_replaced_by_new_ones():
+async def test_silent_kept_connections_are_replaced_by_new_ones(monkeypatch):
     # The caller gets its answer a little late. All kept connections have
     # gone silent while idle; the first wait runs out, the other kept ones
     # are dropped with it, and the next try makes a new connection. The
@@ -146,13 +147,23 @@
         )
         engine.mute(True)
         assert len(engine.server.connections) >= 4
+        fresh = []
+        usual = openai_engine.OpenAiEngine.open
+
+        def noted(self, upstream, request, anew=False):
+            fresh.append(anew)
+            return usual(self, upstream, request, anew)
+
+        monkeypatch.setattr(openai_engine.OpenAiEngine, "open", noted)
         status, _, body = await online.ask(host, online.prompt(9))
         assert status == 200
         assert online.text_of(body) == online.expected(online.prompt(9))
         part = host.part("entry", upstreams.Upstreams)
         assert part.down == set()
-        async with asyncio.timeout(0.2):
-            assert (await online.ask(host, "again", tokens=1))[0] == 200
+        assert fresh == [False, True]
+        # The other silent ones went with the first: no wait on them now.
+        assert (await online.ask(host, "again", tokens=1))[0] == 200
+        assert fresh == [False, True, False]
 
 
 @pytest.mark.parametrize("source", ["refusal", "list", "peer"])
@@ -303,6 +314,7 @@
         self.script = script
         self.keep = keep
         self.requests = 0
+        self.cancelled = asyncio.Event()
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -325,6 +337,8 @@
                 )
                 await reader.readexactly(int(fields["content-length"]))
                 if "completions" not in head.split()[1]:
+                    if head.split()[1].endswith("/cancel"):
+                        self.cancelled.set()
                     break
                 self.requests += 1
                 writer.write(self.script(fields["x-request-id"]))
@@ -355,6 +369,10 @@
             assert status == 200
             assert online.text_of(body) == online.expected(question)
         assert bad.requests > 0
+        if name == "cut off by length":
+            # Perhaps it still runs there, so it is cancelled.
+            async with asyncio.timeout(5):
+                await bad.cancelled.wait()
 
 
 async def test_late_and_unasked_bytes_never_reach_another_caller():
