Take plain services back after they leave, and any at large sizes

Only engines in the asking host's subset were looked at, so a plain service that left never came back, and at large sizes nobody might ask. What cannot be asked returns when the list takes it back, or a minute after its mark if the list calls it live.

--- a/camphortray/leaving.py
+++ b/camphortray/leaving.py
@@ -8,6 +8,9 @@
 from camphortray import hostlist
 
 GOING = ("leaving", "gone")
+# An upstream that cannot be asked is tried again after this long, if the
+# list calls it live; by then the list shows what it was late with.
+UNASKED_S = 60.0
 
 
 class LeavingBook:
@@ -20,13 +23,13 @@
     that had said "leaving" and says "live" again takes the mark off.
 
     Attributes:
-      marked: Names that get no new work.
+      marked: Names that get no new work, and since when.
       listed: Last status in the list, by name.
       returned: Marked names that the list has taken back.
     """
 
     def __init__(self) -> None:
-        self.marked: set[str] = set()
+        self.marked: dict[str, float] = {}
         self.listed: dict[str, str] = {}
         self.returned: set[str] = set()
 
@@ -46,24 +49,29 @@
                 self.returned.add(line.name)
         return news
 
-    def mark(self, name: str, leaving: bool) -> None:
+    def mark(self, name: str, leaving: bool, now: float) -> None:
         """Put the mark on or take it off."""
         if leaving:
-            self.marked.add(name)
+            self.marked.setdefault(name, now)
         else:
-            self.marked.discard(name)
+            self.marked.pop(name, None)
         self.returned.discard(name)
 
-    def is_back(self, name: str, state: engine.EngineState | None) -> bool:
+    def is_back(
+        self, name: str, state: engine.EngineState | None, now: float
+    ) -> bool:
         """Return whether a marked upstream may be used again.
 
         Args:
           name: Which upstream.
           state: What it says of itself just now, or None if it does not
             answer or cannot be asked.
+          now: The present time, as for ``mark``.
         """
         if self.listed.get(name) in GOING:
             return False
-        if state is None:
-            return name in self.returned
-        return not state.draining
+        if state is not None:
+            return not state.draining
+        long_ago = self.marked.get(name, now) <= now - UNASKED_S
+        live = self.listed.get(name) == "live"
+        return name in self.returned or (long_ago and live)
--- a/camphortray/upstreams.py
+++ b/camphortray/upstreams.py
@@ -116,7 +116,8 @@
 
     def on_leaving(self, fact: membership.Fact) -> None:
         """Send an upstream nothing new, or take it back."""
-        self.leaving.mark(fact.key, bool(fact.value))
+        now = self.clock.monotonic()
+        self.leaving.mark(fact.key, bool(fact.value), now)
         if not fact.value:
             self.outliers.succeeded(fact.key)
         LOG.notice(
@@ -262,10 +263,9 @@
         """Ask leaving upstreams whether they are back."""
         while True:
             await asyncio.sleep(TICK_S)
-            upstreams = self.engines()
             for name in sorted(self.leaving.marked):
-                if name in upstreams and self.asks(name):
-                    await self.ask_back(upstreams[name])
+                if self.asks(name):
+                    await self.ask_back(name)
 
     def asks(self, name: str) -> bool:
         """Return whether it is for this host to ask an upstream."""
@@ -273,22 +273,27 @@
         names = [m.name for m in self.members.live(program)]
         return self.members.own_name in shards.rank(name, names)[:ASKERS]
 
-    async def ask_back(self, upstream: engine.Upstream) -> None:
+    async def ask_back(self, name: str) -> None:
         """Take an upstream back if it says that it takes work."""
         state = None
         with contextlib.suppress(errors.CamphortrayError):
-            state = await self.state(upstream)
-        if self.leaving.is_back(upstream.name, state):
-            self.note_leaving(upstream.name, False)
+            upstream = self.engines(whole=True).get(name)
+            state = await self.state(upstream) if upstream else None
+        if self.leaving.is_back(name, state, self.clock.monotonic()):
+            self.note_leaving(name, False)
 
-    def engines(self) -> dict[str, engine.Upstream]:
-        """Return the engines this host uses, by name."""
+    def engines(self, whole: bool = False) -> dict[str, engine.Upstream]:
+        """Return the engines by name.
+
+        Args:
+          whole: All of them, rather than those this host uses.
+        """
         return {
             name: upstream
             for service in self.tree.view.services.values()
             if service.get("kind") == "engines"
             for name, upstream in service.upstreams.items()
-            if name in self.subset(service)
+            if whole or name in self.subset(service)
         }
 
     async def poll_loads(self) -> None:
--- a/tests/test_online_decisions.py
+++ b/tests/test_online_decisions.py
@@ -159,10 +159,14 @@
 )
 def test_a_leaving_upstream_comes_back_only_on_good_word(lists, state, back):
     book = leaving.LeavingBook()
-    book.mark("e", True)
+    book.mark("e", True, 100.0)
     for status in lists:
         book.on_list([hostlist.ListedHost("e", "upstream", status)])
-    assert book.is_back("e", state) is back
+    assert book.is_back("e", state, 101.0) is back
+    # What cannot be asked is tried again when the list has caught up.
+    late = 100.0 + leaving.UNASKED_S
+    back = back or (state is None and lists == [LIVE])
+    assert book.is_back("e", state, late) is back
 
 
 def test_the_list_sends_away_once_and_hosts_are_not_its_matter():
@@ -172,7 +176,7 @@
         hostlist.ListedHost("h", "host", GOES),
     ]
     assert book.on_list(lines) == ["e"]
-    book.mark("e", True)
+    book.mark("e", True, 100.0)
     assert book.on_list(lines) == []
 
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -128,7 +128,7 @@
 
 def all_gone(cluster, patch):
     marked = part(cluster, upstreams.Upstreams).leaving.marked
-    marked.update(cluster.engines)
+    marked.update(dict.fromkeys(cluster.engines, 0.0))
 
 
 def engines_abort(cluster, patch):
