--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -13,6 +13,7 @@
 
 from camphortray import errors
 from camphortray import timers
+from camphortray import writegate
 
 # Unread bytes at which the shell stops reading the socket.
 HIGH_WATER = 262_144
@@ -24,10 +25,11 @@
 Sink = Callable[[bytes], bool]
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(writegate.WriteGate):
     """One connection to an upstream, serving one request at a time."""
 
     def __init__(self, peer: str) -> None:
+        super().__init__()
         self.peer = peer
         self.h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -45,7 +47,6 @@
         self.timer = timers.LazyTimer(self.on_silence)
         self.heard_at = self.loop.time()
         self.waiter: asyncio.Future[bool] | None = None
-        self.can_write: asyncio.Future[None] | None = None
         self.reading_paused = False
         self.sink: Sink | None = None
         self.sink_s = 0.0
@@ -64,14 +65,6 @@
         self.resume_writing()
         self.wake()
 
-    def pause_writing(self) -> None:
-        self.can_write = asyncio.get_running_loop().create_future()
-
-    def resume_writing(self) -> None:
-        if self.can_write is not None and not self.can_write.done():
-            self.can_write.set_result(None)
-        self.can_write = None
-
     def data_received(self, data: bytes) -> None:
         self.heard_at = self.loop.time()
         if self.idle:
@@ -203,8 +196,7 @@
             if self.lost or self.head is not None:
                 break
             self.send(h11.Data(data=chunk))
-            if self.can_write is not None:
-                await self.can_write
+            await self.writable()
         if not self.lost and self.h11.our_state is h11.SEND_BODY:
             self.send(h11.EndOfMessage())
 
--- a/camphortray/httpserver.py
+++ b/camphortray/httpserver.py
@@ -24,6 +24,7 @@
 from camphortray import httpmessage
 from camphortray import logs
 from camphortray import timers
+from camphortray import writegate
 
 LOG = logs.logger("http")
 Request = httpmessage.Request
@@ -53,10 +54,11 @@
         """Answer one request; a ``Refused`` raised becomes JSON."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(writegate.WriteGate):
     """One caller's connection."""
 
     def __init__(self, server: "HttpServer") -> None:
+        super().__init__()
         self.server = server
         self.limits = server.limits
         self.h11 = h11.Connection(
@@ -68,7 +70,6 @@
         self.task: asyncio.Task[None] | None = None
         self.timer = timers.LazyTimer(self.on_timeout)
         self.held: list[bytes] = []
-        self.can_write: asyncio.Future[None] | None = None
         self.reading_paused = False
         self.lost = False
         self.lingering = False
@@ -89,8 +90,7 @@
         self.server.connections.discard(self)
         self.server.look_idle()
         self.timer.stop()
-        if self.can_write is not None and not self.can_write.done():
-            self.can_write.set_result(None)
+        self.resume_writing()
         if self.request is None:
             return
         if not self.request.complete:
@@ -98,21 +98,12 @@
         if self.task is not None and not self.request.keep_running:
             self.task.cancel()
 
-    def pause_writing(self) -> None:
-        self.can_write = asyncio.get_running_loop().create_future()
-
-    def resume_writing(self) -> None:
-        if self.can_write is not None and not self.can_write.done():
-            self.can_write.set_result(None)
-        self.can_write = None
-
     async def writable(self) -> None:
         """Wait until the transport takes more."""
         if self.held and not self.lost:
             self.transport.write(b"".join(self.held))
             self.held.clear()
-        if self.can_write is not None:
-            await self.can_write
+        await super().writable()
 
     def resume_reading(self) -> None:
         """Read on, after backpressure."""
