Align words left in the burn page

Cause: words stood right, as numbers do; seen in a headless browser. Change: the first three columns stand left. Conclusion: looked at again: plots, table and warnings are whole.

--- a/camphortray/burnpage.py
+++ b/camphortray/burnpage.py
@@ -20,7 +20,7 @@
 table { border-collapse: collapse; margin: 1em 0; }
 th, td { padding: .25em .8em; text-align: right; border-bottom:
   1px solid #ddd; }
-th:first-child, td:first-child { text-align: left; }
+th:nth-child(-n+3), td:nth-child(-n+3) { text-align: left; }
 .page { background: #c0392b; color: #fff; }
 .ticket { background: #e6b333; }
 .warn { background: #fdecea; border-left: 4px solid #c0392b;
