Keep slow one-way messages from holding up answers to probes

Cause: one-way messages ran in the loop that reads a link, so a slow handler held up the probes behind it and the host looked lost. An answer over the size limit was never sent, and the asker ran into its time limit. Change: one-way messages of a link run in order in a task of their own, and such an answer is told as a fault.

--- a/bench/gossip_ways.py
+++ b/bench/gossip_ways.py
@@ -21,6 +21,7 @@
 from camphortray import config as configs
 from camphortray import gossip
 from camphortray import kernel
+from camphortray import links as link_messages
 from camphortray import metrics
 from camphortray import peers
 from tests import fakenet
@@ -118,7 +119,7 @@
     for name, ask in (("open", held.ask), ("new", held.ask_anew)):
         began = time.process_time()
         for _ in range(ASKS):
-            await ask(held.address, peers.Probe(), 1.0)
+            await ask(held.address, link_messages.Probe(), 1.0)
         used[name] = (time.process_time() - began) / ASKS * 1e6
     await held.stop()
     return {
--- /dev/null
+++ b/camphortray/links.py
@@ -0,0 +1,220 @@
+"""An outgoing link to a peer: questions, answers and one-way messages."""
+
+__all__ = ["Ack", "LINK_ERRORS", "Link", "PeerFault", "Probe"]
+
+import abc
+import asyncio
+import dataclasses
+from typing import Any
+
+from websockets.asyncio import connection as ws_connection
+import websockets.exceptions
+
+from camphortray import config as configs
+from camphortray import errors
+from camphortray import logs
+from camphortray import messages
+from camphortray import traffic as traffics
+
+LOG = logs.logger("peers")
+# Messages waiting for one peer; the oldest are dropped beyond that.
+MAX_QUEUED = 256
+# Longest a one-way message may take to leave, and for how long a peer may
+# say nothing on a link before it is asked for a sign of life, in seconds.
+SEND_S = 1.0
+QUIET_S = 5.0
+# Faults that mean "this link is of no use any more".
+LINK_ERRORS = (
+    OSError,
+    TimeoutError,
+    websockets.exceptions.WebSocketException,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ack:
+    """Answers a question that needs no other answer."""
+
+
+@messages.message("probe")
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks for an ``Ack``, to see whether a link still works."""
+
+
+@messages.message("fault")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerFault:
+    """Answers a question that failed."""
+
+    message: str
+
+
+class Connector(abc.ABC):
+    """Opens connections for links.
+
+    Attributes:
+      traffic: Counts of all links.
+    """
+
+    traffic: traffics.Traffic
+
+    @abc.abstractmethod
+    async def connect(
+        self, address: configs.Address
+    ) -> ws_connection.Connection:
+        """Open a new connection to a peer."""
+
+
+class Link:
+    """An outgoing link to one address, opened on first use."""
+
+    def __init__(self, peers: Connector, address: configs.Address) -> None:
+        self.peers = peers
+        self.address = address
+        self.socket: ws_connection.Connection | None = None
+        self.waiting: dict[int, asyncio.Future[Any]] = {}
+        self.number = 0
+        self.lock = asyncio.Lock()
+        self.reader: asyncio.Task[None] | None = None
+        self.queue: asyncio.Queue[Any] = asyncio.Queue()
+        self.heard_at = asyncio.get_running_loop().time()
+        self.sender: asyncio.Task[None] | None = None
+
+    async def ask(self, message: Any, timeout_s: float) -> Any:
+        """Send a question and return its answer.
+
+        Raises:
+          MessageError: no answer in time, or the peer's own fault.
+        """
+        self.number += 1
+        number = self.number
+        answer = asyncio.get_running_loop().create_future()
+        self.waiting[number] = answer
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.send(messages.Envelope(number, False, message))
+                reply = await answer
+        except LINK_ERRORS as error:
+            if isinstance(error, TimeoutError):
+                # A link may have gone silent for good while new ones
+                # work; the next question must not use it again.
+                self.drop()
+            raise errors.MessageError(
+                str(error) or "no answer in time",
+                step="ask",
+                peer=str(self.address),
+            ) from error
+        finally:
+            self.waiting.pop(number, None)
+        if isinstance(reply, PeerFault):
+            raise errors.MessageError(
+                reply.message, step="ask", peer=str(self.address)
+            )
+        return reply
+
+    def tell(self, message: Any) -> None:
+        """Send a one-way message in the background; it may be lost."""
+        if self.queue.qsize() >= MAX_QUEUED:
+            self.queue.get_nowait()
+        self.queue.put_nowait(message)
+        if self.sender is None or self.sender.done():
+            self.sender = asyncio.get_running_loop().create_task(
+                self.send_queued()
+            )
+
+    async def send_queued(self) -> None:
+        """Send what is queued; on a fault the queue is dropped."""
+        while not self.queue.empty():
+            message = self.queue.get_nowait()
+            try:
+                async with asyncio.timeout(SEND_S):
+                    await self.send(messages.Envelope(0, False, message))
+            except LINK_ERRORS as error:
+                LOG.debug("Lost a message to {}: {}", self.address, error)
+                self.queue = asyncio.Queue()
+                self.drop()
+            else:
+                await self.probe()
+
+    async def probe(self) -> None:
+        """Ask for a sign of life if the peer has long said nothing.
+
+        One-way messages on a link that has gone silent for good would be
+        lost for ever; ``ask`` drops a link on which no answer comes.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - self.heard_at < QUIET_S:
+            return
+        self.heard_at = now
+        try:
+            await self.ask(Probe(), SEND_S)
+        except errors.MessageError as error:
+            LOG.debug("Silent link to {}: {}", self.address, error)
+
+    async def send(self, envelope: messages.Envelope) -> None:
+        """Send over the open link, or over a new one."""
+        data = messages.encode(envelope)
+        socket = await self.open()
+        self.peers.traffic.sent(len(data) + traffics.MASK_BYTES)
+        await socket.send(data)
+
+    async def open(self) -> ws_connection.Connection:
+        """Return the socket, opened if need be."""
+        async with self.lock:
+            if self.socket is None:
+                self.socket = await self.peers.connect(self.address)
+                self.reader = asyncio.get_running_loop().create_task(
+                    self.read(self.socket)
+                )
+            return self.socket
+
+    async def read(self, socket: ws_connection.Connection) -> None:
+        """Take answers until the link ends."""
+        try:
+            async for data in socket:
+                self.take(data)
+        except LINK_ERRORS as error:
+            LOG.debug("Link to {} ended: {}", self.address, error)
+        finally:
+            # A link that was dropped before has failed its questions; those
+            # that wait now were asked on the one that took its place.
+            if self.socket is socket:
+                self.socket = None
+                self.fail_waiting()
+
+    def take(self, data: str | bytes) -> None:
+        """Hand an answer to whoever asked."""
+        if isinstance(data, str):
+            return
+        self.peers.traffic.received(len(data))
+        self.heard_at = asyncio.get_running_loop().time()
+        try:
+            envelope = messages.decode(data)
+        except errors.MessageError as error:
+            LOG.warning("Bad message from {}: {}", self.address, error)
+            return
+        answer = self.waiting.get(envelope.number)
+        if answer is not None and not answer.done():
+            answer.set_result(envelope.message)
+
+    def fail_waiting(self) -> None:
+        """Fail all open questions."""
+        for answer in self.waiting.values():
+            if not answer.done():
+                answer.set_exception(ConnectionError("link ended"))
+
+    def drop(self) -> None:
+        """Close without waiting."""
+        socket, self.socket = self.socket, None
+        if socket is not None:
+            socket.transport.abort()
+        self.fail_waiting()
+        if self.reader is not None:
+            self.reader.cancel()
+
+    def close(self) -> None:
+        """Close for good."""
+        if self.sender is not None:
+            self.sender.cancel()
+        self.drop()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,6 +21,7 @@
 from camphortray import httpclient
 from camphortray import httpserver
 from camphortray import kernel
+from camphortray import links as links_module
 from camphortray import members
 from camphortray import messages
 from camphortray import metrics
@@ -326,8 +327,8 @@
     # A link that carries one-way messages only goes silent for good. They
     # are lost, and nobody would notice; so the peer is asked for a sign
     # of life, the link is dropped, and what is told next arrives.
-    monkeypatch.setattr(peers, "QUIET_S", 0.0)
-    monkeypatch.setattr(peers, "SEND_S", 0.05)
+    monkeypatch.setattr(links_module, "QUIET_S", 0.0)
+    monkeypatch.setattr(links_module, "SEND_S", 0.05)
     links = await links_of(config_of())
     heard = asyncio.Queue()
 
@@ -345,3 +346,43 @@
         links.tell(links.address, gossip.News())
         await heard.get()
     await links.stop()
+
+
+async def test_slow_news_do_not_hold_up_answers():
+    # The handler of a one-way message takes long. A probe behind it on
+    # the same link is answered all the same, or the host would look lost;
+    # and one-way messages keep their order.
+    links = await links_of(config_of())
+    gate, seen = asyncio.Event(), []
+
+    async def slow(sender, news):
+        await gate.wait()
+        seen.append(news.known[0].version)
+
+    links.on(gossip.News, slow)
+    for version in (1, 2, 3):
+        fact = dataclasses.replace(FACT, version=version)
+        links.tell(links.address, gossip.News(known=(fact,)))
+    link = links.link(links.address)
+    await link.sender
+    reply = await links.ask(links.address, gossip.Ping(1, 5), 5.0)
+    assert (reply.digest, seen) == (5, [])
+    gate.set()
+    async with asyncio.timeout(LIMIT_S):
+        while len(seen) < 3:
+            await asyncio.sleep(0)
+    assert seen == [1, 2, 3]
+    await links.stop()
+
+
+async def test_an_answer_over_the_limit_is_told_as_a_fault():
+    links = await links_of(config_of())
+
+    async def large(sender, ping):
+        fact = dataclasses.replace(FACT, value="v" * 1_100_000)
+        return gossip.News(known=(fact,))
+
+    links.on(gossip.Ping, large)
+    with pytest.raises(errors.MessageError, match="over the limit"):
+        await ask(links, links)
+    await links.stop()
