--- a/camphortray/coordinator.py
+++ b/camphortray/coordinator.py
@@ -14,8 +14,6 @@
 # Seconds from one step of growth to the next, so that a coordinator sends
 # each holder at most 10 messages a second while it grows.
 GROW_EVERY_S = 0.1
-# Seconds from one batch item that begins on an upstream to the next.
-PACE_S = 0.015
 # Seconds for which a host's word about its online work is believed; hosts
 # repeat it every second while they have any.
 REPORT_S = 3.0
@@ -126,13 +124,8 @@
             self.reports.pop(host, None)
 
     def pace_s(self) -> float:
-        """Return how far apart one holder's new items should begin.
-
-        Prompts that come together are read in one long step, which an
-        online request that comes meanwhile has to sit out. All holders
-        together begin one item in about the time of a step.
-        """
-        return PACE_S * max(1, len(self.holders))
+        """Return how far apart one holder's new items should begin."""
+        return self.room.pace_s * max(1, len(self.holders))
 
     def granted(self) -> int:
         """Return the number of slots granted."""
--- a/camphortray/headroom.py
+++ b/camphortray/headroom.py
@@ -54,6 +54,9 @@
         while for a single one that is not worth reading prompts again.
       growth_per_s: Slots added per second; see ``Headroom.growth``.
       settle_s: Seconds without a waiting request before slots grow.
+      pace_s: Seconds from one batch item that begins to the next. Prompts
+        that come together are read in one long step, which an online
+        request that comes meanwhile has to sit out.
       strain_high: Strain at which the ceiling is cut.
       ceiling_per_s: Slots by which the ceiling rises again per second.
     """
@@ -62,13 +65,14 @@
     burst_arrivals: int
     growth_per_s: float
     settle_s: float
+    pace_s: float
     strain_high: float
     ceiling_per_s: float
 
 
 PROFILES = {
-    "latency": Profile(4.0, 4, 80.0, 0.1, 0.9, 16.0),
-    "throughput": Profile(2.0, 8, 150.0, 0.05, 1.5, 32.0),
+    "latency": Profile(4.0, 4, 80.0, 0.1, 0.015, 0.9, 16.0),
+    "throughput": Profile(2.0, 8, 150.0, 0.05, 0.015, 1.5, 32.0),
 }
 # Slots in which online work is rounded up.
 STEP = 2
@@ -76,6 +80,8 @@
 BURST_S = 0.25
 # Slots added per second where no profile says otherwise.
 GROWTH_PER_S = 60.0
+# Seconds between items where no profile says otherwise.
+PACE_S = 0.015
 # Least seconds from one cut of the ceiling to the next: the effect of a
 # cut shows only after the requests begun before it are through.
 CUT_EVERY_S = 1.0
@@ -87,10 +93,12 @@
 
     Attributes:
       slots: Requests the upstream may run at once.
+      pace_s: Seconds from one batch item that begins to the next.
     """
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
+        self.pace_s = PACE_S
 
     @abc.abstractmethod
     def target(self, now: float, load: Load, granted: int) -> int:
@@ -149,6 +157,7 @@
     def __init__(self, slots: int, profile: Profile) -> None:
         super().__init__(slots)
         self.profile = profile
+        self.pace_s = profile.pace_s
         self.ceiling = float(slots)
         self.changed_at: float | None = None
         self.waited_at = -profile.settle_s
