Rank members and list candidates once per change, not per report

Cause: ranking 390 members for each report and listing candidates for each waiting item ten times a second would take a host more processor time than its control may. Change: coordinators are kept until a member changes, waiting items that are alike are asked for once, and handing out ends when nothing is free.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -144,6 +144,7 @@
         self.context = context
         self.own_name = f"{context.config.host.name}/{context.program}"
         self.held: dict[str, membership.Member] = {}
+        self.listeners = []
         self.lively: dict[str, list[membership.Member]] = {}
 
     @property
@@ -153,9 +154,13 @@
     def put(self, member: membership.Member) -> None:
         self.held[member.name] = member
         self.lively.clear()
+        for listener in self.listeners:
+            listener(member)
 
-    def listen(self, listener: Any) -> None:
-        """Tell nobody: members change by hand."""
+    def drop(self, name: str) -> None:
+        """Hold a member for dead."""
+        dead = membership.Status.DEAD
+        self.put(dataclasses.replace(self.held[name], status=dead))
 
     async def stop(self) -> None:
         """Stop nothing."""
--- a/camphortray/granting.py
+++ b/camphortray/granting.py
@@ -4,7 +4,7 @@
 docs/design/slots.md.
 """
 
-__all__ = ["Granting", "coordinator_of"]
+__all__ = ["CoordinatorMap", "Granting", "coordinator_of"]
 
 import asyncio
 import collections
@@ -40,6 +40,31 @@
     return by_name[name] if name is not None else None
 
 
+class CoordinatorMap:
+    """Who coordinates which upstream, worked out once per change.
+
+    Ranking all members for each report would take a host at the target
+    size more processor time than all of its control may.
+    """
+
+    def __init__(self, members: membership.Membership) -> None:
+        self.members = members
+        self.known: dict[str, membership.Member | None] = {}
+        members.listen(self.on_member)
+
+    def on_member(self, member: membership.Member) -> None:
+        """Rank anew when a member has changed."""
+        self.known.clear()
+
+    def of(self, upstream: str) -> membership.Member | None:
+        """Return the coordinator of an upstream, if there is any."""
+        if upstream not in self.known:
+            self.known[upstream] = coordinator_of(
+                upstream, self.members.live("entry")
+            )
+        return self.known[upstream]
+
+
 @kernel.PARTS.register("entry")
 class Granting(kernel.Part, signals.Listener):
     """Coordinator of some upstreams, and reporter to the others'.
@@ -64,6 +89,7 @@
         self.members = context.part(membership.Membership)
         self.tree = context.part(tree.Tree)
         self.coordinators: dict[str, coordinator.Coordinator] = {}
+        self.map = CoordinatorMap(self.members)
         self.holders: dict[str, configs.Address] = {}
         self.reports = online.OnlineReports()
         self.services: dict[str, settings.Service] = {}
@@ -145,7 +171,7 @@
             dict
         )
         for upstream, load in due.items():
-            member = coordinator_of(upstream, self.members.live("entry"))
+            member = self.map.of(upstream)
             if member is not None:
                 grouped[member.peer_address][upstream] = load
         own = self.members.members[self.members.own_name].peer_address
--- a/camphortray/slots.py
+++ b/camphortray/slots.py
@@ -74,6 +74,7 @@
         self.upstreams = context.part(upstreams.Upstreams)
         self.peers = context.part(peers.Peers)
         self.members = context.part(membership.Membership)
+        self.coordinators = granting.CoordinatorMap(self.members)
         self.holdings: holding.Holdings[Slot] = holding.Holdings()
         self.waiters: list[Waiter] = []
         self.known: dict[str, engine.Upstream] = {}
@@ -169,10 +170,14 @@
         for waiter in sorted(
             self.waiters, key=lambda waiter: waiter.prefer not in free
         ):
+            if not free:
+                break
             slot = self.free_slot(
                 waiter.service, waiter.without, waiter.prefer
             )
             if slot is not None:
+                if not self.holdings.free(now, slot.upstream.name):
+                    free.discard(slot.upstream.name)
                 self.waiters.remove(waiter)
                 if waiter.slot.done():
                     self.holdings.give_back(slot.upstream.name, slot)
@@ -224,12 +229,16 @@
     def wants(self) -> dict[str, slotmessages.Want]:
         """Return what this host could use, by upstream."""
         waiting: collections.Counter[str] = collections.Counter()
-        for waiter in self.waiters:
+        alike = collections.Counter(
+            (waiter.service.name, waiter.without) for waiter in self.waiters
+        )
+        services = {w.service.name: w.service for w in self.waiters}
+        for (name, without), count in alike.items():
             for candidate in self.upstreams.candidates(
-                waiter.service, waiter.without
+                services[name], without
             ):
                 self.known[candidate.upstream.name] = candidate.upstream
-                waiting[candidate.upstream.name] += 1
+                waiting[candidate.upstream.name] += count
         used = dict(self.holdings.in_use())
         return {
             name: slotmessages.Want(
@@ -245,9 +254,8 @@
         grouped: dict[str, dict[str, slotmessages.Want]] = (
             collections.defaultdict(dict)
         )
-        live = self.members.live("entry")
         for name, want in wants.items():
-            member = granting.coordinator_of(name, live)
+            member = self.coordinators.of(name)
             if member is None:
                 self.grant_alone(name, want)
             else:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import itertools
 
 import pytest
@@ -110,9 +109,7 @@
         assert sum(others) == 0
         for program in fleet.entries + fleet.batches:
             members = program.part(membership.Membership)
-            lost = members.members[f"{host}/entry"]
-            dead = membership.Status.DEAD
-            members.put(dataclasses.replace(lost, status=dead))
+            members.drop(f"{host}/entry")
         await asyncio.sleep(4)
         others = [n for i, n in enumerate(holders.running) if i != own]
         assert sum(others) == 32
@@ -132,8 +129,8 @@
     async with started() as fleet:
         for program in fleet.batches:
             members = program.part(membership.Membership)
-            for name in [n for n in members.members if n.endswith("/entry")]:
-                del members.members[name]
+            for number in range(3):
+                members.drop(f"host-{number}/entry")
         holders = Holders(fleet)
         await asyncio.sleep(2)
         assert holders.running == [8, 8, 8]
