--- a/tests/faultcells.py
+++ b/tests/faultcells.py
@@ -123,12 +123,13 @@
         """Stop the owner of job a, or another host if it has none."""
         up = [n for n, host in self.cluster.hosts.items() if host.kernels]
         lost = self.cluster.owner(self.names["a"]) or up[-1]
-        self.lost.append(lost)
         for program in ("batch", "entry"):
             await self.cluster.hosts[lost].stop(program)
+        self.lost.append(lost)
 
     async def bring_back(self):
-        """Start a lost host again."""
+        """Start a lost host again, once it is down."""
+        await self.cluster.until(lambda: self.lost)
         host = self.cluster.hosts[self.lost.pop()]
         await asyncio.gather(host.start("entry"), host.start("batch"))
 
