Split the engine stand-in and bound the cache events it keeps

Change: the model and the shape of answers stand in modules of their own; 20,000 events are kept, and a reader further behind misses some, as with real engines.

--- a/camphortray/standin_engine.py
+++ b/camphortray/standin_engine.py
@@ -3,230 +3,36 @@
 The timing model and what it leaves out stand in docs/STANDINS.md.
 """
 
-__all__ = ["EngineModel", "EngineStandin", "TimingModel", "token_text"]
+__all__ = [
+    "EngineModel",
+    "EngineStandin",
+    "Sequence",
+    "TimingModel",
+    "prompt_of",
+    "token_text",
+]
 
 import asyncio
-import collections
 import dataclasses
-import time
 from typing import Any
 from typing import cast
 
-import msgspec
-import xxhash
-
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import faults as faults_module
 from camphortray import httpserver
-
-WORDS = (
-    "the battery of this home is at rest until evening tariff begins "
-    "gate opens near kiln garden path and hall with steward notes"
-).split()
-BLOCK_WORDS = 16
-DEFAULT_MAX_TOKENS = 16
+from camphortray import standin_answers
+from camphortray import standin_model
+
+EngineModel = standin_model.EngineModel
+Sequence = standin_model.Sequence
+TimingModel = standin_model.TimingModel
+prompt_of = standin_answers.prompt_of
+token_text = standin_model.token_text
 # Load reports are made this often, and so are this old at worst.
 REPORT_EVERY_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True)
-class TimingModel:
-    """Time of one step of the engine, in seconds.
-
-    A step takes ``base_s + per_sequence_s * batch + per_prefill_s *
-    prefilled tokens`` and gives one token to each sequence whose prompt
-    is done. At most ``prefill_budget`` prompt tokens go into one step.
-
-    Attributes:
-      max_batch: Sequences in one step.
-      cache_blocks: Blocks of prompt prefixes kept.
-      speed: Divides all times, for tests.
-    """
-
-    base_s: float = 0.012
-    per_sequence_s: float = 0.0003
-    per_prefill_s: float = 0.00004
-    prefill_budget: int = 2048
-    max_batch: int = 64
-    cache_blocks: int = 4096
-    load_s: float = 2.0
-    restart_s: float = 2.0
-    event_lag_s: float = 1.0
-    speed: float = 1.0
-
-
-def token_text(prompt: str, index: int) -> str:
-    """Return token ``index`` of the answer to ``prompt``.
-
-    The same on every engine, so that a resumed answer can be checked.
-    """
-    digest = xxhash.xxh32_intdigest(prompt.encode(), index)
-    return WORDS[digest % len(WORDS)] + " "
-
-
-def block_hashes(text: str) -> list[str]:
-    """Return a hash for each leading run of whole blocks."""
-    words = text.split()
-    state = xxhash.xxh64()
-    hashes = []
-    for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
-        state.update(" ".join(words[start : start + BLOCK_WORDS]).encode())
-        hashes.append(state.hexdigest())
-    return hashes
-
-
-@dataclasses.dataclass
-class Sequence:
-    """One request in the engine."""
-
-    id: str
-    prompt: str
-    max_tokens: int
-    produced: int = 0
-    prefill_left: int = 0
-    cancelled: bool = False
-    crash: bool = False
-    ready: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-    taken: int = 0
-    broken: bool = False
-
-    @property
-    def done(self) -> bool:
-        """Whether all tokens are made."""
-        return self.produced >= self.max_tokens
-
-
-class PrefixCache:
-    """Least recently used blocks of prompt prefixes."""
-
-    def __init__(self, limit: int) -> None:
-        self.limit = limit
-        self.blocks: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
-
-    def lookup(self, hashes: list[str]) -> int:
-        """Return how many leading blocks are held."""
-        held = 0
-        for block in hashes:
-            if block not in self.blocks:
-                break
-            self.blocks.move_to_end(block)
-            held += 1
-        return held
-
-    def store(self, hashes: list[str]) -> tuple[list[str], list[str]]:
-        """Add blocks; return those stored and those evicted."""
-        stored = [block for block in hashes if block not in self.blocks]
-        for block in hashes:
-            self.blocks[block] = None
-            self.blocks.move_to_end(block)
-        evicted = []
-        while len(self.blocks) > self.limit:
-            evicted.append(self.blocks.popitem(last=False)[0])
-        return stored, evicted
-
-
-class EngineModel:
-    """The engine itself: admits in order, batches, makes tokens."""
-
-    def __init__(self, timing: TimingModel) -> None:
-        self.timing = timing
-        self.waiting: collections.deque[Sequence] = collections.deque()
-        self.running: list[Sequence] = []
-        self.cache = PrefixCache(timing.cache_blocks)
-        self.events: list[dict[str, Any]] = []
-        self.event_times: list[float] = []
-        self.work = asyncio.Event()
-        self.task: asyncio.Task[None] | None = None
-        self.tokens_made = 0
-        self.on_crash: Any = None
-        self.stalled = False
-
-    def submit(self, sequence: Sequence) -> None:
-        """Queue a request."""
-        self.waiting.append(sequence)
-        self.work.set()
-        if self.task is None or self.task.done():
-            self.task = asyncio.get_running_loop().create_task(self.run())
-
-    def admit(self) -> None:
-        """Move waiting requests into the batch, first come first."""
-        while self.waiting and len(self.running) < self.timing.max_batch:
-            sequence = self.waiting.popleft()
-            hashes = block_hashes(sequence.prompt)
-            held = self.cache.lookup(hashes)
-            words = len(sequence.prompt.split()) + sequence.produced
-            sequence.prefill_left = max(words - held * BLOCK_WORDS, 1)
-            self.note_events(*self.cache.store(hashes))
-            self.running.append(sequence)
-
-    def note_events(self, stored: list[str], evicted: list[str]) -> None:
-        """Number cache events."""
-        now = asyncio.get_running_loop().time()
-        for blocks, entered in ((stored, True), (evicted, False)):
-            for block in blocks:
-                number = len(self.events) + 1
-                self.events.append(
-                    {"sequence": number, "prefix": block, "stored": entered}
-                )
-                self.event_times.append(now)
-
-    def plan_step(self) -> tuple[float, list[Sequence]]:
-        """Spend the prefill budget; return time and who gets a token."""
-        budget = self.timing.prefill_budget
-        prefilled = 0
-        decoding = []
-        for sequence in self.running:
-            if sequence.prefill_left > 0:
-                part = min(sequence.prefill_left, budget - prefilled)
-                sequence.prefill_left -= part
-                prefilled += part
-            if sequence.prefill_left == 0:
-                decoding.append(sequence)
-        timing = self.timing
-        seconds = (
-            timing.base_s
-            + timing.per_sequence_s * len(self.running)
-            + timing.per_prefill_s * prefilled
-        )
-        return seconds / timing.speed, decoding
-
-    async def run(self) -> None:
-        """Make steps while there is work."""
-        while True:
-            self.running = [
-                s for s in self.running if not s.cancelled and not s.done
-            ]
-            self.admit()
-            if not self.running:
-                self.work.clear()
-                await self.work.wait()
-                continue
-            if any(sequence.crash for sequence in self.running):
-                self.on_crash(True)
-                return
-            seconds, decoding = self.plan_step()
-            await asyncio.sleep(seconds)
-            while self.stalled:
-                await asyncio.sleep(0.05)
-            for sequence in decoding:
-                if not sequence.cancelled:
-                    sequence.produced += 1
-                    self.tokens_made += 1
-                    sequence.ready.set()
-
-    def fail_all(self) -> None:
-        """Lose every request, as a crash does."""
-        for sequence in [*self.running, *self.waiting]:
-            sequence.broken = True
-            sequence.ready.set()
-        self.running = []
-        self.waiting.clear()
-        self.cache.blocks.clear()
-
-
 class FaultyConnection(httpserver.Connection):
     """A connection that can go silent for good."""
 
@@ -270,7 +76,7 @@
         self,
         name: str,
         models: tuple[tuple[str, str], ...],
-        timing: TimingModel | None = None,
+        timing: standin_model.TimingModel | None = None,
         checks_fencing: bool = True,
     ) -> None:
         super().__init__(
@@ -284,13 +90,13 @@
             )
         )
         self.name = name
-        self.timing = timing or TimingModel()
+        self.timing = timing or standin_model.TimingModel()
         self.checks_fencing = checks_fencing
         self.initial_models = models
         self.facts = EngineFacts(set(models))
-        self.model = EngineModel(self.timing)
+        self.model = standin_model.EngineModel(self.timing)
         self.model.on_crash = self.crash
-        self.requests: dict[str, Sequence] = {}
+        self.requests: dict[str, standin_model.Sequence] = {}
         self.seen: list[str] = []
         self.orders: list[dict[str, Any]] = []
         self.crashes = 0
@@ -336,7 +142,7 @@
         """Close the port for a while, then listen anew."""
         await self.server.stop()
         await asyncio.sleep(self.timing.restart_s / self.timing.speed)
-        self.model = EngineModel(self.timing)
+        self.model = standin_model.EngineModel(self.timing)
         self.model.on_crash = self.crash
         self.facts = EngineFacts(
             set(self.initial_models), incarnation=self.facts.incarnation + 1
@@ -420,17 +226,18 @@
         """Return events that are old enough, with gaps if switched on."""
         limit = asyncio.get_running_loop().time() - self.timing.event_lag_s
         gap = int(self.faults["event_gap"])
-        events = [
-            event
-            for event, made in zip(
-                self.model.events[after : after + 1000],
-                self.model.event_times[after : after + 1000],
-                strict=True,
-            )
-            if made <= limit
+        changes = [
+            change
+            for change in self.model.events_after(after)
+            if change.made_at <= limit
+        ]
+        shown = [
+            {"sequence": c.sequence, "prefix": c.prefix, "stored": c.stored}
+            for c in changes
+            if not gap or c.sequence % gap
         ]
-        shown = [e for e in events if not gap or e["sequence"] % gap]
-        return {"next": after + len(events), "events": shown}
+        following = changes[-1].sequence if changes else after
+        return {"next": following, "events": shown}
 
     def order(self, order: dict[str, Any]) -> dict[str, Any]:
         """Take an order, or refuse one with an old fencing number."""
@@ -496,17 +303,19 @@
         if self.faults["wrong_echo"] > 0:
             self.faults.values["wrong_echo"] -= 1
             request.id = "another-request"
-        sequence = make_sequence(request, data, self.crash_marker)
+        sequence = standin_answers.make_sequence(
+            request, data, self.crash_marker
+        )
         self.requests[request.id] = sequence
         self.model.submit(sequence)
         options = data.get("stream_options") or {}
         counts = bool(options.get("continuous_usage_stats"))
-        form = Form(request, model, sequence, counts)
+        form = standin_answers.Form(request, model, sequence, counts)
         try:
             if data.get("stream"):
-                await stream_answer(response, sequence, form)
+                await standin_answers.stream_answer(response, sequence, form)
             else:
-                await whole_answer(response, sequence, form)
+                await standin_answers.whole_answer(response, sequence, form)
         finally:
             self.cancel(request.id)
 
@@ -527,133 +336,3 @@
     facts.models.add(pair)
     if adapter[1]:
         facts.adapters.add(adapter)
-
-
-def make_sequence(
-    request: httpserver.Request, data: dict[str, Any], marker: str
-) -> Sequence:
-    """Build the engine's view of a request."""
-    prompt = prompt_of(data)
-    wanted = data.get("max_tokens") or data.get("max_completion_tokens")
-    resume = data.get("resume") or {}
-    return Sequence(
-        request.id,
-        prompt,
-        int(wanted or DEFAULT_MAX_TOKENS),
-        produced=int(resume.get("tokens", 0)),
-        taken=int(resume.get("tokens", 0)),
-        crash=marker in prompt,
-    )
-
-
-def prompt_of(data: dict[str, Any]) -> str:
-    """Return the prompt as one text."""
-    if "messages" in data:
-        return "\n".join(str(m.get("content", "")) for m in data["messages"])
-    return str(data.get("prompt", ""))
-
-
-class Form:
-    """Shapes tokens as the interface asks."""
-
-    def __init__(
-        self,
-        request: httpserver.Request,
-        model: str,
-        sequence: Sequence,
-        counts: bool = False,
-    ) -> None:
-        self.chat = "chat" in request.path
-        self.sequence = sequence
-        # A chunk may hold several tokens; asked to, it counts them.
-        self.counts = counts
-        self.head = {
-            "id": f"cmpl-{request.id}",
-            "created": int(time.time()),
-            "model": model,
-        }
-
-    def usage(self) -> dict[str, int]:
-        """Return counts of tokens."""
-        prompt = len(self.sequence.prompt.split())
-        made = self.sequence.produced
-        return {
-            "prompt_tokens": prompt,
-            "completion_tokens": made,
-            "total_tokens": prompt + made,
-        }
-
-    def chunk(self, text: str, finish: str | None) -> bytes:
-        """Return one server-sent event."""
-        choice: dict[str, Any] = {"index": 0, "finish_reason": finish}
-        if self.chat:
-            choice["delta"] = {"content": text} if text else {}
-        else:
-            choice["text"] = text
-        kind = "chat.completion.chunk" if self.chat else "text_completion"
-        data = {**self.head, "object": kind, "choices": [choice]}
-        if finish or self.counts:
-            data["usage"] = self.usage()
-        return b"data: " + msgspec.json.encode(data) + b"\n\n"
-
-    def whole(self, text: str) -> dict[str, Any]:
-        """Return a whole answer."""
-        choice: dict[str, Any] = {"index": 0, "finish_reason": "length"}
-        if self.chat:
-            choice["message"] = {"role": "assistant", "content": text}
-        else:
-            choice["text"] = text
-        kind = "chat.completion" if self.chat else "text_completion"
-        return {
-            **self.head,
-            "object": kind,
-            "choices": [choice],
-            "usage": self.usage(),
-        }
-
-
-async def next_tokens(sequence: Sequence) -> str:
-    """Return the text of the tokens made since the last call.
-
-    Raises:
-      ConnectionError: the engine crashed or cancelled the request.
-    """
-    while sequence.taken >= sequence.produced:
-        if sequence.broken or sequence.cancelled:
-            raise ConnectionError("request is lost")
-        sequence.ready.clear()
-        await sequence.ready.wait()
-    made = range(sequence.taken, sequence.produced)
-    sequence.taken = sequence.produced
-    return "".join(token_text(sequence.prompt, index) for index in made)
-
-
-async def stream_answer(
-    response: httpserver.Response, sequence: Sequence, form: Form
-) -> None:
-    """Send tokens as they are made."""
-    response.start(200, [("content-type", "text/event-stream")])
-    try:
-        while sequence.taken < sequence.max_tokens:
-            response.write(form.chunk(await next_tokens(sequence), None))
-            await response.flush()
-    except ConnectionError:
-        response.abort()
-        return
-    response.write(form.chunk("", "length"))
-    response.write(b"data: [DONE]\n\n")
-    response.end()
-
-
-async def whole_answer(
-    response: httpserver.Response, sequence: Sequence, form: Form
-) -> None:
-    """Send the answer once it is whole."""
-    parts = []
-    try:
-        while sequence.taken < sequence.max_tokens:
-            parts.append(await next_tokens(sequence))
-    except ConnectionError:
-        response.abort()
-        return
-    response.send_json(200, form.whole("".join(parts)))
