Never pass over a gap in the log; keep a busy shard; bound the calls' drain

A page that starts later than asked would have left a hole in the state, and a body that no check foresaw would have stopped the stream on every host. A shard handed over to spread the load while a non-idempotent item ran left that item unknown. A drain during an outage of the log waited for answers to be kept without end.

--- a/camphortray/callkeeper.py
+++ b/camphortray/callkeeper.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
+import contextlib
 import dataclasses
 from typing import Any
 from typing import ClassVar
@@ -369,8 +370,10 @@
 
     async def drain(self) -> None:
         # An answer not kept would be told as unknown to a resend.
-        while self.tasks:
-            await asyncio.wait(set(self.tasks))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.context.config.entry.drain_s):
+                while self.tasks:
+                    await asyncio.wait(set(self.tasks))
         await asyncio.gather(*(s.owner.release() for s in self.shards))
 
     async def stop(self) -> None:
--- a/camphortray/fold.py
+++ b/camphortray/fold.py
@@ -247,6 +247,10 @@
             return Outcome(offset, Verdict.REFUSED, str(refusal), record)
         except errors.RecordError as error:
             return Outcome(offset, Verdict.UNREADABLE, str(error), record)
+        except Exception as error:
+            # A body that no check foresaw. It must not stop the stream on
+            # every host that reads it, now and after each restart.
+            return Outcome(offset, Verdict.UNREADABLE, repr(error), record)
         return Outcome(offset, Verdict.VALID, "", record)
 
     def prune(self, offset: int) -> None:
--- a/camphortray/journal.py
+++ b/camphortray/journal.py
@@ -34,6 +34,8 @@
 # Lag from which a snapshot is looked for instead of reading on.
 JUMP_RECORDS = 16_384
 
+UNREADABLE = folds.Verdict.UNREADABLE
+
 Send = Callable[[str, bytes], Awaitable[object]]
 
 
@@ -167,23 +169,40 @@
         """Apply one record and tell whoever waits for it."""
         if record.offset < self.fold.next:
             return
+        self.check_order(record)
         if not self.kept_at:
             self.kept_at = record.time
         self.since_records += 1
         self.since_bytes += len(record.body)
         outcome = self.fold.apply(record.offset, record.body)
-        for recorder in self.recorders:
-            recorder(record)
+        if outcome.record is None or outcome.verdict is UNREADABLE:
+            LOG.warning(
+                "{} {}: {}", self.stream, record.offset, outcome.reason
+            )
+        elif outcome.record.kind == folds.SNAPSHOT:
+            self.note_snapshot(record)
+        for told in outcome.parts or (outcome,):
+            self.tell(told)
+
+    def check_order(self, record: log.LogRecord) -> None:
+        """Refuse to pass over records that the log left out.
+
+        Raises:
+          LogUnavailable: there is a gap; reading again may fill it.
+        """
+        if record.offset > self.fold.next:
+            raise errors.LogUnavailable(
+                f"records {self.fold.next} to {record.offset} are missing",
+                step="read",
+                peer=self.stream,
+            )
+
+    def tell(self, outcome: folds.Outcome) -> None:
+        """Tell whoever waits for a record, and all listeners."""
         if outcome.record is not None:
-            if outcome.record.kind == folds.SNAPSHOT:
-                self.note_snapshot(record)
             self.resolve(outcome, outcome.record.id)
-        for part in outcome.parts:
-            if part.record is not None:
-                self.resolve(part, part.record.id)
         for listener in self.listeners:
-            for told in outcome.parts or (outcome,):
-                listener(told)
+            listener(outcome)
 
     def note_snapshot(self, record: log.LogRecord) -> None:
         """Count anew once a whole snapshot has been read."""
@@ -232,7 +251,8 @@
         """
         found = await self.find_snapshot()
         state = found.best
-        if state is None or state["covers"] < after:
+        # Others may have read on while this one looked.
+        if state is None or state["covers"] < max(after, self.fold.next - 1):
             return False
         return self.adopt(state, found.best_time, found.size)
 
--- a/camphortray/ownership.py
+++ b/camphortray/ownership.py
@@ -22,6 +22,8 @@
 LOG = logs.logger("ownership")
 # Time for one record of ownership, in seconds.
 APPEND_S = 2.0
+# Shortest time from one look to the next, in seconds.
+MIN_WAIT_S = 0.01
 # Pause after one could not be appended, in seconds.
 PAUSE_S = 0.5
 # Time after the start during which a host that is not known yet may only
@@ -92,6 +94,9 @@
       on_gain: Called with the new epoch when this process owns it.
       on_loss: Called when it no longer does; whatever it sends to the
         log afterwards is void.
+      busy: Says whether handing over now would cost work that cannot be
+        done again; while it does, the stream is given up by a drain
+        only, not to spread the load.
       before_release: Awaited before the stream is handed over by choice;
         returns when nothing is in flight that only this process knows.
     """
@@ -107,6 +112,7 @@
         self.policy = takeover.Policy(held.writer, timing)
         self.on_gain: Callable[[int], None] = ignore_epoch
         self.on_loss: Callable[[], None] = ignore
+        self.busy: Callable[[], bool] = is_idle
         self.before_release: Callable[[], Awaitable[None]] = wait_for_nothing
         self.owned_epoch = records.NO_EPOCH
         self.seen: object = None
@@ -179,7 +185,7 @@
         while True:
             self.changed.clear()
             step = self.next_step()
-            wait_s = step.again_s
+            wait_s = max(step.again_s, MIN_WAIT_S)
             if step.kind and not await self.take(step):
                 wait_s = PAUSE_S
             elif step.kind:
@@ -193,7 +199,8 @@
         held = self.journal.fold.ownership
         owner = held.owner
         sight = takeover.Sight.LIVE if owner is None else self.sight(owner)
-        seen = takeover.Seen(held, sight, self.rank, self.draining)
+        rank = first_rank if self.owned and self.busy() else self.rank
+        seen = takeover.Seen(held, sight, rank, self.draining)
         return self.policy.step(seen, asyncio.get_running_loop().time())
 
     def sight(self, owner: records.Writer) -> takeover.Sight:
@@ -243,6 +250,16 @@
             await self.journal.append(folds.CLAIM, dataclasses.asdict(claim))
 
 
+def is_idle() -> bool:
+    """Say that nothing is lost by handing over."""
+    return False
+
+
+def first_rank() -> int:
+    """Rank a host as the one that should own the stream."""
+    return 0
+
+
 def ignore() -> None:
     """Do nothing."""
 
--- a/camphortray/records.py
+++ b/camphortray/records.py
@@ -125,5 +125,5 @@
     """
     try:
         return msgspec.convert(body, cls)
-    except msgspec.ValidationError as error:
+    except (msgspec.ValidationError, TypeError, ValueError) as error:
         raise errors.RecordError(str(error), step=cls.__name__) from error
--- a/camphortray/shardset.py
+++ b/camphortray/shardset.py
@@ -94,6 +94,9 @@
         shard = jobshard.JobShard(number, held, owner, self.cache)
         owner.on_gain = lambda epoch: self.gain(shard, epoch)
         owner.on_loss = lambda: self.lose(number)
+        owner.busy = lambda: any(
+            job.started for job in shard.fold.jobs.values()
+        )
         owner.before_release = lambda: self.flush(number)
         held.listen(lambda outcome: self.on_outcome(number, outcome))
         held.on_restore(lambda: self.restart(shard))
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -146,6 +146,7 @@
         cbor2.dumps({"w": ["a", 1, True], "k": "k", "e": 0, "b": {}}),
         make(A, 1, folds.CLAIM, {"after": "x"}),
         make(A, 1, folds.BUNDLE, {"records": 1}),
+        make(A, 1, folds.CLAIM, {1: 2}),
     ],
 )
 def test_what_cannot_be_read_changes_nothing(data):
@@ -154,6 +155,17 @@
     assert fold.ownership.owner is None
 
 
+def test_a_body_that_no_check_foresaw_does_not_stop_the_stream():
+    class Faulty(calls.CallsFold):
+        def on_fence(self, offset, record):
+            raise KeyError("x")
+
+    fold = Faulty()
+    fence = make(A, 1, folds.FENCE)
+    assert fold.apply(0, fence).verdict is V.UNREADABLE
+    assert fold.apply(1, claim(A, 2)).valid
+
+
 def test_unknown_fields_are_ignored_by_this_release():
     data = make(A, 1, folds.CLAIM, {"after": -1, "later": [1]})
     assert calls.CallsFold().apply(0, data).valid
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -219,3 +219,20 @@
     assert heard == [set(held.fold.calls)]
     for each in (held, reader):
         await each.stop()
+
+
+async def test_a_gap_in_what_the_log_gives_is_never_passed_over(service):
+    # A log that answers with later records than were asked for would
+    # leave a hole in the state; the reader waits for the right ones.
+    held = await follow(service)
+    for number in range(3):
+        await held.append(*claim(f"k{number}"))
+    records_ = service.stream(STREAM).records
+    missing = records_.pop(1)
+    reader = await follow(service, "b")
+    assert reader.ready() and set(reader.fold.calls) == {"k0"}
+    records_.insert(1, missing)
+    await asyncio.sleep(3)
+    assert not reader.ready() and len(reader.fold.calls) == 3
+    for each in (held, reader):
+        await each.stop()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -216,3 +216,21 @@
         before = fleet.service.appends
         await asyncio.sleep(3600)
         assert fleet.service.appends == before
+
+
+@pytest.mark.looptime
+async def test_a_busy_shard_is_not_moved_to_spread_the_load():
+    # A host comes that should own the shard. The owner runs items that
+    # may not run again, and hands over only when they have ended.
+    async with running() as fleet:
+        first = fleet.owner()
+        busy = [True]
+        fleet.owners[first].busy = lambda: busy[0]
+        fleet.owners[first].roster.live = lambda: ["z1", "z2", "z3", "z4"]
+        fleet.owners[first].wake()
+        await asyncio.sleep(100)
+        assert fleet.owner() == first
+        busy.clear()
+        busy.append(False)
+        await asyncio.sleep(200)
+        assert (first, "loss") in fleet.events
