Choose the next prefix without looking at all of them

Cause: each choice of an item went through all prefixes held, and the note of who took which grew for ever. Change: the queue remembers the present prefix of each upstream and stops at the first that will do; notes go with their group.

--- a/camphortray/jobqueue.py
+++ b/camphortray/jobqueue.py
@@ -3,6 +3,7 @@
 __all__ = ["Item", "JobQueue", "QueuedJob"]
 
 import collections
+from collections.abc import Iterator
 import dataclasses
 import heapq
 
@@ -67,6 +68,8 @@
       ready: Number of items in ``groups``.
       later: Heap of items that wait, by time.
       suspects: Items to be run apart from others.
+      taken: Upstream that last took an item of a prefix, for the groups.
+      current: Prefix that each upstream last took.
     """
 
     id: str
@@ -87,6 +90,8 @@
     suspects: "collections.deque[Item]" = dataclasses.field(
         default_factory=collections.deque
     )
+    taken: dict[int, str] = dataclasses.field(default_factory=dict)
+    current: dict[str, int] = dataclasses.field(default_factory=dict)
 
     @property
     def held(self) -> int:
@@ -112,7 +117,6 @@
     def __init__(self) -> None:
         self.jobs: dict[str, QueuedJob] = {}
         self.used: dict[tuple[str, str], float] = {}
-        self.last_upstream: dict[tuple[str, int], str] = {}
         self.turn = 0
         self.pushed = 0
 
@@ -130,11 +134,7 @@
 
     def remove_job(self, job: str) -> None:
         """Forget a job and its items."""
-        gone = self.jobs.pop(job, None)
-        if gone is None:
-            return
-        for prefix in gone.groups:
-            self.last_upstream.pop((job, prefix), None)
+        self.jobs.pop(job, None)
 
     def push(self, item: Item, now: float) -> None:
         """Add an item; one that waits or is suspect is kept apart."""
@@ -231,28 +231,26 @@
                 continue
             item = group.popleft()
             job.ready -= 1
+            job.current[upstream] = prefix
+            job.taken[prefix] = upstream
             if not group:
-                del job.groups[prefix]
-            self.last_upstream[(job.id, prefix)] = upstream
+                del job.groups[prefix], job.taken[prefix]
             return item
         return None
 
-    def prefixes(self, job: QueuedJob, upstream: str) -> list[int]:
-        """Return the prefixes of a job, the best for an upstream first.
+    def prefixes(self, job: QueuedJob, upstream: str) -> Iterator[int]:
+        """Yield the prefixes of a job, the best for an upstream first.
 
         An upstream goes on with the prefix it has in its cache, else
         takes one that no upstream has, else helps another with its own.
         """
-        here: list[int] = []
-        free: list[int] = []
-        elsewhere: list[int] = []
+        current = job.current.get(upstream)
+        if current is not None and current in job.groups:
+            yield current
         for prefix in job.groups:
-            last = self.last_upstream.get((job.id, prefix))
-            if last == upstream:
-                here.append(prefix)
-                break
-            (elsewhere if last else free).append(prefix)
-        return here + free + elsewhere
+            if prefix not in job.taken:
+                yield prefix
+        yield from job.taken
 
 
 def avoids(item: Item, upstream: str, now: float) -> bool:
--- a/tests/test_jobqueue.py
+++ b/tests/test_jobqueue.py
@@ -133,4 +133,3 @@
     queue.remove_job("a")
     queue.push(suspect, 0.0)
     assert queue.pick("svc", "u", 0.0) is None
-    assert not queue.last_upstream
