--- a/camphortray/exchange.py
+++ b/camphortray/exchange.py
@@ -88,6 +88,7 @@
         self.tried: frozenset[str] = frozenset()
         self.ran = False
         self.suspected = False
+        self.permit: tuple[str, str] | None = None
 
     @functools.cached_property
     def text(self) -> str:
@@ -166,6 +167,7 @@
             if upstream is None:
                 await asyncio.sleep(APART_PAUSE_S)
                 return False
+        self.permit = upstream.name, holder
         try:
             # While the permit was on its way the request may have been
             # proved guilty, or innocent by another's guilt.
@@ -174,7 +176,13 @@
             await self.try_on(upstream)
             return True
         finally:
-            held.release(upstream.name, holder)
+            self.give_back()
+
+    def give_back(self) -> None:
+        """Let the next suspect run where this request held a permit."""
+        if self.permit is not None:
+            self.parts.suspects.release(*self.permit)
+            self.permit = None
 
     def choose(self) -> engine.Upstream:
         """Return the upstream to try next.
@@ -319,6 +327,8 @@
         """Take note that an answer got on well."""
         if self.suspected:
             self.clear()
+            # No suspect any more, so the next need not wait for its end.
+            self.give_back()
 
     def clear(self) -> None:
         """Take the suspicion off a request that went well."""
