--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -21,6 +21,7 @@
 from camphortray import suspects
 from camphortray import tree
 from camphortray import upstreams
+from camphortray import web
 from tests import online
 
 PACKAGE = pathlib.Path(camphortray.__file__).parent
@@ -40,7 +41,6 @@
     "claim_unconfirmed no",
     "gone no",
     "log_down unknown",
-    "no_batch unknown",
     "no_owner no",
     "owner_changed no",
     "owner_unreachable no",
@@ -198,6 +198,15 @@
         patch.setattr(shard.journal, "down", True)
 
 
+def batch_aborts(cluster, patch):
+    async def handle(request, response):
+        await request.body()
+        response.abort()
+
+    routes = cluster.hosts["host-0"].part("batch", web.Routes)
+    patch.setattr(routes, "handle", handle)
+
+
 async def no_batch(cluster, patch):
     await cluster.hosts["host-0"].stop("batch")
 
@@ -294,6 +303,7 @@
     ),
     "log_down no": ("POST", JOBS, JOB_KEY, LINE, log_down),
     "no_batch no": ("POST", JOBS, JOB_KEY, LINE, no_batch),
+    "no_batch unknown": ("POST", JOBS, JOB_KEY, LINE, batch_aborts),
     "unknown_job no": ("GET", "/v1/jobs/0-none", KEY, b"", None),
     "unknown_file no": ("GET", f"/v1/files/file-{0:032}", KEY, b"", None),
 }
