Register the answer that carries nothing as a message again

Cause: when links got a module of their own the class lost its registration; every question without an answer of its own failed at the peer. Change: the line is back.

--- a/camphortray/links.py
+++ b/camphortray/links.py
@@ -31,6 +31,7 @@
 )
 
 
+@messages.message("ack")
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ack:
     """Answers a question that needs no other answer."""
