Run a completion at most once if it is so marked and has a key

A completion with Camphortray-Idempotent: false was not retried by the host that took it, but a resend to another host ran it again. It is now claimed as a call to a plain service is, and its answer is kept as sent.

--- a/camphortray/callkeeper.py
+++ b/camphortray/callkeeper.py
@@ -222,6 +222,19 @@
         # A resend shares the end of the call that is under way.
         return await asyncio.shield(running.task)
 
+    async def run_for_caller(
+        self, request: CallRequest, send: Send
+    ) -> calls.Answer:
+        """Run a call as ``run`` does, but cancel it with its caller.
+
+        For an answer that is streamed to its caller meanwhile. ``send``
+        must turn a cancel before anything was sent into a ``Refused``
+        that says so; after any other the claim stays.
+        """
+        if request.name in self.active:
+            return await self.run(request, send)
+        return await self.begin(request, send).task
+
     def begin(self, request: CallRequest, send: Send) -> "Running":
         """Claim and run a call in the background."""
         task = self.spawn(self.claim_and_run(request, send))
@@ -272,6 +285,9 @@
             # It may land yet; from now on it is never dispatched.
             self.give_back(shard, request.name)
             raise unconfirmed(str(error)) from error
+        except asyncio.CancelledError:
+            self.give_back(shard, request.name)
+            raise
         standing = shard.fold.standing(request.name, outcome)
         if standing is calls.Standing.VOID:
             raise unconfirmed(outcome.reason or "the claim does not stand")
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -3,9 +3,12 @@
 __all__ = ["Relay"]
 
 import asyncio
+from typing import cast
 from typing import ClassVar
 
 from camphortray import admission
+from camphortray import callkeeper
+from camphortray import calls
 from camphortray import completion as completions
 from camphortray import deadline
 from camphortray import errors
@@ -14,6 +17,7 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import outer
+from camphortray import recording
 from camphortray import routing
 from camphortray import settings
 from camphortray import signals
@@ -24,6 +28,7 @@
 
 LOG = logs.logger("relay")
 IDEMPOTENT = "camphortray-idempotent"
+IDEMPOTENCY_KEY = "idempotency-key"
 # Statuses of refusals for a request's own fault; they burn no budget.
 OWN_FAULT = frozenset({400, 401, 404, 413, 422})
 # Longest part of a caller's request id that is passed to engines.
@@ -42,6 +47,7 @@
         "admission",
         "signals",
         "suspects",
+        "calls",
     )
 
     def __init__(self, context: kernel.Context) -> None:
@@ -57,6 +63,7 @@
             context.part(suspects.Suspects),
             routing.Router(context.rng, zone),
         )
+        self.keeper = context.part(callkeeper.CallKeeper)
         self.count = 0
         routes = context.part(web.Routes)
         access = web.Access.WORKSPACE
@@ -100,7 +107,7 @@
         )
         try:
             async with asyncio.timeout(seconds):
-                await self.admit(exchange)
+                await self.run(exchange)
             self.parts.signals.answered(service.name, False, True)
         except TimeoutError as error:
             ran = "unknown" if exchange.ran else "no"
@@ -108,6 +115,38 @@
         except errors.Refused as refusal:
             self.end(exchange, refusal, refusal.__cause__)
 
+    async def run(self, exchange: exchanges.Exchange) -> None:
+        """Run an exchange, at most once if it is so marked and has a key."""
+        call = exchange.call
+        key = call.request.headers.get(IDEMPOTENCY_KEY, "")
+        if exchange.idempotent or not key:
+            await self.admit(exchange)
+            return
+        service = exchange.service
+        recorder = recording.Recorder(call.response)
+        exchange.response = cast(httpserver.Response, recorder)
+        request = callkeeper.CallRequest.of(
+            call.caller,
+            service.name,
+            key,
+            service.get("call.keep_s"),
+            call.request.path.encode(),
+            exchange.body,
+        )
+
+        async def send() -> calls.Answer:
+            try:
+                await self.admit(exchange)
+            except asyncio.CancelledError:
+                if exchange.ran:
+                    raise
+                raise deadline.passed("no") from None
+            return recorder.answer()
+
+        answer = await self.keeper.run_for_caller(request, send)
+        if not call.response.status:
+            call.response.send(answer.status, answer.body, answer.headers)
+
     async def admit(self, exchange: exchanges.Exchange) -> None:
         """Run an exchange once there is room for it."""
         ticket = await self.admission.enter(
--- a/tests/test_callkeeper.py
+++ b/tests/test_callkeeper.py
@@ -135,9 +135,9 @@
             await asyncio.wait(set(keeper.tasks))
 
 
-def kept(world, key):
+def kept(world, key, service=clusters.PLAIN):
     """Return whether every host has read the answer of a call."""
-    name = f"{clusters.WORKSPACE}/{clusters.PLAIN}/{key}"
+    name = f"{clusters.WORKSPACE}/{service}/{key}"
     return all(
         any(
             name in shard.fold.calls and shard.fold.calls[name].answer
@@ -312,3 +312,35 @@
     await world.until(
         lambda: not any(s.fold.calls for s in world.keeper().shards)
     )
+
+
+@pytest.mark.parametrize("stream", [False, True])
+async def test_a_completion_may_be_marked_to_run_once(world, stream):
+    # A question that may not repeat is claimed as a call is. The resend,
+    # to the other host, gets the same bytes and no engine sees it.
+    body = {
+        "model": clusters.MODEL,
+        "max_tokens": 4,
+        "stream": stream,
+        "messages": [{"role": "user", "content": "Book a fitter"}],
+    }
+    headers = [
+        ("authorization", f"Bearer {clusters.WORKSPACE_KEY}"),
+        ("idempotency-key", "q"),
+        *ONCE,
+    ]
+    answers = []
+    for host in world.hosts:
+        answers.append(
+            await world.client.call(
+                host.address,
+                "POST",
+                "/v1/chat/completions",
+                headers,
+                msgspec.json.encode(body),
+            )
+        )
+        await world.until(lambda: kept(world, "q", clusters.SERVICE))
+    (first, again) = [(status, data) for status, _, data in answers]
+    assert first == again and first[0] == 200
+    assert sum(len(e.seen) for e in world.cluster.engines.values()) == 1
