--- a/camphortray/recording.py
+++ b/camphortray/recording.py
@@ -5,13 +5,13 @@
 from typing import Any
 
 from camphortray import calls
-from camphortray import httpserver
+from camphortray import httpmessage
 
 
 class Recorder:
     """Stands in for a response and notes what goes through it."""
 
-    def __init__(self, response: httpserver.Response) -> None:
+    def __init__(self, response: httpmessage.Response) -> None:
         self.response = response
         self.headers: tuple[tuple[str, str], ...] = ()
         self.pieces: list[bytes] = []
@@ -19,7 +19,7 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self.response, name)
 
-    def start(self, status: int, headers: httpserver.Headers = ()) -> None:
+    def start(self, status: int, headers: httpmessage.Headers = ()) -> None:
         """Send the head of a chunked answer."""
         self.headers = tuple(headers)
         self.response.start(status, headers)
@@ -30,7 +30,7 @@
         self.response.write(data)
 
     def send(
-        self, status: int, body: bytes, headers: httpserver.Headers = ()
+        self, status: int, body: bytes, headers: httpmessage.Headers = ()
     ) -> None:
         """Send a whole answer."""
         self.headers, self.pieces = tuple(headers), [body]
--- a/tests/test_callkeeper.py
+++ b/tests/test_callkeeper.py
@@ -8,11 +8,14 @@
 from camphortray import callkeeper
 from camphortray import calls
 from camphortray import cluster as clusters
+from camphortray import config as configs
 from camphortray import errors
 from camphortray import httpclient
 from camphortray import journal
 from camphortray import membership
 from camphortray import settings
+from camphortray import standin_service
+from camphortray import tree as trees
 
 ONCE = (("camphortray-idempotent", "false"),)
 
@@ -344,3 +347,66 @@
     (first, again) = [(status, data) for status, _, data in answers]
     assert first == again and first[0] == 200
     assert sum(len(e.seen) for e in world.cluster.engines.values()) == 1
+
+
+@pytest.mark.parametrize(
+    ("path", "fault", "expected", "runs"),
+    [
+        # May repeat: tried elsewhere, also after it may have run.
+        ("look", "lose_answers", (200, ""), 2),
+        ("look", "lose_before", (200, ""), 1),
+        # May not: the first that may have run it is the last.
+        ("dispatch", "lose_answers", (502, "unknown"), 1),
+        ("dispatch", "lose_before", (502, "unknown"), 0),
+        # Not run by the word of the service: tried elsewhere by both.
+        ("look", "drain", (200, ""), 1),
+        ("dispatch", "drain", (200, ""), 1),
+    ],
+)
+async def test_only_what_may_repeat_is_tried_again(
+    world, path, fault, expected, runs
+):
+    second = standin_service.ServiceStandin(clusters.PLAIN)
+    await second.start(configs.Address("127.0.0.1", 0))
+    node = f"{clusters.REGION}/{clusters.PLAIN}"
+    prefix = f"upstream.{clusters.PLAIN}-1."
+    changed = {
+        prefix + "address": str(second.server.address),
+        prefix + "plugin": "http",
+    }
+    tree = world.hosts[0].part("entry", trees.Tree)
+    seen = asyncio.Event()
+    tree.listen(
+        lambda view: (
+            len(view.services[clusters.PLAIN].upstreams) == 2 and seen.set()
+        )
+    )
+    world.cluster.publish(node, changed)
+    async with asyncio.timeout(10):
+        await seen.wait()
+    both = (world.cluster.plain, second)
+    # Whichever is tried first fails; the other is well again.
+    count = 1
+    for each in both:
+        each.faults.set(fault, count)
+    keep = [each.faults for each in both]
+    for mine, other in (keep, keep[::-1]):
+        heal(mine, other, fault)
+    status, ran, _ = await world.call(path=path, headers=())
+    await second.stop()
+    assert (status, ran) == expected
+    assert sum(sum(each.runs.values()) for each in both) == runs
+
+
+def heal(mine, other, fault):
+    """Let a fault that struck here not strike there as well."""
+    values = mine.values
+
+    class Struck(dict):
+        def __getitem__(self, name):
+            value = super().__getitem__(name)
+            if name == fault and value:
+                other.values[fault] = 0
+            return value
+
+    mine.values = Struck(values)
