Show that results outlive the log's retention, and a paused owner holds up nobody

Cause: both were built but only tested in parts; the entry's proxy kept its own copy of the headers that are not passed on, and let a caller's own workspace header be joined to ours. Change: tests through real parts on two hosts; the proxy uses the lists of forward.py.

--- a/camphortray/jobproxy.py
+++ b/camphortray/jobproxy.py
@@ -6,6 +6,7 @@
 
 from camphortray import config as configs
 from camphortray import errors
+from camphortray import forward
 from camphortray import httpclient
 from camphortray import kernel
 from camphortray import logs
@@ -15,18 +16,6 @@
 
 LOG = logs.logger("jobproxy")
 
-# Headers that belong to one connection and are not passed on.
-HOP_HEADERS = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 PREFIXES = ("/v1/jobs", "/v1/files", "/v1/batches")
 TIMEOUTS = httpclient.Timeouts(1.0, 120.0, 120.0)
 # For calls that only read: these may be asked again elsewhere.
@@ -101,7 +90,8 @@
         headers = [
             (name, value)
             for name, value in request.headers.items()
-            if name not in HOP_HEADERS
+            if name not in forward.HOP_HEADERS
+            and name not in forward.OWN_HEADERS
         ]
         headers += web.host_headers(self.context.config, call.caller)
         limit = self.context.config.batch.max_job_bytes
@@ -110,7 +100,9 @@
             request.method,
             request.target,
             headers,
-            request.iter_body(limit) if has_body(request.headers) else b"",
+            request.iter_body(limit)
+            if forward.has_body(request.headers)
+            else b"",
             timeouts=READ_TIMEOUTS if reads else TIMEOUTS,
             fresh=not reads,
         )
@@ -123,7 +115,7 @@
             kept = [
                 (name, value)
                 for name, value in answer.headers.items()
-                if name not in HOP_HEADERS and name != "x-request-id"
+                if name not in forward.HOP_HEADERS and name != "x-request-id"
             ]
             call.response.start(answer.status, kept)
             while data := await answer.read():
@@ -164,9 +156,3 @@
     """Return the refusal that tells a caller of a broken call."""
     ran = "unknown" if error.ran else "no"
     return errors.Refused(503, "no_batch", str(error), ran=ran, retry_after=1)
-
-
-def has_body(headers: dict[str, str]) -> bool:
-    """Return whether a request announces a body."""
-    length = headers.get("content-length", "0")
-    return "transfer-encoding" in headers or length != "0"
--- a/tests/faultcells.py
+++ b/tests/faultcells.py
@@ -34,6 +34,24 @@
         return page
 
 
+def shut(part):
+    """Hold the journals of all shards of a host; return their gates."""
+    gates = []
+    for shard in part.shards:
+        held = shard.journal
+        gate = Gate(held.service)
+        held.service, held.send = gate, gate.append
+        gates.append((held, gate))
+    return gates
+
+
+def reopen(gates):
+    """Let held journals go on."""
+    for held, gate in gates:
+        gate.open.set()
+        held.service, held.send = gate.service, gate.service.append
+
+
 class Cell:
     """One cluster under faults."""
 
@@ -138,11 +156,7 @@
         owner = self.cluster.owner(self.names["a"])
         if owner is None:
             return
-        for shard in self.cluster.shards(owner).shards:
-            held = shard.journal
-            gate = Gate(held.service)
-            held.service, held.send = gate, gate.append
-            self.gates.append((held, gate))
+        self.gates += shut(self.cluster.shards(owner))
         for name, host in self.cluster.hosts.items():
             if name != owner and "batch" in host.kernels:
                 for shard in self.cluster.shards(name).shards:
@@ -150,9 +164,7 @@
 
     async def wake_owner(self):
         """Let a paused owner go on, as if nothing had been."""
-        for held, gate in self.gates:
-            gate.open.set()
-            held.service, held.send = gate.service, gate.service.append
+        reopen(self.gates)
 
     async def resend(self):
         """Send job a again, to two hosts at once."""
--- a/tests/test_jobapi.py
+++ b/tests/test_jobapi.py
@@ -7,7 +7,11 @@
 import pytest
 
 from camphortray import cluster as clusters
+from camphortray import jobs
+from camphortray import shardset
+from camphortray import standin_platform
 from camphortray import taking
+from tests import faultcells
 from tests import jobcluster
 
 item = jobcluster.item
@@ -300,6 +304,54 @@
         assert told["done"] == 80
 
 
+async def test_a_call_does_not_wait_for_an_owner_that_is_paused(monkeypatch):
+    # The owner is paused with a job in its hands. The host that handed it
+    # on challenges it, takes over and says that it does not know; a resend
+    # is accepted, and what the old owner wakes up with counts for nothing.
+    monkeypatch.setattr(shardset, "DOUBT_S", 0.1)
+    async with jobcluster.JobCluster(hosts=2) as cluster:
+        name = jobs.job_id(clusters.WORKSPACE, "k")
+        owner = cluster.owner(name)
+        other = {"host-0": "host-1", "host-1": "host-0"}[owner]
+        gates = faultcells.shut(cluster.shards(owner))
+        status, told = await cluster.submit("k", items(4), other)
+        assert (status, told["error"]["code"]) == (503, "owner_changed")
+        assert told["error"]["ran"] == "unknown"
+
+        async def accepted():
+            return (await cluster.submit("k", items(4), other))[0] < 300
+
+        await cluster.until(accepted)
+        assert cluster.owner(name) == owner
+        faultcells.reopen(gates)
+        await cluster.until(lambda: cluster.owner(name) == other)
+        await cluster.ended(name, other)
+        await cluster.lines(name, owner)
+        assert [cluster.runs(name, index) for index in range(4)] == [1] * 4
+        assert cluster.history.finish(cluster.sent()) == []
+
+
+async def test_results_outlive_the_logs_retention():
+    # The log forgets records after a moment, the caller reads later. The
+    # owner has carried the results forward; both hosts give them alike.
+    streams = {"streams": {"retention_s": 1.0}}
+    async with jobcluster.JobCluster(hosts=2, overrides=streams) as cluster:
+        _, job = await cluster.submit("k", items(6))
+        name = job["id"]
+        await cluster.ended(name)
+        before = await cluster.lines(name)
+        fold = cluster.shards("host-1").shard_of(name).fold
+        first = list(fold.jobs[name].records)
+        stream = cluster.shards("host-1").shard_of(name).journal.stream
+        held = cluster.platform.log
+        held.limits = standin_platform.LogLimits(retention_s=1.0)
+        await cluster.until(lambda: held.stream(stream).first > first[0])
+        for host in cluster.hosts:
+            cluster.shards(host).cache.held.clear()
+            assert await cluster.lines(name, host) == before
+        assert list(fold.jobs[name].records) != first
+
+
 @pytest.fixture
 async def stock():
     """Give a cluster and the stock client."""
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -30,6 +30,7 @@
 OUTSIDE = ("ctl", "demo", "faults", "standin", "load")
 # Rows driven by the tests of their own module, by the code's name there.
 ELSEWHERE = {
+    "owner_changed unknown": "test_jobapi",
     "other_request no": "test_callkeeper",
     "too_late no": "test_admission",
 }
