Read the platform's list less as the fleet grows; pass records on again

Cause: a doubt could not have the list read for up to half its interval, and a look by each member cost bytes that grow with the fleet.

Change: looks are paced by the number of hosts; a doubt has the list read at once, then ever less often.

--- a/camphortray/journal.py
+++ b/camphortray/journal.py
@@ -175,6 +175,8 @@
         self.since_records += 1
         self.since_bytes += len(record.body)
         outcome = self.fold.apply(record.offset, record.body)
+        for recorder in self.recorders:
+            recorder(record)
         if outcome.record is None or outcome.verdict is UNREADABLE:
             LOG.warning(
                 "{} {}: {}", self.stream, record.offset, outcome.reason
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -16,6 +16,7 @@
 from camphortray import gossip
 from camphortray import hostlist
 from camphortray import kernel
+from camphortray import listpace
 from camphortray import logs
 from camphortray import members
 from camphortray import node as nodes
@@ -33,10 +34,6 @@
 TICK_S = 0.1
 # Longest wait for an answer of a peer, in seconds.
 ASK_S = 1.0
-# Seconds over which the fleet reads the platform's list once for each
-# host: all together read it about once a second, whatever their number.
-LIST_S_PER_HOST = 1.0
-MIN_LIST_S = 2.0
 # Seconds from one renewal of the metrics to the next.
 METRICS_S = 1.0
 MESSAGES = (gossip.Ping, gossip.News, antientropy.Sync, watch.Doubt)
@@ -89,7 +86,7 @@
         ] = []
         self.listed: tuple[hostlist.ListedHost, ...] = ()
         self.http_address = ""
-        self.list_at = 0.0
+        self.list_pace = listpace.ListPace(context.rng)
         self.metrics_at = 0.0
         self.list_task: asyncio.Task[None] | None = None
         self.task: asyncio.Task[None] | None = None
@@ -208,8 +205,7 @@
             now = self.clock.monotonic()
             self.announce()
             self.act(self.node.tick(now))
-            if now >= self.list_at or self.node.wants_list:
-                self.look_at_list(now)
+            self.look_at_list(now)
             if now >= self.metrics_at:
                 self.metrics_at = now + METRICS_S
                 self.show_metrics()
@@ -280,20 +276,14 @@
 
     def look_at_list(self, now: float) -> None:
         """Read the platform's list in the background, now and then."""
-        busy = self.list_task is not None and not self.list_task.done()
-        if busy or now < self.list_at - self.list_pause() + MIN_LIST_S:
+        if self.list_task is not None and not self.list_task.done():
             return
-        self.list_at = now + self.list_pause() * (
-            0.5 + self.context.rng.random()
-        )
-        self.list_task = asyncio.get_running_loop().create_task(
-            self.read_list()
-        )
-
-    def list_pause(self) -> float:
-        """Return the mean time between two looks at the list."""
         hosts = len(self.node.known.directory.by_host)
-        return max(MIN_LIST_S, hosts * LIST_S_PER_HOST)
+        wanted = self.node.wants_list or not self.node.known.joined
+        if self.list_pace.due(now, hosts, wanted):
+            self.list_task = asyncio.get_running_loop().create_task(
+                self.read_list()
+            )
 
     async def read_list(self) -> None:
         """Read the list and hand it on."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -39,6 +39,7 @@
     "knowledge",
     "leaving",
     "limits",
+    "listpace",
     "members",
     "multipart",
     "neighbours",
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -42,6 +42,9 @@
     antientropy.Sync(b"\x00" * 256),
     antientropy.SyncReply((1, 2), (MEMBER,), (FACT,)),
     watch.Doubt("h/entry", 3),
+    links_module.Ack(),
+    links_module.PeerFault("x"),
+    links_module.Probe(),
 )
 CBOR = strategies.recursive(
     strategies.none()
@@ -375,6 +378,18 @@
     await links.stop()
 
 
+async def test_what_has_no_answer_of_its_own_is_acknowledged():
+    links = await links_of(config_of())
+
+    async def hear(sender, news):
+        return None
+
+    links.on(gossip.News, hear)
+    reply = await links.ask(links.address, gossip.News(), 5.0)
+    assert reply == links_module.Ack()
+    await links.stop()
+
+
 async def test_an_answer_over_the_limit_is_told_as_a_fault():
     links = await links_of(config_of())
 
