--- a/camphortray/forward.py
+++ b/camphortray/forward.py
@@ -1,6 +1,6 @@
 """Hands a caller's request on to another program of ours, both ways."""
 
-__all__ = ["Forwarder"]
+__all__ = ["Forwarder", "copy", "has_body"]
 
 from camphortray import config as configs
 from camphortray import errors
@@ -75,33 +75,32 @@
                 ran="unknown" if error.ran else "no",
                 retry_after=1,
             ) from error
-        await self.copy(call, answer)
-
-    async def copy(
-        self, call: web.Call, answer: httpclient.ClientResponse
-    ) -> None:
-        """Copy an answer to the caller; one cut off stays cut off."""
-        try:
-            kept = [
-                (name, value)
-                for name, value in answer.headers.items()
-                if name not in HOP_HEADERS and name != "x-request-id"
-            ]
-            call.response.start(answer.status, kept)
-            while data := await answer.read():
-                call.response.write(data)
-                await call.response.flush()
-            call.response.end()
-        except errors.UpstreamBroken:
-            call.response.abort()
-        finally:
-            answer.close()
+        await copy(call, answer)
 
     async def close(self) -> None:
         """Drop all connections."""
         await self.client.close()
 
 
+async def copy(call: web.Call, answer: httpclient.ClientResponse) -> None:
+    """Copy an answer to the caller; one cut off stays cut off."""
+    try:
+        kept = [
+            (name, value)
+            for name, value in answer.headers.items()
+            if name not in HOP_HEADERS and name != "x-request-id"
+        ]
+        call.response.start(answer.status, kept)
+        while data := await answer.read():
+            call.response.write(data)
+            await call.response.flush()
+        call.response.end()
+    except errors.UpstreamBroken:
+        call.response.abort()
+    finally:
+        answer.close()
+
+
 def has_body(headers: dict[str, str]) -> bool:
     """Return whether a request announces a body."""
     length = headers.get("content-length", "0")
--- a/camphortray/jobapi.py
+++ b/camphortray/jobapi.py
@@ -10,6 +10,7 @@
 
 from camphortray import errors
 from camphortray import intake
+from camphortray import jobcalls
 from camphortray import jobparams
 from camphortray import jobs
 from camphortray import jobshard
@@ -30,12 +31,13 @@
     """Calls on jobs; those that need the owner are handed to it."""
 
     name: ClassVar[str] = "jobapi"
-    requires: ClassVar[tuple[str, ...]] = ("jobs", "routes")
+    requires: ClassVar[tuple[str, ...]] = ("jobs", "jobcalls", "routes")
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.tree = context.part(tree.Tree)
         self.shards = context.part(shardset.ShardSet)
+        self.calls = context.part(jobcalls.JobCalls)
         routes = context.part(web.Routes)
         access = web.Access.WORKSPACE
         routes.add("POST", "/v1/jobs", access, self.submit)
@@ -56,9 +58,9 @@
         job = jobs.job_id(call.caller, params.key)
         shard = self.shards.shard_of(job)
         if not shard.owner.owned:
-            await self.shards.to_owner(call, shard)
+            await self.calls.to_owner(call, shard)
             return
-        self.shards.check_log(shard)
+        self.calls.check_log(shard)
         known = job in shard.fold.jobs
         taker = taking.Taker(
             shard,
@@ -103,7 +105,7 @@
         self, call: web.Call, shard: jobshard.JobShard, accept: jobs.JobAccept
     ) -> None:
         """Write the acceptance and tell the caller once it is read back."""
-        valid, held = await self.shards.accept(shard, accept)
+        valid, held = await self.calls.accept(shard, accept)
         if held.accept.digest != accept.digest:
             raise errors.Refused(
                 409,
@@ -120,19 +122,19 @@
     async def list(self, call: web.Call) -> None:
         """List the caller's jobs, newest first."""
         found = sorted(
-            self.shards.jobs_of(call.caller),
+            self.calls.jobs_of(call.caller),
             key=lambda job: (-job.accept.taken_at, job.accept.job),
         )
         call.response.send_json(200, {"jobs": [self.show(j) for j in found]})
 
     async def status(self, call: web.Call) -> None:
         """Tell where a job stands."""
-        _, job = await self.shards.find(call.params["job"], call.caller)
+        _, job = await self.calls.find(call.params["job"], call.caller)
         call.response.send_json(200, self.show(job))
 
     async def results(self, call: web.Call) -> None:
         """Stream the results that are there."""
-        shard, job = await self.shards.find(call.params["job"], call.caller)
+        shard, job = await self.calls.find(call.params["job"], call.caller)
         query = call.request.query
         reader = results.ResultReader(shard, job)
         found = reader.read(query.get("order", "item"), query.get("after", ""))
@@ -146,8 +148,8 @@
 
     async def cancel(self, call: web.Call) -> None:
         """Stop a job."""
-        shard, job = await self.shards.find(call.params["job"], call.caller)
-        if await self.shards.cancel(call, shard, job):
+        shard, job = await self.calls.find(call.params["job"], call.caller)
+        if await self.calls.cancel(call, shard, job):
             call.response.send_json(200, self.show(job))
 
 
--- a/camphortray/jobproxy.py
+++ b/camphortray/jobproxy.py
@@ -72,7 +72,7 @@
                 if error.ran and call.request.method not in READS:
                     break
             else:
-                await self.copy(call, answer)
+                await forward.copy(call, answer)
                 return
         raise refusal
 
@@ -107,26 +107,6 @@
             fresh=not reads,
         )
 
-    async def copy(
-        self, call: web.Call, answer: httpclient.ClientResponse
-    ) -> None:
-        """Copy an answer to the caller; a broken one is cut off."""
-        try:
-            kept = [
-                (name, value)
-                for name, value in answer.headers.items()
-                if name not in forward.HOP_HEADERS and name != "x-request-id"
-            ]
-            call.response.start(answer.status, kept)
-            while data := await answer.read():
-                call.response.write(data)
-                await call.response.flush()
-            call.response.end()
-        except errors.UpstreamBroken:
-            call.response.abort()
-        finally:
-            answer.close()
-
     async def stop(self) -> None:
         await self.client.close()
 
--- a/camphortray/openai_batch.py
+++ b/camphortray/openai_batch.py
@@ -10,10 +10,10 @@
 
 from camphortray import errors
 from camphortray import forward
+from camphortray import jobcalls
 from camphortray import jobs
 from camphortray import kernel
 from camphortray import openai_format
-from camphortray import shardset
 from camphortray import tree
 from camphortray import web
 
@@ -36,12 +36,12 @@
     """Batches; each is a job in the shard of its input file."""
 
     name: ClassVar[str] = "openaibatches"
-    requires: ClassVar[tuple[str, ...]] = ("jobs", "routes")
+    requires: ClassVar[tuple[str, ...]] = ("jobs", "jobcalls", "routes")
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.tree = context.part(tree.Tree)
-        self.shards = context.part(shardset.ShardSet)
+        self.calls = context.part(jobcalls.JobCalls)
         routes = context.part(web.Routes)
         access = web.Access.WORKSPACE
         routes.add("POST", "/v1/batches", access, self.create)
@@ -56,15 +56,15 @@
     async def create(self, call: web.Call) -> None:
         """Make a job of a file."""
         asked, data = await read_request(call)
-        shard, held = await self.shards.find_file(
+        shard, held = await self.calls.find_file(
             asked.input_file_id, call.caller
         )
         if not shard.owner.owned:
-            await self.shards.to_owner(call, shard, data)
+            await self.calls.to_owner(call, shard, data)
             return
-        self.shards.check_log(shard)
+        self.calls.check_log(shard)
         accept = self.record(call, asked, held.accept)
-        _, job = await self.shards.accept(shard, accept)
+        _, job = await self.calls.accept(shard, accept)
         if job.accept.digest != accept.digest:
             raise errors.Refused(
                 409,
@@ -119,7 +119,7 @@
     async def find(self, call: web.Call) -> Any:
         """Return shard and job of the batch a call names."""
         name = call.params["batch"].removeprefix(openai_format.BATCH)
-        return await self.shards.find(name, call.caller)
+        return await self.calls.find(name, call.caller)
 
     async def retrieve(self, call: web.Call) -> None:
         """Tell where a batch stands."""
@@ -137,7 +137,7 @@
         found = [
             openai_format.batch_object(job)
             for job in sorted(
-                self.shards.jobs_of(call.caller),
+                self.calls.jobs_of(call.caller),
                 key=lambda job: (-job.accept.taken_at, job.accept.job),
             )
             if job.accept.file
@@ -160,7 +160,7 @@
     async def cancel(self, call: web.Call) -> None:
         """Stop a batch."""
         shard, job = await self.find(call)
-        if await self.shards.cancel(call, shard, job):
+        if await self.calls.cancel(call, shard, job):
             call.response.send_json(200, openai_format.batch_object(job))
 
 
--- a/camphortray/openai_files.py
+++ b/camphortray/openai_files.py
@@ -10,6 +10,7 @@
 from camphortray import errors
 from camphortray import intake
 from camphortray import jobapi
+from camphortray import jobcalls
 from camphortray import jobparams
 from camphortray import jobs
 from camphortray import jobshard
@@ -39,11 +40,12 @@
     """
 
     name: ClassVar[str] = "openaifiles"
-    requires: ClassVar[tuple[str, ...]] = ("jobs", "routes")
+    requires: ClassVar[tuple[str, ...]] = ("jobs", "jobcalls", "routes")
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.shards = context.part(shardset.ShardSet)
+        self.calls = context.part(jobcalls.JobCalls)
         routes = context.part(web.Routes)
         access = web.Access.WORKSPACE
         routes.add("POST", "/v1/files", access, self.create)
@@ -58,11 +60,11 @@
 
     async def create(self, call: web.Call) -> None:
         """Take a file; its lines are checked as they come."""
-        shard = self.shards.owned_shard()
+        shard = self.calls.owned_shard()
         if shard is None:
-            await self.shards.to_owner(call, self.shards.random_shard())
+            await self.calls.to_owner(call, self.calls.random_shard())
             return
-        self.shards.check_log(shard)
+        self.calls.check_log(shard)
         name = self.new_id(shard)
         check = intake.FileCheck(jobparams.PATHS)
         taker = taking.Taker(
@@ -91,7 +93,7 @@
             check.path,
             check.model,
         )
-        await self.shards.write(shard, jobs.FILE, accept)
+        await self.calls.write(shard, jobs.FILE, accept)
         call.response.send_json(200, openai_format.file_object(accept))
 
     def new_id(self, shard: jobshard.JobShard) -> str:
@@ -126,23 +128,23 @@
         for prefix in (openai_format.OUTPUT, openai_format.ERRORS):
             if text.startswith(prefix):
                 job_id = text.removeprefix(prefix)
-                _, job = await self.shards.find(job_id, call.caller)
+                _, job = await self.calls.find(job_id, call.caller)
                 shown = openai_format.result_file_object(job, prefix)
                 call.response.send_json(200, shown)
                 return
-        _, held = await self.shards.find_file(text, call.caller)
+        _, held = await self.calls.find_file(text, call.caller)
         shown = openai_format.file_object(held.accept)
         call.response.send_json(200, shown)
 
     async def delete(self, call: web.Call) -> None:
         """Forget an input file; batches made of it go on."""
         text = call.params["file"]
-        shard, held = await self.shards.find_file(text, call.caller)
+        shard, held = await self.calls.find_file(text, call.caller)
         if not shard.owner.owned:
-            await self.shards.to_owner(call, shard)
+            await self.calls.to_owner(call, shard)
             return
         gone = jobs.FileForget(held.accept.file)
-        await self.shards.write(shard, jobs.FILE_FORGET, gone)
+        await self.calls.write(shard, jobs.FILE_FORGET, gone)
         call.response.send_json(
             200, {"id": text, "object": "file", "deleted": True}
         )
@@ -154,10 +156,10 @@
         if text.startswith((openai_format.OUTPUT, openai_format.ERRORS)):
             good = text.startswith(openai_format.OUTPUT)
             job_id = text.rpartition("-")[2]
-            shard, job = await self.shards.find(job_id, call.caller)
+            shard, job = await self.calls.find(job_id, call.caller)
             found = result_lines(results.ResultReader(shard, job), good)
         else:
-            shard, held = await self.shards.find_file(text, call.caller)
+            shard, held = await self.calls.find_file(text, call.caller)
             found = input_lines(shard, held)
         await jobapi.stream(call, found, plain_line, headers)
 
--- a/tests/test_jobapi.py
+++ b/tests/test_jobapi.py
@@ -7,8 +7,8 @@
 import pytest
 
 from camphortray import cluster as clusters
+from camphortray import jobcalls
 from camphortray import jobs
-from camphortray import shardset
 from camphortray import standin_platform
 from camphortray import taking
 from tests import faultcells
@@ -150,9 +150,9 @@
 async def test_others_see_neither_jobs_nor_files():
     async with jobcluster.JobCluster() as cluster:
         _, job = await cluster.submit("k", items(1))
-        part = cluster.shards("host-0")
+        calls = cluster.hosts["host-0"].part("batch", jobcalls.JobCalls)
         with pytest.raises(Exception, match="no job"):
-            await part.find(job["id"], "another")
+            await calls.find(job["id"], "another")
         for name in ("x", "0" * 32):
             status, _, _ = await cluster.call("GET", f"/v1/jobs/{name}")
             assert status == 404
@@ -308,7 +308,7 @@
     # The owner is paused with a job in its hands. The host that handed it
     # on challenges it, takes over and says that it does not know; a resend
     # is accepted, and what the old owner wakes up with counts for nothing.
-    monkeypatch.setattr(shardset, "DOUBT_S", 0.1)
+    monkeypatch.setattr(jobcalls, "DOUBT_S", 0.1)
     async with jobcluster.JobCluster(hosts=2) as cluster:
         name = jobs.job_id(clusters.WORKSPACE, "k")
         owner = cluster.owner(name)
