--- a/bench/harm_real.py
+++ b/bench/harm_real.py
@@ -136,7 +136,7 @@
             raise SystemExit(f"{path}: {status} {answer!r}")
         return json.loads(answer)
 
-    async def online(self, seconds: float) -> loadresult.Result:
+    async def online(self, seconds: float, label: str) -> loadresult.Result:
         """Replay the trace."""
         plan = experiment.Experiment(
             "real",
@@ -145,9 +145,9 @@
             (cluster.WORKSPACE_KEY,),
             seed=5,
             seconds=seconds,
-            scale=0.08,
+            scale=0.25,
         )
-        return await load.Load(plan).run()
+        return await load.Load(plan, label).run()
 
 
 async def measure(seconds: float, priority: str) -> dict:
@@ -155,13 +155,14 @@
     async with processes.ProcessFleet() as fleet:
         made = Deployment(fleet, priority)
         await made.start()
+        await made.online(WARM_S, "warm")
         before = await made.tokens()
-        none = await made.online(seconds)
+        none = await made.online(seconds, "none")
         online = await made.tokens() - before
         job = await made.submit("beside", 6000)
         await asyncio.sleep(WARM_S)
         before = await made.tokens()
-        beside = await made.online(seconds)
+        beside = await made.online(seconds, "beside")
         both = await made.tokens() - before
         before = await made.tokens()
         await asyncio.sleep(seconds / 2)
--- a/camphortray/load.py
+++ b/camphortray/load.py
@@ -37,8 +37,9 @@
     leave, so that a stall shows in every request that it delays.
     """
 
-    def __init__(self, plan: experiments.Experiment) -> None:
+    def __init__(self, plan: experiments.Experiment, label: str = "") -> None:
         self.plan = plan
+        self.label = label
         self.client = httpclient.HttpClient()
         self.rng = random.Random(plan.seed)
         self.addresses = [
@@ -71,7 +72,8 @@
             task.cancel()
         await asyncio.gather(*background, *self.tasks, return_exceptions=True)
         await self.client.close()
-        return self.measured.result(plan.name, plan.trace, plan.seed)
+        name = f"{plan.name}, {self.label}" if self.label else plan.name
+        return self.measured.result(name, plan.trace, plan.seed)
 
     def send(self, number: int, arrival: trace.Arrival, began: float) -> None:
         """Begin a request, unless too many are open."""
@@ -161,7 +163,7 @@
                 ("authorization", f"Bearer {key}"),
                 ("camphortray-deadline", f"{plan.deadline_s:g}"),
             ],
-            request_body(plan, number, arrival),
+            request_body(plan, number, arrival, self.label),
         )
         try:
             if response.status != 200:
@@ -195,10 +197,17 @@
 
 
 def request_body(
-    plan: experiments.Experiment, number: int, arrival: trace.Arrival
+    plan: experiments.Experiment,
+    number: int,
+    arrival: trace.Arrival,
+    label: str = "",
 ) -> bytes:
-    """Return a request of the trace's size; the same for the same seed."""
-    rng = random.Random(plan.seed * 1_000_003 + number)
+    """Return a request of the trace's size.
+
+    The label goes into its words: a second run that sent the words of the
+    first would find them in the engines' prefix caches and look faster.
+    """
+    rng = random.Random(f"{plan.seed}/{number}/{label}")
     words = (f"w{rng.randrange(10_000)}" for _ in range(arrival.prompt_words))
     return msgspec.json.encode(
         {
@@ -218,12 +227,21 @@
         return f"status {status}"
 
 
-def run(file: str, *, out: str = "load.json", remote: bool = False) -> int:
+def run(
+    file: str,
+    *,
+    out: str = "load.json",
+    label: str = "",
+    remote: bool = False,
+) -> int:
     """Run an experiment and write what it measured.
 
     Args:
       file: TOML file of the experiment.
       out: JSON file to write.
+      label: Name of this run. Two runs that are compared need two: it goes
+        into the words of prompts, so that neither finds the other's in the
+        engines' caches; times and lengths stay the same.
       remote: Allow addresses that are not of this machine.
     """
     logs.set_up()
@@ -236,7 +254,7 @@
         named = ", ".join(plan.remote())
         print(f"Not of this machine: {named}; see --remote", file=sys.stderr)
         return EXIT_FAULTY
-    result = asyncio.run(Load(plan).run())
+    result = asyncio.run(Load(plan, label).run())
     result.to_file(out)
     print(json.dumps({"outcomes": result.outcomes, **result.quantiles}))
     return 0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -184,6 +184,21 @@
     assert text.count("<svg") == 4 and "http" not in text
 
 
+def test_runs_with_labels_share_sizes_but_no_words():
+    # The second run of a comparison sent the prompts of the first, found
+    # them in the engines' caches, and batch work seemed to speed it up.
+    plan = experiment.from_text(GOOD)
+    arrival = trace.Arrival(0.0, 50, 7, 0)
+    bodies = [
+        json.loads(load.request_body(plan, 3, arrival, label))
+        for label in ("a", "a", "b")
+    ]
+    words = [body["messages"][0]["content"].split() for body in bodies]
+    assert words[0] == words[1]
+    assert len(words[2]) == 50 and not words[0][:3] == words[2][:3]
+    assert {body["max_tokens"] for body in bodies} == {7}
+
+
 def test_runs_of_other_traces_are_told_apart():
     measured = loadresult.Measured()
     first = measured.result("a", "night", 1)
