--- a/camphortray/callkeeper.py
+++ b/camphortray/callkeeper.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
+import contextlib
 import dataclasses
 from typing import Any
 from typing import ClassVar
@@ -221,6 +222,19 @@
         # A resend shares the end of the call that is under way.
         return await asyncio.shield(running.task)
 
+    async def run_for_caller(
+        self, request: CallRequest, send: Send
+    ) -> calls.Answer:
+        """Run a call as ``run`` does, but cancel it with its caller.
+
+        For an answer that is streamed to its caller meanwhile. ``send``
+        must turn a cancel before anything was sent into a ``Refused``
+        that says so; after any other the claim stays.
+        """
+        if request.name in self.active:
+            return await self.run(request, send)
+        return await self.begin(request, send).task
+
     def begin(self, request: CallRequest, send: Send) -> "Running":
         """Claim and run a call in the background."""
         task = self.spawn(self.claim_and_run(request, send))
@@ -271,6 +285,9 @@
             # It may land yet; from now on it is never dispatched.
             self.give_back(shard, request.name)
             raise unconfirmed(str(error)) from error
+        except asyncio.CancelledError:
+            self.give_back(shard, request.name)
+            raise
         standing = shard.fold.standing(request.name, outcome)
         if standing is calls.Standing.VOID:
             raise unconfirmed(outcome.reason or "the claim does not stand")
@@ -404,8 +421,10 @@
 
     async def drain(self) -> None:
         # An answer not kept would be told as unknown to a resend.
-        while self.tasks:
-            await asyncio.wait(set(self.tasks))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.context.config.entry.drain_s):
+                while self.tasks:
+                    await asyncio.wait(set(self.tasks))
         await asyncio.gather(*(s.owner.release() for s in self.shards))
 
     async def stop(self) -> None:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -21,6 +21,7 @@
 from camphortray import suspects
 from camphortray import tree
 from camphortray import upstreams
+from camphortray import web
 from tests import online
 
 PACKAGE = pathlib.Path(camphortray.__file__).parent
@@ -30,6 +31,7 @@
 OUTSIDE = ("ctl", "demo", "faults", "standin", "load")
 # Rows driven by the tests of their own module, by the code's name there.
 ELSEWHERE = {
+    "owner_changed unknown": "test_jobapi",
     "other_request no": "test_callkeeper",
     "too_late no": "test_admission",
 }
@@ -40,7 +42,6 @@
     "claim_unconfirmed no",
     "gone no",
     "log_down unknown",
-    "no_batch unknown",
     "no_owner no",
     "owner_changed no",
     "owner_unreachable no",
@@ -128,7 +129,7 @@
 
 def all_gone(cluster, patch):
     marked = part(cluster, upstreams.Upstreams).leaving.marked
-    marked.update(cluster.engines)
+    marked.update(dict.fromkeys(cluster.engines, 0.0))
 
 
 def engines_abort(cluster, patch):
@@ -198,6 +199,15 @@
         patch.setattr(shard.journal, "down", True)
 
 
+def batch_aborts(cluster, patch):
+    async def handle(request, response):
+        await request.body()
+        response.abort()
+
+    routes = cluster.hosts["host-0"].part("batch", web.Routes)
+    patch.setattr(routes, "handle", handle)
+
+
 async def no_batch(cluster, patch):
     await cluster.hosts["host-0"].stop("batch")
 
@@ -294,6 +304,7 @@
     ),
     "log_down no": ("POST", JOBS, JOB_KEY, LINE, log_down),
     "no_batch no": ("POST", JOBS, JOB_KEY, LINE, no_batch),
+    "no_batch unknown": ("POST", JOBS, JOB_KEY, LINE, batch_aborts),
     "unknown_job no": ("GET", "/v1/jobs/0-none", KEY, b"", None),
     "unknown_file no": ("GET", f"/v1/files/file-{0:032}", KEY, b"", None),
 }
