End background tasks and count tokens in one place each

Cause: the same lines stood four times to end a task, and twice to count one. Change: tasks.end; Ledger.timed for both indicators. Conclusion: kept for its shortness.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -96,20 +96,22 @@
     def count() -> None:
         for number, seconds in enumerate(times):
             key = keys[number % len(keys)]
-            ledger.next_token(key, seconds, 0.041, 1e9)
+            ledger.timed(key, burn.ITL, seconds, 0.041, 1e9)
 
     def fill() -> burn.Ledger:
         made = burn.Ledger()
         for minute in range(burn.MINUTES_KEPT + 72 * 60):
             for key in keys:
                 for seconds in times[:20]:
-                    made.next_token(key, seconds, 0.041, 1e9 + 60 * minute)
+                    made.timed(
+                        key, burn.ITL, seconds, 0.041, 1e9 + 60 * minute
+                    )
         return made
 
     for key in keys:
         for seconds in times[:50]:
             for minute in range(5):
-                ledger.next_token(key, seconds, 0.041, 1e9 + 60 * minute)
+                ledger.timed(key, burn.ITL, seconds, 0.041, 1e9 + 60 * minute)
     body = burnkeeper.BurnRecord("host-1/entry", 1, tuple(ledger.rows()))
     record = records.Record(
         records.RecordId(records.Writer("host-1/entry", 1), 1),
--- a/camphortray/burn.py
+++ b/camphortray/burn.py
@@ -7,12 +7,15 @@
 """
 
 __all__ = [
+    "AVAILABLE",
     "BOUNDS_S",
     "Cell",
     "INDICATORS",
+    "ITL",
     "Key",
     "Ledger",
     "Row",
+    "TTFT",
     "merge_rows",
     "quantile",
 ]
@@ -27,6 +30,7 @@
 MINUTES_KEPT = 130
 HOURS_KEPT = 73
 INDICATORS = ("available", "ttft", "itl")
+AVAILABLE, TTFT, ITL = range(len(INDICATORS))
 # Upper bounds of the histogram's buckets, in seconds: 1 ms to 60 s, each
 # a quarter above the one before, so that a quantile is off by an eighth.
 BOUNDS_S = tuple(0.001 * 1.25**step for step in range(50))
@@ -158,25 +162,23 @@
     def answered(self, key: Key, good: bool, wall: float) -> None:
         """Count a request that got, or did not get, its answer."""
         cell = self.cell(key, wall)
-        (cell.good if good else cell.bad)[0] += 1
-
-    def first_token(
-        self, key: Key, seconds: float, objective_s: float, wall: float
-    ) -> None:
-        """Count a first token."""
-        cell = self.cell(key, wall)
-        (cell.good if seconds <= objective_s else cell.bad)[1] += 1
-        bucket = bucket_of(seconds)
-        cell.ttft[bucket] = cell.ttft.get(bucket, 0) + 1
-
-    def next_token(
-        self, key: Key, seconds: float, objective_s: float, wall: float
+        (cell.good if good else cell.bad)[AVAILABLE] += 1
+
+    def timed(
+        self,
+        key: Key,
+        indicator: int,
+        seconds: float,
+        objective_s: float,
+        wall: float,
     ) -> None:
-        """Count a further token."""
+        """Count a token; ``indicator`` is ``TTFT`` or ``ITL``."""
         cell = self.cell(key, wall)
-        (cell.good if seconds <= objective_s else cell.bad)[2] += 1
+        events = cell.good if seconds <= objective_s else cell.bad
+        events[indicator] += 1
+        histogram = cell.ttft if indicator == TTFT else cell.itl
         bucket = bucket_of(seconds)
-        cell.itl[bucket] = cell.itl.get(bucket, 0) + 1
+        histogram[bucket] = histogram.get(bucket, 0) + 1
 
     def rows(self, since: float = 0.0) -> list[Row]:
         """Return all cells whose stretch ends after ``since``."""
--- a/camphortray/burnkeeper.py
+++ b/camphortray/burnkeeper.py
@@ -63,7 +63,7 @@
         self.ledger = burn.Ledger()
         self.kept_until = self.wall()
         self.sequence = 0
-        self.objectives: dict[str, tuple[float, float]] = {}
+        self.objectives: dict[str, dict[int, float]] = {}
         self.host = f"{context.config.host.name}/{context.program}"
         self.task: asyncio.Task[None] | None = None
         context.part(signals.Signals).add(self)
@@ -79,10 +79,10 @@
     def on_view(self, view: Any) -> None:
         """Look up the objectives, so that each token need not."""
         self.objectives = {
-            name: (
-                service.get("objective.ttft_s"),
-                service.get("objective.itl_s"),
-            )
+            name: {
+                burn.TTFT: service.get("objective.ttft_s"),
+                burn.ITL: service.get("objective.itl_s"),
+            }
             for name, service in view.services.items()
         }
 
@@ -92,20 +92,22 @@
     def first_token(
         self, service: str, upstream: str, batch: bool, seconds: float
     ) -> None:
-        objective = self.objectives.get(service)
-        if objective is not None:
-            key = burn.Key(service, batch)
-            wall = self.wall()
-            self.ledger.first_token(key, seconds, objective[0], wall)
+        self.timed(service, batch, burn.TTFT, seconds)
 
     def next_token(
         self, service: str, upstream: str, batch: bool, seconds: float
     ) -> None:
-        objective = self.objectives.get(service)
-        if objective is not None:
+        self.timed(service, batch, burn.ITL, seconds)
+
+    def timed(
+        self, service: str, batch: bool, indicator: int, seconds: float
+    ) -> None:
+        """Count a token against the service's objective."""
+        wanted = self.objectives.get(service)
+        if wanted is not None:
             key = burn.Key(service, batch)
-            wall = self.wall()
-            self.ledger.next_token(key, seconds, objective[1], wall)
+            at = self.wall()
+            self.ledger.timed(key, indicator, seconds, wanted[indicator], at)
 
     async def show(self, call: web.Call) -> None:
         """Answer with all cells since a time."""
--- a/camphortray/compaction.py
+++ b/camphortray/compaction.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 
 import msgspec
 
@@ -14,6 +13,7 @@
 from camphortray import logs
 from camphortray import records
 from camphortray import snapshot
+from camphortray import tasks
 
 LOG = logs.logger("compaction")
 # Looks at a stream in one retention, and their longest distance in
@@ -62,10 +62,7 @@
     async def stop(self) -> None:
         """Stop."""
         task, self.task = self.task, None
-        if task is not None:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await tasks.end(task)
 
     async def run(self) -> None:
         """Do what is due, for ever."""
--- a/camphortray/journal.py
+++ b/camphortray/journal.py
@@ -16,6 +16,7 @@
 from camphortray import logs
 from camphortray import records
 from camphortray import snapshot
+from camphortray import tasks
 
 LOG = logs.logger("journal")
 # Longest long poll for new records, in seconds.
@@ -98,10 +99,7 @@
     async def stop(self) -> None:
         """Stop following; the state stays and ``start`` goes on from it."""
         task, self.task = self.task, None
-        if task is not None:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await tasks.end(task)
 
     def listen(self, listener: Callable[[folds.Outcome], None]) -> None:
         """Call ``listener`` after each record is applied."""
--- a/camphortray/outbox.py
+++ b/camphortray/outbox.py
@@ -16,6 +16,7 @@
 from camphortray import jobs
 from camphortray import jobshard
 from camphortray import logs
+from camphortray import tasks
 
 LOG = logs.logger("jobs")
 # Most bytes of results in one record; smaller where the log allows less.
@@ -81,10 +82,7 @@
 
     async def stop(self) -> None:
         """Drop what is held; it is no longer this host's to write."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
+        await tasks.end(self.task)
         for note in self.notes:
             note.written.cancel()
         self.results, self.notes, self.held_bytes = [], [], 0
--- a/camphortray/ownership.py
+++ b/camphortray/ownership.py
@@ -18,6 +18,7 @@
 from camphortray import records
 from camphortray import shards
 from camphortray import takeover
+from camphortray import tasks
 
 LOG = logs.logger("ownership")
 # Time for one record of ownership, in seconds.
@@ -174,10 +175,7 @@
     async def stop(self) -> None:
         """End without handing over, as a crash would."""
         task, self.task = self.task, None
-        if task is not None:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await tasks.end(task)
 
     async def run(self) -> None:
         """Do what the policy says, for ever."""
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -64,8 +64,8 @@
 def test_latency_counts_against_its_objective_and_in_a_histogram():
     ledger = burn.Ledger()
     for seconds in (0.1, 0.2, 3.0):
-        ledger.first_token(ONLINE, seconds, 1.2, NOW)
-        ledger.next_token(ONLINE, seconds / 10, 0.041, NOW)
+        ledger.timed(ONLINE, burn.TTFT, seconds, 1.2, NOW)
+        ledger.timed(ONLINE, burn.ITL, seconds / 10, 0.041, NOW)
     (row,) = ledger.rows()
     assert row.cell.good[1:] == [2, 2] and row.cell.bad[1:] == [1, 1]
     assert row.cell.tokens == 6
@@ -76,9 +76,9 @@
     ledger = burn.Ledger()
     for minute in range(10):
         wall = NOW + minute * 60
-        ledger.first_token(ONLINE, 0.8 if minute >= 5 else 0.1, 1.2, wall)
+        ledger.timed(ONLINE, burn.TTFT, 0.8 if minute >= 5 else 0.1, 1.2, wall)
         for _ in range(100 if minute >= 5 else 1):
-            ledger.next_token(BATCH, 0.01, 0.041, wall)
+            ledger.timed(BATCH, burn.ITL, 0.01, 0.041, wall)
     (found,) = burnrate.harm(ledger.rows())
     assert found.minutes == (5, 5)
     assert found.ttft_s[0] < 0.13 < 0.7 < found.ttft_s[1]
@@ -120,7 +120,7 @@
 def test_a_page_plots_minutes_with_gaps():
     ledger = burn.Ledger()
     for minute in (0, 1, 2, 5):
-        ledger.first_token(ONLINE, 0.1, 1.2, NOW + 60 * minute)
+        ledger.timed(ONLINE, burn.TTFT, 0.1, 1.2, NOW + 60 * minute)
     held = burngather.Answer("h/entry", 1, tuple(ledger.rows()), OBJECTIVES)
     gathered = burngather.merge_answers([held], [], {})
     page = burnpage.page(burnpage.Report.from_gathered(gathered, NOW + 300))
