Tell runs of other lengths and rates apart; keep labels inside the plot

Cause: a comparison of 45 s with 12 s of a trace said that both sent the same; in a headless browser the top and right labels of plots were cut off. Change: what a run sent is its trace, seed, length and scale, and two runs are alike only if all are; plots have room for their labels. Figures: 4 kinds of difference told apart, 2 before.

--- a/camphortray/load.py
+++ b/camphortray/load.py
@@ -73,7 +73,8 @@
         await asyncio.gather(*background, *self.tasks, return_exceptions=True)
         await self.client.close()
         name = f"{plan.name}, {self.label}" if self.label else plan.name
-        return self.measured.result(name, plan.trace, plan.seed)
+        sent = loadresult.Sent(plan.trace, plan.seed, plan.seconds, plan.scale)
+        return self.measured.result(name, sent)
 
     def send(self, number: int, arrival: trace.Arrival, began: float) -> None:
         """Begin a request, unless too many are open."""
--- a/camphortray/loadplot.py
+++ b/camphortray/loadplot.py
@@ -10,6 +10,8 @@
 WIDTH = 640
 HEIGHT = 260
 LEFT = 60
+TOP = 14
+RIGHT = 26
 BOTTOM = 30
 COLOURS = ("#2a6f97", "#c1440e")
 STYLE = (
@@ -39,7 +41,7 @@
         outcome_table(comparison),
     ]
     if not comparison.same_trace:
-        body.append("<p>The runs had different traces or seeds.</p>")
+        body.append("<p>The runs did not send the same requests.</p>")
     for measure, title in TITLES.items():
         curves = [tail(run.curve(measure)) for run in (first, second)]
         body.append(plot(f"{title}, seconds by percentile", curves, ticks()))
@@ -106,8 +108,8 @@
     top = max((y for _, y in points), default=1.0) or 1.0
 
     def place(x: float, y: float) -> str:
-        across = LEFT + x / right * (WIDTH - LEFT - 10)
-        down = (HEIGHT - BOTTOM) * (1 - y / top) + 5
+        across = LEFT + x / right * (WIDTH - LEFT - RIGHT)
+        down = (HEIGHT - BOTTOM - TOP) * (1 - y / top) + TOP
         return f"{across:.1f},{down:.1f}"
 
     lines = [
@@ -122,7 +124,7 @@
         across, down = place(0, value).split(",")
         labels.append(f"<text x='2' y='{down}'>{value:.3g} s</text>")
         labels.append(
-            f"<path stroke='#ddd' d='M{across} {down}H{WIDTH - 10}'/>"
+            f"<path stroke='#ddd' d='M{across} {down}H{WIDTH - RIGHT}'/>"
         )
     for x, text in marks or [(0, "0 s"), (right, f"{right:g} s")]:
         across = place(x, 0).partition(",")[0]
--- a/camphortray/loadresult.py
+++ b/camphortray/loadresult.py
@@ -1,6 +1,6 @@
 """What a load experiment measured, kept as JSON and compared."""
 
-__all__ = ["Comparison", "Measured", "Result", "compare"]
+__all__ = ["Comparison", "Measured", "Result", "Sent", "compare"]
 
 import collections
 import dataclasses
@@ -48,7 +48,7 @@
         self.record("ttft", seconds)
         self.seconds[int(meant_at)].append(seconds)
 
-    def result(self, name: str, trace: str, seed: int) -> "Result":
+    def result(self, name: str, sent: "Sent") -> "Result":
         """Return what was measured as data."""
         worst = {
             str(second): round(max(values), 4)
@@ -56,8 +56,7 @@
         }
         return Result(
             name,
-            trace,
-            seed,
+            sent,
             dict(self.outcomes),
             {
                 measure: {
@@ -74,14 +73,30 @@
         )
 
 
+@dataclasses.dataclass(frozen=True)
+class Sent:
+    """What makes up the requests of a run; the same sends the same.
+
+    Attributes:
+      trace: Name of the trace.
+      seed: Of the trace.
+      seconds: Its length.
+      scale: Factor on its rates.
+    """
+
+    trace: str
+    seed: int
+    seconds: float
+    scale: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Result:
     """A finished run.
 
     Attributes:
       name: Of the experiment.
-      trace: Name of its trace.
-      seed: Of its trace.
+      sent: What was sent.
       outcomes: Number of requests by outcome.
       quantiles: Seconds by measure and quantile.
       histograms: Encoded, by measure.
@@ -89,8 +104,7 @@
     """
 
     name: str
-    trace: str
-    seed: int
+    sent: Sent
     outcomes: dict[str, int]
     quantiles: dict[str, dict[str, float]]
     histograms: dict[str, str]
@@ -133,7 +147,7 @@
 
 
 def compare(first: Result, second: Result) -> Comparison:
-    """Compare two runs; those of one trace and seed compare like with like."""
+    """Compare two runs; those that sent the same compare like with like."""
     ratios: dict[str, dict[str, float | None]] = {}
     for measure in MEASURES:
         ratios[measure] = {}
@@ -145,7 +159,7 @@
     return Comparison(
         first.name,
         second.name,
-        (first.trace, first.seed) == (second.trace, second.seed),
+        first.sent == second.sent,
         ratios,
         {
             name: (first.outcomes.get(name, 0), second.outcomes.get(name, 0))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,6 +1,7 @@
 """Open-loop load: experiments, measuring, and comparing two runs."""
 
 import asyncio
+import dataclasses
 import json
 import pathlib
 import random
@@ -199,10 +200,15 @@
     assert {body["max_tokens"] for body in bodies} == {7}
 
 
-def test_runs_of_other_traces_are_told_apart():
+@pytest.mark.parametrize(
+    "other",
+    [{"trace": "night"}, {"seed": 2}, {"seconds": 30.0}, {"scale": 0.5}],
+    ids=str,
+)
+def test_runs_that_did_not_send_the_same_are_told_apart(other):
     measured = loadresult.Measured()
-    first = measured.result("a", "night", 1)
+    sent = loadresult.Sent("winter-morning", 1, 60.0, 1.0)
+    first = measured.result("a", sent)
     assert loadresult.compare(first, first).same_trace
-    second = measured.result("b", "night", 2)
+    second = measured.result("b", dataclasses.replace(sent, **other))
     assert not loadresult.compare(first, second).same_trace
-    assert loadresult.compare(first, second).ratios["ttft"]["p50"] is None
