Give a call as it is claimed a module of its own

Cause: the module that runs calls had grown past 460 lines and three concerns. Change: the request and the refusals stand in callrequest.

--- a/camphortray/callkeeper.py
+++ b/camphortray/callkeeper.py
@@ -6,7 +6,7 @@
 turns out to have landed.
 """
 
-__all__ = ["CallKeeper", "CallRequest"]
+__all__ = ["CallKeeper"]
 
 import asyncio
 from collections.abc import Awaitable
@@ -17,8 +17,7 @@
 from typing import Any
 from typing import ClassVar
 
-import xxhash
-
+from camphortray import callrequest
 from camphortray import calls
 from camphortray import callshard
 from camphortray import callwatch
@@ -54,46 +53,6 @@
 Send = Callable[[], Awaitable[calls.Answer]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallRequest:
-    """A non-idempotent call.
-
-    Attributes:
-      workspace: Whose it is.
-      service: Which service it is for.
-      key: The caller's idempotency key.
-      digest: Of method, target and body.
-      keep_s: How long claim and answer are kept.
-    """
-
-    workspace: str
-    service: str
-    key: str
-    digest: str
-    keep_s: float
-
-    @classmethod
-    def of(
-        cls,
-        workspace: str,
-        service: str,
-        key: str,
-        keep_s: float,
-        *content: bytes,
-    ) -> "CallRequest":
-        """Build from what makes up the request."""
-        hasher = xxhash.xxh3_128()
-        for part in content:
-            hasher.update(len(part).to_bytes(8, "big"))
-            hasher.update(part)
-        return cls(workspace, service, key, hasher.hexdigest(), keep_s)
-
-    @property
-    def name(self) -> str:
-        """Key in the fold."""
-        return f"{self.workspace}/{self.service}/{self.key}"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Running:
     """A call under way on this host.
@@ -196,7 +155,9 @@
                 return shard.journal.ready()
         return ""
 
-    async def run(self, request: CallRequest, send: Send) -> calls.Answer:
+    async def run(
+        self, request: callrequest.CallRequest, send: Send
+    ) -> calls.Answer:
         """Run a call unless it ran before.
 
         Once claimed it goes on when its caller goes away, so that the
@@ -218,12 +179,12 @@
         if running is None:
             running = self.begin(request, send)
         elif running.digest != request.digest:
-            raise other_request()
+            raise callrequest.other_request()
         # A resend shares the end of the call that is under way.
         return await asyncio.shield(running.task)
 
     async def run_for_caller(
-        self, request: CallRequest, send: Send
+        self, request: callrequest.CallRequest, send: Send
     ) -> calls.Answer:
         """Run a call as ``run`` does, but cancel it with its caller.
 
@@ -235,7 +196,7 @@
             return await self.run(request, send)
         return await self.begin(request, send).task
 
-    def begin(self, request: CallRequest, send: Send) -> "Running":
+    def begin(self, request: callrequest.CallRequest, send: Send) -> "Running":
         """Claim and run a call in the background."""
         task = self.spawn(self.claim_and_run(request, send))
         task.add_done_callback(lambda _: self.active.pop(request.name))
@@ -243,12 +204,12 @@
         return running
 
     async def claim_and_run(
-        self, request: CallRequest, send: Send
+        self, request: callrequest.CallRequest, send: Send
     ) -> calls.Answer:
         """Claim, dispatch and keep."""
         shard = self.shard_of(request)
         if request.name in self.given_up:
-            raise unconfirmed("an earlier claim is not settled")
+            raise callrequest.unconfirmed("an earlier claim is not settled")
         held = shard.fold.calls.get(request.name)
         if held is None:
             held = await self.claim(shard, request)
@@ -256,7 +217,9 @@
             return await self.resend(shard, request, held)
         return await self.dispatch(shard, request, send)
 
-    def shard_of(self, request: CallRequest) -> callshard.CallShard:
+    def shard_of(
+        self, request: callrequest.CallRequest
+    ) -> callshard.CallShard:
         """Return the shard of a call."""
         number = shards.shard_of(
             request.workspace, request.name, len(self.shards)
@@ -264,7 +227,7 @@
         return self.shards[number]
 
     async def claim(
-        self, shard: callshard.CallShard, request: CallRequest
+        self, shard: callshard.CallShard, request: callrequest.CallRequest
     ) -> calls.Call | None:
         """Claim a call; return the call that was there before, if any.
 
@@ -272,7 +235,7 @@
           Refused: the claim could not be read back.
         """
         if self.pending_bytes() > MAX_PENDING_BYTES:
-            raise unconfirmed("too many answers wait for the log")
+            raise callrequest.unconfirmed("too many answers wait for the log")
         now = self.context.clock.wall()
         body = calls.CallClaim(
             request.name, request.digest, now, request.keep_s
@@ -280,17 +243,19 @@
         try:
             outcome = await shard.append(calls.CLAIM, body, CLAIM_S)
         except errors.LogRefused as error:
-            raise unconfirmed(str(error)) from error
+            raise callrequest.unconfirmed(str(error)) from error
         except errors.LogError as error:
             # It may land yet; from now on it is never dispatched.
             self.give_back(shard, request.name)
-            raise unconfirmed(str(error)) from error
+            raise callrequest.unconfirmed(str(error)) from error
         except asyncio.CancelledError:
             self.give_back(shard, request.name)
             raise
         standing = shard.fold.standing(request.name, outcome)
         if standing is calls.Standing.VOID:
-            raise unconfirmed(outcome.reason or "the claim does not stand")
+            raise callrequest.unconfirmed(
+                outcome.reason or "the claim does not stand"
+            )
         if standing is calls.Standing.OTHER:
             return shard.fold.calls[request.name]
         return None
@@ -312,7 +277,7 @@
     async def resend(
         self,
         shard: callshard.CallShard,
-        request: CallRequest,
+        request: callrequest.CallRequest,
         held: calls.Call,
     ) -> calls.Answer:
         """Answer a call that was claimed before.
@@ -321,13 +286,13 @@
           Refused: it is another request, or there is no answer.
         """
         if held.digest != request.digest:
-            raise other_request()
+            raise callrequest.other_request()
         answer = held.answer or self.pending.get(request.name)
         if answer is None:
             await shard.sync(SYNC_S)
             answer = await self.answer_of_other(shard, request.name, held)
         if answer is None:
-            raise no_answer("no answer is known")
+            raise callrequest.no_answer("no answer is known")
         return answer
 
     async def answer_of_other(
@@ -343,7 +308,10 @@
         return call.answer if call is not None else None
 
     async def dispatch(
-        self, shard: callshard.CallShard, request: CallRequest, send: Send
+        self,
+        shard: callshard.CallShard,
+        request: callrequest.CallRequest,
+        send: Send,
     ) -> calls.Answer:
         """Send a claimed call, once, and keep its answer.
 
@@ -433,35 +401,3 @@
         for shard in self.shards:
             await shard.stop()
         self.courier.stop()
-
-
-def other_request() -> errors.Refused:
-    """Return the refusal of another request under a key in use."""
-    return errors.Refused(
-        409,
-        "other_request",
-        "another request was sent under this key",
-        field="Idempotency-Key",
-    )
-
-
-def no_answer(reason: str) -> errors.Refused:
-    """Return the refusal of a call claimed before whose end is open."""
-    return errors.Refused(
-        409,
-        "call_unknown",
-        f"claimed before, and {reason}",
-        field="Idempotency-Key",
-        ran="unknown",
-        retry_after=1,
-    )
-
-
-def unconfirmed(reason: str) -> errors.Refused:
-    """Return the refusal of a call whose claim did not stand."""
-    return errors.Refused(
-        503,
-        "claim_unconfirmed",
-        f"the call could not be claimed: {reason}",
-        retry_after=1,
-    )
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -8,6 +8,7 @@
 
 from camphortray import admission
 from camphortray import callkeeper
+from camphortray import callrequest
 from camphortray import calls
 from camphortray import completion as completions
 from camphortray import deadline
@@ -126,7 +127,7 @@
         service = exchange.service
         recorder = recording.Recorder(call.response)
         exchange.response = cast(httpserver.Response, recorder)
-        request = callkeeper.CallRequest.of(
+        request = callrequest.CallRequest.of(
             call.caller,
             service.name,
             key,
--- a/camphortray/services.py
+++ b/camphortray/services.py
@@ -7,6 +7,7 @@
 
 from camphortray import admission
 from camphortray import callkeeper
+from camphortray import callrequest
 from camphortray import calls
 from camphortray import deadline
 from camphortray import engine
@@ -142,7 +143,7 @@
             except errors.UpstreamError as error:
                 raise refusal_of(error) from error
         call.request.keep_running = True
-        request = callkeeper.CallRequest.of(
+        request = callrequest.CallRequest.of(
             call.caller,
             service.name,
             key,
--- a/tests/test_callkeeper.py
+++ b/tests/test_callkeeper.py
@@ -6,6 +6,7 @@
 import pytest
 
 from camphortray import callkeeper
+from camphortray import callrequest
 from camphortray import calls
 from camphortray import cluster as clusters
 from camphortray import config as configs
@@ -208,7 +209,7 @@
     # The log takes the claim, but cannot be read until the host has told
     # its caller "not run". The late claim must not block a resend.
     keeper = world.keeper()
-    request = callkeeper.CallRequest.of("w", "s", "k", 60, b"body")
+    request = callrequest.CallRequest.of("w", "s", "k", 60, b"body")
     shard = keeper.shard_of(request)
     await shard.journal.caught_up.wait()
     await shard.journal.stop()
