Report online work at less cost for each token

Cause: each token made a new record of work, thrown away at once, and walked the settings for its objective. Change: the record is made once; objectives are looked up with each view.

--- a/camphortray/granting.py
+++ b/camphortray/granting.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 from collections.abc import Iterable
+import math
 from typing import ClassVar
 
 from camphortray import config as configs
@@ -92,7 +93,8 @@
         self.map = CoordinatorMap(self.members)
         self.holders: dict[str, configs.Address] = {}
         self.reports = online.OnlineReports()
-        self.services: dict[str, settings.Service] = {}
+        self.ttft_s: dict[str, float] = {}
+        self.itl_s: dict[str, float] = {}
         self.by_upstream: dict[str, settings.Service] = {}
         self.work = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
@@ -110,7 +112,9 @@
 
     def on_view(self, view: settings.View) -> None:
         """Take new settings; headroom is built anew from them."""
-        self.services = view.services
+        services = view.services.items()
+        self.ttft_s = {n: s.get("objective.ttft_s") for n, s in services}
+        self.itl_s = {n: s.get("objective.itl_s") for n, s in services}
         self.by_upstream = {
             name: service
             for service in view.services.values()
@@ -142,7 +146,8 @@
     ) -> None:
         if not batch:
             now = self.clock.monotonic()
-            strain = self.strain(service, "objective.ttft_s", seconds)
+            # A service that settings no longer have strains nothing.
+            strain = seconds / self.ttft_s.get(service, math.inf)
             self.reports.first_token(now, upstream, seconds, strain)
 
     def next_token(
@@ -150,7 +155,7 @@
     ) -> None:
         if not batch:
             now = self.clock.monotonic()
-            strain = self.strain(service, "objective.itl_s", seconds)
+            strain = seconds / self.itl_s.get(service, math.inf)
             self.reports.next_token(now, upstream, strain)
 
     def ended(
@@ -159,11 +164,6 @@
         if not batch:
             self.reports.ended(upstream)
 
-    def strain(self, service: str, key: str, seconds: float) -> float:
-        """Return a latency as a share of its objective."""
-        held = self.services.get(service)
-        return seconds / held.get(key) if held is not None else 0.0
-
     def report(self) -> None:
         """Tell each coordinator what is due."""
         due = self.reports.due(self.clock.monotonic())
--- a/camphortray/online.py
+++ b/camphortray/online.py
@@ -72,7 +72,10 @@
 
     def work(self, upstream: str) -> Work:
         """Return the work at an upstream."""
-        return self.works.setdefault(upstream, Work())
+        work = self.works.get(upstream)
+        if work is None:
+            work = self.works[upstream] = Work()
+        return work
 
     def begun(self, now: float, upstream: str) -> None:
         """Count a request sent."""
