Give the state of a job a module of its own

Change: jobs, files and uploads, and how they are dumped and loaded, stand in jobstate; the fold names what others use as before. Conclusion: no behaviour changes.

--- a/camphortray/jobs.py
+++ b/camphortray/jobs.py
@@ -28,15 +28,13 @@
 import array
 from collections.abc import Iterator
 import dataclasses
-import enum
 from typing import Any
-import zlib
 
 import msgspec
-import xxhash
 
 from camphortray import fold as folds
 from camphortray import jobrecords
+from camphortray import jobstate
 from camphortray import records
 
 CHUNK = jobrecords.CHUNK
@@ -62,135 +60,17 @@
 JobForget = jobrecords.JobForget
 JobResults = jobrecords.JobResults
 JobStart = jobrecords.JobStart
+InputFile = jobstate.InputFile
+Job = jobstate.Job
+JobStatus = jobstate.JobStatus
+NO_RESULT = jobstate.NO_RESULT
+job_id = jobstate.job_id
+shard_of = jobstate.shard_of
 
-# Entry of an item without a result; others are record number plus one.
-NO_RESULT = 0
 # Ids of forgotten jobs kept to answer 410, oldest dropped first.
 MAX_FORGOTTEN = 10_000
 
 
-class JobStatus(enum.StrEnum):
-    """Where a job stands."""
-
-    RUNNING = "running"
-    FINISHED = "finished"
-    CANCELLED = "cancelled"
-
-
-def job_id(workspace: str, key: str) -> str:
-    """Return the id of a workspace's job; the same key, the same job."""
-    return xxhash.xxh3_128_hexdigest(f"{workspace}\0{key}".encode())
-
-
-def shard_of(job: str, count: int) -> int:
-    """Return the shard of a job or file; its id alone tells it.
-
-    The leading 16 digits decide, so that a batch can be given an id in
-    the shard of its input file.
-
-    >>> shard_of("00000000000000050000000000000000", 4)
-    1
-    """
-    return int(job[:16], 16) % count
-
-
-@dataclasses.dataclass(slots=True)
-class Job:
-    """One accepted job.
-
-    Attributes:
-      accept: As accepted.
-      chunks: Offset of the record and index of its first item, in order.
-      results: For each item the number of its result's record in
-        ``records`` plus one, or ``NO_RESULT``; four bytes an item.
-      records: Offsets of the records with results, as they came.
-      started: Non-idempotent items dispatched, with the epoch.
-      crashes: Crashes by item.
-      done, failed, unknown: Numbers of items that ended so.
-      cancelled: Whether it was cancelled.
-      last_at: When its last result was written, seconds since 1970.
-      ended_at: When it ended, seconds since 1970, or 0.
-    """
-
-    accept: JobAccept
-    chunks: list[tuple[int, int]]
-    results: "array.array[int]"
-    records: "array.array[int]" = dataclasses.field(
-        default_factory=lambda: array.array("q")
-    )
-    started: dict[int, int] = dataclasses.field(default_factory=dict)
-    crashes: dict[int, int] = dataclasses.field(default_factory=dict)
-    done: int = 0
-    failed: int = 0
-    unknown: int = 0
-    cancelled: bool = False
-    last_at: float = 0.0
-    ended_at: float = 0.0
-
-    @property
-    def ended(self) -> int:
-        """Number of items with a result."""
-        return self.done + self.failed + self.unknown
-
-    @property
-    def status(self) -> JobStatus:
-        """Where the job stands."""
-        if self.cancelled:
-            return JobStatus.CANCELLED
-        if self.ended == self.accept.count:
-            return JobStatus.FINISHED
-        return JobStatus.RUNNING
-
-    def has_result(self, item: int) -> bool:
-        """Return whether an item has ended."""
-        return self.results[item] != NO_RESULT
-
-    def take(self, number: int, result: ItemResult) -> None:
-        """Count the first result of an item, in record ``number``."""
-        self.results[result.item] = number + 1
-        self.started.pop(result.item, None)
-        self.crashes.pop(result.item, None)
-        if result.status == "done":
-            self.done += 1
-        elif result.status == "failed":
-            self.failed += 1
-        else:
-            self.unknown += 1
-
-    def move(self, of: int, offset: int) -> bool:
-        """Note that a record now stands at ``offset`` as well."""
-        moved = False
-        for index, (held, first) in enumerate(self.chunks):
-            if held == of:
-                self.chunks[index] = (offset, first)
-                moved = True
-        if of in self.records:
-            self.records[self.records.index(of)] = offset
-            moved = True
-        return moved
-
-
-@dataclasses.dataclass(slots=True)
-class InputFile:
-    """A file kept for later batches.
-
-    Attributes:
-      accept: As accepted.
-      chunks: As in ``Job``.
-    """
-
-    accept: FileAccept
-    chunks: list[tuple[int, int]]
-
-
-@dataclasses.dataclass(slots=True)
-class Upload:
-    """Chunks taken before a job is accepted."""
-
-    count: int = 0
-    chunks: list[tuple[int, int]] = dataclasses.field(default_factory=list)
-
-
 class JobsFold(folds.Fold):
     """All jobs and files of a shard, by id.
 
@@ -217,7 +97,7 @@
         super().__init__()
         self.jobs: dict[str, Job] = {}
         self.files: dict[str, InputFile] = {}
-        self.uploads: dict[tuple[str, int], Upload] = {}
+        self.uploads: dict[tuple[str, int], jobstate.Upload] = {}
         self.forgotten: dict[str, int] = {}
         self.handlers.update(
             {
@@ -242,7 +122,7 @@
     def on_chunk(self, offset: int, record: records.Record) -> None:
         """Take a chunk that follows the one before it."""
         chunk = records.typed(record.body, JobChunk)
-        held = self.uploads.get((chunk.job, chunk.upload), Upload())
+        held = self.uploads.get((chunk.job, chunk.upload), jobstate.Upload())
         if chunk.first != held.count:
             raise folds.Refuse("chunk out of order")
         self.uploads[(chunk.job, chunk.upload)] = held
@@ -258,14 +138,16 @@
     def on_accept(self, offset: int, record: records.Record) -> None:
         """Accept a job whose chunks are all there."""
         accept = records.typed(record.body, JobAccept)
-        upload = self.uploads.pop((accept.job, accept.upload), Upload())
+        upload = self.uploads.pop(
+            (accept.job, accept.upload), jobstate.Upload()
+        )
         if accept.job in self.jobs or accept.job in self.forgotten:
             raise folds.Refuse("accepted before")
         if accept.file:
             held = self.files.get(accept.file)
             if held is None:
                 raise folds.Refuse("no such file")
-            upload = Upload(held.accept.count, list(held.chunks))
+            upload = jobstate.Upload(held.accept.count, list(held.chunks))
         if upload.count != accept.count or not accept.count:
             raise folds.Refuse("chunks are missing")
         self.jobs[accept.job] = Job(
@@ -277,7 +159,9 @@
     def on_file(self, offset: int, record: records.Record) -> None:
         """Keep a file whose chunks are all there."""
         accept = records.typed(record.body, FileAccept)
-        upload = self.uploads.pop((accept.file, accept.upload), Upload())
+        upload = self.uploads.pop(
+            (accept.file, accept.upload), jobstate.Upload()
+        )
         if upload.count != accept.count or accept.file in self.files:
             raise folds.Refuse("chunks are missing")
         self.files[accept.file] = InputFile(accept, upload.chunks)
@@ -388,7 +272,9 @@
 
     def dump(self) -> dict[str, Any]:
         return {
-            "jobs": {key: dump_job(job) for key, job in self.jobs.items()},
+            "jobs": {
+                key: jobstate.dump_job(job) for key, job in self.jobs.items()
+            },
             "files": {
                 key: [dataclasses.asdict(held.accept), held.chunks]
                 for key, held in self.files.items()
@@ -401,55 +287,17 @@
         }
 
     def load(self, state: dict[str, Any]) -> None:
-        self.jobs = {key: load_job(raw) for key, raw in state["jobs"].items()}
+        self.jobs = {
+            key: jobstate.load_job(raw) for key, raw in state["jobs"].items()
+        }
         self.files = {
-            key: InputFile(msgspec.convert(accept, FileAccept), pairs(chunks))
+            key: InputFile(
+                msgspec.convert(accept, FileAccept), jobstate.pairs(chunks)
+            )
             for key, (accept, chunks) in state["files"].items()
         }
         self.uploads = {
-            (job, number): Upload(count, pairs(chunks))
+            (job, number): jobstate.Upload(count, jobstate.pairs(chunks))
             for job, number, count, chunks in state["uploads"]
         }
         self.forgotten = dict(state["forgotten"])
-
-
-def pairs(raw: Any) -> list[tuple[int, int]]:
-    """Return chunks as the fold holds them."""
-    return [(offset, first) for offset, first in raw]
-
-
-def dump_job(job: Job) -> dict[str, Any]:
-    """Return a job as plain data."""
-    return {
-        "accept": dataclasses.asdict(job.accept),
-        "chunks": [list(chunk) for chunk in job.chunks],
-        "results": zlib.compress(job.results.tobytes(), 1),
-        "records": list(job.records),
-        "started": dict(job.started),
-        "crashes": dict(job.crashes),
-        "counts": [job.done, job.failed, job.unknown],
-        "cancelled": job.cancelled,
-        "times": [job.last_at, job.ended_at],
-    }
-
-
-def load_job(raw: dict[str, Any]) -> Job:
-    """Build a job from what ``dump_job`` gave."""
-    results = array.array("I")
-    results.frombytes(zlib.decompress(raw["results"]))
-    done, failed, unknown = raw["counts"]
-    last_at, ended_at = raw["times"]
-    return Job(
-        msgspec.convert(raw["accept"], JobAccept),
-        pairs(raw["chunks"]),
-        results,
-        array.array("q", raw["records"]),
-        dict(raw["started"]),
-        dict(raw["crashes"]),
-        done,
-        failed,
-        unknown,
-        raw["cancelled"],
-        last_at,
-        ended_at,
-    )
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -36,6 +36,7 @@
     "jobqueue",
     "jobrecords",
     "jobs",
+    "jobstate",
     "knowledge",
     "leaving",
     "limits",
