Let batch items that wait see upstreams that settings name later

Cause: an item waiting for a slot kept the service as it was when it began to wait. Found by reading: had an operator replaced all upstreams meanwhile, it would have waited for a slot on one that is gone, and its job never ended. Ruled out: the items' own retries, which take the service anew but come only after a slot; and jobs taken over before settings are here, which wait for them. Change: those who wait are shown each new view. Figures: the test waits in vain without the line and gets its slot with it (virtual time).

--- a/camphortray/slots.py
+++ b/camphortray/slots.py
@@ -16,6 +16,7 @@
 from camphortray import peers
 from camphortray import settings
 from camphortray import slotmessages
+from camphortray import tree
 from camphortray import upstreams
 
 # Seconds from one request for slots to the next; grants last longer than
@@ -66,7 +67,12 @@
     """
 
     name: ClassVar[str] = "slots"
-    requires: ClassVar[tuple[str, ...]] = ("upstreams", "peers", "membership")
+    requires: ClassVar[tuple[str, ...]] = (
+        "upstreams",
+        "peers",
+        "membership",
+        "settings",
+    )
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
@@ -83,6 +89,7 @@
         self.wake = asyncio.Event()
         self.pacing = False
         self.task: asyncio.Task[None] | None = None
+        context.part(tree.Tree).listen(self.on_view)
 
     @classmethod
     def from_config(cls, context: kernel.Context) -> "Slots":
@@ -92,6 +99,17 @@
         self.peers.on(slotmessages.Grants, self.on_grants)
         self.task = asyncio.get_running_loop().create_task(self.run())
 
+    def on_view(self, view: settings.View) -> None:
+        """Let those who wait see the upstreams that settings name now.
+
+        An item that waits while an operator replaces all upstreams would
+        else wait for a slot on one that is gone, and never end.
+        """
+        for waiter in self.waiters:
+            name = waiter.service.name
+            waiter.service = view.services.get(name, waiter.service)
+        self.wake.set()
+
     async def acquire(
         self,
         service: settings.Service,
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -10,6 +10,7 @@
 from camphortray import coordinator
 from camphortray import granting
 from camphortray import membership
+from camphortray import settings
 from camphortray import signals
 from camphortray import slots
 
@@ -115,6 +116,21 @@
         assert sum(others) == 32
 
 
+async def test_who_waits_sees_upstreams_that_settings_name_later():
+    # An item waits for a service whose upstreams an operator then
+    # replaces. It must get a slot on a new one, or its job never ends.
+    async with started() as fleet:
+        part = fleet.batches[0].part(slots.Slots)
+        before = settings.Service(fleet.service.path, ())
+        waiting = asyncio.ensure_future(part.acquire(before))
+        await asyncio.sleep(3)
+        assert not waiting.done()
+        for listener in fleet.tree.listeners:
+            listener(fleet.tree.view)
+        async with asyncio.timeout(5):
+            assert (await waiting).upstream.name == UPSTREAM
+
+
 async def test_a_lost_message_takes_no_slot():
     async with full() as (fleet, holders):
         boss = boss_of(fleet).context.config.host.name
