Test that a batch role which has just started is asked

Cause: of the faults mended on the way one had no test of its own: a batch role known by name but not by address. The read-through also showed three places in which a certificate is loaded. Change: a table for own roles not heard of, without an address, and dead; one function loads the certificate. Figures: with the safeguard off the row of the missing address fails, and no other.

--- a/camphortray/tls.py
+++ b/camphortray/tls.py
@@ -17,7 +17,14 @@
     """Return the context of the callers' port, or None for plain TCP."""
     if not config.callers:
         return None
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    return own_context(config, ssl.PROTOCOL_TLS_SERVER)
+
+
+def own_context(
+    config: configs.TlsConfig, protocol: ssl._SSLMethod
+) -> ssl.SSLContext:
+    """Return a context that shows this host's certificate."""
+    context = ssl.SSLContext(protocol)
     context.load_cert_chain(config.certificate, config.key)
     return context
 
@@ -27,8 +34,7 @@
     """Return the context of a peer port; callers must show a certificate."""
     if not config.peer_ca:
         return None
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    context.load_cert_chain(config.certificate, config.key)
+    context = own_context(config, ssl.PROTOCOL_TLS_SERVER)
     context.load_verify_locations(config.peer_ca)
     context.verify_mode = ssl.CERT_REQUIRED
     return context
@@ -39,8 +45,7 @@
     """Return the context with which a host connects to its peers."""
     if not config.peer_ca:
         return None
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-    context.load_cert_chain(config.certificate, config.key)
+    context = own_context(config, ssl.PROTOCOL_TLS_CLIENT)
     context.load_verify_locations(config.peer_ca)
     # The CA signs hosts and nothing else, and hosts are known by IP
     # numbers that change; who signed is what is checked.
--- a/tests/test_jobproxy.py
+++ b/tests/test_jobproxy.py
@@ -1,6 +1,7 @@
 """Tests of the choice of a batch role."""
 
 import asyncio
+import types
 
 import msgspec
 import pytest
@@ -12,6 +13,7 @@
 from camphortray import jobproxy
 from camphortray import members
 from camphortray import membership
+from tests import test_config
 
 OWN = configs.HostConfig("h0", "z0", "r")
 KEY = [("authorization", f"Bearer {clusters.WORKSPACE_KEY}")]
@@ -37,6 +39,29 @@
     assert jobproxy.candidates(OWN, live) == expected
 
 
+@pytest.mark.parametrize(
+    ("own", "asked"),
+    [
+        (None, ["127.0.0.1:8100"]),
+        (batch("h0", "z0", address=""), ["127.0.0.1:8100"]),
+        (batch("h0", "z0", "dead", address=""), []),
+    ],
+    ids=["not heard of", "has told no address", "dead"],
+)
+def test_an_own_role_that_has_just_started_is_asked(own, asked):
+    # Right after a start the batch role is known by name only, or not at
+    # all. Callers were told that no batch role is alive, though the own
+    # one was; its address stands in the host's settings.
+    proxy = jobproxy.JobProxy.__new__(jobproxy.JobProxy)
+    config = configs.Config.from_toml(test_config.GOOD)
+    proxy.context = types.SimpleNamespace(config=config)
+    proxy.members = types.SimpleNamespace(
+        member=lambda name: own,
+        live=lambda program: [own] if own and not own.dead else [],
+    )
+    assert [str(target) for target in proxy.targets()] == asked
+
+
 class Breaks(httpserver.Handler):
     """A batch role that ends the connection after it read the body."""
 
