--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 style: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 camphortray tests bench spec
+	$(BIN)/flake8 camphortray platform tests bench spec
 	$(BIN)/mypy
 
 format: $(STAMP)
--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -5,6 +5,7 @@
     "BatchConfig",
     "Config",
     "EntryConfig",
+    "FrontConfig",
     "HostConfig",
     "LoggingConfig",
     "PeerConfig",
@@ -188,12 +189,39 @@
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
+@dataclasses.dataclass(frozen=True)
+class FrontConfig:
+    """Listeners and limits of the program ``host``.
+
+    Attributes:
+      listen: Where callers send requests.
+      ready: Where the platform asks whether this host is ready.
+      directory: Where callers ask which addresses to use.
+      metrics: Where metrics are read; empty for nowhere.
+      keep_s: Seconds a caller may keep the addresses it is told.
+      grace_s: Seconds from the signal to end until the process is killed.
+      pass_s: Longest time an event may take through this host.
+      item_keep_s: Seconds for which results of a job are kept.
+    """
+
+    listen: AddressText = "127.0.0.1:8000"
+    ready: str = ""
+    directory: str = ""
+    metrics: str = ""
+    keep_s: Seconds = 1.0
+    grace_s: Seconds = 10.0
+    pass_s: Seconds = 0.1
+    item_keep_s: Seconds = 120.0
+
+
 @dataclasses.dataclass(frozen=True)
 class Config:
     """All settings of one host.
 
     Attributes:
       plugins: Modules to import, whose plug-ins register themselves.
+      ledger: The platform's keyed store, for the program ``host``.
+      front: Listeners of the program ``host``.
     """
 
     host: HostConfig
@@ -208,6 +236,8 @@
     shards: ShardsConfig = dataclasses.field(default_factory=ShardsConfig)
     logging: LoggingConfig = dataclasses.field(default_factory=LoggingConfig)
     plugins: tuple[str, ...] = ()
+    ledger: PlatformConfig | None = None
+    front: FrontConfig = dataclasses.field(default_factory=FrontConfig)
 
     @classmethod
     def from_toml(cls, text: str, file: str = "settings") -> "Config":
--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -70,6 +70,10 @@
       silence_s: Longest silence to be expected before the answer begins;
         a kept connection silent for longer is taken for dead, a new one
         after four times as long. 0 for no such limit.
+      method: HTTP method.
+      headers: The caller's headers that travel on, in order.
+      resume_after: Id of the last event that has come; the engine goes on
+        with the one after it. Empty to begin at the start.
     """
 
     id: str
@@ -81,6 +85,9 @@
     resume_tokens: int = 0
     batch: bool = False
     silence_s: float = 0.0
+    method: str = "POST"
+    headers: tuple[tuple[str, str], ...] = ()
+    resume_after: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,10 +191,12 @@
     Attributes:
       status: HTTP status of the answer.
       content_type: Its media type.
+      headers: Headers that belong to the answer, not to its connection.
     """
 
     status: int = 200
     content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
 
     @abc.abstractmethod
     async def read(self, timeout_s: float) -> bytes:
--- a/camphortray/errors.py
+++ b/camphortray/errors.py
@@ -6,10 +6,12 @@
     "ConfigError",
     "Fault",
     "LogError",
+    "LogFenced",
     "LogRefused",
     "LogTruncated",
     "LogUnavailable",
     "MessageError",
+    "NoSlot",
     "NotOwner",
     "PluginError",
     "RecordError",
@@ -121,6 +123,22 @@
         self.first = first
 
 
+class LogFenced(LogError):
+    """Another writer has taken the partition over."""
+
+
+class NoSlot(CamphortrayError):
+    """No engine has room in time.
+
+    Attributes:
+      retry_after_s: Seconds until there will be room, as expected.
+    """
+
+    def __init__(self, message: str, retry_after_s: float) -> None:
+        super().__init__(message, step="place")
+        self.retry_after_s = retry_after_s
+
+
 class NotOwner(CamphortrayError):
     """This host does not own the shard."""
 
--- a/camphortray/hostlist.py
+++ b/camphortray/hostlist.py
@@ -1,15 +1,27 @@
 """The platform's list of live and leaving hosts, which lags."""
 
-__all__ = ["HOST_LISTS", "HostList", "ListedHost", "MemoryHostList"]
+__all__ = [
+    "HOST_LISTS",
+    "HostList",
+    "LedgerHostList",
+    "ListedHost",
+    "MemoryHostList",
+    "RollEntry",
+]
 
 import abc
 import dataclasses
 from typing import Literal
 
+import msgspec
+
 from camphortray import config as configs
 from camphortray import errors
+from camphortray import ledger as ledgers
+from camphortray import logs
 from camphortray import registry
 
+LOG = logs.logger("hosts")
 ListedStatus = Literal["live", "leaving", "gone"]
 
 
@@ -70,3 +82,40 @@
         if self.down:
             raise errors.CamphortrayError("down", step="list", peer="memory")
         return tuple(self.hosts.values())
+
+
+class RollEntry(msgspec.Struct, frozen=True):
+    """A host as it is kept.
+
+    Attributes:
+      peer_address: Where it takes peer links.
+      started: Number of its process, which grows with each start.
+    """
+
+    peer_address: str
+    started: int
+
+
+class LedgerHostList(HostList):
+    """The list of hosts out of the ledger."""
+
+    def __init__(self, ledger: ledgers.Ledger) -> None:
+        self.ledger = ledger
+
+    @classmethod
+    def from_config(cls, config: configs.PlatformConfig) -> "LedgerHostList":
+        return cls(ledgers.LEDGERS.get(config.plugin).from_config(config))
+
+    async def read(self) -> tuple[ListedHost, ...]:
+        page = await self.ledger.newest(ledgers.Topic.HOSTS)
+        found = []
+        for record in page.records:
+            try:
+                entry = msgspec.json.decode(record.value, type=RollEntry)
+            except msgspec.DecodeError as error:
+                LOG.warning("Entry {} left out: {}", record.key, error)
+                continue
+            found.append(
+                ListedHost(record.key, "host", "live", entry.peer_address)
+            )
+        return tuple(found)
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -158,15 +158,20 @@
     """Sends requests over kept connections.
 
     A connection with unread or unasked bytes is never used again.
+
+    Attributes:
+      max_idle: Idle connections kept for one address.
     """
 
     def __init__(
         self,
         timeouts: Timeouts | None = None,
         tls: ssl.SSLContext | None = None,
+        max_idle: int = MAX_IDLE,
     ) -> None:
         self.timeouts = timeouts or Timeouts()
         self.tls = tls
+        self.max_idle = max_idle
         self.idle: dict[configs.Address, list[ClientConnection]] = {}
         self.busy: set[ClientConnection] = set()
         self.closed = False
@@ -295,7 +300,8 @@
             return
         self.busy.discard(connection)
         kept = self.idle.setdefault(address, [])
-        if self.closed or not connection.reusable() or len(kept) >= MAX_IDLE:
+        full = len(kept) >= self.max_idle
+        if self.closed or full or not connection.reusable():
             connection.abort()
             return
         connection.idle = True
@@ -339,7 +345,9 @@
     address: configs.Address, headers: Headers, body: Body
 ) -> list[tuple[str, str]]:
     """Return headers with host and framing added."""
-    framed = [("host", str(address)), *headers]
+    framed = list(headers)
+    if not any(name.lower() == "host" for name, _ in headers):
+        framed.insert(0, ("host", str(address)))
     if isinstance(body, bytes):
         framed.append(("content-length", str(len(body))))
     else:
--- /dev/null
+++ b/camphortray/inforce.py
@@ -0,0 +1,324 @@
+"""Configuration and engines in force here, from the ledger and from peers.
+
+A host that cannot reach the ledger goes on with the newest that any peer
+has, also if it has only just started. Versions of the configuration never
+go back within a process.
+"""
+
+__all__ = ["InForce"]
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+from typing import ClassVar
+
+from camphortray import config as configs
+from camphortray import enginebook
+from camphortray import errors
+from camphortray import kernel
+from camphortray import ledger as ledgers
+from camphortray import logs
+from camphortray import messages
+from camphortray import outer
+from camphortray import peers
+from camphortray import revisions
+from camphortray import routemap
+
+LOG = logs.logger("inforce")
+# Longest wait of a read of the configuration, which is answered as soon as
+# a new one is written, in seconds.
+CONFIGURATION_WAIT_S = 10.0
+# Seconds from one look at the engines' entries to the next. Each engine
+# renews its entry about once a second; waiting for each renewal would cost
+# a read for each, and an engine that leaves must be known in about two.
+ENGINES_EVERY_S = 0.5
+# Pause after a failed call, in seconds.
+PAUSE_S = 0.25
+# Time without an answer after which the ledger counts as away.
+AWAY_S = 1.0
+# Seconds from one question to a peer to the next while it is away.
+ASK_EVERY_S = 0.4
+ASK_S = 0.5
+
+
+@messages.message("inforce.ask")
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForceAsk:
+    """Asks a peer for what it has in force.
+
+    Attributes:
+      revision: Version of the configuration that the asker has.
+    """
+
+    revision: int
+
+
+@messages.message("inforce.answer")
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForceAnswer:
+    """Answers with the configuration, if newer, and the engines.
+
+    Attributes:
+      key: Key of the configuration's record.
+      configuration: Its bytes, empty if the asker has it already.
+      engines: Entries of all engines.
+      fresh: Whether the peer reaches the ledger itself.
+    """
+
+    key: str = ""
+    configuration: bytes = b""
+    engines: tuple[enginebook.EngineEntry, ...] = ()
+    fresh: bool = False
+
+
+@kernel.PARTS.register("host")
+class InForce(revisions.Revisions):
+    """What is in force on this host.
+
+    Attributes:
+      view: The newest configuration known; never goes back.
+      routes: Its routes.
+      engines: The engines.
+      reached_at: When the ledger answered last.
+    """
+
+    name: ClassVar[str] = "settings"
+    requires: ClassVar[tuple[str, ...]] = ("outer", "peers")
+
+    def __init__(self, context: kernel.Context) -> None:
+        self.context = context
+        self.clock = context.clock
+        held = context.part(outer.LedgerOuter)
+        self.ledger = held.ledger
+        self.dialect = held.dialect
+        self.links = context.part(peers.Peers)
+        self.view = routemap.NOTHING
+        self.record = ledgers.LedgerRecord("", b"")
+        self.routes = routemap.RouteMap(())
+        self.engines = enginebook.EngineBook()
+        self.listeners: list[Callable[[Any], None]] = []
+        self.engine_listeners: list[Callable[[], None]] = []
+        self.reached_at = -AWAY_S
+        self.was_away = True
+        self.listed = False
+        self.peers_of: Callable[[], list[configs.Address]] = list
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @classmethod
+    def from_config(cls, context: kernel.Context) -> "InForce":
+        return cls(context)
+
+    async def start(self) -> None:
+        self.links.on(InForceAsk, self.answer)
+        loop = asyncio.get_running_loop()
+        for work in (
+            self.follow_configuration(),
+            self.follow_engines(),
+            self.ask_peers(),
+        ):
+            self.tasks.append(loop.create_task(work))
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    def ready(self) -> str:
+        if not self.view.revision:
+            return "no configuration yet"
+        return "" if self.listed else "no engines known yet"
+
+    def listen(self, listener: Callable[[Any], None]) -> None:
+        self.listeners.append(listener)
+        listener(self.view)
+
+    def listen_engines(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` whenever an engine comes, goes or leaves."""
+        self.engine_listeners.append(listener)
+
+    @property
+    def away(self) -> bool:
+        """Whether the ledger has not answered for a while."""
+        return self.clock.monotonic() - self.reached_at > AWAY_S
+
+    # The configuration.
+
+    async def follow_configuration(self) -> None:
+        """Read on for ever."""
+        offset = -1
+        while True:
+            try:
+                offset = await self.read_configuration(offset)
+            except errors.LogTruncated:
+                offset = -1
+            except errors.LogError as error:
+                LOG.debug("No configuration: {}", error)
+                await asyncio.sleep(PAUSE_S)
+
+    async def read_configuration(self, offset: int) -> int:
+        """Read once; return from where to go on."""
+        topic = ledgers.Topic.CONFIGURATION
+        if offset < 0:
+            page = await self.ledger.newest(topic)
+        else:
+            page = await self.ledger.read(
+                topic, 0, offset, CONFIGURATION_WAIT_S
+            )
+        for record in page.records:
+            self.take_record(record)
+        return page.end
+
+    def take_record(self, record: ledgers.LedgerRecord) -> None:
+        """Put a configuration in force if it is newer."""
+        if not record.value:
+            return
+        try:
+            found = self.dialect.configuration(record.key, record.value)
+        except errors.RecordError as error:
+            LOG.error("Configuration left out: {}", error)
+            return
+        if found is None or found.revision <= self.view.revision:
+            return
+        self.view = found
+        self.record = record
+        self.routes = routemap.RouteMap(found.routes)
+        LOG.notice(
+            "Version {} is in force, {} routes.",
+            found.revision,
+            len(found.routes),
+        )
+        for listener in self.listeners:
+            listener(found)
+
+    # The engines.
+
+    async def follow_engines(self) -> None:
+        """Read the entries again and again."""
+        offset = -1
+        while True:
+            try:
+                offset = await self.read_engines(offset)
+                self.reached()
+            except errors.LogTruncated:
+                offset = -1
+                continue
+            except errors.LogError as error:
+                LOG.debug("No entries of engines: {}", error)
+                self.lost(error)
+            if self.engines.settle(self.clock.monotonic()):
+                self.tell_engines()
+            await asyncio.sleep(ENGINES_EVERY_S)
+
+    async def read_engines(self, offset: int) -> int:
+        """Read once; return from where to go on."""
+        topic = ledgers.Topic.ENGINES
+        if offset < 0:
+            page = await self.ledger.newest(topic)
+            self.reached()
+            entries = [self.entry_of(record) for record in page.records]
+            found = [entry for entry in entries if entry is not None]
+            now = self.clock.monotonic()
+            changed = self.engines.listing(found, now)
+            self.listed = True
+        else:
+            page = await self.ledger.read(topic, 0, offset)
+            self.reached()
+            changes = [self.take_entry(record) for record in page.records]
+            changed = any(changes)
+        if changed:
+            self.tell_engines()
+        return page.end
+
+    def entry_of(
+        self, record: ledgers.LedgerRecord
+    ) -> enginebook.EngineEntry | None:
+        """Return the entry of a record, or None if it cannot be read."""
+        try:
+            return self.dialect.engine(record.key, record.value)
+        except errors.RecordError as error:
+            LOG.warning("Entry {} left out: {}", record.key, error)
+            return None
+
+    def take_entry(self, record: ledgers.LedgerRecord) -> bool:
+        """Take one record; return whether it changed anything."""
+        if not record.value:
+            return self.engines.gone(record.key, self.clock.monotonic())
+        entry = self.entry_of(record)
+        return entry is not None and self.engines.put(entry)
+
+    def reached(self) -> None:
+        """Take note that the ledger answers."""
+        now = self.clock.monotonic()
+        if self.was_away:
+            LOG.notice("Reaches the ledger.")
+            self.engines.returned(now)
+            self.was_away = False
+        self.reached_at = now
+
+    def lost(self, error: errors.LogError) -> None:
+        """Take note that the ledger does not answer."""
+        if not self.was_away:
+            LOG.warning("Lost the ledger: {}", error)
+            self.was_away = True
+
+    def note_leaving(self, name: str) -> None:
+        """Send an engine nothing new, by its own word."""
+        if self.engines.leaving(name):
+            LOG.notice("{} leaves, by its own word.", name)
+            self.tell_engines()
+
+    def tell_engines(self) -> None:
+        """Tell whoever listens."""
+        for listener in self.engine_listeners:
+            listener()
+
+    # Peers.
+
+    async def answer(
+        self, sender: peers.Sender, ask: InForceAsk
+    ) -> InForceAnswer:
+        """Tell a peer what is in force here."""
+        newer = self.view.revision > ask.revision
+        return InForceAnswer(
+            self.record.key if newer else "",
+            self.record.value if newer else b"",
+            tuple(self.engines.entries.values()) if self.listed else (),
+            not self.away,
+        )
+
+    async def ask_peers(self) -> None:
+        """Ask peers for what is lacking while the ledger is away."""
+        while True:
+            await asyncio.sleep(ASK_EVERY_S)
+            if not self.away:
+                continue
+            addresses = self.peers_of()
+            if not addresses:
+                continue
+            address = self.context.rng.choice(addresses)
+            try:
+                reply = await self.links.ask(
+                    address, InForceAsk(self.view.revision), ASK_S
+                )
+            except errors.MessageError as error:
+                LOG.debug("No word from a peer: {}", error)
+                continue
+            if isinstance(reply, InForceAnswer):
+                self.take_answer(reply)
+
+    def take_answer(self, reply: InForceAnswer) -> None:
+        """Take over what a peer has."""
+        if reply.configuration:
+            self.take_record(
+                ledgers.LedgerRecord(reply.key, reply.configuration)
+            )
+        if not reply.engines:
+            return
+        now = self.clock.monotonic()
+        if reply.fresh or not self.listed:
+            changed = self.engines.listing(reply.engines, now)
+        else:
+            changed = any([self.engines.put(e) for e in reply.engines])
+        self.listed = True
+        if changed:
+            self.tell_engines()
--- /dev/null
+++ b/camphortray/itemfate.py
@@ -0,0 +1,113 @@
+"""Decides what follows a try of an opaque item that did not end it."""
+
+__all__ = ["Fate", "ItemTries", "Pace", "decide"]
+
+import dataclasses
+import enum
+
+from camphortray import errors
+
+# Answers that say that an item can never be done.
+NEVER = frozenset({422})
+# An engine's own failure at the item.
+FAILED = frozenset({500})
+# Breaks at which an item counts as the cause, and how long it then keeps
+# away from engines, in seconds: it may be run again, but seldom.
+BREAKS = 3
+BARRED_S = 15.0
+# Pause after a try that ended early, in seconds; doubled up to the second.
+PAUSE_S = 0.05
+MAX_PAUSE_S = 1.0
+# Events and seconds of one item before any has been measured.
+FIRST_EVENTS = 200.0
+FIRST_EVENT_S = 0.02
+# Weight of a new measurement in the running means.
+LEARN = 0.1
+
+
+class Fate(enum.Enum):
+    """What becomes of an item."""
+
+    AGAIN = "again"
+    ABANDON = "abandon"
+
+
+@dataclasses.dataclass(slots=True)
+class ItemTries:
+    """What an item has been through with this owner.
+
+    Attributes:
+      failed: Answers that were an engine's own failure.
+      breaks: Answers that broke off.
+      pauses: Tries in a row that brought nothing.
+      avoid: Engine of the last try that failed.
+      not_before: When it may be tried again.
+    """
+
+    failed: int = 0
+    breaks: int = 0
+    pauses: int = 0
+    avoid: str = ""
+    not_before: float = 0.0
+
+
+def decide(
+    tries: ItemTries,
+    error: errors.UpstreamError,
+    upstream: str,
+    now: float,
+    attempts: int,
+) -> Fate:
+    """Take note of a failed try and return what follows.
+
+    Args:
+      tries: Of the item; changed.
+      error: How the try failed.
+      upstream: At which engine.
+      now: Present time.
+      attempts: Failures of engines after which an item is given up.
+    """
+    tries.avoid = upstream
+    tries.pauses += 1
+    pause_s = min(MAX_PAUSE_S, PAUSE_S * 2 ** min(tries.pauses, 8))
+    tries.not_before = now + pause_s
+    if isinstance(error, errors.UpstreamRefused):
+        if error.status in NEVER:
+            return Fate.ABANDON
+        if error.ran and error.status in FAILED:
+            tries.failed += 1
+            if tries.failed >= attempts:
+                return Fate.ABANDON
+        return Fate.AGAIN
+    if error.ran:
+        tries.breaks += 1
+        if tries.breaks >= BREAKS:
+            tries.not_before = now + BARRED_S
+    return Fate.AGAIN
+
+
+class Pace:
+    """How long items take, as measured.
+
+    Attributes:
+      events: Mean number of events of an item.
+      event_s: Mean seconds from one event to the next.
+    """
+
+    def __init__(self) -> None:
+        self.events = FIRST_EVENTS
+        self.event_s = FIRST_EVENT_S
+
+    def learn(self, events: int) -> None:
+        """Take the number of events of an item that is done."""
+        self.events += LEARN * (events - self.events)
+
+    def ran(self, events: int, seconds: float) -> None:
+        """Take what one run brought."""
+        if events:
+            self.event_s += LEARN * (seconds / events - self.event_s)
+
+    def left_s(self, events: int) -> float:
+        """Return the seconds that an item still needs after some events."""
+        left = max(self.events - events, self.events * 0.1)
+        return left * self.event_s
--- /dev/null
+++ b/camphortray/itemwork.py
@@ -0,0 +1,259 @@
+"""Runs opaque items at engines until each is done or abandoned."""
+
+__all__ = ["ItemWork"]
+
+import asyncio
+import dataclasses
+
+from camphortray import clock as clocks
+from camphortray import engine
+from camphortray import errors
+from camphortray import eventstream
+from camphortray import inforce
+from camphortray import itemfate
+from camphortray import jobbook
+from camphortray import logs
+from camphortray import outer
+from camphortray import placing
+from camphortray import routemap
+from camphortray import slotbook
+
+LOG = logs.logger("items")
+# Seconds without an event after which a run is taken up elsewhere.
+SILENT_S = 0.5
+# The same before the first event.
+FIRST_SILENT_S = 2.0
+# Seconds from one look for a route that has gone to the next.
+ROUTE_S = 0.5
+# Seconds beyond the keeping time after which an item is given up: clocks
+# of hosts differ, and too early would be wrong.
+KEEP_SLACK_S = 4.0
+
+
+class Revoked(Exception):
+    """The slot was taken back."""
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkParts:
+    """The parts of the program that items are run with."""
+
+    clock: clocks.Clock
+    outer: outer.LedgerOuter
+    inforce: inforce.InForce
+    placing: placing.Placing
+    pace: itemfate.Pace
+
+
+class ItemWork:
+    """One item of a job, as its owner runs it.
+
+    Attributes:
+      text: Data of the events so far.
+      reader: Cuts and checks the stream, over all engines.
+    """
+
+    def __init__(self, parts: WorkParts, job: jobbook.Job, place: int) -> None:
+        self.parts = parts
+        self.job = job
+        self.place = place
+        item = job.items[place]
+        assert item is not None
+        self.item = item
+        self.tries = itemfate.ItemTries()
+        self.reader = eventstream.EventReader()
+        self.text: list[bytes] = []
+        self.number = 0
+        self.run_task: asyncio.Task[None] | None = None
+
+    async def run(self) -> jobbook.Result:
+        """Return how the item ended; however long that takes."""
+        while True:
+            route = await self.route()
+            if route is None or self.is_over(route):
+                return self.abandoned("its time is over")
+            now = self.parts.clock.monotonic()
+            await asyncio.sleep(max(0.0, self.tries.not_before - now))
+            try:
+                held = await self.place_at(route)
+            except errors.NoSlot as error:
+                LOG.debug("{}: {}", self.item.id, error)
+                await asyncio.sleep(itemfate.PAUSE_S)
+                continue
+            result = await self.attempt(route, held)
+            if result is not None:
+                return result
+
+    async def route(self) -> routemap.Route | None:
+        """Return the item's route, or None once it is over for it."""
+        while True:
+            found = self.parts.inforce.routes.find(
+                self.job.host_name, self.item.target
+            )
+            if found is not None:
+                return found
+            own = self.parts.inforce.routes.find(
+                self.job.host_name, self.job.target
+            )
+            if own is None and self.age_s() > ROUTE_S:
+                return None
+            await asyncio.sleep(ROUTE_S)
+
+    def age_s(self) -> float:
+        """Return the seconds since the job was accepted."""
+        return self.parts.clock.wall() - self.job.taken_at
+
+    def is_over(self, route: routemap.Route) -> bool:
+        """Return whether the item may be given up for its age."""
+        return bool(route.keep_s) and (
+            self.age_s() > route.keep_s + KEEP_SLACK_S
+        )
+
+    def abandoned(self, why: str) -> jobbook.Result:
+        """Return the result of an item that is given up."""
+        LOG.info(
+            "Item {} of {} is abandoned: {}; {} failed, {} broke off.",
+            self.item.id,
+            self.job.id,
+            why,
+            self.tries.failed,
+            self.tries.breaks,
+        )
+        return jobbook.Result(self.place, jobbook.State.ABANDONED)
+
+    async def place_at(self, route: routemap.Route) -> placing.Placement:
+        """Wait for a slot."""
+        parts = self.parts
+        now = parts.clock.monotonic()
+        self.number += 1
+        due_s = (route.due_s or route.timeout_s) - self.age_s()
+        avoid = {self.tries.avoid} - {""}
+        want = slotbook.Want(
+            f"{self.job.id}.{self.place}.{self.number}",
+            parts.placing.own_name,
+            False,
+            route.priority,
+            now,
+            route.objective_s,
+            due_at=now + due_s,
+            work_s=parts.pace.left_s(self.reader.count),
+            avoid=frozenset(avoid),
+        )
+        # An engine that failed once is avoided once: it may be the last.
+        self.tries.avoid = ""
+        service = route.service_of(self.item.id)
+        return await parts.placing.acquire(service, want, self.revoke)
+
+    def revoke(self) -> None:
+        """Stop the run; what has come of it is kept."""
+        if self.run_task is not None:
+            self.run_task.cancel()
+
+    async def attempt(
+        self, route: routemap.Route, held: placing.Placement
+    ) -> jobbook.Result | None:
+        """Run once; return the result if that ended it."""
+        outcome = slotbook.Outcome.NOTHING
+        clock = self.parts.clock
+        begun_at, count = clock.monotonic(), self.reader.count
+        task = asyncio.get_running_loop().create_task(
+            self.stream(route, held.upstream)
+        )
+        self.run_task = task
+        try:
+            await asyncio.wait({task})
+            if task.cancelled():
+                return None
+            task.result()
+            outcome = slotbook.Outcome.GOOD
+            self.parts.pace.learn(self.reader.count)
+            return jobbook.Result(
+                self.place, jobbook.State.DONE, b"\n".join(self.text)
+            )
+        except errors.UpstreamError as error:
+            outcome = slotbook.outcome_of(error)
+            return self.failed(route, held, error)
+        finally:
+            task.cancel()
+            self.run_task = None
+            self.parts.placing.release(held, outcome)
+            brought = self.reader.count - count
+            self.parts.pace.ran(brought, clock.monotonic() - begun_at)
+            if brought > 0:
+                self.tries.pauses = 0
+
+    def failed(
+        self,
+        route: routemap.Route,
+        held: placing.Placement,
+        error: errors.UpstreamError,
+    ) -> jobbook.Result | None:
+        """Take note of a failed run; return a result if it is the last."""
+        name = held.upstream.name
+        LOG.debug("{} failed at {}: {}", self.item.id, name, error)
+        if isinstance(error, errors.UpstreamRefused) and error.leaving:
+            self.parts.inforce.note_leaving(name)
+        fate = itemfate.decide(
+            self.tries,
+            error,
+            name,
+            self.parts.clock.monotonic(),
+            route.max_attempts,
+        )
+        if fate is itemfate.Fate.ABANDON:
+            return self.abandoned(str(error))
+        return None
+
+    async def stream(
+        self, route: routemap.Route, upstream: engine.Upstream
+    ) -> None:
+        """Read one stream to its end.
+
+        Raises:
+          UpstreamError: it is not whole.
+        """
+        party = self.parts.outer.engine(upstream.plugin)
+        self.reader.restart()
+        left_s = None
+        if route.keep_s:
+            left_s = max(1.0, route.keep_s + KEEP_SLACK_S - self.age_s())
+        request = engine.EngineRequest(
+            self.item.id,
+            self.item.target,
+            self.item.body,
+            True,
+            left_s,
+            batch=True,
+            silence_s=FIRST_SILENT_S,
+            headers=(("host", self.job.host_name), *self.item.headers),
+            resume_after=self.reader.last,
+        )
+        stream = await party.open(upstream, request, True)
+        try:
+            if stream.status // 100 != 2:
+                raise errors.UpstreamRefused(
+                    f"status {stream.status}",
+                    status=stream.status,
+                    ran=True,
+                    step="run",
+                    peer=upstream.name,
+                )
+            limit_s = FIRST_SILENT_S
+            while data := await stream.read(limit_s):
+                self.take(data)
+                limit_s = SILENT_S
+        finally:
+            stream.close()
+        if self.reader.tail or not self.reader.count:
+            raise errors.UpstreamBroken(
+                "ended in the middle of an event",
+                ran=True,
+                step="stream",
+                peer=upstream.name,
+            )
+
+    def take(self, data: bytes) -> None:
+        """Keep what whole events bring."""
+        whole = self.reader.feed(data)
+        if whole:
+            self.text += [e.data for e in eventstream.events_of(whole)]
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -22,7 +22,7 @@
 from camphortray import node as nodes
 from camphortray import outer
 from camphortray import peers
-from camphortray import tree
+from camphortray import revisions
 from camphortray import watch
 
 LOG = logs.logger("membership")
@@ -39,7 +39,7 @@
 MESSAGES = (gossip.Ping, gossip.News, antientropy.Sync, watch.Doubt)
 
 
-@kernel.PARTS.register("entry", "batch")
+@kernel.PARTS.register("entry", "batch", "host")
 class Membership(kernel.Part):
     """Members and facts as this host knows them; drives a ``Node``.
 
@@ -56,8 +56,8 @@
         self.context = context
         self.clock = context.clock
         self.links = context.part(peers.Peers)
-        self.tree = context.part(tree.Tree)
-        self.outer = context.part(outer.Outer)
+        self.tree = context.part(revisions.Revisions)
+        self.outer = context.part(outer.Parties)
         config = context.config
         self.own_name = f"{config.host.name}/{context.program}"
         own = Member(
--- a/camphortray/outer.py
+++ b/camphortray/outer.py
@@ -1,57 +1,105 @@
 """The outer parties as one part: log, host list, weights, upstreams."""
 
-__all__ = ["Outer"]
+__all__ = ["LedgerOuter", "Outer", "Parties"]
 
 from typing import ClassVar
 
+from camphortray import dialect as dialects
 from camphortray import engine
+from camphortray import errors
 from camphortray import hostlist
 from camphortray import kernel
+from camphortray import ledger as ledgers
 from camphortray import log
-from camphortray import plugins
 from camphortray import registry
 from camphortray import service
 from camphortray import weights
 
-BUILT_IN = plugins.__name__
+# Named, not imported: the program ``host`` needs none of them.
+BUILT_IN = "camphortray.plugins"
+
+
+class Parties(kernel.Part):
+    """The plug-ins that every program needs.
+
+    Attributes:
+      hosts: The platform's host list.
+    """
+
+    name: ClassVar[str] = "outer"
+
+    hosts: hostlist.HostList
+
+    def __init__(self) -> None:
+        self.engines: dict[str, engine.Engine] = {}
+
+    def engine(self, plugin: str) -> engine.Engine:
+        """Return the engine plug-in of that name, made on first use."""
+        if plugin not in self.engines:
+            self.engines[plugin] = engine.ENGINES.get(plugin).from_config()
+        return self.engines[plugin]
+
+    async def stop(self) -> None:
+        await self.hosts.close()
+        for made in self.engines.values():
+            await made.close()
+
+
+@kernel.PARTS.register("host")
+class LedgerOuter(Parties):
+    """The outer parties of a host whose platform offers a ledger.
+
+    Attributes:
+      ledger: Keyed records with fenced writers.
+      dialect: Reads what others keep there.
+    """
+
+    def __init__(self, context: kernel.Context) -> None:
+        super().__init__()
+        registry.load_modules(context.config.plugins)
+        told = context.config.ledger
+        if told is None:
+            raise errors.PluginError("no ledger is set", step="load")
+        self.ledger = ledgers.LEDGERS.get(told.plugin).from_config(told)
+        self.hosts = hostlist.LedgerHostList(self.ledger)
+        self.dialect = dialects.DIALECTS.get(told.plugin).from_config(told)
+
+    @classmethod
+    def from_config(cls, context: kernel.Context) -> "LedgerOuter":
+        return cls(context)
+
+    async def stop(self) -> None:
+        await super().stop()
+        await self.ledger.close()
 
 
 @kernel.PARTS.register("entry", "batch")
-class Outer(kernel.Part):
+class Outer(Parties):
     """Holds one plug-in for each outer party.
 
     Attributes:
       log: The platform's log.
-      hosts: The platform's host list.
       weights: The weight store, or None if none is set.
     """
 
-    name: ClassVar[str] = "outer"
-
     def __init__(self, context: kernel.Context) -> None:
+        super().__init__()
         config = context.config
         registry.load_modules((BUILT_IN, *config.plugins))
-        log_class = log.LOG_SERVICES.get(config.log.plugin)
-        self.log = log_class.from_config(config.log)
         list_class = hostlist.HOST_LISTS.get(config.hostlist.plugin)
         self.hosts = list_class.from_config(config.hostlist)
+        log_class = log.LOG_SERVICES.get(config.log.plugin)
+        self.log = log_class.from_config(config.log)
         self.weights: weights.WeightStore | None = None
         if config.weights is not None:
             store_class = weights.WEIGHT_STORES.get(config.weights.plugin)
             self.weights = store_class.from_config(config.weights)
-        self.engines: dict[str, engine.Engine] = {}
         self.services: dict[str, service.Service] = {}
 
     @classmethod
     def from_config(cls, context: kernel.Context) -> "Outer":
         return cls(context)
 
-    def engine(self, plugin: str) -> engine.Engine:
-        """Return the engine plug-in of that name, made on first use."""
-        if plugin not in self.engines:
-            self.engines[plugin] = engine.ENGINES.get(plugin).from_config()
-        return self.engines[plugin]
-
     def service(self, plugin: str) -> service.Service:
         """Return the service plug-in of that name, made on first use."""
         if plugin not in self.services:
@@ -60,11 +108,9 @@
         return self.services[plugin]
 
     async def stop(self) -> None:
+        await super().stop()
         await self.log.close()
-        await self.hosts.close()
         if self.weights is not None:
             await self.weights.close()
-        for made in self.engines.values():
-            await made.close()
         for plain in self.services.values():
             await plain.close()
--- a/camphortray/peers.py
+++ b/camphortray/peers.py
@@ -163,7 +163,7 @@
             await self.server.wait_closed()
 
 
-@kernel.PARTS.register("entry", "batch")
+@kernel.PARTS.register("entry", "batch", "host")
 class Peers(kernel.Part, links.Connector):
     """All links of one program.
 
@@ -194,9 +194,9 @@
     async def start(self) -> None:
         peer = self.config.peer
         text = (
-            peer.entry_listen
-            if self.context.program == "entry"
-            else peer.batch_listen
+            peer.batch_listen
+            if self.context.program == "batch"
+            else peer.entry_listen
         )
         self.address = await self.server.start(
             configs.Address.from_text(text),
--- /dev/null
+++ b/camphortray/placing.py
@@ -0,0 +1,580 @@
+"""Asks the coordinator of a service for slots, and is one for some.
+
+The coordinator is the live host that comes first for the service by
+rendezvous hash. What it knows is soft: its holders report all they hold
+once a second and whenever they turn to another one. A host whose
+coordinator is silent decides for itself on a share of the slots and turns
+to the next one meanwhile.
+"""
+
+__all__ = ["Placement", "Placing"]
+
+import asyncio
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+from typing import ClassVar
+
+from camphortray import config as configs
+from camphortray import engine
+from camphortray import enginebook
+from camphortray import errors
+from camphortray import inforce
+from camphortray import kernel
+from camphortray import logs
+from camphortray import membership
+from camphortray import peers
+from camphortray import placingcalls
+from camphortray import shards
+from camphortray import slotbook
+
+LOG = logs.logger("placing")
+PlaceAsk = placingcalls.PlaceAsk
+PlaceEnd = placingcalls.PlaceEnd
+PlaceReport = placingcalls.PlaceReport
+PlaceWord = placingcalls.PlaceWord
+WantText = placingcalls.WantText
+# Time for a coordinator to answer before the host decides for itself. Its
+# way there and back is some milliseconds; the objective of a question is
+# some hundreds.
+ANSWER_S = 0.12
+# Time for which a silent coordinator is not asked again, in seconds.
+DISTRUST_S = 2.0
+# Seconds from one report to the next while anything is held.
+REPORT_S = 1.0
+# A holder not heard of for this long is gone: its connections are closed
+# by then, or its next report brings all back.
+HOLDER_S = 3.0
+# Factor on the even share of the slots that a host gives out for itself:
+# callers spread unevenly, and not all hosts lose their coordinator.
+ALONE_SHARE = 1.5
+# Beyond its patience a queued request waits this long for the word of its
+# coordinator, in seconds.
+SLACK_S = 0.1
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Placement:
+    """A slot in use.
+
+    Attributes:
+      want: What it was given for.
+      service: Whose engine.
+      upstream: The engine.
+      granted_at: When, on the monotonic clock.
+      coordinator: Member that gave it.
+      on_revoke: Called when it is taken back; only of batch items.
+    """
+
+    want: slotbook.Want
+    service: str
+    upstream: engine.Upstream
+    granted_at: float
+    coordinator: str
+    on_revoke: Callable[[], None] | None = None
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Pending:
+    """A want that waits for its answer."""
+
+    want: slotbook.Want
+    service: str
+    answer: "asyncio.Future[tuple[str, str]]"
+    coordinator: str = ""
+
+
+class Desk:
+    """The slots of one service as this host gives them out.
+
+    Attributes:
+      book: What decides.
+      holders: Address and time of the last word, by name of member.
+    """
+
+    def __init__(self, placing: "Placing", service: str) -> None:
+        self.placing = placing
+        self.service = service
+        self.book = slotbook.SlotBook()
+        self.holders: dict[str, tuple[configs.Address, float]] = {}
+        self.timer: asyncio.TimerHandle | None = None
+
+    def refit(self, now: float) -> None:
+        """Take the engines as they are now."""
+        held = self.placing.inforce.engines.usable(self.service)
+        self.book.share = self.placing.share_of(self.service)
+        found = [slotbook.EngineSlots(e.name, e.slots) for e in held]
+        self.act(self.book.set_engines(found, now))
+
+    def act(self, decisions: Iterable[slotbook.Decision]) -> None:
+        """Tell holders what was decided."""
+        words: dict[str, PlaceWord] = {}
+        revoked: dict[str, list[str]] = collections.defaultdict(list)
+        for decision in decisions:
+            holder = decision.want.holder
+            word = words.setdefault(holder, PlaceWord(self.service))
+            if isinstance(decision, slotbook.Grant):
+                word.granted[decision.want.id] = decision.engine
+            elif isinstance(decision, slotbook.Refuse):
+                word.refused[decision.want.id] = decision.retry_after_s
+            else:
+                revoked[holder].append(decision.want.id)
+        for holder, word in words.items():
+            if revoked[holder]:
+                word = dataclasses.replace(
+                    word, revoked=tuple(revoked[holder])
+                )
+            self.tell(holder, word)
+        self.look_again()
+
+    def tell(self, holder: str, word: PlaceWord) -> None:
+        """Bring word to a holder."""
+        if holder == self.placing.own_name:
+            self.placing.take_word(word, holder)
+        elif holder in self.holders:
+            self.placing.links.tell(self.holders[holder][0], word)
+
+    def look_again(self) -> None:
+        """Decide anew when time alone may change something."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        now = self.placing.clock.monotonic()
+        at = self.book.next_look(now)
+        if at is not None:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(max(0.001, at - now), self.look)
+
+    def look(self) -> None:
+        """Decide anew."""
+        self.timer = None
+        self.act(self.book.decide(self.placing.clock.monotonic()))
+
+    def heard(self, holder: str, address: str, now: float) -> None:
+        """Take note of a holder."""
+        if holder != self.placing.own_name:
+            place = configs.Address.from_text(address)
+            self.holders[holder] = place, now
+
+    def expire(self, now: float) -> None:
+        """Forget holders that have fallen silent."""
+        for holder, (_, at) in list(self.holders.items()):
+            if now - at > HOLDER_S:
+                self.drop(holder, now)
+
+    def drop(self, holder: str, now: float) -> None:
+        """Forget a holder."""
+        if self.holders.pop(holder, None) is not None:
+            self.act(self.book.forget(holder, now))
+
+
+@kernel.PARTS.register("host")
+class Placing(kernel.Part):
+    """Slots for this host's requests.
+
+    Attributes:
+      desks: What this host gives out, by service.
+      pending: Wants without an answer, by id.
+      held: Slots in use, by id of the want.
+    """
+
+    name: ClassVar[str] = "placing"
+    requires: ClassVar[tuple[str, ...]] = ("peers", "membership", "settings")
+
+    def __init__(self, context: kernel.Context) -> None:
+        self.context = context
+        self.clock = context.clock
+        self.links = context.part(peers.Peers)
+        self.members = context.part(membership.Membership)
+        self.inforce = context.part(inforce.InForce)
+        self.own_name = self.members.own_name
+        self.desks: dict[str, Desk] = {}
+        self.pending: dict[str, Pending] = {}
+        self.held: dict[str, Placement] = {}
+        self.distrusted: dict[str, float] = {}
+        self.known: dict[str, str] = {}
+        self.task: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_config(cls, context: kernel.Context) -> "Placing":
+        return cls(context)
+
+    async def start(self) -> None:
+        self.links.on(PlaceAsk, self.on_ask)
+        self.links.on(PlaceEnd, self.on_end)
+        self.links.on(PlaceReport, self.on_report)
+        self.links.on(PlaceWord, self.on_word)
+        self.members.listen(self.on_member)
+        self.inforce.listen_engines(self.on_engines)
+        self.inforce.peers_of = self.live_peers
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    async def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+        for desk in self.desks.values():
+            if desk.timer is not None:
+                desk.timer.cancel()
+
+    # Who coordinates.
+
+    def coordinator(self, service: str) -> str:
+        """Return the member that gives out the slots of a service."""
+        if service not in self.known:
+            now = self.clock.monotonic()
+            alive = membership.Status.ALIVE
+            names = [
+                member.name
+                for member in self.members.live("host")
+                if member.name == self.own_name
+                or (
+                    member.status is alive
+                    and member.http_address
+                    and self.distrusted.get(member.name, 0.0) <= now
+                )
+            ]
+            key = f"slots/{service}"
+            self.known[service] = shards.preferred(key, names) or self.own_name
+        return self.known[service]
+
+    def natural(self, service: str) -> str | None:
+        """Return the member that would coordinate if all were well."""
+        names = [m.name for m in self.members.live("host")]
+        return shards.preferred(f"slots/{service}", names)
+
+    def share_of(self, service: str) -> float:
+        """Return the share of the slots that this host gives out."""
+        if self.natural(service) == self.own_name:
+            return 1.0
+        hosts = max(1, len(self.members.live("host")))
+        alone = min(1.0, ALONE_SHARE / hosts)
+        desk = self.desks.get(service)
+        holders = len(desk.holders) if desk is not None else 0
+        # Where most others have turned here too, the slots are this
+        # host's to give; where none has, others give them out as well.
+        return min(1.0, alone * (holders + 1))
+
+    def distrust(self, name: str) -> None:
+        """Turn to others than a silent coordinator for a while."""
+        if name == self.own_name:
+            return
+        LOG.warning("{} does not answer; turns to the next.", name)
+        self.distrusted[name] = self.clock.monotonic() + DISTRUST_S
+        self.turn()
+
+    def on_member(self, member: membership.Member) -> None:
+        """Choose coordinators anew."""
+        if member.dead:
+            now = self.clock.monotonic()
+            for desk in self.desks.values():
+                desk.drop(member.name, now)
+        self.turn()
+
+    def turn(self) -> None:
+        """Turn to whoever coordinates now, with all that is held."""
+        before, self.known = self.known, {}
+        for service, name in before.items():
+            if self.coordinator(service) != name:
+                self.links.spawn(self.report(service))
+
+    def on_engines(self) -> None:
+        """Take the engines as they are now."""
+        now = self.clock.monotonic()
+        for desk in self.desks.values():
+            desk.refit(now)
+
+    def desk(self, service: str) -> Desk:
+        """Return the desk of a service, made on first use."""
+        desk = self.desks.get(service)
+        if desk is None:
+            desk = self.desks[service] = Desk(self, service)
+            desk.refit(self.clock.monotonic())
+        return desk
+
+    def live_peers(self) -> list[configs.Address]:
+        """Return where other live hosts take links."""
+        return [
+            configs.Address.from_text(member.peer_address)
+            for member in self.members.live("host")
+            if member.name != self.own_name and member.peer_address
+        ]
+
+    # Asking.
+
+    async def acquire(
+        self,
+        service: str,
+        want: slotbook.Want,
+        on_revoke: Callable[[], None] | None = None,
+    ) -> Placement:
+        """Wait for a slot.
+
+        Raises:
+          NoSlot: there is none in time; only for online requests.
+        """
+        loop = asyncio.get_running_loop()
+        pending = Pending(want, service, loop.create_future())
+        self.pending[want.id] = pending
+        try:
+            await self.ask(pending)
+            if want.online:
+                left_s = want.objective_s * slotbook.PATIENCE + SLACK_S
+                async with asyncio.timeout(left_s):
+                    name, coordinator = await pending.answer
+            else:
+                name, coordinator = await pending.answer
+            return self.placement(pending, name, coordinator, on_revoke)
+        except TimeoutError:
+            self.end(pending.coordinator, service, want.id)
+            raise errors.NoSlot("no word on a slot", want.left_s / 4) from None
+        except asyncio.CancelledError:
+            self.end(pending.coordinator, service, want.id)
+            raise
+        finally:
+            self.pending.pop(want.id, None)
+
+    def placement(
+        self,
+        pending: Pending,
+        name: str,
+        coordinator: str,
+        on_revoke: Callable[[], None] | None,
+    ) -> Placement:
+        """Return the slot that was granted."""
+        entry = self.inforce.engines.entries.get(name)
+        want = pending.want
+        if entry is None:
+            self.end(coordinator, pending.service, want.id)
+            raise errors.NoSlot(f"{name} is not known here", 0.1)
+        held = Placement(
+            want,
+            pending.service,
+            self.upstream(entry),
+            self.clock.monotonic(),
+            coordinator,
+            on_revoke,
+        )
+        self.held[want.id] = held
+        return held
+
+    def upstream(self, entry: enginebook.EngineEntry) -> engine.Upstream:
+        """Return an engine as plug-ins know it."""
+        return engine.Upstream(
+            entry.name,
+            configs.Address.from_text(entry.address),
+            entry.availability_zone,
+            self.inforce.dialect.plugin,
+            True,
+            entry.slots,
+        )
+
+    async def ask(self, pending: Pending) -> None:
+        """Ask whoever coordinates, and oneself if that one is silent."""
+        name = pending.coordinator = self.coordinator(pending.service)
+        if name == self.own_name:
+            self.ask_here(pending)
+            return
+        member = self.members.member(name)
+        try:
+            assert member is not None
+            address = configs.Address.from_text(member.peer_address)
+            now = self.clock.monotonic()
+            message = PlaceAsk(
+                pending.service,
+                self.own_address(),
+                (WantText.of(pending.want, now),),
+            )
+            word = await self.links.ask(address, message, ANSWER_S)
+        except errors.MessageError as error:
+            LOG.info("{} asks nobody: {}", pending.want.id, error)
+            self.distrust(name)
+            if pending.want.online and not pending.answer.done():
+                pending.coordinator = self.own_name
+                self.ask_here(pending)
+            return
+        if isinstance(word, PlaceWord):
+            self.take_word(word, name)
+
+    def ask_here(self, pending: Pending) -> None:
+        """Ask this host's own desk."""
+        desk = self.desk(pending.service)
+        desk.book.share = self.share_of(pending.service)
+        now = self.clock.monotonic()
+        desk.act(desk.book.ask(pending.want, now))
+
+    def own_address(self) -> str:
+        """Return where this host takes links."""
+        return str(self.links.address)
+
+    def take_word(self, word: PlaceWord, coordinator: str) -> None:
+        """Take what a coordinator has decided."""
+        for want_id, name in word.granted.items():
+            pending = self.pending.get(want_id)
+            if pending is not None and not pending.answer.done():
+                pending.answer.set_result((name, coordinator))
+            elif want_id not in self.held and pending is None:
+                self.end(coordinator, word.service, want_id)
+        for want_id, seconds in word.refused.items():
+            pending = self.pending.get(want_id)
+            if pending is not None and not pending.answer.done():
+                pending.answer.set_exception(
+                    errors.NoSlot("no room in time", seconds)
+                )
+        for want_id in word.revoked:
+            held = self.held.get(want_id)
+            if held is not None and held.on_revoke is not None:
+                held.on_revoke()
+
+    def release(self, held: Placement, outcome: slotbook.Outcome) -> None:
+        """Give a slot back, and tell how its engine was."""
+        if self.held.pop(held.want.id, None) is not None:
+            self.end(held.coordinator, held.service, held.want.id, outcome)
+
+    def end(
+        self,
+        coordinator: str,
+        service: str,
+        want_id: str,
+        outcome: slotbook.Outcome = slotbook.Outcome.NOTHING,
+    ) -> None:
+        """Tell a coordinator that something has ended."""
+        if coordinator == self.own_name:
+            desk = self.desk(service)
+            now = self.clock.monotonic()
+            desk.act(desk.book.done(want_id, outcome, now))
+            return
+        member = self.members.member(coordinator)
+        if member is not None and not member.dead:
+            address = configs.Address.from_text(member.peer_address)
+            self.links.tell(address, PlaceEnd(service, want_id, outcome))
+
+    # Reporting.
+
+    async def run(self) -> None:
+        """Report and clear up, for ever."""
+        while True:
+            await asyncio.sleep(REPORT_S)
+            now = self.clock.monotonic()
+            if any(at <= now for at in self.distrusted.values()):
+                self.distrusted = {
+                    name: at
+                    for name, at in self.distrusted.items()
+                    if at > now
+                }
+                self.turn()
+            for desk in list(self.desks.values()):
+                desk.expire(now)
+                if abs(desk.book.share - self.share_of(desk.service)) > 1e-6:
+                    desk.refit(now)
+            for service in list(self.known):
+                self.links.spawn(self.report(service))
+
+    async def report(self, service: str) -> None:
+        """Tell the coordinator all that this host holds."""
+        now = self.clock.monotonic()
+        held = [p for p in self.held.values() if p.service == service]
+        waiting = [p for p in self.pending.values() if p.service == service]
+        name = self.coordinator(service)
+        for pending in waiting:
+            if pending.want.online and pending.coordinator != name:
+                # It waits in the queue of a coordinator that is left.
+                self.links.spawn(self.ask(pending))
+            pending.coordinator = name
+        for placement in held:
+            placement.coordinator = name
+        leases = [
+            slotbook.Lease(p.want, p.upstream.name, p.granted_at) for p in held
+        ]
+        wants = [p.want for p in waiting if not p.answer.done()]
+        if name == self.own_name:
+            desk = self.desk(service)
+            desk.act(desk.book.report(self.own_name, leases, wants, now))
+            return
+        member = self.members.member(name)
+        if member is None or not (held or waiting):
+            return
+        message = PlaceReport(
+            service,
+            self.own_address(),
+            tuple(
+                placingcalls.WireLease(
+                    WantText.of(lease.want, now),
+                    lease.engine,
+                    round((now - lease.granted_at) * 1000),
+                )
+                for lease in leases
+            ),
+            tuple(WantText.of(want, now) for want in wants),
+        )
+        address = configs.Address.from_text(member.peer_address)
+        try:
+            await self.links.ask(address, message, 4 * ANSWER_S)
+        except errors.MessageError as error:
+            LOG.info("No report to {}: {}", name, error)
+            self.distrust(name)
+
+    # Coordinating.
+
+    async def on_ask(self, sender: peers.Sender, ask: PlaceAsk) -> PlaceWord:
+        """Answer a host that asks for slots."""
+        now = self.clock.monotonic()
+        desk = self.desk(ask.service)
+        holder = str(sender)
+        desk.heard(holder, ask.address, now)
+        decisions: list[slotbook.Decision] = []
+        for text in ask.wants:
+            decisions += desk.book.ask(text.want(holder, now), now)
+        asked = {text.id for text in ask.wants}
+        here: list[slotbook.Decision] = []
+        others: list[slotbook.Decision] = []
+        for decision in decisions:
+            told = here if decision.want.id in asked else others
+            told.append(decision)
+        desk.act(others)
+        return PlaceWord(
+            ask.service,
+            {
+                d.want.id: d.engine
+                for d in here
+                if isinstance(d, slotbook.Grant)
+            },
+            {
+                d.want.id: d.retry_after_s
+                for d in here
+                if isinstance(d, slotbook.Refuse)
+            },
+        )
+
+    async def on_end(self, sender: peers.Sender, end: PlaceEnd) -> None:
+        """Take the end of a lease or want."""
+        desk = self.desks.get(end.service)
+        if desk is not None:
+            now = self.clock.monotonic()
+            desk.act(desk.book.done(end.id, end.outcome, now))
+
+    async def on_report(
+        self, sender: peers.Sender, report: PlaceReport
+    ) -> None:
+        """Take all that a host holds."""
+        now = self.clock.monotonic()
+        desk = self.desk(report.service)
+        holder = str(sender)
+        desk.heard(holder, report.address, now)
+        leases = [
+            slotbook.Lease(
+                lease.want.want(holder, now),
+                lease.engine,
+                now - lease.age_ms / 1000,
+            )
+            for lease in report.leases
+        ]
+        wants = [text.want(holder, now) for text in report.wants]
+        desk.act(desk.book.report(holder, leases, wants, now))
+
+    async def on_word(self, sender: peers.Sender, word: PlaceWord) -> None:
+        """Take what a coordinator decides later."""
+        self.take_word(word, str(sender))
+
+    def in_flight(self) -> list[str]:
+        return [f"{len(self.held)} slots"] if self.held else []
--- /dev/null
+++ b/camphortray/placingcalls.py
@@ -0,0 +1,138 @@
+"""Messages about the slots of a service between hosts and coordinators.
+
+Clocks of hosts differ, so times travel as seconds from now.
+"""
+
+__all__ = [
+    "PlaceAsk",
+    "PlaceEnd",
+    "PlaceReport",
+    "PlaceWord",
+    "WantText",
+    "WireLease",
+]
+
+import dataclasses
+import math
+from typing import NamedTuple
+
+from camphortray import messages
+from camphortray import slotbook
+
+# Stands for no due time; travels in place of infinity.
+NEVER_S = -1.0
+
+
+class WantText(NamedTuple):
+    """A ``slotbook.Want`` as it travels, as an array.
+
+    Attributes:
+      age_ms: Since it was first asked for.
+      due_s: Until it is due, or ``NEVER_S``.
+    """
+
+    id: str
+    online: bool
+    priority: int
+    age_ms: int
+    objective_ms: int
+    left_ms: int
+    due_s: float
+    work_ms: int
+    prefix: str
+    avoid: tuple[str, ...]
+
+    @classmethod
+    def of(cls, want: slotbook.Want, now: float) -> "WantText":
+        """Return what travels for a want."""
+        due_s = want.due_at - now
+        return cls(
+            want.id,
+            want.online,
+            want.priority,
+            round((now - want.asked_at) * 1000),
+            round(want.objective_s * 1000),
+            round(want.left_s * 1000),
+            NEVER_S if math.isinf(due_s) else round(due_s, 3),
+            round(want.work_s * 1000),
+            want.prefix,
+            tuple(want.avoid),
+        )
+
+    def want(self, holder: str, now: float) -> slotbook.Want:
+        """Return the want that travelled."""
+        return slotbook.Want(
+            self.id,
+            holder,
+            self.online,
+            self.priority,
+            now - self.age_ms / 1000,
+            self.objective_ms / 1000,
+            self.left_ms / 1000,
+            math.inf if self.due_s == NEVER_S else now + self.due_s,
+            self.work_ms / 1000,
+            self.prefix,
+            frozenset(self.avoid),
+        )
+
+
+class WireLease(NamedTuple):
+    """A lease as it travels."""
+
+    want: WantText
+    engine: str
+    age_ms: int
+
+
+@messages.message("place.ask")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceAsk:
+    """Asks a coordinator for slots.
+
+    Attributes:
+      service: Whose engines.
+      address: Where the coordinator reaches the asker later.
+      wants: What is asked for.
+    """
+
+    service: str
+    address: str
+    wants: tuple[WantText, ...]
+
+
+@messages.message("place.end")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceEnd:
+    """Tells a coordinator that a want or lease has ended."""
+
+    service: str
+    id: str
+    outcome: slotbook.Outcome
+
+
+@messages.message("place.report")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceReport:
+    """Tells a coordinator all that the sender holds and waits for."""
+
+    service: str
+    address: str
+    leases: tuple[WireLease, ...]
+    wants: tuple[WantText, ...]
+
+
+@messages.message("place.word")
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceWord:
+    """Tells a host what was decided, in answer or later.
+
+    Attributes:
+      granted: Engine by id of the want.
+      refused: Seconds after which to come back, by id.
+      revoked: Ids of leases that end now.
+    """
+
+    service: str
+    granted: dict[str, str] = dataclasses.field(default_factory=dict)
+    refused: dict[str, float] = dataclasses.field(default_factory=dict)
+    revoked: tuple[str, ...] = ()
--- a/camphortray/tree.py
+++ b/camphortray/tree.py
@@ -11,13 +11,14 @@
 from camphortray import logs
 from camphortray import outer
 from camphortray import records
+from camphortray import revisions
 from camphortray import settings
 
 LOG = logs.logger("settings")
 
 
 @kernel.PARTS.register("entry", "batch")
-class Tree(kernel.Part):
+class Tree(revisions.Revisions):
     """The settings in force on this host.
 
     Attributes:
@@ -25,7 +26,6 @@
       journal: The settings stream.
     """
 
-    name: ClassVar[str] = "settings"
     requires: ClassVar[tuple[str, ...]] = ("outer",)
 
     def __init__(self, context: kernel.Context) -> None:
@@ -77,7 +77,6 @@
             listener(self.view)
 
     def listen(self, listener: Callable[[settings.View], None]) -> None:
-        """Call ``listener`` with each new view, and with the present one."""
         self.listeners.append(listener)
         listener(self.view)
 
