Limit the time of a head and a body, refuse two lengths

Cause: the time limit of a head was set anew by each byte, so that a caller sending one byte a second held a connection for ever; a body had a limit between pieces alone; a request with both lengths was served and kept.

Change: the limit runs from the first byte of a head to its end (408), a body must come with 1 KB/s in the long run, both lengths are refused with 400 and the connection closed; limits in force hold for open connections.

Measured: tests of each, which failed before.

--- a/camphortray/httpserver.py
+++ b/camphortray/httpserver.py
@@ -33,17 +33,29 @@
 # Unread bytes of one body at which the shell stops reading the socket.
 HIGH_WATER = 262_144
 MAX_HEAD_BYTES = 32_768
+# Bytes a second that a body must come with in the long run. One that comes
+# a byte at a time, each in time, would hold its connection for ever.
+MIN_BODY_RATE = 1024.0
 # How long the rest of a refused body is read and thrown away, in seconds.
 LINGER_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Limits:
-    """Bounds on one connection; times in seconds."""
+    """Bounds on one connection; times in seconds.
+
+    Attributes:
+      max_body_bytes: Largest body of a request.
+      header_timeout_s: From the first byte of a head to its end.
+      idle_timeout_s: From one request to the next, and from one piece of
+        a body to the next.
+      max_head_bytes: Largest head of a request.
+    """
 
     max_body_bytes: int = 16_777_216
     header_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
+    max_head_bytes: int = MAX_HEAD_BYTES
 
 
 class Handler(abc.ABC):
@@ -60,9 +72,8 @@
     def __init__(self, server: "HttpServer") -> None:
         super().__init__()
         self.server = server
-        self.limits = server.limits
         self.h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.SERVER, max_incomplete_event_size=self.limits.max_head_bytes
         )
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
         self.request: Request | None = None
@@ -73,8 +84,15 @@
         self.reading_paused = False
         self.lost = False
         self.lingering = False
+        self.in_head = False
+        self.body_begun_at = 0.0
         self.served = 0
 
+    @property
+    def limits(self) -> Limits:
+        """Bounds in force, which may change while it is open."""
+        return self.server.limits
+
     @property
     def closing(self) -> bool:
         """Whether the connection closes after this request."""
@@ -118,15 +136,21 @@
             self.transport.pause_reading()
 
     def on_timeout(self) -> None:
-        """Give up on a caller that sends nothing."""
+        """Give up on a caller that sends nothing, or too slowly."""
         if self.request is not None and not self.request.complete:
             self.request.finish(broken=True)
             return
+        if self.in_head and self.request is None:
+            self.refuse_head(408, "slow_head", "the head took too long")
+            return
         self.transport.close()
 
     def data_received(self, data: bytes) -> None:
         self.h11.receive_data(data)
-        if self.request is None and not self.lingering:
+        if self.request is None and not self.lingering and not self.in_head:
+            # Once for a head: set anew with each byte, a caller that sends
+            # one byte now and then would hold the connection for ever.
+            self.in_head = True
             self.timer.set(self.limits.header_timeout_s)
         self.pump()
 
@@ -153,8 +177,12 @@
         if isinstance(event, h11.Request):
             self.begin(event)
         elif isinstance(event, h11.Data) and self.request is not None:
-            self.timer.set(self.limits.idle_timeout_s)
             self.request.feed(bytes(event.data))
+            if self.too_slow(self.request):
+                self.timer.pause()
+                self.request.finish(broken=True)
+                return False
+            self.timer.set(self.limits.idle_timeout_s)
             if self.request.buffered > HIGH_WATER:
                 self.pause_reading()
         elif isinstance(event, h11.EndOfMessage) and self.request is not None:
@@ -168,13 +196,29 @@
             return False
         return True
 
+    def too_slow(self, request: Request) -> bool:
+        """Return whether a body comes too slowly in the long run."""
+        now = asyncio.get_running_loop().time()
+        allowed_s = self.limits.idle_timeout_s
+        allowed_s += request.received / MIN_BODY_RATE
+        return now - self.body_begun_at > allowed_s
+
     def begin(self, event: h11.Request) -> None:
         """Start the handler of a new request."""
+        self.in_head = False
+        self.body_begun_at = asyncio.get_running_loop().time()
         headers: dict[str, str] = {}
         for raw_name, raw_value in event.headers:
             name, value = raw_name.decode("ascii"), raw_value.decode("latin1")
             seen = headers.get(name)
             headers[name] = f"{seen}, {value}" if seen else value
+        if "content-length" in headers and "transfer-encoding" in headers:
+            # RFC 9112, 6.1: whoever stands between may take the one for
+            # the end of the body and we the other, and a second request
+            # be smuggled in the rest. So it is refused, and closed.
+            raise h11.RemoteProtocolError(
+                "both Content-Length and Transfer-Encoding", 400
+            )
         self.request = Request(
             event.method.decode("ascii"),
             event.target.decode("latin1"),
@@ -257,12 +301,15 @@
         if self.request is not None:
             self.request.finish(broken=True)
             return
-        self.request = Request("?", "/", {}, self)
         status = error.error_status_hint or 400
+        self.refuse_head(status, "bad_http", f"malformed HTTP: {error}")
+
+    def refuse_head(self, status: int, code: str, message: str) -> None:
+        """Refuse a request that has not been read, and close."""
+        self.timer.stop()
+        self.request = Request("?", "/", {}, self)
         response = Response(self, self.request)
-        response.refuse(
-            errors.Refused(status, "bad_http", f"malformed HTTP: {error}")
-        )
+        response.refuse(errors.Refused(status, code, message))
         self.transport.close()
 
     def send(self, event: Any) -> None:
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -213,3 +213,88 @@
     for status, head, body in found:
         assert status == 200 or head[b"camphortray-ran"] in (b"no",)
         msgspec.json.decode(body)
+
+
+class Echo(httpserver.Handler):
+    """Reads the body and answers 200."""
+
+    async def handle(self, request, response):
+        response.send(200, await request.body())
+
+
+def opened(**limits):
+    """Return a connection with small limits and its transport."""
+    server = httpserver.HttpServer(Echo(), httpserver.Limits(**limits))
+    connection, wire = httpserver.Connection(server), Wire()
+    connection.connection_made(wire)
+    return connection, wire
+
+
+@pytest.mark.looptime
+async def test_a_head_that_trickles_is_refused_when_its_time_is_over():
+    # A caller sends one byte of a head each second. Each byte set the
+    # limit anew, so that the connection was held for ever; the limit runs
+    # from the first byte to the end of the head.
+    connection, wire = opened(header_timeout_s=10.0)
+    for byte in b"GET / HTTP/1.1\r\n":
+        if wire.closed:
+            break
+        connection.data_received(bytes([byte]))
+        await asyncio.sleep(1.0)
+    assert wire.closed
+    assert wire.data.startswith(b"HTTP/1.1 408 ")
+    connection.connection_lost(None)
+
+
+@pytest.mark.looptime
+async def test_a_body_that_trickles_is_given_up():
+    # A byte of a body each second keeps within the pause between pieces;
+    # over the whole body it must come with some speed.
+    connection, wire = opened(idle_timeout_s=5.0)
+    connection.data_received(request_bytes(b"x" * 100, "/")[:-100])
+    for _ in range(20):
+        if wire.closed:
+            break
+        connection.data_received(b"x")
+        await asyncio.sleep(1.0)
+    assert wire.closed
+    assert wire.data.startswith(b"HTTP/1.1 400 ")
+    connection.connection_lost(None)
+
+
+@pytest.mark.looptime
+async def test_an_idle_connection_is_closed_without_a_word():
+    connection, wire = opened(header_timeout_s=2.0, idle_timeout_s=5.0)
+    connection.data_received(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    await connection.task
+    answered = wire.data
+    await asyncio.sleep(4.9)
+    assert not wire.closed
+    await asyncio.sleep(0.2)
+    assert wire.closed
+    assert wire.data == answered
+    connection.connection_lost(None)
+
+
+@pytest.mark.looptime
+async def test_limits_that_change_hold_for_open_connections():
+    connection, wire = opened(idle_timeout_s=50.0)
+    connection.server.limits = httpserver.Limits(idle_timeout_s=1.0)
+    connection.data_received(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    await connection.task
+    await asyncio.sleep(1.1)
+    assert wire.closed
+    connection.connection_lost(None)
+
+
+async def test_two_lengths_are_refused_and_the_connection_closed():
+    # What is a body to one reader is a second request to another.
+    connection, wire = opened()
+    connection.data_received(
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+        b"transfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n"
+    )
+    assert wire.data.startswith(b"HTTP/1.1 400 ")
+    assert wire.data.count(b"HTTP/1.1") == 1
+    assert wire.closed
+    connection.connection_lost(None)
