--- /dev/null
+++ b/tests/test_itemfate.py
@@ -0,0 +1,65 @@
+"""What follows a try of an item that did not end it."""
+
+import pytest
+
+from camphortray import errors
+from camphortray import itemfate
+
+AGAIN, ABANDON = itemfate.Fate.AGAIN, itemfate.Fate.ABANDON
+
+
+def status(code, ran=True):
+    """Return an engine's refusal."""
+    return errors.UpstreamRefused("no", status=code, ran=ran)
+
+
+BROKEN = errors.UpstreamBroken("cut", ran=True)
+
+
+@pytest.mark.parametrize(
+    ("tries", "fate"),
+    [
+        ([status(422)], ABANDON),
+        ([status(500)], AGAIN),
+        ([status(500)] * 2, AGAIN),
+        ([status(500)] * 3, ABANDON),
+        # Not run, or broken off: says nothing about the item.
+        ([status(503, ran=False)] * 50, AGAIN),
+        ([BROKEN] * 10, AGAIN),
+        ([status(504)] * 10, AGAIN),
+        ([status(500), BROKEN, status(500), status(500)], ABANDON),
+    ],
+)
+def test_an_item_is_given_up_only_for_its_own_fault(tries, fate):
+    held = itemfate.ItemTries()
+    found = AGAIN
+    for error in tries:
+        found = itemfate.decide(held, error, "e", 0.0, 3)
+    assert found is fate
+
+
+def test_an_item_that_breaks_engines_is_run_seldom():
+    # It may crash each engine that begins it. Three in a row are enough
+    # to keep it away from the next for long.
+    held = itemfate.ItemTries()
+    for _ in range(itemfate.BREAKS):
+        itemfate.decide(held, BROKEN, "e", 10.0, 3)
+    assert held.not_before >= 10.0 + itemfate.BARRED_S
+
+
+def test_the_engine_that_failed_is_avoided_next():
+    held = itemfate.ItemTries()
+    itemfate.decide(held, status(503, ran=False), "e7", 0.0, 3)
+    assert held.avoid == "e7"
+    assert 0.0 < held.not_before <= itemfate.MAX_PAUSE_S
+
+
+def test_what_is_left_of_an_item_is_learned():
+    pace = itemfate.Pace()
+    for _ in range(100):
+        pace.learn(100)
+        pace.ran(100, 1.0)
+    assert pace.left_s(0) == pytest.approx(1.0, rel=0.1)
+    assert pace.left_s(50) == pytest.approx(0.5, rel=0.1)
+    # An item that is longer than most still has something left.
+    assert pace.left_s(500) > 0
--- /dev/null
+++ b/tests/test_jobbook.py
@@ -0,0 +1,147 @@
+"""Jobs as a partition holds them: read in any order, the same state."""
+
+import itertools
+
+import pytest
+
+from camphortray import errors
+from camphortray import jobbook
+from camphortray import jobquota
+from camphortray import ledger
+
+DONE, ABANDONED = jobbook.State.DONE, jobbook.State.ABANDONED
+
+
+def part_of(job="j1", count=3, size=10, taken_at=100.0):
+    """Return a job with some items."""
+    items = tuple(
+        jobbook.Item(
+            f"{job}-{n}", f"/p/{n}", (("model", "m"),), bytes([n]) * size, 100
+        )
+        for n in range(count)
+    )
+    return jobbook.JobPart(job, "h", "/p/", taken_at, count, 0, items)
+
+
+def records_of(job="j1", count=3):
+    """Return the records of a job with two results, and its end."""
+    records = jobbook.accept_records(part_of(job, count), 262_144)
+    records.append(
+        jobbook.result_record(job, 0, (jobbook.Result(2, DONE, b"two"),))
+    )
+    records.append(
+        jobbook.result_record(job, 1, (jobbook.Result(0, ABANDONED),))
+    )
+    records.append(jobbook.end_record(job))
+    return records
+
+
+def test_a_job_reads_the_same_in_any_order():
+    # A listing of the newest keys comes in no order that matters.
+    states = set()
+    for records in itertools.permutations(records_of()):
+        book = jobbook.JobBook()
+        book.load(records)
+        job = book.jobs["j1"]
+        states.add((tuple(job.results), job.ended, len(job.items)))
+        assert job.whole
+    assert len(states) == 1
+    ((results, ended, count),) = states
+    assert [r.item for r in results] == [2, 0]
+    assert ended
+    assert count == 3
+
+
+def test_a_large_job_is_split_and_read_back_whole():
+    part = part_of(count=50, size=1000)
+    records = jobbook.accept_records(part, 8_000)
+    assert len(records) > 5
+    assert all(len(r.value) <= 8_000 for r in records)
+    book = jobbook.JobBook()
+    book.load(records)
+    items = book.jobs["j1"].items
+    assert tuple(items) == part.items
+
+
+def test_an_item_larger_than_a_record_is_refused_by_name():
+    with pytest.raises(errors.RecordError, match="j1-0"):
+        jobbook.accept_records(part_of(count=1, size=9_000), 8_000)
+
+
+def test_a_result_counts_once_and_keeps_its_place():
+    job = jobbook.Job("j", "h", "/", 0.0, [None] * 3)
+    first = jobbook.Result(1, DONE, b"one")
+    job.add(0, [first])
+    job.add(1, [jobbook.Result(1, DONE, b"other")])
+    job.add(5, [jobbook.Result(2, DONE)])
+    assert job.results == [first]
+    assert job.open_items == [0, 2]
+
+
+def test_a_job_lacking_a_part_is_not_whole():
+    records = jobbook.accept_records(part_of(count=4, size=3_000), 8_000)
+    book = jobbook.JobBook()
+    book.load(records[:1])
+    assert not book.jobs["j1"].whole
+
+
+def test_a_job_whose_keys_are_dropped_is_gone():
+    book = jobbook.JobBook()
+    book.load(records_of())
+    for key in list(book.keys["j1"]):
+        book.apply(ledger.LedgerRecord(key, b""))
+    assert not book.jobs
+    assert not book.keys
+
+
+@pytest.mark.parametrize(
+    ("now", "open_items", "over"),
+    [(150.0, False, []), (221.0, False, ["j1"]), (221.0, True, [])],
+)
+def test_when_the_keeping_time_is_over(now, open_items, over):
+    book = jobbook.JobBook()
+    records = records_of()
+    book.load(records[:-1] if open_items else records)
+    assert book.over(now, 120.0) == over
+
+
+def test_a_record_that_cannot_be_read_says_its_key():
+    with pytest.raises(errors.RecordError, match="r/j1/000000"):
+        jobbook.JobBook().apply(ledger.LedgerRecord("r/j1/000000", b"\xff"))
+
+
+def test_tokens_wait_until_an_item_has_a_result():
+    book = jobbook.JobBook()
+    book.load(records_of()[:1])
+    job = book.jobs["j1"]
+    assert job.waiting_tokens == 300
+    job.add(0, [jobbook.Result(0, DONE)])
+    assert job.waiting_tokens == 200
+    job.ended = True
+    assert job.waiting_tokens == 0
+
+
+def test_two_owners_that_accept_at_once_do_not_both_take_the_last_room():
+    # Their counts spread some tenths of a second later.
+    book = jobquota.QuotaBook()
+    book.told(0, 1, {"r": 700})
+    assert book.ask("r", "a", 250, 1000, 0.0)
+    assert not book.ask("r", "b", 250, 1000, 0.1)
+    assert book.ask("r", "a", 250, 1000, 0.1)
+    book.told(1, 1, {"r": 250})
+    assert not book.ask("r", "b", 250, 1000, 3.0)
+    book.told(0, 1, {"r": 300})
+    assert book.ask("r", "b", 250, 1000, 3.1)
+
+
+def test_the_count_of_an_owner_before_is_void():
+    book = jobquota.QuotaBook()
+    book.told(0, 5, {"r": 100})
+    book.told(0, 4, {"r": 900})
+    assert book.waiting("r", 0.0) == 100
+
+
+def test_no_limit_is_no_refusal():
+    book = jobquota.QuotaBook()
+    book.told(0, 1, {"r": 10**9})
+    assert book.ask("r", "a", 10**9, 0, 0.0)
--- /dev/null
+++ b/tests/test_slotbook.py
@@ -0,0 +1,271 @@
+"""Who gets a slot, who waits, who is refused, and what gives way."""
+
+import dataclasses
+
+import pytest
+
+from camphortray import errors
+from camphortray import slotbook
+
+Grant, Refuse, Revoke = slotbook.Grant, slotbook.Refuse, slotbook.Revoke
+Outcome = slotbook.Outcome
+
+
+def book_of(engines=2, slots=2):
+    """Return a book of some engines."""
+    book = slotbook.SlotBook()
+    book.set_engines(
+        [slotbook.EngineSlots(f"e{n}", slots) for n in range(engines)], 0.0
+    )
+    return book
+
+
+def online(name, at=0.0, **fields):
+    """Return the want of a question."""
+    given = {"objective_s": 0.3, "left_s": 5.0, **fields}
+    return slotbook.Want(name, "h", True, asked_at=at, **given)
+
+
+def item(name, due_at=18.0, work_s=4.8, **fields):
+    """Return the want of a batch item."""
+    return slotbook.Want(
+        name, "h", False, due_at=due_at, work_s=work_s, **fields
+    )
+
+
+def kinds(decisions):
+    """Return kind and id of each decision."""
+    return [(type(d).__name__, d.want.id) for d in decisions]
+
+
+def fill(book, count, make=online, now=0.0):
+    """Take some slots."""
+    for number in range(count):
+        book.ask(make(f"{make.__name__}{number}"), now)
+
+
+def test_never_more_in_flight_than_slots_over_all_hosts():
+    book = book_of(engines=3, slots=2)
+    fill(book, 20)
+    used = [lease.engine for lease in book.leases.values()]
+    assert sorted(used) == ["e0", "e0", "e1", "e1", "e2", "e2"]
+
+
+def test_a_question_takes_the_slot_of_an_item_at_once():
+    # All slots run batch items when a question comes. Queued in an engine
+    # it would wait seconds behind them; an item gives way instead, and
+    # the question goes to that engine.
+    book = book_of()
+    fill(book, 4, item)
+    decisions = book.ask(online("q"), 1.0)
+    assert kinds(decisions)[0][0] == "Revoke"
+    assert kinds(decisions)[1:] == [("Grant", "q")]
+    assert len(book.leases) == 4
+
+
+@pytest.mark.parametrize(
+    ("dues", "gives_way"),
+    [
+        # Most time to spare.
+        ((8.0, 30.0), "i1"),
+        # Cannot be done in time any more, so nothing is lost with it.
+        ((2.0, 30.0), "i0"),
+    ],
+)
+def test_the_item_that_loses_least_gives_way(dues, gives_way):
+    book = book_of(engines=1, slots=2)
+    for number, due_at in enumerate(dues):
+        book.ask(item(f"i{number}", due_at), 0.0)
+    decisions = book.ask(online("q"), 0.1)
+    assert kinds(decisions)[0] == ("Revoke", gives_way)
+
+
+def test_a_question_is_refused_at_once_when_its_turn_comes_too_late():
+    # Twenty questions wait for four slots of 0.7 s each. The later ones
+    # would wait longer than their objective: told so at once, their
+    # callers come back while others are being served.
+    book = book_of()
+    fill(book, 4)
+    answers = [book.ask(online(f"w{n}", 0.0), 0.0) for n in range(20)]
+    refused = [d for told in answers for d in told if isinstance(d, Refuse)]
+    assert len(book.queue) <= 1
+    assert len(refused) >= 19
+    assert all(0 < d.retry_after_s <= 5.0 / 3 for d in refused)
+    assert len({d.retry_after_s for d in refused}) > 10
+
+
+def test_no_refusal_while_a_place_is_free():
+    book = book_of(engines=2, slots=8)
+    for number in range(16):
+        (decision,) = book.ask(online(f"q{number}"), 0.0)
+        assert isinstance(decision, Grant)
+
+
+def test_a_queued_question_gets_the_next_slot_before_any_item():
+    book = book_of(engines=1, slots=8)
+    fill(book, 8)
+    assert book.ask(online("q", 0.0), 0.0) == []
+    book.ask(item("i"), 0.0)
+    decisions = book.done("online0", Outcome.GOOD, 0.05)
+    assert kinds(decisions) == [("Grant", "q")]
+
+
+def test_a_queued_question_is_refused_when_its_patience_is_over():
+    book = book_of(engines=1, slots=8)
+    fill(book, 8)
+    book.ask(online("q", 0.0), 0.0)
+    at = book.next_look(0.0)
+    assert at == pytest.approx(0.3 * slotbook.PATIENCE)
+    assert kinds(book.decide(at + 0.001)) == [("Refuse", "q")]
+
+
+def test_the_higher_rank_waits_before_the_lower():
+    book = book_of(engines=1, slots=8)
+    fill(book, 8)
+    book.ask(online("low", 0.0, priority=1), 0.0)
+    book.ask(online("high", 0.01, priority=0), 0.01)
+    assert kinds(book.done("online0", Outcome.GOOD, 0.02)) == [
+        ("Grant", "high")
+    ]
+
+
+def test_items_that_can_be_in_time_go_first_the_next_due_before_others():
+    book = book_of(engines=1, slots=1)
+    fill(book, 1)
+    for name, due_at in (("late", 3.0), ("b", 20.0), ("a", 12.0)):
+        book.ask(item(name, due_at), 0.0)
+    order = []
+    name = "online0"
+    for _ in range(3):
+        ((_, name),) = kinds(book.done(name, Outcome.GOOD, 0.1))
+        order.append(name)
+    assert order == ["a", "b", "late"]
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "open_again_s"),
+    [
+        ([Outcome.FULL], slotbook.FULL_S),
+        ([Outcome.UNREACHED], slotbook.UNREACHED_S),
+        ([Outcome.BROKEN], 0.0),
+        ([Outcome.BROKEN] * 3, slotbook.UNREACHED_S),
+        ([Outcome.NOTHING], 0.0),
+    ],
+)
+def test_what_an_engine_is_put_aside_for(outcomes, open_again_s):
+    # One answer that breaks off may be the fault of its request or of the
+    # way; an engine that cannot be reached takes nothing for a while.
+    book = book_of(engines=1, slots=4)
+    for number, outcome in enumerate(outcomes):
+        book.ask(online(f"q{number}"), 0.0)
+        book.done(f"q{number}", outcome, 0.0)
+    assert bool(book.room("e0", 0.0)) == (open_again_s == 0.0)
+    assert book.room("e0", open_again_s) > 0
+
+
+def test_an_engine_that_was_out_of_reach_is_tried_with_one_request():
+    book = book_of(engines=1, slots=8)
+    book.ask(online("q"), 0.0)
+    book.done("q", Outcome.UNREACHED, 0.0)
+    later = slotbook.UNREACHED_S
+    assert kinds(book.ask(online("a", later), later)) == [("Grant", "a")]
+    assert book.free_slots(later) == 0
+    book.done("a", Outcome.GOOD, later)
+    assert book.free_slots(later) == 8
+
+
+def test_pauses_double_while_an_engine_stays_out_of_reach():
+    book = book_of(engines=1)
+    now = 0.0
+    for pause_s in (0.5, 1.0, 2.0, 4.0, 4.0):
+        book.ask(online("q", now), now)
+        book.done("q", Outcome.UNREACHED, now)
+        assert book.room("e0", now + pause_s - 0.01) == 0
+        now += pause_s
+        assert book.room("e0", now) == 1
+
+
+def test_an_engine_that_failed_a_request_is_avoided_by_it():
+    book = book_of(engines=2, slots=2)
+    (decision,) = book.ask(online("q", avoid=frozenset({"e1"})), 0.0)
+    assert decision.engine == "e0"
+
+
+def test_requests_of_one_prefix_meet_while_there_is_room():
+    book = book_of(engines=4, slots=4)
+    engines = set()
+    for number in range(4):
+        (decision,) = book.ask(online(f"q{number}", prefix="p"), 0.0)
+        engines.add(decision.engine)
+    assert len(engines) == 1
+    (decision,) = book.ask(online("more", prefix="p"), 0.0)
+    assert decision.engine not in engines
+
+
+def test_a_report_teaches_a_new_coordinator_what_runs():
+    # The coordinator is killed; its holders turn to the next host, which
+    # knows nothing. Without their reports it would fill the engines twice.
+    old, new = book_of(), book_of()
+    fill(old, 3, item)
+    new.report("h", old.leases.values(), [], 5.0)
+    assert new.used == old.used
+    assert new.free_slots(5.0) == 1
+
+
+def test_a_report_heals_what_was_lost_on_the_way():
+    # The end of a lease was lost: its slot would stay taken for ever. A
+    # grant on its way to its holder is no such loss.
+    book = book_of()
+    fill(book, 2, item)
+    assert kinds(book.report("h", [], [], 0.1)) == []
+    assert len(book.leases) == 2
+    book.report("h", [], [], slotbook.GRANT_WAY_S + 0.1)
+    assert not book.leases
+
+
+def test_a_lost_grant_is_told_again():
+    book = book_of()
+    want = online("q")
+    (first,) = book.ask(want, 0.0)
+    (again,) = book.ask(want, 0.2)
+    assert first == again
+    assert len(book.leases) == 1
+
+
+def test_a_host_that_is_gone_gives_all_back():
+    book = book_of()
+    fill(book, 4)
+    other = dataclasses.replace(online("o", 0.0), holder="other")
+    book.ask(other, 0.0)
+    decisions = book.forget("h", 0.01)
+    assert set(kinds(decisions)) <= {("Grant", "o")}
+    assert all(le.want.holder == "other" for le in book.leases.values())
+
+
+def test_without_any_engine_a_question_is_refused():
+    book = slotbook.SlotBook()
+    ((kind, _),) = kinds(book.ask(online("q"), 0.0))
+    assert kind == "Refuse"
+
+
+def test_a_share_leaves_each_engine_one_slot_at_least():
+    book = book_of(engines=2, slots=8)
+    book.share = 0.05
+    fill(book, 10)
+    assert sorted(book.used.values()) == [1, 1]
+
+
+@pytest.mark.parametrize(
+    ("error", "outcome"),
+    [
+        (
+            errors.UpstreamRefused("full", status=503, ran=False),
+            Outcome.FULL,
+        ),
+        (errors.UpstreamRefused("own", status=500, ran=True), Outcome.GOOD),
+        (errors.UpstreamBroken("cut", ran=True), Outcome.BROKEN),
+        (errors.UpstreamTimeout("no way", ran=False), Outcome.UNREACHED),
+    ],
+)
+def test_what_a_failure_says_of_its_engine(error, outcome):
+    assert slotbook.outcome_of(error) is outcome
