Stop a stale owner; believe removals after a cut of this host alone

Ruled out: order of records in a listing (tested in all permutations). Change: word of a higher epoch from any host ends an owner; after a gap in membership everything is taken over anew. Also: number and sizes of partitions are read from the settings (the adapter's tests on a store of two partitions found them fixed at eight); a submit whose partition is lost ends as unknown, not as a cut connection.

--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -7,6 +7,7 @@
     "EntryConfig",
     "FrontConfig",
     "HostConfig",
+    "LedgerConfig",
     "LoggingConfig",
     "PeerConfig",
     "PlatformConfig",
@@ -155,6 +156,21 @@
     timeout_s: Seconds = 2.0
 
 
+@dataclasses.dataclass(frozen=True)
+class LedgerConfig(PlatformConfig):
+    """The platform's keyed store and what it takes.
+
+    Attributes:
+      parts: Partitions of each topic of the system's own.
+      record_bytes: Most bytes of one record.
+      append_bytes: Most bytes of the records of one append.
+    """
+
+    parts: Count = 8
+    record_bytes: Count = 262_144
+    append_bytes: Count = 2_097_152
+
+
 @dataclasses.dataclass(frozen=True)
 class StreamConfig:
     """What the platform's log allows this deployment.
@@ -236,7 +252,7 @@
     shards: ShardsConfig = dataclasses.field(default_factory=ShardsConfig)
     logging: LoggingConfig = dataclasses.field(default_factory=LoggingConfig)
     plugins: tuple[str, ...] = ()
-    ledger: PlatformConfig | None = None
+    ledger: LedgerConfig | None = None
     front: FrontConfig = dataclasses.field(default_factory=FrontConfig)
 
     @classmethod
--- a/camphortray/dialect.py
+++ b/camphortray/dialect.py
@@ -21,7 +21,7 @@
 
     @classmethod
     @abc.abstractmethod
-    def from_config(cls, config: configs.PlatformConfig) -> "Dialect":
+    def from_config(cls, config: configs.LedgerConfig) -> "Dialect":
         """Build from settings."""
 
     @abc.abstractmethod
--- a/camphortray/hostlist.py
+++ b/camphortray/hostlist.py
@@ -104,7 +104,9 @@
 
     @classmethod
     def from_config(cls, config: configs.PlatformConfig) -> "LedgerHostList":
-        return cls(ledgers.LEDGERS.get(config.plugin).from_config(config))
+        data = dataclasses.asdict(config)
+        held = configs.LedgerConfig(**data)
+        return cls(ledgers.LEDGERS.get(config.plugin).from_config(held))
 
     async def read(self) -> tuple[ListedHost, ...]:
         page = await self.ledger.newest(ledgers.Topic.HOSTS)
--- a/camphortray/inforce.py
+++ b/camphortray/inforce.py
@@ -83,6 +83,7 @@
       routes: Its routes.
       engines: The engines.
       reached_at: When the ledger answered last.
+      peer_reached_at: When a peer last said that it reaches the ledger.
     """
 
     name: ClassVar[str] = "settings"
@@ -102,6 +103,7 @@
         self.listeners: list[Callable[[Any], None]] = []
         self.engine_listeners: list[Callable[[], None]] = []
         self.reached_at = -AWAY_S
+        self.peer_reached_at = -AWAY_S
         self.was_away = True
         self.listed = False
         self.peers_of: Callable[[], list[configs.Address]] = list
@@ -253,8 +255,11 @@
         now = self.clock.monotonic()
         if self.was_away:
             LOG.notice("Reaches the ledger.")
-            self.engines.returned(now)
             self.was_away = False
+            if now - self.peer_reached_at > AWAY_S:
+                # Only where no peer reached it either was it away itself,
+                # so that entries may have lapsed for that.
+                self.engines.returned(now)
         self.reached_at = now
 
     def lost(self, error: errors.LogError) -> None:
@@ -310,6 +315,8 @@
 
     def take_answer(self, reply: InForceAnswer) -> None:
         """Take over what a peer has."""
+        if reply.fresh:
+            self.peer_reached_at = self.clock.monotonic()
         if reply.configuration:
             self.take_record(
                 ledgers.LedgerRecord(reply.key, reply.configuration)
--- a/camphortray/jobdesk.py
+++ b/camphortray/jobdesk.py
@@ -135,6 +135,11 @@
         except errors.LogError as error:
             LOG.debug("Not joined: {}", error)
             return
+        if begun_at - self.touched_at > KEEP_S:
+            # The group went on without this host. A partition that is its
+            # own again may have had another owner meanwhile, whose jobs
+            # and ends it has not read.
+            self.drop_all()
         self.touched_at = begun_at
         if self.draining:
             return
@@ -145,6 +150,13 @@
         for part in found.parts - set(self.owners):
             self.take(part, found.generation)
 
+    def drop_all(self) -> None:
+        """Own nothing until it is taken over anew."""
+        for owner in self.owners.values():
+            LOG.notice("Partition {} is left: out of touch.", owner.part)
+            owner.stop()
+        self.owners.clear()
+
     def take(self, part: int, epoch: int) -> None:
         """Take a partition over."""
         owner = jobowner.JobOwner(
@@ -180,6 +192,13 @@
         part, epoch = int(number), int(fact.value)
         if (epoch, name) > self.known.get(part, (0, "")):
             self.known[part] = epoch, name
+        owner = self.owners.get(part)
+        if owner is not None and epoch > owner.epoch:
+            # The store does not reach this host, or it would have said so;
+            # its items must not go on beside those of the new owner.
+            LOG.notice("Partition {} has owner {}.", part, name)
+            del self.owners[part]
+            owner.stop()
 
     @property
     def lapsed(self) -> bool:
--- a/camphortray/jobowner.py
+++ b/camphortray/jobowner.py
@@ -275,7 +275,16 @@
             task.add_done_callback(
                 lambda done: self.forget_submit(part.job, done)
             )
-        await asyncio.shield(task)
+        try:
+            await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not task.cancelled():
+                raise
+            # Not the caller has gone but the partition: what became of
+            # the append is the next owner's to know.
+            raise errors.LogUnavailable(
+                "the partition changes hands", step="submit", peer="ledger"
+            ) from None
 
     def forget_submit(self, name: str, task: "asyncio.Task[None]") -> None:
         """Forget a submit that has ended."""
--- a/camphortray/ledger.py
+++ b/camphortray/ledger.py
@@ -110,7 +110,7 @@
 
     @classmethod
     @abc.abstractmethod
-    def from_config(cls, config: configs.PlatformConfig) -> "Ledger":
+    def from_config(cls, config: configs.LedgerConfig) -> "Ledger":
         """Build from settings."""
 
     @abc.abstractmethod
@@ -187,6 +187,7 @@
 
     def __init__(self) -> None:
         self.records: list[LedgerRecord] = []
+        self.kept: dict[str, LedgerRecord] = {}
         self.first = 0
         self.epoch = 0
         self.answered: dict[tuple[int, int], int] = {}
@@ -238,8 +239,8 @@
         self.appends = 0
 
     @classmethod
-    def from_config(cls, config: configs.PlatformConfig) -> "MemoryLedger":
-        return cls()
+    def from_config(cls, config: configs.LedgerConfig) -> "MemoryLedger":
+        return cls(config.parts)
 
     def check_up(self, step: str) -> None:
         """Raise while it is down."""
@@ -249,7 +250,8 @@
     async def newest(self, topic: Topic, part: int = 0) -> LedgerPage:
         self.check_up("newest")
         held = self.held[topic, part]
-        by_key = {record.key: record for record in held.records}
+        by_key = dict(held.kept)
+        by_key.update((record.key, record) for record in held.records)
         kept = sorted(
             (record for record in by_key.values() if record.value),
             key=lambda record: record.offset,
@@ -306,6 +308,20 @@
         """Begin a new generation, as a change of the group does."""
         self.generation += 1
 
+    def lapse(self, member: str) -> None:
+        """Let a member's time run out, as that of a host that is lost."""
+        if self.members.pop(member, None) is not None:
+            self.deal()
+
+    def truncate(self, topic: Topic, part: int = 0) -> None:
+        """Forget the records, but keep the newest of each key."""
+        held = self.held[topic, part]
+        end = held.end
+        newest = {record.key: record for record in held.records}
+        held.kept = {key: r for key, r in newest.items() if r.value}
+        held.records.clear()
+        held.first = end
+
     async def join(
         self, member: str, generation: int, keep_s: float
     ) -> Assignment:
@@ -324,5 +340,4 @@
 
     async def leave(self, member: str) -> None:
         self.check_up("leave")
-        if self.members.pop(member, None) is not None:
-            self.deal()
+        self.lapse(member)
--- a/camphortray/links.py
+++ b/camphortray/links.py
@@ -204,6 +204,8 @@
         for answer in self.waiting.values():
             if not answer.done():
                 answer.set_exception(ConnectionError("link ended"))
+                # Whoever asked may have given up, and nobody else asks.
+                answer.exception()
 
     def drop(self) -> None:
         """Close without waiting."""
--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -52,6 +52,10 @@
 # Beyond its patience a queued request waits this long for the word of its
 # coordinator, in seconds.
 SLACK_S = 0.1
+# Grants of engines that are not usable here after which a want is given
+# up for now, and when its caller should come back, in seconds.
+MAX_STALE = 4
+RETRY_S = 0.1
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -313,18 +317,35 @@
         Raises:
           NoSlot: there is none in time; only for online requests.
         """
+        for number in range(MAX_STALE):
+            name, coordinator = await self.answer(service, want)
+            entry = self.inforce.engines.entries.get(name)
+            if entry is not None and not entry.draining:
+                return self.placement(
+                    service, want, entry, coordinator, on_revoke
+                )
+            # The coordinator has not heard yet that it leaves, or this
+            # host has not heard yet that it is there.
+            self.end(coordinator, service, want.id)
+            want = dataclasses.replace(
+                want, id=f"{want.id}-{number}", avoid=want.avoid | {name}
+            )
+        raise errors.NoSlot("engines given are not known here", RETRY_S)
+
+    async def answer(
+        self, service: str, want: slotbook.Want
+    ) -> tuple[str, str]:
+        """Return the engine granted, and by whom; errors as ``acquire``."""
         loop = asyncio.get_running_loop()
         pending = Pending(want, service, loop.create_future())
         self.pending[want.id] = pending
         try:
             await self.ask(pending)
-            if want.online:
-                left_s = want.objective_s * slotbook.PATIENCE + SLACK_S
-                async with asyncio.timeout(left_s):
-                    name, coordinator = await pending.answer
-            else:
-                name, coordinator = await pending.answer
-            return self.placement(pending, name, coordinator, on_revoke)
+            if not want.online:
+                return await pending.answer
+            left_s = want.objective_s * slotbook.PATIENCE + SLACK_S
+            async with asyncio.timeout(left_s):
+                return await pending.answer
         except TimeoutError:
             self.end(pending.coordinator, service, want.id)
             raise errors.NoSlot("no word on a slot", want.left_s / 4) from None
@@ -336,20 +357,16 @@
 
     def placement(
         self,
-        pending: Pending,
-        name: str,
+        service: str,
+        want: slotbook.Want,
+        entry: enginebook.EngineEntry,
         coordinator: str,
         on_revoke: Callable[[], None] | None,
     ) -> Placement:
         """Return the slot that was granted."""
-        entry = self.inforce.engines.entries.get(name)
-        want = pending.want
-        if entry is None:
-            self.end(coordinator, pending.service, want.id)
-            raise errors.NoSlot(f"{name} is not known here", 0.1)
         held = Placement(
             want,
-            pending.service,
+            service,
             self.upstream(entry),
             self.clock.monotonic(),
             coordinator,
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -98,7 +98,7 @@
 
     own_name = "h/host"
 
-    def __init__(self, engines=4):
+    def __init__(self, engines=8):
         self.names = [f"e{n}" for n in range(engines)]
         self.wants = []
         self.ends = []
--- /dev/null
+++ b/tests/test_inforce.py
@@ -0,0 +1,58 @@
+"""Engines and configuration in force while the ledger is away."""
+
+import pytest
+
+from camphortray import enginebook
+from camphortray import inforce
+from tests import test_enginebook
+
+ENTRY = test_enginebook.ENTRY
+
+
+class Clock:
+    """A clock moved by hand."""
+
+    now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+def held():
+    """Return what is in force on a host that has lost the ledger."""
+    part = inforce.InForce.__new__(inforce.InForce)
+    part.clock = Clock()
+    part.engines = enginebook.EngineBook()
+    part.reached_at = 90.0
+    part.peer_reached_at = -1.0
+    part.was_away = True
+    part.listed = True
+    part.engine_listeners = []
+    part.engines.put(ENTRY)
+    return part
+
+
+@pytest.mark.parametrize(
+    ("peer_reached", "stays"), [(False, True), (True, False)]
+)
+def test_a_removal_counts_at_once_where_only_this_host_was_cut_off(
+    peer_reached, stays
+):
+    # This host was cut from the ledger while its peers were not. What it
+    # reads on its return is the removal of an engine that has left; held
+    # for a lapse of an outage, the engine got requests for two seconds
+    # more than it may.
+    part = held()
+    if peer_reached:
+        part.take_answer(inforce.InForceAnswer(fresh=True))
+    part.reached()
+    part.engines.gone("i-1", part.clock.now)
+    assert bool(part.engines.usable("s")) == stays
+
+
+def test_an_engine_named_by_a_peer_that_is_behind_changes_nothing():
+    part = held()
+    part.engines.gone("i-1", 99.0)
+    assert not part.engines.usable("s")
+    part.take_answer(inforce.InForceAnswer(engines=(ENTRY,)))
+    assert not part.engines.usable("s")
--- /dev/null
+++ b/tests/test_jobowner.py
@@ -0,0 +1,219 @@
+"""A partition of jobs with its owner: taken over, fenced off, read."""
+
+import asyncio
+
+import pytest
+
+from camphortray import clock as clocks
+from camphortray import errors
+from camphortray import jobbook
+from camphortray import jobowner
+from camphortray import ledger
+from tests import hostkit
+from tests import test_jobbook
+
+pytestmark = pytest.mark.looptime
+JOBS = ledger.Topic.JOBS
+DONE = jobbook.State.DONE
+
+
+def good():
+    """Return an answer of two events."""
+    return hostkit.Answer(hostkit.events(1, 2))
+
+
+class Owned:
+    """An owner of partition 0 with engines that follow a script."""
+
+    def __init__(self, held, script=(), epoch=1):
+        clock = clocks.SystemClock()
+        self.lost = []
+        self.owner = jobowner.JobOwner(
+            hostkit.work_parts(clock, script),
+            held,
+            0,
+            epoch,
+            120.0,
+            lambda: None,
+            self.lost.append,
+        )
+        self.owner.start()
+
+    async def ready(self):
+        """Wait until it has taken the partition over."""
+        await self.owner.ready.wait()
+        return self.owner
+
+
+def part_of(job="j1", count=3):
+    """Return a job taken now."""
+    return test_jobbook.part_of(
+        job, count, taken_at=clocks.SystemClock().wall()
+    )
+
+
+async def all_results(owner, job, count):
+    """Wait for all results of a job."""
+    while True:
+        found = await owner.page(job, 0, 1.0)
+        if found is not None and len(found[1]) == count:
+            return found[1]
+        await asyncio.sleep(0.01)
+
+
+async def test_a_job_is_kept_run_and_read():
+    held = ledger.MemoryLedger()
+    owned = Owned(held, [good() for _ in range(3)])
+    owner = await owned.ready()
+    await owner.submit(part_of())
+    await owner.submit(part_of())
+    found = await all_results(owner, "j1", 3)
+    assert {r.item for r in found} == {0, 1, 2}
+    assert {r.text for r in found} == {b"d1\nd2"}
+    await owner.close()
+
+
+async def test_the_next_owner_goes_on_with_what_is_open():
+    # The owner is lost after one of three results. The next one keeps
+    # that, at its place, and runs the other two.
+    held = ledger.MemoryLedger()
+    first = await Owned(held, [good()]).ready()
+    first.parts.placing.names = []
+    await first.writer.write(jobbook.accept_records(part_of(), 262_144), 1.0)
+    await first.writer.write(
+        (jobbook.result_record("j1", 0, (jobbook.Result(1, DONE, b"kept"),)),),
+        1.0,
+    )
+    first.stop()
+    second = await Owned(held, [good(), good()], epoch=2).ready()
+    found = await all_results(second, "j1", 3)
+    assert found[0] == jobbook.Result(1, DONE, b"kept")
+    assert sorted(r.item for r in found) == [0, 1, 2]
+    await second.close()
+
+
+async def test_an_owner_that_wakes_late_adds_nothing_and_stops():
+    # It was paused with an item under way; another took over and has
+    # listed that item. What it sends now is refused by the store.
+    held = ledger.MemoryLedger()
+    waiting = hostkit.Answer([])
+    wake = asyncio.Event()
+    rest = [hostkit.event(1), b""]
+
+    async def read(timeout_s):
+        await wake.wait()
+        return rest.pop(0)
+
+    waiting.read = read
+    old = Owned(held, [waiting])
+    owner = await old.ready()
+    await owner.submit(part_of(count=1))
+    second = await Owned(held, [good()], epoch=2).ready()
+    before = await all_results(second, "j1", 1)
+    wake.set()
+    while not old.lost:
+        await asyncio.sleep(0.01)
+    assert owner.lost
+    assert await all_results(second, "j1", 1) == before
+    with pytest.raises(errors.LogRefused):
+        await owner.submit(part_of("j2"))
+    await second.close()
+
+
+async def test_a_partition_lost_during_a_submit_promises_nothing():
+    # The append may have been kept; a refusal would promise that the job
+    # never runs, and a cut connection would tell the caller nothing.
+    held = ledger.MemoryLedger()
+    owner = await Owned(held).ready()
+    held.lose_answers = 10_000
+    task = asyncio.ensure_future(owner.submit(part_of()))
+    await asyncio.sleep(0.2)
+    owner.stop()
+    with pytest.raises(errors.LogUnavailable):
+        await task
+
+
+async def test_a_submit_that_lands_late_runs_all_the_same():
+    # The caller was told that nothing is known; the append took effect.
+    held = ledger.MemoryLedger()
+    owner = await Owned(held, [good() for _ in range(3)]).ready()
+    held.lose_answers = 1
+    held.refuse = 0
+    task = asyncio.ensure_future(owner.submit(part_of()))
+    await asyncio.sleep(0.01)
+    held.down = True
+    with pytest.raises(errors.LogUnavailable):
+        await task
+    held.down = False
+    assert len(await all_results(owner, "j1", 3)) == 3
+    await owner.close()
+
+
+async def test_an_ended_job_lists_nothing_more():
+    held = ledger.MemoryLedger()
+    slow = hostkit.Answer([])
+
+    async def read(timeout_s):
+        await asyncio.sleep(3600.0)
+
+    slow.read = read
+    owner = await Owned(held, [slow]).ready()
+    owner.parts.placing.refusals = 0
+    await owner.submit(part_of(count=1))
+    await asyncio.sleep(1.0)
+    await owner.end("j1")
+    await owner.end("j1")
+    await asyncio.sleep(10.0)
+    _, found = await owner.page("j1", 0, 0.0)
+    assert found == []
+    assert slow.closed
+    await owner.close()
+
+
+async def test_an_end_that_is_refused_leaves_the_job_running():
+    held = ledger.MemoryLedger()
+    owner = await Owned(held, []).ready()
+    owner.parts.placing.refusals = 10**6
+    await owner.submit(part_of(count=1))
+    held.refuse = 10_000
+    with pytest.raises(errors.LogRefused):
+        await owner.end("j1")
+    held.refuse = 0
+    owner.parts.placing.refusals = 0
+    owner.parts.outer.party.script = [good()]
+    assert len(await all_results(owner, "j1", 1)) == 1
+    await owner.close()
+
+
+async def test_whoever_cannot_be_sure_does_not_say_that_nothing_is_there():
+    held = ledger.MemoryLedger()
+    old = Owned(held)
+    owner = await old.ready()
+    await owner.confirm()
+    await held.set_epoch(JOBS, 0, 2)
+    with pytest.raises(errors.LogFenced):
+        await owner.confirm()
+    assert old.lost == [owner]
+
+
+async def test_old_jobs_are_dropped_key_by_key():
+    held = ledger.MemoryLedger()
+    owner = await Owned(held, [good()]).ready()
+    await owner.submit(part_of(count=1))
+    await all_results(owner, "j1", 1)
+    await asyncio.sleep(130.0)
+    page = await held.newest(JOBS, 0)
+    assert page.records == ()
+    assert not owner.book.jobs
+    await owner.close()
+
+
+async def test_a_take_over_waits_for_the_store():
+    held = ledger.MemoryLedger()
+    held.down = True
+    owned = Owned(held)
+    await asyncio.sleep(5.0)
+    assert not owned.owner.ready.is_set()
+    held.down = False
+    await owned.ready()
+    await owned.owner.close()
--- /dev/null
+++ b/tests/test_passage.py
@@ -0,0 +1,276 @@
+"""Opaque requests on their way: what callers get when engines fail."""
+
+import asyncio
+import dataclasses
+import types
+
+import pytest
+
+from camphortray import clock as clocks
+from camphortray import errors
+from camphortray import metrics
+from camphortray import opaque
+from camphortray import passage
+from camphortray import routemap
+from tests import hostkit
+
+pytestmark = pytest.mark.looptime
+BODY = (("server-stamp", "s1"), ("content-type", "application/json"))
+
+
+class Response:
+    """Keeps what a caller would get."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = ()
+        self.data = b""
+        self.ended = self.aborted = False
+        self.blocked = False
+
+    def start(self, status, headers=()):
+        assert not self.status
+        self.status, self.headers = status, headers
+
+    def write(self, data):
+        self.data += data
+
+    async def flush(self):
+        pass
+
+    def end(self):
+        self.ended = True
+
+    def abort(self):
+        self.aborted = True
+
+    def send(self, status, body, headers=()):
+        self.start(status, headers)
+        self.write(body)
+        self.end()
+
+
+def passage_of(script, route=hostkit.STREAM_ROUTE, refusals=0):
+    """Return a passage with engines that follow a script."""
+    clock = clocks.SystemClock()
+    slots = hostkit.Slots()
+    slots.refusals = refusals
+    parts = passage.PassageParts(
+        clock,
+        hostkit.Parties(hostkit.ScriptedEngines(script)),
+        hostkit.InForce([route]),
+        slots,
+        hostkit.Breaks(),
+        metrics.Metrics(),
+    )
+    now = clock.monotonic()
+    request = opaque.OpaqueRequest(
+        "r1", route, "POST", "/p/1", (("host", "h"),), b"b", now, now + 5.0
+    )
+    return passage.Passage(parts, request, Response())
+
+
+async def outcome(held):
+    """Run a passage; return the status the caller sees, 0 for a cut."""
+    try:
+        await held.run()
+    except errors.Refused as refusal:
+        return refusal.status
+    return 0 if held.response.aborted else held.response.status
+
+
+def answer(*chunks):
+    """Return a good stream."""
+    return hostkit.Answer(chunks)
+
+
+ALL = b"".join(hostkit.events(1, 4))
+TWO = hostkit.events(1, 2)
+SAFE = dataclasses.replace(
+    hostkit.STREAM_ROUTE, kind=routemap.Kind.IDEMPOTENT, max_attempts=2
+)
+ONCE = dataclasses.replace(SAFE, kind=routemap.Kind.NON_IDEMPOTENT)
+
+
+async def test_a_stream_is_passed_on_unchanged():
+    held = passage_of([answer(*hostkit.events(1, 4))])
+    assert await outcome(held) == 200
+    assert held.response.data == ALL
+    assert held.response.headers == hostkit.STAMP
+    assert held.response.ended
+    assert held.parts.placing.ends == [hostkit.GOOD]
+
+
+@pytest.mark.parametrize(
+    ("route", "script", "status", "sent"),
+    [
+        # Not run for certain: another engine, whatever the kind.
+        (hostkit.STREAM_ROUTE, [hostkit.FULL, answer(*TWO)], 200, 2),
+        (hostkit.STREAM_ROUTE, [hostkit.UNREACHED, answer(*TWO)], 200, 2),
+        (ONCE, [hostkit.FULL] * passage.MAX_REFUSALS, 503, 6),
+        # May have run: at most once where it may not be repeated.
+        (hostkit.STREAM_ROUTE, [hostkit.BROKEN], 502, 1),
+        (ONCE, [hostkit.BROKEN], 502, 1),
+        (hostkit.STREAM_ROUTE, [answer(*TWO, hostkit.BROKEN)], 0, 1),
+        # Not run, then perhaps run: no promise any more.
+        (ONCE, [hostkit.FULL, hostkit.BROKEN], 502, 2),
+        # May be repeated, within its attempts.
+        (SAFE, [hostkit.BROKEN, hostkit.BROKEN], 502, 2),
+        (hostkit.RESUMABLE, [hostkit.BROKEN, answer(*TWO)], 200, 2),
+        # A route with one attempt is not tried again.
+        (
+            dataclasses.replace(hostkit.RESUMABLE, max_attempts=1),
+            [answer(*TWO, hostkit.BROKEN)],
+            0,
+            1,
+        ),
+    ],
+)
+async def test_what_a_caller_gets_when_engines_fail(
+    route, script, status, sent
+):
+    script = [
+        hostkit.Answer(a.chunks) if isinstance(a, hostkit.Answer) else a
+        for a in script
+    ]
+    held = passage_of(script, route)
+    assert await outcome(held) == status
+    assert len(held.parts.outer.party.seen) == sent
+
+
+@pytest.mark.parametrize("fault", [hostkit.BROKEN, hostkit.SILENT])
+async def test_a_resumable_stream_goes_on_in_the_same_answer(fault):
+    # The engine breaks off in the middle of event 3. The caller sees one
+    # answer, with the head of the first engine, each event once.
+    torn = hostkit.event(3)[:5]
+    other = (("server-stamp", "s2"), ("content-type", hostkit.EVENTS))
+    held = passage_of(
+        [
+            hostkit.Answer([*TWO, torn, fault]),
+            hostkit.Answer(hostkit.events(3, 4), headers=other),
+        ],
+        hostkit.RESUMABLE,
+    )
+    assert await outcome(held) == 200
+    assert held.response.data == ALL
+    assert held.response.headers == hostkit.STAMP
+    (_, (_, second)) = held.parts.outer.party.seen
+    assert second.resume_after == "2"
+
+
+async def test_a_stream_torn_at_its_end_is_not_made_to_look_whole():
+    held = passage_of([hostkit.Answer([*TWO, hostkit.event(3)[:5]])])
+    assert await outcome(held) == 0
+    assert not held.response.ended
+
+
+@pytest.mark.parametrize(
+    ("route", "statuses", "seen"),
+    [
+        (ONCE, [500], 500),
+        (ONCE, [422], 422),
+        (SAFE, [500, 200], 200),
+        (SAFE, [500, 500], 500),
+        (SAFE, [404], 404),
+    ],
+)
+async def test_an_engines_own_failure_is_passed_on_unchanged(
+    route, statuses, seen
+):
+    script = [hostkit.Answer([b"{}"], s, BODY) for s in statuses]
+    held = passage_of(script, route)
+    assert await outcome(held) == seen
+    assert held.response.data == b"{}"
+    assert held.response.headers == BODY
+
+
+async def test_no_room_is_told_at_once_with_a_time_to_come_back():
+    held = passage_of([], refusals=1)
+    with pytest.raises(errors.Refused) as told:
+        await held.run()
+    assert (told.value.status, told.value.ran) == (503, "no")
+    assert told.value.retry_after == 0.25
+    assert asyncio.get_running_loop().time() < 0.01
+
+
+async def test_no_room_after_a_try_that_ran_promises_nothing():
+    # The first try broke off and may have run; a 503 now would say that
+    # the request never runs.
+    held = passage_of([hostkit.BROKEN], hostkit.RESUMABLE)
+    acquire = held.parts.placing.acquire
+
+    async def once(service, want, on_revoke=None):
+        placed = await acquire(service, want, on_revoke)
+        held.parts.placing.refusals = 1
+        return placed
+
+    held.parts.placing.acquire = once
+    assert await outcome(held) == 502
+
+
+async def test_time_is_over_while_an_engine_is_silent():
+    # At the operator's limit the caller gets its 504 and the engine's
+    # connection is closed.
+    silent = hostkit.Answer([])
+
+    async def read(timeout_s):
+        await asyncio.sleep(60.0)
+
+    silent.read = read
+    held = passage_of([silent])
+    assert await outcome(held) == 504
+    assert silent.closed
+    assert asyncio.get_running_loop().time() == pytest.approx(5.0, abs=0.1)
+
+
+async def test_an_engine_gets_no_more_time_than_is_left():
+    held = passage_of([answer(*TWO)])
+    held.request = dataclasses.replace(
+        held.request, deadline_at=held.request.arrived_at + 1.0
+    )
+    await held.run()
+    ((_, request),) = held.parts.outer.party.seen
+    assert request.deadline_s <= 1.0
+
+
+async def test_a_request_that_breaks_engines_is_not_run_again():
+    held = passage_of([])
+    held.parts.breaks.barring = True
+    assert await outcome(held) == 503
+    assert not held.parts.outer.party.seen
+
+
+async def test_each_break_is_told_to_all_hosts():
+    held = passage_of([hostkit.BROKEN, hostkit.BROKEN], hostkit.RESUMABLE)
+    await outcome(held)
+    fingerprints = {name for name, _ in held.parts.breaks.told}
+    assert len(held.parts.breaks.told) == 2
+    assert fingerprints == {held.request.fingerprint}
+
+
+async def test_a_caller_that_goes_ends_the_engines_work():
+    waiting = hostkit.Answer([])
+    begun = asyncio.Event()
+
+    async def read(timeout_s):
+        begun.set()
+        await asyncio.sleep(60.0)
+
+    waiting.read = read
+    held = passage_of([waiting])
+    task = asyncio.ensure_future(held.run())
+    await begun.wait()
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    assert waiting.closed
+    assert len(held.parts.placing.ends) == 1
+
+
+def test_what_stays_of_a_request_sent_again():
+    one = types.SimpleNamespace(target="/p/1", body=b"b")
+    print_of = opaque.OpaqueRequest.fingerprint.fget
+    assert print_of(one) == print_of(one)
+    assert print_of(one) != print_of(
+        types.SimpleNamespace(target="/p/1", body=b"c")
+    )
