Explain a request afterwards: lines, metrics, one command

Cause: lines were free text, written by a blocking write, and named neither engine nor coordinator nor what a refusal was decided by.

--- a/camphortray/ctl.py
+++ b/camphortray/ctl.py
@@ -8,6 +8,7 @@
 
 from camphortray import ctl_hosts
 from camphortray import ctl_jobs
+from camphortray import ctl_logs
 from camphortray import ctl_settings
 from camphortray import errors
 
@@ -35,6 +36,7 @@
         "list": ctl_hosts.list_hosts,
         "drain": ctl_hosts.drain,
     },
+    "explain": ctl_logs.explain,
     "orders": {"status": ctl_hosts.orders_status},
 }
 EXIT_FAILED = 1
--- /dev/null
+++ b/camphortray/ctl_logs.py
@@ -0,0 +1,41 @@
+"""Operators' commands on logs."""
+
+__all__ = ["explain"]
+
+from collections.abc import Iterator
+import pathlib
+import sys
+
+from camphortray import story
+
+
+def lines_of(files: tuple[str, ...]) -> Iterator[str]:
+    """Yield the lines of files, or of standard input without any."""
+    if not files:
+        yield from sys.stdin
+        return
+    for name in files:
+        with pathlib.Path(name).open(encoding="utf-8") as source:
+            yield from source
+
+
+def explain(name: str, *files: str) -> int:
+    """Tell what happened to a request, job, item or engine.
+
+    Reads log lines of any number of hosts and shows those that speak of
+    the id, in order of time.
+
+    Args:
+      name: Id of the request, job, item or engine.
+      files: Log files; standard input without any.
+    """
+    try:
+        found = story.find(story.read_lines(lines_of(files)), name)
+    except OSError as error:
+        print(f"camphortray-ctl: {error}", file=sys.stderr)
+        return 2
+    for line in found:
+        print(story.tell(line))
+    if not found:
+        print(f"camphortray-ctl: no line names {name}", file=sys.stderr)
+    return 0 if found else 1
--- a/camphortray/httpserver.py
+++ b/camphortray/httpserver.py
@@ -141,7 +141,9 @@
             self.request.finish(broken=True)
             return
         if self.in_head and self.request is None:
-            self.refuse_head(408, "slow_head", "the head took too long")
+            self.refuse_head(
+                errors.Refused(408, "slow_head", "the head took too long")
+            )
             return
         self.transport.close()
 
@@ -302,14 +304,16 @@
             self.request.finish(broken=True)
             return
         status = error.error_status_hint or 400
-        self.refuse_head(status, "bad_http", f"malformed HTTP: {error}")
+        self.refuse_head(
+            errors.Refused(status, "bad_http", f"malformed HTTP: {error}")
+        )
 
-    def refuse_head(self, status: int, code: str, message: str) -> None:
+    def refuse_head(self, refusal: errors.Refused) -> None:
         """Refuse a request that has not been read, and close."""
         self.timer.stop()
         self.request = Request("?", "/", {}, self)
         response = Response(self, self.request)
-        response.refuse(errors.Refused(status, code, message))
+        response.refuse(refusal)
         self.transport.close()
 
     def send(self, event: Any) -> None:
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -172,10 +172,27 @@
         try:
             await asyncio.wait({task})
             if task.cancelled():
+                LOG.info(
+                    "Item {} of {} gives way at {} after event {!r}.",
+                    self.item.id,
+                    self.job.id,
+                    held.upstream.name,
+                    self.reader.last,
+                    fields={"age_s": round(self.age_s(), 2)},
+                )
                 return None
             task.result()
             outcome = slotbook.Outcome.GOOD
             self.parts.pace.learn(self.reader.count)
+            LOG.info(
+                "Item {} of {} is done at {}, {} events, run {}.",
+                self.item.id,
+                self.job.id,
+                held.upstream.name,
+                self.reader.count,
+                self.number,
+                fields={"age_s": round(self.age_s(), 2)},
+            )
             return jobbook.Result(
                 self.place, jobbook.State.DONE, b"\n".join(self.text)
             )
@@ -199,7 +216,14 @@
     ) -> jobbook.Result | None:
         """Take note of a failed run; return a result if it is the last."""
         name = held.upstream.name
-        LOG.info("{} failed at {}: {}", self.item.id, name, error)
+        LOG.info(
+            "Item {} of {} failed at {}: {}",
+            self.item.id,
+            self.job.id,
+            name,
+            error,
+            fields={"last_event": self.reader.last, "run": self.number},
+        )
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
             self.parts.inforce.note_leaving(name)
         fate = itemfate.decide(
--- a/camphortray/logs.py
+++ b/camphortray/logs.py
@@ -9,6 +9,8 @@
 
 import logbook
 
+# Fields of every JSON line, such as the name of the host.
+CONSTANT: dict[str, Any] = {}
 REQUEST_ID: contextvars.ContextVar[str] = contextvars.ContextVar(
     "request_id", default=""
 )
@@ -24,6 +26,17 @@
     return logbook.Logger(prefix)
 
 
+def note_dropped(count: int) -> str:
+    """Return the line that tells of lines dropped."""
+    fields = {
+        "level": "WARNING",
+        "part": "logs",
+        "message": f"{count} lines were dropped: too many, or no reader.",
+        "dropped": count,
+    }
+    return json.dumps({**CONSTANT, **fields})
+
+
 def text_line(record: Any, handler: Any) -> str:
     """Format a record for people."""
     tail = request_id()
@@ -41,6 +54,7 @@
         "level": record.level_name,
         "part": record.channel,
         "message": record.message,
+        **CONSTANT,
     }
     if request_id():
         fields["request_id"] = request_id()
--- a/camphortray/passage.py
+++ b/camphortray/passage.py
@@ -113,6 +113,10 @@
       reader: What of a stream the caller has.
       ran: Tries that may have run.
       refused: Tries that certainly did not.
+      engine: Of the last try.
+      coordinator: Who gave its slot.
+      slot_s: Seconds that the last slot was waited for.
+      first_s: Seconds from the arrival to the first event.
     """
 
     def __init__(
@@ -129,6 +133,10 @@
         self.refused = 0
         self.avoid: frozenset[str] = frozenset()
         self.answer: Answer | None = None
+        self.engine = ""
+        self.coordinator = ""
+        self.slot_s = 0.0
+        self.first_s = 0.0
 
     async def run(self) -> None:
         """Answer the caller.
@@ -165,22 +173,47 @@
         )
 
     def log_end(self, status: int, why: str) -> None:
-        """Write one line on a request that is not answered in full."""
-        now = self.parts.clock.monotonic()
+        """Write the line on how the request ended, with what decided it.
+
+        It also feeds the metrics, which count the same ends.
+        """
+        now = now_of(self.parts)
+        took_s = now - self.request.arrived_at
+        route = self.request.route
         LOG.info(
-            "{} ends with {} after {:.0f} ms: {}. Route {} of version {},"
-            " {} ran, {} refused, avoided {}, last event {!r}.",
+            "{} ends with {} after {:.0f} ms: {}.",
             self.request.id,
             status,
-            (now - self.request.arrived_at) * 1000,
+            took_s * 1000,
             why,
-            self.request.route.name,
-            self.parts.inforce.view.revision,
-            self.ran,
-            self.refused,
-            ",".join(sorted(self.avoid)) or "none",
-            self.reader.last,
+            fields={
+                "status": status,
+                "route": route.name,
+                "revision": self.parts.inforce.view.revision,
+                "ran": self.ran,
+                "refused": self.refused,
+                "avoided": sorted(self.avoid),
+                "engine": self.engine,
+                "coordinator": self.coordinator,
+                "slot_ms": round(self.slot_s * 1000, 1),
+                "first_ms": round(self.first_s * 1000, 1),
+                "events": self.reader.count,
+                "last_event": self.reader.last,
+                "left_ms": round((self.request.deadline_at - now) * 1000),
+            },
+        )
+        self.parts.metrics.inc(
+            "camphortray_requests_total",
+            "Requests by how they ended.",
+            {"route": route.name, "status": status},
         )
+        if self.first_s:
+            self.parts.metrics.observe(
+                "camphortray_first_event_seconds",
+                "Seconds from a request to the first event of its answer.",
+                {"route": route.name},
+                self.first_s,
+            )
 
     async def tries(self) -> None:
         """Try engines until one has answered."""
@@ -195,6 +228,7 @@
                 return
             try:
                 await self.attempt(held)
+                self.log_end(self.response.status, "answered")
                 return
             except errors.UpstreamError as error:
                 if not self.go_on(held, error):
@@ -221,7 +255,11 @@
             avoid=self.avoid,
         )
         service = route.service_of(self.request.id)
-        return await self.parts.placing.acquire(service, want)
+        held = await self.parts.placing.acquire(service, want)
+        self.slot_s = now_of(self.parts) - now
+        self.engine = held.upstream.name
+        self.coordinator = held.coordinator
+        return held
 
     def no_slot(self, error: errors.NoSlot) -> None:
         """Refuse: certainly not run, or cut off where it has run."""
@@ -253,6 +291,7 @@
         if self.answer is not None and not self.response.status:
             # The engine's own failure; passed on as it is.
             self.answer.send(self.response)
+            self.log_end(self.answer.status, "the engine's own failure")
         elif error.ran or self.ran:
             self.give_up(502, "upstream_failed", str(error), None)
         else:
@@ -333,12 +372,13 @@
           UpstreamError: it broke off, or stayed silent and may move.
         """
         reader, response = self.reader, self.response
-        headers = stream.headers
+        headers, arrived_at = stream.headers, self.request.arrived_at
 
         def sink(data: bytes) -> bool:
             whole = reader.feed(data)
             if whole:
                 if not response.status:
+                    self.first_s = now_of(self.parts) - arrived_at
                     response.start(stream.status, headers)
                 response.write(whole)
             return response.blocked
--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -12,7 +12,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
 from typing import ClassVar
 
@@ -111,8 +110,9 @@
         found = [slotbook.EngineSlots(e.name, e.slots) for e in held]
         self.act(self.book.set_engines(found, now))
 
-    def act(self, decisions: Iterable[slotbook.Decision]) -> None:
+    def act(self, decisions: list[slotbook.Decision]) -> None:
         """Tell holders what was decided."""
+        self.log_refusals(decisions)
         words: dict[str, PlaceWord] = {}
         revoked: dict[str, list[str]] = collections.defaultdict(list)
         for decision in decisions:
@@ -132,6 +132,33 @@
             self.tell(holder, word)
         self.look_again()
 
+    def log_refusals(self, decisions: list[slotbook.Decision]) -> None:
+        """Write a line for each refusal, with what decided it."""
+        now = self.placing.clock.monotonic()
+        for decision in decisions:
+            if not isinstance(decision, slotbook.Refuse):
+                continue
+            book = self.book
+            LOG.info(
+                "{} is refused a slot; back in {:.0f} ms.",
+                decision.want.id,
+                decision.retry_after_s * 1000,
+                fields={
+                    "holder": decision.want.holder,
+                    "service": self.service,
+                    "queued": len(book.queue),
+                    "leases": len(book.leases),
+                    "engines": {
+                        name: book.room(name, now) for name in book.engines
+                    },
+                    "share": round(book.share, 3),
+                    "hold_s": round(book.hold_s, 3),
+                    "asked_ms_ago": round(
+                        (now - decision.want.asked_at) * 1000
+                    ),
+                },
+            )
+
     def tell(self, holder: str, word: PlaceWord) -> None:
         """Bring word to a holder."""
         if holder == self.placing.own_name:
@@ -549,6 +576,7 @@
             told = here if decision.want.id in asked else others
             told.append(decision)
         desk.act(others)
+        desk.log_refusals(here)
         return PlaceWord(
             ask.service,
             {
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -243,6 +243,7 @@
         await asyncio.sleep(1.0)
     assert wire.closed
     assert wire.data.startswith(b"HTTP/1.1 408 ")
+    assert "slow_head" in wire.data.decode()
     connection.connection_lost(None)
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -72,6 +72,7 @@
     "shards",
     "slotbook",
     "snapshot",
+    "story",
     "takeover",
     "trace",
     "view",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -607,3 +607,66 @@
             )
         )
         assert all(owner.lost for owner in before.values())
+
+
+def code_of(body):
+    """Return the code of a refusal."""
+    return json.loads(body)["error"]["code"]
+
+
+async def test_a_job_beyond_what_may_wait_is_refused_until_there_is_room():
+    routes = [
+        platformkit.route(
+            "r-2", platformkit.BATCH_PREFIX, "batch", dueMs=18000, cap=25
+        )
+    ]
+    async with platformkit.Platform(engines=1) as platform:
+        (host,) = platform.hosts
+        (engine,) = platform.engines.values()
+        await platform.store.configure(5, routes)
+        inforce = host.part(placing.Placing).inforce
+        await platform.until(lambda: inforce.view.revision == 5)
+        path = platformkit.BATCH_PREFIX + "j"
+        send = [("Attempt-Id", "j")]
+        status, _, told = await host.call("POST", path, send, job_body(3))
+        assert (status, code_of(told)) == (429, "quota")
+        engine.faults = ["wait"] * 2
+        status, _, _ = await host.call("POST", path, send, job_body(2))
+        assert status == 202
+        other = [("Attempt-Id", "k")]
+        status, headers, _ = await host.call("POST", path, other, job_body(1))
+        assert status == 429
+        assert float(headers["retry-after"]) > 0
+        engine.go.set()
+        await results_of(host, "j", 2)
+        async with asyncio.timeout(10):
+            while status != 202:
+                status, _, _ = await host.call(
+                    "POST", path, other, job_body(1)
+                )
+
+
+async def test_a_submit_without_an_answer_promises_nothing():
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        platform.store.lose = 10**6
+        path = platformkit.BATCH_PREFIX + "j"
+        status, _, told = await host.call(
+            "POST", path, [("Attempt-Id", "j")], job_body()
+        )
+        assert (status, code_of(told)) == (500, "unknown")
+
+
+async def test_an_item_that_is_not_there_and_one_that_is_too_large():
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        path = platformkit.BATCH_PREFIX + "j"
+        send = [("Attempt-Id", "j")]
+        await host.call("POST", path, send, job_body())
+        status, _, told = await host.call("GET", "/items/j?id=none")
+        assert (status, code_of(told)) == (404, "unknown_item")
+        host.part(jobdesk.JobDesk).ledger.record_bytes = 100
+        status, _, told = await host.call(
+            "POST", path, [("Attempt-Id", "k")], job_body()
+        )
+        assert (status, code_of(told)) == (413, "too_large")
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -41,6 +41,11 @@
     "owner_changed unknown": "test_jobapi",
     "other_request no": "test_callkeeper",
     "too_late no": "test_admission",
+    "slow_head no": "test_httpserver",
+    "quota no": "test_platform",
+    "too_large no": "test_platform",
+    "unknown unknown": "test_platform",
+    "unknown_item no": "test_platform",
 }
 
 
