Check the ledger's protocol: fence, take-over, late and lost appends

spec/ledger.py explores two owners, a group dealt anew, appends that hang, land late or lose their answer, over the real fence, job book and attempt.

--- a/camphortray/partwriter.py
+++ b/camphortray/partwriter.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 import dataclasses
 
+from camphortray import attempt
 from camphortray import clock as clocks
 from camphortray import errors
 from camphortray import ledger as ledgers
@@ -136,7 +137,7 @@
         Returns:
           Whether to go on.
         """
-        sent = False
+        tried = attempt.Attempt()
         pause_s = PAUSE_S
         while True:
             records = [r for write in taken for r in write.records]
@@ -148,12 +149,12 @@
                     settle(write, None)
                 return True
             if isinstance(error, errors.LogFenced):
-                self.fenced(taken, sent)
+                self.fenced(taken, tried)
                 return False
-            if not isinstance(error, errors.LogRefused):
+            tried.on_error(error)
+            if tried.maybe_taken:
                 LOG.info("Append of {} unknown: {}", self.part, error)
-                sent = True
-            elif not sent:
+            else:
                 taken = self.in_time(taken)
                 if not taken:
                     return True
@@ -169,10 +170,10 @@
             return error
         return None
 
-    def fenced(self, taken: list[Write], sent: bool) -> None:
+    def fenced(self, taken: list[Write], tried: attempt.Attempt) -> None:
         """End: another writer has taken over."""
         self.closed = True
-        if sent:
+        if tried.maybe_taken:
             for write in taken:
                 settle(write, unknown("fenced off meanwhile"))
         why = "the partition has another owner"
--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -8,6 +8,7 @@
 from spec import calls
 from spec import intake
 from spec import items
+from spec import ledger
 from spec import model
 from spec import retention
 from spec import settings
@@ -23,6 +24,7 @@
     intake.SPEC,
     items.SPEC,
     items.ENDING_SPEC,
+    ledger.SPEC,
 )
 
 
