--- a/camphortray/hostroll.py
+++ b/camphortray/hostroll.py
@@ -95,6 +95,7 @@
     async def drain(self) -> None:
         """Take this host's entry back."""
         if self.written:
+            self.written = False
             await self.write(self.context.config.host.name, b"")
 
     async def stop(self) -> None:
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -28,6 +28,9 @@
 # Seconds for which a route must be missing, by a configuration that is
 # fresh, before its items are given up.
 ROUTE_GONE_S = 5.0
+# Seconds to wait for a slot before the route is looked at again: a service
+# that the route has left may never have one.
+REASK_S = 3.0
 # Seconds beyond the keeping time after which an item is given up: clocks
 # of hosts differ, and too early would be wrong.
 KEEP_SLACK_S = 4.0
@@ -78,11 +81,19 @@
             now = self.parts.clock.monotonic()
             await asyncio.sleep(max(0.0, self.tries.not_before - now))
             try:
-                held = await self.place_at(route)
+                async with asyncio.timeout(REASK_S):
+                    held = await self.place_at(route)
+            except TimeoutError:
+                continue
             except errors.NoSlot as error:
                 LOG.debug("{}: {}", self.item.id, error)
                 await asyncio.sleep(itemfate.PAUSE_S)
                 continue
+            if not self.still_leads(held):
+                # The operator has moved the route while it waited.
+                outcome = slotbook.Outcome.NOTHING
+                self.parts.placing.release(held, outcome)
+                continue
             result = await self.attempt(route, held)
             if result is not None:
                 return result
@@ -108,6 +119,15 @@
                 return None
             await asyncio.sleep(ROUTE_S)
 
+    def still_leads(self, held: placing.Placement) -> bool:
+        """Return whether the item's route leads to the service of a slot."""
+        route = self.parts.inforce.routes.find(
+            self.job.host_name, self.item.target
+        )
+        return route is not None and (
+            route.service_of(self.item.id) == held.service
+        )
+
     def age_s(self) -> float:
         """Return the seconds since the job was accepted."""
         return self.parts.clock.wall() - self.job.taken_at
--- a/camphortray/jobdesk.py
+++ b/camphortray/jobdesk.py
@@ -135,27 +135,38 @@
         except errors.LogError as error:
             LOG.debug("Not joined: {}", error)
             return
-        if begun_at - self.touched_at > KEEP_S:
-            # The group went on without this host. A partition that is its
-            # own again may have had another owner meanwhile, whose jobs
-            # and ends it has not read.
-            self.drop_all()
+        gap = begun_at - self.touched_at > KEEP_S
+        jumped = found.generation > self.generation + 1
         self.touched_at = begun_at
+        self.generation = max(self.generation, found.generation)
+        if gap or jumped:
+            await self.confirm_all()
         if self.draining:
             return
-        self.generation = max(self.generation, found.generation)
         for part in set(self.owners) - found.parts:
             LOG.notice("Partition {} is dealt to another.", part)
             self.owners.pop(part).stop()
         for part in found.parts - set(self.owners):
             self.take(part, found.generation)
 
-    def drop_all(self) -> None:
-        """Own nothing until it is taken over anew."""
-        for owner in self.owners.values():
-            LOG.notice("Partition {} is left: out of touch.", owner.part)
-            owner.stop()
-        self.owners.clear()
+    async def confirm_all(self) -> None:
+        """Keep only partitions that no other has owned meanwhile.
+
+        The group may have gone on without this host, or dealt all anew
+        twice: what is its own again may have had another owner, whose
+        jobs and ends it has not read. A host that stood still does not
+        see the gap on its own clock, but in the group's generation.
+        """
+        for part, owner in list(self.owners.items()):
+            if not owner.ready.is_set():
+                continue
+            try:
+                await owner.confirm()
+            except errors.LogError as error:
+                LOG.notice("Partition {} is left: {}", part, error)
+                owner.stop()
+                if self.owners.get(part) is owner:
+                    del self.owners[part]
 
     def take(self, part: int, epoch: int) -> None:
         """Take a partition over."""
@@ -495,6 +506,8 @@
 
     async def drain(self) -> None:
         """Give the partitions up, so that others go on at once."""
+        if self.draining:
+            return
         self.draining = True
         for owner in list(self.owners.values()):
             await owner.close()
--- a/camphortray/passage.py
+++ b/camphortray/passage.py
@@ -306,6 +306,7 @@
           UpstreamError: there is no whole answer.
         """
         outcome = slotbook.Outcome.NOTHING
+        begun_at, count = now_of(self.parts), self.reader.count
         party = self.parts.outer.engine(held.upstream.plugin)
         request = self.request.for_engine(
             now_of(self.parts),
@@ -322,6 +323,13 @@
         except errors.UpstreamError as error:
             outcome = slotbook.outcome_of(error)
             raise
+        except asyncio.CancelledError:
+            # The caller has left, or its time is over. Where nothing had
+            # come for long, that says something of the engine.
+            silent = self.reader.count == count
+            if silent and now_of(self.parts) - begun_at > FIRST_SILENT_S:
+                outcome = slotbook.Outcome.BROKEN
+            raise
         finally:
             self.parts.placing.release(held, outcome)
 
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -1,6 +1,7 @@
 """Items at engines: resumed, moved, given up only when that is right."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -175,3 +176,41 @@
     work = work_of([leaving, hostkit.Answer(hostkit.events(1, 1))])
     await work.run()
     assert work.parts.inforce.left == ["e0"]
+
+
+async def test_an_item_whose_route_moved_while_it_waited_goes_elsewhere():
+    # It waited for a slot of one service; meanwhile the operator led the
+    # route to another. Run at the old one it would break the new version.
+    moved = dataclasses.replace(
+        hostkit.BATCH_ROUTE, targets=(routemap.Target("s2"),)
+    )
+    work = work_of([hostkit.Answer(hostkit.events(1, 1))])
+    slots = work.parts.placing
+    acquire = slots.acquire
+
+    async def late(service, want, on_revoke=None):
+        held = work.parts.inforce
+        held.routes = routemap.RouteMap([moved])
+        return await acquire(service, want, on_revoke)
+
+    slots.acquire = late
+    assert (await work.run()).state is DONE
+    assert len(slots.ends) == 2
+    assert len(work.parts.outer.party.seen) == 1
+
+
+async def test_an_item_does_not_wait_for_ever_at_a_service_left():
+    # No engine of the old service is left, so no slot comes.
+    work = work_of([hostkit.Answer(hostkit.events(1, 1))])
+    slots = work.parts.placing
+    acquire, asked = slots.acquire, []
+
+    async def never(service, want, on_revoke=None):
+        asked.append(service)
+        if len(asked) < 3:
+            await asyncio.sleep(3600.0)
+        return await acquire(service, want, on_revoke)
+
+    slots.acquire = never
+    assert (await work.run()).state is DONE
+    assert len(asked) == 3
--- a/tests/test_passage.py
+++ b/tests/test_passage.py
@@ -274,3 +274,24 @@
     assert print_of(one) != print_of(
         types.SimpleNamespace(target="/p/1", body=b"c")
     )
+
+
+@pytest.mark.parametrize(
+    ("waits_s", "outcome_name"), [(0.4, "NOTHING"), (3.0, "BROKEN")]
+)
+async def test_an_engine_that_hangs_is_told_of(waits_s, outcome_name):
+    # It takes requests and never answers; their callers leave. Not told,
+    # it would keep getting its share of them.
+    hanging = hostkit.Answer([])
+
+    async def read(timeout_s):
+        await asyncio.sleep(3600.0)
+
+    hanging.read = read
+    held = passage_of([hanging])
+    task = asyncio.ensure_future(held.run())
+    await asyncio.sleep(waits_s)
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    assert [end.name for end in held.parts.placing.ends] == [outcome_name]
