--- /dev/null
+++ b/camphortray/breaks.py
@@ -0,0 +1,47 @@
+"""Breaks of engines at requests, told over all hosts."""
+
+__all__ = ["Breaks"]
+
+from typing import ClassVar
+
+from camphortray import breakbook
+from camphortray import kernel
+from camphortray import membership
+
+BREAK = "request-break"
+
+
+@kernel.PARTS.register("host")
+class Breaks(kernel.Part):
+    """Breaks of all requests, over all hosts.
+
+    Attributes:
+      book: What is known here.
+    """
+
+    name: ClassVar[str] = "breaks"
+    requires: ClassVar[tuple[str, ...]] = ("membership",)
+
+    def __init__(self, context: kernel.Context) -> None:
+        self.clock = context.clock
+        self.members = context.part(membership.Membership)
+        self.book = breakbook.BreakBook()
+        self.members.on_fact(BREAK, self.on_break)
+
+    @classmethod
+    def from_config(cls, context: kernel.Context) -> "Breaks":
+        return cls(context)
+
+    def on_break(self, fact: membership.Fact) -> None:
+        """Take note of a break at any host."""
+        fingerprint, _, name = fact.key.partition("/")
+        self.book.note(fingerprint, name, self.clock.monotonic())
+
+    def tell(self, fingerprint: str, name: str) -> None:
+        """Tell all hosts of a break."""
+        key = f"{fingerprint}/{name}"
+        self.members.publish(BREAK, key, 1, breakbook.KEEP_S)
+
+    def barred(self, fingerprint: str) -> bool:
+        """Return whether a request is not to be run again."""
+        return self.book.barred(fingerprint, self.clock.monotonic())
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -7,6 +7,7 @@
 
 from camphortray import clock as clocks
 from camphortray import engine
+from camphortray import enginehealth
 from camphortray import errors
 from camphortray import eventstream
 from camphortray import inforce
@@ -91,7 +92,7 @@
                 continue
             if not self.still_leads(held):
                 # The operator has moved the route while it waited.
-                outcome = slotbook.Outcome.NOTHING
+                outcome = enginehealth.Outcome.NOTHING
                 self.parts.placing.release(held, outcome)
                 continue
             result = await self.attempt(route, held)
@@ -182,7 +183,7 @@
         self, route: routemap.Route, held: placing.Placement
     ) -> jobbook.Result | None:
         """Run once; return the result if that ended it."""
-        outcome = slotbook.Outcome.NOTHING
+        outcome = enginehealth.Outcome.NOTHING
         clock = self.parts.clock
         begun_at, count = clock.monotonic(), self.reader.count
         task = asyncio.get_running_loop().create_task(
@@ -202,7 +203,7 @@
                 )
                 return None
             task.result()
-            outcome = slotbook.Outcome.GOOD
+            outcome = enginehealth.Outcome.GOOD
             self.parts.pace.learn(self.reader.count)
             LOG.info(
                 "Item {} of {} is done at {}, {} events, run {}.",
@@ -217,7 +218,7 @@
                 self.place, jobbook.State.DONE, b"\n".join(self.text)
             )
         except errors.UpstreamError as error:
-            outcome = slotbook.outcome_of(error)
+            outcome = enginehealth.outcome_of(error)
             return self.failed(route, held, error)
         finally:
             task.cancel()
--- a/camphortray/jobdesk.py
+++ b/camphortray/jobdesk.py
@@ -18,25 +18,21 @@
 from camphortray import jobbook
 from camphortray import jobmessages
 from camphortray import jobowner
-from camphortray import jobquota
+from camphortray import jobwaiting
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
 from camphortray import outer
 from camphortray import peers
 from camphortray import placing
-from camphortray import shards
 
 LOG = logs.logger("jobs")
 OWNER = "job-owner"
-WAITING = "job-waiting"
 # Time without a call after which the group goes on without this host, and
 # from one call to the next, in seconds. The store takes no less than one.
 KEEP_S = 1.2
 JOIN_EVERY_S = 0.35
 FACT_KEEP_S = 600.0
-# Seconds from one word on waiting tokens to the next.
-COUNT_EVERY_S = 0.25
 # Time to look for an owner that answers, in seconds, and the pause from
 # one try to the next.
 FIND_S = 1.2
@@ -45,7 +41,6 @@
 WRITE_FIND_S = 3.0
 # Time for an owner to answer a call that it does not hold on purpose.
 ANSWER_S = 0.8
-QUOTA_S = 0.3
 RETRY_S = 0.5
 
 Ask = Any
@@ -89,12 +84,10 @@
         self.generation = 0
         self.owners: dict[int, jobowner.JobOwner] = {}
         self.known: dict[int, tuple[int, str]] = {}
-        self.quota = jobquota.QuotaBook()
-        self.counts_due = False
-        self.told_counts: dict[int, dict[str, int]] = {}
+        self.waiting = jobwaiting.JobWaiting(context, self.owners)
         self.touched_at = -KEEP_S
         self.draining = False
-        self.tasks: list[asyncio.Task[None]] = []
+        self.task: asyncio.Task[None] | None = None
 
     @classmethod
     def from_config(cls, context: kernel.Context) -> "JobDesk":
@@ -108,14 +101,10 @@
             jobmessages.EndAsk,
         ):
             self.links.on(cls, self.on_ask)
-        self.links.on(jobmessages.QuotaAsk, self.on_quota)
         self.members.on_fact(OWNER, self.on_owner)
-        self.members.on_fact(WAITING, self.on_waiting)
         loop = asyncio.get_running_loop()
-        self.tasks = [
-            loop.create_task(self.keep_membership()),
-            loop.create_task(self.tell_counts()),
-        ]
+        self.waiting.start()
+        self.task = loop.create_task(self.keep_membership())
 
     # Which partitions are owned here.
 
@@ -189,7 +178,7 @@
 
     def on_change(self, part: int) -> None:
         """Tell others of a partition that has been taken over."""
-        self.counts_due = True
+        self.waiting.due = True
         owner = self.owners.get(part)
         if owner is None or not owner.ready.is_set():
             return
@@ -216,80 +205,6 @@
         """Whether another may own what this host takes for its own."""
         return self.clock.monotonic() - self.touched_at > KEEP_S
 
-    # Waiting tokens.
-
-    async def tell_counts(self) -> None:
-        """Tell others how much waits in the partitions owned here."""
-        while True:
-            await asyncio.sleep(COUNT_EVERY_S)
-            if not self.counts_due:
-                continue
-            self.counts_due = False
-            for part, owner in list(self.owners.items()):
-                counts = self.count(owner)
-                if owner.ready.is_set() and (
-                    counts != self.told_counts.get(part)
-                ):
-                    self.told_counts[part] = counts
-                    self.members.publish(
-                        WAITING,
-                        str(part),
-                        [owner.epoch, counts],
-                        FACT_KEEP_S,
-                    )
-
-    def count(self, owner: jobowner.JobOwner) -> dict[str, int]:
-        """Return the waiting tokens of a partition by route."""
-        counts: dict[str, int] = {}
-        for job in owner.book.jobs.values():
-            route = self.inforce.routes.find(job.host_name, job.target)
-            tokens = job.waiting_tokens
-            if route is not None and tokens:
-                counts[route.name] = counts.get(route.name, 0) + tokens
-        return counts
-
-    def on_waiting(self, fact: membership.Fact) -> None:
-        """Take an owner's count."""
-        epoch, counts = fact.value
-        self.quota.told(int(fact.key), int(epoch), dict(counts))
-
-    async def on_quota(
-        self, sender: peers.Sender, ask: jobmessages.QuotaAsk
-    ) -> jobmessages.QuotaReply:
-        """Answer an owner that asks for room."""
-        return jobmessages.QuotaReply(self.reserve(ask))
-
-    def reserve(self, ask: jobmessages.QuotaAsk) -> bool:
-        """Reserve room for a job on its route."""
-        for part, owner in self.owners.items():
-            if owner.ready.is_set():
-                self.quota.told(part, owner.epoch, self.count(owner))
-        now = self.clock.monotonic()
-        return self.quota.ask(ask.route, ask.job, ask.tokens, ask.limit, now)
-
-    async def has_room(self, part: jobbook.JobPart) -> bool:
-        """Return whether a job fits into what may wait on its route."""
-        route = self.inforce.routes.find(part.host_name, part.target)
-        if route is None or not route.waiting_limit:
-            return True
-        tokens = sum(item.tokens for item in part.items)
-        ask = jobmessages.QuotaAsk(
-            route.name, part.job, tokens, route.waiting_limit
-        )
-        names = {m.name: m for m in self.members.live("host")}
-        # One host keeps the reservations of a route, so that owners that
-        # accept at the same moment do not both take the last room.
-        keeper = shards.preferred(f"quota/{route.name}", names)
-        if keeper is None or keeper == self.members.own_name:
-            return self.reserve(ask)
-        address = configs.Address.from_text(names[keeper].peer_address)
-        try:
-            reply = await self.links.ask(address, ask, QUOTA_S)
-        except errors.MessageError as error:
-            LOG.info("No word on room, counts here: {}", error)
-            return self.reserve(ask)
-        return bool(reply.granted)
-
     # Calls of callers.
 
     def part_of(self, job: str) -> int:
@@ -414,7 +329,7 @@
     ) -> jobmessages.Taken:
         """Accept a job."""
         known = ask.job.job in owner.book.jobs
-        if not known and not await self.has_room(ask.job):
+        if not known and not await self.waiting.has_room(ask.job):
             LOG.info(
                 "Job {} refused: no room on its route, {} items.",
                 ask.job.job,
@@ -518,8 +433,9 @@
             LOG.info("Could not leave the group: {}", error)
 
     async def stop(self) -> None:
-        for task in self.tasks:
-            task.cancel()
+        self.waiting.stop()
+        if self.task is not None:
+            self.task.cancel()
         for owner in list(self.owners.values()):
             owner.stop()
 
--- a/camphortray/jobquota.py
+++ b/camphortray/jobquota.py
@@ -3,8 +3,9 @@
 __all__ = ["QuotaBook"]
 
 # A reservation stands for this long, until the owner's own count shows the
-# job, in seconds. Counts spread within some tenths.
-RESERVED_S = 2.0
+# job, in seconds. Counts are told four times a second and spread within two
+# tenths; both together count a job twice for what is left of it.
+RESERVED_S = 1.0
 
 
 class QuotaBook:
--- a/camphortray/passage.py
+++ b/camphortray/passage.py
@@ -4,18 +4,16 @@
 
 import asyncio
 import dataclasses
-from typing import ClassVar
 
-from camphortray import breakbook
+from camphortray import breaks
 from camphortray import clock as clocks
 from camphortray import engine
+from camphortray import enginehealth
 from camphortray import errors
 from camphortray import eventstream
 from camphortray import httpserver
 from camphortray import inforce
-from camphortray import kernel
 from camphortray import logs
-from camphortray import membership
 from camphortray import metrics as metrics_module
 from camphortray import opaque
 from camphortray import outer
@@ -25,7 +23,6 @@
 
 LOG = logs.logger("passage")
 EVENTS = "text/event-stream"
-BREAK = "request-break"
 # Tries that an engine refused as not run before a request is given up;
 # each costs a few milliseconds.
 MAX_REFUSALS = 6
@@ -47,46 +44,10 @@
     outer: outer.LedgerOuter
     inforce: inforce.InForce
     placing: placing.Placing
-    breaks: "Breaks"
+    breaks: breaks.Breaks
     metrics: metrics_module.Metrics
 
 
-@kernel.PARTS.register("host")
-class Breaks(kernel.Part):
-    """Breaks of all requests, over all hosts.
-
-    Attributes:
-      book: What is known here.
-    """
-
-    name: ClassVar[str] = "breaks"
-    requires: ClassVar[tuple[str, ...]] = ("membership",)
-
-    def __init__(self, context: kernel.Context) -> None:
-        self.clock = context.clock
-        self.members = context.part(membership.Membership)
-        self.book = breakbook.BreakBook()
-        self.members.on_fact(BREAK, self.on_break)
-
-    @classmethod
-    def from_config(cls, context: kernel.Context) -> "Breaks":
-        return cls(context)
-
-    def on_break(self, fact: membership.Fact) -> None:
-        """Take note of a break at any host."""
-        fingerprint, _, name = fact.key.partition("/")
-        self.book.note(fingerprint, name, self.clock.monotonic())
-
-    def tell(self, fingerprint: str, name: str) -> None:
-        """Tell all hosts of a break."""
-        key = f"{fingerprint}/{name}"
-        self.members.publish(BREAK, key, 1, breakbook.KEEP_S)
-
-    def barred(self, fingerprint: str) -> bool:
-        """Return whether a request is not to be run again."""
-        return self.book.barred(fingerprint, self.clock.monotonic())
-
-
 def may_follow(
     route: routemap.Route,
     error: errors.UpstreamError,
@@ -305,7 +266,7 @@
         Raises:
           UpstreamError: there is no whole answer.
         """
-        outcome = slotbook.Outcome.NOTHING
+        outcome = enginehealth.Outcome.NOTHING
         begun_at, count = now_of(self.parts), self.reader.count
         party = self.parts.outer.engine(held.upstream.plugin)
         request = self.request.for_engine(
@@ -319,16 +280,16 @@
                 await self.pass_on(stream, held)
             finally:
                 stream.close()
-            outcome = slotbook.Outcome.GOOD
+            outcome = enginehealth.Outcome.GOOD
         except errors.UpstreamError as error:
-            outcome = slotbook.outcome_of(error)
+            outcome = enginehealth.outcome_of(error)
             raise
         except asyncio.CancelledError:
             # The caller has left, or its time is over. Where nothing had
             # come for long, that says something of the engine.
             silent = self.reader.count == count
             if silent and now_of(self.parts) - begun_at > FIRST_SILENT_S:
-                outcome = slotbook.Outcome.BROKEN
+                outcome = enginehealth.Outcome.BROKEN
             raise
         finally:
             self.parts.placing.release(held, outcome)
--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -10,7 +10,6 @@
 __all__ = ["Placement", "Placing"]
 
 import asyncio
-import collections
 from collections.abc import Callable
 import dataclasses
 from typing import ClassVar
@@ -18,6 +17,7 @@
 from camphortray import config as configs
 from camphortray import engine
 from camphortray import enginebook
+from camphortray import enginehealth
 from camphortray import errors
 from camphortray import inforce
 from camphortray import kernel
@@ -27,6 +27,7 @@
 from camphortray import placingcalls
 from camphortray import shards
 from camphortray import slotbook
+from camphortray import slotdesk
 
 LOG = logs.logger("placing")
 PlaceAsk = placingcalls.PlaceAsk
@@ -42,9 +43,6 @@
 DISTRUST_S = 2.0
 # Seconds from one report to the next while anything is held.
 REPORT_S = 1.0
-# A holder not heard of for this long is gone: its connections are closed
-# by then, or its next report brings all back.
-HOLDER_S = 3.0
 # Factor on the even share of the slots that a host gives out for itself:
 # callers spread unevenly, and not all hosts lose their coordinator.
 ALONE_SHARE = 1.5
@@ -88,124 +86,12 @@
     coordinator: str = ""
 
 
-class Desk:
-    """The slots of one service as this host gives them out.
-
-    Attributes:
-      book: What decides.
-      holders: Address and time of the last word, by name of member.
-    """
-
-    def __init__(self, placing: "Placing", service: str) -> None:
-        self.placing = placing
-        self.service = service
-        self.book = slotbook.SlotBook()
-        self.holders: dict[str, tuple[configs.Address, float]] = {}
-        self.timer: asyncio.TimerHandle | None = None
-
-    def refit(self, now: float) -> None:
-        """Take the engines as they are now."""
-        held = self.placing.inforce.engines.usable(self.service)
-        self.book.share = self.placing.share_of(self.service)
-        found = [slotbook.EngineSlots(e.name, e.slots) for e in held]
-        self.act(self.book.set_engines(found, now))
-
-    def act(self, decisions: list[slotbook.Decision]) -> None:
-        """Tell holders what was decided."""
-        self.log_refusals(decisions)
-        words: dict[str, PlaceWord] = {}
-        revoked: dict[str, list[str]] = collections.defaultdict(list)
-        for decision in decisions:
-            holder = decision.want.holder
-            word = words.setdefault(holder, PlaceWord(self.service))
-            if isinstance(decision, slotbook.Grant):
-                word.granted[decision.want.id] = decision.engine
-            elif isinstance(decision, slotbook.Refuse):
-                word.refused[decision.want.id] = decision.retry_after_s
-            else:
-                revoked[holder].append(decision.want.id)
-        for holder, word in words.items():
-            if revoked[holder]:
-                word = dataclasses.replace(
-                    word, revoked=tuple(revoked[holder])
-                )
-            self.tell(holder, word)
-        self.look_again()
-
-    def log_refusals(self, decisions: list[slotbook.Decision]) -> None:
-        """Write a line for each refusal, with what decided it."""
-        now = self.placing.clock.monotonic()
-        for decision in decisions:
-            if not isinstance(decision, slotbook.Refuse):
-                continue
-            book = self.book
-            LOG.info(
-                "{} is refused a slot; back in {:.0f} ms.",
-                decision.want.id,
-                decision.retry_after_s * 1000,
-                fields={
-                    "holder": decision.want.holder,
-                    "service": self.service,
-                    "queued": len(book.queue),
-                    "leases": len(book.leases),
-                    "engines": {
-                        name: book.room(name, now) for name in book.engines
-                    },
-                    "share": round(book.share, 3),
-                    "hold_s": round(book.hold_s, 3),
-                    "asked_ms_ago": round(
-                        (now - decision.want.asked_at) * 1000
-                    ),
-                },
-            )
-
-    def tell(self, holder: str, word: PlaceWord) -> None:
-        """Bring word to a holder."""
-        if holder == self.placing.own_name:
-            self.placing.take_word(word, holder)
-        elif holder in self.holders:
-            self.placing.links.tell(self.holders[holder][0], word)
-
-    def look_again(self) -> None:
-        """Decide anew when time alone may change something."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        now = self.placing.clock.monotonic()
-        at = self.book.next_look(now)
-        if at is not None:
-            loop = asyncio.get_running_loop()
-            self.timer = loop.call_later(max(0.001, at - now), self.look)
-
-    def look(self) -> None:
-        """Decide anew."""
-        self.timer = None
-        self.act(self.book.decide(self.placing.clock.monotonic()))
-
-    def heard(self, holder: str, address: str, now: float) -> None:
-        """Take note of a holder."""
-        if holder != self.placing.own_name:
-            place = configs.Address.from_text(address)
-            self.holders[holder] = place, now
-
-    def expire(self, now: float) -> None:
-        """Forget holders that have fallen silent."""
-        for holder, (_, at) in list(self.holders.items()):
-            if now - at > HOLDER_S:
-                self.drop(holder, now)
-
-    def drop(self, holder: str, now: float) -> None:
-        """Forget a holder."""
-        if self.holders.pop(holder, None) is not None:
-            self.act(self.book.forget(holder, now))
-
-
 @kernel.PARTS.register("host")
-class Placing(kernel.Part):
+class Placing(kernel.Part, slotdesk.Home):
     """Slots for this host's requests.
 
     Attributes:
-      desks: What this host gives out, by service.
+      desks: What this host gives out.
       pending: Wants without an answer, by id.
       held: Slots in use, by id of the want.
     """
@@ -220,7 +106,7 @@
         self.members = context.part(membership.Membership)
         self.inforce = context.part(inforce.InForce)
         self.own_name = self.members.own_name
-        self.desks: dict[str, Desk] = {}
+        self.desks = slotdesk.Desks(self)
         self.pending: dict[str, Pending] = {}
         self.held: dict[str, Placement] = {}
         self.distrusted: dict[str, float] = {}
@@ -232,21 +118,17 @@
         return cls(context)
 
     async def start(self) -> None:
-        self.links.on(PlaceAsk, self.on_ask)
-        self.links.on(PlaceEnd, self.on_end)
-        self.links.on(PlaceReport, self.on_report)
+        self.desks.start()
         self.links.on(PlaceWord, self.on_word)
         self.members.listen(self.on_member)
-        self.inforce.listen_engines(self.on_engines)
+        self.inforce.listen_engines(self.desks.refit)
         self.inforce.peers_of = self.live_peers
         self.task = asyncio.get_running_loop().create_task(self.run())
 
     async def stop(self) -> None:
         if self.task is not None:
             self.task.cancel()
-        for desk in self.desks.values():
-            if desk.timer is not None:
-                desk.timer.cancel()
+        self.desks.stop()
 
     # Who coordinates.
 
@@ -280,8 +162,7 @@
             return 1.0
         hosts = max(1, len(self.members.live("host")))
         alone = min(1.0, ALONE_SHARE / hosts)
-        desk = self.desks.get(service)
-        holders = len(desk.holders) if desk is not None else 0
+        holders = self.desks.holders(service)
         # Where most others have turned here too, the slots are this
         # host's to give; where none has, others give them out as well.
         return min(1.0, alone * (holders + 1))
@@ -297,9 +178,7 @@
     def on_member(self, member: membership.Member) -> None:
         """Choose coordinators anew."""
         if member.dead:
-            now = self.clock.monotonic()
-            for desk in self.desks.values():
-                desk.drop(member.name, now)
+            self.desks.drop(member.name)
         self.turn()
 
     def turn(self) -> None:
@@ -309,20 +188,6 @@
             if self.coordinator(service) != name:
                 self.links.spawn(self.report(service))
 
-    def on_engines(self) -> None:
-        """Take the engines as they are now."""
-        now = self.clock.monotonic()
-        for desk in self.desks.values():
-            desk.refit(now)
-
-    def desk(self, service: str) -> Desk:
-        """Return the desk of a service, made on first use."""
-        desk = self.desks.get(service)
-        if desk is None:
-            desk = self.desks[service] = Desk(self, service)
-            desk.refit(self.clock.monotonic())
-        return desk
-
     def live_peers(self) -> list[configs.Address]:
         """Return where other live hosts take links."""
         return [
@@ -442,7 +307,7 @@
 
     def ask_here(self, pending: Pending) -> None:
         """Ask this host's own desk."""
-        desk = self.desk(pending.service)
+        desk = self.desks.desk(pending.service)
         desk.book.share = self.share_of(pending.service)
         now = self.clock.monotonic()
         desk.act(desk.book.ask(pending.want, now))
@@ -470,7 +335,7 @@
             if held is not None and held.on_revoke is not None:
                 held.on_revoke()
 
-    def release(self, held: Placement, outcome: slotbook.Outcome) -> None:
+    def release(self, held: Placement, outcome: enginehealth.Outcome) -> None:
         """Give a slot back, and tell how its engine was."""
         if self.held.pop(held.want.id, None) is not None:
             self.end(held.coordinator, held.service, held.want.id, outcome)
@@ -480,11 +345,11 @@
         coordinator: str,
         service: str,
         want_id: str,
-        outcome: slotbook.Outcome = slotbook.Outcome.NOTHING,
+        outcome: enginehealth.Outcome = enginehealth.Outcome.NOTHING,
     ) -> None:
         """Tell a coordinator that something has ended."""
         if coordinator == self.own_name:
-            desk = self.desk(service)
+            desk = self.desks.desk(service)
             now = self.clock.monotonic()
             desk.act(desk.book.done(want_id, outcome, now))
             return
@@ -507,10 +372,7 @@
                     if at > now
                 }
                 self.turn()
-            for desk in list(self.desks.values()):
-                desk.expire(now)
-                if abs(desk.book.share - self.share_of(desk.service)) > 1e-6:
-                    desk.refit(now)
+            self.desks.clear_up()
             for service in list(self.known):
                 self.links.spawn(self.report(service))
 
@@ -532,7 +394,7 @@
         ]
         wants = [p.want for p in waiting if not p.answer.done()]
         if name == self.own_name:
-            desk = self.desk(service)
+            desk = self.desks.desk(service)
             desk.act(desk.book.report(self.own_name, leases, wants, now))
             return
         member = self.members.member(name)
@@ -558,65 +420,6 @@
             LOG.info("No report to {}: {}", name, error)
             self.distrust(name)
 
-    # Coordinating.
-
-    async def on_ask(self, sender: peers.Sender, ask: PlaceAsk) -> PlaceWord:
-        """Answer a host that asks for slots."""
-        now = self.clock.monotonic()
-        desk = self.desk(ask.service)
-        holder = str(sender)
-        desk.heard(holder, ask.address, now)
-        decisions: list[slotbook.Decision] = []
-        for text in ask.wants:
-            decisions += desk.book.ask(text.want(holder, now), now)
-        asked = {text.id for text in ask.wants}
-        here: list[slotbook.Decision] = []
-        others: list[slotbook.Decision] = []
-        for decision in decisions:
-            told = here if decision.want.id in asked else others
-            told.append(decision)
-        desk.act(others)
-        desk.log_refusals(here)
-        return PlaceWord(
-            ask.service,
-            {
-                d.want.id: d.engine
-                for d in here
-                if isinstance(d, slotbook.Grant)
-            },
-            {
-                d.want.id: d.retry_after_s
-                for d in here
-                if isinstance(d, slotbook.Refuse)
-            },
-        )
-
-    async def on_end(self, sender: peers.Sender, end: PlaceEnd) -> None:
-        """Take the end of a lease or want."""
-        desk = self.desks.get(end.service)
-        if desk is not None:
-            now = self.clock.monotonic()
-            desk.act(desk.book.done(end.id, end.outcome, now))
-
-    async def on_report(
-        self, sender: peers.Sender, report: PlaceReport
-    ) -> None:
-        """Take all that a host holds."""
-        now = self.clock.monotonic()
-        desk = self.desk(report.service)
-        holder = str(sender)
-        desk.heard(holder, report.address, now)
-        leases = [
-            slotbook.Lease(
-                lease.want.want(holder, now),
-                lease.engine,
-                now - lease.age_ms / 1000,
-            )
-            for lease in report.leases
-        ]
-        wants = [text.want(holder, now) for text in report.wants]
-        desk.act(desk.book.report(holder, leases, wants, now))
-
     async def on_word(self, sender: peers.Sender, word: PlaceWord) -> None:
         """Take what a coordinator decides later."""
         self.take_word(word, str(sender))
--- a/camphortray/placingcalls.py
+++ b/camphortray/placingcalls.py
@@ -16,6 +16,7 @@
 import math
 from typing import NamedTuple
 
+from camphortray import enginehealth
 from camphortray import messages
 from camphortray import slotbook
 
@@ -107,7 +108,7 @@
 
     service: str
     id: str
-    outcome: slotbook.Outcome
+    outcome: enginehealth.Outcome
 
 
 @messages.message("place.report")
--- a/camphortray/slotbook.py
+++ b/camphortray/slotbook.py
@@ -18,22 +18,19 @@
     "EngineSlots",
     "Grant",
     "Lease",
-    "Outcome",
     "Refuse",
     "Revoke",
     "SlotBook",
     "Want",
-    "outcome_of",
 ]
 
 from collections.abc import Iterable
 import dataclasses
-import enum
 import math
 
 import xxhash
 
-from camphortray import errors
+from camphortray import enginehealth
 
 # Seconds an online request holds a slot, before any was measured.
 FIRST_HOLD_S = 0.7
@@ -42,16 +39,6 @@
 # Share of the objective that a request may wait for its slot. The rest is
 # for the way to and from the caller and the reading of the prompt.
 PATIENCE = 0.6
-# Seconds that an engine gets nothing after it refused as full: some other
-# request still holds a slot there, and it is not known for how long.
-FULL_S = 0.15
-# Seconds that an engine gets nothing after it could not be reached, for
-# the first time; doubled with each further failure up to the second.
-UNREACHED_S = 0.5
-UNREACHED_MOST_S = 4.0
-# Answers in a row that broke off at which an engine is put aside too. One
-# or two may be the fault of the request or of the way.
-BROKEN_ROW = 3
 # A lease that its holder does not name in a report made this long after
 # the grant is one whose end was lost on the way, in seconds.
 GRANT_WAY_S = 0.5
@@ -62,16 +49,6 @@
 READ_S = 0.8
 
 
-class Outcome(enum.Enum):
-    """How a lease ended, as far as it says something of the engine."""
-
-    GOOD = "good"
-    FULL = "full"
-    UNREACHED = "unreached"
-    BROKEN = "broken"
-    NOTHING = "nothing"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Want:
     """A request that asks for a slot.
@@ -146,23 +123,6 @@
 Decision = Grant | Refuse | Revoke
 
 
-@dataclasses.dataclass(slots=True)
-class Health:
-    """What is known of an engine from the ends of its leases.
-
-    Attributes:
-      closed_until: Before this time it gets nothing.
-      failures: Times in a row that it could not be reached.
-      broken: Answers in a row that broke off.
-      trial: Whether it gets one request at a time until one goes well.
-    """
-
-    closed_until: float = -math.inf
-    failures: int = 0
-    broken: int = 0
-    trial: bool = False
-
-
 class SlotBook:
     """Slots of one service.
 
@@ -181,7 +141,7 @@
         self.leases: dict[str, Lease] = {}
         self.queue: list[Want] = []
         self.items: dict[str, Want] = {}
-        self.health: dict[str, Health] = {}
+        self.health = enginehealth.HealthBook()
         self.share = 1.0
         self.hold_s = FIRST_HOLD_S
         self.used: dict[str, int] = {}
@@ -193,8 +153,7 @@
     ) -> list[Decision]:
         """Take the engines that may get new work."""
         self.engines = {engine.name: engine.slots for engine in engines}
-        for name in self.health.keys() - self.engines.keys():
-            del self.health[name]
+        self.health.keep(self.engines)
         return self.decide(now)
 
     def ask(self, want: Want, now: float) -> list[Decision]:
@@ -212,7 +171,9 @@
         self.queue.sort(key=lambda held: (held.priority, held.asked_at))
         return self.decide(now)
 
-    def done(self, name: str, outcome: Outcome, now: float) -> list[Decision]:
+    def done(
+        self, name: str, outcome: enginehealth.Outcome, now: float
+    ) -> list[Decision]:
         """Take the end of a lease, or of a want that waited."""
         self.items.pop(name, None)
         self.queue = [held for held in self.queue if held.id != name]
@@ -220,10 +181,10 @@
         if lease is None:
             return []
         self.count(lease.engine, -1)
-        if outcome is Outcome.GOOD and lease.want.online:
+        if outcome is enginehealth.Outcome.GOOD and lease.want.online:
             held_s = now - lease.granted_at
             self.hold_s += LEARN * (held_s - self.hold_s)
-        self.judge(lease.engine, outcome, now)
+        self.health.judge(lease.engine, outcome, now)
         return self.decide(now)
 
     def report(
@@ -334,7 +295,7 @@
             self.room(name, now, whole=True) for name in self.engines
         )
         if not open_slots:
-            return UNREACHED_S
+            return enginehealth.UNREACHED_S
         return (ahead + 1) * self.hold_s / open_slots
 
     def return_in(self, wait_s: float, want: Want) -> float:
@@ -358,12 +319,7 @@
         slots = self.engines.get(engine, 0)
         if self.share < 1.0:
             slots = max(1, math.ceil(slots * self.share))
-        health = self.health.get(engine)
-        if health is None:
-            return slots
-        if now < health.closed_until:
-            return 0
-        return 1 if health.trial and not whole else slots
+        return self.health.room(engine, slots, now, whole)
 
     def free_slots(self, now: float) -> int:
         """Return the number of free slots."""
@@ -449,45 +405,11 @@
         else:
             self.used.pop(engine, None)
 
-    def judge(self, engine: str, outcome: Outcome, now: float) -> None:
-        """Learn from the end of a lease how its engine is."""
-        if outcome is Outcome.NOTHING:
-            return
-        if outcome is Outcome.GOOD:
-            self.health.pop(engine, None)
-            return
-        health = self.health.setdefault(engine, Health())
-        if outcome is Outcome.FULL:
-            health.closed_until = max(health.closed_until, now + FULL_S)
-            return
-        if outcome is Outcome.BROKEN:
-            health.broken += 1
-            if health.broken < BROKEN_ROW:
-                return
-        if now < health.closed_until:
-            # Sent before it was put aside; says nothing new.
-            return
-        pause_s = min(UNREACHED_S * 2**health.failures, UNREACHED_MOST_S)
-        health.failures += 1
-        health.trial = True
-        health.closed_until = now + pause_s
-
     def next_look(self, now: float) -> float | None:
         """Return when to decide anew though nothing has been told."""
         times = [
             want.asked_at + want.objective_s * PATIENCE for want in self.queue
         ]
         if self.queue or self.items:
-            times += [
-                health.closed_until
-                for health in self.health.values()
-                if health.closed_until > now
-            ]
+            times += self.health.openings(now)
         return min(times, default=None)
-
-
-def outcome_of(error: errors.UpstreamError) -> Outcome:
-    """Return what a failed try says of its engine."""
-    if isinstance(error, errors.UpstreamRefused):
-        return Outcome.GOOD if error.ran else Outcome.FULL
-    return Outcome.BROKEN if error.ran else Outcome.UNREACHED
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -4,12 +4,12 @@
 
 from camphortray import config as configs
 from camphortray import engine
+from camphortray import enginehealth
 from camphortray import errors
 from camphortray import itemfate
 from camphortray import itemwork
 from camphortray import placing
 from camphortray import routemap
-from camphortray import slotbook
 
 EVENTS = "text/event-stream"
 STAMP = (("server-stamp", "s1"), ("content-type", EVENTS))
@@ -165,4 +165,4 @@
     )
 
 
-GOOD = slotbook.Outcome.GOOD
+GOOD = enginehealth.Outcome.GOOD
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -25,6 +25,7 @@
     "deadline",
     "declaration",
     "enginebook",
+    "enginehealth",
     "eventstream",
     "facts",
     "fairness",
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -40,7 +40,7 @@
             for m in range(5)
         ]
         assert set(await asyncio.gather(*asks)) == {200}
-        book = chief.part(placing.Placing).desks[SERVICE].book
+        book = chief.part(placing.Placing).desks.held[SERVICE].book
         await platform.until(lambda: not book.leases)
         assert not book.used
         for host in platform.hosts:
@@ -85,14 +85,14 @@
         # What runs is known to the new one from its holder's report.
         await platform.until(
             lambda: (
-                SERVICE in held.desks
-                and "running.0" in held.desks[SERVICE].book.leases
+                SERVICE in held.desks.held
+                and "running.0" in held.desks.held[SERVICE].book.leases
             )
         )
         for engine in platform.engines.values():
             engine.go.set()
         assert await asking == 200
-        await platform.until(lambda: not held.desks[SERVICE].book.leases)
+        await platform.until(lambda: not held.desks.held[SERVICE].book.leases)
 
 
 async def test_an_end_that_was_lost_is_made_good_by_the_next_report():
@@ -110,7 +110,7 @@
         held.links.tell = lose
         assert await ask(other, "a") == 200
         assert lost
-        book = chief.part(placing.Placing).desks[SERVICE].book
+        book = chief.part(placing.Placing).desks.held[SERVICE].book
         assert "a.0" in book.leases
         for engine in platform.engines.values():
             engine.faults = ["wait"] * 4
--- /dev/null
+++ b/tests/test_platform_jobs.py
@@ -0,0 +1,259 @@
+"""Batch jobs through whole hosts on the users' platform."""
+
+import asyncio
+import base64
+import json
+
+import pytest
+
+from camphortray import jobdesk
+from camphortray import ledger
+from camphortray import placing
+from tests import platformkit
+from tests.test_platform_path import ASK
+from tests.test_platform_path import PATH
+
+JOBS = ledger.Topic.JOBS
+
+
+def job_body(count=3, path=platformkit.BATCH_PREFIX + "9/x"):
+    """Return the body of a job."""
+    items = [
+        {
+            "id": f"it{n}",
+            "path": path,
+            "headers": {"Model": "m"},
+            "body": base64.b64encode(b"b%d" % n).decode(),
+            "tokens": 10,
+        }
+        for n in range(count)
+    ]
+    return json.dumps({"items": items}).encode()
+
+
+async def results_of(host, job, total):
+    """Read the results of a job until there are so many."""
+    found = []
+    async with asyncio.timeout(10):
+        while len(found) < total:
+            status, _, body = await host.call(
+                "GET",
+                f"/lots/{job}?after={len(found)}",
+                [("Wait-Ms", "1000")],
+            )
+            if status == 200:
+                found += json.loads(body)["results"]
+            else:
+                await asyncio.sleep(0.05)
+    return found
+
+
+TEXT = "\n".join(f"d{n}" for n in range(1, 7))
+
+
+async def test_a_job_is_done_and_read_at_any_host():
+    async with platformkit.Platform(hosts=2) as platform:
+        first, second = platform.hosts
+        for job in ("j1", "j2", "j3", "j4"):
+            send = [("Attempt-Id", job)]
+            path = platformkit.BATCH_PREFIX + job
+            for host in (first, second):
+                status, _, _ = await host.call("POST", path, send, job_body())
+                assert status == 202
+            found = await results_of(second, job, 3)
+            assert {r["id"] for r in found} == {"it0", "it1", "it2"}
+            assert {(r["state"], r["text"]) for r in found} == {
+                ("completed", TEXT)
+            }
+            assert found == await results_of(first, job, 3)
+
+
+async def test_jobs_that_are_not_there_and_bad_ones():
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        for method, target in (
+            ("GET", "/lots/none"),
+            ("DELETE", "/lots/none"),
+            ("GET", "/items/none?id=a"),
+        ):
+            status, _, _ = await host.call(method, target)
+            assert status == 404
+        path = platformkit.BATCH_PREFIX + "x"
+        for body in (b"no", b"{}", b'{"items":[{"id":1}]}'):
+            status, _, told = await host.call(
+                "POST", path, [("Attempt-Id", "x")], body
+            )
+            assert status == 400
+            assert json.loads(told)["error"]["param"] == "items"
+
+
+async def test_an_ended_job_runs_nothing_more():
+    async with platformkit.Platform(engines=1) as platform:
+        (host,) = platform.hosts
+        (engine,) = platform.engines.values()
+        engine.faults = ["wait"] * 3
+        path = platformkit.BATCH_PREFIX + "j"
+        send = [("Attempt-Id", "j")]
+        await host.call("POST", path, send, job_body())
+        await platform.until(lambda: len(engine.ran) == 3)
+        status, _, body = await host.call("GET", "/items/j?id=it1")
+        assert (status, body) == (200, b"b1")
+        for _ in range(2):
+            status, _, _ = await host.call("DELETE", "/lots/j")
+            assert status == 200
+        await platform.until(lambda: engine.cut == 3)
+        status, _, body = await host.call("GET", "/items/j?id=it1")
+        assert status == 404
+        status, _, body = await host.call("GET", "/lots/j?after=0")
+        assert json.loads(body) == {"total": 3, "nextToken": 0, "results": []}
+
+
+async def test_a_job_outlives_its_owner():
+    # The owner is lost right after the 202. The group deals its partition
+    # to the other host, which reads the job from the store and runs it.
+    async with platformkit.Platform(hosts=2) as platform:
+        first, second = platform.hosts
+        for engine in platform.engines.values():
+            engine.faults = ["wait"] * 20
+        jobs = [f"k{n}" for n in range(4)]
+        for job in jobs:
+            status, _, _ = await first.call(
+                "POST",
+                platformkit.BATCH_PREFIX + job,
+                [("Attempt-Id", job)],
+                job_body(2),
+            )
+            assert status == 202
+        desk = first.part(jobdesk.JobDesk)
+        await first.kernel.stop()
+        platform.hosts.remove(first)
+        platform.store.held.lapse(desk.member)
+        for engine in platform.engines.values():
+            engine.faults.clear()
+            engine.go.set()
+        for job in jobs:
+            found = await results_of(second, job, 2)
+            assert {r["text"] for r in found} == {TEXT}
+
+
+async def test_while_the_store_is_away_a_job_is_refused_and_not_lost():
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        path = platformkit.BATCH_PREFIX + "j"
+        send = [("Attempt-Id", "j")]
+        platform.store.refuse = 503
+        status, _, _ = await host.call("POST", path, send, job_body())
+        assert status in (500, 503)
+        status, _, _ = await host.call("POST", PATH, ASK)
+        assert status == 200
+        platform.store.refuse = 0
+        status, _, _ = await host.call("POST", path, send, job_body())
+        assert status == 202
+        assert len(await results_of(host, "j", 3)) == 3
+
+
+async def test_an_owner_the_store_refuses_stops_when_another_takes_over():
+    # The store turns one host away and serves the other, which takes its
+    # partitions over and hears that a job is ended. The first went on with
+    # the job's items, seconds after the end was acknowledged.
+    async with platformkit.Platform(hosts=2) as platform:
+        first, second = platform.hosts
+        desk = first.part(jobdesk.JobDesk)
+        other = second.part(jobdesk.JobDesk)
+        part = next(iter(desk.owners))
+        owner = desk.owners[part]
+        platform.store.refuse_member = desk.member
+        platform.store.held.lapse(desk.member)
+        await platform.until(lambda: part in other.owners)
+        await platform.until(lambda: part not in desk.owners)
+        assert owner.lost
+
+
+@pytest.mark.parametrize("other_owned", [True, False])
+async def test_a_partition_dealt_away_and_back_between_two_calls(other_owned):
+    # A host stands still; its partitions go to another and come back. On
+    # its own clock there was no gap. If the other has owned them, what it
+    # knows is old, and is read anew; if not, its items go on.
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        desk = host.part(jobdesk.JobDesk)
+        before = dict(desk.owners)
+        held = platform.store.held
+        held.deal()
+        held.deal()
+        if other_owned:
+            for part in before:
+                await held.set_epoch(JOBS, part, held.generation - 1)
+        await platform.until(lambda: desk.generation == held.generation)
+        await platform.until(
+            lambda: (
+                set(desk.owners) == set(before)
+                and all(o.ready.is_set() for o in desk.owners.values())
+            )
+        )
+        same = set(desk.owners.values()) == set(before.values())
+        assert same != other_owned
+        assert all(o.lost for o in before.values()) == other_owned
+
+
+def code_of(body):
+    """Return the code of a refusal."""
+    return json.loads(body)["error"]["code"]
+
+
+async def test_a_job_beyond_what_may_wait_is_refused_until_there_is_room():
+    routes = [
+        platformkit.route(
+            "r-2", platformkit.BATCH_PREFIX, "batch", dueMs=18000, cap=25
+        )
+    ]
+    async with platformkit.Platform(engines=1) as platform:
+        (host,) = platform.hosts
+        (engine,) = platform.engines.values()
+        await platform.store.configure(5, routes)
+        inforce = host.part(placing.Placing).inforce
+        await platform.until(lambda: inforce.view.revision == 5)
+        path = platformkit.BATCH_PREFIX + "j"
+        send = [("Attempt-Id", "j")]
+        status, _, told = await host.call("POST", path, send, job_body(3))
+        assert (status, code_of(told)) == (429, "quota")
+        engine.faults = ["wait"] * 2
+        status, _, _ = await host.call("POST", path, send, job_body(2))
+        assert status == 202
+        other = [("Attempt-Id", "k")]
+        status, headers, _ = await host.call("POST", path, other, job_body(1))
+        assert status == 429
+        assert float(headers["retry-after"]) > 0
+        engine.go.set()
+        await results_of(host, "j", 2)
+        async with asyncio.timeout(10):
+            while status != 202:
+                status, _, _ = await host.call(
+                    "POST", path, other, job_body(1)
+                )
+
+
+async def test_a_submit_without_an_answer_promises_nothing():
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        platform.store.lose = 10**6
+        path = platformkit.BATCH_PREFIX + "j"
+        status, _, told = await host.call(
+            "POST", path, [("Attempt-Id", "j")], job_body()
+        )
+        assert (status, code_of(told)) == (500, "unknown")
+
+
+async def test_an_item_that_is_not_there_and_one_that_is_too_large():
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        path = platformkit.BATCH_PREFIX + "j"
+        send = [("Attempt-Id", "j")]
+        await host.call("POST", path, send, job_body())
+        status, _, told = await host.call("GET", "/items/j?id=none")
+        assert (status, code_of(told)) == (404, "unknown_item")
+        host.part(jobdesk.JobDesk).ledger.record_bytes = 100
+        status, _, told = await host.call(
+            "POST", path, [("Attempt-Id", "k")], job_body()
+        )
+        assert (status, code_of(told)) == (413, "too_large")
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,155 @@
+"""Questions through whole hosts on the users' platform."""
+
+import asyncio
+import json
+
+import pytest
+
+from camphortray import errors
+from camphortray import placing
+from tests import platformkit
+
+ASK = [
+    ("Attempt-Id", "a1"),
+    ("Deadline-Ms", "5000"),
+    ("Model", "m"),
+    ("Prompt-Prefix", "aa:10,bb:20"),
+]
+PATH = platformkit.STREAM_PREFIX + "q"
+
+
+def whole(last=6):
+    """Return a whole stream of a stand-in."""
+    return b"".join(
+        b"id: %d\ndata: d%d\n\n" % (n, n) for n in range(1, last + 1)
+    )
+
+
+async def test_a_question_is_answered_from_end_to_end():
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        status, _, body = await host.call(
+            "GET", "/resolve?name=x&zone=z1", at="directory"
+        )
+        told = json.loads(body)
+        assert status == 200
+        assert told["addresses"] == [host.node.listen.front]
+        status, _, _ = await host.call("GET", "/readiness", at="ready")
+        assert status == 200
+        status, headers, body = await host.call("POST", PATH, ASK, b"why")
+        assert (status, body) == (200, whole())
+        assert headers["attempt-id"] == "a1"
+        assert headers["server-stamp"].startswith("i-")
+        ran = [r for e in platform.engines.values() for r in e.ran]
+        ((attempt, _, sent, sent_body),) = ran
+        assert (attempt, sent_body) == ("a1", b"why")
+        assert sent["host"] == platformkit.HOST_NAME
+        assert sent["model"] == "m"
+        assert 0 < int(sent["deadline-ms"]) <= 5000
+
+
+@pytest.mark.parametrize(
+    ("faults", "status", "runs"),
+    [
+        (["full"], 200, 1),
+        (["cut"], 200, 2),
+        (["wrong id"], 200, 2),
+        (["no stamp"], 200, 2),
+        (["extra"], 200, 1),
+        (["422"], 422, 1),
+        (["500"], 200, 2),
+        (["cut", "cut"], 0, 2),
+    ],
+)
+async def test_what_a_caller_sees_of_an_engines_faults(faults, status, runs):
+    # The route is resumable with two attempts: an answer goes on at the
+    # other engine behind its last whole event, in one answer.
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        share = list(platform.engines.values())
+        for engine in share:
+            engine.faults = faults if len(faults) > 1 else list(faults)
+        if len(faults) == 1:
+            shared = list(faults)
+            for engine in share:
+                engine.faults = shared
+        try:
+            found, _, body = await host.call("POST", PATH, ASK, b"q")
+        except errors.UpstreamBroken:
+            found, body = 0, b""
+        assert found == status
+        if status == 200:
+            assert body == whole()
+        assert sum(len(e.ran) for e in share) == runs
+
+
+async def test_a_route_that_is_not_there_is_404_and_a_new_one_served():
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        status, _, _ = await host.call("POST", "/new1/q", ASK)
+        assert status == 404
+        routes = [platformkit.route("n", "/new1/", "streaming")]
+        await platform.store.configure(9, routes)
+        inforce = host.part(placing.Placing).inforce
+        await platform.until(lambda: inforce.view.revision == 9)
+        status, _, body = await host.call("POST", "/new1/q", ASK)
+        assert (status, body) == (200, whole())
+        await platform.store.configure(8)
+        await asyncio.sleep(0.05)
+        assert inforce.view.revision == 9
+
+
+async def test_a_draining_engine_gets_nothing_new():
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        leaving = platform.engines["i-0"]
+        await platform.register(leaving, state="draining", sequence=2)
+        book = host.part(placing.Placing).inforce.engines
+        await platform.until(
+            lambda: len(book.usable(platformkit.SERVICE)) == 1
+        )
+        for number in range(6):
+            ask = [("Attempt-Id", f"a{number}")]
+            status, _, _ = await host.call("POST", PATH, ask)
+            assert status == 200
+        assert not leaving.ran
+
+
+async def test_a_host_that_starts_while_the_store_is_away_learns_of_peers():
+    async with platformkit.Platform() as platform:
+        platform.store.refuse = 503
+        host = await platform.add("late")
+        await platform.until(lambda: host.ready)
+        status, _, body = await host.call("POST", PATH, ASK)
+        assert (status, body) == (200, whole())
+
+
+async def test_without_any_configuration_nothing_is_denied():
+    platform = platformkit.Platform(hosts=0)
+    async with platform:
+        platform.store.refuse = 503
+        host = await platform.add("alone")
+        status, _, _ = await host.call("POST", PATH, ASK)
+        assert status == 503
+        status, _, _ = await host.call("GET", "/readiness", at="ready")
+        assert status == 503
+        platform.store.refuse = 0
+        await platform.until(lambda: host.ready)
+
+
+async def test_a_host_that_leaves_serves_on_but_is_named_no_more():
+    async with platformkit.Platform(hosts=2) as platform:
+        first, second = platform.hosts
+        first.kernel.request_drain()
+
+        async def addresses():
+            _, _, body = await second.call("GET", "/resolve", at="directory")
+            return json.loads(body)["addresses"]
+
+        async with asyncio.timeout(5):
+            while first.node.listen.front in await addresses():
+                await asyncio.sleep(0.01)
+        status, _, _ = await first.call("GET", "/readiness", at="ready")
+        assert status == 503
+        status, headers, body = await first.call("POST", PATH, ASK)
+        assert (status, body) == (200, whole())
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -42,10 +42,10 @@
     "other_request no": "test_callkeeper",
     "too_late no": "test_admission",
     "slow_head no": "test_httpserver",
-    "quota no": "test_platform",
-    "too_large no": "test_platform",
-    "unknown unknown": "test_platform",
-    "unknown_item no": "test_platform",
+    "quota no": "test_platform_jobs",
+    "too_large no": "test_platform_jobs",
+    "unknown unknown": "test_platform_jobs",
+    "unknown_item no": "test_platform_jobs",
 }
 
 
--- a/tests/test_slotbook.py
+++ b/tests/test_slotbook.py
@@ -4,11 +4,12 @@
 
 import pytest
 
+from camphortray import enginehealth
 from camphortray import errors
 from camphortray import slotbook
 
 Grant, Refuse, Revoke = slotbook.Grant, slotbook.Refuse, slotbook.Revoke
-Outcome = slotbook.Outcome
+Outcome = enginehealth.Outcome
 
 
 def book_of(engines=2, slots=2):
@@ -145,10 +146,10 @@
 @pytest.mark.parametrize(
     ("outcomes", "open_again_s"),
     [
-        ([Outcome.FULL], slotbook.FULL_S),
-        ([Outcome.UNREACHED], slotbook.UNREACHED_S),
+        ([Outcome.FULL], enginehealth.FULL_S),
+        ([Outcome.UNREACHED], enginehealth.UNREACHED_S),
         ([Outcome.BROKEN], 0.0),
-        ([Outcome.BROKEN] * 3, slotbook.UNREACHED_S),
+        ([Outcome.BROKEN] * 3, enginehealth.UNREACHED_S),
         ([Outcome.NOTHING], 0.0),
     ],
 )
@@ -167,7 +168,7 @@
     book = book_of(engines=1, slots=8)
     book.ask(online("q"), 0.0)
     book.done("q", Outcome.UNREACHED, 0.0)
-    later = slotbook.UNREACHED_S
+    later = enginehealth.UNREACHED_S
     assert kinds(book.ask(online("a", later), later)) == [("Grant", "a")]
     assert book.free_slots(later) == 0
     book.done("a", Outcome.GOOD, later)
@@ -268,4 +269,4 @@
     ],
 )
 def test_what_a_failure_says_of_its_engine(error, outcome):
-    assert slotbook.outcome_of(error) is outcome
+    assert enginehealth.outcome_of(error) is outcome
