Take a reset answer without a length for cut off

Ruled out: the relay of framed answers (h11 sees the missing end there). Change: only the server's end of the stream ends such an answer. Test fails without the change.

--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -58,13 +58,19 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
         self.timer.stop()
-        if not self.complete:
-            self.on_eof()
         if not self.complete:
             self.failure = self.failure or str(exc or "connection closed")
         self.resume_writing()
         self.wake()
 
+    def eof_received(self) -> bool:
+        # Only the server's own end of the stream may end an answer that
+        # has no length. Reset on the way, or dropped by ourselves, it is
+        # cut off, however much of it has come.
+        if not self.complete:
+            self.on_eof()
+        return False
+
     def data_received(self, data: bytes) -> None:
         self.heard_at = self.loop.time()
         if self.idle:
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -299,3 +299,21 @@
     assert wire.data.count(b"HTTP/1.1") == 1
     assert wire.closed
     connection.connection_lost(None)
+
+
+@pytest.mark.parametrize("reset", [True, False])
+async def test_an_answer_without_length_is_whole_only_at_an_orderly_end(reset):
+    # The server crashes in the middle of an answer that ends with its
+    # connection. Taken for its end, the reset made half an answer look
+    # whole to the caller.
+    connection = clientconnection.ClientConnection("peer")
+    connection.connection_made(Wire())
+    await connection.send_request("GET", "/", [("host", "a")], b"")
+    connection.data_received(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+    if reset:
+        connection.connection_lost(ConnectionResetError("reset"))
+    else:
+        connection.eof_received()
+        connection.connection_lost(None)
+    assert connection.complete != reset
+    assert bool(connection.failure) == reset
