Begin no item of a partition that is lost

Ruled out: the listing of the next owner, epochs, the cancelling of running items. Change: a lost partition begins nothing.

--- a/camphortray/jobowner.py
+++ b/camphortray/jobowner.py
@@ -176,7 +176,13 @@
     # Items.
 
     def start_job(self, job: jobbook.Job) -> None:
-        """Run the open items of a job."""
+        """Run the open items of a job, unless the partition is lost.
+
+        A call that was waiting for the store when it was lost may still
+        come here; items begun then would run beside the next owner's.
+        """
+        if self.lost:
+            return
         self.positions.setdefault(job.id, len(job.results))
         if not job.whole:
             LOG.error("Job {} lacks items; they are not run.", job.id)
@@ -187,7 +193,9 @@
 
     def run_more(self) -> None:
         """Begin items while there is room."""
-        while self.waiting and len(self.running) < MAX_RUNNING:
+        while (
+            not self.lost and self.waiting and len(self.running) < MAX_RUNNING
+        ):
             name, place = self.waiting.popleft()
             job = self.book.jobs.get(name)
             if job is None or job.ended or name in self.ending:
@@ -215,8 +223,7 @@
             LOG.error("Item of {} failed: {!r}", job.id, error)
         finally:
             self.running.pop((job.id, place), None)
-            if not self.lost:
-                self.run_more()
+            self.run_more()
 
     def stop_job(self, name: str) -> None:
         """Stop the items of a job."""
