--- a/camphortray/partwriter.py
+++ b/camphortray/partwriter.py
@@ -45,6 +45,8 @@
     goes into the next append together.
 
     Attributes:
+      waiting: Writes that are in no call yet.
+      taken: Writes of the call under way.
       on_written: Called with records once they are kept.
       on_fenced: Called when another writer has taken over.
     """
@@ -68,6 +70,7 @@
         self.on_fenced = on_fenced
         self.sequence = 0
         self.waiting: list[Write] = []
+        self.taken: list[Write] = []
         self.work = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
         self.closed = False
@@ -81,6 +84,8 @@
         self.closed = True
         if self.task is not None:
             self.task.cancel()
+        for write in self.taken:
+            settle(write, unknown("the partition changes hands"))
         self.refuse(self.waiting, "the partition has another owner")
 
     async def write(self, records: Records, timeout_s: float) -> None:
@@ -116,8 +121,8 @@
             while not self.waiting:
                 self.work.clear()
                 await self.work.wait()
-            taken = self.take()
-            if not await self.append(taken):
+            self.taken = self.take()
+            if not await self.append(self.taken):
                 return
 
     def take(self) -> list[Write]:
--- a/tests/test_jobowner.py
+++ b/tests/test_jobowner.py
@@ -220,20 +220,24 @@
 
 
 async def test_an_end_cut_short_by_the_loss_of_the_partition_begins_nothing():
-    # The store is away when a job's end is asked. The owner stops its
-    # items and waits; then it is out of touch for long and gives the
-    # partition up. The end is refused, so its items began anew, beside
+    # The store is away; one append is under way, a job's end waits behind
+    # it, its items are stopped. Out of touch for long, the owner gives the
+    # partition up. The end is refused, so the items began anew, beside
     # those of the next owner, and after the end that one acknowledged.
     held = ledger.MemoryLedger()
     owner = await Owned(held, []).ready()
     owner.parts.placing.refusals = 10**6
     await owner.submit(part_of(count=2))
     held.refuse = 10**6
+    first = asyncio.ensure_future(owner.submit(part_of("j2")))
+    await asyncio.sleep(0.1)
     ending = asyncio.ensure_future(owner.end("j1"))
     await asyncio.sleep(0.3)
     owner.stop()
     with pytest.raises(errors.LogRefused):
         await ending
+    with pytest.raises(errors.LogUnavailable):
+        await first
     await asyncio.sleep(0.1)
     wants = len(owner.parts.placing.wants)
     await asyncio.sleep(10.0)
