--- a/camphortray/jobdesk.py
+++ b/camphortray/jobdesk.py
@@ -33,6 +33,10 @@
 KEEP_S = 1.2
 JOIN_EVERY_S = 0.35
 FACT_KEEP_S = 600.0
+# Times that an epoch is confirmed before its partition is given up. Each
+# takes some tenths of a second at most, all together less than an ended
+# job's items may still reach engines.
+CONFIRM_TRIES = 4
 # Time to look for an owner that answers, in seconds, and the pause from
 # one try to the next.
 FIND_S = 1.2
@@ -147,16 +151,31 @@
         see the gap on its own clock, but in the group's generation.
         """
         for part, owner in list(self.owners.items()):
-            if not owner.ready.is_set():
+            if not owner.ready.is_set() or owner.lost:
                 continue
-            try:
-                await owner.confirm()
-            except errors.LogError as error:
-                LOG.notice("Partition {} is left: {}", part, error)
+            if not await self.confirmed(owner):
                 owner.stop()
                 if self.owners.get(part) is owner:
                     del self.owners[part]
 
+    async def confirmed(self, owner: jobowner.JobOwner) -> bool:
+        """Return whether the store confirms an owner's epoch in time.
+
+        Its answers may be lost; given up after the first, all items under
+        way would begin anew at each lost answer.
+        """
+        for _ in range(CONFIRM_TRIES):
+            try:
+                await owner.confirm()
+            except errors.LogFenced:
+                return False
+            except errors.LogError as error:
+                LOG.info("Partition {} not confirmed: {}", owner.part, error)
+            else:
+                return True
+        LOG.notice("Partition {} is left: not confirmed.", owner.part)
+        return False
+
     def take(self, part: int, epoch: int) -> None:
         """Take a partition over."""
         owner = jobowner.JobOwner(
--- a/camphortray/ledger.py
+++ b/camphortray/ledger.py
@@ -30,6 +30,9 @@
 from camphortray import errors
 from camphortray import registry
 
+# Time for the answer to an append unless its caller names another.
+ANSWER_S = 1.0
+
 
 class Topic(enum.Enum):
     """What is kept; the first two are written by others."""
@@ -142,9 +145,17 @@
         part: int,
         records: Sequence[LedgerRecord],
         fence: Fence | None = None,
+        timeout_s: float = ANSWER_S,
     ) -> None:
         """Append records, all or none.
 
+        Args:
+          topic: What they belong to.
+          part: Partition.
+          records: To be appended, in order.
+          fence: Who appends; None for anyone.
+          timeout_s: Time for the answer.
+
         Raises:
           LogRefused: the store certainly did not take them.
           LogUnavailable: it may have, or may yet.
@@ -280,6 +291,7 @@
         part: int,
         records: Sequence[LedgerRecord],
         fence: Fence | None = None,
+        timeout_s: float = ANSWER_S,
     ) -> None:
         self.check_up("append")
         if self.refuse:
--- a/camphortray/partwriter.py
+++ b/camphortray/partwriter.py
@@ -18,6 +18,15 @@
 # seconds; doubled up to the second.
 PAUSE_S = 0.05
 MAX_PAUSE_S = 0.5
+# Time for an answer: so many times what answers lately took, within bounds,
+# in seconds, and doubled after each that stays away. The store answers
+# within milliseconds, and 50 times slower when it is slow; a lost answer
+# noticed after a second would cost a job's caller its patience.
+ANSWER_TIMES = 10.0
+LEAST_ANSWER_S = 0.1
+MOST_ANSWER_S = 1.0
+# Weight of a new measurement in the running mean of answers' times.
+LEARN = 0.3
 
 Records = Sequence[ledgers.LedgerRecord]
 
@@ -69,6 +78,7 @@
         self.on_written = on_written
         self.on_fenced = on_fenced
         self.sequence = 0
+        self.answer_s = LEAST_ANSWER_S / ANSWER_TIMES
         self.waiting: list[Write] = []
         self.taken: list[Write] = []
         self.work = asyncio.Event()
@@ -144,9 +154,11 @@
         """
         tried = attempt.Attempt()
         pause_s = PAUSE_S
+        wait_s = self.answer_s * ANSWER_TIMES
         while True:
             records = [r for write in taken for r in write.records]
-            error = await self.call(records)
+            wait_s = min(max(wait_s, LEAST_ANSWER_S), MOST_ANSWER_S)
+            error = await self.call(records, wait_s)
             if error is None:
                 self.sequence += 1
                 self.on_written(records)
@@ -159,6 +171,7 @@
             tried.on_error(error)
             if tried.maybe_taken:
                 LOG.info("Append of {} unknown: {}", self.part, error)
+                wait_s *= 2
             else:
                 taken = self.in_time(taken)
                 if not taken:
@@ -166,13 +179,20 @@
             await asyncio.sleep(pause_s)
             pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
-    async def call(self, records: Records) -> errors.LogError | None:
+    async def call(
+        self, records: Records, wait_s: float
+    ) -> errors.LogError | None:
         """Append once; return what was wrong, if anything."""
         fence = ledgers.Fence(self.epoch, self.sequence)
+        begun_at = self.clock.monotonic()
         try:
-            await self.ledger.append(self.topic, self.part, records, fence)
+            await self.ledger.append(
+                self.topic, self.part, records, fence, wait_s
+            )
         except errors.LogError as error:
             return error
+        took_s = self.clock.monotonic() - begun_at
+        self.answer_s += LEARN * (took_s - self.answer_s)
         return None
 
     def fenced(self, taken: list[Write], tried: attempt.Attempt) -> None:
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -57,6 +57,15 @@
     }
 
 
+class Unheard:
+    """An answer that is lost on the way."""
+
+    def send_json(self, status, data):
+        pass
+
+    abort = send = send_json
+
+
 class StoreStandin(httpserver.Handler):
     """The store's HTTP calls on a ledger in memory.
 
@@ -66,6 +75,7 @@
       refuse: Status of all answers, or 0.
       refuse_member: Member of the group that is turned away.
       lose: Number of coming appends done but not answered.
+      lose_every: Which of the writing calls are done but never answered.
       calls: Number of calls by path.
     """
 
@@ -76,6 +86,8 @@
         self.refuse = 0
         self.refuse_member = ""
         self.lose = 0
+        self.lose_every = 0
+        self.writes = 0
         self.calls = {}
         self.bodies = []
 
@@ -88,8 +100,14 @@
         if self.refuse:
             response.send_json(self.refuse, {})
             return
+        self.writes += request.method == "POST"
+        lost = self.lose_every and self.writes % self.lose_every == 0
+        if lost and request.method == "POST":
+            response = Unheard()
         try:
             await self.answer(path, request.query, body, response)
+            if isinstance(response, Unheard):
+                await asyncio.sleep(3600)
         except errors.LogTruncated as error:
             response.send_json(410, {"first": error.first})
         except errors.LogFenced:
--- a/tests/test_partwriter.py
+++ b/tests/test_partwriter.py
@@ -127,3 +127,45 @@
     with pytest.raises(errors.LogUnavailable):
         await task
     assert kept.keys() == ["a"]
+
+
+class SlowLedger(ledger.MemoryLedger):
+    """Answers as late as it is told; an answer that is late is none."""
+
+    def __init__(self, seconds):
+        super().__init__()
+        self.seconds = seconds
+        self.waits = []
+
+    async def append(self, topic, part, records, fence=None, timeout_s=1.0):
+        self.waits.append(timeout_s)
+        await super().append(topic, part, records, fence)
+        await asyncio.sleep(min(self.seconds, timeout_s))
+        if self.seconds > timeout_s:
+            raise errors.LogUnavailable("late", step="append", peer="memory")
+
+
+async def test_a_lost_answer_is_noticed_within_what_answers_take():
+    # One answer of a quick store is lost. Waited for over a second, the
+    # caller of a job would have had no patience left.
+    kept = Kept(held=SlowLedger(0.005))
+    for number in range(5):
+        await kept.write(f"a{number}")
+    kept.ledger.lose_answers = 1
+    begun_at = asyncio.get_running_loop().time()
+    await kept.write("b")
+    took_s = asyncio.get_running_loop().time() - begun_at
+    assert took_s < 2 * partwriter.LEAST_ANSWER_S
+    kept.writer.stop()
+
+
+async def test_a_store_that_turns_slow_is_waited_for_longer():
+    kept = Kept(held=SlowLedger(0.24))
+    for number in range(6):
+        await kept.write(f"a{number}")
+    assert kept.keys() == [f"a{number}" for number in range(6)]
+    assert kept.ledger.waits[0] == partwriter.LEAST_ANSWER_S
+    assert kept.ledger.waits[-1] > 0.24
+    # It has learned, and does not repeat each append any more.
+    assert len(kept.ledger.waits) < 12
+    kept.writer.stop()
