--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -209,6 +209,8 @@
         Raises:
           NoSlot: there is none in time; only for online requests.
         """
+        zone = self.context.config.host.availability_zone
+        want = dataclasses.replace(want, zone=zone)
         for number in range(MAX_STALE):
             name, coordinator = await self.answer(service, want)
             entry = self.inforce.engines.entries.get(name)
--- a/camphortray/placingcalls.py
+++ b/camphortray/placingcalls.py
@@ -42,6 +42,7 @@
     work_ms: int
     prefix: str
     avoid: tuple[str, ...]
+    zone: str = ""
 
     @classmethod
     def of(cls, want: slotbook.Want, now: float) -> "WantText":
@@ -58,6 +59,7 @@
             round(want.work_s * 1000),
             want.prefix,
             tuple(want.avoid),
+            want.zone,
         )
 
     def want(self, holder: str, now: float) -> slotbook.Want:
@@ -74,6 +76,7 @@
             self.work_ms / 1000,
             self.prefix,
             frozenset(self.avoid),
+            self.zone,
         )
 
 
--- a/camphortray/slotbook.py
+++ b/camphortray/slotbook.py
@@ -64,6 +64,7 @@
       due_at: When a batch item should be done.
       work_s: Time that a batch item will hold the slot, as expected.
       prefix: What it shares with other requests, or empty.
+      zone: Availability zone of the host that asks.
       avoid: Engines that failed it.
     """
 
@@ -78,14 +79,16 @@
     work_s: float = 0.0
     prefix: str = ""
     avoid: frozenset[str] = frozenset()
+    zone: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineSlots:
-    """An engine and how many requests it runs at once."""
+    """An engine, how many requests it runs at once, and where it stands."""
 
     name: str
     slots: int
+    zone: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,6 +131,7 @@
 
     Attributes:
       engines: Slots by engine.
+      zones: Availability zone by engine.
       leases: By id of their wants.
       queue: Online requests that wait, first come first.
       items: Batch items that wait, by id.
@@ -138,6 +142,7 @@
 
     def __init__(self) -> None:
         self.engines: dict[str, int] = {}
+        self.zones: dict[str, str] = {}
         self.leases: dict[str, Lease] = {}
         self.queue: list[Want] = []
         self.items: dict[str, Want] = {}
@@ -152,7 +157,9 @@
         self, engines: Iterable[EngineSlots], now: float
     ) -> list[Decision]:
         """Take the engines that may get new work."""
-        self.engines = {engine.name: engine.slots for engine in engines}
+        held = list(engines)
+        self.engines = {engine.name: engine.slots for engine in held}
+        self.zones = {engine.name: engine.zone for engine in held}
         self.health.keep(self.engines)
         return self.decide(now)
 
@@ -330,7 +337,7 @@
 
     def free_engine(self, want: Want, now: float) -> str | None:
         """Return the engine with a free slot that suits a want best."""
-        best: tuple[int, str] | None = None
+        best: tuple[bool, int, str] | None = None
         for name in self.engines:
             if name in want.avoid:
                 continue
@@ -340,18 +347,23 @@
             score = self.score(want, name, free)
             if best is None or score > best:
                 best = score
-        return best[1] if best else None
+        return best[-1] if best else None
 
-    def score(self, want: Want, engine: str, free: int) -> tuple[int, str]:
+    def score(
+        self, want: Want, engine: str, free: int
+    ) -> tuple[bool, int, str]:
         """Return how well an engine suits; the most is best.
 
-        Requests that share a prefix meet at the same engine as long as
-        it has room; the others go where most slots are free.
+        Bytes between zones are dear, and an engine with a free slot in
+        the asker's zone answers as soon as any other. Requests that share
+        a prefix meet at the same engine as long as it has room; the others
+        go where most slots are free.
         """
+        near = self.zones.get(engine) == want.zone
         if not want.prefix:
-            return free, engine
+            return near, free, engine
         key = f"{want.prefix}\0{engine}".encode()
-        return xxhash.xxh64_intdigest(key) >> 1, engine
+        return near, xxhash.xxh64_intdigest(key) >> 1, engine
 
     def victim(self, want: Want, now: float) -> Lease | None:
         """Return the batch item that can best give way, if there is one."""
--- a/camphortray/slotdesk.py
+++ b/camphortray/slotdesk.py
@@ -68,7 +68,10 @@
         """Take the engines as they are now."""
         held = self.home.inforce.engines.usable(self.service)
         self.book.share = self.home.share_of(self.service)
-        found = [slotbook.EngineSlots(e.name, e.slots) for e in held]
+        found = [
+            slotbook.EngineSlots(e.name, e.slots, e.availability_zone)
+            for e in held
+        ]
         self.act(self.book.set_engines(found, now))
 
     def act(self, decisions: list[slotbook.Decision]) -> None:
--- a/tests/test_slotbook.py
+++ b/tests/test_slotbook.py
@@ -270,3 +270,21 @@
 )
 def test_what_a_failure_says_of_its_engine(error, outcome):
     assert enginehealth.outcome_of(error) is outcome
+
+
+@pytest.mark.parametrize("prefix", ["", "p"])
+def test_an_engine_in_the_askers_zone_goes_before_others_while_it_has_room(
+    prefix,
+):
+    book = slotbook.SlotBook()
+    zones = ("a", "b", "c")
+    book.set_engines(
+        [slotbook.EngineSlots(f"e-{zone}", 2, zone) for zone in zones], 0.0
+    )
+    found = []
+    for number in range(3):
+        want = online(f"q{number}", zone="b", prefix=prefix)
+        (decision,) = book.ask(want, 0.0)
+        found.append(decision.engine)
+    assert found[:2] == ["e-b", "e-b"]
+    assert found[2] != "e-b"
