--- a/camphortray/ctl_logs.py
+++ b/camphortray/ctl_logs.py
@@ -34,8 +34,13 @@
     except OSError as error:
         print(f"camphortray-ctl: {error}", file=sys.stderr)
         return 2
-    for line in found:
-        print(story.tell(line))
+    try:
+        for line in found:
+            print(story.tell(line))
+    except BrokenPipeError:
+        # Whoever reads, such as a pager, has seen enough.
+        sys.stderr.close()
+        return 0
     if not found:
         print(f"camphortray-ctl: no line names {name}", file=sys.stderr)
     return 0 if found else 1
