Hand items under way to the next owner; bar none for silence

Change: the owner before tells the next what has come of them, as soon as it hears who that is; longer is what counts. Cause 2 (items 15 s and more late, found by the test of the first): silence and breaks in the middle counted as signs of an item that crashes engines, so that a host that stood still, or answers lost three times, barred it for 15 s. Change: only breaks before the first event of a try count. Tests: test_itemwork.py, test_itemfate.py, test_passage.py, test_a_host_that_drains_hands_its_items_on.

--- a/camphortray/eventstream.py
+++ b/camphortray/eventstream.py
@@ -95,15 +95,15 @@
         self.last = last
         self.count += len(events)
 
-    def restart(self) -> None:
-        """Make ready for the stream that goes on behind the last event."""
+    def go_on_from(self, last: str, count: int) -> None:
+        """Make ready to go on behind an event that another has read."""
         self.tail = b""
+        self.last = last
+        self.count = count
 
-    def reset(self) -> None:
-        """Make ready for a stream that begins anew."""
+    def restart(self) -> None:
+        """Make ready for the stream that goes on behind the last event."""
         self.tail = b""
-        self.last = ""
-        self.count = 0
 
 
 def follows(before: str, after: str) -> bool:
--- a/camphortray/itemfate.py
+++ b/camphortray/itemfate.py
@@ -38,7 +38,7 @@
 
     Attributes:
       failed: Answers that were an engine's own failure.
-      breaks: Answers that broke off.
+      breaks: Answers in a row that broke off before their first event.
       pauses: Tries in a row that brought nothing.
       avoid: Engine of the last try that failed.
       not_before: When it may be tried again.
@@ -57,6 +57,7 @@
     upstream: str,
     now: float,
     attempts: int,
+    brought: int = 0,
 ) -> Fate:
     """Take note of a failed try and return what follows.
 
@@ -66,6 +67,7 @@
       upstream: At which engine.
       now: Present time.
       attempts: Failures of engines after which an item is given up.
+      brought: Events that the try brought.
     """
     tries.avoid = upstream
     tries.pauses += 1
@@ -79,7 +81,11 @@
             if tries.failed >= attempts:
                 return Fate.ABANDON
         return Fate.AGAIN
-    if error.ran:
+    if brought:
+        # What crashes engines does so as it begins to run.
+        tries.breaks = 0
+    elif error.ran and not isinstance(error, errors.UpstreamTimeout):
+        # Silence may be this host's own, which stood still or is slow.
         tries.breaks += 1
         if tries.breaks >= BREAKS:
             tries.not_before = now + BARRED_S
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -1,6 +1,6 @@
 """Runs opaque items at engines until each is done or abandoned."""
 
-__all__ = ["ItemWork"]
+__all__ = ["ItemWork", "Progress", "WorkParts"]
 
 import asyncio
 import dataclasses
@@ -52,6 +52,21 @@
     pace: itemfate.Pace
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """What has come of an item that is not done.
+
+    Attributes:
+      place: Of the item in its job.
+      last: Id of its last whole event.
+      text: Data of its events, one entry each.
+    """
+
+    place: int
+    last: str
+    text: tuple[bytes, ...]
+
+
 class ItemWork:
     """One item of a job, as its owner runs it.
 
@@ -174,6 +189,22 @@
         service = route.service_of(self.item.id)
         return await parts.placing.acquire(service, want, self.revoke)
 
+    @property
+    def progress(self) -> Progress | None:
+        """What has come of the item, if another could go on from there."""
+        if not self.reader.last:
+            return None
+        return Progress(self.place, self.reader.last, tuple(self.text))
+
+    def go_on_from(self, progress: Progress) -> None:
+        """Go on from what the owner before has got, if that is more."""
+        if len(progress.text) <= self.reader.count:
+            return
+        self.reader.go_on_from(progress.last, len(progress.text))
+        self.text = list(progress.text)
+        # What runs now is behind; it is taken up anew from there.
+        self.revoke()
+
     def revoke(self) -> None:
         """Stop the run; what has come of it is kept."""
         if self.run_task is not None:
@@ -219,7 +250,8 @@
             )
         except errors.UpstreamError as error:
             outcome = enginehealth.outcome_of(error)
-            return self.failed(route, held, error)
+            brought = self.reader.count - count
+            return self.failed(route, held, error, brought)
         finally:
             task.cancel()
             self.run_task = None
@@ -234,6 +266,7 @@
         route: routemap.Route,
         held: placing.Placement,
         error: errors.UpstreamError,
+        brought: int,
     ) -> jobbook.Result | None:
         """Take note of a failed run; return a result if it is the last."""
         name = held.upstream.name
@@ -253,6 +286,7 @@
             name,
             self.parts.clock.monotonic(),
             route.max_attempts,
+            brought,
         )
         if fate is itemfate.Fate.ABANDON:
             return self.abandoned(str(error))
--- a/camphortray/jobdesk.py
+++ b/camphortray/jobdesk.py
@@ -12,6 +12,7 @@
 
 from camphortray import config as configs
 from camphortray import errors
+from camphortray import handover
 from camphortray import inforce
 from camphortray import itemfate
 from camphortray import itemwork
@@ -89,6 +90,7 @@
         self.owners: dict[int, jobowner.JobOwner] = {}
         self.known: dict[int, tuple[int, str]] = {}
         self.waiting = jobwaiting.JobWaiting(context, self.owners)
+        self.handover = handover.Handover(context, self.owners)
         self.touched_at = -KEEP_S
         self.draining = False
         self.task: asyncio.Task[None] | None = None
@@ -108,6 +110,7 @@
         self.members.on_fact(OWNER, self.on_owner)
         loop = asyncio.get_running_loop()
         self.waiting.start()
+        self.handover.start()
         self.task = loop.create_task(self.keep_membership())
 
     # Which partitions are owned here.
@@ -138,10 +141,15 @@
             return
         for part in set(self.owners) - found.parts:
             LOG.notice("Partition {} is dealt to another.", part)
-            self.owners.pop(part).stop()
+            self.give_up(self.owners.pop(part))
         for part in found.parts - set(self.owners):
             self.take(part, found.generation)
 
+    def give_up(self, owner: jobowner.JobOwner) -> None:
+        """Stop owning a partition; the next owner gets what is under way."""
+        self.handover.leave(owner)
+        owner.stop()
+
     async def confirm_all(self) -> None:
         """Keep only partitions that no other has owned meanwhile.
 
@@ -154,7 +162,7 @@
             if not owner.ready.is_set() or owner.lost:
                 continue
             if not await self.confirmed(owner):
-                owner.stop()
+                self.give_up(owner)
                 if self.owners.get(part) is owner:
                     del self.owners[part]
 
@@ -192,6 +200,10 @@
 
     def on_lost(self, owner: jobowner.JobOwner) -> None:
         """Forget a partition that another has taken over."""
+        self.handover.leave(owner)
+        epoch, name = self.known.get(owner.part, (0, ""))
+        if epoch > owner.epoch:
+            self.handover.give(owner.part, name)
         if self.owners.get(owner.part) is owner:
             del self.owners[owner.part]
 
@@ -204,6 +216,7 @@
         if self.known.get(part) != (owner.epoch, self.members.own_name):
             key = f"{part}/{self.members.own_name}"
             self.members.publish(OWNER, key, owner.epoch, FACT_KEEP_S)
+            self.handover.give(part, self.members.own_name)
 
     def on_owner(self, fact: membership.Fact) -> None:
         """Take note of who owns a partition."""
@@ -217,7 +230,9 @@
             # its items must not go on beside those of the new owner.
             LOG.notice("Partition {} has owner {}.", part, name)
             del self.owners[part]
-            owner.stop()
+            self.give_up(owner)
+        if name != self.members.own_name:
+            self.handover.give(part, name)
 
     @property
     def lapsed(self) -> bool:
@@ -444,6 +459,7 @@
             return
         self.draining = True
         for owner in list(self.owners.values()):
+            self.handover.leave(owner)
             await owner.close()
         self.owners.clear()
         try:
--- a/camphortray/jobmessages.py
+++ b/camphortray/jobmessages.py
@@ -7,6 +7,7 @@
     "JobRefusal",
     "PageAsk",
     "PageReply",
+    "ProgressWord",
     "QuotaAsk",
     "QuotaReply",
     "SubmitAsk",
@@ -16,6 +17,7 @@
 import dataclasses
 
 from camphortray import errors
+from camphortray import itemwork
 from camphortray import jobbook
 from camphortray import messages
 
@@ -122,6 +124,22 @@
         )
 
 
+@messages.message("job.progress")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgressWord:
+    """Tells the owner of a partition what the one before has got.
+
+    Attributes:
+      part: The partition.
+      job: Id of a job in it.
+      items: Of items that were under way.
+    """
+
+    part: int
+    job: str
+    items: tuple[itemwork.Progress, ...]
+
+
 @messages.message("job.quota")
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuotaAsk:
--- a/camphortray/jobowner.py
+++ b/camphortray/jobowner.py
@@ -73,6 +73,8 @@
         self.lost = False
         self.waiting: collections.deque[tuple[str, int]] = collections.deque()
         self.running: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self.works: dict[tuple[str, int], itemwork.ItemWork] = {}
+        self.early: dict[tuple[str, int], itemwork.Progress] = {}
         self.positions: dict[str, int] = {}
         self.ending: set[str] = set()
         self.submits: dict[str, asyncio.Task[None]] = {}
@@ -148,8 +150,8 @@
         """Stop: another owner has taken over."""
         if not self.lost:
             LOG.notice("Lost partition {} to another owner.", self.part)
-            self.stop()
             self.on_lost(self)
+            self.stop()
 
     def stop(self) -> None:
         """Stop all work at once; the next owner does the rest."""
@@ -210,7 +212,12 @@
     async def run_item(self, job: jobbook.Job, place: int) -> None:
         """Run one item and keep its result."""
         try:
-            result = await itemwork.ItemWork(self.parts, job, place).run()
+            work = itemwork.ItemWork(self.parts, job, place)
+            self.works[job.id, place] = work
+            known = self.early.pop((job.id, place), None)
+            if known is not None:
+                work.go_on_from(known)
+            result = await work.run()
             if job.ended or job.id in self.ending:
                 return
             position = self.positions[job.id]
@@ -223,8 +230,29 @@
             LOG.error("Item of {} failed: {!r}", job.id, error)
         finally:
             self.running.pop((job.id, place), None)
+            self.works.pop((job.id, place), None)
             self.run_more()
 
+    def progress(self) -> dict[str, list[itemwork.Progress]]:
+        """Return what has come of the items under way, by job."""
+        found: dict[str, list[itemwork.Progress]] = {}
+        for (name, _), work in self.works.items():
+            held = work.progress
+            if held is not None and name not in self.ending:
+                found.setdefault(name, []).append(held)
+        return found
+
+    def take_progress(self, name: str, found: itemwork.Progress) -> None:
+        """Go on with an item from where the owner before has got."""
+        job = self.book.jobs.get(name)
+        if self.lost or job is None or found.place in job.listed:
+            return
+        work = self.works.get((name, found.place))
+        if work is not None:
+            work.go_on_from(found)
+        else:
+            self.early[name, found.place] = found
+
     def stop_job(self, name: str) -> None:
         """Stop the items of a job."""
         for (job, _), task in list(self.running.items()):
--- a/camphortray/passage.py
+++ b/camphortray/passage.py
@@ -74,6 +74,7 @@
       reader: What of a stream the caller has.
       ran: Tries that may have run.
       refused: Tries that certainly did not.
+      had: Events that the caller had when the last try began.
       engine: Of the last try.
       coordinator: Who gave its slot.
       slot_s: Seconds that the last slot was waited for.
@@ -94,6 +95,7 @@
         self.refused = 0
         self.avoid: frozenset[str] = frozenset()
         self.answer: Answer | None = None
+        self.had = 0
         self.engine = ""
         self.coordinator = ""
         self.slot_s = 0.0
@@ -242,7 +244,7 @@
         LOG.info("{} failed at {}: {}", self.request.id, name, error)
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
             self.parts.inforce.note_leaving(name)
-        if error.ran and isinstance(error, errors.UpstreamBroken):
+        if self.broke(error):
             self.parts.breaks.tell(
                 self.request.fingerprint, f"{self.request.id}.{self.ran}"
             )
@@ -260,6 +262,19 @@
             self.give_up(503, "upstream_refused", str(error), wait_s)
         return False
 
+    def broke(self, error: errors.UpstreamError) -> bool:
+        """Return whether the request may have crashed its engine.
+
+        What does so does it as it begins to run; and silence may be this
+        host's own, which stood still or is slow.
+        """
+        return (
+            error.ran
+            and isinstance(error, errors.UpstreamBroken)
+            and not isinstance(error, errors.UpstreamTimeout)
+            and self.reader.count == self.had
+        )
+
     async def attempt(self, held: placing.Placement) -> None:
         """Run the request at one engine.
 
@@ -267,7 +282,8 @@
           UpstreamError: there is no whole answer.
         """
         outcome = enginehealth.Outcome.NOTHING
-        begun_at, count = now_of(self.parts), self.reader.count
+        begun_at = now_of(self.parts)
+        self.had = self.reader.count
         party = self.parts.outer.engine(held.upstream.plugin)
         request = self.request.for_engine(
             now_of(self.parts),
@@ -287,7 +303,7 @@
         except asyncio.CancelledError:
             # The caller has left, or its time is over. Where nothing had
             # come for long, that says something of the engine.
-            silent = self.reader.count == count
+            silent = self.reader.count == self.had
             if silent and now_of(self.parts) - begun_at > FIRST_SILENT_S:
                 outcome = enginehealth.Outcome.BROKEN
             raise
--- a/tests/test_itemfate.py
+++ b/tests/test_itemfate.py
@@ -47,6 +47,23 @@
     assert held.not_before >= 10.0 + itemfate.BARRED_S
 
 
+@pytest.mark.parametrize(
+    ("error", "brought"),
+    [
+        (errors.UpstreamTimeout("silent", ran=True), 0),
+        (BROKEN, 1),
+    ],
+)
+def test_what_an_item_is_not_barred_for(error, brought):
+    # A host that stands still sees silence everywhere; engines lose answers
+    # in the middle. Neither says that the item crashes engines, and barred
+    # for it, it was late by a quarter of a minute.
+    held = itemfate.ItemTries()
+    for _ in range(10):
+        itemfate.decide(held, error, "e", 10.0, 3, brought)
+    assert held.not_before <= 10.0 + itemfate.MAX_PAUSE_S
+
+
 def test_the_engine_that_failed_is_avoided_next():
     held = itemfate.ItemTries()
     itemfate.decide(held, status(503, ran=False), "e7", 0.0, 3)
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -214,3 +214,31 @@
     slots.acquire = never
     assert (await work.run()).state is DONE
     assert len(asked) == 3
+
+
+async def test_an_item_goes_on_from_what_the_owner_before_has_got():
+    # Its partition changed hands while it ran. The next owner had begun it
+    # anew and hears then how far the last one was.
+    slow = hostkit.Answer(hostkit.events(1, 1))
+    given = slow.read
+
+    async def read(timeout_s):
+        if slow.chunks:
+            return await given(timeout_s)
+        await asyncio.sleep(3600.0)
+
+    slow.read = read
+    work = work_of([slow, hostkit.Answer(hostkit.events(4, 5))])
+    task = asyncio.ensure_future(work.run())
+    await asyncio.sleep(0.01)
+    work.go_on_from(itemwork.Progress(0, "3", (b"d1", b"d2", b"d3")))
+    assert (await task).text == text(5)
+    assert asked(work) == ["", "3"]
+
+
+async def test_what_is_behind_changes_nothing():
+    work = work_of([hostkit.Answer(hostkit.events(1, 3))])
+    task = asyncio.ensure_future(work.run())
+    assert (await task).text == text(3)
+    work.go_on_from(itemwork.Progress(0, "2", (b"d1", b"d2")))
+    assert work.progress == itemwork.Progress(0, "3", (b"d1", b"d2", b"d3"))
--- a/tests/test_passage.py
+++ b/tests/test_passage.py
@@ -295,3 +295,21 @@
     with pytest.raises(asyncio.CancelledError):
         await task
     assert [end.name for end in held.parts.placing.ends] == [outcome_name]
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [answer(*TWO, hostkit.BROKEN), answer(hostkit.event(3))],
+        [hostkit.SILENT, answer(*TWO)],
+    ],
+    ids=["in the middle", "silent"],
+)
+async def test_what_is_no_sign_of_a_request_that_crashes_engines(script):
+    script = [
+        hostkit.Answer(a.chunks) if isinstance(a, hostkit.Answer) else a
+        for a in script
+    ]
+    held = passage_of(script, hostkit.RESUMABLE)
+    assert await outcome(held) == 200
+    assert held.parts.breaks.told == []
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -271,3 +271,52 @@
         await asyncio.sleep(4.0)
         assert desk.owners == before
         assert not any(owner.lost for owner in before.values())
+
+
+async def test_a_host_that_drains_hands_its_items_on():
+    # Its items are under way at engines. The next owner goes on behind
+    # their last events instead of beginning them anew.
+    async with platformkit.Platform(hosts=2) as platform:
+        first, second = platform.hosts
+        for engine in platform.engines.values():
+            engine.always = "wait"
+        desk = first.part(jobdesk.JobDesk)
+        names = [f"d{n}" for n in range(40)]
+        jobs = [n for n in names if desk.part_of(n) in desk.owners][:3]
+        for job in jobs:
+            await first.call(
+                "POST",
+                platformkit.BATCH_PREFIX + job,
+                [("Attempt-Id", job)],
+                job_body(1),
+            )
+
+        def under_way():
+            return [
+                work
+                for owner in desk.owners.values()
+                for work in owner.works.values()
+                if work.progress is not None
+            ]
+
+        await platform.until(lambda: len(under_way()) == len(jobs))
+        taken = []
+        other = second.part(jobdesk.JobDesk).handover
+        take = other.take
+        other.take = lambda word: (taken.append(word), take(word))
+        first.kernel.request_drain()
+        await platform.until(
+            lambda: (
+                not desk.owners
+                and set(second.part(jobdesk.JobDesk).owners) == {0, 1}
+            )
+        )
+        for engine in platform.engines.values():
+            engine.always = ""
+            engine.go.set()
+        for job in jobs:
+            found = await results_of(second, job, 1)
+            assert found[0]["text"] == TEXT
+        handed = {word.job: word.items for word in taken}
+        assert set(handed) == set(jobs)
+        assert all(items[0].text == (b"d1",) for items in handed.values())
