End a job for good when one of several calls to end it is kept

Change: items wait while any call to end waits; a kept end stops what runs. Both tests fail without the change.

--- a/camphortray/jobowner.py
+++ b/camphortray/jobowner.py
@@ -40,6 +40,8 @@
       book: All its jobs.
       ready: Set once all has been read.
       lost: Whether another owner has taken over.
+      ending: Calls to end a job that wait or may have been kept, by job;
+        its items are not run meanwhile.
     """
 
     def __init__(
@@ -76,7 +78,7 @@
         self.works: dict[tuple[str, int], itemwork.ItemWork] = {}
         self.early: dict[tuple[str, int], itemwork.Progress] = {}
         self.positions: dict[str, int] = {}
-        self.ending: set[str] = set()
+        self.ending: collections.Counter[str] = collections.Counter()
         self.submits: dict[str, asyncio.Task[None]] = {}
         self.news: dict[str, asyncio.Event] = {}
         self.task: asyncio.Task[None] | None = None
@@ -267,7 +269,11 @@
             self.book.apply(record)
         for name in {record.key.split("/")[1] for record in records}:
             job = self.book.jobs.get(name)
-            if job is not None and name not in self.positions:
+            if job is not None and job.ended:
+                # Items may have begun anew meanwhile, as an earlier call
+                # to end it was refused while this one still waited.
+                self.stop_job(name)
+            elif job is not None and name not in self.positions:
                 # Also where whoever sent it has been told that it is not
                 # known what became of it.
                 self.start_job(job)
@@ -362,14 +368,17 @@
         job = self.book.jobs.get(name)
         if job is None or job.ended:
             return
-        self.ending.add(name)
+        self.ending[name] += 1
         self.stop_job(name)
         try:
             await self.writer.write((jobbook.end_record(name),), WRITE_S)
         except errors.LogRefused:
-            # Nobody was told that it has ended, so it goes on.
-            self.ending.discard(name)
-            self.start_job(job)
+            # Nobody was told that it has ended, so it goes on, unless
+            # another call to end it still waits.
+            self.ending[name] -= 1
+            if not self.ending[name]:
+                del self.ending[name]
+                self.start_job(job)
             raise
 
     async def confirm(self) -> None:
--- a/tests/test_jobowner.py
+++ b/tests/test_jobowner.py
@@ -243,3 +243,36 @@
     await asyncio.sleep(10.0)
     assert not owner.running
     assert len(owner.parts.placing.wants) == wants
+
+
+async def test_of_two_calls_to_end_a_job_the_one_that_is_kept_counts():
+    # The store is away. The caller asks for the end again before its first
+    # call is refused. That one let the items begin anew; the second was
+    # kept when the store came back, and the items ran on after it.
+    held = ledger.MemoryLedger()
+    owner = await Owned(held, []).ready()
+    owner.parts.placing.refusals = 10**6
+    await owner.submit(part_of(count=2))
+    held.refuse = 10**6
+    first = asyncio.ensure_future(owner.end("j1"))
+    await asyncio.sleep(2.0)
+    second = asyncio.ensure_future(owner.end("j1"))
+    with pytest.raises(errors.LogRefused):
+        await first
+    assert not owner.running
+    held.refuse = 0
+    await second
+    await asyncio.sleep(0.2)
+    assert not owner.running
+
+
+async def test_an_end_kept_while_items_run_stops_them():
+    held = ledger.MemoryLedger()
+    owner = await Owned(held, []).ready()
+    owner.parts.placing.refusals = 10**6
+    await owner.submit(part_of(count=2))
+    await asyncio.sleep(0.1)
+    assert owner.running
+    await owner.writer.write((jobbook.end_record("j1"),), 1.0)
+    await asyncio.sleep(0.1)
+    assert not owner.running
