--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import contextlib
 from typing import Any
 from typing import ClassVar
@@ -142,6 +143,10 @@
         self.http_address = address
         self.announce()
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Take other addresses to ask first, as the settings changed."""
+        self.node.seeds = list(seeds)
+
     def leave(self) -> None:
         """Tell all hosts that this program takes no new callers."""
         self.node.leave(self.clock.monotonic())
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,9 +3,12 @@
 import asyncio
 import json
 
+from camphortray_platform import front
+from camphortray_platform import reload
 import pytest
 
 from camphortray import errors
+from camphortray import membership
 from camphortray import placing
 from tests import platformkit
 
@@ -153,3 +156,46 @@
         assert status == 503
         status, headers, body = await first.call("POST", PATH, ASK)
         assert (status, body) == (200, whole())
+
+
+TOML = """
+nodeName = "{name}"
+zone = "z1"
+region = "region-1"
+seeds = ["{seed}"]
+[listen]
+front = "{listen.front}"
+ready = "{listen.ready}"
+control = "{listen.control}"
+directory = "{listen.directory}"
+[bounds]
+graceS = {grace}
+[platform]
+address = "{store}"
+"""
+
+
+async def test_changed_settings_are_taken_and_wrong_ones_told(tmp_path):
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        path = tmp_path / "boot.toml"
+        told = {
+            "name": host.node.node_name,
+            "listen": host.node.listen,
+            "store": host.node.platform.address,
+        }
+        path.write_text(TOML.format(seed="10.0.0.1:1", grace=8, **told))
+        reloader = reload.Reloader(host.kernel.context, str(path), host.node)
+        reloader.reload()
+        members = host.part(membership.Membership)
+        served = host.part(front.Front)
+        assert members.node.seeds == ["10.0.0.1:1"]
+        assert served.config.grace_s == 8
+        path.write_text("nodeName = 3")
+        reloader.reload()
+        assert served.config.grace_s == 8
+        reloader.start()
+        path.write_text(TOML.format(seed="10.0.0.2:1", grace=5, **told))
+        await platform.until(lambda: served.config.grace_s == 5)
+        assert members.node.seeds == ["10.0.0.2:1"]
+        reloader.stop()
