--- /dev/null
+++ b/bench/slots.py
@@ -0,0 +1,66 @@
+"""Processor time of one decision on slots, by engines and items waiting.
+
+Each round asks for an online slot and gives one back, on a book whose slots
+are all in use by batch items. ``python -m bench.slots``.
+"""
+
+__all__ = ["main"]
+
+import json
+import sys
+import time
+
+from camphortray import enginehealth
+from camphortray import slotbook
+
+ROUNDS = 400
+SLOTS = 8
+SIZES = ((6, 20), (36, 100), (600, 100), (600, 2000))
+
+
+def full_book(engines: int, waiting: int) -> slotbook.SlotBook:
+    """Return a book with all slots taken by items, and more waiting."""
+    book = slotbook.SlotBook()
+    book.set_engines(
+        [
+            slotbook.EngineSlots(f"e{n}", SLOTS, f"z{n % 9}")
+            for n in range(engines)
+        ],
+        0.0,
+    )
+    for number in range(engines * SLOTS + waiting):
+        want = slotbook.Want(
+            f"i{number}", "h", False, due_at=18.0 + number % 97, work_s=4.8
+        )
+        book.items[want.id] = want
+    book.decide(0.0)
+    return book
+
+
+def measure(engines: int, waiting: int) -> float:
+    """Return microseconds of processor time for an ask and its end."""
+    book = full_book(engines, waiting)
+    begun = time.process_time()
+    for number in range(ROUNDS):
+        now = 1.0 + number / 1000
+        want = slotbook.Want(
+            f"q{number}", "h", True, asked_at=now, prefix=f"p{number % 8}"
+        )
+        book.ask(want, now)
+        book.done(want.id, enginehealth.Outcome.GOOD, now)
+    return (time.process_time() - begun) / ROUNDS * 1e6
+
+
+def main() -> int:
+    """Print a line for each size and one of JSON; return the exit code."""
+    found = {}
+    for engines, waiting in SIZES:
+        microseconds = measure(engines, waiting)
+        found[f"{engines} engines, {waiting} items"] = round(microseconds, 1)
+        print(f"{engines} engines, {waiting} waiting: {microseconds:.1f} us")
+    print(json.dumps({"bench": "slots", "us": found}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
