Make completions and opaque requests two fronts of one exchange

Cause: a request on its way stood twice. exchange and delivery carried completions, passage carried opaque requests; each had its own tries, its own relay of events, its own count of what may have run.

Ruled out: one class with switches for both, which would put routing's loads and the book's leases into each method; leaving both, as poison was looked at before each try of a completion but before the first only of an opaque one.

Change: exchange is the path: tries, relay, resumption, the count of what may have run. completing and passage say who finds an engine, what is sent, what follows on a failure; a Try (routedtry, SlotTry) is told how it goes. One RetryRule decides for both; one HttpStream serves both plug-ins of engines. delivery is gone. An opaque request barred after a try that ran is now answered 502: 503 would promise that it never ran (test fails without it).

--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -11,6 +11,7 @@
     "EngineRequest",
     "EngineState",
     "EngineStream",
+    "FINAL",
     "LoadReport",
     "MemoryEngine",
     "Order",
@@ -30,6 +31,9 @@
 from camphortray import errors
 from camphortray import registry
 
+# Answers of an engine that another engine would give too.
+FINAL = frozenset({400, 413, 422})
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Upstream:
--- a/camphortray/eventstream.py
+++ b/camphortray/eventstream.py
@@ -1,7 +1,8 @@
-"""Event streams whose events carry increasing ids."""
+"""Event streams: how they are cut, and those whose events carry ids."""
 
-__all__ = ["Event", "EventReader", "events_of"]
+__all__ = ["Event", "EventReader", "Framing", "events_of"]
 
+import abc
 import dataclasses
 
 from camphortray import errors
@@ -47,11 +48,33 @@
     return [parse(part) for part in raw.split(EVENT_END) if part.strip()]
 
 
-class EventReader:
-    """Cuts a stream into whole events and checks their order.
+class Framing(abc.ABC):
+    """Cuts a stream into whole events, over all engines that make it.
 
     Part of an event is held back: a stream that breaks in the middle of
     one and goes on at another engine would else show it torn or twice.
+    """
+
+    @abc.abstractmethod
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes; return those of whole events.
+
+        Raises:
+          UpstreamBroken: they cannot be trusted.
+        """
+
+    @abc.abstractmethod
+    def restart(self) -> None:
+        """Make ready for the stream that goes on behind the last event."""
+
+    @property
+    @abc.abstractmethod
+    def whole(self) -> bool:
+        """Whether the stream may end here."""
+
+
+class EventReader(Framing):
+    """Cuts a stream into whole events and checks their order.
 
     Attributes:
       last: Id of the last whole event, over all engines.
@@ -64,11 +87,6 @@
         self.count = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Take bytes; return those of whole events.
-
-        Raises:
-          UpstreamBroken: the ids do not follow each other.
-        """
         data = self.tail + data
         cut = data.rfind(EVENT_END)
         if cut < 0:
@@ -102,9 +120,12 @@
         self.count = count
 
     def restart(self) -> None:
-        """Make ready for the stream that goes on behind the last event."""
         self.tail = b""
 
+    @property
+    def whole(self) -> bool:
+        return bool(self.count) and not self.tail
+
 
 def follows(before: str, after: str) -> bool:
     """Return whether an id comes right after another.
--- a/camphortray/exchange.py
+++ b/camphortray/exchange.py
@@ -1,407 +1,233 @@
-"""One online request on its way: its tries, its answer, its end."""
+"""One online request on its way: its tries, its answer, its end.
 
-__all__ = ["Exchange", "Parts"]
+What is alike whatever the protocol of the request stands here: a try at an
+engine, the answer passed on as it comes, a stream that goes on at another
+engine. Who finds an engine, and what follows on a failure, is a front's to
+say: ``passage`` for opaque requests, ``completing`` for completions.
+"""
 
-import asyncio
-import dataclasses
-import functools
+__all__ = ["EVENTS", "Exchange", "Try"]
+
+import abc
 
-from camphortray import clock as clocks
-from camphortray import completion as completions
-from camphortray import delivery as deliveries
 from camphortray import engine
 from camphortray import errors
-from camphortray import logs
-from camphortray import metrics as metrics_module
-from camphortray import outer
-from camphortray import poison
-from camphortray import prefix
-from camphortray import resume
-from camphortray import routing
-from camphortray import settings
-from camphortray import signals
-from camphortray import suspects
-from camphortray import upstreams
-from camphortray import web
-
-LOG = logs.logger("relay")
-# Upstreams tried for one request before it is refused.
-MAX_TRIES = 4
-# Answers of an engine that another engine would give too.
-PERMANENT = frozenset({400, 413, 422})
-# Pause before a suspect asks again for leave to run, in seconds.
-APART_PAUSE_S = 0.1
-# Silence allowed before an answer begins: at least this long, and so many
-# times what is expected.
-MIN_FIRST_S = 2.0
-FIRST_TIMES = 6
-# Tokens reckoned with for a whole answer that names no limit.
-GUESSED_TOKENS = 1024
-EVENTS = deliveries.EVENTS
-
-
-@dataclasses.dataclass(frozen=True)
-class Parts:
-    """The parts of the program that an exchange works with."""
-
-    clock: clocks.Clock
-    outer: outer.Outer
-    upstreams: upstreams.Upstreams
-    signals: signals.Signals
-    suspects: suspects.Suspects
-    router: routing.Router
-    metrics: metrics_module.Metrics
-
-
-class Exchange:
-    """One request from a caller until its answer has ended.
+from camphortray import eventstream
+from camphortray import httpserver
+
+EVENTS = "text/event-stream"
+Headers = tuple[tuple[str, str], ...]
+
+
+class Try(abc.ABC):
+    """One try at an engine, told how it goes.
 
     Attributes:
-      sent: What of a streamed answer the caller has.
-      ran: Whether an upstream may have run it.
+      upstream: The engine.
+      party: Speaks to it.
+    """
+
+    def __init__(
+        self, upstream: engine.Upstream, party: engine.Engine
+    ) -> None:
+        self.upstream = upstream
+        self.party = party
+
+    def first(self) -> None:
+        """Take note: the first bytes of a stream have come."""
+
+    def more(self) -> None:
+        """Take note: more bytes have come; runs for each piece."""
+
+    @abc.abstractmethod
+    async def ended(self, error: BaseException | None) -> None:
+        """Give back what the try held; called once.
+
+        Args:
+          error: None for a whole answer, else what ended the try. Where
+            that is not an ``UpstreamError`` nothing may be waited for, as
+            the caller has gone or its time is over.
+        """
+
+
+class Exchange(abc.ABC):
+    """One request until its answer has ended.
+
+    Attributes:
+      response: What the caller gets.
+      framing: What of a stream the caller has.
+      takes_events: Whether a streamed answer is passed on as it comes.
+      ran: Tries that may have run.
+      refused: Tries that certainly did not.
+      tried: Engines tried.
     """
 
     def __init__(
         self,
-        parts: Parts,
-        call: web.Call,
-        service: settings.Service,
-        completion: completions.Completion,
-        body: bytes,
-        *,
-        name: str,
-        deadline_at: float,
-        idempotent: bool = True,
+        response: httpserver.Response,
+        framing: eventstream.Framing,
+        takes_events: bool,
     ) -> None:
-        self.parts = parts
-        self.call = call
-        self.response = call.response
-        self.service = service
-        self.completion = completion
-        self.body = body
-        self.name = name
-        self.deadline_at = deadline_at
-        self.idempotent = idempotent
-        self.sent = resume.SentStream()
-        self.position: resume.Position | None = None
-        self.tries = 0
+        self.response = response
+        self.framing = framing
+        self.takes_events = takes_events
+        self.ran = 0
+        self.refused = 0
         self.tried: frozenset[str] = frozenset()
-        self.ran = False
-        self.suspected = False
-        self.permit: tuple[str, str] | None = None
 
-    @functools.cached_property
-    def text(self) -> str:
-        """The prompt as one text."""
-        return self.completion.text
+    # What a front says.
 
-    @functools.cached_property
-    def fingerprint(self) -> str:
-        """What tells the request from others, sent again or not."""
-        return poison.fingerprint(self.completion.model, self.text)
+    @abc.abstractmethod
+    async def next_try(self) -> Try:
+        """Return where the request is tried next.
 
-    def left_s(self) -> float:
-        """Return the seconds left."""
-        return max(0.001, self.deadline_at - self.parts.clock.monotonic())
+        Raises:
+          Refused: nowhere.
+        """
 
-    async def run(self) -> None:
-        """Try upstreams until the caller has the whole answer.
+    @abc.abstractmethod
+    def request_for(self, held: Try) -> engine.EngineRequest:
+        """Return what is sent to an engine now."""
+
+    @abc.abstractmethod
+    def go_on(self, held: Try, error: errors.UpstreamError) -> bool:
+        """Return whether a failed try is followed by another.
 
         Raises:
-          Refused: it could not be had.
+          Refused: none follows, and the caller has had nothing yet.
         """
-        while True:
-            try:
-                if await self.attempt():
-                    return
-            except errors.UpstreamError as error:
-                LOG.warning("Try {} failed: {}", self.tries, error)
-                self.parts.metrics.inc(
-                    "online_tries_failed_total",
-                    "Tries of online requests that failed.",
-                    {"service": self.service.name, "step": error.step},
-                )
-                if self.after(error):
-                    return
 
-    async def attempt(self) -> bool:
-        """Make one try; return whether one could be made.
+    @abc.abstractmethod
+    async def pass_whole(self, stream: engine.EngineStream, held: Try) -> None:
+        """Pass on an answer that is no stream of events.
 
         Raises:
-          Refused: none may be made.
-          UpstreamError: it failed.
+          UpstreamError: it is not whole, or another engine may do better.
         """
-        told = self.verdict()
-        if told.standing is poison.Standing.QUARANTINED:
-            raise self.refusal(
-                422,
-                "quarantined",
-                "this request has crashed two upstreams; it is not run again"
-                " until the time given is over",
-                told.at - self.parts.clock.wall(),
-            )
-        if told.standing is poison.Standing.FREE:
-            await self.try_on(self.choose())
-            return True
-        self.suspected = True
-        wait_s = told.at - self.parts.clock.wall()
-        if wait_s > 0:
-            await asyncio.sleep(wait_s)
-            return False
-        return await self.attempt_apart()
-
-    def verdict(self) -> poison.Verdict:
-        """Return how the request may run now."""
-        if self.parts.suspects.quiet:
-            return poison.FREE
-        return self.parts.suspects.verdict(self.service, self.fingerprint)
-
-    async def attempt_apart(self) -> bool:
-        """Run where no other suspect runs, if there is such a place."""
-        held = self.parts.suspects
-        holder = f"{self.name}.{self.tries}"
-        async with held.turn:
-            if self.verdict().standing is not poison.Standing.APART:
-                return False
-            upstream = await held.acquire(self.service, holder, self.left_s())
-            if upstream is None:
-                await asyncio.sleep(APART_PAUSE_S)
-                return False
-        self.permit = upstream.name, holder
-        try:
-            # While the permit was on its way the request may have been
-            # proved guilty, or innocent by another's guilt.
-            if self.verdict().standing is not poison.Standing.APART:
-                return False
-            await self.try_on(upstream)
-            return True
-        finally:
-            self.give_back()
 
-    def give_back(self) -> None:
-        """Let the next suspect run where this request held a permit."""
-        if self.permit is not None:
-            self.parts.suspects.release(*self.permit)
-            self.permit = None
+    @abc.abstractmethod
+    def head_of(self, stream: engine.EngineStream) -> Headers:
+        """Return the headers that a stream is passed on with."""
+
+    @abc.abstractmethod
+    def first_limit_s(self) -> float:
+        """Return the silence allowed before a stream's first bytes."""
+
+    @abc.abstractmethod
+    def silence_limit_s(self) -> float:
+        """Return the silence allowed within a stream."""
+
+    def on_first(self) -> None:
+        """Take note: the caller is about to get the first event."""
+
+    def on_answered(self) -> None:
+        """Take note: the caller has had a whole answer of an engine."""
+
+    # What is alike.
 
-    def choose(self) -> engine.Upstream:
-        """Return the upstream to try next.
+    @property
+    def tries(self) -> int:
+        """Tries made."""
+        return self.ran + self.refused
+
+    async def run(self) -> None:
+        """Try engines until the caller has its answer.
 
         Raises:
-          Refused: there is none.
+          Refused: it could not be had, and nothing has been sent yet.
         """
-        found = self.parts.upstreams.candidates(self.service, self.tried)
-        if not found and self.tried:
-            # Only upstreams tried before are left: a new connection to
-            # one of them is better than a refusal.
-            found = self.parts.upstreams.candidates(self.service, frozenset())
-        if not found:
-            raise self.refusal(503, "no_upstream", "no upstream is left", 1)
-        key = prefix.prefix_of(self.completion.model, self.text)
-        return self.parts.router.choose(found, key)
-
-    async def try_on(self, upstream: engine.Upstream) -> None:
-        """Run the request on one upstream.
+        while True:
+            held = await self.next_try()
+            try:
+                await self.attempt(held)
+            except errors.UpstreamError as error:
+                if not self.go_on(held, error):
+                    return
+            else:
+                self.on_answered()
+                return
+
+    async def attempt(self, held: Try) -> None:
+        """Run the request at one engine.
 
         Raises:
-          UpstreamError: it failed.
+          UpstreamError: there is no whole answer.
         """
-        parts = self.parts
-        told = self.service.name, upstream.name, False
-        party = parts.outer.engine(upstream.plugin)
-        request = self.request(upstream)
-        fresh = self.tries > 0
-        ran_before, self.ran = self.ran, True
-        self.tries += 1
-        self.tried |= {upstream.name}
-        flight = parts.suspects.begin(upstream, lambda: self.fingerprint)
-        parts.signals.begun(*told)
-        delivery = deliveries.Delivery(
-            parts.clock,
-            parts.signals,
-            parts.upstreams.loads,
-            self.service,
-            upstream,
-            self.on_progress,
-        )
-        good = gone = False
+        ended: BaseException | None = None
         try:
-            with parts.upstreams.count(upstream):
-                stream = await party.open(upstream, request, fresh)
-                try:
-                    await self.pass_on(delivery, request, stream)
-                finally:
-                    stream.close()
-            good = True
+            fresh = self.tries > 0
+            request = self.request_for(held)
+            self.tried |= {held.upstream.name}
+            # Until the contrary is known, it may have run.
+            self.ran += 1
+            stream = await held.party.open(held.upstream, request, fresh)
+            try:
+                await self.pass_on(stream, held)
+            finally:
+                stream.close()
         except errors.UpstreamError as error:
-            gone = await self.on_failure(flight, error)
-            self.ran = ran_before or error.ran
+            ended = error
+            if not error.ran:
+                self.ran -= 1
+                self.refused += 1
+            raise
+        except BaseException as error:
+            ended = error
             raise
         finally:
-            parts.suspects.end(flight)
-            parts.signals.ended(*told, good)
-            if not good and not gone:
-                work = self.cancel(party, upstream, request.id)
-                parts.upstreams.spawn(work)
-        parts.upstreams.outliers.succeeded(upstream.name)
-        parts.upstreams.budget(self.service).succeeded(parts.clock.monotonic())
-        self.clear()
-
-    async def on_failure(
-        self, flight: suspects.Flight, error: errors.UpstreamError
-    ) -> bool:
-        """Find out what a failure means; return if the upstream is gone."""
-        held = self.parts.upstreams
-        if isinstance(error, errors.UpstreamRefused):
-            if error.status not in PERMANENT and not error.leaving:
-                held.failed(flight.upstream)
-            return True
-        held.failed(flight.upstream)
-        if isinstance(error, errors.UpstreamTimeout):
-            held.spawn(self.look_at(flight.upstream))
-            return not error.ran
-        if not error.ran:
-            # It could not be reached; unless it is held down at once, it
-            # looks idle and gets every further try too.
-            await held.probe(flight.upstream)
-            return True
-        return await self.parts.suspects.broke(flight)
-
-    async def look_at(self, upstream: engine.Upstream) -> None:
-        """Try a new connection, so that a dead upstream is held down."""
-        await self.parts.upstreams.probe(upstream)
-
-    async def cancel(
-        self, party: engine.Engine, upstream: engine.Upstream, name: str
-    ) -> None:
-        """Cancel a request at the engine.
+            await held.ended(ended)
+
+    async def pass_on(self, stream: engine.EngineStream, held: Try) -> None:
+        """Give the caller an answer as it comes.
 
-        Closing its connection says the same, but is not heard where the
-        connection has gone silent.
+        Raises:
+          UpstreamError: it is not whole.
         """
-        try:
-            await party.cancel(upstream, name)
-        except errors.CamphortrayError as error:
-            LOG.debug("Could not cancel: {}", error)
-
-    def request(self, upstream: engine.Upstream) -> engine.EngineRequest:
-        """Return the request as sent now."""
-        position = self.position
-        return engine.EngineRequest(
-            # Of its own for each try, or the late cancel of one try would
-            # end the next at the same engine.
-            f"{self.name}.{self.tries}",
-            self.call.request.path,
-            self.body,
-            bool(self.completion.stream),
-            self.left_s(),
-            position.text if position else "",
-            position.tokens if position else 0,
-            silence_s=self.first_s(upstream),
-        )
-
-    def first_s(self, upstream: engine.Upstream) -> float:
-        """Return how long an answer may take to begin."""
-        now = self.parts.clock.monotonic()
-        wait_s = self.parts.upstreams.loads.wait_s(upstream, now)
-        if not self.completion.stream:
-            tokens = self.completion.limit_tokens or GUESSED_TOKENS
-            wait_s += tokens * float(self.service.get("objective.itl_s"))
-        return max(MIN_FIRST_S, FIRST_TIMES * wait_s)
-
-    async def pass_on(
-        self,
-        delivery: deliveries.Delivery,
-        request: engine.EngineRequest,
-        stream: engine.EngineStream,
-    ) -> None:
-        """Give the caller the answer."""
-        # The head has shown that the connection is alive.
-        silence_s = 4 * request.silence_s
-        if request.stream and stream.content_type.startswith(EVENTS):
-            await delivery.events(stream, self.response, self.sent, silence_s)
+        streamed = stream.content_type.startswith(EVENTS)
+        if self.takes_events and streamed and stream.status // 100 == 2:
+            await self.pass_events(stream, held)
         else:
-            await delivery.whole(stream, self.response, silence_s)
-
-    def on_progress(self) -> None:
-        """Take note that an answer got on well."""
-        if self.suspected:
-            self.clear()
-            # No suspect any more, so the next need not wait for its end.
-            self.give_back()
-
-    def clear(self) -> None:
-        """Take the suspicion off a request that went well."""
-        if not self.parts.suspects.quiet:
-            told = self.verdict()
-            if told.standing is poison.Standing.APART:
-                self.parts.suspects.passed(self.fingerprint)
-        self.suspected = False
-
-    def after(self, error: errors.UpstreamError) -> bool:
-        """Make ready for another try; return True if none is needed.
+            await self.pass_whole(stream, held)
+
+    async def pass_events(
+        self, stream: engine.EngineStream, held: Try
+    ) -> None:
+        """Pass on whole events until the stream ends.
+
+        The head waits for the first event, so that a try which fails
+        before it can still be refused, or made again elsewhere.
 
         Raises:
-          Refused: there may be none.
+          UpstreamError: it broke off, or was silent for too long.
         """
-        if isinstance(error, errors.UpstreamRefused) and error.leaving:
-            self.parts.upstreams.note_leaving(error.peer)
-        if not self.may_retry(error):
-            raise self.refusal_of(error) from error
-        if not self.sent.started:
-            self.sent.resume()
-            return False
-        self.position = position = self.sent.resume()
-        if position.finished and (
-            position.usage or not self.completion.wants_usage
-        ):
-            # Only the closing event was lost, and that holds nothing.
-            self.response.write(resume.DONE)
-            self.response.end()
-            return True
-        if not position.resumable or (self.completion.n or 1) > 1:
-            raise self.refusal_of(error) from error
-        LOG.notice("Resumes after {} tokens.", position.tokens)
-        self.parts.metrics.inc(
-            "online_resumed_total",
-            "Streams gone on with at another engine.",
-            {"service": self.service.name},
-        )
-        return False
-
-    def may_retry(self, error: errors.UpstreamError) -> bool:
-        """Return whether another try is right, and count it if so."""
-        if error.ran and not self.idempotent:
-            return False
-        if isinstance(error, errors.UpstreamRefused):
-            if error.status in PERMANENT:
-                return False
-        if self.tries >= MAX_TRIES:
-            return False
-        now = self.parts.clock.monotonic()
-        return self.parts.upstreams.budget(self.service).allow(now)
-
-    def refusal_of(self, error: errors.UpstreamError) -> errors.Refused:
-        """Return the refusal that tells a caller of an upstream's failure."""
-        if isinstance(error, errors.UpstreamRefused):
-            if error.status in PERMANENT:
-                return self.refusal(
-                    error.status, "engine_refused", error.message
-                )
-            return self.refusal(503, "upstream_refused", str(error), 1)
-        if isinstance(error, errors.UpstreamTimeout):
-            return self.refusal(504, "upstream_silent", str(error), 1)
-        return self.refusal(502, "upstream_failed", str(error), 1)
-
-    def refusal(
-        self,
-        status: int,
-        code: str,
-        message: str,
-        retry_after: float | None = None,
-    ) -> errors.Refused:
-        """Return a refusal with the true word on whether it ran."""
-        ran = "unknown" if self.ran else "no"
-        return errors.Refused(
-            status, code, message, ran=ran, retry_after=retry_after
-        )
+        framing, response, more = self.framing, self.response, held.more
+        head = self.head_of(stream)
+
+        def send(data: bytes) -> bool:
+            whole = framing.feed(data)
+            if whole:
+                if not response.status:
+                    self.on_first()
+                    response.start(stream.status, head)
+                response.write(whole)
+            return response.blocked
+
+        def sink(data: bytes) -> bool:
+            more()
+            return send(data)
+
+        first = await stream.read(self.first_limit_s())
+        if first:
+            held.first()
+            send(first)
+            limit_s = self.silence_limit_s()
+            while not await stream.pipe(sink, limit_s):
+                await response.flush()
+        if not framing.whole:
+            raise errors.UpstreamBroken(
+                "the stream ended early",
+                ran=True,
+                step="stream",
+                peer=held.upstream.name,
+            )
+        response.end()
--- a/camphortray/passage.py
+++ b/camphortray/passage.py
@@ -1,9 +1,10 @@
 """Takes one opaque request to an engine and brings its answer back."""
 
-__all__ = ["Passage", "PassageParts", "may_follow"]
+__all__ = ["Passage", "PassageParts"]
 
 import asyncio
 import dataclasses
+from typing import NoReturn
 
 from camphortray import breaks
 from camphortray import clock as clocks
@@ -11,6 +12,7 @@
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import eventstream
+from camphortray import exchange
 from camphortray import httpserver
 from camphortray import inforce
 from camphortray import logs
@@ -18,14 +20,13 @@
 from camphortray import opaque
 from camphortray import outer
 from camphortray import placing
-from camphortray import routemap
+from camphortray import retry
 from camphortray import slotbook
 
 LOG = logs.logger("passage")
-EVENTS = "text/event-stream"
-# Tries that an engine refused as not run before a request is given up;
-# each costs a few milliseconds.
-MAX_REFUSALS = 6
+# Tries before a request is given up, most of which an engine refused as
+# not run; each of these costs a few milliseconds.
+MAX_TRIES = 6
 # Seconds without an event after which a stream that may be resumed goes on
 # at another engine. Engines make an event about every 20 ms; the smallest
 # pause that callers are promised is some hundreds.
@@ -48,33 +49,56 @@
     metrics: metrics_module.Metrics
 
 
-def may_follow(
-    route: routemap.Route,
-    error: errors.UpstreamError,
-    ran: int,
-    refused: int,
-) -> bool:
-    """Return whether another engine may be tried.
+class SlotTry(exchange.Try):
+    """One try at an engine that the book of slots has given.
 
-    Args:
-      route: Of the request.
-      error: How the last try failed.
-      ran: Tries that may have run, the last one included.
-      refused: Tries that certainly did not.
+    Attributes:
+      had: Events that the caller had when it began.
+      begun_at: Monotonic seconds.
     """
-    if not error.ran:
-        return refused < MAX_REFUSALS
-    return route.repeatable and ran < route.max_attempts
 
+    def __init__(
+        self,
+        parts: PassageParts,
+        held: placing.Placement,
+        reader: eventstream.EventReader,
+    ) -> None:
+        party = parts.outer.engine(held.upstream.plugin)
+        super().__init__(held.upstream, party)
+        self.parts = parts
+        self.held = held
+        self.reader = reader
+        self.had = reader.count
+        self.begun_at = now_of(parts)
 
-class Passage:
-    """One request until its answer has ended.
+    @property
+    def brought(self) -> bool:
+        """Whether the try has brought any event."""
+        return self.reader.count > self.had
+
+    async def ended(self, error: BaseException | None) -> None:
+        self.parts.placing.release(self.held, self.outcome(error))
+
+    def outcome(self, error: BaseException | None) -> enginehealth.Outcome:
+        """Return what the end says of the engine."""
+        if error is None:
+            return enginehealth.Outcome.GOOD
+        if isinstance(error, errors.UpstreamError):
+            return enginehealth.outcome_of(error)
+        # The caller has left, or its time is over. Where nothing had come
+        # for long, that says something of the engine.
+        silent_s = 0.0 if self.brought else now_of(self.parts) - self.begun_at
+        if silent_s > FIRST_SILENT_S:
+            return enginehealth.Outcome.BROKEN
+        return enginehealth.Outcome.NOTHING
+
+
+class Passage(exchange.Exchange):
+    """One opaque request until its answer has ended.
 
     Attributes:
       reader: What of a stream the caller has.
-      ran: Tries that may have run.
-      refused: Tries that certainly did not.
-      had: Events that the caller had when the last try began.
+      answer: The last whole answer of an engine, not yet passed on.
       engine: Of the last try.
       coordinator: Who gave its slot.
       slot_s: Seconds that the last slot was waited for.
@@ -87,46 +111,42 @@
         request: opaque.OpaqueRequest,
         response: httpserver.Response,
     ) -> None:
+        self.reader = eventstream.EventReader()
+        super().__init__(response, self.reader, True)
         self.parts = parts
         self.request = request
-        self.response = response
-        self.reader = eventstream.EventReader()
-        self.ran = 0
-        self.refused = 0
-        self.avoid: frozenset[str] = frozenset()
         self.answer: Answer | None = None
-        self.had = 0
         self.engine = ""
         self.coordinator = ""
         self.slot_s = 0.0
         self.first_s = 0.0
 
     async def run(self) -> None:
-        """Answer the caller.
+        try:
+            await self.run_in_time()
+        except errors.Refused:
+            if not self.response.status:
+                raise
+            # An answer that ends early must not look complete.
+            self.response.abort()
 
-        Raises:
-          Refused: there is no answer; nothing has been sent yet.
-        """
-        now = self.parts.clock.monotonic()
-        left_s = self.request.deadline_at - now
+    async def run_in_time(self) -> None:
+        """Run until the deadline; errors as ``run``."""
         try:
-            async with asyncio.timeout(max(0.001, left_s)):
-                await self.tries()
+            async with asyncio.timeout(self.left_s()):
+                await super().run()
         except TimeoutError:
             self.give_up(504, "too_late", "time is over", None)
 
     def give_up(
         self, status: int, code: str, why: str, retry_after: float | None
-    ) -> None:
+    ) -> NoReturn:
         """End the request without an answer.
 
         Raises:
-          Refused: nothing has been sent, so the caller can be told.
+          Refused: always.
         """
         self.log_end(status, why)
-        if self.response.status:
-            self.response.abort()
-            return
         raise errors.Refused(
             status,
             code,
@@ -155,7 +175,7 @@
                 "revision": self.parts.inforce.view.revision,
                 "ran": self.ran,
                 "refused": self.refused,
-                "avoided": sorted(self.avoid),
+                "avoided": sorted(self.tried),
                 "engine": self.engine,
                 "coordinator": self.coordinator,
                 "slot_ms": round(self.slot_s * 1000, 1),
@@ -178,36 +198,18 @@
                 self.first_s,
             )
 
-    async def tries(self) -> None:
-        """Try engines until one has answered."""
-        if self.parts.breaks.barred(self.request.fingerprint):
-            self.give_up(503, "quarantined", "it broke engines", None)
-            return
-        while True:
-            try:
-                held = await self.place()
-            except errors.NoSlot as error:
-                self.no_slot(error)
-                return
-            try:
-                await self.attempt(held)
-                self.log_end(self.response.status, "answered")
-                return
-            except errors.UpstreamError as error:
-                if not self.go_on(held, error):
-                    return
-
-    async def place(self) -> placing.Placement:
-        """Wait for a slot.
+    def on_answered(self) -> None:
+        self.log_end(self.response.status, "answered")
 
-        Raises:
-          NoSlot: there is none in time.
-        """
+    async def next_try(self) -> SlotTry:
+        if self.parts.breaks.barred(self.request.fingerprint):
+            # 503 would promise that it has not run.
+            status = 502 if self.ran else 503
+            self.give_up(status, "quarantined", "it broke engines", None)
         route = self.request.route
-        now = self.parts.clock.monotonic()
-        number = self.ran + self.refused
+        now = now_of(self.parts)
         want = slotbook.Want(
-            f"{self.request.id}.{number}",
+            f"{self.request.id}.{self.tries}",
             self.parts.placing.own_name,
             True,
             route.priority,
@@ -215,54 +217,78 @@
             route.objective_s,
             max(0.0, self.request.deadline_at - now),
             prefix=self.request.prefix,
-            avoid=self.avoid,
+            avoid=self.tried,
         )
         service = route.service_of(self.request.id)
-        held = await self.parts.placing.acquire(service, want)
+        try:
+            held = await self.parts.placing.acquire(service, want)
+        except errors.NoSlot as error:
+            self.no_slot(error)
         self.slot_s = now_of(self.parts) - now
         self.engine = held.upstream.name
         self.coordinator = held.coordinator
-        return held
+        return SlotTry(self.parts, held, self.reader)
+
+    def request_for(self, held: exchange.Try) -> engine.EngineRequest:
+        return self.request.for_engine(
+            now_of(self.parts),
+            self.reader.last,
+            FIRST_SILENT_S if self.movable else 0.0,
+        )
+
+    def head_of(self, stream: engine.EngineStream) -> exchange.Headers:
+        return stream.headers
+
+    def first_limit_s(self) -> float:
+        return FIRST_SILENT_S if self.movable else self.left_s()
+
+    def silence_limit_s(self) -> float:
+        # Only what may go on elsewhere is timed.
+        return SILENT_S if self.movable else self.left_s()
 
-    def no_slot(self, error: errors.NoSlot) -> None:
+    def left_s(self) -> float:
+        """Return the seconds left."""
+        return max(0.001, self.request.deadline_at - now_of(self.parts))
+
+    def on_first(self) -> None:
+        self.first_s = now_of(self.parts) - self.request.arrived_at
+
+    def no_slot(self, error: errors.NoSlot) -> NoReturn:
         """Refuse: certainly not run, or cut off where it has run."""
         if self.ran:
             self.give_up(502, "upstream_failed", str(error), None)
-        else:
-            self.give_up(503, "busy", str(error), error.retry_after_s)
-
-    def go_on(
-        self, held: placing.Placement, error: errors.UpstreamError
-    ) -> bool:
-        """Make ready for another try; return whether there may be one."""
-        if error.ran:
-            self.ran += 1
-        else:
-            self.refused += 1
+        self.give_up(503, "busy", str(error), error.retry_after_s)
+
+    def go_on(self, held: exchange.Try, error: errors.UpstreamError) -> bool:
         name = held.upstream.name
-        self.avoid |= {name}
         LOG.info("{} failed at {}: {}", self.request.id, name, error)
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
             self.parts.inforce.note_leaving(name)
-        if self.broke(error):
+        if self.broke(held, error):
             self.parts.breaks.tell(
                 self.request.fingerprint, f"{self.request.id}.{self.ran}"
             )
-        if may_follow(self.request.route, error, self.ran, self.refused):
+        if self.rule.allows(error, self.ran, self.refused):
             self.reader.restart()
             return True
         if self.answer is not None and not self.response.status:
             # The engine's own failure; passed on as it is.
             self.answer.send(self.response)
             self.log_end(self.answer.status, "the engine's own failure")
-        elif error.ran or self.ran:
+        elif self.ran:
             self.give_up(502, "upstream_failed", str(error), None)
         else:
-            wait_s = (self.request.deadline_at - now_of(self.parts)) / 4
+            wait_s = self.left_s() / 4
             self.give_up(503, "upstream_refused", str(error), wait_s)
         return False
 
-    def broke(self, error: errors.UpstreamError) -> bool:
+    @property
+    def rule(self) -> retry.RetryRule:
+        """Which tries may follow."""
+        route = self.request.route
+        return retry.RetryRule(route.repeatable, route.max_attempts, MAX_TRIES)
+
+    def broke(self, held: exchange.Try, error: errors.UpstreamError) -> bool:
         """Return whether the request may have crashed its engine.
 
         What does so does it as it begins to run; and silence may be this
@@ -272,64 +298,20 @@
             error.ran
             and isinstance(error, errors.UpstreamBroken)
             and not isinstance(error, errors.UpstreamTimeout)
-            and self.reader.count == self.had
+            and isinstance(held, SlotTry)
+            and not held.brought
         )
 
-    async def attempt(self, held: placing.Placement) -> None:
-        """Run the request at one engine.
-
-        Raises:
-          UpstreamError: there is no whole answer.
-        """
-        outcome = enginehealth.Outcome.NOTHING
-        begun_at = now_of(self.parts)
-        self.had = self.reader.count
-        party = self.parts.outer.engine(held.upstream.plugin)
-        request = self.request.for_engine(
-            now_of(self.parts),
-            self.reader.last,
-            FIRST_SILENT_S if self.movable else 0.0,
-        )
-        try:
-            stream = await party.open(held.upstream, request, True)
-            try:
-                await self.pass_on(stream, held)
-            finally:
-                stream.close()
-            outcome = enginehealth.Outcome.GOOD
-        except errors.UpstreamError as error:
-            outcome = enginehealth.outcome_of(error)
-            raise
-        except asyncio.CancelledError:
-            # The caller has left, or its time is over. Where nothing had
-            # come for long, that says something of the engine.
-            silent = self.reader.count == self.had
-            if silent and now_of(self.parts) - begun_at > FIRST_SILENT_S:
-                outcome = enginehealth.Outcome.BROKEN
-            raise
-        finally:
-            self.parts.placing.release(held, outcome)
-
     @property
     def movable(self) -> bool:
-        """Whether the request may go on at one more engine."""
+        """Whether a try under way may be followed by one more."""
         route = self.request.route
-        return route.repeatable and self.ran + 1 < route.max_attempts
+        return route.repeatable and self.ran < route.max_attempts
 
-    async def pass_on(
-        self, stream: engine.EngineStream, held: placing.Placement
+    async def pass_whole(
+        self, stream: engine.EngineStream, held: exchange.Try
     ) -> None:
-        """Give the caller an answer as it comes.
-
-        Raises:
-          UpstreamError: it is not whole.
-        """
-        streamed = stream.content_type.startswith(EVENTS)
-        if stream.status // 100 == 2 and streamed:
-            await self.pass_events(stream, held)
-            return
-        left_s = self.request.deadline_at - now_of(self.parts)
-        body = await engine.read_all(stream, max(0.001, left_s))
+        body = await engine.read_all(stream, self.left_s())
         self.answer = Answer(stream.status, body, stream.headers)
         if stream.status in PASSING and self.movable:
             raise errors.UpstreamRefused(
@@ -348,44 +330,6 @@
             )
         self.answer.send(self.response)
 
-    async def pass_events(
-        self, stream: engine.EngineStream, held: placing.Placement
-    ) -> None:
-        """Pass on whole events until the stream ends.
-
-        Raises:
-          UpstreamError: it broke off, or stayed silent and may move.
-        """
-        reader, response = self.reader, self.response
-        headers, arrived_at = stream.headers, self.request.arrived_at
-
-        def sink(data: bytes) -> bool:
-            whole = reader.feed(data)
-            if whole:
-                if not response.status:
-                    self.first_s = now_of(self.parts) - arrived_at
-                    response.start(stream.status, headers)
-                response.write(whole)
-            return response.blocked
-
-        # The first byte, then the rest: only what may move is timed.
-        movable = self.movable
-        left_s = max(0.001, self.request.deadline_at - now_of(self.parts))
-        first = await stream.read(FIRST_SILENT_S if movable else left_s)
-        if first:
-            sink(first)
-            limit_s = SILENT_S if movable else left_s
-            while not await stream.pipe(sink, limit_s):
-                await response.flush()
-        if reader.tail or not reader.count:
-            raise errors.UpstreamBroken(
-                "ended in the middle of an event",
-                ran=True,
-                step="stream",
-                peer=held.upstream.name,
-            )
-        response.end()
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
--- a/camphortray/plugins/openai_engine.py
+++ b/camphortray/plugins/openai_engine.py
@@ -1,6 +1,6 @@
 """Speaks to engines with an OpenAI-like HTTP interface."""
 
-__all__ = ["HttpEngineStream", "OpenAiEngine"]
+__all__ = ["OpenAiEngine"]
 
 from typing import Any
 
@@ -9,6 +9,7 @@
 from camphortray import engine
 from camphortray import errors
 from camphortray import httpclient
+from camphortray import httpstream
 from camphortray.plugins import http_service
 
 DEADLINE = http_service.DEADLINE
@@ -20,24 +21,6 @@
 CONTROL = httpclient.Timeouts(1.0, 2.0, 2.0)
 
 
-class HttpEngineStream(engine.EngineStream):
-    """An answer that comes over HTTP."""
-
-    def __init__(self, response: httpclient.ClientResponse) -> None:
-        self.response = response
-        self.status = response.status
-        self.content_type = response.headers.get("content-type", "")
-
-    async def read(self, timeout_s: float) -> bytes:
-        return await self.response.read(timeout_s)
-
-    async def pipe(self, sink: httpclient.Sink, timeout_s: float) -> bool:
-        return await self.response.pipe(sink, timeout_s)
-
-    def close(self) -> None:
-        self.response.close()
-
-
 @engine.ENGINES.register("openai")
 class OpenAiEngine(engine.Engine):
     """Engines over HTTP."""
@@ -71,7 +54,7 @@
         except BaseException:
             response.close()
             raise
-        return HttpEngineStream(response)
+        return httpstream.HttpStream(response)
 
     async def cancel(self, upstream: engine.Upstream, request_id: str) -> None:
         await self.control(
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -10,15 +10,16 @@
 from camphortray import callkeeper
 from camphortray import callrequest
 from camphortray import calls
+from camphortray import completing
 from camphortray import completion as completions
 from camphortray import deadline
 from camphortray import errors
-from camphortray import exchange as exchanges
 from camphortray import httpserver
 from camphortray import kernel
 from camphortray import logs
 from camphortray import outer
 from camphortray import recording
+from camphortray import routedtry
 from camphortray import routing
 from camphortray import settings
 from camphortray import signals
@@ -56,7 +57,7 @@
         self.tree = context.part(tree.Tree)
         self.admission = context.part(admission.Admission)
         zone = context.config.host.availability_zone
-        self.parts = exchanges.Parts(
+        self.parts = routedtry.RoutedParts(
             context.clock,
             context.part(outer.Outer),
             context.part(upstreams.Upstreams),
@@ -97,7 +98,7 @@
             headers, service.get("limit.deadline_s")
         )
         deadline_at = self.context.clock.monotonic() + seconds
-        exchange = exchanges.Exchange(
+        exchange = completing.CompletionExchange(
             self.parts,
             call,
             service,
@@ -117,7 +118,7 @@
         except errors.Refused as refusal:
             self.end(exchange, refusal, refusal.__cause__)
 
-    async def run(self, exchange: exchanges.Exchange) -> None:
+    async def run(self, exchange: completing.CompletionExchange) -> None:
         """Run an exchange, at most once if it is so marked and has a key."""
         call = exchange.call
         key = call.request.headers.get(IDEMPOTENCY_KEY, "")
@@ -149,7 +150,7 @@
         if not call.response.status:
             call.response.send(answer.status, answer.body, answer.headers)
 
-    async def admit(self, exchange: exchanges.Exchange) -> None:
+    async def admit(self, exchange: completing.CompletionExchange) -> None:
         """Run an exchange once there is room for it."""
         ticket = await self.admission.enter(
             exchange.service, exchange.call.caller, exchange.deadline_at
@@ -161,7 +162,7 @@
 
     def end(
         self,
-        exchange: exchanges.Exchange,
+        exchange: completing.CompletionExchange,
         refusal: errors.Refused,
         cause: BaseException | None,
     ) -> None:
--- a/camphortray/resume.py
+++ b/camphortray/resume.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from camphortray import errors
+from camphortray import eventstream
 
 EVENT_END = b"\n\n"
 DONE = b"data: [DONE]\n\n"
@@ -81,14 +82,15 @@
     resumable: bool
 
 
-class SentStream:
+class SentStream(eventstream.Framing):
     """Passes on whole events and keeps what a resumption needs.
 
     Events are kept as raw bytes and read only when the answer breaks, or
     when many have gathered: reading each would cost more than passing it.
 
     Attributes:
-      done: Whether the closing event came.
+      done: Whether the closing event came; an engine's error in the
+        stream is a break.
       started: Whether any event was passed on.
     """
 
@@ -106,16 +108,7 @@
         self.identity: tuple[Any, Any] | None = None
         self.resumed = False
 
-    def take(self, data: bytes) -> bytes:
-        """Take bytes from the engine; return what to pass on.
-
-        Part of an event is held until the rest comes. Passed on at once
-        and then cut off, it would be glued to the resumed answer, and the
-        caller would read one broken event for two tokens.
-
-        Raises:
-          UpstreamBroken: the engine reports an error in the stream.
-        """
+    def feed(self, data: bytes) -> bytes:
         if self.tail:
             data = self.tail + data
             self.tail = b""
@@ -185,10 +178,17 @@
             self.resumable,
         )
 
-    def resume(self) -> Position:
-        """Make ready for the answer of another engine."""
+    @property
+    def whole(self) -> bool:
+        return self.done
+
+    def restart(self) -> None:
         self.tail = b""
         self.resumed = self.started
+
+    def resume(self) -> Position:
+        """Make ready for another engine; return how far the caller is."""
+        self.restart()
         return self.position()
 
     def rewrite(self, data: bytes) -> bytes:
--- a/camphortray/retry.py
+++ b/camphortray/retry.py
@@ -1,8 +1,11 @@
 """How many tries may follow on failed ones."""
 
-__all__ = ["RetryBudget"]
+__all__ = ["RetryBudget", "RetryRule"]
 
 import collections
+import dataclasses
+
+from camphortray import errors
 
 # Retries are counted against the successes of this long, in seconds: long
 # enough that streams under way count among the successes.
@@ -14,6 +17,40 @@
 BUCKETS = 12
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryRule:
+    """Which failed tries of one request may be followed by another.
+
+    Attributes:
+      repeatable: Whether the request may run more than once.
+      most_ran: Tries that may have run, at most.
+      most_tries: Tries at most, those certainly not run included.
+      final: Statuses of engines that another engine would give too.
+    """
+
+    repeatable: bool
+    most_ran: int
+    most_tries: int
+    final: frozenset[int] = frozenset()
+
+    def allows(
+        self, error: errors.UpstreamError, ran: int, refused: int
+    ) -> bool:
+        """Return whether another engine may be tried.
+
+        Args:
+          error: How the last try failed.
+          ran: Tries that may have run, the last one included.
+          refused: Tries that certainly did not.
+        """
+        if isinstance(error, errors.UpstreamRefused):
+            if error.status in self.final:
+                return False
+        if error.ran and not self.repeatable:
+            return False
+        return ran < self.most_ran and ran + refused < self.most_tries
+
+
 class RetryBudget:
     """Allows retries up to a share of recent successes.
 
--- a/tests/test_online_path.py
+++ b/tests/test_online_path.py
@@ -7,6 +7,7 @@
 import pytest
 
 from camphortray import cluster as clusters
+from camphortray import completing
 from camphortray import errors
 from camphortray import exchange
 from camphortray import httpclient
@@ -24,8 +25,8 @@
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
     """Shorten the waits that only a silent upstream fills."""
-    monkeypatch.setattr(exchange, "MIN_FIRST_S", 0.2)
-    monkeypatch.setattr(exchange, "FIRST_TIMES", 0)
+    monkeypatch.setattr(completing, "MIN_FIRST_S", 0.2)
+    monkeypatch.setattr(completing, "FIRST_TIMES", 0)
 
 
 def make_cluster(engines=2, hosts=1, timing=SLOW, **values):
--- a/tests/test_passage.py
+++ b/tests/test_passage.py
@@ -107,7 +107,7 @@
         # Not run for certain: another engine, whatever the kind.
         (hostkit.STREAM_ROUTE, [hostkit.FULL, answer(*TWO)], 200, 2),
         (hostkit.STREAM_ROUTE, [hostkit.UNREACHED, answer(*TWO)], 200, 2),
-        (ONCE, [hostkit.FULL] * passage.MAX_REFUSALS, 503, 6),
+        (ONCE, [hostkit.FULL] * passage.MAX_TRIES, 503, 6),
         # May have run: at most once where it may not be repeated.
         (hostkit.STREAM_ROUTE, [hostkit.BROKEN], 502, 1),
         (ONCE, [hostkit.BROKEN], 502, 1),
@@ -240,6 +240,19 @@
     assert not held.parts.outer.party.seen
 
 
+async def test_a_request_barred_after_it_ran_gets_no_promise():
+    # Its first engine breaks off; meanwhile other hosts tell of two more
+    # breaks, so that it is not tried again. A 503 would now say that it
+    # never ran, and its caller would send it once more.
+    held = passage_of([hostkit.BROKEN], hostkit.RESUMABLE)
+
+    def tell(fingerprint, name):
+        held.parts.breaks.barring = True
+
+    held.parts.breaks.tell = tell
+    assert await outcome(held) == 502
+
+
 async def test_each_break_is_told_to_all_hosts():
     held = passage_of([hostkit.BROKEN, hostkit.BROKEN], hostkit.RESUMABLE)
     await outcome(held)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -11,6 +11,7 @@
 from camphortray import admission
 from camphortray import callkeeper
 from camphortray import cluster as clusters
+from camphortray import completing
 from camphortray import completion
 from camphortray import config as configs
 from camphortray import errors
@@ -145,7 +146,7 @@
 def unreachable(cluster, patch):
     for engine in cluster.engines.values():
         engine.server.server.close()
-    patch.setattr(exchange, "MAX_TRIES", 1)
+    patch.setattr(completing, "MAX_TRIES", 1)
 
 
 def connects_time_out(cluster, patch):
@@ -158,12 +159,12 @@
         return await usual(self, address, limits, fresh)
 
     patch.setattr(httpclient.HttpClient, "connect", connect)
-    patch.setattr(exchange, "MAX_TRIES", 1)
+    patch.setattr(completing, "MAX_TRIES", 1)
 
 
 def silent(cluster, patch):
-    patch.setattr(exchange, "MIN_FIRST_S", 0.05)
-    patch.setattr(exchange, "FIRST_TIMES", 0)
+    patch.setattr(completing, "MIN_FIRST_S", 0.05)
+    patch.setattr(completing, "FIRST_TIMES", 0)
     engines_do("open_delay_s", 1.0)(cluster, patch)
 
 
--- a/tests/test_resume.py
+++ b/tests/test_resume.py
@@ -41,7 +41,7 @@
     for cut in range(len(whole)):
         sent = resume.SentStream()
         got = b"".join(
-            sent.take(whole[at : min(at + 50, cut)])
+            sent.feed(whole[at : min(at + 50, cut)])
             for at in range(0, cut, 50)
         )
         if sent.done:
@@ -53,7 +53,7 @@
         if place.finished:
             got += resume.DONE
         else:
-            got += sent.take(answer(WORDS[place.tokens :], "cmpl-2"))
+            got += sent.feed(answer(WORDS[place.tokens :], "cmpl-2"))
             assert sent.done
         assert online.text_of(got) == "".join(WORDS)
 
@@ -74,19 +74,19 @@
 def test_tokens_are_counted_from_events(events, tokens, resumable):
     sent = resume.SentStream()
     for data in events:
-        assert sent.take(data) == data
+        assert sent.feed(data) == data
     place = sent.resume()
     assert (place.tokens, place.resumable) == (tokens, resumable)
 
 
 def test_an_engines_opening_and_second_end_are_not_passed_on_twice():
     sent = resume.SentStream()
-    sent.take(event("a", finish="stop"))
+    sent.feed(event("a", finish="stop"))
     sent.resume()
     opening = event(delta={"role": "assistant"}, name="two")
-    assert sent.take(opening + event(finish="stop", name="two")) == b""
+    assert sent.feed(opening + event(finish="stop", name="two")) == b""
     usage = b'data: {"id":"two","choices":[],"usage":{}}\n\n'
-    got = sent.take(usage + resume.DONE)
+    got = sent.feed(usage + resume.DONE)
     assert b'"cmpl-1"' in got and got.endswith(resume.DONE)
 
 
@@ -95,7 +95,7 @@
 )
 def test_an_error_inside_the_stream_is_a_break(data):
     sent = resume.SentStream()
-    sent.take(event("a"))
+    sent.feed(event("a"))
     with pytest.raises(errors.UpstreamBroken):
-        sent.take(data + resume.DONE)
+        sent.feed(data + resume.DONE)
     assert sent.resume().tokens == 1 and not sent.done
