Keep free slots, waiting items and what gives way in order

Ruled out: choosing among a few engines taken at random, which refuses with places free; more than one book for a service, which crowds chance-wise.

Change: slottable counts slots as leases come and go and looks only at engines that are put aside; slotwants keeps waiting items and leases that give way in heaps. The line of a refusal names engines put aside instead of all engines.

--- a/bench/slots.py
+++ b/bench/slots.py
@@ -32,7 +32,7 @@
         want = slotbook.Want(
             f"i{number}", "h", False, due_at=18.0 + number % 97, work_s=4.8
         )
-        book.items[want.id] = want
+        book.items.add(want)
     book.decide(0.0)
     return book
 
--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -310,7 +310,7 @@
     def ask_here(self, pending: Pending) -> None:
         """Ask this host's own desk."""
         desk = self.desks.desk(pending.service)
-        desk.book.share = self.share_of(pending.service)
+        desk.book.set_share(self.share_of(pending.service))
         now = self.clock.monotonic()
         desk.act(desk.book.ask(pending.want, now))
 
--- a/camphortray/slotbook.py
+++ b/camphortray/slotbook.py
@@ -26,11 +26,16 @@
 
 from collections.abc import Iterable
 import dataclasses
-import math
 
 import xxhash
 
 from camphortray import enginehealth
+from camphortray import slottable
+from camphortray import slotwants
+
+EngineSlots = slottable.EngineSlots
+Lease = slotwants.Lease
+Want = slotwants.Want
 
 # Seconds an online request holds a slot, before any was measured.
 FIRST_HOLD_S = 0.7
@@ -42,62 +47,6 @@
 # A lease that its holder does not name in a report made this long after
 # the grant is one whose end was lost on the way, in seconds.
 GRANT_WAY_S = 0.5
-# Share added to the time that a batch item is expected to need.
-MARGIN = 1.15
-# Seconds by which a batch item should be done before it is due: its result
-# has to be kept and read too.
-READ_S = 0.8
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Want:
-    """A request that asks for a slot.
-
-    Attributes:
-      id: Unique, new for each try.
-      holder: Host that asks.
-      online: Whether a caller waits for it; else it is a batch item.
-      priority: Rank among online requests, 0 first.
-      asked_at: When it was asked for.
-      objective_s: Time to the first event, for online requests.
-      left_s: Time after which nobody waits any more.
-      due_at: When a batch item should be done.
-      work_s: Time that a batch item will hold the slot, as expected.
-      prefix: What it shares with other requests, or empty.
-      zone: Availability zone of the host that asks.
-      avoid: Engines that failed it.
-    """
-
-    id: str
-    holder: str
-    online: bool
-    priority: int = 0
-    asked_at: float = 0.0
-    objective_s: float = 1.0
-    left_s: float = 30.0
-    due_at: float = math.inf
-    work_s: float = 0.0
-    prefix: str = ""
-    avoid: frozenset[str] = frozenset()
-    zone: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineSlots:
-    """An engine, how many requests it runs at once, and where it stands."""
-
-    name: str
-    slots: int
-    zone: str = ""
-
-
-@dataclasses.dataclass(slots=True)
-class Lease:
-    """Leave to run one request at an engine."""
-
-    want: Want
-    engine: str
-    granted_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,26 +79,29 @@
     """Slots of one service.
 
     Attributes:
-      engines: Slots by engine.
-      zones: Availability zone by engine.
-      leases: By id of their wants.
+      table: Slots by engine, and which are free.
+      held: Leases, and which of them give way.
       queue: Online requests that wait, first come first.
-      items: Batch items that wait, by id.
-      share: Share of the slots that may be used; below 1 where other
-        books give out the same slots.
+      items: Batch items that wait.
       hold_s: Mean time that an online request holds a slot.
     """
 
     def __init__(self) -> None:
-        self.engines: dict[str, int] = {}
-        self.zones: dict[str, str] = {}
-        self.leases: dict[str, Lease] = {}
+        self.table = slottable.SlotTable()
+        self.held = slotwants.Leases()
         self.queue: list[Want] = []
-        self.items: dict[str, Want] = {}
-        self.health = enginehealth.HealthBook()
-        self.share = 1.0
+        self.items = slotwants.ItemQueue()
         self.hold_s = FIRST_HOLD_S
-        self.used: dict[str, int] = {}
+
+    @property
+    def leases(self) -> dict[str, Lease]:
+        """Leases by id of their wants."""
+        return self.held.held
+
+    @property
+    def used(self) -> dict[str, int]:
+        """Slots in use, by engine."""
+        return self.table.used
 
     # What is told.
 
@@ -157,22 +109,23 @@
         self, engines: Iterable[EngineSlots], now: float
     ) -> list[Decision]:
         """Take the engines that may get new work."""
-        held = list(engines)
-        self.engines = {engine.name: engine.slots for engine in held}
-        self.zones = {engine.name: engine.zone for engine in held}
-        self.health.keep(self.engines)
+        self.table.set_engines(engines)
         return self.decide(now)
 
+    def set_share(self, share: float) -> None:
+        """Take the share of the slots that may be used."""
+        self.table.share = share
+
     def ask(self, want: Want, now: float) -> list[Decision]:
         """Take a new want; an online one is answered at once or queued."""
         if want.id in self.leases:
             # The grant was lost on the way.
             return [Grant(want, self.leases[want.id].engine)]
         if not want.online:
-            self.items[want.id] = want
+            self.items.add(want)
             return self.decide(now)
         self.queue = [held for held in self.queue if held.id != want.id]
-        if not self.engines:
+        if not self.table.engines:
             return [Refuse(want, self.return_in(self.hold_s, want))]
         self.queue.append(want)
         self.queue.sort(key=lambda held: (held.priority, held.asked_at))
@@ -182,16 +135,15 @@
         self, name: str, outcome: enginehealth.Outcome, now: float
     ) -> list[Decision]:
         """Take the end of a lease, or of a want that waited."""
-        self.items.pop(name, None)
+        self.items.drop(name)
         self.queue = [held for held in self.queue if held.id != name]
-        lease = self.leases.pop(name, None)
+        lease = self.drop_lease(name)
         if lease is None:
             return []
-        self.count(lease.engine, -1)
         if outcome is enginehealth.Outcome.GOOD and lease.want.online:
             held_s = now - lease.granted_at
             self.hold_s += LEARN * (held_s - self.hold_s)
-        self.health.judge(lease.engine, outcome, now)
+        self.table.judge(lease.engine, outcome, now)
         return self.decide(now)
 
     def report(
@@ -217,12 +169,13 @@
             if name not in self.leases:
                 self.add_lease(lease)
         wanted = {want.id: want for want in wants}
-        for name, want in list(self.items.items()):
-            if want.holder == holder and name not in wanted:
-                del self.items[name]
+        for want in self.items:
+            if want.holder == holder and want.id not in wanted:
+                self.items.drop(want.id)
         for name, want in wanted.items():
-            if name not in self.leases and not want.online:
-                self.items[name] = want
+            known = name in self.leases or name in self.items
+            if not known and not want.online:
+                self.items.add(want)
         return decisions + self.decide(now)
 
     def forget(self, holder: str, now: float) -> list[Decision]:
@@ -231,11 +184,9 @@
             if lease.want.holder == holder:
                 self.drop_lease(name)
         self.queue = [held for held in self.queue if held.holder != holder]
-        self.items = {
-            name: want
-            for name, want in self.items.items()
-            if want.holder != holder
-        }
+        for want in self.items:
+            if want.holder == holder:
+                self.items.drop(want.id)
         return self.decide(now)
 
     # What is decided.
@@ -271,36 +222,22 @@
 
     def serve_items(self, now: float, decisions: list[Decision]) -> None:
         """Give batch items what is left."""
-        if self.queue or not self.items:
-            return
-        free = self.free_slots(now)
-        if free <= 0:
-            return
-        for want in sorted(
-            self.items.values(), key=lambda held: self.urgency(held, now)
-        ):
+        passed: list[Want] = []
+        while not self.queue and self.table.free_slots(now) > 0:
+            want = self.items.pop(now)
+            if want is None:
+                break
             engine = self.free_engine(want, now)
             if engine is None:
-                continue
-            del self.items[want.id]
-            self.grant(want, engine, now, decisions)
-            free -= 1
-            if free <= 0:
-                return
-
-    def urgency(self, want: Want, now: float) -> tuple[bool, float, str]:
-        """Return the place of a batch item among others."""
-        return self.slack(want, now) < 0, want.due_at, want.id
-
-    def slack(self, want: Want, now: float) -> float:
-        """Return the time a batch item has to spare."""
-        return want.due_at - READ_S - now - want.work_s * MARGIN
+                passed.append(want)
+            else:
+                self.grant(want, engine, now, decisions)
+        for want in passed:
+            self.items.add(want)
 
     def wait_s(self, ahead: int, now: float) -> float:
         """Return the expected wait behind so many others."""
-        open_slots = sum(
-            self.room(name, now, whole=True) for name in self.engines
-        )
+        open_slots = self.table.open_slots(now)
         if not open_slots:
             return enginehealth.UNREACHED_S
         return (ahead + 1) * self.hold_s / open_slots
@@ -315,76 +252,25 @@
         wanted_s = max(wait_s, self.hold_s / 4) + self.hold_s * point
         return min(wanted_s, want.left_s / 3)
 
-    def room(self, engine: str, now: float, whole: bool = False) -> int:
-        """Return the slots of an engine that may be in use.
-
-        Args:
-          engine: Which.
-          now: Present time.
-          whole: Whether to leave trials out of account.
-        """
-        slots = self.engines.get(engine, 0)
-        if self.share < 1.0:
-            slots = max(1, math.ceil(slots * self.share))
-        return self.health.room(engine, slots, now, whole)
+    def room(self, engine: str, now: float) -> int:
+        """Return the slots of an engine that may be in use."""
+        return self.table.room(engine, now)
 
     def free_slots(self, now: float) -> int:
         """Return the number of free slots."""
-        return sum(
-            max(0, self.room(name, now) - self.used.get(name, 0))
-            for name in self.engines
-        )
+        return self.table.free_slots(now)
 
     def free_engine(self, want: Want, now: float) -> str | None:
         """Return the engine with a free slot that suits a want best."""
-        best: tuple[bool, int, str] | None = None
-        for name in self.engines:
-            if name in want.avoid:
-                continue
-            free = self.room(name, now) - self.used.get(name, 0)
-            if free <= 0:
-                continue
-            score = self.score(want, name, free)
-            if best is None or score > best:
-                best = score
-        return best[-1] if best else None
-
-    def score(
-        self, want: Want, engine: str, free: int
-    ) -> tuple[bool, int, str]:
-        """Return how well an engine suits; the most is best.
-
-        Bytes between zones are dear, and an engine with a free slot in
-        the asker's zone answers as soon as any other. Requests that share
-        a prefix meet at the same engine as long as it has room; the others
-        go where most slots are free.
-        """
-        near = self.zones.get(engine) == want.zone
-        if not want.prefix:
-            return near, free, engine
-        key = f"{want.prefix}\0{engine}".encode()
-        return near, xxhash.xxh64_intdigest(key) >> 1, engine
+        return self.table.best(want.prefix, want.zone, want.avoid, now)
 
     def victim(self, want: Want, now: float) -> Lease | None:
         """Return the batch item that can best give way, if there is one."""
-        found = [
-            lease
-            for lease in self.leases.values()
-            if not lease.want.online
-            and lease.engine not in want.avoid
-            and self.room(lease.engine, now) > 0
-        ]
-        if not found:
-            return None
-        # What cannot be done in time any more gives way first, then what
-        # has most time to spare.
-        return max(
-            found,
-            key=lambda lease: (
-                self.slack(lease.want, lease.granted_at) < 0,
-                self.slack(lease.want, lease.granted_at),
-                lease.want.id,
-            ),
+        return self.held.first(
+            lambda lease: (
+                lease.engine not in want.avoid
+                and self.table.room(lease.engine, now) > 0
+            )
         )
 
     def revoke(self, lease: Lease, decisions: list[Decision]) -> None:
@@ -401,21 +287,15 @@
 
     def add_lease(self, lease: Lease) -> None:
         """Count a lease."""
-        self.leases[lease.want.id] = lease
-        self.count(lease.engine, 1)
-
-    def drop_lease(self, name: str) -> None:
-        """Count a lease no more."""
-        lease = self.leases.pop(name)
-        self.count(lease.engine, -1)
-
-    def count(self, engine: str, by: int) -> None:
-        """Change the number of leases at an engine."""
-        left = self.used.get(engine, 0) + by
-        if left:
-            self.used[engine] = left
-        else:
-            self.used.pop(engine, None)
+        self.held.add(lease)
+        self.table.count(lease.engine, 1)
+
+    def drop_lease(self, name: str) -> Lease | None:
+        """Count a lease no more; return it, if it was there."""
+        lease = self.held.pop(name)
+        if lease is not None:
+            self.table.count(lease.engine, -1)
+        return lease
 
     def next_look(self, now: float) -> float | None:
         """Return when to decide anew though nothing has been told."""
@@ -423,5 +303,5 @@
             want.asked_at + want.objective_s * PATIENCE for want in self.queue
         ]
         if self.queue or self.items:
-            times += self.health.openings(now)
+            times += self.table.health.openings(now)
         return min(times, default=None)
--- a/camphortray/slotdesk.py
+++ b/camphortray/slotdesk.py
@@ -67,7 +67,7 @@
     def refit(self, now: float) -> None:
         """Take the engines as they are now."""
         held = self.home.inforce.engines.usable(self.service)
-        self.book.share = self.home.share_of(self.service)
+        self.book.set_share(self.home.share_of(self.service))
         found = [
             slotbook.EngineSlots(e.name, e.slots, e.availability_zone)
             for e in held
@@ -112,10 +112,13 @@
                     "service": self.service,
                     "queued": len(book.queue),
                     "leases": len(book.leases),
-                    "engines": {
-                        name: book.room(name, now) for name in book.engines
+                    "engines": len(book.table.engines),
+                    "open_slots": book.table.open_slots(now),
+                    "put_aside": {
+                        name: book.room(name, now)
+                        for name in book.table.unsound()
                     },
-                    "share": round(book.share, 3),
+                    "share": round(book.table.share, 3),
                     "hold_s": round(book.hold_s, 3),
                     "asked_ms_ago": round(
                         (now - decision.want.asked_at) * 1000
@@ -218,7 +221,7 @@
         now = self.home.clock.monotonic()
         for desk in list(self.held.values()):
             desk.expire(now)
-            if desk.book.share != self.home.share_of(desk.service):
+            if desk.book.table.share != self.home.share_of(desk.service):
                 desk.refit(now)
 
     async def on_ask(self, sender: peers.Sender, ask: PlaceAsk) -> PlaceWord:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -72,6 +72,8 @@
     "settings",
     "shards",
     "slotbook",
+    "slottable",
+    "slotwants",
     "snapshot",
     "story",
     "takeover",
--- a/tests/test_slotbook.py
+++ b/tests/test_slotbook.py
@@ -251,7 +251,7 @@
 
 def test_a_share_leaves_each_engine_one_slot_at_least():
     book = book_of(engines=2, slots=8)
-    book.share = 0.05
+    book.set_share(0.05)
     fill(book, 10)
     assert sorted(book.used.values()) == [1, 1]
 
