Let a route say how long an engine may be silent

Cause: a stream that may be resumed went on elsewhere after 0.25 s between events and 1 s before the first, whatever its route. An operator whose engines take longer than a second to the first event would have had each such request run twice, the first run in vain.

Ruled out: times learned from answers, which say nothing of a service that has just come.

Change: the longest pause that a route allows is read from the configuration; 0.8 of it, or twice the objective before the first event, tells of a fault.

--- a/camphortray/passage.py
+++ b/camphortray/passage.py
@@ -21,18 +21,24 @@
 from camphortray import outer
 from camphortray import placing
 from camphortray import retry
+from camphortray import routemap
 from camphortray import slotbook
 
 LOG = logs.logger("passage")
 # Tries before a request is given up, most of which an engine refused as
 # not run; each of these costs a few milliseconds.
 MAX_TRIES = 6
-# Seconds without an event after which a stream that may be resumed goes on
-# at another engine. Engines make an event about every 20 ms; the smallest
-# pause that callers are promised is some hundreds.
+# Share of the pause that its route allows after which a stream that may be
+# resumed goes on at another engine; the rest is for its first event there,
+# which takes some tens of milliseconds.
+SILENT_SHARE = 0.8
+# The same in seconds, where the route allows no pause in particular, and at
+# least: engines that run full make an event in some tens of milliseconds.
 SILENT_S = 0.25
-# The same before the first event, which waits for the prompt to be read.
-FIRST_SILENT_S = 1.0
+LEAST_SILENT_S = 0.1
+# Objectives without a first event after which another engine is tried, and
+# an engine counts as silent. Late by then, whatever comes.
+FIRST_SILENT_TIMES = 2.0
 # Statuses with which an engine ends a request that another could answer.
 PASSING = frozenset({500, 502, 504})
 
@@ -62,12 +68,14 @@
         parts: PassageParts,
         held: placing.Placement,
         reader: eventstream.EventReader,
+        route: routemap.Route,
     ) -> None:
         party = parts.outer.engine(held.upstream.plugin)
         super().__init__(held.upstream, party)
         self.parts = parts
         self.held = held
         self.reader = reader
+        self.route = route
         self.had = reader.count
         self.begun_at = now_of(parts)
 
@@ -88,7 +96,7 @@
         # The caller has left, or its time is over. Where nothing had come
         # for long, that says something of the engine.
         silent_s = 0.0 if self.brought else now_of(self.parts) - self.begun_at
-        if silent_s > FIRST_SILENT_S:
+        if silent_s > first_silent_s(self.route):
             return enginehealth.Outcome.BROKEN
         return enginehealth.Outcome.NOTHING
 
@@ -227,24 +235,26 @@
         self.slot_s = now_of(self.parts) - now
         self.engine = held.upstream.name
         self.coordinator = held.coordinator
-        return SlotTry(self.parts, held, self.reader)
+        return SlotTry(self.parts, held, self.reader, route)
 
     def request_for(self, held: exchange.Try) -> engine.EngineRequest:
         return self.request.for_engine(
             now_of(self.parts),
             self.reader.last,
-            FIRST_SILENT_S if self.movable else 0.0,
+            first_silent_s(self.request.route) if self.movable else 0.0,
         )
 
     def head_of(self, stream: engine.EngineStream) -> exchange.Headers:
         return stream.headers
 
     def first_limit_s(self) -> float:
-        return FIRST_SILENT_S if self.movable else self.left_s()
+        if self.movable:
+            return first_silent_s(self.request.route)
+        return self.left_s()
 
     def silence_limit_s(self) -> float:
         # Only what may go on elsewhere is timed.
-        return SILENT_S if self.movable else self.left_s()
+        return silent_s(self.request.route) if self.movable else self.left_s()
 
     def left_s(self) -> float:
         """Return the seconds left."""
@@ -344,6 +354,18 @@
         response.send(self.status, self.body, self.headers)
 
 
+def first_silent_s(route: routemap.Route) -> float:
+    """Return the silence before the first event that tells of a fault."""
+    return FIRST_SILENT_TIMES * route.objective_s
+
+
+def silent_s(route: routemap.Route) -> float:
+    """Return the silence within a stream that tells of a fault."""
+    if not route.gap_s:
+        return SILENT_S
+    return max(LEAST_SILENT_S, SILENT_SHARE * route.gap_s)
+
+
 def now_of(parts: PassageParts) -> float:
     """Return monotonic seconds."""
     return parts.clock.monotonic()
--- a/camphortray/routemap.py
+++ b/camphortray/routemap.py
@@ -54,6 +54,8 @@
       keep_s: Time after which an item may be given up, in seconds.
       waiting_limit: Tokens that may wait on the route over all hosts; 0
         for no limit.
+      gap_s: Longest pause between events of an answer that is in time, in
+        seconds; 0 if not told.
     """
 
     name: str
@@ -69,6 +71,7 @@
     due_s: float = 0.0
     keep_s: float = 0.0
     waiting_limit: int = 0
+    gap_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/tests/test_passage.py
+++ b/tests/test_passage.py
@@ -326,3 +326,35 @@
     held = passage_of(script, hostkit.RESUMABLE)
     assert await outcome(held) == 200
     assert held.parts.breaks.told == []
+
+
+@pytest.mark.parametrize(
+    ("fields", "first_s", "later_s"),
+    [
+        ({"objective_s": 0.3, "gap_s": 0.3}, 0.6, 0.24),
+        # Slow engines, as their operator knows: not moved for that.
+        ({"objective_s": 5.0, "gap_s": 2.0}, 10.0, 1.6),
+        ({"objective_s": 0.3, "gap_s": 0.05}, 0.6, passage.LEAST_SILENT_S),
+        ({"objective_s": 0.3}, 0.6, passage.SILENT_S),
+    ],
+)
+async def test_how_long_an_engine_may_be_silent_is_the_routes_to_say(
+    fields, first_s, later_s
+):
+    # The engine sends two events and then nothing. Its caller sees the
+    # rest from another engine, after the time that the route allows.
+    silences = []
+    silent = hostkit.Answer([*TWO, hostkit.SILENT])
+    read = silent.read
+
+    async def timed(timeout_s):
+        silences.append(timeout_s)
+        return await read(timeout_s)
+
+    silent.read = timed
+    route = dataclasses.replace(hostkit.RESUMABLE, **fields)
+    held = passage_of([silent, answer(*hostkit.events(3, 4))], route)
+    assert await outcome(held) == 200
+    assert held.response.data == ALL
+    assert silences[0] == pytest.approx(first_s)
+    assert silences[-1] == pytest.approx(later_s)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,7 +27,7 @@
     "|Expect-Version|Wait-Ms|Pin-Ms|Kv-Backup|/log-append|/log-read"
     "|/log-newest|/log-join|/log-leave|/log-commit|/log-owners|/readiness"
     "|/resolve\\b|/report\\b|/lots/|keyed\\.|CAMPHORTRAY_NODE_FILE|pathPrefix"
-    '|goalMs|dueMs|retentionS|kvCapacity|maxAttempts|resumable"|nextToken'
+    '|goalMs|gapAimMs|dueMs|retentionS|kvCapacity|maxAttempts|resumable"|nextToken'
     "|nodeName|machineClass|coldLeftMs|hasMore|ttlS\\b|non_idempotent"
 )
 
@@ -246,6 +246,7 @@
                     "/a/",
                     "streaming",
                     service="",
+                    gapAimMs=450,
                     split=[
                         {"service": "s1", "weight": 90},
                         {"service": "s2", "weight": 10},
@@ -259,6 +260,7 @@
     assert found.revision == 7
     assert route.timeout_s == 5.0
     assert route.objective_s == 0.3
+    assert route.gap_s == 0.45
     services = [route.service_of(str(n)) for n in range(1000)]
     assert 50 < services.count("s2") < 200
     assert dialect.PlatformDialect().configuration("other", text) is None
