--- a/camphortray/compaction.py
+++ b/camphortray/compaction.py
@@ -23,7 +23,7 @@
 APPEND_S = 10.0
 
 
-class Compactor:
+class Compactor(tasks.Background):
     """Writes snapshots of a stream and carries needed records forward.
 
     Attributes:
@@ -45,6 +45,7 @@
         rank: Callable[[], int | None],
         epoch: Callable[[], int] = lambda: records.NO_EPOCH,
     ) -> None:
+        super().__init__()
         self.journal = held
         self.pace = snapshot.Pace(retention_s)
         self.wall = wall
@@ -52,17 +53,6 @@
         self.epoch = epoch
         self.lost: set[int] = set()
         self.look_s = min(retention_s / LOOKS, MAX_LOOK_S)
-        self.task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Begin to look at the stream now and then."""
-        if self.task is None:
-            self.task = asyncio.get_running_loop().create_task(self.run())
-
-    async def stop(self) -> None:
-        """Stop."""
-        task, self.task = self.task, None
-        await tasks.end(task)
 
     async def run(self) -> None:
         """Do what is due, for ever."""
--- a/camphortray/ownership.py
+++ b/camphortray/ownership.py
@@ -84,7 +84,7 @@
         return takeover.Sight.LIVE if known else takeover.Sight.LOST
 
 
-class Owner:
+class Owner(tasks.Background):
     """This process's part in owning one stream.
 
     ``start`` lets it take the stream over by itself and answer for it;
@@ -108,6 +108,7 @@
         roster: Roster | None = None,
         timing: takeover.Timing | None = None,
     ) -> None:
+        super().__init__()
         self.journal = held
         self.roster = roster or Alone(held.writer.name)
         self.policy = takeover.Policy(held.writer, timing)
@@ -119,7 +120,6 @@
         self.seen: object = None
         self.draining = False
         self.changed = asyncio.Event()
-        self.task: asyncio.Task[None] | None = None
         held.listen(self.on_outcome)
         held.on_restore(self.tell)
 
@@ -167,16 +167,6 @@
         self.policy.doubt(self.epoch)
         self.changed.set()
 
-    def start(self) -> None:
-        """Begin to take over, answer and hand over."""
-        if self.task is None:
-            self.task = asyncio.get_running_loop().create_task(self.run())
-
-    async def stop(self) -> None:
-        """End without handing over, as a crash would."""
-        task, self.task = self.task, None
-        await tasks.end(task)
-
     async def run(self) -> None:
         """Do what the policy says, for ever."""
         await self.journal.caught_up.wait()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,7 +27,8 @@
     "|Expect-Version|Wait-Ms|Pin-Ms|Kv-Backup|/log-append|/log-read"
     "|/log-newest|/log-join|/log-leave|/log-commit|/log-owners|/readiness"
     "|/resolve\\b|/report\\b|/lots/|keyed\\.|CAMPHORTRAY_NODE_FILE|pathPrefix"
-    '|goalMs|gapAimMs|dueMs|retentionS|kvCapacity|maxAttempts|resumable"|nextToken'
+    '|goalMs|gapAimMs|dueMs|retentionS|kvCapacity|maxAttempts|resumable"'
+    "|nextToken"
     "|nodeName|machineClass|coldLeftMs|hasMore|ttlS\\b|non_idempotent"
 )
 
