Spread jobs over as many topics as the deploy file says

Cause: jobs lay in one topic of eight partitions, so that eight hosts at most own jobs; the target's 156,000 events/s of batch need 19 owners at least at 60 us an event.

Ruled out: a number that follows the hosts that are there, as a job's partition follows from it and must stay as it is.

Change: the product has a number of partitions and of partitions a topic; the adapter names the topic. The deploy file sets the number of topics, checked at the start. Deployments of today keep one topic, under its name of before.

Test: three hosts, three topics of two partitions, 12 jobs read at the others; six partitions are in use.

--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -161,12 +161,15 @@
     """The platform's keyed store and what it takes.
 
     Attributes:
-      parts: Partitions of each topic of the system's own.
+      parts: Partitions of jobs; a job's partition follows from it, so that
+        it is the same on all hosts and stays as it is.
+      topic_parts: Partitions of one topic of the store.
       record_bytes: Most bytes of one record.
       append_bytes: Most bytes of the records of one append.
     """
 
     parts: Count = 8
+    topic_parts: Count = 8
     record_bytes: Count = 262_144
     append_bytes: Count = 2_097_152
 
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -22,7 +22,11 @@
 LOOPBACK = "127.0.0.1"
 READY_S = 20.0
 LOOK_S = 0.01
-TOPICS = {name: topic for topic, name in names.TOPICS.items()}
+TOPICS = {
+    names.topic(topic, number): (topic, number)
+    for topic in names.TOPICS
+    for number in range(3)
+}
 SERVICE = "huvo11a"
 HOST_NAME = "nony24.example"
 STREAM_PREFIX, BATCH_PREFIX = "/lohu930/", "/pule252/"
@@ -80,8 +84,9 @@
       calls: Number of calls by path.
     """
 
-    def __init__(self, parts=2):
-        self.held = ledger.MemoryLedger(parts)
+    def __init__(self, parts=2, job_topics=1):
+        self.held = ledger.MemoryLedger(parts * job_topics)
+        self.topic_parts = parts
         self.server = httpserver.HttpServer(self)
         self.silent = False
         self.refuse = 0
@@ -115,8 +120,11 @@
             response.send_json(409, {"why": "fenced"})
 
     async def answer(self, path, query, body, response):
-        topic = TOPICS.get(query.get("topic", ""))
+        topic, number = TOPICS.get(query.get("topic", ""), (None, 0))
         part = int(query.get("part", 0))
+        if part >= self.topic_parts:
+            raise errors.Refused(400, "no_part", f"no partition {part}")
+        part += number * self.topic_parts
         if path == "/log-append":
             await self.append(topic, part, query, body)
             if self.lose:
@@ -141,7 +149,11 @@
             found = await self.held.join(
                 data["member"], data["generation"], data["ttlMs"] / 1000
             )
-            rows = [[data["topics"][0], n, 0] for n in sorted(found.parts)]
+            rows = [
+                [data["topics"][n // self.topic_parts], inner, 0]
+                for n in sorted(found.parts)
+                for inner in [n % self.topic_parts]
+            ]
             told = {"generation": found.generation, "parts": rows}
             response.send_json(200, told)
         elif path == "/log-leave":
@@ -299,8 +311,9 @@
         "z1",
         "region-1",
         settings.Listen(*(f"{LOOPBACK}:{port()}" for _ in range(4))),
-        settings.Store(str(store.server.address), store.held.parts),
+        settings.Store(str(store.server.address), store.topic_parts),
         tuple(seeds),
+        job_topics=store.held.parts // store.topic_parts,
     )
 
 
@@ -345,8 +358,8 @@
       hosts: In order.
     """
 
-    def __init__(self, hosts=1, engines=2, parts=2):
-        self.store = StoreStandin(parts)
+    def __init__(self, hosts=1, engines=2, parts=2, job_topics=1):
+        self.store = StoreStandin(parts, job_topics)
         self.engines = {
             f"i-{n}": EngineStandin(f"i-{n}") for n in range(engines)
         }
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -120,6 +120,19 @@
         settings.load(str(path))
 
 
+def test_the_deploy_file_says_how_many_topics_jobs_have(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(GOOD + "parts = 4\n")
+    config = settings.load(str(path), settings.job_topics("3")).config()
+    assert (config.ledger.parts, config.ledger.topic_parts) == (12, 4)
+
+
+@pytest.mark.parametrize("text", ["0", "98", "-1", "two", "1.5"])
+def test_a_bad_number_of_topics_names_its_variable(text):
+    with pytest.raises(errors.ConfigError, match="JOB_TOPICS"):
+        settings.job_topics(text)
+
+
 def test_settings_that_are_missing_name_the_file(tmp_path):
     with pytest.raises(errors.ConfigError, match="nothing.toml"):
         settings.load(str(tmp_path / "nothing.toml"))
@@ -220,7 +233,7 @@
 
 async def test_members_of_the_group_share_the_partitions(held):
     standin, client = held
-    standin.held.parts = 8
+    standin.held.parts = standin.topic_parts = 8
     await client.join("a", 0, 1.0)
     second = await client.join("b", 0, 1.0)
     first = await client.join("a", second.generation, 1.0)
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -68,6 +68,29 @@
             assert found == await results_of(first, job, 3)
 
 
+async def test_jobs_lie_in_as_many_topics_as_the_deploy_file_says():
+    # Two partitions a topic and three topics: six owners at most rather
+    # than two. A partition of a further topic mistaken for one of the first
+    # would show a job of the one under the other, or lose it.
+    async with platformkit.Platform(hosts=3, job_topics=3) as platform:
+        first, second, third = platform.hosts
+        used = set()
+        for number in range(12):
+            job = f"job-{number}"
+            used.add(first.part(jobdesk.JobDesk).part_of(job))
+            path = platformkit.BATCH_PREFIX + job
+            status, _, _ = await first.call(
+                "POST", path, [("Attempt-Id", job)], job_body(1)
+            )
+            assert status == 202
+            found = await results_of(second, job, 1)
+            assert found == await results_of(third, job, 1)
+        assert len(used) > 4
+        assert {
+            part for topic, part in platform.store.held.held if topic is JOBS
+        } == set(range(6))
+
+
 async def test_jobs_that_are_not_there_and_bad_ones():
     async with platformkit.Platform() as platform:
         (host,) = platform.hosts
