Look at owners after their epochs were confirmed, not before

It waited for the group's generation, which a host takes note of before it has asked the store about its epochs, and looked at the owners then.

Shown: with the stand-in of the store 0.1 s slow the test failed each time as it stood; it passes so now. The product is unchanged.

Change: the test waits until the epochs have been confirmed. It is as strict: the generation is still compared, and the owners after it.

--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -202,12 +202,20 @@
         desk = host.part(jobdesk.JobDesk)
         before = dict(desk.owners.held)
         held = platform.store.held
+        confirm_all, confirmed = desk.owners.confirm_all, asyncio.Event()
+
+        async def noted():
+            await confirm_all()
+            confirmed.set()
+
+        desk.owners.confirm_all = noted
         held.deal()
         held.deal()
         if other_owned:
             for part in before:
                 await held.set_epoch(JOBS, part, held.generation - 1)
-        await platform.until(lambda: desk.owners.generation == held.generation)
+        await confirmed.wait()
+        assert desk.owners.generation == held.generation
         await platform.until(
             lambda: (
                 set(desk.owners.held) == set(before)
