--- a/camphortray/slottable.py
+++ b/camphortray/slottable.py
@@ -123,6 +123,9 @@
           now: Present time.
           whole: Whether to leave trials out of account.
         """
+        if engine not in self.engines:
+            # Gone, or leaving: not even for a trial.
+            return 0
         return self.health.room(engine, self.scaled(engine), now, whole)
 
     def unsound(self) -> list[str]:
--- a/tests/test_slotload.py
+++ b/tests/test_slotload.py
@@ -175,6 +175,22 @@
     assert decision == slotbook.Grant(want, "e")
 
 
+def test_a_question_gets_no_slot_at_an_engine_that_is_gone():
+    # The engine could not be reached and was to be tried with one request;
+    # then it left. The slot of its last item is none that can be given.
+    book = slotbook.SlotBook()
+    engines = [slotbook.EngineSlots(f"e{n}", 1) for n in range(2)]
+    book.set_engines(engines, 0.0)
+    book.ask(slotbook.Want("i0", "h", False), 0.0)
+    book.ask(slotbook.Want("i1", "h", False), 0.0)
+    gone = book.leases["i0"].engine
+    book.set_engines([e for e in engines if e.name != gone], 1.0)
+    book.table.judge(gone, enginehealth.Outcome.UNREACHED, 1.0)
+    question = slotbook.Want("q", "h", True, asked_at=2.0)
+    _, decision = book.ask(question, 2.0)
+    assert decision.engine != gone
+
+
 def test_items_at_an_engine_that_leaves_hold_no_others_back():
     # The engine is on no list any more, but its items run on for seconds.
     # Counted against the slots of the others, they would keep these empty.
