Tell the lives of an engine apart, and entries that name no engine

Cause: an engine was its id. One that started again under its id, its numbers anew, was late news until its number had passed the old one, stayed draining for ever, and the book of slots counted what had run in the life before. An entry of another writer got a guessed state and guessed slots, could push a sound engine out at the same address, and a record without a key ended the follower.

Change: the name of an engine is its id and the millisecond of its start, so that leases, health and suspicion of one life hold for no other; a higher start replaces a life at once, a lower one is late news. Every field must be there and of its type; services must be named by the configuration; who started last has an address; each stray entry is logged once per change.

Ruled out: demanding `born` always. Entries without count only where they are the most of their service. Left open: a stray entry under an engine's own key with a later start than its own keeps that engine out until the key is removed.

--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -46,6 +46,8 @@
       plugin: Which plug-in speaks to it.
       checks_fencing: Whether it refuses orders with an old number.
       slots: Requests it may run at once, as declared.
+      instance: Id that the engine itself goes by, where it differs from
+        the name.
     """
 
     name: str
@@ -54,6 +56,7 @@
     plugin: str = "openai"
     checks_fencing: bool = False
     slots: int = 32
+    instance: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/camphortray/enginebook.py
+++ b/camphortray/enginebook.py
@@ -1,7 +1,9 @@
 """Which engines there are and which take new work, by all that is told."""
 
-__all__ = ["EngineBook", "EngineEntry"]
+__all__ = ["EngineBook", "EngineEntry", "MOST_SLOTS"]
 
+import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 
@@ -13,6 +15,12 @@
 # Removed engines whose last number is remembered, so that an entry that was
 # written before the removal and arrives after it does not bring one back.
 MAX_REMEMBERED = 4_096
+# Requests that one engine may say it runs at once. Engines batch some
+# hundreds at most; an entry with more is not an engine's own, and believed
+# it would draw all requests to itself.
+MOST_SLOTS = 4_096
+# The life of an engine that does not tell when it started.
+UNTOLD = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,95 +28,141 @@
     """An engine as it registers itself.
 
     Attributes:
-      name: Its id, new with each start.
+      id: Its id, which it may keep when it starts again.
       service: Name of its service.
       address: ``IP:PORT``.
       availability_zone: Where it stands.
       slots: Requests it runs at once.
       draining: Whether it said that it leaves.
-      sequence: Grows with each entry of the same engine.
+      sequence: Grows with each entry of the same life.
+      born: Unix milliseconds of its start, or 0 if it does not tell.
     """
 
-    name: str
+    id: str
     service: str
     address: configs.AddressText
     availability_zone: str = ""
     slots: int = 1
     draining: bool = False
     sequence: int = 0
+    born: int = UNTOLD
+
+    @property
+    def name(self) -> str:
+        """Name of this life of the engine.
+
+        All that is held of an engine (leases, health, suspicion) is held
+        under it, so that nothing of one life is taken for another's.
+
+        >>> EngineEntry("i-1", "s", "10.0.0.1:80", born=1700).name
+        'i-1~1700'
+        """
+        return f"{self.id}~{self.born}" if self.born else self.id
+
+    @property
+    def age(self) -> tuple[int, int]:
+        """What orders the entries under one id, the newest last."""
+        return self.born, self.sequence
 
 
 class EngineBook:
     """Engines as this host knows them.
 
     Attributes:
-      entries: By name; those leaving included.
+      entries: By id, one life each; those leaving included.
+      services: Services that the configuration names; None before one is
+        known. An entry for any other names no engine.
       doubted: Engines missing after an outage, and until when that may
         only be the outage's work.
-      removed: Last number of engines that are gone.
+      removed: Age of the last entry of engines that are gone.
       returned_at: When the registry answered again after an outage.
     """
 
     def __init__(self) -> None:
         self.entries: dict[str, EngineEntry] = {}
+        self.services: frozenset[str] | None = None
         self.doubted: dict[str, float] = {}
-        self.removed: dict[str, int] = {}
+        self.removed: dict[str, tuple[int, int]] = {}
         self.returned_at = -RETURN_S
+        # Entries that count, by name of the life; None before a look.
+        self.counted: dict[str, EngineEntry] | None = None
+
+    def set_services(self, services: Collection[str]) -> None:
+        """Take the services that the configuration names."""
+        self.services = frozenset(services)
+        self.counted = None
 
     def put(self, entry: EngineEntry) -> bool:
         """Take an entry; return whether anything but its number changed."""
-        held = self.entries.get(entry.name)
-        known = held.sequence if held else self.removed.get(entry.name, -1)
-        if entry.sequence < known or (
-            held is None and entry.sequence == known
-        ):
+        held = self.entries.get(entry.id)
+        if held is None:
+            known = self.removed.get(entry.id, (UNTOLD, -1))
+            if entry.age <= known:
+                return False
+        elif entry.age < held.age:
+            # Written in an earlier life, or overtaken.
             return False
-        self.doubted.pop(entry.name, None)
-        self.removed.pop(entry.name, None)
-        if held is not None and held.draining and not entry.draining:
-            # An engine that said it leaves never comes back under its id.
+        self.doubted.pop(entry.id, None)
+        self.removed.pop(entry.id, None)
+        same_life = held is not None and held.born == entry.born
+        if held is not None and same_life and held.draining:
+            # One that said it leaves never comes back in the same life.
             entry = dataclasses.replace(entry, draining=True)
-        self.entries[entry.name] = entry
-        if held is None:
-            self.replace_at(entry)
+        if not same_life:
+            # The latest to come stands last; see ``current``.
+            self.entries.pop(entry.id, None)
+        self.entries[entry.id] = entry
+        if held is None or not same_life:
+            self.counted = None
             return True
-        return dataclasses.replace(held, sequence=entry.sequence) != entry
-
-    def replace_at(self, entry: EngineEntry) -> None:
-        """Drop engines that had the address of a new one before it."""
-        for other in list(self.entries.values()):
-            if other.address == entry.address and other.name != entry.name:
-                self.drop(other.name)
-
-    def gone(self, name: str, now: float) -> bool:
+        changed = dataclasses.replace(held, sequence=entry.sequence) != entry
+        if changed:
+            self.counted = None
+        elif self.counted is not None and entry.name in self.counted:
+            self.counted[entry.name] = entry
+        return changed
+
+    def gone(self, engine_id: str, now: float) -> bool:
         """Take note that an entry is missing; return if it is gone now.
 
         Right after an outage of the registry the entry may have lapsed
         only because the engine could not renew it.
         """
-        if name not in self.entries:
+        if engine_id not in self.entries:
             return False
         until = self.returned_at + RETURN_S
         if now < until:
-            self.doubted.setdefault(name, until)
+            self.doubted.setdefault(engine_id, until)
             return False
-        self.drop(name)
+        self.drop(engine_id)
         return True
 
-    def drop(self, name: str) -> None:
-        """Forget an engine but for its last number."""
-        entry = self.entries.pop(name)
-        self.doubted.pop(name, None)
-        self.removed[name] = entry.sequence
+    def spoiled(self, engine_id: str) -> bool:
+        """Take note that an entry names no engine any more.
+
+        Another writer has put something else in its place. The engine's
+        own next entry, a heartbeat later, brings it back.
+        """
+        if engine_id not in self.entries:
+            return False
+        self.drop(engine_id)
+        return True
+
+    def drop(self, engine_id: str) -> None:
+        """Forget an engine but for the age of its last entry."""
+        entry = self.entries.pop(engine_id)
+        self.counted = None
+        self.doubted.pop(engine_id, None)
+        self.removed[engine_id] = entry.age
         while len(self.removed) > MAX_REMEMBERED:
             del self.removed[next(iter(self.removed))]
 
     def listing(self, entries: Iterable[EngineEntry], now: float) -> bool:
         """Take a whole list; return whether anything changed."""
-        found = {entry.name: entry for entry in entries}
+        found = {entry.id: entry for entry in entries}
         changes = [self.put(entry) for entry in found.values()]
         missing = self.entries.keys() - found.keys()
-        changes += [self.gone(name, now) for name in missing]
+        changes += [self.gone(engine_id, now) for engine_id in missing]
         return any(changes)
 
     def returned(self, now: float) -> None:
@@ -123,17 +177,61 @@
         return bool(late)
 
     def leaving(self, name: str) -> bool:
-        """Take note that an engine leaves; return whether that is news."""
-        entry = self.entries.get(name)
+        """Take note that a life leaves; return whether that is news."""
+        entry = self.current().get(name)
         if entry is None or entry.draining:
             return False
-        self.entries[name] = dataclasses.replace(entry, draining=True)
+        self.entries[entry.id] = dataclasses.replace(entry, draining=True)
+        self.counted = None
         return True
 
+    def current(self) -> dict[str, EngineEntry]:
+        """Return the entries that count, by name of the life.
+
+        Of several at one address the engine that started last has it, and
+        where none tells its start, the one that was heard of last: the
+        others are gone, or were never there.
+        """
+        if self.counted is not None:
+            return self.counted
+        at_address: dict[str, EngineEntry] = {}
+        for entry in self.told():
+            other = at_address.get(entry.address)
+            if other is None or entry.born >= other.born:
+                at_address[entry.address] = entry
+        self.counted = {entry.name: entry for entry in at_address.values()}
+        return self.counted
+
+    def told(self) -> list[EngineEntry]:
+        """Return the entries that name an engine of a known service.
+
+        An entry without its start is no engine's where engines tell it.
+        Some registries are of before engines told it, so that entries
+        without are left out only where they are not the most of their
+        service: a single stray entry then decides nothing.
+        """
+        held = [
+            entry
+            for entry in self.entries.values()
+            if self.services is None or entry.service in self.services
+        ]
+        lives = collections.Counter(e.service for e in held if e.born)
+        untold = collections.Counter(e.service for e in held if not e.born)
+        return [
+            entry
+            for entry in held
+            if entry.born or untold[entry.service] > lives[entry.service]
+        ]
+
     def usable(self, service: str) -> list[EngineEntry]:
         """Return the engines of a service that take new work."""
         return [
             entry
-            for entry in self.entries.values()
+            for entry in self.current().values()
             if entry.service == service and not entry.draining
         ]
+
+    def find(self, name: str) -> EngineEntry | None:
+        """Return the engine that takes new work in this life, if any."""
+        entry = self.current().get(name)
+        return None if entry is None or entry.draining else entry
--- a/camphortray/inforce.py
+++ b/camphortray/inforce.py
@@ -24,6 +24,7 @@
 from camphortray import peers
 from camphortray import revisions
 from camphortray import routemap
+from camphortray import strays
 
 LOG = logs.logger("inforce")
 # Longest wait of a read of the configuration, which is answered as soon as
@@ -100,6 +101,7 @@
         self.record = ledgers.LedgerRecord("", b"")
         self.routes = routemap.RouteMap(())
         self.engines = enginebook.EngineBook()
+        self.strays = strays.StrayEntries()
         self.listeners: list[Callable[[Any], None]] = []
         self.engine_listeners: list[Callable[[], None]] = []
         self.reached_at = -AWAY_S
@@ -186,6 +188,7 @@
         self.view = found
         self.record = record
         self.routes = routemap.RouteMap(found.routes)
+        self.engines.set_services(found.service_names)
         LOG.notice(
             "Version {} is in force, {} routes.",
             found.revision,
@@ -193,6 +196,7 @@
         )
         for listener in self.listeners:
             listener(found)
+        self.tell_engines()
 
     # The engines.
 
@@ -236,19 +240,24 @@
     def entry_of(
         self, record: ledgers.LedgerRecord
     ) -> enginebook.EngineEntry | None:
-        """Return the entry of a record, or None if it cannot be read."""
+        """Return the entry of a record, or None if it names no engine."""
         try:
-            return self.dialect.engine(record.key, record.value)
+            entry = self.dialect.engine(record.key, record.value)
         except errors.RecordError as error:
-            LOG.warning("Entry {} left out: {}", record.key, error)
+            if self.strays.news(record.key, record.value):
+                LOG.warning("Entry {!r} left out: {}", record.key, error)
             return None
+        self.strays.sound(record.key)
+        return entry
 
     def take_entry(self, record: ledgers.LedgerRecord) -> bool:
         """Take one record; return whether it changed anything."""
         if not record.value:
             return self.engines.gone(record.key, self.clock.monotonic())
         entry = self.entry_of(record)
-        return entry is not None and self.engines.put(entry)
+        if entry is None:
+            return self.engines.spoiled(record.key)
+        return self.engines.put(entry)
 
     def reached(self) -> None:
         """Take note that the ledger answers."""
--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -213,8 +213,8 @@
         want = dataclasses.replace(want, zone=zone)
         for number in range(MAX_STALE):
             name, coordinator = await self.answer(service, want)
-            entry = self.inforce.engines.entries.get(name)
-            if entry is not None and not entry.draining:
+            entry = self.inforce.engines.find(name)
+            if entry is not None:
                 return self.placement(
                     service, want, entry, coordinator, on_revoke
                 )
@@ -278,6 +278,7 @@
             self.inforce.dialect.plugin,
             True,
             entry.slots,
+            entry.id,
         )
 
     async def ask(self, pending: Pending) -> None:
--- a/camphortray/routemap.py
+++ b/camphortray/routemap.py
@@ -140,6 +140,14 @@
     )
     limits: CallerLimits = CallerLimits()
 
+    @property
+    def service_names(self) -> frozenset[str]:
+        """Names of all services, also of those that only routes name."""
+        routed = {
+            target.service for route in self.routes for target in route.targets
+        }
+        return frozenset(routed | self.services.keys())
+
 
 NOTHING = Configuration(0)
 
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -20,6 +20,7 @@
 from camphortray import membership
 
 LOOPBACK = "127.0.0.1"
+ANY_PORT = configs.Address(LOOPBACK, 0)
 READY_S = 20.0
 LOOK_S = 0.01
 TOPICS = {
@@ -191,6 +192,10 @@
     async def write(self, topic, key, value):
         """Write as the operator or an engine does."""
         data = json.dumps(value).encode() if value is not None else b""
+        await self.write_raw(topic, key, data)
+
+    async def write_raw(self, topic, key, data):
+        """Write as another writer does, whatever it is."""
         await self.held.append(topic, 0, [ledger.LedgerRecord(key, data)])
 
     async def configure(self, version=1, routes=None):
@@ -245,6 +250,12 @@
         self.ran = []
         self.go = asyncio.Event()
         self.cut = 0
+        self.born = 0
+
+    def start_again(self, born):
+        """Forget all of before, under the same id."""
+        self.born = born
+        self.faults, self.always = [], ""
 
     async def handle(self, request, response):
         headers = request.headers
@@ -299,6 +310,7 @@
             "slots": 8,
             "state": "ready",
             "sequence": 1,
+            **({"born": self.born} if self.born else {}),
             **fields,
         }
 
@@ -367,11 +379,10 @@
         self.hosts = []
 
     async def __aenter__(self):
-        any_port = configs.Address(LOOPBACK, 0)
-        await self.store.server.start(any_port)
+        await self.store.server.start(ANY_PORT)
         await self.store.configure()
         for engine in self.engines.values():
-            await engine.server.start(any_port)
+            await engine.server.start(ANY_PORT)
             await self.register(engine)
         for number in range(self.count):
             await self.add(f"host-{number}")
--- a/tests/test_enginebook.py
+++ b/tests/test_enginebook.py
@@ -16,7 +16,7 @@
 
 def names(book):
     """Return the names of what takes new work."""
-    return sorted(e.name for e in book.usable("s"))
+    return sorted(e.id for e in book.usable("s"))
 
 
 def test_an_entry_that_says_it_drains_gets_nothing_new():
@@ -44,7 +44,7 @@
 def test_a_new_engine_at_an_address_ends_the_one_before():
     book = enginebook.EngineBook()
     book.put(ENTRY)
-    book.put(entry(name="i-2", sequence=1))
+    book.put(entry(id="i-2", sequence=1))
     assert names(book) == ["i-2"]
 
 
@@ -78,7 +78,7 @@
 def test_a_listing_drops_what_it_does_not_name():
     book = enginebook.EngineBook()
     book.put(ENTRY)
-    other = entry(name="i-2", address="10.0.0.2:80")
+    other = entry(id="i-2", address="10.0.0.2:80")
     assert book.listing([other], 100.0)
     assert names(book) == ["i-2"]
 
@@ -89,3 +89,106 @@
     assert book.leaving("i-1")
     assert not book.leaving("i-1")
     assert names(book) == []
+
+
+# Lives: an engine may start again under the id that it had.
+
+
+def test_a_new_life_under_the_same_id_takes_work_at_once():
+    # The engine crashes and starts again under its id, its numbers anew.
+    # Judged by the number alone its entries are late news for ever, and a
+    # sound engine gets nothing until it has written as often as before.
+    book = enginebook.EngineBook()
+    book.put(entry(born=1000, sequence=40, draining=True))
+    assert book.put(entry(born=2000, sequence=1))
+    assert [e.name for e in book.usable("s")] == ["i-1~2000"]
+    assert book.find("i-1~1000") is None
+
+
+@pytest.mark.parametrize("removed", [False, True])
+def test_entries_of_a_life_that_is_over_change_nothing(removed):
+    # An entry written before the restart reaches a host late, by the
+    # registry or by a peer that is behind.
+    book = enginebook.EngineBook()
+    book.put(entry(born=2000, sequence=1, slots=4))
+    if removed:
+        book.gone("i-1", 100.0)
+    assert not book.put(entry(born=1000, sequence=99))
+    assert [e.slots for e in book.usable("s")] == ([] if removed else [4])
+
+
+def test_a_new_life_comes_back_after_its_id_was_removed():
+    book = enginebook.EngineBook()
+    book.put(entry(born=1000, sequence=40))
+    book.gone("i-1", 100.0)
+    assert book.put(entry(born=2000, sequence=1))
+    assert names(book) == ["i-1"]
+
+
+def test_the_own_word_of_a_life_says_nothing_of_the_next():
+    book = enginebook.EngineBook()
+    book.put(entry(born=1000, sequence=9))
+    book.put(entry(born=2000, sequence=1))
+    assert not book.leaving("i-1~1000")
+    assert book.leaving("i-1~2000")
+
+
+def test_the_engine_that_started_last_has_the_address():
+    # Listings come in the order of ids, not of starts.
+    book = enginebook.EngineBook()
+    old = entry(id="i-9", born=1000)
+    new = entry(id="i-2", born=2000)
+    book.listing([new, old], 100.0)
+    assert names(book) == ["i-2"]
+    book.gone("i-2", 100.0)
+    assert names(book) == ["i-9"]
+
+
+# Entries from another writer.
+
+
+def test_an_entry_for_an_unknown_service_pushes_no_engine_out():
+    book = enginebook.EngineBook()
+    book.set_services({"s"})
+    book.put(ENTRY)
+    book.put(entry(id="x", service="nowhere", sequence=1))
+    assert names(book) == ["i-1"]
+    assert book.usable("nowhere") == []
+
+
+def test_a_service_that_is_added_brings_its_engines():
+    book = enginebook.EngineBook()
+    book.set_services({"other"})
+    book.put(ENTRY)
+    assert names(book) == []
+    book.set_services({"other", "s"})
+    assert names(book) == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    ("born", "used"),
+    [
+        # Engines tell their start: an entry without is no engine's.
+        ((1000, 2000, 0), ["i-0", "i-1"]),
+        ((1000, 0), ["i-0"]),
+        # Engines of before: all count, and a stray one decides nothing.
+        ((0, 0), ["i-0", "i-1"]),
+        ((0, 0, 0, 1000), ["i-0", "i-1", "i-2", "i-3"]),
+    ],
+)
+def test_entries_without_a_start_count_where_engines_tell_none(born, used):
+    book = enginebook.EngineBook()
+    for number, start in enumerate(born):
+        address = f"10.0.0.{number}:80"
+        book.put(entry(id=f"i-{number}", address=address, born=start))
+    assert names(book) == used
+
+
+def test_an_entry_that_is_spoiled_is_back_with_the_engines_next_one():
+    book = enginebook.EngineBook()
+    book.put(entry(born=1000, sequence=5))
+    assert book.spoiled("i-1")
+    assert names(book) == []
+    assert not book.spoiled("i-1")
+    assert book.put(entry(born=1000, sequence=6))
+    assert names(book) == ["i-1"]
--- /dev/null
+++ b/tests/test_strays.py
@@ -0,0 +1,164 @@
+"""Registry entries of another writer, and what is told of them."""
+
+import json
+
+from camphortray_platform import dialect
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from camphortray import enginebook
+from camphortray import errors
+from camphortray import ledger
+from camphortray import strays
+from tests import test_inforce
+
+DIALECT = dialect.PlatformDialect()
+SOUND = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "slots": 8,
+    "state": "ready",
+    "sequence": 1,
+    "born": 1_700_000_000_000,
+}
+MISSING = object()
+
+
+def raw(**fields):
+    """Return a sound entry's bytes with some fields changed."""
+    told = {**SOUND, **fields}
+    kept = {k: v for k, v in told.items() if v is not MISSING}
+    return json.dumps(kept).encode()
+
+
+def test_a_sound_entry_is_read_with_its_life():
+    entry = DIALECT.engine("i-1", raw(coldLeftMs=5, models=[{"a": [1]}]))
+    assert entry.name == "i-1~1700000000000"
+    assert not entry.draining
+
+
+def test_an_entry_of_an_engine_that_tells_no_start_is_read():
+    assert DIALECT.engine("i-1", raw(born=MISSING)).name == "i-1"
+
+
+BAD_FIELDS = [
+    *({name: MISSING} for name in SOUND if name != "born"),
+    *({name: None} for name in SOUND),
+    *({name: [1]} for name in SOUND),
+    {"service": 3},
+    {"address": "nowhere"},
+    {"address": "engine.example:80"},
+    {"address": "10.0.0.256:80"},
+    {"address": "10.0.0.1:0"},
+    {"address": "10.0.0.1:70000"},
+    {"slots": True},
+    {"slots": "8"},
+    {"slots": 7.5},
+    {"slots": 0},
+    {"slots": -8},
+    {"slots": enginebook.MOST_SLOTS + 1},
+    {"slots": 10**30},
+    {"state": "leaving"},
+    {"state": ""},
+    {"sequence": -1},
+    {"sequence": "1"},
+    {"sequence": 10**30},
+    {"born": "1700000000000"},
+    {"born": 1.5},
+    {"born": True},
+    {"born": 0},
+    {"born": -1},
+    {"born": 10**30},
+]
+
+
+@pytest.mark.parametrize("fields", BAD_FIELDS, ids=str)
+def test_an_entry_with_a_bad_field_names_no_engine(fields):
+    with pytest.raises(errors.RecordError):
+        DIALECT.engine("i-1", raw(**fields))
+
+
+BAD_BYTES = [
+    b"\xff\xfe\x00",
+    b"{",
+    b"[]",
+    b"null",
+    b"7",
+    b'{"service": "\xff"}',
+    b"[" * 60_000,
+    b'{"service":"s","more":' + b"[" * 40_000 + b"]" * 40_000,
+    raw(more="x" * 1_000_000),
+]
+
+
+@pytest.mark.parametrize("value", BAD_BYTES, ids=range(len(BAD_BYTES)))
+def test_bytes_that_are_no_entry_name_no_engine(value):
+    with pytest.raises(errors.RecordError):
+        DIALECT.engine("i-1", value)
+
+
+def follower():
+    """Return what is in force on a host that reads the registry."""
+    part = test_inforce.held()
+    part.dialect = DIALECT
+    part.strays = strays.StrayEntries()
+    for name in list(part.engines.entries):
+        part.engines.drop(name)
+    return part
+
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=20),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=8,
+)
+CHANGED = strategies.dictionaries(
+    strategies.sampled_from(sorted(SOUND)), JSON, max_size=7
+).map(lambda fields: json.dumps({**SOUND, **fields}).encode())
+VALUES = (
+    strategies.binary(max_size=40)
+    | CHANGED
+    | JSON.map(lambda value: json.dumps(value).encode())
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(strategies.lists(VALUES, min_size=1, max_size=6))
+def test_whatever_is_written_the_follower_goes_on_and_sound_engines_stay(
+    values,
+):
+    # A writer of garbage under keys of its own: no exception may end the
+    # follower, as the host would never hear of an engine again.
+    part = follower()
+    part.engines.set_services({"s"})
+    sound = ledger.LedgerRecord("i-1", raw(address="10.0.0.9:80"))
+    assert part.take_entry(sound)
+    for number, value in enumerate(values):
+        record = ledger.LedgerRecord(f"x-{number}", value)
+        part.take_entry(record)
+        part.entry_of(record)
+    assert "i-1" in [e.id for e in part.engines.usable("s")]
+
+
+def test_a_stray_entry_is_told_of_once_for_each_change():
+    held = strays.StrayEntries()
+    told = [held.news("x", value) for value in (b"a", b"a", b"b", b"b", b"a")]
+    assert told == [True, False, True, False, True]
+    held.sound("x")
+    assert held.news("x", b"a")
+
+
+def test_stray_keys_fill_no_memory():
+    held = strays.StrayEntries()
+    for number in range(3 * strays.MAX_KEYS):
+        held.news(f"x-{number}", b"")
+    assert len(held.held) == strays.MAX_KEYS
