Let kept connections to engines carry requests, proved by the head's acknowledgement

Hypothesis: a kept connection is as safe as a new one if the request's head is acknowledged before its body leaves: a handshake proves no more, and nothing runs without its body.

Change: keepalive decides which requests may leave on a kept connection, for how long one may be idle (the engine's own Keep-Alive less 0.5 s), and how many a host may keep (half of what an engine accepts, over all hosts). The client holds the body back until the head is acknowledged, within 40 ms, else takes a new connection: nothing has run. The head leaves in two segments, as the acknowledgement of one is delayed by 43 to 48 ms on Linux's loopback, of two by 1.2 ms. Where heads are not acknowledged though new connections work, kept ones are left for a minute. Each life of an engine has its own pool.

Ruled out: reuse without proof (a request that may run once is lost on a connection that went silent); reuse only of what may be repeated (a third of the requests at engines may not).

Also: the test of a leaving upstream failed beside load (seen twice at load 12 to 17, 504 for some of 20 requests) as its file shortened the engine's silence limit to 0.2 s for all tests; nothing is shortened now (21 tests green at load 17).

--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -6,6 +6,9 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Sequence
+import fcntl
+import struct
+import termios
 from typing import Any
 from typing import cast
 
@@ -18,6 +21,9 @@
 # Unread bytes at which the shell stops reading the socket.
 HIGH_WATER = 262_144
 MAX_HEAD_BYTES = 32_768
+# Seconds from one look at what is acknowledged to the next; the way to a
+# server near by and back takes about one.
+LOOK_S = 0.001
 
 Headers = Sequence[tuple[str, str]]
 Body = bytes | AsyncIterator[bytes]
@@ -43,6 +49,8 @@
         self.lost = False
         self.failure = ""
         self.uses = 0
+        self.idle_limit_s = 0.0
+        self.on_idle_lost: Callable[[], None] | None = None
         self.loop = asyncio.get_running_loop()
         self.timer = timers.LazyTimer(self.on_silence)
         self.heard_at = self.loop.time()
@@ -58,6 +66,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
         self.timer.stop()
+        if self.idle and self.on_idle_lost is not None:
+            self.on_idle_lost()
         if not self.complete:
             self.failure = self.failure or str(exc or "connection closed")
         self.resume_writing()
@@ -187,16 +197,38 @@
             self.transport.write(data)
 
     async def send_request(
-        self, method: str, target: str, headers: Headers, body: Body
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: Body,
+        prove_s: float = 0.0,
     ) -> None:
-        """Send a request with its body."""
+        """Send a request with its body.
+
+        Args:
+          method: HTTP method.
+          target: Path and query.
+          headers: All of them.
+          body: Bytes, or an iterator of chunks.
+          prove_s: Time for the head to be acknowledged before the body
+            follows; 0 sends all at once.
+
+        Raises:
+          UpstreamBroken: ``ran`` False, the head was not acknowledged.
+        """
         self.uses += 1
         self.head = None
         self.complete = False
         head = h11.Request(method=method, target=target, headers=list(headers))
-        if isinstance(body, bytes):
+        if isinstance(body, bytes) and not prove_s:
             self.send(head, h11.Data(data=body), h11.EndOfMessage())
             return
+        if isinstance(body, bytes):
+            self.send_in_two(head)
+            await self.acknowledged(prove_s)
+            self.send(h11.Data(data=body), h11.EndOfMessage())
+            return
         self.send(head)
         async for chunk in body:
             if self.lost or self.head is not None:
@@ -206,6 +238,41 @@
         if not self.lost and self.h11.our_state is h11.SEND_BODY:
             self.send(h11.EndOfMessage())
 
+    def send_in_two(self, head: h11.Request) -> None:
+        """Send a head in two segments, so that it is acknowledged soon."""
+        data = self.h11.send(head) or b""
+        if not self.lost:
+            self.transport.write(data[: len(data) // 2])
+            self.transport.write(data[len(data) // 2 :])
+
+    async def acknowledged(self, seconds: float) -> None:
+        """Wait until the peer's machine has all that was sent.
+
+        Raises:
+          UpstreamBroken: it has not, or the connection is of no use.
+        """
+        until = self.loop.time() + seconds
+        while self.unacknowledged():
+            if self.lost or self.loop.time() >= until:
+                break
+            await asyncio.sleep(LOOK_S)
+        if self.lost or self.head is not None or self.unacknowledged():
+            raise errors.UpstreamBroken(
+                "kept connection is of no use",
+                ran=False,
+                step="kept",
+                peer=self.peer,
+            )
+
+    def unacknowledged(self) -> int:
+        """Return the bytes sent that the peer's machine has not got."""
+        held: int = self.transport.get_write_buffer_size()
+        socket = self.transport.get_extra_info("socket")
+        if self.lost or socket is None or socket.fileno() < 0:
+            return held
+        told = fcntl.ioctl(socket.fileno(), termios.TIOCOUTQ, bytes(4))
+        return held + int(struct.unpack("i", told)[0])
+
     def reusable(self) -> bool:
         """Return whether another request may follow on it."""
         return (
--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -48,6 +48,7 @@
       slots: Requests it may run at once, as declared.
       instance: Id that the engine itself goes by, where it differs from
         the name.
+      max_idle: Idle connections that this host may keep to it.
     """
 
     name: str
@@ -57,6 +58,7 @@
     checks_fencing: bool = False
     slots: int = 32
     instance: str = ""
+    max_idle: int = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +83,7 @@
       headers: The caller's headers that travel on, in order.
       resume_after: Id of the last event that has come; the engine goes on
         with the one after it. Empty to begin at the start.
+      repeatable: Whether it may run more than once.
     """
 
     id: str
@@ -95,6 +98,7 @@
     method: str = "POST"
     headers: tuple[tuple[str, str], ...] = ()
     resume_after: str = ""
+    repeatable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -16,11 +16,11 @@
 from camphortray import clientconnection
 from camphortray import config as configs
 from camphortray import errors
+from camphortray import keepalive
 
 # Idle connections kept for one address.
 MAX_IDLE = 64
-# Servers close idle connections too; one kept longer than this is likely
-# to be closed just as a request leaves on it.
+# Longest that a connection is kept whose server tells a longer limit.
 MAX_IDLE_S = 60.0
 
 Body = clientconnection.Body
@@ -151,7 +151,8 @@
 
     def close(self) -> None:
         """Give the connection back, or drop it if not fully read."""
-        self.client.release(self.address, self.connection)
+        told = self.headers.get("keep-alive", "")
+        self.client.release(self.address, self.connection, told)
 
 
 class HttpClient:
@@ -161,6 +162,8 @@
 
     Attributes:
       max_idle: Idle connections kept for one address.
+      bounds: The same for addresses that differ.
+      proofs: Where a request that is proved may leave on a kept one.
     """
 
     def __init__(
@@ -173,6 +176,8 @@
         self.tls = tls
         self.max_idle = max_idle
         self.idle: dict[configs.Address, list[ClientConnection]] = {}
+        self.bounds: dict[configs.Address, int] = {}
+        self.proofs = keepalive.Proofs()
         self.busy: set[ClientConnection] = set()
         self.closed = False
 
@@ -186,6 +191,7 @@
         *,
         timeouts: Timeouts | None = None,
         fresh: bool = False,
+        prove: bool = False,
     ) -> ClientResponse:
         """Send a request and return once the head of the answer is here.
 
@@ -197,6 +203,8 @@
           body: Bytes, or an iterator of chunks.
           timeouts: Time limits, if they differ from the client's.
           fresh: Whether to insist on a new connection.
+          prove: Whether to hold the body back on a kept connection until
+            its head is acknowledged; if it is not, a new one is made.
 
         Raises:
           UpstreamBroken: with ``ran`` False if no byte had left.
@@ -206,9 +214,22 @@
         connection = await self.connect(address, limits, fresh)
         self.busy.add(connection)
         try:
-            await connection.send_request(
-                method, target, framing(address, headers, body), body
-            )
+            told = framing(address, headers, body)
+            kept = connection.uses > 0
+            prove_s = keepalive.ACKNOWLEDGED_S if prove and kept else 0.0
+            try:
+                await connection.send_request(
+                    method, target, told, body, prove_s
+                )
+            except errors.UpstreamBroken as error:
+                if not kept or error.ran:
+                    raise
+                connection = await self.instead(connection, address, limits)
+                await connection.send_request(method, target, told, body)
+            else:
+                if prove_s:
+                    now = connection.loop.time()
+                    self.proofs.note(address, True, now)
             while connection.head is None:
                 if connection.lost:
                     raise errors.UpstreamBroken(
@@ -255,21 +276,39 @@
             response.close()
         return response.status, response.headers, content
 
+    async def instead(
+        self,
+        connection: ClientConnection,
+        address: configs.Address,
+        limits: Timeouts,
+    ) -> ClientConnection:
+        """Return a new connection for a kept one that is of no use."""
+        was_lost = connection.lost
+        self.discard(connection)
+        # Others kept as long may be of as little use.
+        self.distrust(address, keepalive.ACKNOWLEDGED_S)
+        fresh = await self.connect(address, limits, True)
+        self.busy.add(fresh)
+        if not was_lost:
+            self.proofs.note(address, False, fresh.loop.time())
+        return fresh
+
     async def connect(
         self, address: configs.Address, limits: Timeouts, fresh: bool
     ) -> ClientConnection:
         """Return a kept connection or a new one."""
+        loop = asyncio.get_running_loop()
         kept = self.idle.get(address)
+        fresh = fresh or not self.proofs.trusted(address, loop.time())
         while kept and not fresh:
             connection = kept.pop()
             idle_s = connection.loop.time() - connection.heard_at
-            if idle_s > MAX_IDLE_S:
+            if idle_s > min(connection.idle_limit_s, MAX_IDLE_S):
                 connection.abort()
             elif not connection.lost:
                 connection.idle = False
                 connection.h11.start_next_cycle()
                 return connection
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(limits.connect_s):
                 _, connection = await loop.create_connection(
@@ -293,19 +332,30 @@
         return connection
 
     def release(
-        self, address: configs.Address, connection: ClientConnection
+        self,
+        address: configs.Address,
+        connection: ClientConnection,
+        told: str = "",
     ) -> None:
-        """Keep a connection for later, or drop it."""
+        """Keep a connection for later, or drop it.
+
+        Args:
+          address: Where it leads.
+          connection: Which.
+          told: What the server said of keeping it.
+        """
         if connection not in self.busy:
             return
         self.busy.discard(connection)
         kept = self.idle.setdefault(address, [])
-        full = len(kept) >= self.max_idle
+        full = len(kept) >= self.bounds.get(address, self.max_idle)
         if self.closed or full or not connection.reusable():
             connection.abort()
             return
         connection.idle = True
+        connection.idle_limit_s = keepalive.idle_limit_s(told)
         connection.timer.stop()
+        connection.on_idle_lost = lambda: remove(kept, connection)
         kept.append(connection)
 
     def discard(self, connection: ClientConnection) -> None:
@@ -322,13 +372,18 @@
         """
         since = asyncio.get_running_loop().time() - silence_s
         kept = self.idle.get(address, [])
-        for connection in kept:
-            if connection.heard_at <= since:
-                connection.abort()
-        self.idle[address] = [c for c in kept if c.heard_at > since]
+        for connection in [c for c in kept if c.heard_at <= since]:
+            kept.remove(connection)
+            connection.abort()
+
+    def bound(self, address: configs.Address, most: int) -> None:
+        """Set how many idle connections are kept for an address."""
+        self.bounds[address] = most
 
     def forget(self, address: configs.Address) -> None:
         """Drop all kept connections to an address."""
+        self.bounds.pop(address, None)
+        self.proofs.forget(address)
         for connection in self.idle.pop(address, []):
             connection.abort()
 
@@ -341,6 +396,12 @@
             self.discard(connection)
 
 
+def remove(kept: list[ClientConnection], connection: ClientConnection) -> None:
+    """Take a connection out of those kept, if it is among them."""
+    if connection in kept:
+        kept.remove(connection)
+
+
 def framing(
     address: configs.Address, headers: Headers, body: Body
 ) -> list[tuple[str, str]]:
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -319,7 +319,9 @@
             resume_after=self.reader.last,
         )
         begun_at, made = self.parts.clock.monotonic(), self.reader.count
-        stream = await party.open(upstream, request, True)
+        # After a try that brought nothing a kept connection is not trusted.
+        fresh = self.tries.pauses > 0
+        stream = await party.open(upstream, request, fresh)
         try:
             if stream.status // 100 != 2:
                 raise errors.UpstreamRefused(
--- a/camphortray/opaque.py
+++ b/camphortray/opaque.py
@@ -57,4 +57,5 @@
             method=self.method,
             headers=self.headers,
             resume_after=resume_after,
+            repeatable=self.route.repeatable,
         )
--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -19,7 +19,9 @@
 from camphortray import enginebook
 from camphortray import enginehealth
 from camphortray import errors
+from camphortray import httpclient
 from camphortray import inforce
+from camphortray import keepalive
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
@@ -215,8 +217,9 @@
             name, coordinator = await self.answer(service, want)
             entry = self.inforce.engines.find(name)
             if entry is not None:
+                upstream = self.upstream(entry)
                 return self.placement(
-                    service, want, entry, coordinator, on_revoke
+                    service, want, upstream, coordinator, on_revoke
                 )
             # The coordinator has not heard yet that it leaves, or this
             # host has not heard yet that it is there.
@@ -253,7 +256,7 @@
         self,
         service: str,
         want: slotbook.Want,
-        entry: enginebook.EngineEntry,
+        upstream: engine.Upstream,
         coordinator: str,
         on_revoke: Callable[[], None] | None,
     ) -> Placement:
@@ -261,7 +264,7 @@
         held = Placement(
             want,
             service,
-            self.upstream(entry),
+            upstream,
             self.clock.monotonic(),
             coordinator,
             on_revoke,
@@ -271,6 +274,12 @@
 
     def upstream(self, entry: enginebook.EngineEntry) -> engine.Upstream:
         """Return an engine as plug-ins know it."""
+        service = self.inforce.view.services.get(entry.service)
+        max_idle = keepalive.most_idle(
+            service.connection_limit if service else 0,
+            len(self.members.live("host")),
+            httpclient.MAX_IDLE,
+        )
         return engine.Upstream(
             entry.name,
             configs.Address.from_text(entry.address),
@@ -279,6 +288,7 @@
             True,
             entry.slots,
             entry.id,
+            max_idle,
         )
 
     async def ask(self, pending: Pending) -> None:
--- a/tests/test_misbehaviour.py
+++ b/tests/test_misbehaviour.py
@@ -6,7 +6,6 @@
 import pytest
 
 from camphortray import cluster as clusters
-from camphortray import completing
 from camphortray import exchange
 from camphortray import httpclient
 from camphortray import standin_engine
@@ -15,13 +14,6 @@
 SLOW = standin_engine.TimingModel(speed=4.0)
 
 
-@pytest.fixture(autouse=True)
-def quick(monkeypatch):
-    """Shorten the waits that only a silent upstream fills."""
-    monkeypatch.setattr(completing, "MIN_FIRST_S", 0.2)
-    monkeypatch.setattr(completing, "FIRST_TIMES", 0)
-
-
 def make_cluster(engines=2, hosts=1, timing=SLOW, **values):
     values = {key.replace("__", "."): value for key, value in values.items()}
     return clusters.Cluster(engines, hosts, timing=timing, values=values)
