Count slots of lost holders until their engines report them free

Cause: a host that loses power closes no connection, and its engines run on what it had sent. The book dropped its leases after 3 s without word and gave the slots out; a book that has just begun knew of none.

Change: a lease that ends without word counts on as an orphan. Engines with orphans are asked for their report every 0.25 s until they say that they run nothing more than the leases known, 8 s at the latest; a book that has just begun asks all of its engines once.

Ruled out: holding the slots for a fixed time (a killed process closes its connections at once); stopping the runs by moving their memory (priced, and the engine of the target must have room).

A test changed: a host that is gone gave all back at once; now as soon as its engines say so, checked in both steps.

--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -25,6 +25,7 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
+from camphortray import outer
 from camphortray import peers
 from camphortray import placingcalls
 from camphortray import shards
@@ -169,6 +170,12 @@
         # host's to give; where none has, others give them out as well.
         return min(1.0, alone * (holders + 1))
 
+    async def runs_at(self, entry: enginebook.EngineEntry) -> int:
+        upstream = self.upstream(entry)
+        party = self.context.part(outer.LedgerOuter).engine(upstream.plugin)
+        report = await party.load(upstream)
+        return report.running + report.waiting
+
     def distrust(self, name: str) -> None:
         """Turn to others than a silent coordinator for a while."""
         if name == self.own_name:
--- a/camphortray/slotbook.py
+++ b/camphortray/slotbook.py
@@ -32,6 +32,7 @@
 
 from camphortray import enginehealth
 from camphortray import onlinepeaks
+from camphortray import orphans
 from camphortray import slottable
 from camphortray import slotwants
 
@@ -109,6 +110,7 @@
       hold_s: Mean time that an online request holds a slot.
       wait_again_s: Mean time that an item waits which has given way.
       peaks: Slots that online requests have held.
+      orphans: Slots of runs whose holder is lost.
       look_at: When an item that is held back may fit.
     """
 
@@ -120,6 +122,7 @@
         self.hold_s = FIRST_HOLD_S
         self.wait_again_s = FIRST_WAIT_S
         self.peaks = onlinepeaks.Peaks()
+        self.orphans = orphans.Orphans()
         self.look_at = math.inf
 
     @property
@@ -193,10 +196,10 @@
             if held.want.holder != holder or name in named:
                 continue
             if now - held.granted_at > GRANT_WAY_S:
-                self.drop_lease(name)
+                self.orphan(name, now)
         for name, lease in named.items():
             if name not in self.leases:
-                self.add_lease(lease)
+                self.adopt(lease)
         wanted = {want.id: want for want in wants}
         for want in self.items:
             if want.holder == holder and want.id not in wanted:
@@ -208,16 +211,55 @@
         return decisions + self.decide(now)
 
     def forget(self, holder: str, now: float) -> list[Decision]:
-        """Drop all of a host that is gone; its connections are closed."""
+        """Drop all of a host that is gone."""
         for name, lease in list(self.leases.items()):
             if lease.want.holder == holder:
-                self.drop_lease(name)
+                self.orphan(name, now)
         self.queue = [held for held in self.queue if held.holder != holder]
         for want in self.items:
             if want.holder == holder:
                 self.items.drop(want.id)
         return self.decide(now)
 
+    def adopt(self, lease: Lease) -> None:
+        """Count a lease that this book has not given itself.
+
+        A book that has just begun may have met its run at the engine
+        before its holder told of it.
+        """
+        if self.orphans.adopt(lease.engine):
+            self.table.count(lease.engine, -1)
+        self.add_lease(lease)
+
+    def reported(
+        self, engine: str, running: int, now: float, begun: bool
+    ) -> list[Decision]:
+        """Take what an engine says of itself.
+
+        Args:
+          engine: Which.
+          running: Requests that it runs or has queued.
+          now: Present time.
+          begun: Whether the book has only just begun, so that the engine
+            may run what no lease was ever known of.
+        """
+        known = self.orphans.count(engine)
+        foreign = running - (self.used.get(engine, 0) - known)
+        if not begun:
+            # A report is late: what it has over the orphans known are
+            # requests that have ended since.
+            foreign = min(known, foreign)
+        self.orphans.reported(engine, foreign, now)
+        self.table.count(engine, self.orphans.count(engine) - known)
+        return self.decide(now)
+
+    def expire_orphans(self, now: float) -> list[Decision]:
+        """Forget runs that must be over by now."""
+        counts = {name: self.orphans.count(name) for name in self.used}
+        for engine in self.orphans.expire(now):
+            self.table.count(engine, -counts.get(engine, 0))
+        return self.decide(now)
+
     # What is decided.
 
     def decide(self, now: float) -> list[Decision]:
@@ -353,6 +395,16 @@
         self.held.add(lease)
         self.table.count(lease.engine, 1)
 
+    def orphan(self, name: str, now: float) -> None:
+        """Count on the slot of a lease that ends without word."""
+        lease = self.held.pop(name)
+        if lease is None:
+            return
+        if lease.engine in self.table.engines:
+            self.orphans.add(lease.engine, now)
+        else:
+            self.table.count(lease.engine, -1)
+
     def drop_lease(self, name: str) -> Lease | None:
         """Count a lease no more; return it, if it was there."""
         lease = self.held.pop(name)
--- a/camphortray/slotdesk.py
+++ b/camphortray/slotdesk.py
@@ -9,8 +9,11 @@
 
 from camphortray import clock as clocks
 from camphortray import config as configs
+from camphortray import enginebook
+from camphortray import errors
 from camphortray import inforce
 from camphortray import logs
+from camphortray import orphans
 from camphortray import peers
 from camphortray import placingcalls
 from camphortray import slotbook
@@ -44,6 +47,14 @@
     def share_of(self, service: str) -> float:
         """Return the share of the slots that this host gives out."""
 
+    @abc.abstractmethod
+    async def runs_at(self, entry: enginebook.EngineEntry) -> int:
+        """Return how many requests an engine runs or has queued.
+
+        Raises:
+          UpstreamError: it does not say.
+        """
+
     @abc.abstractmethod
     def take_word(self, word: PlaceWord, coordinator: str) -> None:
         """Take what was decided on this host's own wants."""
@@ -63,6 +74,7 @@
         self.book = slotbook.SlotBook()
         self.holders: dict[str, tuple[configs.Address, float]] = {}
         self.timer: asyncio.TimerHandle | None = None
+        self.looking = False
 
     def refit(self, now: float) -> None:
         """Take the engines as they are now."""
@@ -88,6 +100,8 @@
                 word.refused[decision.want.id] = decision.retry_after_s
             else:
                 revoked[holder].append(decision.want.id)
+        if self.book.orphans:
+            self.look_at_engines()
         for holder, word in words.items():
             if revoked[holder]:
                 word = dataclasses.replace(
@@ -149,6 +163,56 @@
         self.timer = None
         self.act(self.book.decide(self.home.clock.monotonic()))
 
+    def look_at_engines(self, begun: bool = False) -> None:
+        """Ask engines what they run, until no orphans are left.
+
+        Args:
+          begun: Whether the book has only just begun.
+        """
+        if not self.looking:
+            self.looking = True
+            self.home.links.spawn(self.ask_engines(begun))
+
+    async def ask_engines(self, begun: bool) -> None:
+        """Ask all engines if the book has begun, else those in doubt."""
+        try:
+            while begun or self.book.orphans:
+                entries = self.home.inforce.engines.usable(self.service)
+                asked = [
+                    self.ask_engine(entry, begun)
+                    for entry in entries
+                    if begun or self.book.orphans.count(entry.name)
+                ]
+                await asyncio.gather(*asked)
+                begun = False
+                await asyncio.sleep(orphans.LOOK_S)
+                now = self.home.clock.monotonic()
+                self.act(self.book.expire_orphans(now))
+        finally:
+            self.looking = False
+
+    async def ask_engine(
+        self, entry: enginebook.EngineEntry, begun: bool
+    ) -> None:
+        """Take one engine's word on what it runs."""
+        try:
+            running = await self.home.runs_at(entry)
+        except errors.UpstreamError as error:
+            LOG.info("No report of {}: {}", entry.name, error)
+            return
+        now = self.home.clock.monotonic()
+        known = self.book.orphans.count(entry.name)
+        self.act(self.book.reported(entry.name, running, now, begun))
+        left = self.book.orphans.count(entry.name)
+        if left != known:
+            LOG.info(
+                "{} runs {}, {} of them without a holder; {} before.",
+                entry.name,
+                running,
+                left,
+                known,
+            )
+
     def heard(self, holder: str, address: str, now: float) -> None:
         """Take note of a holder."""
         if holder != self.home.own_name:
@@ -197,6 +261,9 @@
         if desk is None:
             desk = self.held[service] = Desk(self.home, service)
             desk.refit(self.home.clock.monotonic())
+            if desk.book.table.share == 1.0:
+                # A book on a share is for moments, and for few requests.
+                desk.look_at_engines(begun=True)
         return desk
 
     def holders(self, service: str) -> int:
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -239,6 +239,8 @@
         ``"422"``, ``"wait"`` until ``go`` is set.
       always: What all other requests meet.
       ran: Id, position and headers of what ran.
+      running: Streams under way.
+      foreign: Runs of hosts that are lost, as it reports them.
     """
 
     def __init__(self, name, events=6):
@@ -251,6 +253,8 @@
         self.go = asyncio.Event()
         self.cut = 0
         self.born = 0
+        self.running = 0
+        self.foreign = 0
 
     def start_again(self, born):
         """Forget all of before, under the same id."""
@@ -261,6 +265,10 @@
         headers = request.headers
         attempt = headers.get("attempt-id", "")
         base = [("Attempt-Id", attempt), ("Server-Stamp", f"{self.name}.1")]
+        if request.path == "/report":
+            running = self.running + self.foreign
+            response.send_json(200, {"running": running, "waiting": 0})
+            return
         body = await request.body()
         if headers.get("expect-instance", self.name) != self.name:
             response.send(421, b"", [("Instance-Id", self.name)])
@@ -283,6 +291,7 @@
     async def stream(self, response, base, after, fault):
         head = [*base, ("Content-Type", "text/event-stream")]
         response.start(200, head)
+        self.running += 1
         try:
             for number in range(after + 1, self.events + 1):
                 if fault == "cut" and number == after + 3:
@@ -297,6 +306,8 @@
         except asyncio.CancelledError:
             self.cut += 1
             raise
+        finally:
+            self.running -= 1
         response.end()
         if fault == "extra":
             response.connection.transport.write(b"HTTP/1.1 200 OK\r\n\r\n")
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from camphortray import errors
 from camphortray import placing
 from camphortray import placingcalls
 from camphortray import slotbook
@@ -152,3 +153,36 @@
     # One from a release that did not send the last fields.
     short = placingcalls.WantText(*text[:-2]).want("h", 7.0)
     assert (short.made_s, short.start_s) == (0.0, 0.0)
+
+
+async def test_a_new_book_leaves_alone_what_engines_still_run():
+    # All hosts have lost power. They are back after a second, and their
+    # engine still runs batch items of before, whose connections were never
+    # closed. A question sent there would wait in the engine for seconds; it
+    # is refused at once, and served when a slot is free there.
+    async with platformkit.Platform(hosts=0, engines=1) as platform:
+        (engine,) = platform.engines.values()
+        engine.foreign = 8
+        host = await platform.add("host-0")
+        await platform.until(lambda: host.ready)
+        desks = host.part(placing.Placing).desks
+        book = desks.desk(SERVICE).book
+        await platform.until(lambda: book.orphans)
+        assert await ask(host, "a1") == 503
+        assert not engine.ran
+        engine.foreign = 0
+        await platform.until(lambda: not book.orphans)
+        assert await ask(host, "a2") == 200
+
+
+async def test_an_engine_that_does_not_report_is_used_all_the_same(
+    monkeypatch,
+):
+    async def silent(self, entry):
+        raise errors.UpstreamTimeout("late", ran=False, step="load")
+
+    monkeypatch.setattr(placing.Placing, "runs_at", silent)
+    async with platformkit.Platform(hosts=1, engines=1) as platform:
+        (host,) = platform.hosts
+        assert await ask(host, "a1") == 200
+        assert not host.part(placing.Placing).desks.desk(SERVICE).book.orphans
--- a/tests/test_slotbook.py
+++ b/tests/test_slotbook.py
@@ -6,6 +6,7 @@
 
 from camphortray import enginehealth
 from camphortray import errors
+from camphortray import orphans
 from camphortray import slotbook
 
 Grant, Refuse, Revoke = slotbook.Grant, slotbook.Refuse, slotbook.Revoke
@@ -234,13 +235,19 @@
 
 
 def test_a_host_that_is_gone_gives_all_back():
+    # As soon as its engines say that they run nothing of it any more.
     book = book_of()
     fill(book, 4)
-    other = dataclasses.replace(online("o", 0.0), holder="other")
-    book.ask(other, 0.0)
     decisions = book.forget("h", 0.01)
-    assert set(kinds(decisions)) <= {("Grant", "o")}
+    other = dataclasses.replace(online("o", 0.02), holder="other")
+    decisions += book.ask(other, 0.02)
+    assert decisions == []
+    assert not book.leases
+    decisions += book.reported("e0", 0, 0.03, False)
+    assert kinds(decisions) == [("Grant", "o")]
     assert all(le.want.holder == "other" for le in book.leases.values())
+    book.reported("e1", 0, 0.03, False)
+    assert book.free_slots(0.03) == 3
 
 
 def test_without_any_engine_a_question_is_refused():
@@ -288,3 +295,91 @@
         found.append(decision.engine)
     assert found[:2] == ["e-b", "e-b"]
     assert found[2] != "e-b"
+
+
+# Runs whose holder is lost.
+
+
+@pytest.mark.parametrize(
+    ("running", "free"),
+    [
+        # It runs on what the lost host had sent.
+        (2, 0),
+        (1, 1),
+        (0, 2),
+        # Late: it has not begun what others were just given.
+        (9, 0),
+    ],
+)
+def test_an_engine_gives_out_no_slot_that_a_lost_host_still_holds(
+    running, free
+):
+    # The host has lost power: no connection was closed, and its engine
+    # runs on. Given out, the slot would be a place in the engine's queue.
+    book = book_of(engines=1, slots=2)
+    fill(book, 2, item)
+    book.forget("h", 4.0)
+    assert book.free_slots(4.0) == 0
+    book.reported("e0", running, 4.1, False)
+    assert book.free_slots(4.1) == free
+
+
+def test_what_a_new_book_never_knew_counts_as_well():
+    book = book_of(engines=2, slots=8)
+    book.reported("e0", 5, 0.0, True)
+    assert book.free_slots(0.0) == 11
+    # Its own grants are none of them.
+    fill(book, 10)
+    at_e0 = book.used["e0"] - 5
+    assert at_e0
+    book.reported("e0", 5 + at_e0, 0.3, False)
+    assert book.used["e0"] == 5 + at_e0
+    book.reported("e0", at_e0, 0.6, False)
+    assert book.used["e0"] == at_e0
+    assert not book.orphans
+
+
+def test_runs_of_holders_that_tell_of_them_count_once():
+    # The coordinator is lost, and the next one asks the engines at once.
+    # What it finds there is mostly of hosts that are there, and tell of it
+    # some milliseconds later; counted twice, no slot would be free.
+    book = book_of(engines=1, slots=8)
+    book.reported("e0", 5, 0.0, True)
+    leases = [slotbook.Lease(online(f"q{n}"), "e0", -0.3) for n in range(4)]
+    book.report("h", leases, [], 0.01)
+    assert book.used["e0"] == 5
+    assert book.orphans.count("e0") == 1
+    book.reported("e0", 4, 0.3, False)
+    assert book.free_slots(0.3) == 4
+
+
+def test_runs_without_a_holder_end_where_no_report_comes():
+    book = book_of(engines=1, slots=2)
+    fill(book, 2, item)
+    book.forget("h", 4.0)
+    book.expire_orphans(4.0 + orphans.LONGEST_S - 0.1)
+    assert book.free_slots(13.0) == 0
+    book.expire_orphans(4.0 + orphans.LONGEST_S)
+    assert book.free_slots(13.0) == 2
+    assert not book.used
+
+
+def test_a_lease_that_its_holder_no_longer_names_waits_for_a_report():
+    # Either its end was lost on the way, or the holder has started again
+    # after a loss of power. The engine knows.
+    book = book_of(engines=1, slots=2)
+    fill(book, 2, item)
+    book.report("h", [], [], 1.0)
+    assert not book.leases
+    assert book.free_slots(1.0) == 0
+    book.reported("e0", 0, 1.01, False)
+    assert book.free_slots(1.01) == 2
+
+
+def test_a_life_that_is_over_holds_no_slots():
+    book = book_of(engines=1, slots=2)
+    fill(book, 2, item)
+    book.set_engines([slotbook.EngineSlots("e0~2", 2)], 1.0)
+    book.forget("h", 1.1)
+    assert book.free_slots(1.1) == 2
+    assert not book.used
--- a/tests/test_slottable.py
+++ b/tests/test_slottable.py
@@ -62,12 +62,19 @@
             book.set_engines(engines_of(rng), now)
         elif step < 0.97:
             book.forget(rng.choice("hk"), now)
+        elif step < 0.98:
+            name = rng.choice(sorted(book.table.engines) or ["e0"])
+            book.reported(name, rng.randrange(9), now, rng.random() < 0.3)
+        elif step < 0.99:
+            book.expire_orphans(now)
         else:
             book.set_share(rng.choice((0.3, 1.0)))
         assert book.free_slots(now) == recount(book.table, now)
         counts = {}
         for lease in book.leases.values():
             counts[lease.engine] = counts.get(lease.engine, 0) + 1
+        for name in book.orphans.held:
+            counts[name] = counts.get(name, 0) + book.orphans.count(name)
         assert counts == book.used
 
 
