Learn the pace of items from sums, so that stopped runs make none slow

Cause: a host took the mean of each run's seconds an event, start included, so that a run stopped after one event counted like a whole one. After a restart in a burst the pace came out at several times the real one; the host's items of 5 s passed for ones of 20, were taken for too late to be done in time, and waited behind all others.

Change: seconds and events are summed with a slow decay; the time to the first event is not part of it. The same for what re-reading costs.

--- a/camphortray/itemfate.py
+++ b/camphortray/itemfate.py
@@ -25,6 +25,9 @@
 FIRST_START_S = 0.02
 # Weight of a new measurement in the running means.
 LEARN = 0.1
+# Events whose time counts in a rate: some items' worth, so that it follows
+# an engine's load within seconds and no single run decides it.
+RATE_COUNT = 1_000.0
 
 
 class Fate(enum.Enum):
@@ -94,48 +97,81 @@
     return Fate.AGAIN
 
 
+@dataclasses.dataclass(slots=True)
+class Rate:
+    """Seconds for one of something, over all that was measured of late.
+
+    Sums are kept and not a mean of rates: a run that was stopped after its
+    first event says next to nothing of how fast events come. Counted like a
+    whole one, ten such runs in a row made items of five seconds pass for
+    ones of twenty, and so for too late, behind all others, until the end.
+
+    Attributes:
+      seconds: Taken in all.
+      count: How many that were.
+    """
+
+    seconds: float
+    count: float
+
+    @property
+    def each_s(self) -> float:
+        """Seconds for one."""
+        return self.seconds / self.count
+
+    def add(self, seconds: float, count: int) -> None:
+        """Take a measurement; older ones lose weight by its size."""
+        kept = RATE_COUNT / (RATE_COUNT + count)
+        self.seconds = self.seconds * kept + seconds
+        self.count = self.count * kept + count
+
+
 class Pace:
     """How long items take, as measured.
 
     Attributes:
       events: Mean number of events of an item.
-      event_s: Mean seconds from one event to the next.
+      event: Time from one event to the next.
       fresh_s: Mean seconds to the first event from the beginning.
-      again_s: Mean seconds added to that by each event already made.
+      again: Time added to that by each event already made.
     """
 
     def __init__(self) -> None:
         self.events = FIRST_EVENTS
-        self.event_s = FIRST_EVENT_S
+        self.event = Rate(RATE_COUNT * FIRST_EVENT_S, RATE_COUNT)
         self.fresh_s = FIRST_START_S
-        self.again_s = 0.0
+        self.again = Rate(0.0, RATE_COUNT)
 
     def learn(self, events: int) -> None:
         """Take the number of events of an item that is done."""
         self.events += LEARN * (events - self.events)
 
     def ran(self, events: int, seconds: float) -> None:
-        """Take what one run brought."""
-        if events:
-            self.event_s += LEARN * (seconds / events - self.event_s)
+        """Take what one run brought.
+
+        Args:
+          events: That came.
+          seconds: From the first of them to the last.
+        """
+        if events > 1:
+            self.event.add(seconds, events - 1)
 
     def started(self, made: int, seconds: float) -> None:
         """Take the time to the first event of a run after some events."""
         if not made:
             self.fresh_s += LEARN * (seconds - self.fresh_s)
             return
-        added_s = max(0.0, seconds - self.fresh_s) / made
-        self.again_s += LEARN * (added_s - self.again_s)
+        self.again.add(max(0.0, seconds - self.fresh_s), made)
 
     def start_s(self, made: int) -> float:
         """Return the expected seconds to the first event after some."""
-        return self.fresh_s + made * self.again_s
+        return self.fresh_s + made * self.again.each_s
 
     def made_s(self, made: int) -> float:
         """Return the seconds that some events have taken to make."""
-        return made * self.event_s
+        return made * self.event.each_s
 
     def left_s(self, events: int) -> float:
         """Return the seconds that an item still needs after some events."""
         left = max(self.events - events, self.events * 0.1)
-        return left * self.event_s
+        return left * self.event.each_s
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -73,6 +73,8 @@
     Attributes:
       text: Data of the events so far.
       reader: Cuts and checks the stream, over all engines.
+      first_at: When the first event of the present run came, monotonic.
+      last_at: When the last one did.
     """
 
     def __init__(self, parts: WorkParts, job: jobbook.Job, place: int) -> None:
@@ -87,6 +89,7 @@
         self.text: list[bytes] = []
         self.number = 0
         self.run_task: asyncio.Task[None] | None = None
+        self.first_at = self.last_at = 0.0
 
     async def run(self) -> jobbook.Result:
         """Return how the item ended; however long that takes."""
@@ -217,8 +220,8 @@
     ) -> jobbook.Result | None:
         """Run once; return the result if that ended it."""
         outcome = enginehealth.Outcome.NOTHING
-        clock = self.parts.clock
-        begun_at, count = clock.monotonic(), self.reader.count
+        count = self.reader.count
+        self.first_at = self.last_at = 0.0
         task = asyncio.get_running_loop().create_task(
             self.stream(route, held.upstream)
         )
@@ -259,7 +262,7 @@
             self.run_task = None
             self.parts.placing.release(held, outcome)
             brought = self.reader.count - count
-            self.parts.pace.ran(brought, clock.monotonic() - begun_at)
+            self.parts.pace.ran(brought, self.last_at - self.first_at)
             if brought > 0:
                 self.tries.pauses = 0
 
@@ -352,4 +355,6 @@
         """Keep what whole events bring."""
         whole = self.reader.feed(data)
         if whole:
+            self.last_at = self.parts.clock.monotonic()
+            self.first_at = self.first_at or self.last_at
             self.text += [e.data for e in eventstream.events_of(whole)]
--- a/tests/test_itemfate.py
+++ b/tests/test_itemfate.py
@@ -98,3 +98,26 @@
     pace = itemfate.Pace()
     pace.started(100, 0.001)
     assert pace.start_s(100) == itemfate.FIRST_START_S
+
+
+def test_runs_that_were_stopped_at_once_make_no_item_slow():
+    # A host has just started, and in a burst each of its items is stopped
+    # after a few events. Its items then need four seconds as before, and
+    # are not put behind all others as too late.
+    pace = itemfate.Pace()
+    for _ in range(30):
+        pace.started(0, 0.25)
+        pace.ran(1, 0.0)
+        pace.started(1, 0.3)
+        pace.ran(3, 0.09)
+    assert pace.left_s(0) == pytest.approx(4.0, rel=0.1)
+    assert pace.start_s(200) < 1.0
+
+
+def test_the_pace_follows_engines_that_are_slower_than_before():
+    pace = itemfate.Pace()
+    for _ in range(10):
+        pace.ran(200, 200 * 0.04)
+        pace.learn(200)
+    assert pace.left_s(0) == pytest.approx(8.0, rel=0.2)
+    assert pace.made_s(100) == pytest.approx(4.0, rel=0.2)
