--- a/camphortray/slotdesk.py
+++ b/camphortray/slotdesk.py
@@ -75,6 +75,7 @@
         self.holders: dict[str, tuple[configs.Address, float]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.looking = False
+        self.silent: frozenset[str] = frozenset()
 
     def refit(self, now: float) -> None:
         """Take the engines as they are now."""
@@ -89,6 +90,7 @@
     def act(self, decisions: list[slotbook.Decision]) -> None:
         """Tell holders what was decided."""
         self.log_refusals(decisions)
+        self.log_silent()
         words: dict[str, PlaceWord] = {}
         revoked: dict[str, list[str]] = collections.defaultdict(list)
         for decision in decisions:
@@ -140,6 +142,15 @@
                 },
             )
 
+    def log_silent(self) -> None:
+        """Write a line for each holder that falls silent, or is back."""
+        silent = frozenset(self.book.recalls.silent)
+        for holder in silent - self.silent:
+            LOG.notice("{} does not stop its items; asked no more.", holder)
+        for holder in self.silent - silent:
+            LOG.notice("{} is heard of again, or gone.", holder)
+        self.silent = silent
+
     def tell(self, holder: str, word: PlaceWord) -> None:
         """Bring word to a holder."""
         if holder == self.home.own_name:
