Tell a connection that did not open in place of a kept one as not run

Left open: an item whose run raises an error that no code expects is logged and not run again by that owner.

--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -244,7 +244,7 @@
                 await connection.wait(seconds, "head")
         except BaseException as error:
             self.discard(connection)
-            if isinstance(error, errors.UpstreamTimeout):
+            if isinstance(error, errors.UpstreamTimeout) and error.ran:
                 self.distrust(address, seconds)
             raise
         return ClientResponse(self, address, connection, limits)
--- a/tests/test_keepalive.py
+++ b/tests/test_keepalive.py
@@ -328,3 +328,31 @@
     held.note(address, False, 70.0)
     held.note(address, True, 70.0)
     assert not held.failed
+
+
+async def test_a_server_that_is_cut_off_has_not_run_the_request(monkeypatch):
+    # The way to the server is cut: the head is not acknowledged on the kept
+    # connection, and no new one opens. Certainly not run; the caller of the
+    # client tries elsewhere.
+    async with Server() as server:
+        party = engines.PlatformEngine()
+        await ask(party, upstream(server), question("a1"))
+        monkeypatch.setattr(
+            clientconnection.ClientConnection,
+            "unacknowledged",
+            lambda self: 9,
+        )
+        usual = party.client.connect
+
+        async def connect(address, limits, fresh):
+            if fresh:
+                raise errors.UpstreamTimeout("late", ran=False, step="connect")
+            return await usual(address, limits, fresh)
+
+        monkeypatch.setattr(party.client, "connect", connect)
+        with pytest.raises(errors.UpstreamTimeout) as caught:
+            await party.open(upstream(server), question("a2"))
+        assert not caught.value.ran
+        assert server.bodies == [b"q"]
+        assert not party.client.busy
+        await party.close()
