Show what each open item waits for, and tell of one that waits for nothing

Cause: neither logs nor metrics could tell the three hypotheses on the item left lying apart: an owner did not say what its open items wait for, nor that a partition dealt to it was not taken over. Change, sight alone, no decision: a gauge of open items by what they wait for, a line for each item that waits for nothing, a gauge and a line for partitions that are not taken over in 5 s, the trace of an error that ended an item.

--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -12,6 +12,7 @@
 from camphortray import eventstream
 from camphortray import inforce
 from camphortray import itemfate
+from camphortray import itemwatch
 from camphortray import jobbook
 from camphortray import logs
 from camphortray import outer
@@ -20,6 +21,7 @@
 from camphortray import slotbook
 
 LOG = logs.logger("items")
+Stage = itemwatch.Stage
 # Seconds without an event after which a run is taken up elsewhere.
 SILENT_S = 0.5
 # The same before the first event.
@@ -71,6 +73,8 @@
     """One item of a job, as its owner runs it.
 
     Attributes:
+      stage: What it waits for.
+      stage_at: Since when, monotonic.
       text: Data of the events so far.
       reader: Cuts and checks the stream, over all engines.
       first_at: When the first event of the present run came, monotonic.
@@ -84,6 +88,7 @@
         item = job.items[place]
         assert item is not None
         self.item = item
+        self.stage, self.stage_at = Stage.ROUTE, parts.clock.monotonic()
         self.tries = itemfate.ItemTries()
         self.reader = eventstream.EventReader()
         self.text: list[bytes] = []
@@ -94,11 +99,14 @@
     async def run(self) -> jobbook.Result:
         """Return how the item ended; however long that takes."""
         while True:
+            self.enter(Stage.ROUTE)
             route = await self.route()
             if route is None or self.is_over(route):
                 return self.abandoned("its time is over")
+            self.enter(Stage.PAUSE)
             now = self.parts.clock.monotonic()
             await asyncio.sleep(max(0.0, self.tries.not_before - now))
+            self.enter(Stage.SLOT)
             try:
                 async with asyncio.timeout(REASK_S):
                     held = await self.place_at(route)
@@ -113,10 +121,15 @@
                 outcome = enginehealth.Outcome.NOTHING
                 self.parts.placing.release(held, outcome)
                 continue
+            self.enter(Stage.RUN)
             result = await self.attempt(route, held)
             if result is not None:
                 return result
 
+    def enter(self, stage: Stage) -> None:
+        """Take note of what the item waits for now."""
+        self.stage, self.stage_at = stage, self.parts.clock.monotonic()
+
     async def route(self) -> routemap.Route | None:
         """Return the item's route, or None once it has been taken away.
 
--- a/camphortray/jobowner.py
+++ b/camphortray/jobowner.py
@@ -5,9 +5,13 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
+import dataclasses
+import traceback
 
 from camphortray import errors
+from camphortray import itemwatch
 from camphortray import itemwork
 from camphortray import jobbook
 from camphortray import ledger as ledgers
@@ -39,6 +43,7 @@
       epoch: In which it is owned.
       book: All its jobs.
       ready: Set once all has been read.
+      begun_at: When the takeover began, monotonic.
       lost: Whether another owner has taken over.
       ending: Calls to end a job that wait or may have been kept, by job;
         its items are not run meanwhile.
@@ -72,6 +77,7 @@
             self.on_fenced,
         )
         self.ready = asyncio.Event()
+        self.begun_at = parts.clock.monotonic()
         self.lost = False
         self.waiting: collections.deque[tuple[str, int]] = collections.deque()
         self.running: dict[tuple[str, int], asyncio.Task[None]] = {}
@@ -225,16 +231,54 @@
             position = self.positions[job.id]
             self.positions[job.id] = position + 1
             record = jobbook.result_record(job.id, position, (result,))
+            work.enter(itemwatch.Stage.WRITE)
             await self.writer.write((record,), RESULT_S)
         except errors.LogError as error:
             LOG.info("Result of {} is the next owner's: {}", job.id, error)
         except Exception as error:
-            LOG.error("Item of {} failed: {!r}", job.id, error)
+            LOG.error(
+                "Item {} of {} ended by an error: {}",
+                place,
+                job.id,
+                "".join(traceback.format_exception(error)),
+            )
         finally:
             self.running.pop((job.id, place), None)
             self.works.pop((job.id, place), None)
             self.run_more()
 
+    def stages(self) -> Iterator[itemwatch.StageAt]:
+        """Yield what each open item waits for."""
+        queued = set(self.waiting)
+        wall = self.parts.clock.wall()
+        for job in self.book.jobs.values():
+            for place in job.open_items:
+                item, work = job.items[place], self.works.get((job.id, place))
+                found = itemwatch.StageAt(
+                    job.id,
+                    item.id if item is not None else "",
+                    itemwatch.Stage.LEFT,
+                    age_s=round(wall - job.taken_at, 1),
+                )
+                if work is not None:
+                    found = dataclasses.replace(
+                        found,
+                        stage=work.stage,
+                        since=work.stage_at,
+                        run=work.number,
+                    )
+                elif job.id in self.ending:
+                    found = dataclasses.replace(
+                        found, stage=itemwatch.Stage.ENDING
+                    )
+                elif (job.id, place) in queued or (
+                    (job.id, place) in self.running
+                ):
+                    found = dataclasses.replace(
+                        found, stage=itemwatch.Stage.QUEUED
+                    )
+                yield found
+
     def progress(self) -> dict[str, list[itemwork.Progress]]:
         """Return what has come of the items under way, by job."""
         found: dict[str, list[itemwork.Progress]] = {}
--- a/camphortray/jobowners.py
+++ b/camphortray/jobowners.py
@@ -8,6 +8,7 @@
 from camphortray import handover
 from camphortray import inforce
 from camphortray import itemfate
+from camphortray import itemwatch
 from camphortray import itemwork
 from camphortray import jobowner
 from camphortray import jobwaiting
@@ -24,6 +25,11 @@
 KEEP_S = 1.2
 JOIN_EVERY_S = 0.35
 FACT_KEEP_S = 600.0
+# Seconds from one look at the open items to the next, and after which a
+# partition that has not been taken over yet is told of. A takeover takes
+# some tens of milliseconds, and a second or two where the store is slow.
+LOOK_EVERY_S = 1.0
+LATE_TAKEOVER_S = 5.0
 # Times that an epoch is confirmed before its partition is given up. Each
 # takes some tenths of a second at most, all together less than an ended
 # job's items may still reach engines.
@@ -63,7 +69,9 @@
         self.handover = handover.Handover(context, self.held)
         self.touched_at = -KEEP_S
         self.draining = False
+        self.left: set[tuple[str, str]] = set()
         self.task: asyncio.Task[None] | None = None
+        self.look_task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Join the group and take what it deals."""
@@ -72,6 +80,56 @@
         self.handover.start()
         loop = asyncio.get_running_loop()
         self.task = loop.create_task(self.keep_membership())
+        self.look_task = loop.create_task(self.look_on())
+
+    async def look_on(self) -> None:
+        """Show what open items wait for, for ever."""
+        while True:
+            await asyncio.sleep(LOOK_EVERY_S)
+            self.look()
+
+    def look(self) -> None:
+        """Count open items by what they wait for; tell of those left."""
+        now = self.clock.monotonic()
+        ready, late = [], 0
+        for owner in self.held.values():
+            if owner.ready.is_set():
+                ready.append(owner)
+            elif now - owner.begun_at > LATE_TAKEOVER_S:
+                late += 1
+                LOG.warning(
+                    "Partition {} in epoch {} is not taken over after"
+                    " {:.1f} s.",
+                    owner.part,
+                    owner.epoch,
+                    now - owner.begun_at,
+                )
+        found = itemwatch.Look(
+            item for owner in ready for item in owner.stages()
+        )
+        metrics = self.context.metrics
+        for stage in itemwatch.Stage:
+            metrics.set(
+                "camphortray_items_open",
+                "Accepted items that are not listed, by what they wait for.",
+                {"stage": stage.value},
+                found.counts[stage],
+            )
+        metrics.set(
+            "camphortray_partitions_late",
+            "Partitions dealt to this host and not taken over in time.",
+            {},
+            late,
+        )
+        for item in found.left:
+            if (item.job, item.item) not in self.left:
+                LOG.error(
+                    "Item {} of {} is left: open, neither queued nor run.",
+                    item.item,
+                    item.job,
+                    fields={"age_s": item.age_s, "run": item.run},
+                )
+        self.left = {(item.job, item.item) for item in found.left}
 
     async def keep_membership(self) -> None:
         """Be a member of the group for ever."""
@@ -215,7 +273,8 @@
     def stop(self) -> None:
         """End without handing over, as a crash would."""
         self.waiting.stop()
-        if self.task is not None:
-            self.task.cancel()
+        for task in (self.task, self.look_task):
+            if task is not None:
+                task.cancel()
         for owner in list(self.held.values()):
             owner.stop()
--- /dev/null
+++ b/tests/test_itemwatch.py
@@ -0,0 +1,60 @@
+"""What an owner tells of its open items."""
+
+import asyncio
+
+import pytest
+
+from camphortray import itemwatch
+from camphortray import ledger
+from tests import hostkit
+from tests import test_jobowner
+
+pytestmark = pytest.mark.looptime
+Stage = itemwatch.Stage
+
+
+async def stages(owner):
+    """Return how many items wait for what, a moment later."""
+    await asyncio.sleep(0.01)
+    return dict(itemwatch.Look(owner.stages()).counts)
+
+
+async def hang(timeout_s):
+    """Stand in for a read that brings nothing."""
+    await asyncio.Event().wait()
+
+
+def silent():
+    """Return an answer that brings nothing, without an end."""
+    answer = hostkit.Answer([])
+    answer.read = hang
+    return answer
+
+
+async def test_items_are_told_by_what_they_wait_for():
+    owned = test_jobowner.Owned(
+        ledger.MemoryLedger(), [silent() for _ in "ab"]
+    )
+    owner = await owned.ready()
+    await owner.submit(test_jobowner.part_of(count=2))
+    assert await stages(owner) == {Stage.RUN: 2}
+    owner.parts.inforce.routes.by_host.clear()
+    await owner.submit(test_jobowner.part_of("j2", count=1))
+    assert await stages(owner) == {Stage.RUN: 2, Stage.ROUTE: 1}
+    owner.ledger.down = True
+    ending = asyncio.ensure_future(owner.end("j1"))
+    assert await stages(owner) == {Stage.ENDING: 2, Stage.ROUTE: 1}
+    ending.cancel()
+    await owner.close()
+
+
+async def test_a_result_that_waits_for_the_store_is_told_as_written():
+    owned = test_jobowner.Owned(ledger.MemoryLedger(), [test_jobowner.good()])
+    owner = await owned.ready()
+    await owner.submit(test_jobowner.part_of(count=1))
+    owner.ledger.down = True
+    assert await stages(owner) == {Stage.WRITE: 1}
+    owner.ledger.down = False
+    await test_jobowner.all_results(owner, "j1", 1)
+    assert not await stages(owner)
+    await owner.close()
