--- /dev/null
+++ b/tests/itemrig.py
@@ -0,0 +1,372 @@
+"""What an item meets, broken at one step, and a check that it is listed."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+
+from camphortray import clock as clocks
+from camphortray import engine
+from camphortray import errors
+from camphortray import itemfate
+from camphortray import itemwork
+from camphortray import jobbook
+from camphortray import jobowner
+from camphortray import ledger as ledgers
+from camphortray import routemap
+from tests import hostkit
+
+JOBS = ledgers.Topic.JOBS
+# Bound of all cells, in virtual seconds: jobs have 18 s after traffic.
+BOUND_S = 30.0
+EVENTS = 4
+EVENT_S = 0.05
+# Until the group notices a lost owner and deals its partition to another.
+DEAL_S = 1.5
+# The item that meets the break, where a step belongs to one item.
+MARKED = "j1-0"
+TEXT = b"\n".join(b"d%d" % n for n in range(1, EVENTS + 1))
+# Failures of engines are to end no item here.
+ROUTE = dataclasses.replace(hostkit.BATCH_ROUTE, max_attempts=99)
+
+
+@dataclasses.dataclass(frozen=True)
+class Manner:
+    """How a step breaks.
+
+    Attributes:
+      error: Makes what is raised.
+      revokes: Times that the item is told to give way, before the error.
+      hang: Whether the step never returns.
+      late: Whether it stays silent for its time limit, then raises.
+      chunk: Bytes that come instead of the right ones.
+    """
+
+    name: str
+    error: Callable[[], BaseException] | None = None
+    revokes: int = 0
+    hang: bool = False
+    late: bool = False
+    chunk: bytes | None = None
+
+
+class Break:
+    """Breaks one step so many times; it is sound afterwards.
+
+    Attributes:
+      met: Times that it has broken.
+      revoke: Of the marked item, as its last want gave it.
+    """
+
+    def __init__(self, step: str, manner: Manner, times: int = 1) -> None:
+        self.step = step
+        self.manner = manner
+        self.times = times
+        self.met = 0
+        self.revoke: Callable[[], None] | None = None
+
+    def due(self, step: str, item: str) -> bool:
+        """Return whether to break now, and count it."""
+        if step != self.step or item != MARKED or self.met >= self.times:
+            return False
+        self.met += 1
+        return True
+
+    def now(self, step: str, item: str = MARKED) -> None:
+        """Meet a step that is a plain call; it can't hang."""
+        if self.due(step, item):
+            for _ in range(self.manner.revokes):
+                self.give_way()
+            if self.manner.error is not None:
+                raise self.manner.error()
+
+    async def meet(
+        self, step: str, item: str = MARKED, limit_s: float = 0.0
+    ) -> bytes | None:
+        """Meet a step; return what comes in place of the right bytes."""
+        if not self.due(step, item):
+            return None
+        for number in range(self.manner.revokes):
+            self.give_way()
+            if number + 1 < self.manner.revokes:
+                # The second one comes while the first takes effect.
+                asyncio.get_running_loop().call_soon(self.give_way)
+        if self.manner.hang:
+            await asyncio.Event().wait()
+        if self.manner.late:
+            await asyncio.sleep(limit_s)
+        if self.manner.error is not None:
+            raise self.manner.error()
+        if self.manner.revokes:
+            await asyncio.sleep(EVENT_S)
+        return self.manner.chunk
+
+    def give_way(self) -> None:
+        """Take the slot of the marked item back, as its desk does."""
+        if self.revoke is not None:
+            self.revoke()
+
+
+class RigLedger(ledgers.MemoryLedger):
+    """Numbers appends as the platform's store does.
+
+    Attributes:
+      recent: Epoch and last five numbers of each partition.
+    """
+
+    def __init__(self, broken: Break, parts: int = 1) -> None:
+        super().__init__(parts)
+        self.broken = broken
+        self.recent: dict[int, tuple[int, collections.deque[int]]] = {}
+
+    async def append(self, topic, part, records, fence=None, timeout_s=1.0):
+        step = f"append {records[0].key[0]}" if records else "append"
+        await self.broken.meet(step, limit_s=timeout_s)
+        self.check_up("append")
+        if not self.repeated(topic, part, fence):
+            await super().append(topic, part, records, fence, timeout_s)
+            self.recent[part][1].append(fence.sequence)
+        await self.broken.meet(f"{step} answer", limit_s=timeout_s)
+
+    def repeated(self, topic, part, fence) -> bool:
+        """Return whether an append has been; raise if it may not be."""
+        held = self.held[topic, part]
+        if fence.epoch < held.epoch:
+            raise errors.LogFenced("fenced", step="append", peer="rig")
+        epoch, numbers = self.recent.get(part, (-1, collections.deque()))
+        if fence.epoch != epoch:
+            numbers = collections.deque(maxlen=5)
+            self.recent[part] = fence.epoch, numbers
+        if fence.sequence in numbers:
+            return True
+        if numbers and fence.sequence != numbers[-1] + 1:
+            raise errors.LogFenced("seq", step="append", peer="rig")
+        return False
+
+    async def set_epoch(self, topic, part, epoch):
+        await self.broken.meet("set_epoch", limit_s=0.4)
+        await super().set_epoch(topic, part, epoch)
+        await self.broken.meet("set_epoch answer", limit_s=0.4)
+
+    async def newest(self, topic, part=0):
+        await self.broken.meet("newest", limit_s=0.6)
+        return await super().newest(topic, part)
+
+    async def read(self, topic, part, offset, wait_s=0.0):
+        await self.broken.meet("read log", limit_s=0.6)
+        return await super().read(topic, part, offset, wait_s)
+
+
+class RigStream(engine.EngineStream):
+    """The events behind the one that was asked for, one a chunk."""
+
+    headers = hostkit.STAMP
+
+    def __init__(self, broken: Break, request: engine.EngineRequest) -> None:
+        self.broken = broken
+        self.item = request.id
+        self.made = int(request.resume_after or 0)
+        self.step = "first read"
+
+    async def read(self, timeout_s):
+        step, self.step = self.step, "later read"
+        bad = await self.broken.meet(step, self.item, timeout_s)
+        if bad is not None:
+            return bad
+        await asyncio.sleep(EVENT_S)
+        if self.made >= EVENTS:
+            return b""
+        self.made += 1
+        return hostkit.event(self.made)
+
+    def close(self):
+        self.broken.now("close", self.item)
+
+
+class RigEngine(engine.MemoryEngine):
+    """Engines that can do every item."""
+
+    def __init__(self, broken: Break) -> None:
+        super().__init__()
+        self.broken = broken
+
+    async def open(self, upstream, request, fresh=False):
+        await self.broken.meet("open", request.id, request.silence_s)
+        self.seen.append((upstream.name, request))
+        return RigStream(self.broken, request)
+
+
+class RigSlots(hostkit.Slots):
+    """Slots for all; an item that has one looks at its route again."""
+
+    def __init__(self, broken: Break) -> None:
+        super().__init__()
+        self.broken = broken
+        self.granted: set[str] = set()
+
+    async def acquire(self, service, want, on_revoke=None):
+        item = "-".join(want.id.split(".")[:2])
+        if item == MARKED:
+            self.broken.revoke = on_revoke
+        await self.broken.meet("acquire", item)
+        held = await super().acquire(service, want, on_revoke)
+        self.granted.add(item)
+        return held
+
+    def release(self, held, outcome):
+        super().release(held, outcome)
+        item = "-".join(held.want.id.split(".")[:2])
+        self.broken.now("release", item)
+
+
+class RigRoutes(routemap.RouteMap):
+    """Routes; the look after a grant is a step of its own."""
+
+    def __init__(self, broken: Break, slots: RigSlots) -> None:
+        super().__init__([ROUTE])
+        self.broken = broken
+        self.slots = slots
+
+    def find(self, host_name, target):
+        item = target.rpartition("/")[2]
+        granted = item in self.slots.granted
+        self.slots.granted.discard(item)
+        self.broken.now("still_leads" if granted else "route", item)
+        return super().find(host_name, target)
+
+
+class RigPace(itemfate.Pace):
+    """Learns how long items take, unless that breaks."""
+
+    def __init__(self, broken: Break) -> None:
+        super().__init__()
+        self.broken = broken
+
+    def learn(self, events):
+        self.broken.now("learn")
+        super().learn(events)
+
+    def ran(self, events, seconds):
+        self.broken.now("ran")
+        super().ran(events, seconds)
+
+    def started(self, made, seconds):
+        self.broken.now("started")
+        super().started(made, seconds)
+
+    def left_s(self, events):
+        self.broken.now("left_s")
+        return super().left_s(events)
+
+
+def work_parts(broken: Break) -> itemwork.WorkParts:
+    """Return the parts that items are run with."""
+    slots = RigSlots(broken)
+    inforce = hostkit.InForce([ROUTE])
+    inforce.routes = RigRoutes(broken, slots)
+    return itemwork.WorkParts(
+        clocks.SystemClock(),
+        hostkit.Parties(RigEngine(broken)),
+        inforce,
+        slots,
+        RigPace(broken),
+    )
+
+
+def part_of(job: str, count: int) -> jobbook.JobPart:
+    """Return a job taken now."""
+    items = tuple(
+        jobbook.Item(f"{job}-{n}", f"/p/{job}-{n}", (), b"body", 10)
+        for n in range(count)
+    )
+    now = clocks.SystemClock().wall()
+    return jobbook.JobPart(job, "h", "/p/", now, count, 0, items)
+
+
+class House:
+    """Owners of partition 0, one after the other, as a group deals it."""
+
+    def __init__(self, broken: Break, held: ledgers.Ledger) -> None:
+        self.broken = broken
+        self.ledger = held
+        self.epoch = 0
+        self.deal()
+
+    def deal(self) -> None:
+        """Let the next owner take the partition over."""
+        self.epoch += 1
+        self.owner = jobowner.JobOwner(
+            work_parts(self.broken),
+            self.ledger,
+            0,
+            self.epoch,
+            120.0,
+            lambda: self.broken.now("on_change"),
+            self.on_lost,
+        )
+        self.owner.start()
+
+    def on_lost(self, owner: jobowner.JobOwner) -> None:
+        """Deal the partition anew a while after its owner has lost it."""
+        asyncio.get_running_loop().call_later(DEAL_S, self.deal)
+
+    async def submit(self, part: jobbook.JobPart) -> None:
+        """Send a job until it is accepted, as callers do."""
+        while True:
+            try:
+                await self.owner.ready.wait()
+                await self.owner.submit(part)
+                return
+            except errors.LogError:
+                await asyncio.sleep(0.2)
+
+    async def results(self, job: str) -> list[jobbook.Result]:
+        """Read all that is listed of a job, page by page."""
+        found: list[jobbook.Result] = []
+        while page := await self.owner.page(job, len(found), 0.0):
+            if not page[1]:
+                break
+            found += page[1]
+        return found
+
+
+async def unlisted(house: House, counts: dict[str, int]) -> list[str]:
+    """Return what is wrong with the lists of some accepted jobs."""
+    wrong = []
+    for job, count in counts.items():
+        found = await house.results(job)
+        places = [result.item for result in found]
+        wrong += [f"{job}-{n}" for n in range(count) if n not in places]
+        wrong += [
+            f"{job}-{result.item} is {result.state.value} {result.text!r}"
+            for result in found
+            if result.text != TEXT
+        ]
+        if len(set(places)) < len(places):
+            wrong.append(f"{job} lists {places}")
+    return wrong
+
+
+def symptom(owner: jobowner.JobOwner) -> str:
+    """Return where an owner stands, for a cell that fails."""
+    writer = owner.writer.task
+    return (
+        f"epoch {owner.epoch} ready={owner.ready.is_set()} lost={owner.lost}"
+        f" running={sorted(owner.running)} ending={dict(owner.ending)}"
+        f" writer={'ended' if writer and writer.done() else 'goes on'}"
+    )
+
+
+async def check(house: House, counts: dict[str, int]) -> None:
+    """Check that all is listed in time, here and by the next owner."""
+    loop = asyncio.get_running_loop()
+    end_at = loop.time() + BOUND_S
+    while (wrong := await unlisted(house, counts)) and loop.time() < end_at:
+        await asyncio.sleep(0.1)
+    assert not wrong, f"{wrong}; {symptom(house.owner)}"
+    house.owner.stop()
+    house.deal()
+    await asyncio.wait_for(house.owner.ready.wait(), BOUND_S)
+    wrong = await unlisted(house, counts)
+    assert not wrong, f"not in the store: {wrong}"
+    await house.owner.close()
