Rig: accept, takeover, end of a job and progress break as well (trial)

As run: a takeover that meets an error no code expects never ends (ready is never set). An end whose caller has gone, refused by the store, leaves the job in ending: its items are never run again.

--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import contextlib
 import dataclasses
 
 from camphortray import clock as clocks
@@ -40,6 +41,7 @@
       hang: Whether the step never returns.
       late: Whether it stays silent for its time limit, then raises.
       chunk: Bytes that come instead of the right ones.
+      progress: Events that the owner before hands on at that moment.
     """
 
     name: str
@@ -48,28 +50,37 @@
     hang: bool = False
     late: bool = False
     chunk: bytes | None = None
+    progress: int = 0
 
 
 class Break:
     """Breaks one step so many times; it is sound afterwards.
 
     Attributes:
+      armed: Whether it breaks from now on.
       met: Times that it has broken.
       revoke: Of the marked item, as its last want gave it.
+      hand_on: Gives the owner what another has got of the marked item.
     """
 
     def __init__(self, step: str, manner: Manner, times: int = 1) -> None:
         self.step = step
         self.manner = manner
         self.times = times
+        self.armed = True
         self.met = 0
         self.revoke: Callable[[], None] | None = None
+        self.hand_on: Callable[[int], None] | None = None
 
     def due(self, step: str, item: str) -> bool:
         """Return whether to break now, and count it."""
-        if step != self.step or item != MARKED or self.met >= self.times:
+        if step != self.step or item != MARKED or not self.armed:
+            return False
+        if self.met >= self.times:
             return False
         self.met += 1
+        if self.manner.progress and self.hand_on is not None:
+            self.hand_on(self.manner.progress)
         return True
 
     def now(self, step: str, item: str = MARKED) -> None:
@@ -286,10 +297,11 @@
 class House:
     """Owners of partition 0, one after the other, as a group deals it."""
 
-    def __init__(self, broken: Break, held: ledgers.Ledger) -> None:
+    def __init__(self, broken: Break, held: RigLedger) -> None:
         self.broken = broken
         self.ledger = held
         self.epoch = 0
+        broken.hand_on = self.hand_on
         self.deal()
 
     def deal(self) -> None:
@@ -310,15 +322,28 @@
         """Deal the partition anew a while after its owner has lost it."""
         asyncio.get_running_loop().call_later(DEAL_S, self.deal)
 
-    async def submit(self, part: jobbook.JobPart) -> None:
-        """Send a job until it is accepted, as callers do."""
-        while True:
-            try:
-                await self.owner.ready.wait()
-                await self.owner.submit(part)
-                return
-            except errors.LogError:
-                await asyncio.sleep(0.2)
+    def hand_on(self, count: int) -> None:
+        """Let the owner hear how far the one before got."""
+        text = tuple(b"d%d" % n for n in range(1, count + 1))
+        found = itemwork.Progress(0, str(count), text)
+        self.owner.take_progress("j1", found)
+
+    def change(self) -> None:
+        """Let the partition change hands now."""
+        self.owner.stop()
+        self.deal()
+
+    async def submit(self, part: jobbook.JobPart) -> bool:
+        """Send a job until it is accepted, as callers do, or in vain."""
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + BOUND_S
+        while loop.time() < end_at:
+            if self.owner.ready.is_set():
+                with contextlib.suppress(errors.LogError):
+                    await self.owner.submit(part)
+                    return True
+            await asyncio.sleep(0.01)
+        return False
 
     async def results(self, job: str) -> list[jobbook.Result]:
         """Read all that is listed of a job, page by page."""
@@ -333,7 +358,11 @@
 async def unlisted(house: House, counts: dict[str, int]) -> list[str]:
     """Return what is wrong with the lists of some accepted jobs."""
     wrong = []
+    kept = await ledgers.MemoryLedger.newest(house.ledger, JOBS, 0)
+    ended = {r.key[2:] for r in kept.records if r.key.startswith("e/")}
     for job, count in counts.items():
+        if job in ended:
+            continue
         found = await house.results(job)
         places = [result.item for result in found]
         wrong += [f"{job}-{n}" for n in range(count) if n not in places]
@@ -368,5 +397,5 @@
     house.deal()
     await asyncio.wait_for(house.owner.ready.wait(), BOUND_S)
     wrong = await unlisted(house, counts)
-    assert not wrong, f"not in the store: {wrong}"
+    assert not wrong, f"the next owner lists: {wrong}"
     await house.owner.close()
--- a/tests/test_itemrig.py
+++ b/tests/test_itemrig.py
@@ -7,6 +7,8 @@
 import pytest
 
 from camphortray import errors
+from camphortray import eventstream
+from camphortray import jobbook
 from tests import hostkit
 from tests import itemrig
 
@@ -73,56 +75,152 @@
     Manner("gap", chunk=hostkit.event(9)),
     Manner("torn", chunk=b"id: 1\nda"),
     Manner("no id", chunk=b"\xff\xfe\n\n"),
+    Manner("no end", chunk=b"x" * (eventstream.MAX_EVENT_BYTES + 1)),
+]
+SLOT = [
+    Manner("no slot", lambda: errors.NoSlot("rig", 0.25)),
+    Manner("revoked, no slot", lambda: errors.NoSlot("rig", 0.25), revokes=1),
+]
+RECORD = Manner("RecordError", lambda: errors.RecordError("rig"))
+PROGRESS = [
+    Manner("progress 2", progress=2),
+    Manner("progress 4", progress=4),
+    Manner(
+        "progress in a break",
+        upstream_error(errors.UpstreamBroken, ran=True),
+        progress=3,
+    ),
 ]
-SLOT = [Manner("no slot", lambda: errors.NoSlot("rig", 0.25))]
 # Steps that are plain calls can't hang, nor fail as an engine or a store.
-PLAIN = [*UNEXPECTED, *REVOKED[:2]]
-IN_A_RUN = [*UNEXPECTED, *REVOKED, HANG]
+PLAIN = [*UNEXPECTED, *REVOKED[:2], *PROGRESS[:2]]
+IN_A_RUN = [*UNEXPECTED, *REVOKED, *PROGRESS, HANG]
+WRITE = [*UNEXPECTED, *STORE, *PROGRESS[:2], HANG]
 STEPS = {
     "route": PLAIN,
-    "acquire": [*IN_A_RUN, *SLOT],
+    "acquire": [*UNEXPECTED, *REVOKED, *PROGRESS[:2], HANG, *SLOT],
     "still_leads": PLAIN,
     "open": [*IN_A_RUN, *ENGINE],
     "first read": [*IN_A_RUN, *ENGINE, *CHUNKS],
-    "later read": [*IN_A_RUN, *ENGINE, *CHUNKS[:2]],
+    "later read": [*IN_A_RUN, *ENGINE, *CHUNKS],
     "close": PLAIN,
     "release": PLAIN,
     "learn": PLAIN,
     "ran": PLAIN,
     "started": PLAIN,
     "left_s": PLAIN,
-    "append r": [*UNEXPECTED, *STORE, HANG],
-    "append r answer": [*UNEXPECTED, *STORE, HANG],
-    "append j": [*UNEXPECTED, *STORE, HANG],
-    "append j answer": [*UNEXPECTED, *STORE, HANG],
+    "append r": WRITE,
+    "append r answer": WRITE,
+    "apply r": [*UNEXPECTED, RECORD],
+    "on_change": UNEXPECTED,
+}
+# Broken after two jobs have been accepted, as a third one is sent.
+LATER_STEPS = {
+    "append j": WRITE,
+    "append j answer": WRITE,
+    "apply j": [*UNEXPECTED, RECORD],
     "on_change": UNEXPECTED,
+}
+# Broken as the next owner takes the partition over.
+TAKEOVER_STEPS = {
     "set_epoch": [*UNEXPECTED, *STORE, HANG],
+    "set_epoch answer": [*UNEXPECTED, *STORE, HANG],
     "newest": [*UNEXPECTED, *STORE, HANG],
     "read log": [*UNEXPECTED, *STORE, HANG],
+    "apply j": [*UNEXPECTED, RECORD],
+    "on_change": UNEXPECTED,
 }
+# Refusals of 12 appends outlast the time that the end of a job has.
+END_TIMES = (1, 3, 12)
+TABLE = "step", "manner", "times"
 
 
-def cells(steps):
-    """Return all cells of some steps, each once and three times."""
+def cells(steps, counts=(1, 3)):
+    """Return all cells of some steps, once and several times in a row."""
     return [
         pytest.param(step, manner, times, id=f"{step}/{manner.name}/{times}")
         for step, manners in steps.items()
         for manner in manners
-        for times in (1, 3)
+        for times in counts
     ]
 
 
-@pytest.mark.parametrize(("step", "manner", "times"), cells(STEPS))
-async def test_an_item_that_meets_a_break_is_listed(step, manner, times):
+async def house_of(monkeypatch, step, manner, times, armed=True):
+    """Return a house with a break, and two accepted jobs."""
+    broken = itemrig.Break(step, manner, times)
+    broken.armed = armed
+    apply = jobbook.JobBook.apply
+
+    def broken_apply(book, record):
+        broken.now(f"apply {record.key[0]}")
+        apply(book, record)
+
+    monkeypatch.setattr(jobbook.JobBook, "apply", broken_apply)
+    house = itemrig.House(broken, itemrig.RigLedger(broken))
+    counts = {"j1": 3, "j2": 2}
+    for job, count in counts.items():
+        assert await house.submit(itemrig.part_of(job, count)), "never taken"
+    return house, counts
+
+
+@pytest.mark.parametrize(TABLE, cells(STEPS))
+async def test_a_step_that_breaks_leaves_no_item(
+    monkeypatch, step, manner, times
+):
     # A caller has two jobs accepted and reads them until they are whole.
     # One step of the first item breaks, once or three times, and is sound
     # afterwards. Nobody is left who would run an item that its owner has
     # let go of: it lies until the partition changes hands.
-    broken = itemrig.Break(step, manner, times)
-    house = itemrig.House(broken, itemrig.RigLedger(broken))
-    counts = {"j1": 3, "j2": 2}
-    async with asyncio.timeout(itemrig.BOUND_S):
-        for job, count in counts.items():
-            await house.submit(itemrig.part_of(job, count))
+    house, counts = await house_of(monkeypatch, step, manner, times)
+    await itemrig.check(house, counts)
+    assert house.broken.met
+
+
+@pytest.mark.parametrize(TABLE, cells(LATER_STEPS))
+async def test_an_accept_that_breaks_leaves_no_item(
+    monkeypatch, step, manner, times
+):
+    # Two jobs are accepted and run. The accept of a third one breaks; its
+    # caller comes again. The first two share the writer with it.
+    house, counts = await house_of(monkeypatch, step, manner, times, False)
+    house.broken.armed = True
+    taken = await house.submit(itemrig.part_of("j3", 1))
+    await itemrig.check(house, counts | ({"j3": 1} if taken else {}))
+    assert taken
+    assert house.broken.met
+
+
+@pytest.mark.parametrize(TABLE, cells(TAKEOVER_STEPS))
+async def test_a_takeover_that_breaks_leaves_no_item(
+    monkeypatch, step, manner, times
+):
+    # Two jobs are accepted, one item is under way, the partition changes
+    # hands. The takeover breaks in one step and is sound if tried again.
+    house, counts = await house_of(monkeypatch, step, manner, times, False)
+    await asyncio.sleep(0.12)
+    house.broken.armed = True
+    house.change()
+    await itemrig.check(house, counts)
+    assert house.broken.met
+
+
+@pytest.mark.parametrize("gone_s", [None, 0.0, 0.02, 1.0])
+@pytest.mark.parametrize(
+    TABLE,
+    [
+        *cells({"append e": [*UNEXPECTED, *STORE, HANG]}, END_TIMES),
+        *cells({"append e answer": [*UNEXPECTED, *STORE, HANG]}, END_TIMES),
+    ],
+)
+async def test_an_end_that_is_not_kept_leaves_no_item(
+    monkeypatch, step, manner, times, gone_s
+):
+    # A caller ends its job, and waits for the answer or goes before it.
+    # The store refuses the end, loses it or breaks. If the end is not kept
+    # the job goes on, and each of its items is owed.
+    house, counts = await house_of(monkeypatch, step, manner, times)
+    await asyncio.sleep(0.12)
+    ending = asyncio.ensure_future(house.owner.end("j1"))
+    await asyncio.wait({ending}, timeout=gone_s)
+    ending.cancel()
     await itemrig.check(house, counts)
-    assert broken.met
+    assert house.broken.met
