--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -58,6 +58,7 @@
 
     Attributes:
       armed: Whether it breaks from now on.
+      event_s: From one event of an engine to the next.
       met: Times that it has broken.
       revoke: Of the marked item, as its last want gave it.
       hand_on: Gives the owner what another has got of the marked item.
@@ -68,6 +69,7 @@
         self.manner = manner
         self.times = times
         self.armed = True
+        self.event_s = EVENT_S
         self.met = 0
         self.revoke: Callable[[], None] | None = None
         self.hand_on: Callable[[int], None] | None = None
@@ -109,7 +111,7 @@
         if self.manner.error is not None:
             raise self.manner.error()
         if self.manner.revokes:
-            await asyncio.sleep(EVENT_S)
+            await asyncio.sleep(self.event_s)
         return self.manner.chunk
 
     def give_way(self) -> None:
@@ -118,6 +120,11 @@
             self.revoke()
 
 
+def marked(part: int) -> str:
+    """Return the item that a call on a partition is for, if it is there."""
+    return MARKED if part == 0 else ""
+
+
 class RigLedger(ledgers.MemoryLedger):
     """Numbers appends as the platform's store does.
 
@@ -131,13 +138,14 @@
         self.recent: dict[int, tuple[int, collections.deque[int]]] = {}
 
     async def append(self, topic, part, records, fence=None, timeout_s=1.0):
-        step = f"append {records[0].key[0]}" if records else "append"
-        await self.broken.meet(step, limit_s=timeout_s)
+        step = f"append {records[0].key[0]}"
+        item = marked(part)
+        await self.broken.meet(step, item, timeout_s)
         self.check_up("append")
         if not self.repeated(topic, part, fence):
             await super().append(topic, part, records, fence, timeout_s)
             self.recent[part][1].append(fence.sequence)
-        await self.broken.meet(f"{step} answer", limit_s=timeout_s)
+        await self.broken.meet(f"{step} answer", item, timeout_s)
 
     def repeated(self, topic, part, fence) -> bool:
         """Return whether an append has been; raise if it may not be."""
@@ -155,16 +163,16 @@
         return False
 
     async def set_epoch(self, topic, part, epoch):
-        await self.broken.meet("set_epoch", limit_s=0.4)
+        await self.broken.meet("set_epoch", marked(part), 0.4)
         await super().set_epoch(topic, part, epoch)
-        await self.broken.meet("set_epoch answer", limit_s=0.4)
+        await self.broken.meet("set_epoch answer", marked(part), 0.4)
 
     async def newest(self, topic, part=0):
-        await self.broken.meet("newest", limit_s=0.6)
+        await self.broken.meet("newest", marked(part), 0.6)
         return await super().newest(topic, part)
 
     async def read(self, topic, part, offset, wait_s=0.0):
-        await self.broken.meet("read log", limit_s=0.6)
+        await self.broken.meet("read log", marked(part), 0.6)
         return await super().read(topic, part, offset, wait_s)
 
 
@@ -184,7 +192,7 @@
         bad = await self.broken.meet(step, self.item, timeout_s)
         if bad is not None:
             return bad
-        await asyncio.sleep(EVENT_S)
+        await asyncio.sleep(self.broken.event_s)
         if self.made >= EVENTS:
             return b""
         self.made += 1
@@ -346,13 +354,20 @@
         return False
 
     async def results(self, job: str) -> list[jobbook.Result]:
-        """Read all that is listed of a job, page by page."""
-        found: list[jobbook.Result] = []
-        while page := await self.owner.page(job, len(found), 0.0):
-            if not page[1]:
-                break
-            found += page[1]
-        return found
+        """Read all that is listed of a job by the present owner."""
+        return await results(self.owner, job)
+
+
+async def results(
+    owner: jobowner.JobOwner, job: str
+) -> list[jobbook.Result]:
+    """Read all that is listed of a job, page by page."""
+    found: list[jobbook.Result] = []
+    while page := await owner.page(job, len(found), 0.0):
+        if not page[1]:
+            break
+        found += page[1]
+    return found
 
 
 async def unlisted(house: House, counts: dict[str, int]) -> list[str]:
--- a/tests/test_itemrig.py
+++ b/tests/test_itemrig.py
@@ -9,6 +9,7 @@
 from camphortray import errors
 from camphortray import eventstream
 from camphortray import jobbook
+from tests import grouprig
 from tests import hostkit
 from tests import itemrig
 
@@ -224,3 +225,80 @@
     ending.cancel()
     await itemrig.check(house, counts)
     assert house.broken.met
+
+
+NO_ENGINE = [*UNEXPECTED, *STORE, HANG]
+# What happens to the group, and the steps that it leads through.
+GROUP_STEPS = {
+    "calm": ["join", "join answer"],
+    "dealt": ["join", "set_epoch", "newest", "read log", "publish", "tell"],
+    "dealt back": ["join", "set_epoch", "set_epoch answer"],
+    "drained": ["leave", "leave answer", "set_epoch", "newest", "tell"],
+    "away": ["join", "set_epoch", "set_epoch answer"],
+    "away long": ["join", "set_epoch", "set_epoch answer"],
+}
+PLAIN_STEPS = {"publish", "tell"}
+
+
+def group_cells():
+    """Return all cells of the group, once and more often than confirmed."""
+    return [
+        pytest.param(
+            count,
+            event,
+            step,
+            manner,
+            times,
+            id=f"{event}-{count} {step}/{manner.name}/{times}",
+        )
+        for count in (1, 2)
+        for event, steps in GROUP_STEPS.items()
+        if count > 1 or event not in ("dealt", "drained")
+        for step in steps
+        for manner in (UNEXPECTED if step in PLAIN_STEPS else NO_ENGINE)
+        for times in (1, 5)
+    ]
+
+
+async def befall(group, event):
+    """Let something happen to the group."""
+    host = group.arm()
+    store = group.ledger
+    if event == "dealt":
+        store.deal_again()
+    elif event == "dealt back":
+        store.deal_again(2 * len(group.hosts))
+    elif event == "drained":
+        await asyncio.wait({asyncio.ensure_future(host.owners.drain())})
+    elif event in ("away", "away long"):
+        # Times of members pause meanwhile, as the store's pages say.
+        store.down = True
+        seconds = 1.5 if event == "away" else 6.0
+        await asyncio.sleep(seconds)
+        store.told = {
+            name: (at + seconds, keep_s, generation)
+            for name, (at, keep_s, generation) in store.told.items()
+        }
+        store.down = False
+
+
+@pytest.mark.parametrize(
+    ("count", "event", "step", "manner", "times"), group_cells()
+)
+async def test_a_group_that_breaks_leaves_no_item(
+    count, event, step, manner, times
+):
+    # Three jobs are accepted, in two partitions of one or two hosts. Then
+    # partitions change hands, or the store is away, and one step of that
+    # breaks at the host that owns the first one. Whoever owns the
+    # partitions then runs what is open.
+    broken = itemrig.Break(step, manner, times)
+    group = grouprig.Group(broken, count)
+    await group.settle()
+    jobs = {"j1": (0, 3), "j2": (0, 2), "j3": (1, 2)}
+    for job, (part, items) in jobs.items():
+        await group.owner(part).submit(itemrig.part_of(job, items))
+    await asyncio.sleep(0.9)
+    await befall(group, event)
+    await group.check(jobs)
+    assert broken.met
