--- a/tests/grouprig.py
+++ b/tests/grouprig.py
@@ -184,6 +184,7 @@
         self.ledger = GroupLedger(broken, 2)
         self.versions = itertools.count(1)
         self.hosts: dict[str, Host] = {}
+        self.draining: asyncio.Future[None] | None = None
         for number in range(count):
             name = f"h{number}"
             self.hosts[name] = Host(self, name)
