Rig: the store away after all was dealt anew, and after many appends

As run: after more than five appends the same end shows as 409 seq for ever: taken, fenced off at its first append, taken again in the same epoch. One 409 on an append is enough, if the epoch is the newest generation.

--- a/tests/test_itemrig.py
+++ b/tests/test_itemrig.py
@@ -236,6 +236,8 @@
     "drained": ["leave", "leave answer", "set_epoch", "newest", "tell"],
     "away": ["join", "set_epoch", "set_epoch answer"],
     "away long": ["join", "set_epoch", "set_epoch answer"],
+    "dealt, away": ["join", "set_epoch", "set_epoch answer"],
+    "busy, dealt, away": ["set_epoch", "append r", "append r answer"],
 }
 PLAIN_STEPS = {"publish", "tell"}
 
@@ -270,10 +272,10 @@
         store.deal_again(2 * len(group.hosts))
     elif event == "drained":
         group.draining = asyncio.ensure_future(host.owners.drain())
-    elif event in ("away", "away long"):
+    elif event.endswith(("away", "away long")):
         # Times of members pause meanwhile, as the store's pages say.
         store.down = True
-        seconds = 1.5 if event == "away" else 6.0
+        seconds = 6.0 if event == "away long" else 1.5
         await asyncio.sleep(seconds)
         store.told = {
             name: (at + seconds, keep_s, generation)
@@ -295,7 +297,14 @@
     broken = itemrig.Break(step, manner, times)
     group = grouprig.Group(broken, count)
     await group.settle()
+    if "dealt, away" in event:
+        # All partitions are then owned in the newest generation.
+        group.ledger.deal_again()
+        await group.settle()
     jobs = {"j1": (0, 3), "j2": (0, 2), "j3": (1, 2)}
+    if "busy" in event:
+        # More appends than the store knows the answers of.
+        jobs |= {f"k{n}": (0, 1) for n in range(8)}
     for job, (part, items) in jobs.items():
         await group.owner(part).submit(itemrig.part_of(job, items))
     await asyncio.sleep(0.9)
