Rig: a gap in the positions leaves items lying for good

Results stand at 0 to 5 but for one, or one item stands twice. The next owner runs all behind the gap again; once it has closed the gap, results of before come to stand at once, but its count of positions does not follow. What it writes then overwrites one that stands, and is never listed: nothing runs, the writer goes on, no log line tells. This is the form of the incident (of nine items one is open).

--- a/tests/test_itemrig.py
+++ b/tests/test_itemrig.py
@@ -10,6 +10,7 @@
 from camphortray import errors
 from camphortray import eventstream
 from camphortray import jobbook
+from camphortray import ledger
 from tests import breakrig
 from tests import grouprig
 from tests import hostkit
@@ -327,3 +328,43 @@
     await befall(group, event)
     await group.check(jobs)
     assert broken.met
+
+
+@pytest.mark.parametrize("end_s", [0.12, 0.42, 0.5, 0.7])
+@pytest.mark.parametrize("times", [3, 12])
+@pytest.mark.parametrize("gone_s", [None, 0.02])
+async def test_an_end_behind_results_that_wait_leaves_no_item(
+    monkeypatch, end_s, times, gone_s
+):
+    # The store refuses for a while; results wait to be written. The caller
+    # ends its job, which stops the items but not what waits of them. The
+    # end is refused, the items begin anew, and stand twice in the store.
+    house, counts = await house_of(monkeypatch, "append r", STORE[0], times)
+    await asyncio.sleep(end_s)
+    ending = asyncio.ensure_future(house.owner.end("j1"))
+    await asyncio.wait({ending}, timeout=gone_s)
+    ending.cancel()
+    await itemrig.check(house, counts)
+    assert house.broken.met
+
+
+@pytest.mark.parametrize("hole", range(6))
+@pytest.mark.parametrize("twice", [False, True])
+async def test_an_owner_after_a_gap_in_the_store_lists_all(hole, twice):
+    # Results of one job stand in the store but for one, or one item stands
+    # there twice, as a partition leaves it that was taken again in the
+    # same epoch. The next owner runs what is missing. It counts positions
+    # from the gap; what stood behind it comes to stand again meanwhile.
+    broken = breakrig.Break("", HANG)
+    held = breakrig.RigLedger(broken)
+    part = itemrig.part_of("j1", 9)
+    records = jobbook.accept_records(part, 262_144)
+    for number in range(6):
+        item = number - 1 if twice and number == hole else number
+        result = jobbook.Result(item, jobbook.State.DONE, itemrig.TEXT)
+        if item >= 0 and (twice or number != hole):
+            records.append(jobbook.result_record("j1", number, (result,)))
+    await held.append(itemrig.JOBS, 0, records, ledger.Fence(0, 0))
+    house = itemrig.House(broken, held)
+    await house.owner.ready.wait()
+    await itemrig.check(house, {"j1": 9})
