--- a/tests/breakrig.py
+++ b/tests/breakrig.py
@@ -41,6 +41,7 @@
     Attributes:
       armed: Whether it breaks from now on.
       event_s: From one event of an engine to the next.
+      spread: Share by which that is longer from each item to the next.
       met: Times that it has broken.
       revoke: Of the marked item, as its last want gave it.
       hand_on: Gives the owner what another has got of the marked item.
@@ -52,6 +53,7 @@
         self.times = times
         self.armed = True
         self.event_s = EVENT_S
+        self.spread = 0.0
         self.met = 0
         self.revoke: Callable[[], None] | None = None
         self.hand_on: Callable[[int], None] | None = None
