--- /dev/null
+++ b/tests/itemrig.py
@@ -0,0 +1,272 @@
+"""What an item meets, with a break, and a check that all is listed."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+from camphortray import clock as clocks
+from camphortray import engine
+from camphortray import errors
+from camphortray import itemfate
+from camphortray import itemwork
+from camphortray import jobbook
+from camphortray import jobowner
+from camphortray import ledger as ledgers
+from camphortray import routemap
+from tests import breakrig
+from tests import hostkit
+
+JOBS = ledgers.Topic.JOBS
+# Bound of all cells, in virtual seconds: jobs have 18 s after traffic.
+BOUND_S = 30.0
+EVENTS = 8
+# Until the group notices a lost owner and deals its partition to another.
+DEAL_S = 1.5
+MARKED = breakrig.MARKED
+TEXT = b"\n".join(b"d%d" % n for n in range(1, EVENTS + 1))
+# Failures of engines are to end no item here.
+ROUTE = dataclasses.replace(hostkit.BATCH_ROUTE, max_attempts=99)
+
+
+class RigStream(engine.EngineStream):
+    """The events behind the one that was asked for, one a chunk."""
+
+    headers = hostkit.STAMP
+
+    def __init__(
+        self, broken: breakrig.Break, request: engine.EngineRequest
+    ) -> None:
+        self.broken = broken
+        self.item = request.id
+        self.made = int(request.resume_after or 0)
+        self.step = "first read"
+
+    async def read(self, timeout_s):
+        step, self.step = self.step, "later read"
+        bad = await self.broken.meet(step, self.item, timeout_s)
+        if bad is not None:
+            return bad
+        place = int(self.item.rpartition("-")[2])
+        slower = 1.0 + place * self.broken.spread
+        await asyncio.sleep(self.broken.event_s * slower)
+        if self.made >= EVENTS:
+            return b""
+        self.made += 1
+        return hostkit.event(self.made)
+
+    def close(self):
+        self.broken.now("close", self.item)
+
+
+class RigEngine(engine.MemoryEngine):
+    """Engines that can do every item."""
+
+    def __init__(self, broken: breakrig.Break) -> None:
+        super().__init__()
+        self.broken = broken
+
+    async def open(self, upstream, request, fresh=False):
+        await self.broken.meet("open", request.id, request.silence_s)
+        self.seen.append((upstream.name, request))
+        return RigStream(self.broken, request)
+
+
+class RigSlots(hostkit.Slots):
+    """Slots for all; an item that has one looks at its route again."""
+
+    def __init__(self, broken: breakrig.Break) -> None:
+        super().__init__()
+        self.broken = broken
+        self.granted: set[str] = set()
+
+    async def acquire(self, service, want, on_revoke=None):
+        item = "-".join(want.id.split(".")[:2])
+        if item == MARKED:
+            self.broken.revoke = on_revoke
+        await self.broken.meet("acquire", item)
+        held = await super().acquire(service, want, on_revoke)
+        self.granted.add(item)
+        return held
+
+    def release(self, held, outcome):
+        super().release(held, outcome)
+        item = "-".join(held.want.id.split(".")[:2])
+        self.broken.now("release", item)
+
+
+class RigRoutes(routemap.RouteMap):
+    """Routes; the look after a grant is a step of its own."""
+
+    def __init__(self, broken: breakrig.Break, slots: RigSlots) -> None:
+        super().__init__([ROUTE])
+        self.broken = broken
+        self.slots = slots
+
+    def find(self, host_name, target):
+        item = target.rpartition("/")[2]
+        granted = item in self.slots.granted
+        self.slots.granted.discard(item)
+        self.broken.now("still_leads" if granted else "route", item)
+        return super().find(host_name, target)
+
+
+class RigPace(itemfate.Pace):
+    """Learns how long items take, unless that breaks."""
+
+    def __init__(self, broken: breakrig.Break) -> None:
+        super().__init__()
+        self.broken = broken
+
+    def learn(self, events):
+        self.broken.now("learn")
+        super().learn(events)
+
+    def ran(self, events, seconds):
+        self.broken.now("ran")
+        super().ran(events, seconds)
+
+    def started(self, made, seconds):
+        self.broken.now("started")
+        super().started(made, seconds)
+
+    def left_s(self, events):
+        self.broken.now("left_s")
+        return super().left_s(events)
+
+
+def work_parts(broken: breakrig.Break) -> itemwork.WorkParts:
+    """Return the parts that items are run with."""
+    slots = RigSlots(broken)
+    inforce = hostkit.InForce([ROUTE])
+    inforce.routes = RigRoutes(broken, slots)
+    return itemwork.WorkParts(
+        clocks.SystemClock(),
+        hostkit.Parties(RigEngine(broken)),
+        inforce,
+        slots,
+        RigPace(broken),
+    )
+
+
+def part_of(job: str, count: int) -> jobbook.JobPart:
+    """Return a job taken now."""
+    items = tuple(
+        jobbook.Item(f"{job}-{n}", f"/p/{job}-{n}", (), b"body", 10)
+        for n in range(count)
+    )
+    now = clocks.SystemClock().wall()
+    return jobbook.JobPart(job, "h", "/p/", now, count, 0, items)
+
+
+class House:
+    """Owners of partition 0, one after the other, as a group deals it."""
+
+    def __init__(
+        self, broken: breakrig.Break, held: breakrig.RigLedger
+    ) -> None:
+        self.broken = broken
+        self.ledger = held
+        self.epoch = 0
+        broken.hand_on = self.hand_on
+        self.deal()
+
+    def deal(self) -> None:
+        """Let the next owner take the partition over."""
+        self.epoch += 1
+        self.owner = jobowner.JobOwner(
+            work_parts(self.broken),
+            self.ledger,
+            0,
+            self.epoch,
+            120.0,
+            lambda: self.broken.now("on_change"),
+            self.on_lost,
+        )
+        self.owner.start()
+
+    def on_lost(self, owner: jobowner.JobOwner) -> None:
+        """Deal the partition anew a while after its owner has lost it."""
+        asyncio.get_running_loop().call_later(DEAL_S, self.deal)
+
+    def hand_on(self, count: int) -> None:
+        """Let the owner hear how far the one before got."""
+        text = tuple(b"d%d" % n for n in range(1, count + 1))
+        found = itemwork.Progress(0, str(count), text)
+        self.owner.take_progress("j1", found)
+
+    def change(self) -> None:
+        """Let the partition change hands now."""
+        self.owner.stop()
+        self.deal()
+
+    async def submit(self, part: jobbook.JobPart) -> bool:
+        """Send a job until it is accepted, as callers do, or in vain."""
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + BOUND_S
+        while loop.time() < end_at:
+            if self.owner.ready.is_set():
+                with contextlib.suppress(errors.LogError):
+                    await self.owner.submit(part)
+                    return True
+            await asyncio.sleep(0.01)
+        return False
+
+    async def results(self, job: str) -> list[jobbook.Result]:
+        """Read all that is listed of a job by the present owner."""
+        return await results(self.owner, job)
+
+
+async def results(owner: jobowner.JobOwner, job: str) -> list[jobbook.Result]:
+    """Read all that is listed of a job, page by page."""
+    found: list[jobbook.Result] = []
+    while page := await owner.page(job, len(found), 0.0):
+        if not page[1]:
+            break
+        found += page[1]
+    return found
+
+
+async def unlisted(house: House, counts: dict[str, int]) -> list[str]:
+    """Return what is wrong with the lists of some accepted jobs."""
+    wrong = []
+    kept = await ledgers.MemoryLedger.newest(house.ledger, JOBS, 0)
+    ended = {r.key[2:] for r in kept.records if r.key.startswith("e/")}
+    for job, count in counts.items():
+        if job in ended:
+            continue
+        found = await house.results(job)
+        places = [result.item for result in found]
+        wrong += [f"{job}-{n}" for n in range(count) if n not in places]
+        wrong += [
+            f"{job}-{result.item} is {result.state.value} {result.text!r}"
+            for result in found
+            if result.text != TEXT
+        ]
+        if len(set(places)) < len(places):
+            wrong.append(f"{job} lists {places}")
+    return wrong
+
+
+def symptom(owner: jobowner.JobOwner) -> str:
+    """Return where an owner stands, for a cell that fails."""
+    writer = owner.writer.task
+    return (
+        f"epoch {owner.epoch} ready={owner.ready.is_set()} lost={owner.lost}"
+        f" running={sorted(owner.running)} ending={dict(owner.ending)}"
+        f" writer={'ended' if writer and writer.done() else 'goes on'}"
+    )
+
+
+async def check(house: House, counts: dict[str, int]) -> None:
+    """Check that all is listed in time, here and by the next owner."""
+    loop = asyncio.get_running_loop()
+    end_at = loop.time() + BOUND_S
+    while (wrong := await unlisted(house, counts)) and loop.time() < end_at:
+        await asyncio.sleep(0.1)
+    assert not wrong, f"{wrong}; {symptom(house.owner)}"
+    house.owner.stop()
+    house.deal()
+    await asyncio.wait_for(house.owner.ready.wait(), BOUND_S)
+    wrong = await unlisted(house, counts)
+    assert not wrong, f"the next owner lists: {wrong}"
+    await house.owner.close()
