Take whatever breaks a link for the link's own error

Cause: where a peer ends its side of a link while bytes still wait here, the library under it lets out an AttributeError of the event loop's. It was no error that those who ask expect, so it passed through the question for a slot and ended the work that the question was for: a batch item was forgotten by its owner, and lay. Change: sending turns any error from below into the end of the link, as a ConnectionError, the link is dropped, and who asks gets a MessageError, as for each other break. Conclusion: this closes the way that was seen.

--- a/camphortray/links.py
+++ b/camphortray/links.py
@@ -97,7 +97,7 @@
                 await self.send(messages.Envelope(number, False, message))
                 reply = await answer
         except LINK_ERRORS as error:
-            if isinstance(error, TimeoutError):
+            if isinstance(error, TimeoutError | ConnectionError):
                 # A link may have gone silent for good while new ones
                 # work; the next question must not use it again.
                 self.drop()
@@ -154,11 +154,24 @@
             LOG.debug("Silent link to {}: {}", self.address, error)
 
     async def send(self, envelope: messages.Envelope) -> None:
-        """Send over the open link, or over a new one."""
+        """Send over the open link, or over a new one.
+
+        Raises:
+          One of ``LINK_ERRORS``: the link is of no use.
+        """
         data = messages.encode(envelope)
-        socket = await self.open()
-        self.peers.traffic.sent(len(data) + traffics.MASK_BYTES)
-        await socket.send(data)
+        try:
+            socket = await self.open()
+            self.peers.traffic.sent(len(data) + traffics.MASK_BYTES)
+            await socket.send(data)
+        except LINK_ERRORS:
+            raise
+        except Exception as error:
+            # Whatever goes wrong below is the link's end and nothing else:
+            # ``websockets`` lets out AttributeError where the peer has ended
+            # its side while bytes wait here. Not caught by those who ask, it
+            # ended the work that the question was for.
+            raise ConnectionError(f"link broke: {error!r}") from error
 
     async def open(self) -> ws_connection.Connection:
         """Return the socket, opened if need be."""
@@ -211,7 +224,7 @@
         """Close without waiting."""
         socket, self.socket = self.socket, None
         if socket is not None:
-            socket.transport.abort()
+            abort(socket)
         self.fail_waiting()
         if self.reader is not None:
             self.reader.cancel()
@@ -221,3 +234,12 @@
         if self.sender is not None:
             self.sender.cancel()
         self.drop()
+
+
+def abort(socket: ws_connection.Connection) -> None:
+    """Close a connection at once."""
+    try:
+        socket.transport.abort()
+    except AttributeError as error:
+        # The transport has closed itself meanwhile, its peer having ended.
+        LOG.debug("Already closed: {!r}", error)
