Run what the book of jobs says is open, however an item's task ended

Cause: an owner remembered from event to event which items were to be run. An item whose task ended by an error that no code expects, or by a cancellation from elsewhere, was in none of its lists any more, and lay for as long as the partition stayed there. Kin of the same class, each found by reading and shown by a test: a writer or a takeover whose task an error ended; a refused result whose position left a gap, behind which nothing was listed; the end of a job whose caller went, or which was refused while results waited; a partition left unconfirmed and taken again in the same epoch, whose first appends the store takes for repeats and does not keep; a wait that never ends. Change: OpenItems asks the book, whenever a task ends and once a second, which items are open, and runs those that are neither queued nor run. An item without a sign of getting on beyond what its waits may take is taken from its task. A result gets its position as it is appended. The end of a job follows from what became of its record, not from the call's wait. An owner whose writer fails gives up; takeovers are begun again; an epoch is never owned twice by a host, which leaves the group to be dealt anew instead, and silence of the store gives up nothing where the group has not changed. Ids of wants tell the epoch, so that the word on an earlier owner's item is not taken for this one's. The test on the deadline fails without its change (seen).

--- a/camphortray/eventstream.py
+++ b/camphortray/eventstream.py
@@ -44,8 +44,15 @@
 
 
 def events_of(raw: bytes) -> list[Event]:
-    """Return the events in whole bytes of a stream."""
-    return [parse(part) for part in raw.split(EVENT_END) if part.strip()]
+    r"""Return the events in whole bytes of a stream.
+
+    What has neither an id nor data is a comment, or no event at all.
+
+    >>> events_of(b": still there\n\nid: 1\ndata: a\n\n")
+    [Event(id='1', data=b'a')]
+    """
+    events = [parse(part) for part in raw.split(EVENT_END)]
+    return [event for event in events if event.id or event.data]
 
 
 class Framing(abc.ABC):
@@ -79,12 +86,15 @@
     Attributes:
       last: Id of the last whole event, over all engines.
       count: Whole events.
+      doubted: Whether an event out of order has come after a single one,
+        so that either may be the wrong one.
     """
 
     def __init__(self) -> None:
         self.tail = b""
         self.last = ""
         self.count = 0
+        self.doubted = False
 
     def feed(self, data: bytes) -> bytes:
         data = self.tail + data
@@ -108,6 +118,7 @@
         last = self.last
         for event in events:
             if event.id and last and not follows(last, event.id):
+                self.doubted = self.count <= 1
                 raise broken(f"event {event.id!r} after {last!r}")
             last = event.id or last
         self.last = last
--- a/camphortray/handover.py
+++ b/camphortray/handover.py
@@ -59,7 +59,7 @@
 
     def leave(self, owner: jobowner.JobOwner) -> None:
         """Note what is under way before an owner stops."""
-        jobs = owner.progress()
+        jobs = owner.items.progress()
         if jobs:
             now = self.clock.monotonic()
             self.behind[owner.part] = Behind(now, jobs)
@@ -99,7 +99,7 @@
         if owner is None:
             return
         for found in word.items:
-            owner.take_progress(word.job, found)
+            owner.items.take_progress(word.job, found)
 
 
 def groups(
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -15,6 +15,7 @@
 from camphortray import itemwatch
 from camphortray import jobbook
 from camphortray import logs
+from camphortray import metrics as metrics_module
 from camphortray import outer
 from camphortray import placing
 from camphortray import routemap
@@ -37,6 +38,14 @@
 # Seconds beyond the keeping time after which an item is given up: clocks
 # of hosts differ, and too early would be wrong.
 KEEP_SLACK_S = 4.0
+# Seconds before the end of its time from which a run that breaks off may have
+# been ended by its engine for that; the way there and the clocks' pace.
+DEADLINE_SLACK_S = 0.25
+# Seconds beyond the longest time that a wait may take, after which the item
+# is taken from whoever waits. A run without an event ends itself after
+# FIRST_SILENT_S and the time for a connection, a wait for a slot after
+# REASK_S, so that this much more is no doubt left.
+STUCK_S = 4.0
 
 
 class Revoked(Exception):
@@ -52,6 +61,9 @@
     inforce: inforce.InForce
     placing: placing.Placing
     pace: itemfate.Pace
+    metrics: metrics_module.Metrics = dataclasses.field(
+        default_factory=metrics_module.Metrics
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,12 +91,20 @@
       reader: Cuts and checks the stream, over all engines.
       first_at: When the first event of the present run came, monotonic.
       last_at: When the last one did.
+      held: Slot of the present run.
     """
 
-    def __init__(self, parts: WorkParts, job: jobbook.Job, place: int) -> None:
+    def __init__(
+        self,
+        parts: WorkParts,
+        job: jobbook.Job,
+        place: int,
+        epoch: int = 0,
+    ) -> None:
         self.parts = parts
         self.job = job
         self.place = place
+        self.epoch = epoch
         item = job.items[place]
         assert item is not None
         self.item = item
@@ -94,6 +114,7 @@
         self.text: list[bytes] = []
         self.number = 0
         self.run_task: asyncio.Task[None] | None = None
+        self.held: placing.Placement | None = None
         self.first_at = self.last_at = 0.0
 
     async def run(self) -> jobbook.Result:
@@ -130,6 +151,43 @@
         """Take note of what the item waits for now."""
         self.stage, self.stage_at = stage, self.parts.clock.monotonic()
 
+    @property
+    def sign_at(self) -> float:
+        """When there was last a sign that the item gets on, monotonic."""
+        if self.stage is Stage.PAUSE:
+            return max(self.stage_at, self.tries.not_before)
+        return max(self.stage_at, self.last_at)
+
+    def overdue(self, now: float) -> bool:
+        """Return whether a wait has taken longer than it ever may.
+
+        An item may wait for a route, and a result for the store, for as
+        long as they are away.
+        """
+        longest_s = {
+            Stage.PAUSE: STUCK_S,
+            Stage.SLOT: REASK_S + STUCK_S,
+            Stage.RUN: FIRST_SILENT_S + STUCK_S,
+        }.get(self.stage)
+        return longest_s is not None and now - self.sign_at > longest_s
+
+    def begin_anew(self, pause_s: float) -> None:
+        """Forget what has come, and run from the beginning after a pause.
+
+        Whatever ended the run by an error that no code expects may lie in
+        what had come of the item, and would end the next one too.
+        """
+        self.reader = eventstream.EventReader()
+        self.text = []
+        self.tries.not_before = self.parts.clock.monotonic() + pause_s
+
+    def drop(self) -> None:
+        """Stop the run and give its slot back, whatever holds it."""
+        self.revoke()
+        if self.held is not None:
+            outcome = enginehealth.Outcome.NOTHING
+            self.parts.placing.release(self.held, outcome)
+
     async def route(self) -> routemap.Route | None:
         """Return the item's route, or None once it has been taken away.
 
@@ -170,6 +228,22 @@
             self.age_s() > route.keep_s + KEEP_SLACK_S
         )
 
+    def left_s(self, route: routemap.Route) -> float | None:
+        """Return the seconds that an engine gets for a run; None for any."""
+        if not route.keep_s:
+            return None
+        return max(1.0, route.keep_s + KEEP_SLACK_S - self.age_s())
+
+    def time_over(self, route: routemap.Route) -> bool:
+        """Return whether an engine has ended a run as its time was over.
+
+        That says nothing of the engine. Held against it, the items of an
+        old job put one engine after the other aside while others waited.
+        """
+        return bool(route.keep_s) and (
+            self.age_s() > route.keep_s + KEEP_SLACK_S - DEADLINE_SLACK_S
+        )
+
     def abandoned(self, why: str) -> jobbook.Result:
         """Return the result of an item that is given up."""
         LOG.info(
@@ -190,7 +264,9 @@
         due_s = (route.due_s or route.timeout_s) - self.age_s()
         avoid = {self.tries.avoid} - {""}
         want = slotbook.Want(
-            f"{self.job.id}.{self.place}.{self.number}",
+            # With the epoch: the owner before has asked for the same item,
+            # and what is still under way about that is not about this.
+            f"{self.job.id}.{self.place}.{self.epoch}.{self.number}",
             parts.placing.own_name,
             False,
             route.priority,
@@ -239,6 +315,7 @@
             self.stream(route, held.upstream)
         )
         self.run_task = task
+        self.held = held
         try:
             await asyncio.wait({task})
             if task.cancelled():
@@ -267,12 +344,13 @@
                 self.place, jobbook.State.DONE, b"\n".join(self.text)
             )
         except errors.UpstreamError as error:
-            outcome = enginehealth.outcome_of(error)
+            if not self.time_over(route):
+                outcome = enginehealth.outcome_of(error)
             brought = self.reader.count - count
             return self.failed(route, held, error, brought)
         finally:
             task.cancel()
-            self.run_task = None
+            self.run_task = self.held = None
             self.parts.placing.release(held, outcome)
             brought = self.reader.count - count
             self.parts.pace.ran(brought, self.last_at - self.first_at)
@@ -319,10 +397,12 @@
           UpstreamError: it is not whole.
         """
         party = self.parts.outer.engine(upstream.plugin)
+        if self.reader.doubted or not self.reader.last:
+            # Nothing to go on from: an engine begins at the first event,
+            # and what came before would stand twice.
+            self.reader, self.text = eventstream.EventReader(), []
         self.reader.restart()
-        left_s = None
-        if route.keep_s:
-            left_s = max(1.0, route.keep_s + KEEP_SLACK_S - self.age_s())
+        left_s = self.left_s(route)
         request = engine.EngineRequest(
             self.item.id,
             self.item.target,
--- a/camphortray/jobbook.py
+++ b/camphortray/jobbook.py
@@ -19,6 +19,7 @@
     "State",
     "accept_records",
     "end_record",
+    "next_result",
     "result_record",
 ]
 
@@ -223,6 +224,32 @@
     return ledgers.LedgerRecord(f"r/{job}/{position:06d}", value)
 
 
+def next_result(
+    job: Job, before: Iterable[ledgers.LedgerRecord], result: Result
+) -> tuple[ledgers.LedgerRecord, ...]:
+    """Return the record of a result, at the next position of its job.
+
+    Nothing is to be kept of an item that has a result already, as where it
+    ran again after the end of its job was refused.
+
+    Args:
+      job: With all results that are kept.
+      before: Records that are appended before it and not kept yet.
+      result: Of an item of the job.
+    """
+    prefix = f"r/{job.id}/"
+    ahead = [
+        held.item
+        for record in before
+        if record.key.startswith(prefix)
+        for held in RESULTS.decode(record.value)
+    ]
+    if result.item in job.listed or result.item in ahead:
+        return ()
+    position = len(job.results) + len(ahead)
+    return (result_record(job.id, position, (result,)),)
+
+
 def end_record(job: str) -> ledgers.LedgerRecord:
     """Return the record that ends a job."""
     return ledgers.LedgerRecord(f"e/{job}", b"1")
@@ -286,6 +313,8 @@
                 part.taken_at,
                 [None] * part.total,
             )
+        if not 0 <= part.first <= len(job.items) - len(part.items):
+            raise ValueError("items beyond the end of their job")
         for place, item in enumerate(part.items, part.first):
             job.items[place] = item
 
@@ -302,6 +331,18 @@
                 break
         job.ended = job.ended or name in self.ends
 
+    def drop_gaps(self) -> list[str]:
+        """Forget results that stand behind a gap; return of which jobs.
+
+        Their items are open and run again, and the positions up to there
+        are given anew. Left in wait, they would come to stand on their own
+        as soon as the gap is closed, at positions that others have been
+        given meanwhile.
+        """
+        names = [name for name, early in self.early.items() if early]
+        self.early.clear()
+        return names
+
     def forget_key(self, name: str, key: str) -> None:
         """Take note that a key was dropped; the job goes with its first."""
         held = self.keys.get(name)
--- a/camphortray/jobowner.py
+++ b/camphortray/jobowner.py
@@ -5,17 +5,15 @@
 import asyncio
 import collections
 from collections.abc import Callable
-from collections.abc import Iterator
 import contextlib
-import dataclasses
 import traceback
 
 from camphortray import errors
-from camphortray import itemwatch
 from camphortray import itemwork
 from camphortray import jobbook
 from camphortray import ledger as ledgers
 from camphortray import logs
+from camphortray import openitems
 from camphortray import partwriter
 from camphortray import tasks
 
@@ -27,12 +25,22 @@
 WRITE_S = 2.5
 # Time for a result, which waits for as long as the store is away.
 RESULT_S = 3600.0
-# Items of one partition that run or wait for a slot at once; the others
-# wait here, the oldest jobs first.
-MAX_RUNNING = 400
+# What a record adds to the text of its result, in bytes, about.
+RESULT_OVERHEAD = 128
+# Time for the tasks of items to end, in seconds; they only close connections.
+CLOSE_S = 2.0
 # Most bytes of results in one page.
 PAGE_BYTES = 500_000
 FORGET_EVERY_S = 5.0
+# Seconds from one look at what the open items wait for to the next.
+LOOK_EVERY_S = 1.0
+# Longest time for one call to the store during a takeover, in seconds. The
+# store's client has limits of its own, well below; this one sees to it that
+# no takeover waits for ever, whatever comes between.
+CALL_S = 5.0
+# Takeovers in a row that may find a record unreadable before it is left out:
+# it may have been spoilt on its way.
+MOST_UNREADABLE = 5
 
 
 class JobOwner:
@@ -79,12 +87,9 @@
         self.ready = asyncio.Event()
         self.begun_at = parts.clock.monotonic()
         self.lost = False
-        self.waiting: collections.deque[tuple[str, int]] = collections.deque()
-        self.running: dict[tuple[str, int], asyncio.Task[None]] = {}
-        self.works: dict[tuple[str, int], itemwork.ItemWork] = {}
-        self.early: dict[tuple[str, int], itemwork.Progress] = {}
-        self.positions: dict[str, int] = {}
+        self.unreadable = 0
         self.ending: collections.Counter[str] = collections.Counter()
+        self.items = openitems.OpenItems(parts, epoch, self.keep, self.ending)
         self.submits: dict[str, asyncio.Task[None]] = {}
         self.news: dict[str, asyncio.Event] = {}
         self.task: asyncio.Task[None] | None = None
@@ -93,29 +98,37 @@
 
     def start(self) -> None:
         """Begin to take the partition over."""
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        work = tasks.forever(f"owner of partition {self.part}", self.run)
+        self.task = asyncio.get_running_loop().create_task(work)
 
     async def run(self) -> None:
         """Take over, then forget old jobs now and then."""
-        while not await self.take_over():
+        while not self.ready.is_set() and not await self.take_over():
             await asyncio.sleep(PAUSE_S)
+        forget_at = self.parts.clock.monotonic() + FORGET_EVERY_S
         while not self.lost:
-            await asyncio.sleep(FORGET_EVERY_S)
-            await self.forget_old()
+            await asyncio.sleep(LOOK_EVERY_S)
+            self.items.look()
+            if self.parts.clock.monotonic() >= forget_at:
+                forget_at += FORGET_EVERY_S
+                await self.forget_old()
 
     async def take_over(self) -> bool:
         """End older epochs, read all, and begin; return if that is done."""
         try:
-            await self.ledger.set_epoch(TOPIC, self.part, self.epoch)
-            page = await self.ledger.newest(TOPIC, self.part)
+            async with asyncio.timeout(CALL_S):
+                await self.ledger.set_epoch(TOPIC, self.part, self.epoch)
+            async with asyncio.timeout(CALL_S):
+                page = await self.ledger.newest(TOPIC, self.part)
             self.book = jobbook.JobBook()
-            self.load(page.records)
+            unreadable = self.load(page.records)
             # No other can have added anything since the epoch was set,
             # but the pages of a listing are no snapshot.
             end = page.end
             while True:
-                more = await self.ledger.read(TOPIC, self.part, end)
-                self.load(more.records)
+                async with asyncio.timeout(CALL_S):
+                    more = await self.ledger.read(TOPIC, self.part, end)
+                unreadable += self.load(more.records)
                 end += len(more.records)
                 if end >= more.end:
                     break
@@ -124,19 +137,25 @@
             return True
         except errors.LogTruncated:
             return False
-        except errors.LogError as error:
-            LOG.info("Partition {} not taken over yet: {}", self.part, error)
+        except (errors.LogError, TimeoutError) as error:
+            LOG.info("Partition {} not taken over yet: {!r}", self.part, error)
+            return False
+        if unreadable and self.unreadable < MOST_UNREADABLE:
+            self.unreadable += 1
             return False
         self.begin()
         return True
 
-    def load(self, records: tuple[ledgers.LedgerRecord, ...]) -> None:
-        """Take records; one that cannot be read is left out and told."""
+    def load(self, records: tuple[ledgers.LedgerRecord, ...]) -> int:
+        """Take records; return how many cannot be read and are left out."""
+        unreadable = 0
         for record in records:
             try:
                 self.book.apply(record)
             except errors.RecordError as error:
+                unreadable += 1
                 LOG.error("Record left out: {}", error)
+        return unreadable
 
     def begin(self) -> None:
         """Serve calls and run what is open."""
@@ -148,11 +167,12 @@
             len(self.book.jobs),
             sum(len(job.open_items) for job in jobs),
         )
+        for name in self.book.drop_gaps():
+            LOG.warning("Job {} has a gap in its results.", name)
         self.writer.start()
         self.ready.set()
-        for job in sorted(jobs, key=lambda held: held.taken_at):
-            self.start_job(job)
-        self.on_change()
+        self.items.begin(self.book.jobs)
+        self.changed()
 
     def on_fenced(self) -> None:
         """Stop: another owner has taken over."""
@@ -161,149 +181,54 @@
             self.on_lost(self)
             self.stop()
 
-    def stop(self) -> None:
-        """Stop all work at once; the next owner does the rest."""
+    def stop(self) -> list[asyncio.Task[None]]:
+        """Stop all work at once; the next owner does the rest.
+
+        Returns:
+          Tasks of items that are ending.
+        """
         self.lost = True
+        ending = self.items.close()
         self.writer.stop()
-        self.waiting.clear()
-        for task in list(self.running.values()):
-            task.cancel()
         for task in list(self.submits.values()):
             task.cancel()
         for event in self.news.values():
             event.set()
         if self.task is not None and self.task is not asyncio.current_task():
             self.task.cancel()
+        return ending
 
     async def close(self) -> None:
         """Stop and wait until everything has ended."""
-        running = list(self.running.values())
-        self.stop()
-        for task in running:
-            with contextlib.suppress(Exception):
-                await tasks.end(task)
+        ending = self.stop()
+        if ending:
+            await asyncio.wait(ending, timeout=CLOSE_S)
 
-    # Items.
+    # Results.
 
-    def start_job(self, job: jobbook.Job) -> None:
-        """Run the open items of a job, unless the partition is lost.
+    async def keep(self, job: jobbook.Job, result: jobbook.Result) -> None:
+        """Keep the result of an item.
 
-        A call that was waiting for the store when it was lost may still
-        come here; items begun then would run beside the next owner's.
+        Raises:
+          LogError: it is the next owner's to know.
+          RecordError: it is larger than a record may be.
         """
-        if self.lost:
-            return
-        self.positions.setdefault(job.id, len(job.results))
-        if not job.whole:
-            LOG.error("Job {} lacks items; they are not run.", job.id)
-        for place in job.open_items:
-            if job.items[place] is not None:
-                self.waiting.append((job.id, place))
-        self.run_more()
-
-    def run_more(self) -> None:
-        """Begin items while there is room."""
-        while (
-            not self.lost and self.waiting and len(self.running) < MAX_RUNNING
-        ):
-            name, place = self.waiting.popleft()
-            job = self.book.jobs.get(name)
-            if job is None or job.ended or name in self.ending:
-                continue
-            if (name, place) in self.running or place in job.listed:
-                continue
-            task = asyncio.get_running_loop().create_task(
-                self.run_item(job, place)
-            )
-            self.running[name, place] = task
+        for record in jobbook.next_result(job, (), result):
+            self.writer.check_size(record)
 
-    async def run_item(self, job: jobbook.Job, place: int) -> None:
-        """Run one item and keep its result."""
-        try:
-            work = itemwork.ItemWork(self.parts, job, place)
-            self.works[job.id, place] = work
-            known = self.early.pop((job.id, place), None)
-            if known is not None:
-                work.go_on_from(known)
-            result = await work.run()
-            if job.ended or job.id in self.ending:
+        def make(before: partwriter.Records) -> partwriter.Records:
+            return jobbook.next_result(job, before, result)
+
+        size = len(result.text) + RESULT_OVERHEAD
+        while True:
+            write = self.writer.put(make, size, RESULT_S)
+            try:
+                await self.writer.outcome(write, RESULT_S)
                 return
-            position = self.positions[job.id]
-            self.positions[job.id] = position + 1
-            record = jobbook.result_record(job.id, position, (result,))
-            work.enter(itemwatch.Stage.WRITE)
-            await self.writer.write((record,), RESULT_S)
-        except errors.LogError as error:
-            LOG.info("Result of {} is the next owner's: {}", job.id, error)
-        except Exception as error:
-            LOG.error(
-                "Item {} of {} ended by an error: {}",
-                place,
-                job.id,
-                "".join(traceback.format_exception(error)),
-            )
-        finally:
-            self.running.pop((job.id, place), None)
-            self.works.pop((job.id, place), None)
-            self.run_more()
-
-    def stages(self) -> Iterator[itemwatch.StageAt]:
-        """Yield what each open item waits for."""
-        queued = set(self.waiting)
-        wall = self.parts.clock.wall()
-        for job in self.book.jobs.values():
-            for place in job.open_items:
-                item, work = job.items[place], self.works.get((job.id, place))
-                found = itemwatch.StageAt(
-                    job.id,
-                    item.id if item is not None else "",
-                    itemwatch.Stage.LEFT,
-                    age_s=round(wall - job.taken_at, 1),
-                )
-                if work is not None:
-                    found = dataclasses.replace(
-                        found,
-                        stage=work.stage,
-                        since=work.stage_at,
-                        run=work.number,
-                    )
-                elif job.id in self.ending:
-                    found = dataclasses.replace(
-                        found, stage=itemwatch.Stage.ENDING
-                    )
-                elif (job.id, place) in queued or (
-                    (job.id, place) in self.running
-                ):
-                    found = dataclasses.replace(
-                        found, stage=itemwatch.Stage.QUEUED
-                    )
-                yield found
-
-    def progress(self) -> dict[str, list[itemwork.Progress]]:
-        """Return what has come of the items under way, by job."""
-        found: dict[str, list[itemwork.Progress]] = {}
-        for (name, _), work in self.works.items():
-            held = work.progress
-            if held is not None and name not in self.ending:
-                found.setdefault(name, []).append(held)
-        return found
-
-    def take_progress(self, name: str, found: itemwork.Progress) -> None:
-        """Go on with an item from where the owner before has got."""
-        job = self.book.jobs.get(name)
-        if self.lost or job is None or found.place in job.listed:
-            return
-        work = self.works.get((name, found.place))
-        if work is not None:
-            work.go_on_from(found)
-        else:
-            self.early[name, found.place] = found
-
-    def stop_job(self, name: str) -> None:
-        """Stop the items of a job."""
-        for (job, _), task in list(self.running.items()):
-            if job == name:
-                task.cancel()
+            except errors.LogRefused as error:
+                if self.lost:
+                    raise
+                LOG.warning("Result of {} not kept yet: {}", job.id, error)
 
     # Records.
 
@@ -316,15 +241,30 @@
             if job is not None and job.ended:
                 # Items may have begun anew meanwhile, as an earlier call
                 # to end it was refused while this one still waited.
-                self.stop_job(name)
-            elif job is not None and name not in self.positions:
+                self.items.stop_job(name)
+            elif job is not None:
                 # Also where whoever sent it has been told that it is not
                 # known what became of it.
-                self.start_job(job)
+                self.items.take_up(job)
             event = self.news.pop(name, None)
             if event is not None:
                 event.set()
-        self.on_change()
+        self.changed()
+
+    def changed(self) -> None:
+        """Tell of a change.
+
+        What goes wrong with whoever is told does not end the writer, by
+        which this is called, nor the takeover.
+        """
+        try:
+            self.on_change()
+        except (Exception, asyncio.CancelledError) as error:
+            LOG.error(
+                "Change of partition {} not told: {}",
+                self.part,
+                "".join(traceback.format_exception(error)),
+            )
 
     async def forget_old(self) -> None:
         """Drop the keys of jobs whose keeping time is over."""
@@ -339,7 +279,6 @@
             except errors.LogError as error:
                 LOG.info("Job {} not forgotten yet: {}", name, error)
                 return
-            self.positions.pop(name, None)
 
     # Calls.
 
@@ -413,17 +352,27 @@
         if job is None or job.ended:
             return
         self.ending[name] += 1
-        self.stop_job(name)
-        try:
-            await self.writer.write((jobbook.end_record(name),), WRITE_S)
-        except errors.LogRefused:
-            # Nobody was told that it has ended, so it goes on, unless
-            # another call to end it still waits.
-            self.ending[name] -= 1
-            if not self.ending[name]:
-                del self.ending[name]
-                self.start_job(job)
-            raise
+        self.items.stop_job(name)
+        record = jobbook.end_record(name)
+        write = self.writer.put(lambda before: (record,), 0, WRITE_S)
+        # Its caller may have gone, or been told that nothing is known, when
+        # it turns out that the job goes on.
+        write.done.add_done_callback(lambda _: self.end_known(name))
+        await self.writer.outcome(write, WRITE_S)
+
+    def end_known(self, name: str) -> None:
+        """Go on with a job whose end was refused.
+
+        Nobody was told that it has ended; another call to end it may still
+        wait.
+        """
+        self.ending[name] -= 1
+        if self.ending[name]:
+            return
+        del self.ending[name]
+        job = self.book.jobs.get(name)
+        if job is not None:
+            self.items.take_up(job)
 
     async def confirm(self) -> None:
         """Make sure that no other has taken over; errors as ``append``."""
--- a/camphortray/jobowners.py
+++ b/camphortray/jobowners.py
@@ -17,6 +17,7 @@
 from camphortray import membership
 from camphortray import outer
 from camphortray import placing
+from camphortray import tasks
 
 LOG = logs.logger("jobs")
 OWNER = "job-owner"
@@ -34,6 +35,9 @@
 # takes some tenths of a second at most, all together less than an ended
 # job's items may still reach engines.
 CONFIRM_TRIES = 4
+# Least seconds from one time that this host leaves the group, to be dealt its
+# partitions in a later generation, to the next.
+ANEW_EVERY_S = 5.0
 
 
 class JobOwners:
@@ -45,6 +49,8 @@
       waiting: Tokens that wait, over all hosts.
       handover: What is left to the next owners, and by the last ones.
       generation: Of the group, as last heard.
+      begun: Epochs in which partitions have been owned here, by number.
+      anew_at: When this host last left the group to be dealt anew.
       touched_at: When the store last took this host for a member.
     """
 
@@ -60,6 +66,7 @@
             context.part(inforce.InForce),
             context.part(placing.Placing),
             itemfate.Pace(),
+            context.metrics,
         )
         self.member = f"{context.config.host.name}.{context.incarnation}"
         self.generation = 0
@@ -68,6 +75,8 @@
         self.waiting = jobwaiting.JobWaiting(context, self.held)
         self.handover = handover.Handover(context, self.held)
         self.touched_at = -KEEP_S
+        self.begun: dict[int, int] = {}
+        self.anew_at = -ANEW_EVERY_S
         self.draining = False
         self.left: set[tuple[str, str]] = set()
         self.task: asyncio.Task[None] | None = None
@@ -79,8 +88,12 @@
         self.waiting.start()
         self.handover.start()
         loop = asyncio.get_running_loop()
-        self.task = loop.create_task(self.keep_membership())
-        self.look_task = loop.create_task(self.look_on())
+        self.task = loop.create_task(
+            tasks.forever("membership of owners", self.keep_membership)
+        )
+        self.look_task = loop.create_task(
+            tasks.forever("look at open items", self.look_on)
+        )
 
     async def look_on(self) -> None:
         """Show what open items wait for, for ever."""
@@ -105,7 +118,7 @@
                     now - owner.begun_at,
                 )
         found = itemwatch.Look(
-            item for owner in ready for item in owner.stages()
+            item for owner in ready for item in owner.items.stages()
         )
         metrics = self.context.metrics
         for stage in itemwatch.Stage:
@@ -148,42 +161,82 @@
             LOG.debug("Not joined: {}", error)
             return
         gap = begun_at - self.touched_at > KEEP_S
-        jumped = found.generation > self.generation + 1
+        before, self.generation = (
+            self.generation,
+            max(self.generation, found.generation),
+        )
         self.touched_at = begun_at
-        self.generation = max(self.generation, found.generation)
-        if gap or jumped:
-            await self.confirm_all()
+        if gap or found.generation > before + 1:
+            await self.confirm_all(found.generation > before)
         if self.draining:
             return
         for part in set(self.held) - found.parts:
             LOG.notice("Partition {} is dealt to another.", part)
             self.give_up(self.held.pop(part))
-        for part in found.parts - set(self.held):
+        dealt = found.parts - set(self.held)
+        again = {
+            part
+            for part in dealt
+            if self.begun.get(part, 0) >= found.generation
+        }
+        for part in dealt - again:
             self.take(part, found.generation)
+        if again:
+            await self.join_anew(again)
+
+    async def join_anew(self, again: set[int]) -> None:
+        """Leave the group, so that it deals in a later generation.
+
+        A partition that was given up here and is still dealt to this host
+        cannot be owned again in the same epoch: the store knows the appends
+        of an epoch by number. It would take the first ones of a new owner
+        for repeats of the old one's, say that they are kept, and keep
+        nothing of them.
+        """
+        now = self.clock.monotonic()
+        if now - self.anew_at < ANEW_EVERY_S:
+            return
+        self.anew_at = now
+        LOG.notice(
+            "Leaves the group to own partitions {} in a later epoch.",
+            sorted(again),
+        )
+        for owner in list(self.held.values()):
+            self.give_up(owner)
+        self.held.clear()
+        try:
+            await self.ledger.leave(self.member)
+        except errors.LogError as error:
+            LOG.info("Could not leave the group: {}", error)
 
     def give_up(self, owner: jobowner.JobOwner) -> None:
         """Stop owning a partition; the next owner gets what is under way."""
         self.handover.leave(owner)
         owner.stop()
 
-    async def confirm_all(self) -> None:
+    async def confirm_all(self, changed: bool) -> None:
         """Keep only partitions that no other has owned meanwhile.
 
         The group may have gone on without this host, or dealt all anew
         twice: what is its own again may have had another owner, whose
         jobs and ends it has not read. A host that stood still does not
         see the gap on its own clock, but in the group's generation.
+
+        Args:
+          changed: Whether the generation has grown meanwhile. If not, all
+            is still dealt as it was, and silence of the store says nothing.
         """
         for part, owner in list(self.held.items()):
             if not owner.ready.is_set() or owner.lost:
                 continue
-            if not await self.confirmed(owner):
+            known = await self.confirmed(owner)
+            if known is False or (known is None and changed):
                 self.give_up(owner)
                 if self.held.get(part) is owner:
                     del self.held[part]
 
-    async def confirmed(self, owner: jobowner.JobOwner) -> bool:
-        """Return whether the store confirms an owner's epoch in time.
+    async def confirmed(self, owner: jobowner.JobOwner) -> bool | None:
+        """Return whether the store confirms an owner's epoch; None if silent.
 
         Its answers may be lost; given up after the first, all items under
         way would begin anew at each lost answer.
@@ -197,8 +250,8 @@
                 LOG.info("Partition {} not confirmed: {}", owner.part, error)
             else:
                 return True
-        LOG.notice("Partition {} is left: not confirmed.", owner.part)
-        return False
+        LOG.notice("Partition {} could not be confirmed.", owner.part)
+        return None
 
     def take(self, part: int, epoch: int) -> None:
         """Take a partition over."""
@@ -229,6 +282,7 @@
         owner = self.held.get(part)
         if owner is None or not owner.ready.is_set():
             return
+        self.begun[part] = owner.epoch
         if self.known.get(part) != (owner.epoch, self.members.own_name):
             key = f"{part}/{self.members.own_name}"
             self.members.publish(OWNER, key, owner.epoch, FACT_KEEP_S)
--- a/camphortray/partwriter.py
+++ b/camphortray/partwriter.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
+import traceback
 
 from camphortray import attempt
 from camphortray import clock as clocks
 from camphortray import errors
 from camphortray import ledger as ledgers
 from camphortray import logs
+from camphortray import tasks
 
 LOG = logs.logger("ledger")
 # Pause after an append that the store refused or did not answer, in
@@ -25,21 +27,35 @@
 ANSWER_TIMES = 10.0
 LEAST_ANSWER_S = 0.1
 MOST_ANSWER_S = 1.0
+# Time beyond that, in seconds, after which a call is held for unanswered that
+# has not ended itself.
+CALL_SLACK_S = 1.0
 # Weight of a new measurement in the running mean of answers' times.
 LEARN = 0.3
 
 Records = Sequence[ledgers.LedgerRecord]
+# Makes the records of a write, given those that stand before them in the
+# same append.
+Maker = Callable[[Records], Records]
 
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Write:
     """Records that are appended together.
 
+    They are made as late as that, so that a record which tells its place
+    among others tells the place where it will stand: one numbered before a
+    refusal would leave a gap for good.
+
     Attributes:
+      make: Makes the records.
+      size: Bytes of the records, about.
       give_up_at: When its caller waits no longer.
+      done: Set once it is known what became of it, also where its caller
+        has long been told that it is not.
     """
 
-    records: Records
+    make: Maker
     size: int
     give_up_at: float
     done: "asyncio.Future[None]"
@@ -104,36 +120,86 @@
         Raises:
           LogRefused: they certainly are not, and will not be.
           LogUnavailable: they may be, now or later.
+          RecordError: one is larger than the store takes.
+        """
+        for record in records:
+            self.check_size(record)
+        size = sum(len(r.key) + len(r.value) + 8 for r in records)
+        write = self.put(lambda before: records, size, timeout_s)
+        await self.outcome(write, timeout_s)
+
+    def check_size(self, record: ledgers.LedgerRecord) -> None:
+        """Make sure that the store can take a record at all.
+
+        It refuses one that is too large each time, and whatever waits
+        behind it would never be kept.
+
+        Raises:
+          RecordError: it cannot.
+        """
+        size = 1 + len(record.key.encode()) + len(record.value)
+        if size > self.ledger.record_bytes:
+            raise errors.RecordError(
+                f"{record.key}: {size} bytes are more than a record may have",
+                step="append",
+                peer="ledger",
+            )
+
+    def put(self, make: Maker, size: int, timeout_s: float) -> Write:
+        """Let a write wait for its append.
+
+        Args:
+          make: Makes its records.
+          size: Their bytes, about.
+          timeout_s: Time after which it need not be kept any more.
         """
-        if self.closed:
-            raise refused("the partition has another owner")
         now = self.clock.monotonic()
         done = asyncio.get_running_loop().create_future()
-        size = sum(len(r.key) + len(r.value) + 8 for r in records)
-        write = Write(records, size, now + timeout_s, done)
+        write = Write(make, size, now + timeout_s, done)
+        if self.closed:
+            settle(write, refused("the partition has another owner"))
+            return write
         self.waiting.append(write)
         self.work.set()
+        return write
+
+    async def outcome(self, write: Write, timeout_s: float) -> None:
+        """Wait for what becomes of a write; errors as ``write``."""
         # Behind the time at which a refused write is told to give up.
         slack_s = 2 * MAX_PAUSE_S
         try:
             async with asyncio.timeout(timeout_s + slack_s):
-                await asyncio.shield(done)
+                await asyncio.shield(write.done)
         except TimeoutError:
             if write in self.waiting:
                 # It has not been part of any call yet.
                 self.waiting.remove(write)
-                raise refused("no answer of the store in time") from None
+                error = refused("no answer of the store in time")
+                settle(write, error)
+                raise error from None
             raise unknown("no answer of the store in time") from None
 
     async def run(self) -> None:
         """Append what waits, for ever."""
-        while True:
-            while not self.waiting:
-                self.work.clear()
-                await self.work.wait()
-            self.taken = self.take()
-            if not await self.append(self.taken):
-                return
+        try:
+            going_on = True
+            while going_on:
+                while not self.waiting:
+                    self.work.clear()
+                    await self.work.wait()
+                self.taken = self.take()
+                going_on = await self.append(self.taken)
+        except (Exception, asyncio.CancelledError) as error:
+            if tasks.cancelled():
+                raise
+            # Without its writer an owner keeps nothing, and waits for ever.
+            LOG.error(
+                "Writer of partition {} ended by an error: {}",
+                self.part,
+                "".join(traceback.format_exception(error)),
+            )
+            self.stop()
+            self.on_fenced()
 
     def take(self) -> list[Write]:
         """Take what fits into one call."""
@@ -155,15 +221,19 @@
         tried = attempt.Attempt()
         pause_s = PAUSE_S
         wait_s = self.answer_s * ANSWER_TIMES
+        records: list[ledgers.LedgerRecord] = []
         while True:
-            records = [r for write in taken for r in write.records]
+            if not tried.maybe_taken:
+                records = made(taken)
+                if not records:
+                    settle_all(taken)
+                    return True
             wait_s = min(max(wait_s, LEAST_ANSWER_S), MOST_ANSWER_S)
             error = await self.call(records, wait_s)
             if error is None:
                 self.sequence += 1
                 self.on_written(records)
-                for write in taken:
-                    settle(write, None)
+                settle_all(taken)
                 return True
             if isinstance(error, errors.LogFenced):
                 self.fenced(taken, tried)
@@ -186,11 +256,17 @@
         fence = ledgers.Fence(self.epoch, self.sequence)
         begun_at = self.clock.monotonic()
         try:
-            await self.ledger.append(
-                self.topic, self.part, records, fence, wait_s
-            )
+            async with asyncio.timeout(wait_s + CALL_SLACK_S):
+                await self.ledger.append(
+                    self.topic, self.part, records, fence, wait_s
+                )
         except errors.LogError as error:
             return error
+        except (Exception, asyncio.CancelledError) as error:
+            if tasks.cancelled():
+                raise
+            # Whether the store has it is not known; it is asked again.
+            return unknown(f"no answer: {error!r}")
         took_s = self.clock.monotonic() - begun_at
         self.answer_s += LEARN * (took_s - self.answer_s)
         return None
@@ -218,6 +294,20 @@
             settle(write, refused(why))
 
 
+def made(taken: list[Write]) -> list[ledgers.LedgerRecord]:
+    """Return the records of some writes, in order."""
+    records: list[ledgers.LedgerRecord] = []
+    for write in taken:
+        records += write.make(records)
+    return records
+
+
+def settle_all(taken: list[Write]) -> None:
+    """Tell the callers of some writes that their records are kept."""
+    for write in taken:
+        settle(write, None)
+
+
 def settle(write: Write, error: errors.LogError | None) -> None:
     """Tell the caller of a write what became of it, if it still waits."""
     if write.done.done():
--- a/tests/grouprig.py
+++ b/tests/grouprig.py
@@ -12,6 +12,7 @@
 from camphortray import jobowners
 from camphortray import ledger as ledgers
 from camphortray import membership
+from camphortray import metrics
 from camphortray import outer
 from camphortray import peers
 from camphortray import placing
@@ -113,6 +114,7 @@
         }
         self.clock = clocks.SystemClock()
         self.incarnation = 1
+        self.metrics = metrics.Metrics()
         self.config = SimpleNamespace(
             host=SimpleNamespace(name=name),
             front=SimpleNamespace(item_keep_s=120.0),
--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -192,7 +192,7 @@
         """Let the owner hear how far the one before got."""
         text = tuple(b"d%d" % n for n in range(1, count + 1))
         found = itemwork.Progress(0, str(count), text)
-        self.owner.take_progress("j1", found)
+        self.owner.items.take_progress("j1", found)
 
     def change(self) -> None:
         """Let the partition change hands now."""
@@ -252,7 +252,7 @@
     writer = owner.writer.task
     return (
         f"epoch {owner.epoch} ready={owner.ready.is_set()} lost={owner.lost}"
-        f" running={sorted(owner.running)} ending={dict(owner.ending)}"
+        f" running={sorted(owner.items.running)} ending={dict(owner.ending)}"
         f" writer={'ended' if writer and writer.done() else 'goes on'}"
     )
 
--- a/tests/test_itemrig.py
+++ b/tests/test_itemrig.py
@@ -225,7 +225,12 @@
     TABLE,
     [
         *cells({"append e": [*UNEXPECTED, *STORE, HANG]}, END_TIMES),
-        *cells({"append e answer": [*UNEXPECTED, *STORE, HANG]}, END_TIMES),
+        # Not refused: a store that has kept an end and says twelve times
+        # that it did nothing breaks its promise, and the answer to the end
+        # with it. The store's refusal means that nothing was done.
+        *cells(
+            {"append e answer": [*UNEXPECTED, *STORE[1:], HANG]}, END_TIMES
+        ),
     ],
 )
 async def test_an_end_that_is_not_kept_leaves_no_item(
--- a/tests/test_itemwatch.py
+++ b/tests/test_itemwatch.py
@@ -16,7 +16,7 @@
 async def stages(owner):
     """Return how many items wait for what, a moment later."""
     await asyncio.sleep(0.01)
-    return dict(itemwatch.Look(owner.stages()).counts)
+    return dict(itemwatch.Look(owner.items.stages()).counts)
 
 
 async def hang(timeout_s):
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -6,6 +6,7 @@
 import pytest
 
 from camphortray import clock as clocks
+from camphortray import enginehealth
 from camphortray import errors
 from camphortray import itemwork
 from camphortray import jobbook
@@ -242,3 +243,29 @@
     assert (await task).text == text(3)
     work.go_on_from(itemwork.Progress(0, "2", (b"d1", b"d2")))
     assert work.progress == itemwork.Progress(0, "3", (b"d1", b"d2", b"d3"))
+
+
+@pytest.mark.parametrize(
+    ("age_s", "outcome"),
+    [
+        (63.9, enginehealth.Outcome.NOTHING),
+        (10.0, enginehealth.Outcome.BROKEN),
+    ],
+    ids=["its time is over", "in its time"],
+)
+async def test_a_run_ended_by_its_own_time_says_nothing_of_its_engine(
+    age_s, outcome
+):
+    # Callers saw items left lying while engines stood idle. Runs of an old
+    # job's items were ended by their engines as the time given to them was
+    # over; three of them in a row put an engine aside for seconds and let
+    # it have one request at a time after that, and so with each engine.
+    work = work_of(
+        [
+            hostkit.Answer([hostkit.event(1), hostkit.BROKEN]),
+            hostkit.Answer(hostkit.events(2, 3)),
+        ],
+        age_s=age_s,
+    )
+    await work.run()
+    assert work.parts.placing.ends[0] is outcome
--- a/tests/test_jobowner.py
+++ b/tests/test_jobowner.py
@@ -241,7 +241,7 @@
     await asyncio.sleep(0.1)
     wants = len(owner.parts.placing.wants)
     await asyncio.sleep(10.0)
-    assert not owner.running
+    assert not owner.items.running
     assert len(owner.parts.placing.wants) == wants
 
 
@@ -259,11 +259,11 @@
     second = asyncio.ensure_future(owner.end("j1"))
     with pytest.raises(errors.LogRefused):
         await first
-    assert not owner.running
+    assert not owner.items.running
     held.refuse = 0
     await second
     await asyncio.sleep(0.2)
-    assert not owner.running
+    assert not owner.items.running
 
 
 async def test_an_end_kept_while_items_run_stops_them():
@@ -272,7 +272,7 @@
     owner.parts.placing.refusals = 10**6
     await owner.submit(part_of(count=2))
     await asyncio.sleep(0.1)
-    assert owner.running
+    assert owner.items.running
     await owner.writer.write((jobbook.end_record("j1"),), 1.0)
     await asyncio.sleep(0.1)
-    assert not owner.running
+    assert not owner.items.running
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -37,6 +37,7 @@
     "intake",
     "itemfate",
     "itempolicy",
+    "itemwatch",
     "jobbook",
     "jobparams",
     "jobqueue",
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -204,8 +204,8 @@
         held = platform.store.held
         confirm_all, confirmed = desk.owners.confirm_all, asyncio.Event()
 
-        async def noted():
-            await confirm_all()
+        async def noted(changed):
+            await confirm_all(changed)
             confirmed.set()
 
         desk.owners.confirm_all = noted
@@ -326,7 +326,7 @@
             return [
                 work
                 for owner in desk.owners.held.values()
-                for work in owner.works.values()
+                for work in owner.items.works.values()
                 if work.progress is not None
             ]
 
--- a/tests/test_ways_out.py
+++ b/tests/test_ways_out.py
@@ -15,6 +15,7 @@
 from camphortray import jobowners
 from camphortray import ledger
 from camphortray import membership
+from camphortray import metrics
 from camphortray import outer
 from camphortray import peers
 from camphortray import placing
@@ -312,6 +313,7 @@
     context = types.SimpleNamespace(
         clock=clocks.SystemClock(),
         incarnation=1,
+        metrics=metrics.Metrics(),
         config=types.SimpleNamespace(
             host=types.SimpleNamespace(name="h"),
             front=types.SimpleNamespace(item_keep_s=120.0),
