Begin loops of a host again that an error has ended

Cause, of the same class as the items left lying: a loop that keeps the host a member, reads engines or configuration, reports slots or counts what waits ends for good with the first error that no code expects, and nothing tells. Change: they run under tasks.forever, which writes the trace and begins again after half a second.

--- a/camphortray/hostroll.py
+++ b/camphortray/hostroll.py
@@ -15,6 +15,7 @@
 from camphortray import membership
 from camphortray import outer
 from camphortray import peers
+from camphortray import tasks
 
 LOG = logs.logger("hosts")
 TOPIC = ledgers.Topic.HOSTS
@@ -52,7 +53,8 @@
         return cls(context)
 
     async def start(self) -> None:
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        work = tasks.forever("entry in the list of hosts", self.run)
+        self.task = asyncio.get_running_loop().create_task(work)
 
     async def run(self) -> None:
         """Write this host's entry, then clear up now and then."""
--- a/camphortray/inforce.py
+++ b/camphortray/inforce.py
@@ -25,6 +25,7 @@
 from camphortray import revisions
 from camphortray import routemap
 from camphortray import strays
+from camphortray import tasks
 
 LOG = logs.logger("inforce")
 # Longest wait of a read of the configuration, which is answered as soon as
@@ -118,12 +119,12 @@
     async def start(self) -> None:
         self.links.on(InForceAsk, self.answer)
         loop = asyncio.get_running_loop()
-        for work in (
-            self.follow_configuration(),
-            self.follow_engines(),
-            self.ask_peers(),
+        for name, work in (
+            ("reading of the configuration", self.follow_configuration),
+            ("reading of the engines", self.follow_engines),
+            ("questions to peers", self.ask_peers),
         ):
-            self.tasks.append(loop.create_task(work))
+            self.tasks.append(loop.create_task(tasks.forever(name, work)))
 
     async def stop(self) -> None:
         for task in self.tasks:
--- a/camphortray/jobwaiting.py
+++ b/camphortray/jobwaiting.py
@@ -16,6 +16,7 @@
 from camphortray import membership
 from camphortray import peers
 from camphortray import shards
+from camphortray import tasks
 
 LOG = logs.logger("jobs")
 WAITING = "job-waiting"
@@ -53,7 +54,8 @@
         """Begin to tell and to answer."""
         self.links.on(jobmessages.QuotaAsk, self.on_quota)
         self.members.on_fact(WAITING, self.on_waiting)
-        self.task = asyncio.get_running_loop().create_task(self.tell_counts())
+        work = tasks.forever("count of waiting tokens", self.tell_counts)
+        self.task = asyncio.get_running_loop().create_task(work)
 
     def stop(self) -> None:
         """Tell nothing more."""
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -24,6 +24,7 @@
 from camphortray import outer
 from camphortray import peers
 from camphortray import revisions
+from camphortray import tasks
 from camphortray import watch
 
 LOG = logs.logger("membership")
@@ -103,7 +104,8 @@
         self.node.known.change(now, peer_address=str(self.links.address))
         self.node.start(now)
         self.tree.listen(self.on_view)
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        work = tasks.forever("membership", self.run)
+        self.task = asyncio.get_running_loop().create_task(work)
 
     # What other parts use.
 
--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -31,6 +31,7 @@
 from camphortray import shards
 from camphortray import slotbook
 from camphortray import slotdesk
+from camphortray import tasks
 
 LOG = logs.logger("placing")
 PlaceAsk = placingcalls.PlaceAsk
@@ -128,7 +129,8 @@
         self.members.listen(self.on_member)
         self.inforce.listen_engines(self.desks.refit)
         self.inforce.peers_of = self.live_peers
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        work = tasks.forever("report of slots", self.run)
+        self.task = asyncio.get_running_loop().create_task(work)
 
     async def stop(self) -> None:
         if self.task is not None:
