--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -1,6 +1,6 @@
 """One connection to a server, on h11, serving one request at a time."""
 
-__all__ = ["Body", "ClientConnection", "Headers", "Sink"]
+__all__ = ["Body", "ClientConnection", "Headers", "Sink", "request_of"]
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -215,12 +215,13 @@
             follows; 0 sends all at once.
 
         Raises:
-          UpstreamBroken: ``ran`` False, the head was not acknowledged.
+          UpstreamBroken: ``ran`` False, the head was not acknowledged, or
+            no server takes such a head.
         """
         self.uses += 1
         self.head = None
         self.complete = False
-        head = h11.Request(method=method, target=target, headers=list(headers))
+        head = self.head_of(method, target, headers)
         if isinstance(body, bytes) and not prove_s:
             self.send(head, h11.Data(data=body), h11.EndOfMessage())
             return
@@ -238,6 +239,17 @@
         if not self.lost and self.h11.our_state is h11.SEND_BODY:
             self.send(h11.EndOfMessage())
 
+    def head_of(
+        self, method: str, target: str, headers: Headers
+    ) -> h11.Request:
+        """Return the head of a request; errors as ``send_request``."""
+        try:
+            return request_of(method, target, headers)
+        except ValueError as error:
+            raise errors.UpstreamBroken(
+                str(error), ran=False, step="send", peer=self.peer
+            ) from error
+
     def send_in_two(self, head: h11.Request) -> None:
         """Send a head in two segments, so that it is acknowledged soon."""
         data = self.h11.send(head) or b""
@@ -290,6 +302,28 @@
             self.transport.abort()
 
 
+def request_of(method: str, target: str, headers: Headers) -> h11.Request:
+    """Return the head of a request.
+
+    Values are sent as the bytes that they were read from, one to a
+    character.
+
+    Raises:
+      ValueError: it cannot be sent; the message tells why.
+    """
+    try:
+        return h11.Request(
+            method=method,
+            target=target.encode("ascii"),
+            headers=[
+                (name.encode("ascii"), value.encode("latin1"))
+                for name, value in headers
+            ],
+        )
+    except h11.LocalProtocolError as error:
+        raise ValueError(str(error)) from error
+
+
 def framed(data: Any) -> int:
     """Return the size of data as one chunk with its framing.
 
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -325,7 +325,8 @@
                 step="connect",
                 peer=str(address),
             ) from error
-        except OSError as error:
+        except (OSError, OverflowError) as error:
+            # OverflowError: a port beyond the last one.
             raise errors.UpstreamBroken(
                 str(error), ran=False, step="connect", peer=str(address)
             ) from error
