--- a/tests/test_jobapi.py
+++ b/tests/test_jobapi.py
@@ -351,6 +351,46 @@
         assert len(epochs) == 2
 
 
+async def test_slots_taken_back_in_a_drain_cost_no_tokens(monkeypatch):
+    # Online work takes every slot back while a host is drained. What was
+    # begun there goes on there; the next owner could only begin anew.
+    monkeypatch.setattr(web, "SPREAD_S", 0.1)
+    few = {f"upstream.engine-{number}.slots": 12 for number in range(2)}
+    values = {"limit.silence_s": LONG_S, **few}
+    async with jobcluster.JobCluster(
+        hosts=2, speed=2.0, values=values
+    ) as cluster:
+        await hold_long(cluster, monkeypatch)
+        engines = cluster.engines.values()
+        early = sum(engine.model.tokens_made for engine in engines)
+        asked = [item(f"q {n}", tokens=100) for n in range(40)]
+        _, job = await cluster.submit("k", asked)
+        name = job["id"]
+        await cluster.until(
+            lambda: sum(e.model.tokens_made for e in engines) > early + 400
+        )
+        held = cluster.shards(cluster.owner(name))
+        cluster.stall(True)
+        drain = asyncio.ensure_future(
+            cluster.hosts[cluster.owner(name)].kernels["batch"].drain()
+        )
+        await cluster.until(lambda: held.draining)
+        part = held.dispatcher.slots
+        revoked = 0
+        for holding in part.holdings.holdings.values():
+            revoked += len(holding.used)
+            part.revoke(list(holding.used))
+        assert revoked == held.dispatcher.in_flight() > 4
+        cluster.stall(False)
+        await drain
+        told = await cluster.ended(name)
+        assert told["done"] == 40
+        await cluster.lines(name)
+        assert cluster.history.finish(cluster.sent()) == []
+        made = sum(engine.model.tokens_made for engine in engines) - early
+        assert made < 40 * 100 + revoked * 4
+
+
 async def test_an_outage_of_the_log_holds_results_back(monkeypatch):
     # The log is down while a job runs. Items go on, their results are
     # held until it is back; a new job is refused as not run at once. A
