Let items begun on a draining host go on there

An item whose slot is taken back while its host drains is run on there, from the tokens it has, within batch.drain_s; nothing else is begun. Before, the drain saw nothing in flight, gave the shard up, and the next owner made all tokens anew.

--- a/camphortray/dispatch.py
+++ b/camphortray/dispatch.py
@@ -198,6 +198,19 @@
         self.last_end = now
         return True
 
+    def drain(self) -> None:
+        """Begin no further item; what was begun here goes on."""
+        self.queue.only_begun = True
+
+    def closing(self) -> bool:
+        """Return whether results are better written at once."""
+        return self.queue.only_begun or self.paused()
+
+    def unfinished(self) -> bool:
+        """Return whether an item that was begun here is not at its end."""
+        begun = any(job.begun() for job in self.queue.jobs.values())
+        return begun or self.in_flight() > 0
+
     def in_flight(self) -> int:
         """Return how many items are on upstreams."""
         return sum(self.isolation.busy.values())
--- a/camphortray/jobqueue.py
+++ b/camphortray/jobqueue.py
@@ -50,6 +50,11 @@
         default_factory=collector.Collector
     )
 
+    @property
+    def begun(self) -> bool:
+        """Whether this host alone can go on where the item stopped."""
+        return self.kept.resumable and bool(self.kept.text)
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class QueuedJob:
@@ -98,6 +103,15 @@
         """Number of items held here."""
         return self.ready + len(self.later) + len(self.suspects)
 
+    @property
+    def available(self) -> int:
+        """Number of items that need not wait."""
+        return self.ready + len(self.suspects)
+
+    def begun(self) -> list[Item]:
+        """Return the items that go on where they stopped and need not wait."""
+        return [i for group in self.groups.values() for i in group if i.begun]
+
     def slack(self, now: float, pace_s: float) -> float:
         """Return the time to spare if each item takes ``pace_s``."""
         if self.due is None:
@@ -112,6 +126,10 @@
     items: the one that has used least for its weight goes first. Jobs
     short of time go before, the least slack first. Within a job, items
     with the same prefix follow each other to the same upstream.
+
+    Attributes:
+      only_begun: Whether only items go on that were begun here, as this
+        host is about to leave.
     """
 
     def __init__(self) -> None:
@@ -119,6 +137,7 @@
         self.used: dict[tuple[str, str], float] = {}
         self.turn = 0
         self.pushed = 0
+        self.only_begun = False
 
     def add_job(self, job: QueuedJob) -> None:
         """Take a job in; it starts level with the one served least."""
@@ -165,7 +184,7 @@
     def ready(self, service: str) -> int:
         """Return how many items of a service could run now."""
         return sum(
-            job.ready + len(job.suspects)
+            len(job.begun()) if self.only_begun else job.available
             for job in self.jobs.values()
             if job.service == service
         )
@@ -184,7 +203,7 @@
         ready = [
             job
             for job in self.jobs.values()
-            if job.service == service and (job.ready or job.suspects)
+            if job.service == service and job.available
         ]
         for job in self.order(ready, now, pace_s):
             item = self.take(job, upstream, now)
@@ -221,15 +240,15 @@
 
     def take(self, job: QueuedJob, upstream: str, now: float) -> Item | None:
         """Take an item of a job for an upstream."""
-        if job.suspects:
-            item = job.suspects[0]
-            if not avoids(item, upstream, now):
+        if job.suspects and not self.only_begun:
+            if not avoids(job.suspects[0], upstream, now):
                 return job.suspects.popleft()
         for prefix in self.prefixes(job, upstream):
             group = job.groups[prefix]
-            if avoids(group[0], upstream, now):
+            item = self.first(group)
+            if item is None or avoids(item, upstream, now):
                 continue
-            item = group.popleft()
+            group.remove(item)
             job.ready -= 1
             job.current[upstream] = prefix
             job.taken[prefix] = upstream
@@ -238,6 +257,13 @@
             return item
         return None
 
+    def first(self, group: "collections.deque[Item]") -> Item | None:
+        """Return the item of a group whose turn it is, if any may run."""
+        for item in group:
+            if item.begun or not self.only_begun:
+                return item
+        return None
+
     def prefixes(self, job: QueuedJob, upstream: str) -> Iterator[int]:
         """Yield the prefixes of a job, the best for an upstream first.
 
--- a/camphortray/shardset.py
+++ b/camphortray/shardset.py
@@ -130,9 +130,7 @@
         the work would have to be done again, and memory would not do.
         """
         held = sum(run.outbox.held_bytes for run in self.runs.values())
-        return self.draining or (
-            held >= self.context.config.batch.memory_mb * MEGABYTE
-        )
+        return held >= self.context.config.batch.memory_mb * MEGABYTE
 
     def interval_s(self) -> float:
         """Return the time over which results are grouped.
@@ -202,10 +200,11 @@
     async def drain(self) -> None:
         """End the items under way, keep their results, give shards up."""
         self.draining = True
+        self.dispatcher.drain()
         limit_s = self.context.config.batch.drain_s
         try:
             async with asyncio.timeout(limit_s):
-                while self.dispatcher.in_flight():
+                while self.dispatcher.unfinished():
                     await asyncio.sleep(DRAIN_LOOK_S)
         except TimeoutError:
             LOG.warning("Items still run after {} s.", limit_s)
