Leave the group only when the same partitions are dealt twice

Cause: an answer of the group may be older than the loss of a partition that it lists; this host then left the group, and gave up all its others, for one that it does not get the next time it asks (by reading; not seen). Change: it leaves when two answers in a row deal it what it must not own again in that generation. Ran: the tests of ways out, of jobs on the platform and of the group, all pass.

--- a/camphortray/jobowners.py
+++ b/camphortray/jobowners.py
@@ -50,6 +50,8 @@
       handover: What is left to the next owners, and by the last ones.
       generation: Of the group, as last heard.
       begun: Epochs in which partitions have been owned here, by number.
+      again: Partitions dealt to this host by the last answer that it must
+        not own again in that generation.
       anew_at: When this host last left the group to be dealt anew.
       touched_at: When the store last took this host for a member.
     """
@@ -76,6 +78,7 @@
         self.handover = handover.Handover(context, self.held)
         self.touched_at = -KEEP_S
         self.begun: dict[int, int] = {}
+        self.again: set[int] = set()
         self.anew_at = -ANEW_EVERY_S
         self.draining = False
         self.left: set[tuple[str, str]] = set()
@@ -181,8 +184,11 @@
         }
         for part in dealt - again:
             self.take(part, found.generation)
-        if again:
-            await self.join_anew(again)
+        # Twice in a row: what was lost between the store's answer and now is
+        # not dealt to this host any more when it asks again.
+        still, self.again = again & self.again, again
+        if still:
+            await self.join_anew(still)
 
     async def join_anew(self, again: set[int]) -> None:
         """Leave the group, so that it deals in a later generation.
