--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -246,7 +246,7 @@
         try:
             return request_of(method, target, headers)
         except ValueError as error:
-            raise errors.UpstreamBroken(
+            raise errors.UpstreamUnsendable(
                 str(error), ran=False, step="send", peer=self.peer
             ) from error
 
--- a/camphortray/enginehealth.py
+++ b/camphortray/enginehealth.py
@@ -116,6 +116,8 @@
 
 def outcome_of(error: errors.UpstreamError) -> Outcome:
     """Return what a failed try says of its engine."""
+    if isinstance(error, errors.UpstreamUnsendable):
+        return Outcome.NOTHING
     if isinstance(error, errors.UpstreamRefused):
         return Outcome.GOOD if error.ran else Outcome.FULL
     return Outcome.BROKEN if error.ran else Outcome.UNREACHED
--- a/camphortray/errors.py
+++ b/camphortray/errors.py
@@ -20,6 +20,7 @@
     "UpstreamError",
     "UpstreamRefused",
     "UpstreamTimeout",
+    "UpstreamUnsendable",
 ]
 
 import dataclasses
@@ -187,6 +188,10 @@
         self.ran = ran
 
 
+class UpstreamUnsendable(UpstreamBroken):
+    """A request has a head that cannot be sent; no upstream is to blame."""
+
+
 class UpstreamTimeout(UpstreamBroken):
     """The upstream stayed silent past its time limit."""
 
--- a/camphortray/eventstream.py
+++ b/camphortray/eventstream.py
@@ -117,6 +117,9 @@
         """
         last = self.last
         for event in events:
+            if not event.id.isprintable() or not event.id.isascii():
+                # It would be sent back as a header, to go on behind it.
+                raise broken(f"event with id {event.id!r}")
             if event.id and last and not follows(last, event.id):
                 self.doubted = self.count <= 1
                 raise broken(f"event {event.id!r} after {last!r}")
--- a/camphortray/httpserver.py
+++ b/camphortray/httpserver.py
@@ -14,6 +14,7 @@
 import asyncio
 import dataclasses
 import ssl
+import traceback
 from typing import Any
 from typing import cast
 
@@ -245,7 +246,10 @@
             response.abort()
             raise
         except Exception as error:
-            LOG.error("Handler failed: {!r}", error)
+            LOG.error(
+                "Handler failed: {}",
+                "".join(traceback.format_exception(error)),
+            )
             # What had happened by then is not known, so neither is ran.
             self.conclude(
                 response,
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -85,6 +85,7 @@
     """One item of a job, as its owner runs it.
 
     Attributes:
+      life: Unique among all that have run this item.
       stage: What it waits for.
       stage_at: Since when, monotonic.
       text: Data of the events so far.
@@ -99,12 +100,12 @@
         parts: WorkParts,
         job: jobbook.Job,
         place: int,
-        epoch: int = 0,
+        life: str = "",
     ) -> None:
         self.parts = parts
         self.job = job
         self.place = place
-        self.epoch = epoch
+        self.life = life
         item = job.items[place]
         assert item is not None
         self.item = item
@@ -264,9 +265,10 @@
         due_s = (route.due_s or route.timeout_s) - self.age_s()
         avoid = {self.tries.avoid} - {""}
         want = slotbook.Want(
-            # With the epoch: the owner before has asked for the same item,
-            # and what is still under way about that is not about this.
-            f"{self.job.id}.{self.place}.{self.epoch}.{self.number}",
+            # With the life: an owner before, or this one before an end that
+            # was refused, has asked for the same item, and what is still
+            # under way about that is not about this.
+            f"{self.job.id}.{self.place}.{self.life}.{self.number}",
             parts.placing.own_name,
             False,
             route.priority,
--- a/camphortray/jobbook.py
+++ b/camphortray/jobbook.py
@@ -21,6 +21,7 @@
     "end_record",
     "next_result",
     "result_record",
+    "split_key",
 ]
 
 from collections.abc import Iterable
@@ -250,6 +251,19 @@
     return (result_record(job.id, position, (result,)),)
 
 
+def split_key(key: str) -> tuple[str, str, str]:
+    """Return kind, job and number of a key; the id may have slashes.
+
+    >>> split_key("r/a/b/000001"), split_key("e/a/b")
+    (('r', 'a/b', '000001'), ('e', 'a/b', ''))
+    """
+    kind, _, rest = key.partition("/")
+    if kind == "e":
+        return kind, rest, ""
+    job, _, number = rest.rpartition("/")
+    return kind, job, number
+
+
 def end_record(job: str) -> ledgers.LedgerRecord:
     """Return the record that ends a job."""
     return ledgers.LedgerRecord(f"e/{job}", b"1")
@@ -280,8 +294,7 @@
         Raises:
           RecordError: it cannot be read.
         """
-        kind, _, rest = record.key.partition("/")
-        job, _, number = rest.partition("/")
+        kind, job, number = split_key(record.key)
         if not record.value:
             self.forget_key(job, record.key)
             return
--- a/camphortray/jobowner.py
+++ b/camphortray/jobowner.py
@@ -34,10 +34,10 @@
 FORGET_EVERY_S = 5.0
 # Seconds from one look at what the open items wait for to the next.
 LOOK_EVERY_S = 1.0
-# Longest time for one call to the store during a takeover, in seconds. The
-# store's client has limits of its own, well below; this one sees to it that
-# no takeover waits for ever, whatever comes between.
-CALL_S = 5.0
+# Longest time for one call to the store during a takeover, or for one page of
+# a listing, in seconds. Each call has a limit of its own, well below; this one
+# sees to it that no takeover waits for ever, whatever comes between.
+CALL_S = 3.0
 # Takeovers in a row that may find a record unreadable before it is left out:
 # it may have been spoilt on its way.
 MOST_UNREADABLE = 5
@@ -115,11 +115,16 @@
 
     async def take_over(self) -> bool:
         """End older epochs, read all, and begin; return if that is done."""
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CALL_S):
                 await self.ledger.set_epoch(TOPIC, self.part, self.epoch)
-            async with asyncio.timeout(CALL_S):
-                page = await self.ledger.newest(TOPIC, self.part)
+            async with asyncio.timeout(CALL_S) as limit:
+                page = await self.ledger.newest(
+                    TOPIC,
+                    self.part,
+                    lambda: limit.reschedule(loop.time() + CALL_S),
+                )
             self.book = jobbook.JobBook()
             unreadable = self.load(page.records)
             # No other can have added anything since the epoch was set,
@@ -178,8 +183,10 @@
         """Stop: another owner has taken over."""
         if not self.lost:
             LOG.notice("Lost partition {} to another owner.", self.part)
-            self.on_lost(self)
-            self.stop()
+            try:
+                self.on_lost(self)
+            finally:
+                self.stop()
 
     def stop(self) -> list[asyncio.Task[None]]:
         """Stop all work at once; the next owner does the rest.
@@ -226,7 +233,7 @@
                 await self.writer.outcome(write, RESULT_S)
                 return
             except errors.LogRefused as error:
-                if self.lost:
+                if self.lost or self.writer.closed:
                     raise
                 LOG.warning("Result of {} not kept yet: {}", job.id, error)
 
@@ -236,7 +243,7 @@
         """Take records that are kept now."""
         for record in records:
             self.book.apply(record)
-        for name in {record.key.split("/")[1] for record in records}:
+        for name in {jobbook.split_key(record.key)[1] for record in records}:
             job = self.book.jobs.get(name)
             if job is not None and job.ended:
                 # Items may have begun anew meanwhile, as an earlier call
--- a/camphortray/jobowners.py
+++ b/camphortray/jobowners.py
@@ -322,8 +322,12 @@
             return
         self.draining = True
         for owner in list(self.held.values()):
-            self.handover.leave(owner)
-            await owner.close()
+            try:
+                self.handover.leave(owner)
+                await owner.close()
+            except Exception as error:
+                # The others must be given up all the same.
+                LOG.error("Partition {} not closed: {!r}", owner.part, error)
         self.held.clear()
         try:
             await self.ledger.leave(self.member)
--- a/camphortray/kernel.py
+++ b/camphortray/kernel.py
@@ -225,7 +225,11 @@
             task = asyncio.ensure_future(part.drain())
             while not (await asyncio.wait({task}, timeout=DRAIN_REPORT_S))[0]:
                 LOG.info("{} still drains.", part.name)
-            task.result()
+            if not task.cancelled() and task.exception() is not None:
+                # What stands behind it has requests of its own to end.
+                LOG.error(
+                    "{} failed to drain: {!r}", part.name, task.exception()
+                )
         LOG.notice("Drained.")
 
     async def stop(self) -> None:
--- a/camphortray/ledger.py
+++ b/camphortray/ledger.py
@@ -11,6 +11,7 @@
 __all__ = [
     "Assignment",
     "Fence",
+    "KEY_BYTES",
     "LEDGERS",
     "Ledger",
     "LedgerPage",
@@ -22,6 +23,7 @@
 import abc
 import asyncio
 import collections
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import enum
@@ -30,10 +32,19 @@
 from camphortray import errors
 from camphortray import registry
 
+# Most bytes of a key, whose length is told in one byte.
+KEY_BYTES = 255
 # Time for the answer to an append unless its caller names another.
 ANSWER_S = 1.0
 
 
+OnPage = Callable[[], None]
+
+
+def no_page() -> None:
+    """Take no note of a page."""
+
+
 class Topic(enum.Enum):
     """What is kept; the first two are written by others."""
 
@@ -117,12 +128,20 @@
         """Build from settings."""
 
     @abc.abstractmethod
-    async def newest(self, topic: Topic, part: int = 0) -> LedgerPage:
+    async def newest(
+        self, topic: Topic, part: int = 0, on_page: OnPage = no_page
+    ) -> LedgerPage:
         """Return the newest record of each key.
 
         It is no snapshot: reading on from ``end``, which was the end when
         the call began, brings what has changed since.
 
+        Args:
+          topic: What they belong to.
+          part: Partition.
+          on_page: Called as each page of a long listing has come, so that
+            whoever waits sees that it goes on.
+
         Raises:
           LogError: the store does not answer.
         """
@@ -258,7 +277,9 @@
         if self.down:
             raise errors.LogUnavailable("down", step=step, peer="memory")
 
-    async def newest(self, topic: Topic, part: int = 0) -> LedgerPage:
+    async def newest(
+        self, topic: Topic, part: int = 0, on_page: OnPage = no_page
+    ) -> LedgerPage:
         self.check_up("newest")
         held = self.held[topic, part]
         by_key = dict(held.kept)
--- a/camphortray/links.py
+++ b/camphortray/links.py
@@ -76,7 +76,8 @@
         self.socket: ws_connection.Connection | None = None
         self.waiting: dict[int, asyncio.Future[Any]] = {}
         self.number = 0
-        self.lock = asyncio.Lock()
+        self.opening: asyncio.Task[None] | None = None
+        self.closed = False
         self.reader: asyncio.Task[None] | None = None
         self.queue: asyncio.Queue[Any] = asyncio.Queue()
         self.heard_at = asyncio.get_running_loop().time()
@@ -92,15 +93,19 @@
         number = self.number
         answer = asyncio.get_running_loop().create_future()
         self.waiting[number] = answer
+        socket = None
         try:
             async with asyncio.timeout(timeout_s):
-                await self.send(messages.Envelope(number, False, message))
+                socket = await self.open()
+                await self.send(
+                    socket, messages.Envelope(number, False, message)
+                )
                 reply = await answer
         except LINK_ERRORS as error:
-            if isinstance(error, TimeoutError | ConnectionError):
+            if isinstance(error, TimeoutError):
                 # A link may have gone silent for good while new ones
                 # work; the next question must not use it again.
-                self.drop()
+                self.leave(socket)
             raise errors.MessageError(
                 str(error) or "no answer in time",
                 step="ask",
@@ -130,7 +135,10 @@
             message = self.queue.get_nowait()
             try:
                 async with asyncio.timeout(SEND_S):
-                    await self.send(messages.Envelope(0, False, message))
+                    socket = await self.open()
+                    await self.send(
+                        socket, messages.Envelope(0, False, message)
+                    )
             except LINK_ERRORS as error:
                 LOG.debug("Lost a message to {}: {}", self.address, error)
                 self.queue = asyncio.Queue()
@@ -153,16 +161,17 @@
         except errors.MessageError as error:
             LOG.debug("Silent link to {}: {}", self.address, error)
 
-    async def send(self, envelope: messages.Envelope) -> None:
-        """Send over the open link, or over a new one.
+    async def send(
+        self, socket: ws_connection.Connection, envelope: messages.Envelope
+    ) -> None:
+        """Send over a socket.
 
         Raises:
           One of ``LINK_ERRORS``: the link is of no use.
         """
         data = messages.encode(envelope)
+        self.peers.traffic.sent(len(data) + traffics.MASK_BYTES)
         try:
-            socket = await self.open()
-            self.peers.traffic.sent(len(data) + traffics.MASK_BYTES)
             await socket.send(data)
         except LINK_ERRORS:
             raise
@@ -171,17 +180,59 @@
             # ``websockets`` lets out AttributeError where the peer has ended
             # its side while bytes wait here. Not caught by those who ask, it
             # ended the work that the question was for.
+            self.leave(socket)
             raise ConnectionError(f"link broke: {error!r}") from error
 
+    def leave(self, socket: ws_connection.Connection | None) -> None:
+        """Drop a socket that is of no use.
+
+        Not one that has taken its place meanwhile, on which others wait for
+        their answers.
+        """
+        if socket is not None and self.socket is socket:
+            self.drop()
+
     async def open(self) -> ws_connection.Connection:
-        """Return the socket, opened if need be."""
-        async with self.lock:
-            if self.socket is None:
-                self.socket = await self.peers.connect(self.address)
-                self.reader = asyncio.get_running_loop().create_task(
-                    self.read(self.socket)
+        """Return the socket, opened if need be.
+
+        It is opened for all who ask meanwhile, and goes on being opened when
+        the first of them gives up: questions with less time than a slow link
+        takes to open would else begin to open it one after the other, and
+        none ever would.
+        """
+        while self.socket is None:
+            if self.opening is None:
+                self.opening = asyncio.get_running_loop().create_task(
+                    self.connect()
                 )
-            return self.socket
+                self.opening.add_done_callback(self.opened)
+            await asyncio.shield(self.opening)
+        return self.socket
+
+    async def connect(self) -> None:
+        """Open a socket and read what comes.
+
+        Raises:
+          One of ``LINK_ERRORS``: it cannot be opened.
+        """
+        try:
+            socket = await self.peers.connect(self.address)
+        except LINK_ERRORS:
+            raise
+        except Exception as error:
+            raise ConnectionError(f"no link: {error!r}") from error
+        if self.closed:
+            abort(socket)
+            raise ConnectionError("link is closed")
+        self.socket = socket
+        self.reader = asyncio.get_running_loop().create_task(self.read(socket))
+
+    def opened(self, task: "asyncio.Task[None]") -> None:
+        """Take note that a socket is open, or that it could not be."""
+        self.opening = None
+        if not task.cancelled():
+            # Whoever asked may have given up, and nobody else asks.
+            task.exception()
 
     async def read(self, socket: ws_connection.Connection) -> None:
         """Take answers until the link ends."""
@@ -231,6 +282,7 @@
 
     def close(self) -> None:
         """Close for good."""
+        self.closed = True
         if self.sender is not None:
             self.sender.cancel()
         self.drop()
--- a/camphortray/openitems.py
+++ b/camphortray/openitems.py
@@ -39,6 +39,8 @@
 # at once.
 ERROR_PAUSE_S = 0.2
 MOST_ERROR_PAUSE_S = 5.0
+# The same for an item whose result is larger than a record may be.
+RECORD_PAUSE_S = 30.0
 
 
 class OpenItems:
@@ -71,6 +73,7 @@
         self.works: dict[Key, itemwork.ItemWork] = {}
         self.early: dict[Key, itemwork.Progress] = {}
         self.stuck: dict[Key, float] = {}
+        self.lives = 0
         self.closed = False
 
     def begin(self, jobs: dict[str, jobbook.Job]) -> None:
@@ -145,7 +148,9 @@
         """Run one item until it is listed."""
         name, place = key
         job = self.jobs[name]
-        work = itemwork.ItemWork(self.parts, job, place, self.epoch)
+        self.lives += 1
+        life = f"{self.epoch}-{self.lives}"
+        work = itemwork.ItemWork(self.parts, job, place, life)
         self.works[key] = work
         known = self.early.pop(key, None)
         if known is not None:
@@ -165,10 +170,15 @@
                     raise
                 # Something that it waited for was cancelled, not the item.
                 self.failed(work, error)
+            except errors.RecordError as error:
+                # It will not be kept the next time either, but another
+                # engine may make less of it.
+                self.failed(work, error)
+                pause_s = RECORD_PAUSE_S
             except Exception as error:
                 self.failed(work, error)
             work.begin_anew(pause_s)
-            pause_s = min(2 * pause_s, MOST_ERROR_PAUSE_S)
+            pause_s = max(pause_s, min(2 * pause_s, MOST_ERROR_PAUSE_S))
 
     def failed(self, work: itemwork.ItemWork, error: BaseException) -> None:
         """Tell of an error that no code expects."""
@@ -254,10 +264,11 @@
             return
         for job in list(self.jobs.values()):
             for place in job.open_items:
-                if self.stage_of((job.id, place)) is Stage.LEFT:
+                key = job.id, place
+                if self.stage_of(key) is Stage.LEFT and self.is_open(key):
                     self.count("left")
                     LOG.error("Item {} of {} was left.", place, job.id)
-                    self.queued.setdefault((job.id, place))
+                    self.queued.setdefault(key)
         now = self.parts.clock.monotonic()
         # Twice in a row: after this host itself stood still for seconds,
         # all that came meanwhile is read only after this look.
--- a/camphortray/orderdriver.py
+++ b/camphortray/orderdriver.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from typing import ClassVar
 
 import msgspec
@@ -21,6 +22,7 @@
 from camphortray import rollout
 from camphortray import settings
 from camphortray import shards
+from camphortray import tasks
 from camphortray import tree
 
 LOG = logs.logger("orders")
@@ -104,7 +106,10 @@
             shard.journal.start()
             shard.owner.start()
             shard.compactor.start()
-            self.tasks.append(loop.create_task(self.run(shard)))
+            work = functools.partial(self.run, shard)
+            self.tasks.append(
+                loop.create_task(tasks.forever("driver of orders", work))
+            )
         self.tree.listen(self.on_view)
 
     def on_view(self, view: settings.View) -> None:
--- a/camphortray/outbox.py
+++ b/camphortray/outbox.py
@@ -78,7 +78,8 @@
 
     def start(self) -> None:
         """Begin to write."""
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        work = tasks.forever("writer of results", self.run)
+        self.task = asyncio.get_running_loop().create_task(work)
 
     async def stop(self) -> None:
         """Drop what is held; it is no longer this host's to write."""
--- a/camphortray/partwriter.py
+++ b/camphortray/partwriter.py
@@ -30,6 +30,8 @@
 # Time beyond that, in seconds, after which a call is held for unanswered that
 # has not ended itself.
 CALL_SLACK_S = 1.0
+# Errors in a row that no code expects after which a writer ends.
+MOST_ODD = 20
 # Weight of a new measurement in the running mean of answers' times.
 LEARN = 0.3
 
@@ -94,6 +96,7 @@
         self.on_written = on_written
         self.on_fenced = on_fenced
         self.sequence = 0
+        self.odd = 0
         self.answer_s = LEAST_ANSWER_S / ANSWER_TIMES
         self.waiting: list[Write] = []
         self.taken: list[Write] = []
@@ -137,10 +140,12 @@
         Raises:
           RecordError: it cannot.
         """
-        size = 1 + len(record.key.encode()) + len(record.value)
-        if size > self.ledger.record_bytes:
+        key_size = len(record.key.encode())
+        size = 1 + key_size + len(record.value)
+        if size > self.ledger.record_bytes or key_size > ledgers.KEY_BYTES:
             raise errors.RecordError(
-                f"{record.key}: {size} bytes are more than a record may have",
+                f"{record.key[:80]}: {size} bytes, {key_size} of them of the"
+                " key, are more than a record may have",
                 step="append",
                 peer="ledger",
             )
@@ -265,8 +270,13 @@
         except (Exception, asyncio.CancelledError) as error:
             if tasks.cancelled():
                 raise
-            # Whether the store has it is not known; it is asked again.
+            # Whether the store has it is not known; it is asked again, but
+            # not for ever, as an error that no code expects may be lasting.
+            self.odd += 1
+            if self.odd > MOST_ODD:
+                raise
             return unknown(f"no answer: {error!r}")
+        self.odd = 0
         took_s = self.clock.monotonic() - begun_at
         self.answer_s += LEARN * (took_s - self.answer_s)
         return None
--- a/camphortray/tasks.py
+++ b/camphortray/tasks.py
@@ -81,7 +81,8 @@
     def start(self) -> None:
         """Begin the work, unless it goes on already."""
         if self.task is None:
-            self.task = asyncio.get_running_loop().create_task(self.run())
+            work = forever(type(self).__name__, self.run)
+            self.task = asyncio.get_running_loop().create_task(work)
 
     async def stop(self) -> None:
         """End at once, as a crash would."""
--- a/tests/breakrig.py
+++ b/tests/breakrig.py
@@ -151,7 +151,7 @@
         await super().set_epoch(topic, part, epoch)
         await self.broken.meet("set_epoch answer", marked(part), 0.4)
 
-    async def newest(self, topic, part=0):
+    async def newest(self, topic, part=0, on_page=ledgers.no_page):
         await self.broken.meet("newest", marked(part), 0.6)
         return await super().newest(topic, part)
 
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 
 import pytest
 
@@ -117,3 +118,30 @@
     gate.set()
     await core.drain_task
     await core.stop()
+
+
+async def test_a_part_that_fails_to_drain_does_not_keep_others_from_it():
+    # Callers at the other parts would be cut off, and what those hold would
+    # not be given up, as the first one's drain raised.
+    drained = []
+
+    class Drains(kernel.Part):
+        """Notes that it drains, and fails if it is told to."""
+
+        def __init__(self, name, fails):
+            self.name = name
+            self.fails = fails
+
+        @classmethod
+        def from_config(cls, context):
+            raise NotImplementedError
+
+        async def drain(self):
+            drained.append(self.name)
+            if self.fails:
+                raise ValueError("odd")
+
+    core = kernel.Kernel(types.SimpleNamespace())
+    core.parts = [Drains("a", False), Drains("b", True), Drains("c", False)]
+    await core.drain()
+    assert drained == ["c", "b", "a"]
--- a/tests/test_ways_out.py
+++ b/tests/test_ways_out.py
@@ -142,7 +142,7 @@
     held = ledger.MemoryLedger()
     newest, odd = held.newest, [ValueError("odd")]
 
-    async def odd_newest(topic, part=0):
+    async def odd_newest(topic, part=0, on_page=ledger.no_page):
         if odd:
             raise odd.pop()
         return await newest(topic, part)
