Let a test of claims not depend on the pace of the machine

The file shortens the time for a claim to 0.5 s for all tests; a claim that takes longer is given up and its call refused as not run. With that time at 0.01 s the same assertion fails each time (2 of 12 run). The test is about who bundles claims: none is given up in it now, and it asks for the same twelve runs.

--- a/tests/test_callkeeper.py
+++ b/tests/test_callkeeper.py
@@ -289,9 +289,14 @@
     assert world.runs == {"k": 1}
 
 
-async def test_claims_go_by_the_first_host_and_directly_without_it(world):
+async def test_claims_go_by_the_first_host_and_directly_without_it(
+    world, monkeypatch
+):
     # Hosts hand claims to the host that bundles them; when that one is
     # gone but still listed, they append themselves under the same id.
+    # None is given up here, as it is beside load within the hurried time of
+    # the other tests; the call is then refused as not run, which it was not.
+    monkeypatch.setattr(callkeeper, "CLAIM_S", 60.0)
     world.introduce()
     bundlers = [world.keeper(n).courier.bundlers for n in (0, 1)]
     for mine in bundlers:
