Switch mechanisms off for an ablation, by a settings table

Change: a table [experiments], a key for each of eleven mechanisms, all on by default and checked as all settings are: an unknown key or a value that is not true or false is a fault that names it. Each acts at one place:

- slottable: prefix, zone, put_aside
- slotbook: hold_back, pressed, give_way, refuse_at_once, spread_return
- placing: kept_connections (no idle connection is kept to an engine)
- handover: handover
- inforce: peers_word

refuse_at_once off means that a question waits until its patience is over; spread_return off that all are told the middle of the spread.

--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -1,10 +1,12 @@
 """Settings of one host, read from a TOML file and checked."""
 
 __all__ = [
+    "ALL_ON",
     "Address",
     "BatchConfig",
     "Config",
     "EntryConfig",
+    "ExperimentsConfig",
     "FrontConfig",
     "HostConfig",
     "LedgerConfig",
@@ -233,6 +235,44 @@
     item_keep_s: Seconds = 120.0
 
 
+@dataclasses.dataclass(frozen=True)
+class ExperimentsConfig:
+    """Mechanisms that an ablation switches off; all are on by default.
+
+    For measuring what each is worth, on a copy; never for callers.
+
+    Attributes:
+      prefix: Requests that share a prefix meet at the same engine.
+      zone: Engines in the asker's availability zone come first.
+      hold_back: Items leave slots alone that a burst would take back.
+      pressed: Items are not held back so when they are short of time.
+      give_way: Items give their slots to questions.
+      refuse_at_once: A question whose turn would come too late is refused
+        before its patience is over.
+      put_aside: Engines get nothing for a while after they failed.
+      kept_connections: Requests leave on connections used before.
+      handover: What has come of items goes to the next owner.
+      peers_word: Peers are asked for what is in force while the ledger is
+        away.
+      spread_return: Refused questions are told different times to return.
+    """
+
+    prefix: bool = True
+    zone: bool = True
+    hold_back: bool = True
+    pressed: bool = True
+    give_way: bool = True
+    refuse_at_once: bool = True
+    put_aside: bool = True
+    kept_connections: bool = True
+    handover: bool = True
+    peers_word: bool = True
+    spread_return: bool = True
+
+
+ALL_ON = ExperimentsConfig()
+
+
 @dataclasses.dataclass(frozen=True)
 class Config:
     """All settings of one host.
@@ -241,6 +281,7 @@
       plugins: Modules to import, whose plug-ins register themselves.
       ledger: The platform's keyed store, for the program ``host``.
       front: Listeners of the program ``host``.
+      experiments: What an ablation switches off.
     """
 
     host: HostConfig
@@ -257,6 +298,9 @@
     plugins: tuple[str, ...] = ()
     ledger: LedgerConfig | None = None
     front: FrontConfig = dataclasses.field(default_factory=FrontConfig)
+    experiments: ExperimentsConfig = dataclasses.field(
+        default_factory=ExperimentsConfig
+    )
 
     @classmethod
     def from_toml(cls, text: str, file: str = "settings") -> "Config":
--- a/camphortray/handover.py
+++ b/camphortray/handover.py
@@ -51,6 +51,7 @@
         self.members = context.part(membership.Membership)
         self.links = context.part(peers.Peers)
         self.owners = owners
+        self.on = context.config.experiments.handover
         self.behind: dict[int, Behind] = {}
 
     def start(self) -> None:
@@ -60,7 +61,7 @@
     def leave(self, owner: jobowner.JobOwner) -> None:
         """Note what is under way before an owner stops."""
         jobs = owner.items.progress()
-        if jobs:
+        if jobs and self.on:
             now = self.clock.monotonic()
             self.behind[owner.part] = Behind(now, jobs)
 
--- a/camphortray/inforce.py
+++ b/camphortray/inforce.py
@@ -303,13 +303,17 @@
             not self.away,
         )
 
+    def to_ask(self) -> list[configs.Address]:
+        """Return the peers that may tell what is lacking here."""
+        if not self.away or not self.context.config.experiments.peers_word:
+            return []
+        return self.peers_of()
+
     async def ask_peers(self) -> None:
         """Ask peers for what is lacking while the ledger is away."""
         while True:
             await asyncio.sleep(ASK_EVERY_S)
-            if not self.away:
-                continue
-            addresses = self.peers_of()
+            addresses = self.to_ask()
             if not addresses:
                 continue
             address = self.context.rng.choice(addresses)
--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -107,6 +107,7 @@
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.clock = context.clock
+        self.experiments = context.config.experiments
         self.links = context.part(peers.Peers)
         self.members = context.part(membership.Membership)
         self.inforce = context.part(inforce.InForce)
@@ -294,7 +295,7 @@
         max_idle = keepalive.most_idle(
             service.connection_limit if service else 0,
             len(self.members.live("host")),
-            httpclient.MAX_IDLE,
+            httpclient.MAX_IDLE if self.experiments.kept_connections else 0,
         )
         return engine.Upstream(
             entry.name,
--- a/camphortray/slotbook.py
+++ b/camphortray/slotbook.py
@@ -31,6 +31,7 @@
 
 import xxhash
 
+from camphortray import config as configs
 from camphortray import enginehealth
 from camphortray import onlinepeaks
 from camphortray import orphans
@@ -115,10 +116,12 @@
       orphans: Slots of runs whose holder is lost.
       recalls: Slots taken back whose holder has not answered yet.
       look_at: When an item that is held back may fit.
+      on: What an ablation has not switched off.
     """
 
-    def __init__(self) -> None:
-        self.table = slottable.SlotTable()
+    def __init__(self, on: configs.ExperimentsConfig = configs.ALL_ON) -> None:
+        self.on = on
+        self.table = slottable.SlotTable(on)
         self.held = slotwants.Leases()
         self.queue: list[Want] = []
         self.items = slotwants.ItemQueue()
@@ -287,7 +290,7 @@
         for want in self.queue:
             engine = self.free_engine(want, now)
             if engine is None:
-                victim = self.victim(want, now)
+                victim = self.victim(want, now) if self.on.give_way else None
                 if victim is not None:
                     engine = victim.engine
                     self.revoke(victim, now, decisions)
@@ -296,7 +299,8 @@
                 continue
             wait_s = self.wait_s(len(waiting), now)
             patience_s = want.asked_at + want.objective_s * PATIENCE - now
-            if wait_s > patience_s or now >= want.asked_at + want.left_s:
+            expected_s = wait_s if self.on.refuse_at_once else 0.0
+            if expected_s > patience_s or now >= want.asked_at + want.left_s:
                 back_s = self.return_in(wait_s, want)
                 decisions.append(Refuse(want, back_s))
             else:
@@ -334,7 +338,7 @@
         So it is where a slot stays free even if online requests take back
         as many as they had at their last peak.
         """
-        if self.pressed(want, now):
+        if not self.on.hold_back or self.pressed(want, now):
             return True
         window_s = PAYBACK * want.start_s
         peak = self.peaks.within(window_s, now)
@@ -347,7 +351,8 @@
         """Return whether batch items are short of time, the first given."""
         slots = max(1, self.table.open_slots(now) - self.held.online)
         turn_s = len(self.items) * want.work_s / slots
-        return want.begin_by - now < PRESSED_TIMES * turn_s
+        short_s = PRESSED_TIMES * turn_s if self.on.pressed else -math.inf
+        return want.begin_by - now < short_s
 
     def wait_s(self, ahead: int, now: float) -> float:
         """Return the expected wait behind so many others."""
@@ -363,6 +368,7 @@
         back together.
         """
         point = xxhash.xxh64_intdigest(want.id.encode()) / 2**64
+        point = point if self.on.spread_return else 0.5
         wanted_s = max(wait_s, self.hold_s / 4) + self.hold_s * point
         return min(wanted_s, want.left_s / 3)
 
--- a/camphortray/slotdesk.py
+++ b/camphortray/slotdesk.py
@@ -36,12 +36,14 @@
       links: To other hosts.
       inforce: Engines as this host knows them.
       own_name: Name of the member.
+      experiments: What an ablation switches off.
     """
 
     clock: clocks.Clock
     links: peers.Peers
     inforce: inforce.InForce
     own_name: str
+    experiments: configs.ExperimentsConfig
 
     @abc.abstractmethod
     def share_of(self, service: str) -> float:
@@ -71,7 +73,7 @@
     def __init__(self, home: Home, service: str) -> None:
         self.home = home
         self.service = service
-        self.book = slotbook.SlotBook()
+        self.book = slotbook.SlotBook(home.experiments)
         self.holders: dict[str, tuple[configs.Address, float]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.looking = False
--- a/camphortray/slottable.py
+++ b/camphortray/slottable.py
@@ -13,6 +13,7 @@
 
 import xxhash
 
+from camphortray import config as configs
 from camphortray import enginehealth
 
 
@@ -33,9 +34,11 @@
       zones: Availability zone by engine.
       health: Which engines are put aside or tried with one request.
       used: Slots in use, by engine; also of engines that are gone.
+      on: What an ablation has not switched off.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on: configs.ExperimentsConfig = configs.ALL_ON) -> None:
+        self.on = on
         self.engines: dict[str, int] = {}
         self.zones: dict[str, str] = {}
         self.health = enginehealth.HealthBook()
@@ -112,6 +115,8 @@
         self, engine: str, outcome: enginehealth.Outcome, now: float
     ) -> None:
         """Learn from the end of a lease how its engine is."""
+        if not self.on.put_aside:
+            return
         self.health.judge(engine, outcome, now)
         self.refresh(engine)
 
@@ -164,6 +169,8 @@
           avoid: Engines not to be had.
           now: Present time.
         """
+        prefix = prefix if self.on.prefix else ""
+        zone = zone if self.on.zone else ""
         aside = {name: self.left(name, now) for name in self.unsound()}
         near = dict(self.free.get(zone, {}))
         far: dict[str, int] = {}
