--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -37,6 +37,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DEPLOY = "deploy/system.toml"
+# Copies lie here, not in the system's folder for such: a process that is played
+# has one of its own in its place, and would not find its program.
+SCRATCH = ROOT / "out"
 VARIABLE = "CAMPHORTRAY_EXPERIMENTS_OFF"
 ROLE = "[roles.host]\n"
 # Longest play, in seconds; one takes about a minute.
@@ -128,11 +131,12 @@
         keep_journal(copy / "journal", ROOT / "journal")
         items = items_classes(tomllib.loads(site.read_text()))
         try:
-            return figures_of(done.stdout, items)
+            figures = figures_of(done.stdout, items)
         except ValueError as error:
-            told = (done.stdout + done.stderr)[-2000:]
-            print(f"{play}: {error}\n{told}", file=sys.stderr)
+            print(f"{play}: {error}", done.stderr[-500:], file=sys.stderr)
             return None
+        print(play, figures, file=sys.stderr)
+        return figures
 
 
 def keep_journal(source: pathlib.Path, target: pathlib.Path) -> None:
@@ -278,7 +282,8 @@
         text=True,
         check=True,
     ).stdout.strip()
-    with tempfile.TemporaryDirectory(prefix="ablation") as folder:
+    SCRATCH.mkdir(exist_ok=True)
+    with tempfile.TemporaryDirectory(dir=SCRATCH) as folder:
         scratch = Scratch(
             given.bench.resolve(),
             given.sites.resolve(),
