--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -37,8 +37,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DEPLOY = "deploy/system.toml"
-# Copies lie here, not in the system's folder for such: a process that is played
-# has one of its own in its place, and would not find its program.
+# Copies lie here, not in the system's folder for such: a process that is
+# played has one of its own in its place, and would not find its program.
 SCRATCH = ROOT / "out"
 VARIABLE = "CAMPHORTRAY_EXPERIMENTS_OFF"
 ROLE = "[roles.host]\n"
--- a/tests/grouprig.py
+++ b/tests/grouprig.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from camphortray import clock as clocks
+from camphortray import config as configs
 from camphortray import facts
 from camphortray import inforce
 from camphortray import jobbook
@@ -118,6 +119,7 @@
         self.config = SimpleNamespace(
             host=SimpleNamespace(name=name),
             front=SimpleNamespace(item_keep_s=120.0),
+            experiments=configs.ALL_ON,
         )
         self.owners = jobowners.JobOwners(self)  # type: ignore[arg-type]
         self.owners.start()
--- a/tests/test_ways_out.py
+++ b/tests/test_ways_out.py
@@ -317,6 +317,7 @@
         config=types.SimpleNamespace(
             host=types.SimpleNamespace(name="h"),
             front=types.SimpleNamespace(item_keep_s=120.0),
+            experiments=configs.ALL_ON,
         ),
         part=by_class.__getitem__,
     )
