--- a/tests/test_item_left_lying.py
+++ b/tests/test_item_left_lying.py
@@ -133,8 +133,8 @@
 
 @pytest.mark.looptime
 async def test_an_item_whose_question_for_a_slot_fails_is_run_all_the_same():
-    # Three items. One gives way twice, then the question for its third slot
-    # ends by the error of the test above. All three are listed.
+    # Three items. One gives way three times, then the question for its next
+    # slot ends by the error of the test above. All three are listed.
     def waits():
         answer = hostkit.Answer([])
 
@@ -145,20 +145,20 @@
         answer.read = read
         return answer
 
-    owned = test_jobowner.Owned(ledger.MemoryLedger(), [waits, waits])
+    owned = test_jobowner.Owned(ledger.MemoryLedger(), [waits, waits, waits])
     owner = await owned.ready()
     slots, given = owner.parts.placing, owner.parts.placing.acquire
     asked = []
 
     async def acquire(service, want, on_revoke=None):
         asked.append(want.id)
-        if len(asked) == 3:
+        if len(asked) == 4:
             raise AttributeError("'NoneType' object has no 'call_soon'")
         return await given(service, want, on_revoke)
 
     slots.acquire = acquire
     await owner.submit(test_jobowner.part_of(count=1))
-    for number in (1, 2):
+    for number in (1, 2, 3):
         async with asyncio.timeout(WAIT_S):
             while len(slots.revokes) < number:
                 await asyncio.sleep(0.001)
