Part what is told of slots in use from who gets the free ones

Cause: slotbook (451 lines) held two jobs: which request gets which slot, and what word of lost holders and of engines changes in it. A newcomer could not tell where either is decided. Change: slotuse holds what counts as in use (leases, orphans, recalls) with its count in the table; slotaudit takes word of holders and engines and sets the book right; slotbook decides. Which holders are passed over when an item gives way stands in recalls.

--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -430,7 +430,7 @@
         wants = [p.want for p in waiting if not p.answer.done()]
         if name == self.own_name:
             desk = self.desks.desk(service)
-            desk.act(desk.book.report(self.own_name, leases, wants, now))
+            desk.act(desk.audit.report(self.own_name, leases, wants, now))
             return
         member = self.members.member(name)
         if member is None or not (held or waiting):
--- a/camphortray/recalls.py
+++ b/camphortray/recalls.py
@@ -81,10 +81,16 @@
         asked = min((r.asked_at for r in self.held.values()), default=None)
         return None if asked is None else asked + CONFIRM_S
 
-    def slow(self, now: float) -> set[str]:
-        """Return the holders that are late with an answer."""
-        return {
+    def passed(self, now: float) -> list[set[str]]:
+        """Return holders that are not asked, at first and if need be then.
+
+        At first none that is late with an answer, then only the silent.
+        """
+        late = {
             recall.holder
             for recall in self.held.values()
             if now > recall.asked_at + ANSWER_S
         }
+        if late <= self.silent:
+            return [self.silent]
+        return [self.silent | late, self.silent]
--- a/camphortray/slotbook.py
+++ b/camphortray/slotbook.py
@@ -27,15 +27,15 @@
 from collections.abc import Iterable
 from collections.abc import Set
 import dataclasses
+import functools
 import math
 
 import xxhash
 
 from camphortray import enginehealth
 from camphortray import onlinepeaks
-from camphortray import orphans
-from camphortray import recalls
 from camphortray import slottable
+from camphortray import slotuse
 from camphortray import slotwants
 
 EngineSlots = slottable.EngineSlots
@@ -70,9 +70,6 @@
 # Items passed over, as they are held back so or no engine suits them, after
 # which no more are looked at; each costs some microseconds.
 MOST_PASSED = 8
-# A lease that its holder does not name in a report made this long after
-# the grant is one whose end was lost on the way, in seconds.
-GRANT_WAY_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,39 +102,33 @@
     """Slots of one service.
 
     Attributes:
-      table: Slots by engine, and which are free.
-      held: Leases, and which of them give way.
+      use: Slots in use, and by what.
       queue: Online requests that wait, first come first.
       items: Batch items that wait.
       hold_s: Mean time that an online request holds a slot.
       wait_again_s: Mean time that an item waits which has given way.
       peaks: Slots that online requests have held.
-      orphans: Slots of runs whose holder is lost.
-      recalls: Slots taken back whose holder has not answered yet.
       look_at: When an item that is held back may fit.
     """
 
     def __init__(self) -> None:
-        self.table = slottable.SlotTable()
-        self.held = slotwants.Leases()
+        self.use = slotuse.SlotUse()
         self.queue: list[Want] = []
         self.items = slotwants.ItemQueue()
         self.hold_s = FIRST_HOLD_S
         self.wait_again_s = FIRST_WAIT_S
         self.peaks = onlinepeaks.Peaks()
-        self.orphans = orphans.Orphans()
-        self.recalls = recalls.Recalls()
         self.look_at = math.inf
 
     @property
     def leases(self) -> dict[str, Lease]:
         """Leases by id of their wants."""
-        return self.held.held
+        return self.use.leases
 
     @property
     def used(self) -> dict[str, int]:
         """Slots in use, by engine."""
-        return self.table.used
+        return self.use.table.used
 
     # What is told.
 
@@ -145,12 +136,12 @@
         self, engines: Iterable[EngineSlots], now: float
     ) -> list[Decision]:
         """Take the engines that may get new work."""
-        self.table.set_engines(engines)
+        self.use.table.set_engines(engines)
         return self.decide(now)
 
     def set_share(self, share: float) -> None:
         """Take the share of the slots that may be used."""
-        self.table.share = share
+        self.use.table.share = share
 
     def ask(self, want: Want, now: float) -> list[Decision]:
         """Take a new want; an online one is answered at once or queued."""
@@ -161,7 +152,7 @@
             self.items.add(want)
             return self.decide(now)
         self.queue = [held for held in self.queue if held.id != want.id]
-        if not self.table.engines:
+        if not self.use.table.engines:
             return [Refuse(want, self.return_in(self.hold_s, want))]
         self.queue.append(want)
         self.queue.sort(key=lambda held: (held.priority, held.asked_at))
@@ -172,99 +163,15 @@
     ) -> list[Decision]:
         """Take the end of a lease, or of a want that waited."""
         self.items.drop(name)
-        self.recalls.answered(name)
+        self.use.recalls.answered(name)
         self.queue = [held for held in self.queue if held.id != name]
-        lease = self.drop_lease(name)
+        lease = self.use.drop(name)
         if lease is None:
             return []
         if outcome is enginehealth.Outcome.GOOD and lease.want.online:
             held_s = now - lease.granted_at
             self.hold_s += LEARN * (held_s - self.hold_s)
-        self.table.judge(lease.engine, outcome, now)
-        return self.decide(now)
-
-    def report(
-        self,
-        holder: str,
-        leases: Iterable[Lease],
-        wants: Iterable[Want],
-        now: float,
-    ) -> list[Decision]:
-        """Take all that one host holds and waits for.
-
-        It heals what messages lost on the way have left behind, and is
-        how a host that has just become coordinator learns what runs.
-        """
-        self.recalls.heard(holder)
-        named = {lease.want.id: lease for lease in leases}
-        decisions: list[Decision] = []
-        for name, held in list(self.leases.items()):
-            if held.want.holder != holder or name in named:
-                continue
-            if now - held.granted_at > GRANT_WAY_S:
-                self.orphan(name, now)
-        for name, lease in named.items():
-            if name not in self.leases:
-                self.adopt(lease)
-        wanted = {want.id: want for want in wants}
-        for want in self.items:
-            if want.holder == holder and want.id not in wanted:
-                self.items.drop(want.id)
-        for name, want in wanted.items():
-            known = name in self.leases or name in self.items
-            if not known and not want.online:
-                self.items.add(want)
-        return decisions + self.decide(now)
-
-    def forget(self, holder: str, now: float) -> list[Decision]:
-        """Drop all of a host that is gone."""
-        self.recalls.heard(holder)
-        for name, lease in list(self.leases.items()):
-            if lease.want.holder == holder:
-                self.orphan(name, now)
-        self.queue = [held for held in self.queue if held.holder != holder]
-        for want in self.items:
-            if want.holder == holder:
-                self.items.drop(want.id)
-        return self.decide(now)
-
-    def adopt(self, lease: Lease) -> None:
-        """Count a lease that this book has not given itself.
-
-        A book that has just begun may have met its run at the engine
-        before its holder told of it.
-        """
-        if self.orphans.adopt(lease.engine):
-            self.table.count(lease.engine, -1)
-        self.add_lease(lease)
-
-    def reported(
-        self, engine: str, running: int, now: float, begun: bool
-    ) -> list[Decision]:
-        """Take what an engine says of itself.
-
-        Args:
-          engine: Which.
-          running: Requests that it runs or has queued.
-          now: Present time.
-          begun: Whether the book has only just begun, so that the engine
-            may run what no lease was ever known of.
-        """
-        known = self.orphans.count(engine)
-        foreign = running - (self.used.get(engine, 0) - known)
-        if not begun:
-            # A report is late: what it has over the orphans known are
-            # requests that have ended since.
-            foreign = min(known, foreign)
-        self.orphans.reported(engine, foreign, now)
-        self.table.count(engine, self.orphans.count(engine) - known)
-        return self.decide(now)
-
-    def expire_orphans(self, now: float) -> list[Decision]:
-        """Forget runs that must be over by now."""
-        counts = {name: self.orphans.count(name) for name in self.used}
-        for engine in self.orphans.expire(now):
-            self.table.count(engine, -counts.get(engine, 0))
+        self.use.table.judge(lease.engine, outcome, now)
         return self.decide(now)
 
     # What is decided.
@@ -272,12 +179,10 @@
     def decide(self, now: float) -> list[Decision]:
         """Give out slots, online requests first, and refuse what is late."""
         decisions: list[Decision] = []
-        for recall in self.recalls.lapsed(now):
-            self.orphans.add(recall.engine, now)
-            self.table.count(recall.engine, 1)
-        self.peaks.note(self.held.online, now)
+        self.use.lapse(now)
+        self.peaks.note(self.use.held.online, now)
         self.serve_queue(now, decisions)
-        self.peaks.note(self.held.online, now)
+        self.peaks.note(self.use.held.online, now)
         self.serve_items(now, decisions)
         return decisions
 
@@ -309,7 +214,7 @@
         self.look_at = math.inf
         while (
             not self.queue
-            and self.table.free_slots(now) > 0
+            and self.use.table.free_slots(now) > 0
             and len(passed) < MOST_PASSED
         ):
             want = self.items.pop(now)
@@ -338,20 +243,20 @@
             return True
         window_s = PAYBACK * want.start_s
         peak = self.peaks.within(window_s, now)
-        if self.table.free_slots(now) > peak.count - self.held.online:
+        if self.use.table.free_slots(now) > peak.count - self.use.held.online:
             return True
         self.look_at = min(self.look_at, peak.until + window_s)
         return False
 
     def pressed(self, want: Want, now: float) -> bool:
         """Return whether batch items are short of time, the first given."""
-        slots = max(1, self.table.open_slots(now) - self.held.online)
+        slots = max(1, self.use.table.open_slots(now) - self.use.held.online)
         turn_s = len(self.items) * want.work_s / slots
         return want.begin_by - now < PRESSED_TIMES * turn_s
 
     def wait_s(self, ahead: int, now: float) -> float:
         """Return the expected wait behind so many others."""
-        open_slots = self.table.open_slots(now)
+        open_slots = self.use.table.open_slots(now)
         if not open_slots:
             return enginehealth.UNREACHED_S
         return (ahead + 1) * self.hold_s / open_slots
@@ -368,74 +273,48 @@
 
     def room(self, engine: str, now: float) -> int:
         """Return the slots of an engine that may be in use."""
-        return self.table.room(engine, now)
+        return self.use.table.room(engine, now)
 
     def free_slots(self, now: float) -> int:
         """Return the number of free slots."""
-        return self.table.free_slots(now)
+        return self.use.table.free_slots(now)
 
     def free_engine(self, want: Want, now: float) -> str | None:
         """Return the engine with a free slot that suits a want best."""
-        return self.table.best(want.prefix, want.zone, want.avoid, now)
+        return self.use.table.best(want.prefix, want.zone, want.avoid, now)
 
     def victim(self, want: Want, now: float) -> Lease | None:
         """Return the batch item that can best give way, if there is one."""
-        silent = self.recalls.silent
-        slow = silent | self.recalls.slow(now)
 
-        def suits(lease: Lease, passed: Set[str]) -> bool:
+        def suits(passed: Set[str], lease: Lease) -> bool:
             return (
                 lease.engine not in want.avoid
                 and lease.want.holder not in passed
-                and self.table.room(lease.engine, now) > 0
+                and self.use.table.room(lease.engine, now) > 0
             )
 
         safe_s = SAFE_TIMES * self.wait_again_s
-        found = self.held.gives_way(lambda held: suits(held, slow), safe_s)
-        if found is None and slow != silent:
-            found = self.held.gives_way(
-                lambda held: suits(held, silent), safe_s
-            )
-        return found
+        for passed in self.use.recalls.passed(now):
+            fits = functools.partial(suits, passed)
+            found = self.use.held.gives_way(fits, safe_s)
+            if found is not None:
+                return found
+        return None
 
     def revoke(
         self, lease: Lease, now: float, decisions: list[Decision]
     ) -> None:
         """Take a slot back; the item asks again, from where it stands."""
-        self.drop_lease(lease.want.id)
-        want = lease.want
-        self.recalls.add(want.id, lease.engine, want.holder, now)
+        self.use.take_back(lease, now)
         decisions.append(Revoke(lease.want))
 
     def grant(
         self, want: Want, engine: str, now: float, decisions: list[Decision]
     ) -> None:
         """Give a slot."""
-        self.add_lease(Lease(want, engine, now))
+        self.use.add(Lease(want, engine, now))
         decisions.append(Grant(want, engine))
 
-    def add_lease(self, lease: Lease) -> None:
-        """Count a lease."""
-        self.held.add(lease)
-        self.table.count(lease.engine, 1)
-
-    def orphan(self, name: str, now: float) -> None:
-        """Count on the slot of a lease that ends without word."""
-        lease = self.held.pop(name)
-        if lease is None:
-            return
-        if lease.engine in self.table.engines:
-            self.orphans.add(lease.engine, now)
-        else:
-            self.table.count(lease.engine, -1)
-
-    def drop_lease(self, name: str) -> Lease | None:
-        """Count a lease no more; return it, if it was there."""
-        lease = self.held.pop(name)
-        if lease is not None:
-            self.table.count(lease.engine, -1)
-        return lease
-
     def next_look(self, now: float) -> float | None:
         """Return when to decide anew though nothing has been told."""
         times = [
@@ -443,9 +322,9 @@
         ]
         if self.look_at < math.inf:
             times.append(self.look_at)
-        recall_at = self.recalls.next_look()
+        recall_at = self.use.recalls.next_look()
         if recall_at is not None:
             times.append(recall_at)
         if self.queue or self.items:
-            times += self.table.health.openings(now)
+            times += self.use.table.health.openings(now)
         return min(times, default=None)
--- a/camphortray/slotdesk.py
+++ b/camphortray/slotdesk.py
@@ -16,6 +16,7 @@
 from camphortray import orphans
 from camphortray import peers
 from camphortray import placingcalls
+from camphortray import slotaudit
 from camphortray import slotbook
 
 LOG = logs.logger("placing")
@@ -65,6 +66,7 @@
 
     Attributes:
       book: What decides.
+      audit: What sets the book right.
       holders: Address and time of the last word, by name of member.
     """
 
@@ -72,6 +74,7 @@
         self.home = home
         self.service = service
         self.book = slotbook.SlotBook()
+        self.audit = slotaudit.SlotAudit(self.book)
         self.holders: dict[str, tuple[configs.Address, float]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.looking = False
@@ -102,7 +105,7 @@
                 word.refused[decision.want.id] = decision.retry_after_s
             else:
                 revoked[holder].append(decision.want.id)
-        if self.book.orphans:
+        if self.book.use.orphans:
             self.look_at_engines()
         for holder, word in words.items():
             if revoked[holder]:
@@ -128,13 +131,13 @@
                     "service": self.service,
                     "queued": len(book.queue),
                     "leases": len(book.leases),
-                    "engines": len(book.table.engines),
-                    "open_slots": book.table.open_slots(now),
+                    "engines": len(book.use.table.engines),
+                    "open_slots": book.use.table.open_slots(now),
                     "put_aside": {
                         name: book.room(name, now)
-                        for name in book.table.unsound()
+                        for name in book.use.table.unsound()
                     },
-                    "share": round(book.table.share, 3),
+                    "share": round(book.use.table.share, 3),
                     "hold_s": round(book.hold_s, 3),
                     "asked_ms_ago": round(
                         (now - decision.want.asked_at) * 1000
@@ -144,7 +147,7 @@
 
     def log_silent(self) -> None:
         """Write a line for each holder that falls silent, or is back."""
-        silent = frozenset(self.book.recalls.silent)
+        silent = frozenset(self.book.use.recalls.silent)
         for holder in silent - self.silent:
             LOG.notice("{} does not stop its items; asked no more.", holder)
         for holder in self.silent - silent:
@@ -187,18 +190,18 @@
     async def ask_engines(self, begun: bool) -> None:
         """Ask all engines if the book has begun, else those in doubt."""
         try:
-            while begun or self.book.orphans:
+            while begun or self.book.use.orphans:
                 entries = self.home.inforce.engines.usable(self.service)
                 asked = [
                     self.ask_engine(entry, begun)
                     for entry in entries
-                    if begun or self.book.orphans.count(entry.name)
+                    if begun or self.book.use.orphans.count(entry.name)
                 ]
                 await asyncio.gather(*asked)
                 begun = False
                 await asyncio.sleep(orphans.LOOK_S)
                 now = self.home.clock.monotonic()
-                self.act(self.book.expire_orphans(now))
+                self.act(self.audit.expire_orphans(now))
         finally:
             self.looking = False
 
@@ -212,9 +215,9 @@
             LOG.info("No report of {}: {}", entry.name, error)
             return
         now = self.home.clock.monotonic()
-        known = self.book.orphans.count(entry.name)
-        self.act(self.book.reported(entry.name, running, now, begun))
-        left = self.book.orphans.count(entry.name)
+        known = self.book.use.orphans.count(entry.name)
+        self.act(self.audit.reported(entry.name, running, now, begun))
+        left = self.book.use.orphans.count(entry.name)
         if left != known:
             LOG.info(
                 "{} runs {}, {} of them without a holder; {} before.",
@@ -239,7 +242,7 @@
     def drop(self, holder: str, now: float) -> None:
         """Forget a holder."""
         if self.holders.pop(holder, None) is not None:
-            self.act(self.book.forget(holder, now))
+            self.act(self.audit.forget(holder, now))
 
 
 class Desks:
@@ -272,7 +275,7 @@
         if desk is None:
             desk = self.held[service] = Desk(self.home, service)
             desk.refit(self.home.clock.monotonic())
-            if desk.book.table.share == 1.0:
+            if desk.book.use.table.share == 1.0:
                 # A book on a share is for moments, and for few requests.
                 desk.look_at_engines(begun=True)
         return desk
@@ -299,7 +302,7 @@
         now = self.home.clock.monotonic()
         for desk in list(self.held.values()):
             desk.expire(now)
-            if desk.book.table.share != self.home.share_of(desk.service):
+            if desk.book.use.table.share != self.home.share_of(desk.service):
                 desk.refit(now)
 
     async def on_ask(self, sender: peers.Sender, ask: PlaceAsk) -> PlaceWord:
@@ -357,4 +360,4 @@
             for lease in report.leases
         ]
         wants = [text.want(holder, now) for text in report.wants]
-        desk.act(desk.book.report(holder, leases, wants, now))
+        desk.act(desk.audit.report(holder, leases, wants, now))
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -167,11 +167,11 @@
         await platform.until(lambda: host.ready)
         desks = host.part(placing.Placing).desks
         book = desks.desk(SERVICE).book
-        await platform.until(lambda: book.orphans)
+        await platform.until(lambda: book.use.orphans)
         assert await ask(host, "a1") == 503
         assert not engine.ran
         engine.foreign = 0
-        await platform.until(lambda: not book.orphans)
+        await platform.until(lambda: not book.use.orphans)
         assert await ask(host, "a2") == 200
 
 
@@ -185,7 +185,9 @@
     async with platformkit.Platform(hosts=1, engines=1) as platform:
         (host,) = platform.hosts
         assert await ask(host, "a1") == 200
-        assert not host.part(placing.Placing).desks.desk(SERVICE).book.orphans
+        assert (
+            not host.part(placing.Placing).desks.desk(SERVICE).book.use.orphans
+        )
 
 
 async def test_a_grant_that_is_taken_back_at_once_is_none(monkeypatch):
--- a/tests/test_slottable.py
+++ b/tests/test_slottable.py
@@ -7,6 +7,7 @@
 from camphortray import enginehealth
 from camphortray import onlinepeaks
 from camphortray import ordered
+from camphortray import slotaudit
 from camphortray import slotbook
 from camphortray import slottable
 from camphortray import slotwants
@@ -37,6 +38,7 @@
     # or given out twice.
     rng = random.Random(seed)
     book = slotbook.SlotBook()
+    audit = slotaudit.SlotAudit(book)
     book.set_engines(engines_of(rng), 0.0)
     now = 0.0
     for number in range(200):
@@ -61,20 +63,20 @@
         elif step < 0.95:
             book.set_engines(engines_of(rng), now)
         elif step < 0.97:
-            book.forget(rng.choice("hk"), now)
+            audit.forget(rng.choice("hk"), now)
         elif step < 0.98:
-            name = rng.choice(sorted(book.table.engines) or ["e0"])
-            book.reported(name, rng.randrange(9), now, rng.random() < 0.3)
+            name = rng.choice(sorted(book.use.table.engines) or ["e0"])
+            audit.reported(name, rng.randrange(9), now, rng.random() < 0.3)
         elif step < 0.99:
-            book.expire_orphans(now)
+            audit.expire_orphans(now)
         else:
             book.set_share(rng.choice((0.3, 1.0)))
-        assert book.free_slots(now) == recount(book.table, now)
+        assert book.free_slots(now) == recount(book.use.table, now)
         counts = {}
         for lease in book.leases.values():
             counts[lease.engine] = counts.get(lease.engine, 0) + 1
-        for name in book.orphans.held:
-            counts[name] = counts.get(name, 0) + book.orphans.count(name)
+        for name in book.use.orphans.held:
+            counts[name] = counts.get(name, 0) + book.use.orphans.count(name)
         assert counts == book.used
 
 
