Add a randomized fault soak of the host program as processes

Cause: no proof under faults came from real processes of this repository.

Change: bench/soak starts platform/host.py as processes beside stand-ins of store and engines, leads every connection over a loopback proxy, plays faults drawn from one seed beside questions and jobs, and checks what callers and engines saw. tests/test_soak.py: schedule, each planted breach, one short run. The stand-in of the store gets a page size, and the kit a route of jobs.

--- /dev/null
+++ b/bench/soak/checker.py
@@ -0,0 +1,255 @@
+"""Checks promises on what callers and engines saw; counts its checks."""
+
+__all__ = ["Job", "Look", "Question", "Seen", "Verdict", "check"]
+
+import collections
+import dataclasses
+
+# Statuses that promise that a request has not run and never will.
+NOT_RUN = frozenset({408, 421, 429, 503})
+# Further statuses that a caller may get when things go wrong. A host that
+# does not know what came of a call on a job says 500.
+FAULT = frozenset({502, 504})
+UNSURE = FAULT | {0, 500, 503}
+DONE = "completed"
+
+
+@dataclasses.dataclass
+class Question:
+    """A request of a caller and what came of it.
+
+    Attributes:
+      attempt: Its id.
+      once: Whether it may run at most once.
+      host: Whom it was sent to.
+      status: Of the answer, 0 for none.
+      whole: Whether the answer ended as one that is whole.
+      text: What came of it.
+      expected: Its whole answer.
+      last: Whether it was sent after all faults had ended.
+    """
+
+    attempt: str
+    once: bool
+    host: str
+    expected: str
+    status: int = 0
+    whole: bool = False
+    text: str = ""
+    last: bool = False
+
+
+@dataclasses.dataclass
+class Look:
+    """An answer to a caller that read a job.
+
+    Attributes:
+      host: Which answered.
+      status: Of the answer.
+      after: The position asked for.
+      total: Number of items, as told.
+      results: Id, state and text from that position on.
+      last: Whether it was read after all faults had ended.
+    """
+
+    host: str
+    status: int
+    after: int = 0
+    total: int = 0
+    results: tuple[tuple[str, str, str], ...] = ()
+    last: bool = False
+
+
+@dataclasses.dataclass
+class Job:
+    """A job and what was read of it.
+
+    Attributes:
+      id: Of the job.
+      expected: The text of each item.
+      answers: Statuses of the calls that sent it, in order.
+      looks: In order.
+      bodies: Item and status of calls for bodies, and whether the bytes
+        that came are those sent.
+    """
+
+    id: str
+    expected: dict[str, str]
+    answers: list[int] = dataclasses.field(default_factory=list)
+    looks: list[Look] = dataclasses.field(default_factory=list)
+    bodies: list[tuple[str, int, bool]] = dataclasses.field(
+        default_factory=list
+    )
+
+    @property
+    def accepted(self) -> bool:
+        """Whether a caller was told so."""
+        return 202 in self.answers
+
+
+@dataclasses.dataclass
+class Seen:
+    """All that was seen in a run.
+
+    Attributes:
+      hosts: Names of the hosts in touch at the end.
+      runs: Attempt, position behind which it ran, and life of the engine.
+      recovered_s: From the end of the faults until all was read, or None.
+      bound_s: Longest that may take.
+      most: Engines to which one request may be sent.
+    """
+
+    hosts: tuple[str, ...] = ()
+    questions: list[Question] = dataclasses.field(default_factory=list)
+    jobs: list[Job] = dataclasses.field(default_factory=list)
+    runs: list[tuple[str, int, str]] = dataclasses.field(default_factory=list)
+    recovered_s: float | None = 0.0
+    bound_s: float = 60.0
+    most: int = 2
+
+
+class Verdict:
+    """Checks made, by name, and breaches found."""
+
+    def __init__(self) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.breaches: list[str] = []
+
+    def expect(self, name: str, holds: bool, told: object) -> None:
+        """Count one check, and note a breach."""
+        self.counts[name] += 1
+        if not holds:
+            self.breaches.append(f"{name}: {told}")
+
+
+def check(seen: Seen) -> Verdict:
+    """Check all promises."""
+    verdict = Verdict()
+    runs = collections.defaultdict(list)
+    for attempt, after, life in seen.runs:
+        runs[attempt].append((after, life))
+    for question in seen.questions:
+        check_question(question, runs[question.attempt], seen.most, verdict)
+    for job in seen.jobs:
+        check_job(job, verdict)
+        if job.accepted:
+            check_end(job, seen.hosts, verdict)
+        if set(job.answers) <= {429, 503} and job.answers:
+            verdict.expect(
+                "refused job did not run",
+                not any(runs[item] for item in job.expected),
+                f"{job.id} {job.answers}",
+            )
+    for host in seen.hosts:
+        verdict.expect(
+            "host serves after faults",
+            any(
+                q.last and q.host == host and q.status == 200
+                for q in seen.questions
+            ),
+            host,
+        )
+    took_s = seen.recovered_s
+    verdict.expect(
+        "recovery in its bound",
+        took_s is not None and took_s <= seen.bound_s,
+        f"{took_s} s of {seen.bound_s}",
+    )
+    return verdict
+
+
+def check_question(
+    question: Question,
+    runs: list[tuple[int, str]],
+    most: int,
+    verdict: Verdict,
+) -> None:
+    """Check one request of a caller."""
+
+    told = f"{question}, runs {runs}"
+    if question.once:
+        verdict.expect("runs at most once", len(runs) <= 1, told)
+    lives = {life for _, life in runs}
+    verdict.expect("no more engines than told", len(lives) <= most, told)
+    if question.status in NOT_RUN:
+        verdict.expect("a refusal is true", not runs, told)
+    known = question.status in {0, 200} | NOT_RUN | FAULT
+    verdict.expect("status is one that may come", known, told)
+    if question.status != 200:
+        return
+    if question.whole:
+        whole = question.text == question.expected
+        verdict.expect("a whole answer is whole", whole, told)
+    # What came of an answer cut off may end in a reason, behind the text.
+    part = question.text.partition("data: {")[0]
+    begins = question.expected.startswith(part)
+    verdict.expect("an answer is the caller's own", begins, told)
+
+
+def check_job(job: Job, verdict: Verdict) -> None:
+    """Check all that was read of one job, in any order of positions."""
+    held: dict[int, tuple[str, str, str]] = {}
+    places: dict[str, int] = {}
+    for status in job.answers:
+        verdict.expect(
+            "status of a submit",
+            status in UNSURE | {202, 429},
+            f"{job.id}: {status}",
+        )
+    for look in job.looks:
+        if job.accepted:
+            verdict.expect(
+                "an accepted job is known",
+                look.status in UNSURE | {200},
+                f"{job.id} at {look.host}: {look.status}",
+            )
+        if look.status != 200:
+            continue
+        verdict.expect(
+            "a job has its items",
+            look.total == len(job.expected),
+            f"{job.id} at {look.host}: {look.total}",
+        )
+        for place, result in enumerate(look.results, look.after):
+            first = held.setdefault(place, result)
+            verdict.expect(
+                "a position keeps its content",
+                first == result,
+                f"{job.id} at {look.host}: {place} was {first}, is {result}",
+            )
+            verdict.expect(
+                "an item is listed once",
+                places.setdefault(result[0], place) == place,
+                f"{job.id}: {result[0]} at {place}",
+            )
+    for item, state, text in held.values():
+        verdict.expect(
+            "an item has its whole text",
+            state == DONE and text == job.expected.get(item),
+            f"{job.id}: {item} {state} {text!r}",
+        )
+    for item, status, same in job.bodies:
+        if status == 200 or (status == 404 and item not in places):
+            verdict.expect(
+                "a body is the one sent",
+                same,
+                f"{job.id}: {item} {status}",
+            )
+
+
+def check_end(job: Job, hosts: tuple[str, ...], verdict: Verdict) -> None:
+    """Check that an accepted job was read whole at each host at the end."""
+    for host in hosts:
+        got = {
+            place: result[0]
+            for look in job.looks
+            if look.last and look.host == host and look.status == 200
+            for place, result in enumerate(look.results, look.after)
+        }
+        verdict.expect(
+            "an accepted job is read whole",
+            sorted(got) == list(range(len(job.expected)))
+            and set(got.values()) == set(job.expected),
+            f"{job.id} at {host}: {len(got)} of {len(job.expected)},"
+            f" not listed {sorted(set(job.expected) - set(got.values()))}",
+        )
--- /dev/null
+++ b/bench/soak/hosts.py
@@ -0,0 +1,128 @@
+"""The host program as processes of the operating system."""
+
+__all__ = ["HostProcess"]
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+from typing import Any
+
+from camphortray_platform import names
+from camphortray_platform import settings
+import msgspec
+
+from bench import processes
+from bench.soak import launch
+
+GRACE_S = 2.0
+# Beyond the grace, before the platform ends it by force, in seconds.
+MERCY_S = 1.0
+KEEP_S = 600.0
+
+
+class HostProcess:
+    """One host; only what it started is ever signalled.
+
+    Attributes:
+      busy: Whether a fault has it in its hands.
+      leaving: Whether it was told to end.
+      starts: Number of times it was started.
+      forced: Times it did not end by itself within its grace.
+      odd: Exit codes that nobody asked for.
+    """
+
+    def __init__(self, node: settings.NodeFile, folder: pathlib.Path) -> None:
+        bounds = settings.Bounds(grace_s=GRACE_S, status_s=KEEP_S)
+        self.node = msgspec.structs.replace(node, bounds=bounds)
+        self.name = node.node_name
+        self.folder = folder
+        self.process: asyncio.subprocess.Process | None = None
+        self.busy = self.leaving = False
+        self.starts = self.forced = 0
+        self.odd: list[int] = []
+
+    def write(self, table: dict[str, int]) -> None:
+        """Write its files: settings, and where its connections lead."""
+        data = msgspec.to_builtins(self.node)
+        (self.folder / f"{self.name}.toml").write_text(to_toml(data))
+        (self.folder / f"{self.name}.json").write_text(json.dumps(table))
+
+    @property
+    def running(self) -> bool:
+        """Whether it has been started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    async def start(self) -> None:
+        """Start it."""
+        if self.running:
+            return
+        if self.process is not None and self.process.returncode not in (
+            -signal.SIGKILL,
+            0,
+        ):
+            self.odd.append(self.process.returncode or 0)
+        file = self.folder / self.name
+        environment = {
+            **os.environ,
+            names.SETTINGS_VARIABLE: f"{file}.toml",
+            launch.TABLE_VARIABLE: f"{file}.json",
+        }
+        with open(f"{file}.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(pathlib.Path(launch.__file__)),
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self.starts += 1
+        self.leaving = False
+
+    def signal(self, number: int) -> None:
+        """Send it a signal, if it still runs."""
+        if self.process is not None and self.running:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End it by force."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    async def end(self) -> None:
+        """End it as the platform does."""
+        self.leaving = True
+        self.signal(signal.SIGTERM)
+        if self.process is None:
+            return
+        try:
+            async with asyncio.timeout(GRACE_S + MERCY_S):
+                await self.process.wait()
+        except TimeoutError:
+            self.forced += 1
+            await self.kill()
+
+    def complaints(self) -> str:
+        """Return the first lines of its log that tell of an error."""
+        lines = (self.folder / f"{self.name}.log").read_text().splitlines()
+        marks = ('"level": "ERROR"', '"level": "CRITICAL"', "Traceback")
+        bad = [line for line in lines if any(m in line for m in marks)]
+        return "\n".join(line[:400] for line in bad[:5])
+
+
+def to_toml(data: dict[str, Any]) -> str:
+    """Return settings as TOML; JSON's values are TOML's here.
+
+    >>> print(to_toml({"a": {"c": 1}, "b": "x"}), end="")
+    b = "x"
+    [a]
+    c = 1
+    """
+    plain = {k: v for k, v in data.items() if not isinstance(v, dict)}
+    tables = {k: v for k, v in data.items() if k not in plain}
+    lines = [f"{k} = {json.dumps(v)}\n" for k, v in plain.items()]
+    return "".join(lines) + processes.to_toml(tables)
--- /dev/null
+++ b/bench/soak/load.py
@@ -0,0 +1,253 @@
+"""Callers with questions and jobs, who write down what they see."""
+
+__all__ = ["Load"]
+
+import asyncio
+import base64
+from collections.abc import Awaitable
+import json
+import random
+import time
+
+from camphortray_platform import jobsfront
+from camphortray_platform import names
+
+from bench.soak import checker
+from bench.soak import standins
+from camphortray import config as configs
+from camphortray import errors
+from camphortray import httpclient
+from tests import platformkit
+
+QUESTION_S = 0.1
+JOB_S = 0.7
+LOOK_S = 0.5
+DEADLINE_S = 5.0
+TIMEOUTS = httpclient.Timeouts(1.0, DEADLINE_S + 1.5, DEADLINE_S + 1.5)
+# Times that a caller sends a job before it gives up, and tries in between.
+SENDS, AGAIN_S = 8, 0.4
+BODY = b"soak"
+
+
+class Load:
+    """Callers of all hosts.
+
+    Attributes:
+      ways: Where callers reach each host.
+      seen: What they saw.
+      last: Whether all faults have ended.
+    """
+
+    def __init__(
+        self, seed: int, ways: dict[str, configs.Address], seen: checker.Seen
+    ) -> None:
+        self.rng = random.Random(f"load/{seed}")
+        self.ways = ways
+        self.seen = seen
+        self.last = False
+        self.count = 0
+        self.kept = httpclient.HttpClient(TIMEOUTS)
+        self.fresh = httpclient.HttpClient(TIMEOUTS, max_idle=0)
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, work: Awaitable[None]) -> None:
+        """Run a caller."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self) -> None:
+        """Send questions and jobs until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.send_questions())
+            group.create_task(self.send_jobs())
+
+    async def send_questions(self) -> None:
+        """Send questions at random times."""
+        while True:
+            await asyncio.sleep(self.rng.expovariate(1 / QUESTION_S))
+            self.spawn(self.ask(self.rng.choice(list(self.ways))))
+
+    async def send_jobs(self) -> None:
+        """Send jobs at random times."""
+        while True:
+            await asyncio.sleep(self.rng.expovariate(1 / JOB_S))
+            self.spawn(self.bring())
+
+    def next_id(self, kind: str) -> str:
+        """Return an id that was not used before."""
+        self.count += 1
+        return f"{kind}{self.count}"
+
+    async def ask(self, host: str) -> checker.Question:
+        """Send one question and read its answer."""
+        paths = (
+            platformkit.STREAM_PREFIX,
+            standins.ONCE_PREFIX,
+            standins.PLAIN_PREFIX,
+        )
+        kind = self.rng.randrange(len(paths))
+        attempt = self.next_id("q")
+        count = standins.events_of(attempt)
+        expected = "".join(
+            f"id: {n}\ndata: {standins.text_of(attempt, n)}\n\n"
+            for n in range(1, count + 1)
+        )
+        question = checker.Question(attempt, kind > 0, host, expected)
+        question.last = self.last
+        self.seen.questions.append(question)
+        client = self.rng.choice((self.kept, self.fresh))
+        headers = [
+            ("host", platformkit.HOST_NAME),
+            (names.ATTEMPT, attempt),
+            (names.DEADLINE, str(round(DEADLINE_S * 1000))),
+        ]
+        try:
+            response = await client.request(
+                self.ways[host], "POST", paths[kind] + "x", headers, BODY
+            )
+            question.status = response.status
+            try:
+                while data := await response.read():
+                    question.text += data.decode()
+                question.whole = True
+            finally:
+                response.close()
+        except errors.UpstreamError:
+            pass
+        return question
+
+    async def call(
+        self,
+        host: str,
+        method: str,
+        target: str,
+        headers: httpclient.Headers = (),
+        body: bytes = b"",
+    ) -> tuple[int, bytes]:
+        """Make a call on a job; status 0 stands for no answer."""
+        told = [("host", platformkit.HOST_NAME), *headers]
+        try:
+            status, _, content = await self.fresh.call(
+                self.ways[host], method, target, told, body
+            )
+        except errors.UpstreamError:
+            return 0, b""
+        return status, content
+
+    async def bring(self) -> None:
+        """Send a job until it is accepted, then read it until it is whole."""
+        name = self.next_id("j")
+        ids = [f"{name}-{n}" for n in range(self.rng.randint(1, 9))]
+        texts = {
+            item: "\n".join(
+                standins.text_of(item, n)
+                for n in range(1, standins.events_of(item) + 1)
+            )
+            for item in ids
+        }
+        job = checker.Job(name, texts)
+        self.seen.jobs.append(job)
+        path = platformkit.BATCH_PREFIX + name
+        items = [
+            {
+                "id": item,
+                "path": path,
+                "headers": {"Model": "m"},
+                "body": base64.b64encode(item.encode()).decode(),
+                "tokens": 10,
+            }
+            for item in ids
+        ]
+        body = json.dumps({"items": items}).encode()
+        sends = 0
+        # One in some is sent again though it has been accepted.
+        more = self.rng.random() < 0.3
+        while sends < SENDS and (not job.accepted or more):
+            more = more and not job.accepted
+            sends += 1
+            host = self.rng.choice(list(self.ways))
+            status, _ = await self.call(
+                host, "POST", path, [(names.ATTEMPT, name)], body
+            )
+            job.answers.append(status)
+            if status != 202:
+                await asyncio.sleep(AGAIN_S)
+        if job.accepted:
+            await self.follow(job)
+
+    async def follow(self, job: checker.Job) -> None:
+        """Read a job now and then, also from positions read before."""
+        at = 0
+        while at < len(job.expected):
+            host = self.rng.choice(list(self.ways))
+            back = self.rng.randint(0, at) if self.rng.random() < 0.2 else at
+            look = await self.read(job, host, back)
+            at = max(at, back + len(look.results))
+            if self.rng.random() < 0.1:
+                item = self.rng.choice(list(job.expected))
+                status, content = await self.call(
+                    host, "GET", f"{jobsfront.ITEMS}{job.id}?id={item}"
+                )
+                same = status == 200 and content == item.encode()
+                job.bodies.append((item, status, same))
+            await asyncio.sleep(LOOK_S * self.rng.random())
+
+    async def read(
+        self, job: checker.Job, host: str, after: int
+    ) -> checker.Look:
+        """Read a job once and keep what came."""
+        last = self.last
+        status, content = await self.call(
+            host,
+            "GET",
+            f"{jobsfront.LOTS}{job.id}?after={after}",
+            [(names.WAIT, "1000")],
+        )
+        look = checker.Look(host, status, after, last=last)
+        if status == 200:
+            told = json.loads(content)
+            look.total = told["total"]
+            look.results = tuple(
+                (r["id"], r["state"], r["text"]) for r in told["results"]
+            )
+        job.looks.append(look)
+        return look
+
+    async def read_all(self, bound_s: float) -> float | None:
+        """Read all accepted jobs at each host; return how long it took."""
+        begun_at = time.monotonic()
+        # Jobs may still be on their way; none is accepted behind our back.
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=bound_s / 2)
+        await self.end_callers()
+        try:
+            async with asyncio.timeout(bound_s):
+                await asyncio.gather(*(self.finish(h) for h in self.ways))
+        except TimeoutError:
+            return None
+        return time.monotonic() - begun_at
+
+    async def finish(self, host: str) -> None:
+        """Read all accepted jobs at one host, and ask it once more."""
+        for job in [job for job in self.seen.jobs if job.accepted]:
+            at = 0
+            while at < len(job.expected):
+                look = await self.read(job, host, at)
+                at += len(look.results)
+                if look.status != 200:
+                    await asyncio.sleep(LOOK_S)
+        while (await self.ask(host)).status != 200:
+            await asyncio.sleep(LOOK_S)
+
+    async def end_callers(self) -> None:
+        """End whoever still calls."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def stop(self) -> None:
+        """End all callers."""
+        await self.end_callers()
+        await self.kept.close()
+        await self.fresh.close()
--- /dev/null
+++ b/bench/soak/run.py
@@ -0,0 +1,334 @@
+"""One soak: starts all, plays the schedule, checks what was seen."""
+
+__all__ = ["Soak"]
+
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import dataclasses
+import json
+import pathlib
+import signal
+import time
+from typing import Any
+
+import msgspec
+
+from bench.soak import checker
+from bench.soak import hosts
+from bench.soak import load
+from bench.soak import proxy
+from bench.soak import schedule
+from bench.soak import standins
+from camphortray import cluster
+from camphortray import config as configs
+from camphortray import errors
+from camphortray import httpclient
+from camphortray import logs
+from tests import platformkit
+
+LOG = logs.logger("soak")
+PARTS = 8
+READY_S = 60.0
+LOOK_S = 0.1
+# Longest time from the end of the faults until all is read.
+BOUND_S = 60.0
+
+
+def milliseconds() -> int:
+    """Return the time of day, as engines tell when they started."""
+    return round(time.time() * 1000)
+
+
+class Soak:
+    """All parties of one run.
+
+    Attributes:
+      actions: The schedule.
+      events: What was done and when, for the report of a failed seed.
+      done: Faults that were played, by kind.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        folder: pathlib.Path,
+        host_count: int = 4,
+        engine_count: int = 3,
+        pause_s: float = schedule.PAUSE_S,
+    ) -> None:
+        self.seed = seed
+        self.seconds = seconds
+        self.folder = folder
+        self.site = schedule.Site.of(host_count, engine_count)
+        self.actions = schedule.draw(seed, seconds, self.site, pause_s)
+        self.store = standins.Store(PARTS)
+        self.engines = {
+            name: standins.Engine(name, milliseconds())
+            for name in self.site.engines
+        }
+        self.hosts: dict[str, hosts.HostProcess] = {}
+        self.links: dict[str, proxy.Link] = {}
+        self.seen = checker.Seen(self.site.hosts, bound_s=BOUND_S)
+        self.version = 1
+        self.events: list[str] = []
+        self.done: dict[str, int] = {}
+        self.begun_at = time.monotonic()
+        self.tasks: list[asyncio.Task[Any]] = []
+
+    def note(self, text: str) -> None:
+        """Keep what was done."""
+        at = time.monotonic() - self.begun_at
+        wall = time.strftime("%H:%M:%S", time.gmtime())
+        self.events.append(f"{at:7.2f} {wall} {text}")
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run something beside."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.append(task)
+        return task
+
+    async def run(self) -> checker.Verdict:
+        """Play the seed and return what the checks say."""
+        try:
+            await self.start()
+            await self.play()
+            verdict = checker.check(self.seen)
+            odd = [code for host in self.hosts.values() for code in host.odd]
+            verdict.expect("no host ends unasked", not odd, odd)
+            for host in self.hosts.values():
+                bad = host.complaints()
+                verdict.expect("no host meets an error", not bad, bad)
+            return verdict
+        finally:
+            await self.stop()
+
+    async def start(self) -> None:
+        """Start the stand-ins, the proxies and the hosts."""
+        await self.store.server.start(platformkit.ANY_PORT)
+        await self.configure()
+        ports = {schedule.STORE: self.store.server.address.port}
+        for name, engine in self.engines.items():
+            ports[name] = cluster.free_port()
+            await engine.server.start(
+                configs.Address(cluster.LOOPBACK, ports[name])
+            )
+            self.spawn(engine.beat(self.store))
+        self.spawn(self.lapse())
+        seeds: list[str] = []
+        for number, name in enumerate(self.site.hosts):
+            node = platformkit.node_file(name, self.store, seeds)
+            node = msgspec.structs.replace(node, zone=f"z{number % 2 + 1}")
+            self.hosts[name] = hosts.HostProcess(node, self.folder)
+            seeds.append(node.listen.control)
+            address = configs.Address.from_text(node.listen.control)
+            ports[name] = address.port
+        for dials, dialled in self.site.links():
+            port = ports[dialled]
+            if dials == schedule.CALLERS:
+                listen = self.hosts[dialled].node.listen
+                port = configs.Address.from_text(listen.front).port
+            link = proxy.Link(dials, dialled, port)
+            self.links[link.name] = link
+            await link.open()
+        for name, host in self.hosts.items():
+            host.write(
+                {
+                    f"{cluster.LOOPBACK}:{link.target}": link.port
+                    for link in self.links.values()
+                    if link.name.startswith(f"{name}>")
+                }
+            )
+            await host.start()
+        async with asyncio.timeout(READY_S):
+            for host in self.hosts.values():
+                while not await self.ready(host):
+                    await asyncio.sleep(LOOK_S)
+
+    async def ready(self, host: hosts.HostProcess) -> bool:
+        """Whether a host says that callers may come."""
+        address = configs.Address.from_text(host.node.listen.ready)
+        client = httpclient.HttpClient(max_idle=0)
+        with contextlib.suppress(errors.UpstreamError):
+            status, _, _ = await client.call(address, "GET", "/")
+            return status == 200
+        return False
+
+    async def play(self) -> None:
+        """Play the schedule beside the load, then let all recover."""
+        ways = {
+            name: configs.Address(
+                cluster.LOOPBACK,
+                self.links[f"{schedule.CALLERS}>{name}"].port,
+            )
+            for name in self.hosts
+        }
+        callers = load.Load(self.seed, ways, self.seen)
+        self.begun_at = time.monotonic()
+        going = self.spawn(callers.run())
+        faults = [self.spawn(self.act(action)) for action in self.actions]
+        try:
+            await asyncio.sleep(self.seconds)
+            going.cancel()
+            for fault in faults:
+                fault.cancel()
+            found = await asyncio.gather(*faults, return_exceptions=True)
+            broken = [e for e in found if isinstance(e, Exception)]
+            if broken:
+                raise broken[0]
+            await self.heal()
+            self.note("all faults have ended")
+            callers.last = True
+            self.seen.recovered_s = await callers.read_all(BOUND_S)
+            self.note(f"recovered in {self.seen.recovered_s} s")
+        finally:
+            await callers.stop()
+        for engine in self.engines.values():
+            self.seen.runs += engine.log
+
+    async def act(self, action: schedule.Action) -> None:
+        """Play one fault at its time."""
+        await asyncio.sleep(action.at)
+        host = self.hosts.get(action.target)
+        if host is not None and action.kind != "refuse-one":
+            if host.busy:
+                self.note(f"skipped, has another: {action}")
+                return
+            host.busy = True
+        self.note(f"begins: {action}")
+        self.done[action.kind] = self.done.get(action.kind, 0) + 1
+        if host is not None and action.kind != "refuse-one":
+            await self.hit(host, action)
+            host.busy = False
+        elif action.kind == "crash":
+            await self.crash(action)
+        elif action.kind == "link":
+            link = self.links[action.target]
+            await link.suffer(action.fault, action.length_s)
+        elif action.kind == "configure":
+            await self.configure()
+        elif action.kind == "deal":
+            self.store.held.deal()
+        else:
+            await self.hit_store(action)
+        self.note(f"ends: {action}")
+
+    async def hit(
+        self, host: hosts.HostProcess, action: schedule.Action
+    ) -> None:
+        """End or freeze a host for a while."""
+        if action.kind == "freeze":
+            host.signal(signal.SIGSTOP)
+            await asyncio.sleep(action.length_s)
+            host.signal(signal.SIGCONT)
+            return
+        await (host.kill() if action.kind == "kill" else host.end())
+        for link in self.links_to(host.name):
+            link.close()
+        await asyncio.sleep(action.length_s)
+        await host.start()
+        for link in self.links_to(host.name):
+            await link.open()
+
+    async def crash(self, action: schedule.Action) -> None:
+        """End an engine and start it again under its id."""
+        engine = self.engines[action.target]
+        if not engine.up:
+            return
+        await self.end_engine(engine)
+        await asyncio.sleep(action.length_s)
+        await self.begin_engine(engine)
+
+    async def end_engine(self, engine: standins.Engine) -> None:
+        """End an engine without a word."""
+        engine.up = False
+        for link in self.links_to(engine.name):
+            link.close()
+        await engine.server.stop()
+
+    async def begin_engine(self, engine: standins.Engine) -> None:
+        """Start an engine's next life at its address."""
+        if engine.up:
+            return
+        engine.born, engine.sequence = milliseconds(), 0
+        (link, *_) = links = self.links_to(engine.name)
+        address = configs.Address(cluster.LOOPBACK, link.target)
+        await engine.server.start(address)
+        for each in links:
+            await each.open()
+        engine.up = True
+
+    async def hit_store(self, action: schedule.Action) -> None:
+        """Let the store go wrong for a while."""
+        if action.kind == "refuse-one":
+            self.store.refused = action.target
+            await asyncio.sleep(action.length_s)
+            self.store.refused = self.store.refuse_member = ""
+        elif action.fault == "closed":
+            for link in self.links_to(schedule.STORE):
+                link.close()
+            await asyncio.sleep(action.length_s)
+            for link in self.links_to(schedule.STORE):
+                await link.open()
+        else:
+            self.store.fault = action.fault
+            await asyncio.sleep(action.length_s)
+            self.store.fault = ""
+
+    def links_to(self, name: str) -> list[proxy.Link]:
+        """Return the links that lead to a party."""
+        return [li for li in self.links.values() if li.dialled == name]
+
+    async def configure(self) -> None:
+        """Write the next configuration."""
+        self.version += 3
+        await self.store.configure(self.version, standins.routes())
+
+    async def lapse(self) -> None:
+        """Let members go whose time is over, again and again."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self.store.lapse()
+
+    async def heal(self) -> None:
+        """End all faults and start whatever is down."""
+        self.store.fault = self.store.refused = self.store.refuse_member = ""
+        for link in self.links.values():
+            link.heal()
+            await link.open()
+        for engine in self.engines.values():
+            await self.begin_engine(engine)
+        for host in self.hosts.values():
+            host.signal(signal.SIGCONT)
+            if host.leaving:
+                await host.end()
+            await host.start()
+
+    async def stop(self) -> None:
+        """End all that was started."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for host in self.hosts.values():
+            await host.kill()
+        for link in self.links.values():
+            await link.stop()
+        for engine in self.engines.values():
+            await engine.server.stop()
+        await self.store.server.stop()
+
+    def write(self, verdict: checker.Verdict) -> None:
+        """Write the schedule and what was seen into the folder."""
+        plan = [dataclasses.asdict(action) for action in self.actions]
+        told = {
+            "seed": self.seed,
+            "seconds": self.seconds,
+            "breaches": verdict.breaches,
+            "counts": verdict.counts,
+            "schedule": plan,
+            "events": self.events,
+            "seen": dataclasses.asdict(self.seen),
+        }
+        text = json.dumps(told, indent=1)
+        (self.folder / "run.json").write_text(text)
--- /dev/null
+++ b/bench/soak/standins.py
@@ -0,0 +1,191 @@
+"""The store and the engines of a soak, with faults."""
+
+__all__ = ["Engine", "Store", "events_of", "text_of"]
+
+import asyncio
+import itertools
+import json
+import time
+from typing import Any
+import zlib
+
+from camphortray_platform import dialect
+
+from camphortray import errors
+from camphortray import ledger
+from camphortray import routemap
+from tests import platformkit
+
+SLOW_S, LATE_S = 0.3, 1.5
+LOOK_S = 0.1
+PACE_S = 0.05
+HEARTBEAT_S = 1.0
+SLOTS = 8
+# Requests an engine takes beyond its slots before it says that it is full.
+QUEUE = 4
+PLAIN_PREFIX = "/gahu118/"
+ONCE_PREFIX = "/beso407/"
+KEEP_S = 600
+(ONCE_KIND,) = (
+    name
+    for name, kind in dialect.KINDS.items()
+    if kind is routemap.Kind.NON_IDEMPOTENT
+)
+
+
+def routes() -> list[dict[str, Any]]:
+    """Return the routes: streams that resume, that don't, calls, jobs."""
+    make = platformkit.route
+    return [
+        make("r-1", platformkit.STREAM_PREFIX, "streaming", resumable=True),
+        make("r-2", ONCE_PREFIX, "streaming"),
+        make("r-3", PLAIN_PREFIX, ONCE_KIND),
+        platformkit.batch_route("r-4", platformkit.BATCH_PREFIX, KEEP_S),
+    ]
+
+
+def events_of(attempt: str) -> int:
+    """Return the number of events of an answer, the same at any engine."""
+    return 2 + zlib.crc32(attempt.encode()) % 12
+
+
+def text_of(attempt: str, number: int) -> str:
+    """Return the data of one event."""
+    return f"{attempt}.{number}"
+
+
+class Store(platformkit.StoreStandin):
+    """The store; members are gone when their time is over.
+
+    Attributes:
+      fault: What goes wrong now: ``silent``, ``slow``, ``lose`` answers,
+        do calls ``late``, or a status.
+      refused: Host that is turned away as a member, or "".
+      ends: When the time of each member is over.
+      last: Epoch and number of the last append, by partition.
+    """
+
+    page = 500
+
+    def __init__(self, parts: int) -> None:
+        super().__init__(parts)
+        self.fault = ""
+        self.refused = ""
+        self.ends: dict[str, float] = {}
+        self.last: dict[Any, tuple[int, int]] = {}
+        self.toggle = itertools.count()
+
+    async def handle(self, request: Any, response: Any) -> None:
+        fault = self.fault
+        if fault in ("503", "429"):
+            await request.body()
+            response.send_json(int(fault), {})
+            return
+        if fault == "silent":
+            await asyncio.sleep(3600)
+        if fault == "slow":
+            await asyncio.sleep(SLOW_S)
+        writes = request.method == "POST"
+        if fault in ("lose", "late") and writes and next(self.toggle) % 2:
+            # The caller going away must not cancel what is done late.
+            request.keep_running = True
+            if fault == "late":
+                await asyncio.sleep(LATE_S)
+            response = Lost(response)
+        await super().handle(request, response)
+
+    async def append(
+        self, topic: Any, part: int, query: Any, body: bytes
+    ) -> None:
+        if "sequence" in query:
+            epoch, number = int(query["epoch"]), int(query["sequence"])
+            held, last = self.last.get((topic, part), (0, 0))
+            repeat = (epoch, number) in self.held.held[topic, part].answered
+            if epoch == held and number != last + 1 and not repeat:
+                raise errors.LogFenced("seq", step="append", peer="standin")
+            if epoch >= held and not repeat:
+                self.last[topic, part] = epoch, number
+        await super().append(topic, part, query, body)
+
+    async def answer(
+        self, path: str, query: Any, body: bytes, response: Any
+    ) -> None:
+        if path.endswith("-join"):
+            data = json.loads(body)
+            kept_s = data["ttlMs"] / 1000
+            self.ends[data["member"]] = time.monotonic() + kept_s
+            host = data["member"].partition(".")[0]
+            self.refuse_member = data["member"] * (host == self.refused)
+        await super().answer(path, query, body, response)
+
+    def lapse(self) -> None:
+        """Let members go that have not been heard of in their time."""
+        now = time.monotonic()
+        for member in [m for m, end in self.ends.items() if end < now]:
+            del self.ends[member]
+            self.held.lapse(member)
+
+
+class Lost:
+    """An answer that is lost: its connection returns nothing further."""
+
+    def __init__(self, response: Any) -> None:
+        self.response = response
+
+    def send_json(self, status: int, data: Any) -> None:
+        self.response.abort()
+
+    def send(self, status: int, data: bytes, headers: Any = ()) -> None:
+        self.response.abort()
+
+    def abort(self) -> None:
+        self.response.abort()
+
+
+class Engine(platformkit.EngineStandin):
+    """An engine whose answers tell whose they are.
+
+    Attributes:
+      up: Whether it lives; one that crashed tells nobody.
+      sequence: Number of its last entry.
+      log: Attempt, position behind which it ran, and life, in order.
+    """
+
+    def __init__(self, name: str, born: int) -> None:
+        super().__init__(name)
+        self.born = born
+        self.up = True
+        self.sequence = 0
+        self.log: list[tuple[str, int, str]] = []
+
+    async def handle(self, request: Any, response: Any) -> None:
+        if self.running >= SLOTS + QUEUE:
+            self.faults[:] = ["full"]
+        await super().handle(request, response)
+
+    async def stream(
+        self, response: Any, base: Any, after: int, fault: str
+    ) -> None:
+        attempt = self.ran[-1][0]
+        self.log.append((attempt, after, f"{self.name}~{self.born}"))
+        self.ran.clear()
+        response.start(200, [*base, ("Content-Type", "text/event-stream")])
+        self.running += 1
+        try:
+            for number in range(after + 1, events_of(attempt) + 1):
+                data = text_of(attempt, number)
+                response.write(f"id: {number}\ndata: {data}\n\n".encode())
+                await response.flush()
+                await asyncio.sleep(PACE_S)
+        finally:
+            self.running -= 1
+        response.end()
+
+    async def beat(self, store: Store) -> None:
+        """Write its entry again and again."""
+        while True:
+            if self.up:
+                self.sequence += 1
+                entry = self.entry(slots=SLOTS, sequence=self.sequence)
+                await store.write(ledger.Topic.ENGINES, self.name, entry)
+            await asyncio.sleep(HEARTBEAT_S)
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -55,13 +55,18 @@
         "routes": routes
         or [
             route("r-1", STREAM_PREFIX, "streaming", resumable=True),
-            route("r-2", BATCH_PREFIX, "batch", dueMs=18000, retentionS=60),
+            batch_route("r-2", BATCH_PREFIX, 60),
         ],
         "services": [{"name": SERVICE, "engine": {"slots": 8}}],
         "limits": {"maxBodyBytes": 4194304, "idleTimeoutMs": 15000},
     }
 
 
+def batch_route(name, prefix, keep_s):
+    """Return a route of jobs whose items may be given up so late."""
+    return route(name, prefix, "batch", dueMs=18000, retentionS=keep_s)
+
+
 class Unheard:
     """An answer that is lost on the way."""
 
@@ -83,8 +88,11 @@
       answer_every: Which of the writing calls are answered; the others are
         done all the same. 0 for all.
       calls: Number of calls by path.
+      page: Most records of one answer with the newest ones.
     """
 
+    page = 3
+
     def __init__(self, parts=2, job_topics=1):
         self.held = ledger.MemoryLedger(parts * job_topics)
         self.topic_parts = parts
@@ -183,9 +191,9 @@
                 "value": base64.b64encode(r.value).decode(),
                 "offset": r.offset,
             }
-            for r in rest[:3]
+            for r in rest[: self.page]
         ]
-        more = len(rest) > 3
+        more = len(rest) > self.page
         told = {"items": items, "hasMore": more, "end": page.end}
         response.send_json(200, told)
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,203 @@
+"""The fault soak: its schedule, its checks, and one short run."""
+
+import dataclasses
+import json
+
+import pytest
+
+from bench.soak import checker
+from bench.soak import run
+from bench.soak import schedule
+
+SITE = schedule.Site.of(3, 2)
+
+
+def test_one_seed_gives_one_schedule():
+    # A seed that failed is played again to find the cause: drawn
+    # differently, it would be another run.
+    for seed in range(20):
+        first = schedule.draw(seed, 40.0, SITE)
+        assert first == schedule.draw(seed, 40.0, SITE)
+        assert first != schedule.draw(seed + 1, 40.0, SITE)
+
+
+def test_faults_meet_parties_that_are_there_and_all_kinds_come():
+    drawn = [a for s in range(40) for a in schedule.draw(s, 40.0, SITE)]
+    links = {">".join(link) for link in SITE.links()}
+    there = {schedule.STORE, *SITE.hosts, *SITE.engines, *links}
+    assert {a.target for a in drawn} == there
+    assert {a.kind for a in drawn} == set(schedule.KINDS)
+    for kind, faults in (
+        ("link", schedule.LINK_FAULTS),
+        ("store", schedule.STORE_FAULTS),
+    ):
+        assert {a.fault for a in drawn if a.kind == kind} == set(faults)
+    assert all(schedule.QUIET_S <= a.at <= 40.0 for a in drawn)
+    assert all(0 <= a.length_s <= 5.0 for a in drawn)
+
+
+def look(host="h1", results=(), after=0, status=200, last=False):
+    """Return an answer to a reader; results are items of job ``j``."""
+    rows = tuple((item, "completed", f"text {item}") for item in results)
+    return checker.Look(host, status, after, 2, rows, last)
+
+
+def seen():
+    """Return what is seen where all promises are kept."""
+    ends = [look(host, ["b", "a"], last=True) for host in ("h1", "h2")]
+    job = checker.Job(
+        "j",
+        {"a": "text a", "b": "text b"},
+        [503, 0, 202, 202],
+        [look(status=503), look(results=["b"]), *ends],
+        [("a", 200, True), ("b", 404, False)],
+    )
+    refused = checker.Job("k", {"c": "text c"}, [429, 503])
+    return checker.Seen(
+        ("h1", "h2"),
+        [
+            checker.Question("q1", True, "h1", "text", 200, True, "text"),
+            checker.Question("q2", False, "h1", "text", 200, False, "te"),
+            checker.Question("q3", True, "h2", "text", 503, True, "{}"),
+            checker.Question("q4", True, "h2", "text", 0),
+            checker.Question(
+                "q5", False, "h1", "text", 200, True, "text", True
+            ),
+            checker.Question(
+                "q6", False, "h2", "text", 200, True, "text", True
+            ),
+        ],
+        [job, refused],
+        [
+            ("q1", 0, "i-1~1"),
+            ("q2", 0, "i-1~1"),
+            ("q2", 2, "i-2~1"),
+            ("q4", 0, "i-1~1"),
+            ("a", 0, "i-1~1"),
+            ("b", 0, "i-1~1"),
+            ("b", 0, "i-2~1"),
+        ],
+        4.0,
+    )
+
+
+def test_kept_promises_show_no_breach_and_each_check_is_counted():
+    verdict = checker.check(seen())
+    assert verdict.breaches == []
+    assert set(verdict.counts) == {name for name, _ in PLANTED}
+
+
+def edit(index, **fields):
+    """Return a change of one question."""
+
+    def change(found):
+        old = found.questions[index]
+        found.questions[index] = dataclasses.replace(old, **fields)
+
+    return change
+
+
+def add_look(*args, **fields):
+    """Return a change that adds an answer to a reader."""
+    return lambda found: found.jobs[0].looks.append(look(*args, **fields))
+
+
+def runs(*more):
+    """Return a change that adds runs."""
+    return lambda found: found.runs.extend(more)
+
+
+def drop_last(found):
+    """Let one host never list the last item."""
+    found.jobs[0].looks[-1] = look("h2", ["b"], last=True)
+
+
+def shorten(found):
+    """Let the text of an item lack its end, in the same way everywhere."""
+    for each in found.jobs[0].looks:
+        each.results = tuple(
+            (item, state, text[:-1]) for item, state, text in each.results
+        )
+
+
+def give_up(found):
+    """Let an item be given up that no engine ever failed."""
+    for each in found.jobs[0].looks:
+        each.results = tuple(
+            (item, "abandoned", "") for item, _, _ in each.results
+        )
+
+
+def set_job(index, **fields):
+    """Return a change of one job."""
+
+    def change(found):
+        found.jobs[index] = dataclasses.replace(found.jobs[index], **fields)
+
+    return change
+
+
+def late(found):
+    found.recovered_s = found.bound_s + 1
+
+
+def never(found):
+    found.recovered_s = None
+
+
+def wrong_total(found):
+    found.jobs[0].looks[1].total = 3
+
+
+PLANTED = [
+    ("runs at most once", runs(("q1", 0, "i-2~1"))),
+    # Run again in the next life of the same engine.
+    ("runs at most once", runs(("q4", 0, "i-1~2"))),
+    ("no more engines than told", runs(("q2", 3, "i-1~2"))),
+    ("a refusal is true", runs(("q3", 0, "i-1~1"))),
+    ("status is one that may come", edit(0, status=404)),
+    ("status is one that may come", edit(4, status=500)),
+    ("a whole answer is whole", edit(0, text="tex")),
+    ("a whole answer is whole", edit(0, text="texttext")),
+    ("an answer is the caller's own", edit(1, text="of another")),
+    ("status of a submit", set_job(0, answers=[202, 400])),
+    ("refused job did not run", runs(("c", 0, "i-1~1"))),
+    ("an accepted job is known", add_look(status=404)),
+    ("a job has its items", wrong_total),
+    ("a position keeps its content", add_look("h2", ["a", "b"])),
+    ("a position keeps its content", add_look("h2", ["a"])),
+    ("an item is listed once", add_look("h1", ["b"], after=2)),
+    ("an item has its whole text", shorten),
+    ("an item has its whole text", give_up),
+    ("an accepted job is read whole", drop_last),
+    ("an accepted job is read whole", set_job(0, looks=[])),
+    ("a body is the one sent", set_job(0, bodies=[("a", 200, False)])),
+    ("host serves after faults", edit(5, status=503)),
+    ("recovery in its bound", late),
+    ("recovery in its bound", never),
+]
+
+
+@pytest.mark.parametrize("name, change", PLANTED)
+def test_the_checker_finds_a_planted_breach(name, change):
+    found = seen()
+    change(found)
+    breaches = checker.check(found).breaches
+    assert any(breach.startswith(f"{name}: ") for breach in breaches)
+
+
+async def test_a_short_run_keeps_the_promises(tmp_path):
+    # Two hosts as processes, two engines, and the faults of one seed. The
+    # bounds are generous; nothing here depends on the machine's speed.
+    soak = run.Soak(1, 20.0, tmp_path, host_count=2, engine_count=2)
+    verdict = await soak.run()
+    soak.write(verdict)
+    assert verdict.breaches == []
+    told = json.loads((tmp_path / "run.json").read_text())
+    assert told["seed"] == 1 and len(told["schedule"]) == len(soak.actions)
+    # All that was said went over the proxies.
+    for link in soak.links.values():
+        if link.dialled == schedule.STORE or "callers" in link.name:
+            assert link.carried, link.name
+    assert soak.seen.runs and any(job.accepted for job in soak.seen.jobs)
+    assert not any(host.running for host in soak.hosts.values())
