--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -10,6 +10,7 @@
 import json
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 
@@ -35,6 +36,10 @@
         options.engines,
         options.pause,
     )
+    task = asyncio.current_task()
+    assert task is not None
+    # Told to end, it ends its hosts first.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(options.seconds + SPARE_S):
         return soak, await soak.run()
 
--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -27,6 +27,8 @@
       text: What came of it.
       expected: Its whole answer.
       last: Whether it was sent after all faults had ended.
+      calm: Whether nothing went wrong but that one host was told to end.
+      leaves: Whether that host is the one it was sent to.
     """
 
     attempt: str
@@ -37,6 +39,8 @@
     whole: bool = False
     text: str = ""
     last: bool = False
+    calm: bool = False
+    leaves: bool = False
 
 
 @dataclasses.dataclass
@@ -96,6 +100,7 @@
       runs: Attempt, position behind which it ran, and life of the engine.
       recovered_s: From the end of the faults until all was read, or None.
       bound_s: Longest that may take.
+      graceful: Whether the host told to end did so in its grace.
       most: Engines to which one request may be sent.
     """
 
@@ -105,6 +110,7 @@
     runs: list[tuple[str, int, str]] = dataclasses.field(default_factory=list)
     recovered_s: float | None = 0.0
     bound_s: float = 60.0
+    graceful: bool = True
     most: int = 2
 
 
@@ -149,6 +155,7 @@
             ),
             host,
         )
+    verdict.expect("a drain ends in its grace", seen.graceful, "forced")
     took_s = seen.recovered_s
     verdict.expect(
         "recovery in its bound",
@@ -175,6 +182,12 @@
         verdict.expect("a refusal is true", not runs, told)
     known = question.status in {0, 200} | NOT_RUN | FAULT
     verdict.expect("status is one that may come", known, told)
+    if question.calm:
+        # A connection that the leaving host refuses gets no answer either.
+        fine = {200, 429, 503} | ({0} if question.leaves else set())
+        ended = question.whole or question.status == 0
+        kept = ended and question.status in fine
+        verdict.expect("a drain cuts off nothing", kept, told)
     if question.status != 200:
         return
     if question.whole:
--- a/bench/soak/hosts.py
+++ b/bench/soak/hosts.py
@@ -59,11 +59,10 @@
         """Start it."""
         if self.running:
             return
-        if self.process is not None and self.process.returncode not in (
-            -signal.SIGKILL,
-            0,
-        ):
-            self.odd.append(self.process.returncode or 0)
+        code = self.process.returncode if self.process is not None else 0
+        # By SIGTERM it ends where it was told to before it had begun.
+        if code not in (0, -signal.SIGKILL, -signal.SIGTERM):
+            self.odd.append(code or 0)
         file = self.folder / self.name
         environment = {
             **os.environ,
@@ -89,6 +88,7 @@
 
     async def kill(self) -> None:
         """End it by force."""
+        self.leaving = True
         self.signal(signal.SIGKILL)
         if self.process is not None:
             await self.process.wait()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -66,6 +66,12 @@
             checker.Question(
                 "q6", False, "h2", "text", 200, True, "text", True
             ),
+            checker.Question(
+                "q7", True, "h1", "t", 200, True, "t", True, True, True
+            ),
+            checker.Question(
+                "q8", True, "h2", "t", 200, True, "t", False, True
+            ),
         ],
         [job, refused],
         [
@@ -73,6 +79,8 @@
             ("q2", 0, "i-1~1"),
             ("q2", 2, "i-2~1"),
             ("q4", 0, "i-1~1"),
+            ("q7", 0, "i-1~1"),
+            ("q8", 0, "i-1~1"),
             ("a", 0, "i-1~1"),
             ("b", 0, "i-1~1"),
             ("b", 0, "i-2~1"),
@@ -145,6 +153,10 @@
     found.recovered_s = None
 
 
+def hang(found):
+    found.graceful = False
+
+
 def wrong_total(found):
     found.jobs[0].looks[1].total = 3
 
@@ -173,6 +185,10 @@
     ("an accepted job is read whole", set_job(0, looks=[])),
     ("a body is the one sent", set_job(0, bodies=[("a", 200, False)])),
     ("host serves after faults", edit(5, status=503)),
+    ("a drain cuts off nothing", edit(6, whole=False)),
+    ("a drain cuts off nothing", edit(6, status=502)),
+    ("a drain cuts off nothing", edit(7, status=0, whole=False)),
+    ("a drain ends in its grace", hang),
     ("recovery in its bound", late),
     ("recovery in its bound", never),
 ]
