Tell of no item as left lying once its partition is given up

JobOwners.drain awaits owner.close() with the owner still in held, and JobOwners.look goes through it: its queue is empty and its tasks end, so each of its open items counts as left.

Change: OpenItems.stages yields nothing once it is closed, as its look does.

Figures: the new test fails before ('left: 2') and passes after.

--- a/camphortray/openitems.py
+++ b/camphortray/openitems.py
@@ -214,7 +214,13 @@
     # The watch.
 
     def stages(self) -> Iterator[itemwatch.StageAt]:
-        """Yield what each open item waits for."""
+        """Yield what each open item waits for.
+
+        None waits here once the partition is given up: the next owner runs
+        what is open, and this one still stands while its tasks end.
+        """
+        if self.closed:
+            return
         wall = self.parts.clock.wall()
         for job in self.jobs.values():
             for place in job.open_items:
--- a/tests/test_itemwatch.py
+++ b/tests/test_itemwatch.py
@@ -58,3 +58,18 @@
     await test_jobowner.all_results(owner, "j1", 1)
     assert not await stages(owner)
     await owner.close()
+
+
+async def test_a_partition_that_is_given_up_leaves_nothing_lying():
+    # Found by the soak: the log of a host that drains said of accepted items
+    # that they are left lying. Its owner had stopped and dropped its queue,
+    # and was still among those held while its tasks came to their end; the
+    # watch looked in that moment. They are the next owner's to run.
+    owned = test_jobowner.Owned(
+        ledger.MemoryLedger(), [silent() for _ in "ab"]
+    )
+    owner = await owned.ready()
+    await owner.submit(test_jobowner.part_of(count=2))
+    assert await stages(owner) == {Stage.RUN: 2}
+    await owner.close()
+    assert not await stages(owner)
