Tell a host of the soak only once to end

Cause: a host told twice ends without waiting, as it should; the soak told it again when the faults ended in the middle of its drain.

Change: the second call only waits.

--- a/bench/soak/hosts.py
+++ b/bench/soak/hosts.py
@@ -95,8 +95,10 @@
 
     async def end(self) -> None:
         """End it as the platform does."""
-        self.leaving = True
-        self.signal(signal.SIGTERM)
+        # Told twice, it would end without waiting.
+        if not self.leaving:
+            self.leaving = True
+            self.signal(signal.SIGTERM)
         if self.process is None:
             return
         try:
