Tell a reader to come again where the owner does not answer

Change: such a read is refused with 503 and a time to come back; what may have been kept (a job, an end) is told 500 as before. The test fails without it.

--- a/camphortray/jobdesk.py
+++ b/camphortray/jobdesk.py
@@ -103,13 +103,13 @@
           Refused: there is no such job, or that cannot be known.
         """
         ask = jobmessages.PageAsk(job, after, wait_s)
-        reply = await self.call(job, ask, ANSWER_S + wait_s)
+        reply = await self.read(job, ask, ANSWER_S + wait_s)
         assert isinstance(reply, jobmessages.PageReply)
         return reply
 
     async def body(self, job: str, item: str) -> bytes:
         """Return the body of an item; errors as ``page``."""
-        reply = await self.call(job, jobmessages.BodyAsk(job, item), ANSWER_S)
+        reply = await self.read(job, jobmessages.BodyAsk(job, item), ANSWER_S)
         assert isinstance(reply, jobmessages.BodyReply)
         return reply.body
 
@@ -118,6 +118,21 @@
         ask = jobmessages.EndAsk(job)
         await self.call(job, ask, ANSWER_S, WRITE_FIND_S)
 
+    async def read(self, job: str, ask: Ask, timeout_s: float) -> Any:
+        """Bring a call that changes nothing to the owner of a job.
+
+        Where it is not known what became of it, it may simply come again.
+
+        Raises:
+          Refused: there is no such job, or that cannot be known.
+        """
+        try:
+            return await self.call(job, ask, timeout_s)
+        except errors.Refused as refusal:
+            if refusal.code != "unknown":
+                raise
+            raise no_owner(str(refusal)) from refusal
+
     async def call(
         self, job: str, ask: Ask, timeout_s: float, find_s: float = FIND_S
     ) -> Any:
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from camphortray import jobdesk
+from camphortray import jobmessages
 from camphortray import ledger
 from camphortray import placing
 from tests import platformkit
@@ -351,3 +352,35 @@
         handed = {word.job: word.items for word in taken}
         assert set(handed) == set(jobs)
         assert all(items[0].text == (b"d1",) for items in handed.values())
+
+
+async def test_a_read_whose_owner_does_not_answer_comes_again():
+    # The owner stands still: its links stay open and nothing comes back. A
+    # reader was told 500, which says that something has gone wrong; it is
+    # only that this host cannot be sure, and the reader may come again.
+    async with platformkit.Platform(hosts=2) as platform:
+        first, second = platform.hosts
+        desks = [host.part(jobdesk.JobDesk) for host in platform.hosts]
+        name = desks[1].owners.members.own_name
+        await platform.until(
+            lambda: any(
+                desks[0].owners.known.get(part, (0, ""))[1] == name
+                for part in desks[1].owners.held
+            )
+        )
+        job = next(
+            job
+            for job in (f"k{number}" for number in range(64))
+            if desks[0].part_of(job) in desks[1].owners.held
+        )
+
+        async def silent(sender, message):
+            await asyncio.sleep(3600)
+
+        links = second.part(jobdesk.JobDesk).links
+        for cls in (jobmessages.PageAsk, jobmessages.BodyAsk):
+            links.handlers[cls] = silent
+        for path in (f"/lots/{job}?after=0", f"/items/{job}?id=it0"):
+            status, headers, body = await first.call("GET", path)
+            assert (status, code_of(body)) == (503, "no_owner")
+            assert "retry-after" in headers
