Look at open items at half the cost, and never run one beside its old task

Cause: the watch built two objects for each open item each second, and went through the items of jobs that are whole; by reading, a task that an item was taken from could have run it again beside the new one. Change: whole jobs are passed over, one object is built an item; a task goes on only while the item is its own. The new test covers an item taken from a run that does not end; it passes without the last change too, as such a task ends with its wait. Ran: the tests of open items, the watch, owners and ways out.

--- a/camphortray/openitems.py
+++ b/camphortray/openitems.py
@@ -16,7 +16,6 @@
 from collections.abc import Callable
 from collections.abc import Container
 from collections.abc import Iterator
-import dataclasses
 import functools
 import traceback
 
@@ -156,7 +155,8 @@
         if known is not None:
             work.go_on_from(known)
         pause_s = ERROR_PAUSE_S
-        while self.is_open(key):
+        # Not beside another task, which has been given the item meanwhile.
+        while self.is_open(key) and self.works.get(key) is work:
             try:
                 result = await work.run()
                 work.enter(Stage.WRITE)
@@ -232,21 +232,23 @@
         if self.closed:
             return
         wall = self.parts.clock.wall()
+        for job, place in self.all_open():
+            item, work = job.items[place], self.works.get((job.id, place))
+            yield itemwatch.StageAt(
+                job.id,
+                item.id if item is not None else "",
+                self.stage_of((job.id, place)),
+                work.stage_at if work is not None else 0.0,
+                work.number if work is not None else 0,
+                round(wall - job.taken_at, 1),
+            )
+
+    def all_open(self) -> Iterator[tuple[jobbook.Job, int]]:
+        """Yield all items that are neither listed nor of an ended job."""
         for job in self.jobs.values():
-            for place in job.open_items:
-                item, key = job.items[place], (job.id, place)
-                found = itemwatch.StageAt(
-                    job.id,
-                    item.id if item is not None else "",
-                    self.stage_of(key),
-                    age_s=round(wall - job.taken_at, 1),
-                )
-                work = self.works.get(key)
-                if work is not None:
-                    found = dataclasses.replace(
-                        found, since=work.stage_at, run=work.number
-                    )
-                yield found
+            if len(job.listed) < len(job.items):
+                for place in job.open_items:
+                    yield job, place
 
     def stage_of(self, key: Key) -> Stage:
         """Return what an open item waits for."""
@@ -268,13 +270,12 @@
         """
         if self.closed:
             return
-        for job in list(self.jobs.values()):
-            for place in job.open_items:
-                key = job.id, place
-                if self.stage_of(key) is Stage.LEFT and self.is_open(key):
-                    self.count("left")
-                    LOG.error("Item {} of {} was left.", place, job.id)
-                    self.queued.setdefault(key)
+        for job, place in self.all_open():
+            key = job.id, place
+            if self.stage_of(key) is Stage.LEFT and self.is_open(key):
+                self.count("left")
+                LOG.error("Item {} of {} was left.", place, job.id)
+                self.queued.setdefault(key)
         now = self.parts.clock.monotonic()
         # Twice in a row: after this host itself stood still for seconds,
         # all that came meanwhile is read only after this look.
--- a/tests/test_openitems.py
+++ b/tests/test_openitems.py
@@ -154,3 +154,38 @@
     await asyncio.sleep(60.0)
     assert 0 < len(lines) < 20
     await owner.close()
+
+
+async def test_an_item_taken_from_a_task_that_does_not_end_is_run_once():
+    # A run's read never returns and swallows its cancellation. The item is
+    # taken from it and run by another task; when the first one comes back
+    # at last it does not run the item beside that.
+    stuck, back = hostkit.Answer([]), asyncio.Event()
+
+    async def read(timeout_s):
+        while not back.is_set():
+            try:
+                await back.wait()
+            except asyncio.CancelledError:
+                continue
+        raise hostkit.BROKEN
+
+    stuck.read = read
+
+    async def slow_read(timeout_s):
+        await asyncio.sleep(1.0)
+        return chunks.pop(0) if chunks else b""
+
+    chunks = hostkit.events(1, 2)
+    slow = hostkit.Answer([])
+    slow.read = slow_read
+    owner = await owner_of(ledger.MemoryLedger(), [stuck, slow])
+    await owner.submit(test_jobowner.part_of(count=1))
+    async with asyncio.timeout(40.0):
+        while len(owner.parts.outer.party.seen) < 2:
+            await asyncio.sleep(0.1)
+    back.set()
+    (result,) = await listed(owner)
+    assert result.text == b"d1\nd2"
+    assert len(owner.parts.outer.party.seen) == 2
+    await owner.close()
