Ask a neighbour at once what it lacks where news may have passed it by

Cause: news goes once to each neighbour of that moment. What a host tells between hearing of another and taking it for a neighbour, what is dropped after two failed sends, and what an exchange showed to be lacking and is lost, was found by a probe 2 to 6 s later; a call looks 3 s for its owner. Change: a new neighbour, and one for which news was dropped or lost, is asked what differs, again every second at most until it answers. Sight: news dropped by neighbour, neighbours behind. Why it holds: whatever was missed, digests of all that is held are compared once the neighbour can be reached; nothing depends on who remembers what. It goes for all that is spread: owners, leaving engines, members.

--- a/camphortray/gossip.py
+++ b/camphortray/gossip.py
@@ -12,7 +12,7 @@
 # Entries in one message, so that a burst does not hold up a link.
 MAX_BATCH = 64
 # Failed sends to a neighbour in a row after which what waits for it is
-# dropped; anti-entropy repairs what it missed.
+# dropped; it is asked what it lacks instead, see ``catchup``.
 MAX_FAILURES = 2
 
 
@@ -71,6 +71,7 @@
     Attributes:
       pending: By neighbour, keys of members and facts in order.
       busy: Neighbours that have not yet answered the last message.
+      dropped: Entries dropped as a neighbour did not answer, by neighbour.
     """
 
     def __init__(self) -> None:
@@ -78,14 +79,16 @@
         self.pending: dict[str, dict[str, None]] = {}
         self.busy: set[str] = set()
         self.failures: collections.Counter[str] = collections.Counter()
+        self.dropped: collections.Counter[str] = collections.Counter()
 
     def set_neighbours(self, names: set[str]) -> None:
         """Tell these members; what waits for others is dropped."""
         self.neighbours = names
         for name in self.pending.keys() - names:
             del self.pending[name]
-        for name in list(self.failures.keys() - names):
-            del self.failures[name]
+        for counts in (self.failures, self.dropped):
+            for name in list(counts.keys() - names):
+                del counts[name]
 
     def add(self, key: str, source: str = "") -> None:
         """Have a key told to all neighbours but its source."""
@@ -113,15 +116,22 @@
             batches[name] = batch
         return batches
 
-    def sent(self, name: str, keys: list[str], arrived: bool) -> None:
-        """Take note of how a message to a neighbour fared."""
+    def sent(self, name: str, keys: list[str], arrived: bool) -> int:
+        """Take note of how a message to a neighbour fared.
+
+        Returns:
+          How many entries are dropped, which it may lack from now on.
+        """
         self.busy.discard(name)
         if arrived:
             del self.failures[name]
-            return
+            return 0
+        if name not in self.neighbours:
+            return 0
+        again = dict.fromkeys(keys) | self.pending.pop(name, {})
         self.failures[name] += 1
-        if self.failures[name] >= MAX_FAILURES:
-            self.pending.pop(name, None)
-        elif name in self.neighbours:
-            again = dict.fromkeys(keys)
-            self.pending[name] = again | self.pending.get(name, {})
+        if self.failures[name] < MAX_FAILURES:
+            self.pending[name] = again
+            return 0
+        self.dropped[name] += len(again)
+        return len(again)
--- a/camphortray/knowledge.py
+++ b/camphortray/knowledge.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from camphortray import antientropy
+from camphortray import catchup
 from camphortray import facts
 from camphortray import gossip
 from camphortray import members
@@ -35,6 +36,7 @@
       directory: All entries.
       facts: All facts.
       gossip: What is still to be told.
+      catch_up: Whom to ask what differs, as news may have passed it by.
       watch: Whom this member watches.
       neighbours: Who stands beside whom.
       on_member: Called with each entry that changes.
@@ -56,6 +58,7 @@
         self.directory = members.Directory()
         self.facts = facts.FactTable()
         self.gossip = gossip.Gossip()
+        self.catch_up = catchup.CatchUp()
         self.watch = watch.Watch(own.host, rng)
         self.neighbours = neighbours.Neighbours(own, self.directory)
         self.on_member: Callable[[members.Member], None] = ignore
@@ -171,6 +174,7 @@
         told = self.neighbours.told()
         for name in sorted(told - self.gossip.neighbours):
             self.gossip.add_for(name, self.own.name)
+            self.catch_up.owe(name, now)
         self.gossip.set_neighbours(told)
 
     def news_of(self, keys: Iterable[str]) -> gossip.News:
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -90,6 +90,7 @@
         self.http_address = ""
         self.list_pace = listpace.ListPace(context.rng)
         self.metrics_at = 0.0
+        self.dropping: set[str] = set()
         self.list_task: asyncio.Task[None] | None = None
         self.task: asyncio.Task[None] | None = None
         for cls in MESSAGES:
@@ -243,6 +244,22 @@
             {},
             len(self.node.known.facts.facts),
         )
+        dropped = self.node.known.gossip.dropped
+        for name in self.dropping | dropped.keys():
+            metrics.set(
+                "camphortray_news_dropped",
+                "News dropped as a neighbour did not answer; it is asked what"
+                " it lacks.",
+                {"neighbour": name},
+                dropped[name],
+            )
+        self.dropping = set(dropped)
+        metrics.set(
+            "camphortray_neighbours_behind",
+            "Neighbours that may lack news and have not answered yet.",
+            {},
+            len(self.node.known.catch_up.debts),
+        )
         traffic = self.links.traffic
         metrics.set(
             "camphortray_peer_messages",
--- a/camphortray/node.py
+++ b/camphortray/node.py
@@ -147,11 +147,25 @@
         self.forget_repairs()
         asks = [self.probe(name, now) for name in self.known.watch.due(now)]
         asks += self.join(now)
+        asks += self.catch_up(now)
         if now >= self.sync_at:
             self.sync_at = now + SYNC_S * (0.5 + self.rng.random())
             asks += self.sync_at_random(now)
         return asks + self.flush(now)
 
+    def catch_up(self, now: float) -> list[Ask]:
+        """Ask neighbours that may lack news what differs."""
+        due = self.known.catch_up.due(self.known.gossip.neighbours, now)
+        if not due:
+            return []
+        message = self.sync_message()
+        held = [self.known.directory.members.get(name) for name in due]
+        return [
+            self.ask(member, message, now, False)
+            for member in held
+            if member is not None and member.peer_address
+        ]
+
     def forget_repairs(self) -> None:
         """Forget repairs with members that are not probed any more."""
         for name in self.repairs.keys() - self.known.watch.due_at.keys():
@@ -299,7 +313,7 @@
     def answered(self, ask: Ask, reply: Any, now: float) -> list[Ask]:
         """Take the answer to an ``Ask``, or None if there was none."""
         if isinstance(ask.message, gossip.News):
-            self.known.gossip.sent(ask.name, list(ask.keys), reply is not None)
+            self.on_news_sent(ask, reply is not None, now)
         elif isinstance(ask.message, antientropy.Sync):
             self.on_sync_reply(ask, reply, now)
         elif isinstance(ask.message, gossip.Ping):
@@ -308,6 +322,17 @@
             return self.on_silence(ask, now)
         return []
 
+    def on_news_sent(self, ask: Ask, arrived: bool, now: float) -> None:
+        """Take note of whether a neighbour has taken news."""
+        if ask.keys:
+            keys = list(ask.keys)
+            lost = bool(self.known.gossip.sent(ask.name, keys, arrived))
+        else:
+            # What a neighbour lacked, as an exchange with it has shown.
+            lost = not arrived
+        if lost and ask.name in self.known.gossip.neighbours:
+            self.known.catch_up.owe(ask.name, now)
+
     def on_pong(self, ask: Ask, pong: gossip.Pong, now: float) -> list[Ask]:
         """Take a sign of life and what came with it."""
         name = ask.name
@@ -373,13 +398,14 @@
             return
         if not ask.name:
             self.known.joined = True
+        self.known.catch_up.paid(ask.name)
         if self.known.take_news(reply, now, ask.name):
             self.repairs.clear()
         news = antientropy.lacking(
             reply, self.known.directory, self.known.facts
         )
         if news.entries or news.known:
-            self.queue.append(Ask("", ask.address, news, ask.fresh, now))
+            self.queue.append(Ask(ask.name, ask.address, news, ask.fresh, now))
 
     def note_list(self, listed: dict[str, str], addresses: list[str]) -> None:
         """Take the platform's list: a second opinion, and seeds.
