Ask the store who owns a partition rather than wait for the owner's word

Change: it asks the store whom it deals the partitions to (log-owners), three times a second at most for all calls of a host; the word of a newer owner goes before that. Who is asked still says itself whether it has read the partition. Sight: misses by why (the three meanings of "changes hands" and three more told apart), one line with what the call knew, its age, the generation.

--- a/camphortray/jobdesk.py
+++ b/camphortray/jobdesk.py
@@ -2,7 +2,6 @@
 
 __all__ = ["JobDesk"]
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
@@ -20,6 +19,7 @@
 from camphortray import logs
 from camphortray import membership
 from camphortray import outer
+from camphortray import ownerbook
 from camphortray import peers
 
 LOG = logs.logger("jobs")
@@ -55,6 +55,7 @@
 
     def __init__(self, context: kernel.Context) -> None:
         self.clock = context.clock
+        self.metrics = context.metrics
         self.members = context.part(membership.Membership)
         self.links = context.part(peers.Peers)
         self.ledger = context.part(outer.LedgerOuter).ledger
@@ -155,8 +156,8 @@
             except errors.MessageError as error:
                 unsure = True
                 refusal = unsure_of(error)
-            except NoOwner as error:
-                refusal = no_owner(str(error))
+            except ownerbook.NoOwner as error:
+                refusal = self.miss(part, error.miss)
             else:
                 if not isinstance(reply, jobmessages.JobRefusal):
                     return reply
@@ -164,9 +165,10 @@
                 if refusal.code != "no_owner":
                     raise unsure_of(refusal) if unsure else refusal
             if self.clock.monotonic() >= until:
+                self.tell_missed(job, part, refusal)
                 # An earlier try may have been kept: promise nothing.
                 raise unsure_of(refusal) if unsure else refusal
-            await asyncio.sleep(FIND_PAUSE_S)
+            await self.owners.seek(FIND_PAUSE_S)
 
     async def ask_owner(self, part: int, ask: Ask, timeout_s: float) -> Any:
         """Ask the owner of a partition, which may be this host.
@@ -177,10 +179,9 @@
         """
         if part in self.owners.held:
             return await self.handle(self.owners.held[part], ask)
-        _, name = self.owners.known.get(part, (0, ""))
-        member = self.members.member(name)
-        if member is None or member.dead or name == self.members.own_name:
-            raise NoOwner(f"partition {part} changes hands")
+        member = self.members.member(self.owners.book.name(part))
+        if member is None or member.dead:
+            raise ownerbook.NoOwner(part, ownerbook.Miss.GONE)
         address = configs.Address.from_text(member.peer_address)
         return await self.links.ask(address, ask, timeout_s)
 
@@ -191,15 +192,51 @@
             if isinstance(ask, jobmessages.SubmitAsk)
             else (ask.job)
         )
-        owner = self.owners.held.get(self.part_of(job))
+        part = self.part_of(job)
+        owner = self.owners.held.get(part)
         if owner is None:
-            return jobmessages.JobRefusal.of(no_owner("not owned here"))
+            return jobmessages.JobRefusal.of(
+                self.miss(part, ownerbook.Miss.ELSEWHERE)
+            )
         return await self.handle(owner, ask)
 
+    def miss(self, part: int, why: ownerbook.Miss) -> errors.Refused:
+        """Return the refusal of a call that found no owner, and count it."""
+        self.metrics.inc(
+            "camphortray_owner_misses_total",
+            "Tries of calls on jobs that found no owner to ask, by why.",
+            {"why": why.value},
+        )
+        return no_owner(str(ownerbook.NoOwner(part, why)))
+
+    def tell_missed(
+        self, job: str, part: int, refusal: errors.Refused
+    ) -> None:
+        """Tell what a call that found no owner in its time was decided by."""
+        book = self.owners.book
+        word = book.known.get(part)
+        LOG.notice(
+            "Call on job {} found no owner of partition {}: {}",
+            job,
+            part,
+            refusal.message,
+            fields={
+                "job": job,
+                "part": part,
+                "owner": word.name if word else "",
+                "epoch": word.epoch if word else 0,
+                "word_age_s": book.age_s(part, self.clock.monotonic()),
+                "dealt_to": book.dealt.get(part, ""),
+                "generation": self.owners.generation,
+            },
+        )
+
     async def handle(self, owner: jobowner.JobOwner, ask: Ask) -> Any:
         """Answer a call as the owner."""
         if not owner.ready.is_set() or owner.lost:
-            return jobmessages.JobRefusal.of(no_owner("not read yet"))
+            return jobmessages.JobRefusal.of(
+                self.miss(owner.part, ownerbook.Miss.NOT_READ)
+            )
         try:
             if isinstance(ask, jobmessages.SubmitAsk):
                 return await self.on_submit(owner, ask)
@@ -255,7 +292,7 @@
         job, results = found
         if not results and self.owners.lapsed:
             # Another owner may have more by now.
-            raise no_owner("out of touch with the store")
+            raise self.miss(owner.part, ownerbook.Miss.OUT_OF_TOUCH)
         return jobmessages.PageReply(
             len(job.items),
             ask.after,
@@ -307,10 +344,6 @@
             raise no_owner(str(error)) from error
 
 
-class NoOwner(Exception):
-    """No owner of a partition is known."""
-
-
 def item_id(job: jobbook.Job, result: jobbook.Result) -> str:
     """Return the id of the item of a result."""
     item = job.items[result.item]
--- a/camphortray/jobowners.py
+++ b/camphortray/jobowners.py
@@ -16,6 +16,7 @@
 from camphortray import logs
 from camphortray import membership
 from camphortray import outer
+from camphortray import ownerbook
 from camphortray import placing
 from camphortray import tasks
 
@@ -35,6 +36,10 @@
 # takes some tenths of a second at most, all together less than an ended
 # job's items may still reach engines.
 CONFIRM_TRIES = 4
+# Least seconds from one question to the store of who owns what to the next,
+# however many calls lack an owner: three calls a second of a host that has
+# such calls, where it is a member of the group at the same rate.
+SEEK_EVERY_S = 0.35
 # Least seconds from one time that this host leaves the group, to be dealt its
 # partitions in a later generation, to the next.
 ANEW_EVERY_S = 5.0
@@ -45,7 +50,7 @@
 
     Attributes:
       held: Partitions owned here, by number.
-      known: Epoch and member that own a partition, by number.
+      book: Who owns the partitions, as this host has heard.
       waiting: Tokens that wait, over all hosts.
       handover: What is left to the next owners, and by the last ones.
       generation: Of the group, as last heard.
@@ -73,7 +78,9 @@
         self.member = f"{context.config.host.name}.{context.incarnation}"
         self.generation = 0
         self.held: dict[int, jobowner.JobOwner] = {}
-        self.known: dict[int, tuple[int, str]] = {}
+        self.book = ownerbook.OwnerBook(self.members.own_name)
+        self.seek_at = 0.0
+        self.seeking: asyncio.Task[None] | None = None
         self.waiting = jobwaiting.JobWaiting(context, self.held)
         self.handover = handover.Handover(context, self.held)
         self.touched_at = -KEEP_S
@@ -85,6 +92,11 @@
         self.task: asyncio.Task[None] | None = None
         self.look_task: asyncio.Task[None] | None = None
 
+    @property
+    def known(self) -> dict[int, ownerbook.OwnerWord]:
+        """Newest word of an owner, by partition."""
+        return self.book.known
+
     def start(self) -> None:
         """Join the group and take what it deals."""
         self.members.on_fact(OWNER, self.on_owner)
@@ -276,9 +288,9 @@
     def on_lost(self, owner: jobowner.JobOwner) -> None:
         """Forget a partition that another has taken over."""
         self.handover.leave(owner)
-        epoch, name = self.known.get(owner.part, (0, ""))
-        if epoch > owner.epoch:
-            self.handover.give(owner.part, name)
+        word = self.known.get(owner.part)
+        if word is not None and word.epoch > owner.epoch:
+            self.handover.give(owner.part, word.name)
         if self.held.get(owner.part) is owner:
             del self.held[owner.part]
 
@@ -289,7 +301,8 @@
         if owner is None or not owner.ready.is_set():
             return
         self.begun[part] = owner.epoch
-        if self.known.get(part) != (owner.epoch, self.members.own_name):
+        word = self.known.get(part)
+        if word is None or word[:2] != (owner.epoch, self.members.own_name):
             key = f"{part}/{self.members.own_name}"
             self.members.publish(OWNER, key, owner.epoch, FACT_KEEP_S)
             self.handover.give(part, self.members.own_name)
@@ -298,8 +311,8 @@
         """Take note of who owns a partition."""
         number, _, name = fact.key.partition("/")
         part, epoch = int(number), int(fact.value)
-        if (epoch, name) > self.known.get(part, (0, "")):
-            self.known[part] = epoch, name
+        word = ownerbook.OwnerWord(epoch, name, self.clock.monotonic())
+        newest = self.book.hear(part, word)
         owner = self.held.get(part)
         if owner is not None and epoch > owner.epoch:
             # The store does not reach this host, or it would have said so;
@@ -307,10 +320,45 @@
             LOG.notice("Partition {} has owner {}.", part, name)
             del self.held[part]
             self.give_up(owner)
-        newest = self.known[part] == (epoch, name)
         if newest and name != self.members.own_name:
             self.handover.give(part, name)
 
+    async def seek(self, pause_s: float) -> None:
+        """Wait before a call looks for an owner again; ask the store if due.
+
+        The wait ends early once the store has answered.
+
+        Args:
+          pause_s: Longest wait.
+        """
+        now = self.clock.monotonic()
+        if self.seeking is None and now >= self.seek_at:
+            self.seek_at = now + SEEK_EVERY_S
+            self.seeking = asyncio.get_running_loop().create_task(
+                self.ask_store()
+            )
+        if self.seeking is None:
+            await asyncio.sleep(pause_s)
+        else:
+            await asyncio.wait({self.seeking}, timeout=pause_s)
+
+    async def ask_store(self) -> None:
+        """Ask the store who owns what."""
+        try:
+            found = await self.ledger.owners()
+        except errors.LogError as error:
+            LOG.info("The store does not say who owns what: {}", error)
+        else:
+            program = self.context.program
+            self.book.tell(
+                {
+                    part: f"{member.rpartition('.')[0]}/{program}"
+                    for part, member in found.items()
+                }
+            )
+        finally:
+            self.seeking = None
+
     @property
     def lapsed(self) -> bool:
         """Whether another may own what this host takes for its own."""
@@ -337,7 +385,7 @@
     def stop(self) -> None:
         """End without handing over, as a crash would."""
         self.waiting.stop()
-        for task in (self.task, self.look_task):
+        for task in (self.task, self.look_task, self.seeking):
             if task is not None:
                 task.cancel()
         for owner in list(self.held.values()):
--- a/camphortray/ledger.py
+++ b/camphortray/ledger.py
@@ -205,6 +205,13 @@
     async def leave(self, member: str) -> None:
         """Leave the group of owners; errors as ``join``."""
 
+    @abc.abstractmethod
+    async def owners(self) -> dict[int, str]:
+        """Return the member that each partition is dealt to, by number.
+
+        Whoever asks need not be a member. Errors as ``join``.
+        """
+
     async def close(self) -> None:
         """Release connections."""
 
@@ -362,15 +369,26 @@
         if member not in self.members:
             self.deal()
         self.members[member] = keep_s
+        return Assignment(self.generation, self.dealt_to(member))
+
+    def dealt_to(self, member: str) -> frozenset[int]:
+        """Return the partitions of a member in this generation."""
         order = sorted(self.members)
         place = order.index(member)
-        own = frozenset(
+        return frozenset(
             number
             for number in range(self.parts)
             if (number + self.generation) % len(order) == place
         )
-        return Assignment(self.generation, own)
 
     async def leave(self, member: str) -> None:
         self.check_up("leave")
         self.lapse(member)
+
+    async def owners(self) -> dict[int, str]:
+        self.check_up("owners")
+        return {
+            part: member
+            for member in self.members
+            for part in self.dealt_to(member)
+        }
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -165,6 +165,13 @@
             ]
             told = {"generation": found.generation, "parts": rows}
             response.send_json(200, told)
+        elif path == "/log-owners":
+            rows = [
+                [names.topic(ledger.Topic.JOBS, number), inner, member, 0]
+                for part, member in (await self.held.owners()).items()
+                for number, inner in [divmod(part, self.topic_parts)]
+            ]
+            response.send_json(200, {"parts": rows})
         elif path == "/log-leave":
             await self.held.leave(json.loads(body)["member"])
             response.send_json(200, {})
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -53,6 +53,11 @@
 
 
 async def test_a_job_is_done_and_read_at_any_host():
+    # Any host takes a job and tells its results. Beside load a POST was told
+    # 503, "partition 0 changes hands": the host that was asked still took
+    # itself for the owner of a partition that it had given up in an earlier
+    # generation, and waited three seconds for the word of the owner, which it
+    # had missed as that one began. It asks the store now, and is told again.
     async with platformkit.Platform(hosts=2) as platform:
         first, second = platform.hosts
         for job in ("j1", "j2", "j3", "j4"):
@@ -72,7 +77,8 @@
 async def test_jobs_lie_in_as_many_topics_as_the_deploy_file_says():
     # Two partitions a topic and three topics: six owners at most rather
     # than two. A partition of a further topic mistaken for one of the first
-    # would show a job of the one under the other, or lose it.
+    # would show a job of the one under the other, or lose it. Beside load it
+    # was red as the test above, for the same cause.
     async with platformkit.Platform(hosts=3, job_topics=3) as platform:
         first, second, third = platform.hosts
         used = set()
@@ -135,6 +141,7 @@
 async def test_a_job_outlives_its_owner():
     # The owner is lost right after the 202. The group deals its partition
     # to the other host, which reads the job from the store and runs it.
+    # Beside load it was red at its POSTs, as the first test here.
     async with platformkit.Platform(hosts=2) as platform:
         first, second = platform.hosts
         for engine in platform.engines.values():
