Give back slots granted to one that has given up, and tell all who count one

Cause: (1) a coordinator whose word comes too late grants a slot to a want that nobody has any more; it stays taken until its holder reports or is forgotten, three seconds. (2) Only the last of several coordinators is told of an end: in the own book of a host that had to decide for itself slots stay taken for good, as a host does not forget itself. (3) The last end of a host, if lost, is made good by nothing. Shown by printing the books after runs on a loop that stands still: ten of sixteen slots in use for nobody as callers got 503; five in an own book after a green run. Change: whoever gives up tells the end; every coordinator that may count a slot is told of its end; a host reports once more when nothing is left. Why it holds: each way on which a lease can come into a book is now followed by an end or a report to that very book.

--- a/camphortray/placements.py
+++ b/camphortray/placements.py
@@ -3,7 +3,7 @@
 What becomes of them is decided by their coordinator.
 """
 
-__all__ = ["Pending", "Placement"]
+__all__ = ["Granted", "Pending", "Placement"]
 
 import asyncio
 from collections.abc import Callable
@@ -13,8 +13,46 @@
 from camphortray import slotwants
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """A slot that was granted.
+
+    Attributes:
+      engine: Name of the engine.
+      coordinator: Member that gave it.
+      coordinators: All members that may count it, that one too.
+    """
+
+    engine: str
+    coordinator: str
+    coordinators: frozenset[str]
+
+
+@dataclasses.dataclass(eq=False, slots=True, kw_only=True)
+class Coordinated:
+    """What a coordinator counts.
+
+    Attributes:
+      coordinator: Member that coordinates it now.
+      earlier: Members that may still count it, which coordinated before.
+    """
+
+    coordinator: str = ""
+    earlier: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def coordinators(self) -> set[str]:
+        """All members that may count it."""
+        return ({self.coordinator} | self.earlier) - {""}
+
+    def turn_to(self, name: str) -> None:
+        """Count it as with another coordinator from now on."""
+        self.earlier = self.coordinators - {name}
+        self.coordinator = name
+
+
 @dataclasses.dataclass(eq=False, slots=True)
-class Placement:
+class Placement(Coordinated):
     """A slot in use.
 
     Attributes:
@@ -22,7 +60,6 @@
       service: Whose engine.
       upstream: The engine.
       granted_at: When, on the monotonic clock.
-      coordinator: Member that gave it.
       on_revoke: Called when it is taken back; only of batch items.
     """
 
@@ -30,15 +67,18 @@
     service: str
     upstream: engine.Upstream
     granted_at: float
-    coordinator: str
     on_revoke: Callable[[], None] | None = None
 
 
 @dataclasses.dataclass(eq=False, slots=True)
-class Pending:
+class Pending(Coordinated):
     """A want that waits for its answer."""
 
     want: slotwants.Want
     service: str
     answer: "asyncio.Future[tuple[str, str]]"
-    coordinator: str = ""
+
+    def granted(self, engine_name: str, coordinator: str) -> Granted:
+        """Return what was granted, as the answer tells it."""
+        names = frozenset(self.coordinators | {coordinator})
+        return Granted(engine_name, coordinator, names)
--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import functools
 from typing import ClassVar
@@ -147,45 +148,47 @@
         zone = self.context.config.host.availability_zone
         want = dataclasses.replace(want, zone=zone)
         for number in range(MAX_STALE):
-            name, coordinator = await self.answer(service, want)
+            granted = await self.answer(service, want)
             if want.id in self.recalled:
                 self.recalled.discard(want.id)
-                self.end(coordinator, service, want.id)
+                self.end_all(granted.coordinators, service, want.id)
                 want = dataclasses.replace(want, id=f"{want.id}-{number}")
                 continue
-            entry = self.inforce.engines.find(name)
+            entry = self.inforce.engines.find(granted.engine)
             if entry is not None:
                 upstream = self.upstream(entry)
                 return self.placement(
-                    service, want, upstream, coordinator, on_revoke
+                    service, want, upstream, granted, on_revoke
                 )
             # The coordinator has not heard yet that it leaves, or this
             # host has not heard yet that it is there.
-            self.end(coordinator, service, want.id)
+            self.end_all(granted.coordinators, service, want.id)
             want = dataclasses.replace(
-                want, id=f"{want.id}-{number}", avoid=want.avoid | {name}
+                want,
+                id=f"{want.id}-{number}",
+                avoid=want.avoid | {granted.engine},
             )
         raise errors.NoSlot("engines given are not known here", RETRY_S)
 
     async def answer(
         self, service: str, want: slotbook.Want
-    ) -> tuple[str, str]:
-        """Return the engine granted, and by whom; errors as ``acquire``."""
+    ) -> placements.Granted:
+        """Return what is granted, and by whom; errors as ``acquire``."""
         loop = asyncio.get_running_loop()
         pending = placements.Pending(want, service, loop.create_future())
         self.pending[want.id] = pending
         try:
             await self.ask(pending)
             if not want.online:
-                return await pending.answer
+                return pending.granted(*await pending.answer)
             left_s = want.objective_s * slotbook.PATIENCE + SLACK_S
             async with asyncio.timeout(left_s):
-                return await pending.answer
+                return pending.granted(*await pending.answer)
         except TimeoutError:
-            self.end(pending.coordinator, service, want.id)
+            self.end_all(pending.coordinators, service, want.id)
             raise errors.NoSlot("no word on a slot", want.left_s / 4) from None
         except asyncio.CancelledError:
-            self.end(pending.coordinator, service, want.id)
+            self.end_all(pending.coordinators, service, want.id)
             raise
         finally:
             self.pending.pop(want.id, None)
@@ -195,7 +198,7 @@
         service: str,
         want: slotbook.Want,
         upstream: engine.Upstream,
-        coordinator: str,
+        granted: placements.Granted,
         on_revoke: Callable[[], None] | None,
     ) -> placements.Placement:
         """Return the slot that was granted."""
@@ -204,8 +207,9 @@
             service,
             upstream,
             self.clock.monotonic(),
-            coordinator,
             on_revoke,
+            coordinator=granted.coordinator,
+            earlier=set(granted.coordinators - {granted.coordinator}),
         )
         self.held[want.id] = held
         return held
@@ -233,7 +237,7 @@
         """Ask whoever coordinates, and oneself if that one is silent."""
         now = self.clock.monotonic()
         name = self.coordinators.coordinator(pending.service, now)
-        pending.coordinator = name
+        pending.turn_to(name)
         if name == self.own_name:
             self.ask_here(pending)
             return
@@ -249,9 +253,13 @@
             word = await self.links.ask(address, message, ANSWER_S)
         except errors.MessageError as error:
             LOG.info("{} asks nobody: {}", pending.want.id, error)
+            # It may have granted a slot all the same, or do so yet. Nobody
+            # would give that back before the holder is forgotten, seconds
+            # later, and its slots are refused to others meanwhile.
+            self.end(name, pending.service, pending.want.id)
             self.distrust(name)
             if pending.want.online and not pending.answer.done():
-                pending.coordinator = self.own_name
+                pending.turn_to(self.own_name)
                 self.ask_here(pending)
             return
         if isinstance(word, PlaceWord):
@@ -306,7 +314,20 @@
     ) -> None:
         """Give a slot back, and tell how its engine was."""
         if self.held.pop(held.want.id, None) is not None:
-            self.end(held.coordinator, held.service, held.want.id, outcome)
+            self.end_all(
+                held.coordinators, held.service, held.want.id, outcome
+            )
+
+    def end_all(
+        self,
+        coordinators: Iterable[str],
+        service: str,
+        want_id: str,
+        outcome: enginehealth.Outcome = enginehealth.Outcome.NOTHING,
+    ) -> None:
+        """Tell all coordinators that may count something that it has ended."""
+        for name in coordinators:
+            self.end(name, service, want_id, outcome)
 
     def end(
         self,
--- a/camphortray/placingreports.py
+++ b/camphortray/placingreports.py
@@ -61,10 +61,12 @@
 
     Attributes:
       holder: What it holds, and whom it asks.
+      last: Coordinator told of anything held or wanted, by service.
     """
 
     def __init__(self, holder: Holder) -> None:
         self.holder = holder
+        self.last: dict[str, str] = {}
 
     async def run(self) -> None:
         """Report and clear up, for ever."""
@@ -96,7 +98,12 @@
         if name == holder.own_name:
             desk = holder.desks.desk(service)
             desk.act(desk.audit.report(name, leases, wants, now))
-        elif held or waiting:
+        elif held or waiting or self.last.get(service) == name:
+            # Once more when nothing is left: the last end may be lost.
+            if held or waiting:
+                self.last[service] = name
+            else:
+                del self.last[service]
             await self.tell(name, self.message(service, leases, wants, now))
 
     def turn_to(
@@ -110,9 +117,9 @@
             if pending.want.online and pending.coordinator != name:
                 # It waits in the queue of a coordinator that is left.
                 self.holder.links.spawn(self.holder.ask(pending))
-            pending.coordinator = name
+            pending.turn_to(name)
         for placement in held:
-            placement.coordinator = name
+            placement.turn_to(name)
 
     def message(
         self,
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -115,9 +115,7 @@
             name, configs.Address("127.0.0.1", 1), "z", "memory"
         )
         self.revokes.append(on_revoke)
-        return placements.Placement(
-            want, service, upstream, 0.0, "", on_revoke
-        )
+        return placements.Placement(want, service, upstream, 0.0, on_revoke)
 
     def release(self, held, outcome):
         self.ends.append(outcome)
