Do not take an own pause for the silence of others

Callers saw: 503 "no room in time" and 502 with engines and coordinator well, after the host had stood still for some tenths of a second. Cause: as a process goes on after a pause, all its limits on others have passed, and they come up before what lies unread is read: 0.15 s for a connection to an engine (put aside), 0.12 s for a coordinator (left), links dropped. Change: a limit on others that comes up late, which shows that this process stood still, is moved on by as much, at most by what it was (timers.limit for questions to peers, connections, the word on a slot; LazyTimer for silence). What a caller set as its time is not moved. Why it holds: what came meanwhile lies in sockets and needs some turns of the loop; who is really silent is found out a limit later.

--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -17,6 +17,7 @@
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import keepalive
+from camphortray import timers
 
 # Idle connections kept for one address.
 MAX_IDLE = 64
@@ -310,7 +311,7 @@
                 connection.h11.start_next_cycle()
                 return connection
         try:
-            async with asyncio.timeout(limits.connect_s):
+            async with timers.limit(limits.connect_s):
                 _, connection = await loop.create_connection(
                     lambda: ClientConnection(str(address)),
                     address.ip,
--- a/camphortray/links.py
+++ b/camphortray/links.py
@@ -14,6 +14,7 @@
 from camphortray import errors
 from camphortray import logs
 from camphortray import messages
+from camphortray import timers
 from camphortray import traffic as traffics
 
 LOG = logs.logger("peers")
@@ -95,7 +96,7 @@
         self.waiting[number] = answer
         socket = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timers.limit(timeout_s):
                 socket = await self.open()
                 await self.send(
                     socket, messages.Envelope(number, False, message)
--- a/camphortray/placing.py
+++ b/camphortray/placing.py
@@ -34,6 +34,7 @@
 from camphortray import slotcoordinators
 from camphortray import slotdesk
 from camphortray import tasks
+from camphortray import timers
 
 LOG = logs.logger("placing")
 PlaceAsk = placingcalls.PlaceAsk
@@ -182,7 +183,7 @@
             if not want.online:
                 return pending.granted(*await pending.answer)
             left_s = want.objective_s * slotbook.PATIENCE + SLACK_S
-            async with asyncio.timeout(left_s):
+            async with timers.limit(left_s):
                 return pending.granted(*await pending.answer)
         except TimeoutError:
             self.end_all(pending.coordinators, service, want.id)
--- a/camphortray/timers.py
+++ b/camphortray/timers.py
@@ -1,9 +1,82 @@
-"""A time limit that is moved often and seldom runs out."""
+"""Time limits on others, which a pause of this process does not use up.
 
-__all__ = ["LazyTimer"]
+A process on a busy machine stands still for some tenths of a second now and
+then. When it goes on, what others sent meanwhile lies unread, and the limits on
+their answers have all passed. Taken for their silence, it has engines put
+aside, coordinators left and requests refused of which all were well. So a limit
+that comes up late, which shows that this process stood still, is moved on by as
+much, and what lies unread is read first.
+"""
+
+__all__ = ["LazyTimer", "Limit", "extra_s", "limit"]
 
 import asyncio
 from collections.abc import Callable
+import types
+
+# Lateness of a timer from which on this process stood still, in seconds. On a
+# quiet machine timers come up within a millisecond or two.
+LATE_S = 0.01
+
+
+def extra_s(late_s: float, seconds: float) -> float:
+    """Return by how much a limit is moved on that comes up late.
+
+    Never by more than it was: what lies unread needs some turns of the loop,
+    and who is really silent is to be found out.
+
+    Args:
+      late_s: How late it came up.
+      seconds: The limit as it was set.
+    """
+    return min(late_s, seconds) if late_s > LATE_S else 0.0
+
+
+def limit(seconds: float) -> "Limit":
+    """Return a context that ends with ``TimeoutError`` after so long."""
+    return Limit(seconds)
+
+
+class Limit:
+    """As ``asyncio.timeout``, but pauses of this process do not count.
+
+    Attributes:
+      seconds: The limit.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
+        self.timeout = asyncio.timeout(None)
+        self.loop = asyncio.get_running_loop()
+        self.handle: asyncio.TimerHandle | None = None
+
+    async def __aenter__(self) -> "Limit":
+        await self.timeout.__aenter__()
+        self.set(self.loop.time() + self.seconds)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        if self.handle is not None:
+            self.handle.cancel()
+        await self.timeout.__aexit__(kind, error, trace)
+
+    def set(self, at: float) -> None:
+        """Let the time be over at a moment of the loop's clock."""
+        self.handle = self.loop.call_at(at, self.fire, at)
+
+    def fire(self, at: float) -> None:
+        """End the time, unless this process stood still."""
+        now = self.loop.time()
+        more_s = extra_s(now - at, self.seconds)
+        if more_s:
+            self.set(now + more_s)
+        else:
+            self.timeout.reschedule(now)
 
 
 class LazyTimer:
@@ -19,9 +92,11 @@
         self.loop = asyncio.get_running_loop()
         self.handle: asyncio.TimerHandle | None = None
         self.limit_at: float | None = None
+        self.seconds = 0.0
 
     def set(self, seconds: float) -> None:
         """Call back in ``seconds``, instead of any time set before."""
+        self.seconds = seconds
         self.limit_at = limit_at = self.loop.time() + seconds
         handle = self.handle
         if handle is not None:
@@ -47,7 +122,11 @@
         limit_at = self.limit_at
         if limit_at is None:
             return
-        if self.loop.time() < limit_at:
+        now = self.loop.time()
+        more_s = extra_s(now - limit_at, self.seconds)
+        if more_s:
+            self.limit_at = limit_at = now + more_s
+        if now < limit_at:
             self.handle = self.loop.call_at(limit_at, self.fire)
             return
         self.limit_at = None
