--- a/camphortray/timers.py
+++ b/camphortray/timers.py
@@ -1,11 +1,11 @@
 """Time limits on others, which a pause of this process does not use up.
 
 A process on a busy machine stands still for some tenths of a second now and
-then. When it goes on, what others sent meanwhile lies unread, and the limits on
-their answers have all passed. Taken for their silence, it has engines put
-aside, coordinators left and requests refused of which all were well. So a limit
-that comes up late, which shows that this process stood still, is moved on by as
-much, and what lies unread is read first.
+then. When it goes on, what others sent meanwhile lies unread, and the limits
+on their answers have all passed. Taken for their silence, that puts engines
+aside, leaves coordinators and refuses requests, with all of them well. So a
+limit that comes up late, which shows that this process stood still, is moved
+on by as much, and what lies unread is read first.
 """
 
 __all__ = ["LazyTimer", "Limit", "extra_s", "limit"]
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -1,8 +1,8 @@
 """Time limits on others while this process stands still.
 
 What callers saw: 503 and 502 with engines and coordinators well. A process that
-stood still for longer than the time for an answer took all that it waited for
-as it went on for silent: engines to which it was opening connections (0.15 s)
+stood still for longer than the time for an answer took all that it then waited
+for to be silent: engines to which it was opening connections (0.15 s)
 and the coordinator of the slots (0.12 s), though both had answered meanwhile.
 """
 
