Let grants, and the time of a record, outlast a pause of the process

Cause: grants are renewed by the word of a coordinator. As a process goes on after a pause their time is over, and all slots were given up before the word that renews them, which lay unread, was read; a coordinator forgot its holders in the same way. A record of the agreed log was given up likewise. Change: a holder that stood still lets grants hold for one question and its answer and asks at once; a coordinator that stood still believes its holders while it reads; the time of a record is moved on by the pause (timers.Deadline). Why it holds: who has lost slots meanwhile is told so in the answer, and gives up just these; who is not answered gives up all, half a second later.

--- a/camphortray/coordinator.py
+++ b/camphortray/coordinator.py
@@ -116,6 +116,17 @@
         holder.wanted = wanted
         holder.until = now + GRANT_S
 
+    def stood_still(self, now: float, seconds: float) -> None:
+        """Believe what hosts said for some time more after an own pause.
+
+        Their newer word lies unread; forgotten, they would all be granted
+        nothing, and send all their items again.
+        """
+        for holder in self.holders.values():
+            holder.until = max(holder.until, now + seconds)
+        for report in self.reports.values():
+            report.until = max(report.until, now + seconds)
+
     def online(self, now: float, host: str, load: headroom.Load) -> None:
         """Take note of a host's online work at the upstream."""
         if load.in_flight or load.strain:
--- a/camphortray/granting.py
+++ b/camphortray/granting.py
@@ -23,10 +23,14 @@
 from camphortray import shards
 from camphortray import signals
 from camphortray import slotmessages
+from camphortray import timers
 from camphortray import tree
 
 # Seconds from one look at reports and coordinated upstreams to the next.
 TICK_S = 0.02
+# Most time for which hosts are believed after a pause of this process: enough
+# to read what they have said meanwhile.
+STOOD_S = 0.25
 
 
 def coordinator_of(
@@ -271,10 +275,19 @@
             if not self.reports.works and not self.busy():
                 self.work.clear()
                 await self.work.wait()
-            await asyncio.sleep(TICK_S)
+            stood_s = await timers.sleep(TICK_S)
+            if stood_s:
+                self.stood_still(stood_s)
             self.report()
             self.decide(*self.coordinators)
 
+    def stood_still(self, seconds: float) -> None:
+        """Take note that this process stood still."""
+        now = self.clock.monotonic()
+        more_s = min(seconds, STOOD_S)
+        for held in self.coordinators.values():
+            held.stood_still(now, more_s)
+
     def busy(self) -> bool:
         """Return whether a coordinated upstream is in use."""
         return any(
--- a/camphortray/holding.py
+++ b/camphortray/holding.py
@@ -56,6 +56,23 @@
         holding.until = now + seconds
         return self.excess(holding)
 
+    def stood_still(self, now: float, seconds: float) -> None:
+        """Let grants hold for some time more after a pause of this process.
+
+        Their renewals lie unread, or could not be asked for. Given up
+        unheard, all items would be sent again at once, to engines that read
+        their prompts anew, for a pause in which nobody had taken a slot
+        away. The time is for one question and its answer; a coordinator that
+        has given the slots to others says so in it.
+
+        Args:
+          now: Present time.
+          seconds: Least time that grants hold from now on.
+        """
+        for holding in self.holdings.values():
+            if holding.granted:
+                holding.until = max(holding.until, now + seconds)
+
     def lapse(self, now: float) -> list[T]:
         """Return the slots to give up because their grant ended."""
         lost: list[T] = []
--- a/camphortray/journal.py
+++ b/camphortray/journal.py
@@ -17,6 +17,7 @@
 from camphortray import records
 from camphortray import snapshot
 from camphortray import tasks
+from camphortray import timers
 
 LOG = logs.logger("journal")
 # Longest long poll for new records, in seconds.
@@ -26,6 +27,8 @@
 MAX_PAUSE_S = 2.0
 # Time to look for a record whose answer was lost before appending again.
 READ_BACK_S = 0.5
+# Least time for a record whose turn came late as this process stood still.
+LEAST_S = 0.1
 # Records read from the end when looking for a snapshot, and the factor by
 # which the next look reaches further back.
 SEARCH_RECORDS = 32
@@ -337,9 +340,9 @@
           AppendUnknown: given up; it may still land.
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
+        begun_at = loop.time()
         try:
-            async with asyncio.timeout_at(deadline):
+            async with timers.limit(timeout_s):
                 await self.caught_up.wait()
                 await self.lock.acquire()
         except TimeoutError:
@@ -351,8 +354,10 @@
                 record_id, kind, epoch, body, self.fold.next
             )
             waiter = self.waiting[self.sequence] = loop.create_future()
+            left_s = begun_at + timeout_s - loop.time()
             try:
-                return await self.push(record, waiter, deadline)
+                with timers.Deadline(max(LEAST_S, left_s)) as deadline:
+                    return await self.push(record, waiter, deadline)
             finally:
                 self.waiting.pop(record_id.sequence, None)
         finally:
@@ -372,23 +377,22 @@
         self,
         record: records.Record,
         waiter: "asyncio.Future[folds.Outcome]",
-        deadline: float,
+        deadline: timers.Deadline,
     ) -> folds.Outcome:
         """Append until the record is read back or time is over.
 
         A lost answer is met by appending again under the same id, since
         the fold ignores the second.
         """
-        loop = asyncio.get_running_loop()
         data = records.encode(record)
         if len(data) > self.record_limit:
             raise self.refused(f"{len(data)} bytes are over the limit")
         tried = attempt.Attempt()
         pause = PAUSE_S
-        while (left := deadline - loop.time()) > 0:
+        while (left := deadline.left()) > 0:
             wait_s = left
             try:
-                async with asyncio.timeout(left):
+                async with timers.limit(left):
                     await self.send(self.stream, data)
                 tried.on_taken()
             except TimeoutError:
@@ -399,8 +403,8 @@
                 if isinstance(error, errors.LogRefused):
                     wait_s = pause * (0.5 + self.rng.random())
                     pause = min(pause * 2, MAX_PAUSE_S)
-            left = max(deadline - loop.time(), 0)
-            done, _ = await asyncio.wait({waiter}, timeout=min(wait_s, left))
+            wait_s = min(wait_s, deadline.left())
+            done, _ = await asyncio.wait({waiter}, timeout=wait_s)
             if done:
                 break
         if waiter.done():
--- a/camphortray/slots.py
+++ b/camphortray/slots.py
@@ -16,6 +16,7 @@
 from camphortray import peers
 from camphortray import settings
 from camphortray import slotmessages
+from camphortray import timers
 from camphortray import tree
 from camphortray import upstreams
 
@@ -307,7 +308,11 @@
             if waited >= RENEW_S or (new and waited >= HASTE_S):
                 self.ask()
             self.revoke(self.holdings.lapse(self.clock.monotonic()))
-            await asyncio.sleep(LAPSE_S if self.asked else HASTE_S)
+            stood_s = await timers.sleep(LAPSE_S if self.asked else HASTE_S)
+            if stood_s > HASTE_S:
+                now = self.clock.monotonic()
+                self.holdings.stood_still(now, min(stood_s, RENEW_S))
+                self.ask()
 
     async def stop(self) -> None:
         if self.task is not None:
--- a/camphortray/timers.py
+++ b/camphortray/timers.py
@@ -8,7 +8,7 @@
 on by as much, and what lies unread is read first.
 """
 
-__all__ = ["LazyTimer", "Limit", "extra_s", "limit"]
+__all__ = ["Deadline", "LazyTimer", "Limit", "extra_s", "limit", "sleep"]
 
 import asyncio
 from collections.abc import Callable
@@ -32,27 +32,80 @@
     return min(late_s, seconds) if late_s > LATE_S else 0.0
 
 
+async def sleep(seconds: float) -> float:
+    """Sleep; return for how long this process stood still, in seconds."""
+    loop = asyncio.get_running_loop()
+    due_at = loop.time() + seconds
+    await asyncio.sleep(seconds)
+    late_s = loop.time() - due_at
+    return late_s if late_s > LATE_S else 0.0
+
+
 def limit(seconds: float) -> "Limit":
     """Return a context that ends with ``TimeoutError`` after so long."""
     return Limit(seconds)
 
 
+class Deadline:
+    """The end of a time that pauses of this process do not use up.
+
+    Attributes:
+      seconds: The time.
+      at: When it is over, on the loop's clock.
+    """
+
+    def __init__(
+        self, seconds: float, on_over: Callable[[], None] | None = None
+    ) -> None:
+        self.seconds = seconds
+        self.on_over = on_over
+        self.loop = asyncio.get_running_loop()
+        self.set(self.loop.time() + seconds)
+
+    def __enter__(self) -> "Deadline":
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stop()
+
+    def set(self, at: float) -> None:
+        """Let the time be over at another moment."""
+        self.at = at
+        self.handle = self.loop.call_at(at, self.fire)
+
+    def left(self) -> float:
+        """Return the seconds left, 0 when it is over."""
+        return max(0.0, self.at - self.loop.time())
+
+    def stop(self) -> None:
+        """Look no more at the time."""
+        self.handle.cancel()
+
+    def fire(self) -> None:
+        """Let the time be over, unless this process stood still."""
+        now = self.loop.time()
+        more_s = extra_s(now - self.at, self.seconds)
+        if more_s:
+            self.set(now + more_s)
+        elif self.on_over is not None:
+            self.on_over()
+
+
 class Limit:
     """As ``asyncio.timeout``, but pauses of this process do not count.
 
     Attributes:
-      seconds: The limit.
+      deadline: Its end, once begun.
     """
 
     def __init__(self, seconds: float) -> None:
         self.seconds = seconds
         self.timeout = asyncio.timeout(None)
-        self.loop = asyncio.get_running_loop()
-        self.handle: asyncio.TimerHandle | None = None
+        self.deadline: Deadline | None = None
 
     async def __aenter__(self) -> "Limit":
         await self.timeout.__aenter__()
-        self.set(self.loop.time() + self.seconds)
+        self.deadline = Deadline(self.seconds, self.over)
         return self
 
     async def __aexit__(
@@ -61,22 +114,13 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        if self.handle is not None:
-            self.handle.cancel()
+        if self.deadline is not None:
+            self.deadline.stop()
         await self.timeout.__aexit__(kind, error, trace)
 
-    def set(self, at: float) -> None:
-        """Let the time be over at a moment of the loop's clock."""
-        self.handle = self.loop.call_at(at, self.fire, at)
-
-    def fire(self, at: float) -> None:
-        """End the time, unless this process stood still."""
-        now = self.loop.time()
-        more_s = extra_s(now - at, self.seconds)
-        if more_s:
-            self.set(now + more_s)
-        else:
-            self.timeout.reschedule(now)
+    def over(self) -> None:
+        """End what runs in it."""
+        self.timeout.reschedule(asyncio.get_running_loop().time())
 
 
 class LazyTimer:
