Let an odd error end a try and not the request

Cause: an error that no code expects, as libraries let out, went past the tries of the exchange to the shell of the server. Change: it ends the try (UpstreamFault, with its trace in a line); what may be repeated goes on at another engine, what may have run and may not be repeated is told 502. It is held neither against the engine nor against the request. Why it holds: both fronts take their tries from the one exchange, and all that a try does lies within that clause. Test: four cases, all fail before.

--- a/camphortray/enginehealth.py
+++ b/camphortray/enginehealth.py
@@ -116,7 +116,7 @@
 
 def outcome_of(error: errors.UpstreamError) -> Outcome:
     """Return what a failed try says of its engine."""
-    if isinstance(error, errors.UpstreamUnsendable):
+    if isinstance(error, errors.UpstreamUnsendable | errors.UpstreamFault):
         return Outcome.NOTHING
     if isinstance(error, errors.UpstreamRefused):
         return Outcome.GOOD if error.ran else Outcome.FULL
--- a/camphortray/errors.py
+++ b/camphortray/errors.py
@@ -18,6 +18,7 @@
     "Refused",
     "UpstreamBroken",
     "UpstreamError",
+    "UpstreamFault",
     "UpstreamRefused",
     "UpstreamTimeout",
     "UpstreamUnsendable",
@@ -196,6 +197,14 @@
     """The upstream stayed silent past its time limit."""
 
 
+class UpstreamFault(UpstreamError):
+    """A try failed by an error that no code expects.
+
+    It is this program's or a library's; what it says of the upstream and of
+    the request is nothing.
+    """
+
+
 class Refused(CamphortrayError):
     """A request is refused; the HTTP shell turns it into JSON.
 
--- a/camphortray/exchange.py
+++ b/camphortray/exchange.py
@@ -9,12 +9,15 @@
 __all__ = ["EVENTS", "Exchange", "Try"]
 
 import abc
+import traceback
 
 from camphortray import engine
 from camphortray import errors
 from camphortray import eventstream
 from camphortray import httpserver
+from camphortray import logs
 
+LOG = logs.logger("exchange")
 EVENTS = "text/event-stream"
 Headers = tuple[tuple[str, str], ...]
 
@@ -171,6 +174,22 @@
                 self.ran -= 1
                 self.refused += 1
             raise
+        except errors.CamphortrayError as error:
+            ended = error
+            raise
+        except Exception as error:
+            # Whatever it is, it is the end of this try and nothing else: the
+            # caller got 500 while another engine stood ready.
+            LOG.error(
+                "Try at {} failed by an error: {}",
+                held.upstream.name,
+                "".join(traceback.format_exception(error)),
+            )
+            fault = errors.UpstreamFault(
+                repr(error), step="try", peer=held.upstream.name
+            )
+            ended = fault
+            raise fault from error
         except BaseException as error:
             ended = error
             raise
--- a/camphortray/routedtry.py
+++ b/camphortray/routedtry.py
@@ -122,6 +122,8 @@
         It need not be told to cancel what it refused or crashed at.
         """
         held = self.parts.upstreams
+        if isinstance(error, errors.UpstreamFault):
+            return False
         if isinstance(error, errors.UpstreamRefused):
             if error.status not in engine.FINAL and not error.leaving:
                 held.failed(self.upstream)
--- a/tests/test_passage.py
+++ b/tests/test_passage.py
@@ -7,6 +7,7 @@
 import pytest
 
 from camphortray import clock as clocks
+from camphortray import enginehealth
 from camphortray import errors
 from camphortray import metrics
 from camphortray import opaque
@@ -90,6 +91,8 @@
     hostkit.STREAM_ROUTE, kind=routemap.Kind.IDEMPOTENT, max_attempts=2
 )
 ONCE = dataclasses.replace(SAFE, kind=routemap.Kind.NON_IDEMPOTENT)
+# What a library has let out where it was to raise an error of its own.
+ODD = AttributeError("'NoneType' object has no attribute 'write'")
 
 
 async def test_a_stream_is_passed_on_unchanged():
@@ -158,6 +161,36 @@
     assert second.resume_after == "2"
 
 
+@pytest.mark.parametrize(
+    ("route", "script", "status", "sent"),
+    [
+        (hostkit.RESUMABLE, [ODD, answer(*TWO)], 200, 2),
+        (hostkit.RESUMABLE, [answer(TWO[0], ODD), answer(TWO[1])], 200, 2),
+        (SAFE, [ODD, ODD], 502, 2),
+        # It may have run, and must not run again.
+        (ONCE, [ODD], 502, 1),
+    ],
+)
+async def test_an_odd_error_ends_a_try_and_not_the_request(
+    route, script, status, sent
+):
+    # A library lets out an error that no code expects, on the way to an
+    # engine or back. The caller got 500 while another engine stood ready.
+    # It says nothing of the engine, nor that the request crashes engines.
+    script = [
+        hostkit.Answer(a.chunks) if isinstance(a, hostkit.Answer) else a
+        for a in script
+    ]
+    held = passage_of(script, route)
+    assert await outcome(held) == status
+    assert len(held.parts.outer.party.seen) == sent
+    ends = held.parts.placing.ends
+    good = [hostkit.GOOD] if status == 200 else []
+    odd = [enginehealth.Outcome.NOTHING] * (sent - len(good))
+    assert ends == odd + good
+    assert not held.parts.breaks.told
+
+
 async def test_a_stream_torn_at_its_end_is_not_made_to_look_whole():
     held = passage_of([hostkit.Answer([*TWO, hostkit.event(3)[:5]])])
     assert await outcome(held) == 0
