Stay a member of the group while partitions are confirmed

Cause: after a gap a host asks the store of each partition in turn whether its epoch holds, up to four tries of 0.4 s each, and did not renew its membership of 1.2 s meanwhile: at two partitions 3.2 s without a call. Change: all are asked at once, and the membership is renewed beside each round; that call does not say that the newest deal has been acted upon. Why it holds: a round takes one call's time, less than the membership; where a gap has opened all the same, the next call sees it and asks again. Test: in virtual time, one and two hosts; both fail before.

--- a/camphortray/jobowners.py
+++ b/camphortray/jobowners.py
@@ -54,6 +54,7 @@
       waiting: Tokens that wait, over all hosts.
       handover: What is left to the next owners, and by the last ones.
       generation: Of the group, as last heard.
+      acted_on: Of what this host has last given up and taken over.
       begun: Epochs in which partitions have been owned here, by number.
       again: Partitions dealt to this host by the last answer that it must
         not own again in that generation.
@@ -76,7 +77,7 @@
             context.metrics,
         )
         self.member = f"{context.config.host.name}.{context.incarnation}"
-        self.generation = 0
+        self.generation = self.acted_on = 0
         self.held: dict[int, jobowner.JobOwner] = {}
         self.book = ownerbook.OwnerBook(self.members.own_name)
         self.seek_at = 0.0
@@ -185,6 +186,7 @@
             await self.confirm_all(found.generation > before)
         if self.draining:
             return
+        self.acted_on = self.generation
         for part in set(self.held) - found.parts:
             LOG.notice("Partition {} is dealt to another.", part)
             self.give_up(self.held.pop(part))
@@ -244,14 +246,34 @@
           changed: Whether the generation has grown meanwhile. If not, all
             is still dealt as it was, and silence of the store says nothing.
         """
-        for part, owner in list(self.held.items()):
-            if not owner.ready.is_set() or owner.lost:
-                continue
-            known = await self.confirmed(owner)
-            if known is False or (known is None and changed):
-                self.give_up(owner)
-                if self.held.get(part) is owner:
-                    del self.held[part]
+        left = [
+            owner
+            for owner in self.held.values()
+            if owner.ready.is_set() and not owner.lost
+        ]
+        for _ in range(CONFIRM_TRIES):
+            # All at once, and the membership beside them: one after the
+            # other, each with its tries, they took longer than it lasts.
+            known = await asyncio.gather(
+                *(self.confirmed(owner) for owner in left), self.renew()
+            )
+            pairs = list(zip(left, known, strict=False))
+            for owner, found in pairs:
+                if found is False:
+                    self.give_away(owner)
+            left = [owner for owner, found in pairs if found is None]
+            if not left:
+                return
+        for owner in left:
+            LOG.notice("Partition {} could not be confirmed.", owner.part)
+            if changed:
+                self.give_away(owner)
+
+    def give_away(self, owner: jobowner.JobOwner) -> None:
+        """Give a partition up that another may have owned meanwhile."""
+        self.give_up(owner)
+        if self.held.get(owner.part) is owner:
+            del self.held[owner.part]
 
     async def confirmed(self, owner: jobowner.JobOwner) -> bool | None:
         """Return whether the store confirms an owner's epoch; None if silent.
@@ -259,17 +281,31 @@
         Its answers may be lost; given up after the first, all items under
         way would begin anew at each lost answer.
         """
-        for _ in range(CONFIRM_TRIES):
-            try:
-                await owner.confirm()
-            except errors.LogFenced:
-                return False
-            except errors.LogError as error:
-                LOG.info("Partition {} not confirmed: {}", owner.part, error)
-            else:
-                return True
-        LOG.notice("Partition {} could not be confirmed.", owner.part)
-        return None
+        try:
+            await owner.confirm()
+        except errors.LogFenced:
+            return False
+        except errors.LogError as error:
+            LOG.info("Partition {} not confirmed: {}", owner.part, error)
+            return None
+        return True
+
+    async def renew(self) -> None:
+        """Stay a member while partitions are confirmed.
+
+        What the store deals is acted upon by the next call; this one does not
+        say that it has been.
+        """
+        begun_at = self.clock.monotonic()
+        try:
+            await self.ledger.join(self.member, self.acted_on, KEEP_S)
+        except errors.LogError as error:
+            LOG.debug("Not renewed: {}", error)
+            return
+        if begun_at - self.touched_at <= KEEP_S:
+            # Else the group may have gone on without this host once more,
+            # which the next call is to see.
+            self.touched_at = begun_at
 
     def take(self, part: int, epoch: int) -> None:
         """Take a partition over."""
--- a/tests/test_grouprig.py
+++ b/tests/test_grouprig.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from camphortray import errors
+from camphortray import jobowners
 from tests import breakrig
 from tests import grouprig
 from tests import itemrig
@@ -123,3 +125,45 @@
     assert broken.met == 4
     group.ledger.deal_again()
     await group.check(jobs)
+
+
+@pytest.mark.parametrize("hosts", [1, 2])
+async def test_a_host_stays_a_member_while_it_confirms_its_partitions(
+    hosts, monkeypatch
+):
+    # The group has dealt twice between two calls of a host, and the store's
+    # answers to its questions whether its epochs hold are lost. It asked for
+    # one partition after the other, up to 1.6 s each, without telling the
+    # store that it lives; that takes a host for gone after 1.2 s, and deals
+    # its partitions to others, whose callers wait for a takeover.
+    broken = breakrig.Break("none", STORE[0])
+    group = grouprig.Group(broken, hosts)
+    await group.settle()
+    loop = asyncio.get_running_loop()
+    host = group.holder(0)
+    silent_until = loop.time() + 8 * jobowners.KEEP_S
+    joined = []
+    join, set_epoch = group.ledger.join, group.ledger.set_epoch
+
+    async def noted(member, generation, keep_s):
+        if member == host.owners.member:
+            joined.append(loop.time())
+        return await join(member, generation, keep_s)
+
+    async def lost(topic, part, epoch):
+        await asyncio.sleep(0.4)
+        if loop.time() < silent_until:
+            raise errors.LogUnavailable("lost", step="epoch", peer="store")
+        await set_epoch(topic, part, epoch)
+
+    monkeypatch.setattr(group.ledger, "join", noted)
+    monkeypatch.setattr(group.ledger, "set_epoch", lost)
+    for _ in range(3):
+        group.ledger.deal_again(2 * hosts)
+        await asyncio.sleep(2.0)
+    gaps = [b - a for a, b in zip(joined, joined[1:], strict=False)]
+    assert max(gaps) < jobowners.KEEP_S
+    assert host.owners.member in group.ledger.told
+    await asyncio.sleep(8 * jobowners.KEEP_S)
+    await group.settle()
+    await group.check({})
