Keep a result that is larger than a record in pieces

Cause: one record takes one result, and the store takes 256 KB a record. Change: the text goes in records of its own before that of the result, appended with it, all or none; read in any order, a result counts once all are there. Beyond that it stays as it was. A host of a release before reads such a result as an empty text.

--- a/camphortray/jobbook.py
+++ b/camphortray/jobbook.py
@@ -35,6 +35,11 @@
 
 # What the framing of a record adds to the bytes of its items, at most.
 ITEM_OVERHEAD = 256
+# What a record adds to the text of its result, in bytes, about.
+RESULT_OVERHEAD = 128
+# Most bytes of a text: other hosts ask its owner for it, in one message, which
+# holds about a megabyte.
+TEXT_BYTES = 900_000
 
 
 class State(enum.Enum):
@@ -71,11 +76,14 @@
       item: Its place among the items.
       state: How.
       text: Data of all its events, joined by line feeds.
+      pieces: In how many records of their own the text is kept, if it is
+        larger than one; it is empty here then. 0 once they are read.
     """
 
     item: int
     state: State
     text: bytes = b""
+    pieces: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -226,17 +234,26 @@
 
 
 def next_result(
-    job: Job, before: Iterable[ledgers.LedgerRecord], result: Result
+    job: Job,
+    before: Iterable[ledgers.LedgerRecord],
+    result: Result,
+    record_bytes: int,
 ) -> tuple[ledgers.LedgerRecord, ...]:
-    """Return the record of a result, at the next position of its job.
+    """Return the records of a result, at the next position of its job.
 
-    Nothing is to be kept of an item that has a result already, as where it
-    ran again after the end of its job was refused.
+    A text that is larger than a record goes in pieces before it; they are
+    appended with it, all or none. Nothing is to be kept of an item that has
+    a result already, as where it ran again after the end of its job was
+    refused.
 
     Args:
       job: With all results that are kept.
       before: Records that are appended before it and not kept yet.
       result: Of an item of the job.
+      record_bytes: Most bytes of one record.
+
+    Raises:
+      RecordError: it is larger than can be passed on.
     """
     prefix = f"r/{job.id}/"
     ahead = [
@@ -248,7 +265,28 @@
     if result.item in job.listed or result.item in ahead:
         return ()
     position = len(job.results) + len(ahead)
-    return (result_record(job.id, position, (result,)),)
+    size = record_bytes - len(job.id.encode()) - RESULT_OVERHEAD
+    if len(result.text) <= size:
+        return (result_record(job.id, position, (result,)),)
+    if len(result.text) > TEXT_BYTES or size <= 0:
+        raise errors.RecordError(
+            f"result of {len(result.text)} bytes, {TEXT_BYTES} at most",
+            step="result",
+        )
+    pieces = [
+        ledgers.LedgerRecord(
+            piece_key(job.id, position, number),
+            result.text[start : start + size],
+        )
+        for number, start in enumerate(range(0, len(result.text), size))
+    ]
+    last = dataclasses.replace(result, text=b"", pieces=len(pieces))
+    return (*pieces, result_record(job.id, position, (last,)))
+
+
+def piece_key(job: str, position: int, number: int) -> str:
+    """Return the key of a piece of a text."""
+    return f"t/{job}/{position:06d}.{number:03d}"
 
 
 def split_key(key: str) -> tuple[str, str, str]:
@@ -275,6 +313,7 @@
     Attributes:
       jobs: By id.
       keys: Keys in the ledger, by job.
+      pieces: Of texts whose result has not been read yet, by job and key.
     """
 
     def __init__(self) -> None:
@@ -282,6 +321,7 @@
         self.keys: dict[str, list[str]] = {}
         self.ends: set[str] = set()
         self.early: dict[str, dict[int, tuple[Result, ...]]] = {}
+        self.pieces: dict[str, dict[str, bytes]] = {}
 
     def load(self, records: Iterable[ledgers.LedgerRecord]) -> None:
         """Take records of a listing, in any order."""
@@ -304,6 +344,8 @@
             elif kind == "r":
                 results = RESULTS.decode(record.value)
                 self.early.setdefault(job, {})[int(number)] = results
+            elif kind == "t":
+                self.pieces.setdefault(job, {})[record.key] = record.value
             elif kind == "e":
                 self.ends.add(job)
         except (msgspec.DecodeError, ValueError) as error:
@@ -339,11 +381,34 @@
         early = self.early.get(name, {})
         while len(job.results) in early:
             position = len(job.results)
-            job.add(position, early.pop(position))
+            whole = self.whole(name, position, early[position])
+            if whole is None:
+                break
+            del early[position]
+            job.add(position, whole)
             if len(job.results) == position:
                 break
         job.ended = job.ended or name in self.ends
 
+    def whole(
+        self, name: str, position: int, results: tuple[Result, ...]
+    ) -> tuple[Result, ...] | None:
+        """Return results with their texts; None while a piece is missing."""
+        if not any(result.pieces for result in results):
+            return results
+        held = self.pieces.get(name, {})
+        found = []
+        for result in results:
+            keys = [
+                piece_key(name, position, number)
+                for number in range(result.pieces)
+            ]
+            if not all(key in held for key in keys):
+                return None
+            text = b"".join(held.pop(key) for key in keys) or result.text
+            found.append(dataclasses.replace(result, text=text, pieces=0))
+        return tuple(found)
+
     def drop_gaps(self) -> list[str]:
         """Forget results that stand behind a gap; return of which jobs.
 
@@ -354,6 +419,7 @@
         """
         names = [name for name, early in self.early.items() if early]
         self.early.clear()
+        self.pieces.clear()
         return names
 
     def forget_key(self, name: str, key: str) -> None:
@@ -371,6 +437,7 @@
         self.jobs.pop(name, None)
         self.ends.discard(name)
         self.early.pop(name, None)
+        self.pieces.pop(name, None)
         keys = self.keys.pop(name, [])
         return [ledgers.LedgerRecord(key, b"") for key in keys]
 
--- a/camphortray/jobowner.py
+++ b/camphortray/jobowner.py
@@ -25,8 +25,6 @@
 WRITE_S = 2.5
 # Time for a result, which waits for as long as the store is away.
 RESULT_S = 3600.0
-# What a record adds to the text of its result, in bytes, about.
-RESULT_OVERHEAD = 128
 # Time for the tasks of items to end, in seconds; they only close connections.
 CLOSE_S = 2.0
 # Most bytes of results in one page.
@@ -218,15 +216,22 @@
 
         Raises:
           LogError: it is the next owner's to know.
-          RecordError: it is larger than a record may be.
+          RecordError: it is larger than can be kept.
         """
-        for record in jobbook.next_result(job, (), result):
+        most = self.ledger.record_bytes
+        size = len(result.text) + jobbook.RESULT_OVERHEAD
+        if size > self.ledger.append_bytes:
+            raise errors.RecordError(
+                f"result of {size} bytes is larger than an append may be",
+                step="result",
+                peer="ledger",
+            )
+        for record in jobbook.next_result(job, (), result, most):
             self.writer.check_size(record)
 
         def make(before: partwriter.Records) -> partwriter.Records:
-            return jobbook.next_result(job, before, result)
+            return jobbook.next_result(job, before, result, most)
 
-        size = len(result.text) + RESULT_OVERHEAD
         while True:
             write = self.writer.put(make, size, RESULT_S)
             try:
--- a/tests/test_jobbook.py
+++ b/tests/test_jobbook.py
@@ -6,8 +6,10 @@
 
 from camphortray import errors
 from camphortray import jobbook
+from camphortray import jobmessages
 from camphortray import jobquota
 from camphortray import ledger
+from camphortray import messages
 
 DONE, ABANDONED = jobbook.State.DONE, jobbook.State.ABANDONED
 
@@ -63,6 +65,37 @@
     assert tuple(items) == part.items
 
 
+def test_a_text_larger_than_a_record_reads_the_same_in_any_order():
+    # Its result was never listed: no record takes it, its item was run again
+    # every 30 s until its time was over, and then abandoned.
+    job = jobbook.Job("j1", "h", "/p/", 0.0, [None] * 3)
+    text = bytes(range(256)) * 10
+    large = jobbook.Result(1, DONE, text)
+    pieces = jobbook.next_result(job, (), large, 1_200)
+    assert len(pieces) == 4
+    assert all(len(r.value) <= 1_200 for r in pieces)
+    small = jobbook.Result(0, DONE, b"x")
+    after = jobbook.next_result(job, pieces, small, 1_200)
+    accepted = jobbook.accept_records(part_of(), 262_144)
+    for records in itertools.permutations([*accepted, *pieces, *after]):
+        book = jobbook.JobBook()
+        book.load(records)
+        assert book.jobs["j1"].results == [large, small]
+        assert not any(book.pieces.values())
+    lacking = jobbook.JobBook()
+    lacking.load([*accepted, *pieces[1:], *after])
+    assert lacking.jobs["j1"].results == []
+    assert lacking.drop_gaps() == ["j1"]
+    # The largest that is kept can be read at other hosts.
+    texts = (("j1-1", DONE, b"x" * jobbook.TEXT_BYTES),)
+    messages.encode(
+        messages.Envelope(1, True, jobmessages.PageReply(3, 0, texts))
+    )
+    with pytest.raises(errors.RecordError):
+        beyond = jobbook.Result(1, DONE, b"x" * (jobbook.TEXT_BYTES + 1))
+        jobbook.next_result(job, (), beyond, 262_144)
+
+
 def test_an_item_larger_than_a_record_is_refused_by_name():
     with pytest.raises(errors.RecordError, match="j1-0"):
         jobbook.accept_records(part_of(count=1, size=9_000), 8_000)
