Begin the loops of the older half again after an odd error

Cause: these loops ran as bare tasks; an error that no code expects ended them. Change: asking for and granting slots, dispatch, settings from peers, demands, burn, tidying of calls, reading of streams, renewal of permits and the refusal of what is late are begun again by tasks.forever, with the trace in a line.

--- a/camphortray/admission.py
+++ b/camphortray/admission.py
@@ -13,6 +13,7 @@
 from camphortray import ratelimits
 from camphortray import settings
 from camphortray import signals
+from camphortray import tasks
 from camphortray import window as windows
 
 # Seconds from one search of the queues for late requests to the next.
@@ -217,7 +218,9 @@
     def sweep_later(self) -> None:
         """Search the queues for late requests from now on."""
         if self.sweeper is None or self.sweeper.done():
-            self.sweeper = asyncio.get_running_loop().create_task(self.sweep())
+            self.sweeper = asyncio.get_running_loop().create_task(
+                tasks.forever("refusal of late requests", self.sweep)
+            )
 
     async def sweep(self) -> None:
         """Refuse what has become late, while anything waits."""
--- a/camphortray/burnkeeper.py
+++ b/camphortray/burnkeeper.py
@@ -17,6 +17,7 @@
 from camphortray import outer
 from camphortray import records
 from camphortray import signals
+from camphortray import tasks
 from camphortray import tree
 from camphortray import web
 
@@ -159,7 +160,9 @@
         )
 
     async def start(self) -> None:
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        self.task = asyncio.get_running_loop().create_task(
+            tasks.forever("record of burn", self.run)
+        )
 
     async def run(self) -> None:
         """Keep closed minutes now and then."""
--- a/camphortray/callshard.py
+++ b/camphortray/callshard.py
@@ -18,6 +18,7 @@
 from camphortray import ownership
 from camphortray import records
 from camphortray import takeover
+from camphortray import tasks
 
 LOG = logs.logger("calls")
 # From one look for calls to forget to the next, in seconds.
@@ -63,7 +64,9 @@
         self.journal.start()
         self.owner.start()
         self.compactor.start()
-        self.task = asyncio.get_running_loop().create_task(self.tidy())
+        self.task = asyncio.get_running_loop().create_task(
+            tasks.forever("tidying of calls", self.tidy)
+        )
 
     async def append(
         self, kind: str, body: Any, timeout_s: float = APPEND_S
--- a/camphortray/dispatch.py
+++ b/camphortray/dispatch.py
@@ -6,6 +6,7 @@
 import collections
 from collections.abc import Callable
 import contextlib
+import functools
 from typing import Any
 
 from camphortray import itemdriver
@@ -16,6 +17,7 @@
 from camphortray import outbox as outboxes
 from camphortray import settings
 from camphortray import slots as slots_module
+from camphortray import tasks
 from camphortray import tree
 
 LOG = logs.logger("dispatch")
@@ -79,7 +81,10 @@
         if accept.service not in self.loops:
             self.loops[accept.service] = (
                 asyncio.get_running_loop().create_task(
-                    self.serve(accept.service)
+                    tasks.forever(
+                        "dispatch of items",
+                        functools.partial(self.serve, accept.service),
+                    )
                 )
             )
         return held
--- a/camphortray/granting.py
+++ b/camphortray/granting.py
@@ -23,6 +23,7 @@
 from camphortray import shards
 from camphortray import signals
 from camphortray import slotmessages
+from camphortray import tasks
 from camphortray import timers
 from camphortray import tree
 
@@ -112,7 +113,9 @@
         self.context.part(signals.Signals).add(self)
         self.peers.on(slotmessages.OnlineWork, self.on_online)
         self.peers.on(slotmessages.Wants, self.on_wants)
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        self.task = asyncio.get_running_loop().create_task(
+            tasks.forever("grants of slots", self.run)
+        )
 
     def on_view(self, view: settings.View) -> None:
         """Take new settings; headroom is built anew from them."""
--- a/camphortray/isolation.py
+++ b/camphortray/isolation.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
+import functools
 
 from camphortray import completion
 from camphortray import errors
@@ -16,6 +17,7 @@
 from camphortray import poison
 from camphortray import settings
 from camphortray import suspects as suspects_module
+from camphortray import tasks
 
 # Time for which a suspect gets an upstream for itself, in seconds; asked
 # for again at half of it. A permit whose holder is lost keeps the other
@@ -81,7 +83,11 @@
             if not granted:
                 yield False
                 return
-            renewal = asyncio.get_running_loop().create_task(self.renew(ask))
+            renewal = asyncio.get_running_loop().create_task(
+                tasks.forever(
+                    "renewal of a permit", functools.partial(self.renew, ask)
+                )
+            )
             async with self.alone(upstream):
                 yield True
         finally:
--- a/camphortray/journal.py
+++ b/camphortray/journal.py
@@ -97,7 +97,9 @@
         """Begin to follow the stream."""
         if self.task is None:
             loop = asyncio.get_running_loop()
-            self.task = loop.create_task(self.follow())
+            self.task = loop.create_task(
+                tasks.forever("reading of a stream", self.follow)
+            )
 
     async def stop(self) -> None:
         """Stop following; the state stays and ``start`` goes on from it."""
--- a/camphortray/ratelimits.py
+++ b/camphortray/ratelimits.py
@@ -18,6 +18,7 @@
 from camphortray import peers
 from camphortray import settings
 from camphortray import shards
+from camphortray import tasks
 from camphortray import tree
 
 LOG = logs.logger("limits")
@@ -66,7 +67,9 @@
 
     async def start(self) -> None:
         self.peers.on(Demands, self.on_demands)
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        self.task = asyncio.get_running_loop().create_task(
+            tasks.forever("word on demands", self.run)
+        )
 
     def check(self, service: settings.Service, workspace: str) -> None:
         """Count a request against its workspace's limit.
--- a/camphortray/slots.py
+++ b/camphortray/slots.py
@@ -16,6 +16,7 @@
 from camphortray import peers
 from camphortray import settings
 from camphortray import slotmessages
+from camphortray import tasks
 from camphortray import timers
 from camphortray import tree
 from camphortray import upstreams
@@ -98,7 +99,9 @@
 
     async def start(self) -> None:
         self.peers.on(slotmessages.Grants, self.on_grants)
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        self.task = asyncio.get_running_loop().create_task(
+            tasks.forever("asking for slots", self.run)
+        )
 
     def on_view(self, view: settings.View) -> None:
         """Let those who wait see the upstreams that settings name now.
--- a/camphortray/spread.py
+++ b/camphortray/spread.py
@@ -24,6 +24,7 @@
 from camphortray import peers
 from camphortray import recent
 from camphortray import snapshot
+from camphortray import tasks
 from camphortray import tree
 
 LOG = logs.logger("spread")
@@ -96,7 +97,9 @@
 
     async def start(self) -> None:
         self.on_restore()
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        self.task = asyncio.get_running_loop().create_task(
+            tasks.forever("settings from peers", self.run)
+        )
 
     def on_record(self, record: log.LogRecord) -> None:
         """Keep a record and tell how far the stream goes.
