Let pauses in the middle of a limit not use it up

Cause: only a limit that came up late showed that this process had stood still.

Change: a limit is checked at each quarter of it; a check that comes up late moves the end on by as much, and by no more than the limit was. LazyTimer does the same, and leaves out what lies before its limit was last set.

What is left: a pause that lies between two checks, less than a quarter of the limit, still counts.

--- a/camphortray/timers.py
+++ b/camphortray/timers.py
@@ -4,8 +4,8 @@
 then. When it goes on, what others sent meanwhile lies unread, and the limits
 on their answers have all passed. Taken for their silence, that puts engines
 aside, leaves coordinators and refuses requests, with all of them well. So a
-limit that comes up late, which shows that this process stood still, is moved
-on by as much, and what lies unread is read first.
+limit is checked several times before it ends: a check that comes up late shows
+that this process stood still, and the limit is moved on by as much.
 """
 
 __all__ = ["Deadline", "LazyTimer", "Limit", "extra_s", "limit", "sleep"]
@@ -17,6 +17,9 @@
 # Lateness of a timer from which on this process stood still, in seconds. On a
 # quiet machine timers come up within a millisecond or two.
 LATE_S = 0.01
+# Checks of a limit, its end included. A pause that lies between two checks
+# uses the limit up by its length.
+CHECKS = 4
 
 
 def extra_s(late_s: float, seconds: float) -> float:
@@ -32,6 +35,26 @@
     return min(late_s, seconds) if late_s > LATE_S else 0.0
 
 
+def moved_on(
+    limit_at: float, check_at: float, now: float, seconds: float
+) -> float:
+    """Return when a limit ends, as one of its checks comes up.
+
+    Args:
+      limit_at: Its end so far, on the loop's clock, as are the next two.
+      check_at: When the check was due.
+      now: When it came up.
+      seconds: The limit as it was set.
+
+    >>> moved_on(limit_at=4.0, check_at=1.0, now=3.5, seconds=4.0)
+    6.5
+    """
+    more_s = extra_s(now - check_at, seconds)
+    if not more_s:
+        return limit_at
+    return now + max(limit_at - check_at, more_s)
+
+
 async def sleep(seconds: float) -> float:
     """Sleep; return for how long this process stood still, in seconds."""
     loop = asyncio.get_running_loop()
@@ -71,7 +94,13 @@
     def set(self, at: float) -> None:
         """Let the time be over at another moment."""
         self.at = at
-        self.handle = self.loop.call_at(at, self.fire)
+        self.check()
+
+    def check(self) -> None:
+        """Look at the time again after a part of it."""
+        check_at = self.loop.time() + self.seconds / CHECKS
+        self.check_at = min(self.at, check_at)
+        self.handle = self.loop.call_at(self.check_at, self.fire)
 
     def left(self) -> float:
         """Return the seconds left, 0 when it is over."""
@@ -82,11 +111,11 @@
         self.handle.cancel()
 
     def fire(self) -> None:
-        """Let the time be over, unless this process stood still."""
+        """Let the time be over, if it is and this process did not pause."""
         now = self.loop.time()
-        more_s = extra_s(now - self.at, self.seconds)
-        if more_s:
-            self.set(now + more_s)
+        self.at = moved_on(self.at, self.check_at, now, self.seconds)
+        if now < self.at:
+            self.check()
         elif self.on_over is not None:
             self.on_over()
 
@@ -136,18 +165,21 @@
         self.loop = asyncio.get_running_loop()
         self.handle: asyncio.TimerHandle | None = None
         self.limit_at: float | None = None
+        self.set_at = 0.0
         self.seconds = 0.0
 
     def set(self, seconds: float) -> None:
         """Call back in ``seconds``, instead of any time set before."""
         self.seconds = seconds
-        self.limit_at = limit_at = self.loop.time() + seconds
+        self.set_at = now = self.loop.time()
+        self.limit_at = now + seconds
+        check_at = now + seconds / CHECKS
         handle = self.handle
         if handle is not None:
-            if handle.when() <= limit_at:
+            if handle.when() <= check_at:
                 return
             handle.cancel()
-        self.handle = self.loop.call_at(limit_at, self.fire)
+        self.handle = self.loop.call_at(check_at, self.fire)
 
     def pause(self) -> None:
         """Do not call back until ``set`` is called again."""
@@ -162,16 +194,19 @@
 
     def fire(self) -> None:
         """Look at the limit, which may have moved."""
-        self.handle = None
+        handle, self.handle = self.handle, None
         limit_at = self.limit_at
-        if limit_at is None:
+        if limit_at is None or handle is None:
             return
         now = self.loop.time()
-        more_s = extra_s(now - limit_at, self.seconds)
-        if more_s:
-            self.limit_at = limit_at = now + more_s
+        # What was set after a pause is not moved on by it.
+        due_at = max(handle.when(), self.set_at)
+        self.limit_at = limit_at = moved_on(
+            limit_at, due_at, now, self.seconds
+        )
         if now < limit_at:
-            self.handle = self.loop.call_at(limit_at, self.fire)
+            check_at = min(limit_at, now + self.seconds / CHECKS)
+            self.handle = self.loop.call_at(check_at, self.fire)
             return
         self.limit_at = None
         self.callback()
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -94,3 +94,75 @@
         await work(TURNS)
         assert deadline.left() > 0
     assert deadline.handle.cancelled()
+
+
+class SteppedLoop:
+    """Calls back at set times; its clock moves as a test says."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.handles = []
+
+    def time(self):
+        return self.now
+
+    def call_at(self, when, callback):
+        handle = asyncio.TimerHandle(when, callback, (), self)
+        self.handles.append(handle)
+        return handle
+
+    def _timer_handle_cancelled(self, handle):
+        pass
+
+    def get_debug(self):
+        return False
+
+    def run(self, until, step_s):
+        """Call back what is due, with so much time between two looks."""
+        while self.now < until:
+            self.now += step_s
+            due = [h for h in self.handles if h.when() <= self.now]
+            self.handles = [h for h in self.handles if h not in due]
+            for handle in due:
+                if not handle.cancelled():
+                    handle._run()
+
+
+def begin_deadline(seconds, on_over):
+    timers.Deadline(seconds, on_over)
+
+
+def begin_lazy_timer(seconds, on_over):
+    timers.LazyTimer(on_over).set(seconds)
+
+
+@pytest.mark.parametrize("begin", [begin_deadline, begin_lazy_timer])
+@pytest.mark.parametrize(
+    "before_s, pause_s, over_s",
+    [
+        # Without a pause a limit ends when it was set to.
+        (0.0, 0.0, 1.0),
+        # From the start, and in the middle: what was left is left.
+        (0.0, 0.9, 1.65),
+        (0.5, 0.4, 1.15),
+        # A long one: the limit begins anew, at most.
+        (0.5, 20.0, 21.5),
+        # Beyond the end.
+        (0.9, 0.5, 1.8),
+        # Between two checks, and shorter than it takes to notice.
+        (0.55, 0.15, 1.0),
+        (0.7, 0.06, 1.0),
+    ],
+)
+def test_a_pause_in_the_middle_does_not_use_a_limit_up(
+    monkeypatch, begin, before_s, pause_s, over_s
+):
+    """A pause that ends before a limit took an engine for silent."""
+    loop = SteppedLoop()
+    monkeypatch.setattr(asyncio, "get_running_loop", lambda: loop)
+    over = []
+    begin(1.0, lambda: over.append(loop.now))
+    loop.run(before_s, 0.001)
+    loop.now += pause_s
+    loop.run(100.0, 0.001)
+    assert over == [pytest.approx(over_s, abs=0.02)]
