Let only candidates join the group of partition owners

Cause: every host joined the store's group of owners three times a second, although eight partitions have eight owners at most. At 195 hosts these are 560 calls a second that do nothing, and each host that came or went changed the generation for all owners.

Change: hosts are ranked by rendezvous hash over the live and listed ones; two for each partition and at least sixteen offer themselves. A candidate stays one until half as many more go before it, and an owner as long as it owns something. A host whose caller finds a partition without an owner offers itself for ten seconds whatever its rank, so that the loss of all candidates at once costs no more than the time of the store's group. Up to sixteen hosts nothing changes.

Tests: 195 and 390 hosts in plain code, whole hosts that lose the only candidate.

--- a/camphortray/jobowners.py
+++ b/camphortray/jobowners.py
@@ -3,6 +3,7 @@
 __all__ = ["JobOwners"]
 
 import asyncio
+import contextlib
 
 from camphortray import errors
 from camphortray import handover
@@ -16,6 +17,7 @@
 from camphortray import logs
 from camphortray import membership
 from camphortray import outer
+from camphortray import owner_candidates
 from camphortray import ownerbook
 from camphortray import placing
 from camphortray import tasks
@@ -26,6 +28,8 @@
 # from one call to the next, in seconds. The store takes no less than one.
 KEEP_S = 1.2
 JOIN_EVERY_S = 0.35
+# From one look of a host that is no candidate at its rank to the next.
+RANK_EVERY_S = 1.0
 FACT_KEEP_S = 600.0
 # Seconds from one look at the open items to the next, and after which a
 # partition that has not been taken over yet is told of. A takeover takes
@@ -53,6 +57,9 @@
       book: Who owns the partitions, as this host has heard.
       waiting: Tokens that wait, over all hosts.
       handover: What is left to the next owners, and by the last ones.
+      candidates: Whether this host is to be a member of the group.
+      joined: Whether it is one, as far as it knows.
+      unowned: Set when partitions are found without an owner.
       generation: Of the group, as last heard.
       acted_on: Of what this host has last given up and taken over.
       begun: Epochs in which partitions have been owned here, by number.
@@ -85,6 +92,11 @@
         self.waiting = jobwaiting.JobWaiting(context, self.held)
         self.handover = handover.Handover(context, self.held)
         self.touched_at = -KEEP_S
+        self.candidates = owner_candidates.OwnerCandidates(
+            self.members.own_name, self.ledger.parts, self.clock.monotonic()
+        )
+        self.joined = False
+        self.unowned = asyncio.Event()
         self.begun: dict[int, int] = {}
         self.again: set[int] = set()
         self.anew_at = -ANEW_EVERY_S
@@ -161,10 +173,40 @@
         self.left = {(item.job, item.item) for item in found.left}
 
     async def keep_membership(self) -> None:
-        """Be a member of the group for ever."""
+        """Be a member of the group whenever this host is a candidate."""
         while not self.draining:
-            await self.join()
-            await asyncio.sleep(JOIN_EVERY_S)
+            offers = self.offers()
+            if offers:
+                await self.join()
+            elif self.joined:
+                await self.withdraw()
+            fast = offers or not self.members.introduced
+            pause_s = JOIN_EVERY_S if fast else RANK_EVERY_S
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause_s):
+                    await self.unowned.wait()
+            self.unowned.clear()
+
+    def offers(self) -> bool:
+        """Return whether this host is to be a member of the group now."""
+        if self.held:
+            # What is owned stays where it is.
+            return True
+        return self.candidates.offers(
+            self.members.possible("host"),
+            self.members.introduced,
+            self.joined,
+            self.clock.monotonic(),
+        )
+
+    async def withdraw(self) -> None:
+        """Leave the group, in which this host owns nothing."""
+        try:
+            await self.ledger.leave(self.member)
+        except errors.LogError as error:
+            LOG.debug("Could not leave the group: {}", error)
+            return
+        self.joined = False
 
     async def join(self) -> None:
         """Tell the store that this host lives, and take what it deals."""
@@ -176,6 +218,7 @@
         except errors.LogError as error:
             LOG.debug("Not joined: {}", error)
             return
+        self.joined = True
         gap = begun_at - self.touched_at > KEEP_S
         before, self.generation = (
             self.generation,
@@ -392,6 +435,9 @@
                     for part, member in found.items()
                 }
             )
+            if len(found) < self.ledger.parts:
+                self.candidates.note_unowned(self.clock.monotonic())
+                self.unowned.set()
         finally:
             self.seeking = None
 
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -49,6 +49,7 @@
       node: What decides.
       own_name: ``HOST/PROGRAM`` of this program.
       listed: The platform's list as last read.
+      list_read: Whether it has been read.
     """
 
     name: ClassVar[str] = "membership"
@@ -87,6 +88,7 @@
             Callable[[tuple[hostlist.ListedHost, ...]], None]
         ] = []
         self.listed: tuple[hostlist.ListedHost, ...] = ()
+        self.list_read = False
         self.http_address = ""
         self.list_pace = listpace.ListPace(context.rng)
         self.metrics_at = 0.0
@@ -137,6 +139,26 @@
             if name.endswith(tail) and member.status in PRESENT
         ]
 
+    def possible(self, program: str) -> set[str]:
+        """Return names of members that may be there, this one too.
+
+        Those of the platform's list that are not known to be dead, beside
+        all that are live.
+        """
+        names = {member.name for member in self.live(program)}
+        for line in self.listed:
+            name = f"{line.name}/{program}"
+            if line.kind == "host" and line.status == "live":
+                held = self.members.get(name)
+                if held is None or not held.dead:
+                    names.add(name)
+        return names
+
+    @property
+    def introduced(self) -> bool:
+        """Whether this host has learned which others there are."""
+        return self.list_read or self.node.known.joined
+
     def live_peers(self, program: str) -> list[configs.Address]:
         """Return where other live members of a program take links."""
         return [
@@ -324,6 +346,7 @@
         except errors.CamphortrayError as error:
             LOG.debug("No list: {}", error)
             return
+        self.list_read = True
         hosts = [line for line in self.listed if line.kind == "host"]
         self.node.note_list(
             {line.name: line.status for line in hosts},
--- a/camphortray/shards.py
+++ b/camphortray/shards.py
@@ -1,6 +1,6 @@
 """Which shard a key belongs to, and which host should own a shard."""
 
-__all__ = ["preferred", "rank", "shard_of", "stream_name"]
+__all__ = ["preferred", "rank", "score", "shard_of", "stream_name"]
 
 from collections.abc import Iterable
 
@@ -21,26 +21,20 @@
     return f"{kind}.{shard}"
 
 
+def score(key: str, name: str) -> tuple[int, str]:
+    """Return the weight of a name in the rendezvous hash for ``key``."""
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode()), name
+
+
 def rank(key: str, names: Iterable[str]) -> list[str]:
     """Return names by rendezvous hash for ``key``, the first chosen first.
 
     When a name goes, only the keys it was first for move.
     """
-    return sorted(
-        names,
-        key=lambda name: (
-            xxhash.xxh64_intdigest(f"{key}\0{name}".encode()),
-            name,
-        ),
-        reverse=True,
-    )
+    return sorted(names, key=lambda name: score(key, name), reverse=True)
 
 
 def preferred(key: str, names: Iterable[str]) -> str | None:
     """Return the first by rendezvous hash, or None if there is none."""
-    best: tuple[int, str] | None = None
-    for name in names:
-        score = (xxhash.xxh64_intdigest(f"{key}\0{name}".encode()), name)
-        if best is None or score > best:
-            best = score
+    best = max((score(key, name) for name in names), default=None)
     return best[1] if best else None
--- a/tests/grouprig.py
+++ b/tests/grouprig.py
@@ -149,6 +149,12 @@
         for listener in self.listeners.get(fact.kind, ()):
             listener(fact)
 
+    introduced = True
+
+    def possible(self, program):
+        """Return the names of all hosts."""
+        return set(self.group.hosts)
+
     def member(self, name):
         """Return a host as a member."""
         if name not in self.group.hosts:
--- /dev/null
+++ b/tests/test_owner_candidates.py
@@ -0,0 +1,111 @@
+"""Which hosts offer to own partitions of jobs."""
+
+import asyncio
+
+import pytest
+
+from camphortray import jobdesk
+from camphortray import owner_candidates
+from tests import platformkit
+
+LATER = 100.0
+
+
+def offering(names, partitions, member=(), known=True, now=LATER):
+    """Return the hosts that offer themselves."""
+    found = set()
+    for name in names:
+        held = owner_candidates.OwnerCandidates(name, partitions, 0.0)
+        if held.offers(names, known, name in member, now):
+            found.add(name)
+    return found
+
+
+@pytest.mark.parametrize(
+    "hosts, partitions, count",
+    [
+        (1, 8, 1),
+        (9, 8, 9),
+        (12, 8, 12),
+        (61, 8, 16),
+        (195, 8, 16),
+        (390, 8, 16),
+        (390, 96, 192),
+    ],
+)
+def test_candidates_grow_with_partitions_and_not_with_hosts(
+    hosts, partitions, count
+):
+    names = {f"h{n}/host" for n in range(hosts)}
+    assert len(offering(names, partitions)) == count
+
+
+@pytest.mark.parametrize("hosts", [195, 390])
+def test_hosts_that_come_and_go_change_few_candidates(hosts):
+    """Each member that comes or goes may move all partitions."""
+    names = {f"h{n}/host" for n in range(hosts)}
+    before = offering(names, 8)
+    more = names | {f"new{n}/host" for n in range(hosts // 5)}
+    assert offering(more, 8, member=before) >= before
+    fewer = names - set(sorted(names)[: hosts // 5])
+    after = offering(fewer, 8, member=before)
+    assert after >= before & fewer
+    assert len(after) >= 16
+
+
+@pytest.mark.parametrize("hosts", [195, 390])
+def test_when_all_candidates_are_lost_others_take_their_place(hosts):
+    names = {f"h{n}/host" for n in range(hosts)}
+    left = names - offering(names, 8)
+    assert len(offering(left, 8)) == 16
+
+
+@pytest.mark.parametrize(
+    "known, now, offers",
+    [
+        (False, 0.5, False),
+        (True, 0.5, True),
+        (False, owner_candidates.START_S, True),
+    ],
+)
+def test_a_host_first_learns_which_others_there_are(known, now, offers):
+    """All hosts that start at once joined, as each knew only itself."""
+    assert bool(offering({"a/host"}, 8, known=known, now=now)) is offers
+
+
+def test_partitions_without_an_owner_call_any_host():
+    """Until the loss of all candidates is noticed, nobody owned anything."""
+    names = {f"h{n}/host" for n in range(195)}
+    last = min(names - offering(names, 8))
+    held = owner_candidates.OwnerCandidates(last, 8, 0.0)
+    assert not held.offers(names, True, False, LATER)
+    held.note_unowned(LATER)
+    assert held.offers(names, True, False, LATER)
+    until = LATER + owner_candidates.UNOWNED_S
+    assert held.offers(names, True, True, until - 0.1)
+    assert not held.offers(names, True, True, until)
+
+
+async def test_a_host_that_is_no_candidate_leaves_the_store_alone(
+    monkeypatch,
+):
+    """Each of hundreds of hosts called the store three times a second."""
+    monkeypatch.setattr(owner_candidates, "MIN_CANDIDATES", 1)
+    monkeypatch.setattr(owner_candidates, "CANDIDATES_PER_PARTITION", 0.5)
+    async with platformkit.Platform(hosts=0, parts=2) as platform:
+        for number in range(4):
+            await platform.add(f"host-{number}")
+        desks = [host.part(jobdesk.JobDesk) for host in platform.hosts]
+        await platform.until(
+            lambda: sum(desk.owners.joined for desk in desks) == 1
+        )
+        (owner,) = (desk for desk in desks if desk.owners.joined)
+        await platform.until(lambda: len(owner.owners.held) == 2)
+        # It ends without a word; the others find out by their callers.
+        rest = [desk for desk in desks if desk is not owner]
+        owner.owners.stop()
+        owner.owners.held.clear()
+        async with asyncio.timeout(20):
+            while not any(desk.owners.held for desk in rest):
+                for desk in rest:
+                    await desk.owners.seek(0.05)
