Read configuration and engines as often as the deployment's bounds ask

Cause: every host read the engines' entries twice a second and the configuration 1.25 times, whatever the deployment's bounds: at 195 hosts 630 calls a second at rest.

Change: the wait of a read of the configuration is 0.4 of the time in which a version must be in force, the pause between reads of the engines a quarter of that in which an engine that leaves must get nothing new. With bounds of 2 s these are the 0.8 and 0.5 s of before; with 4 s 1.6 and 1 s. The platform's figures (configApplyMs, drainMs) are checked like the others.

The test kit waits until all candidates are members and no others are.

--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -168,12 +168,18 @@
       topic_parts: Partitions of one topic of the store.
       record_bytes: Most bytes of one record.
       append_bytes: Most bytes of the records of one append.
+      configuration_s: Longest time from a change of the configuration
+        until it is in force on all hosts.
+      engines_s: Longest time from an engine's word that it leaves until no
+        host sends it anything new.
     """
 
     parts: Count = 8
     topic_parts: Count = 8
     record_bytes: Count = 262_144
     append_bytes: Count = 2_097_152
+    configuration_s: Seconds = 2.0
+    engines_s: Seconds = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/camphortray/inforce.py
+++ b/camphortray/inforce.py
@@ -28,15 +28,16 @@
 from camphortray import tasks
 
 LOG = logs.logger("inforce")
-# Longest wait of a read of the configuration, which is answered as soon as
-# a new one is written, in seconds. A read whose connection has gone silent
-# is found out only when its time is over, and a version must be in force
-# within about two seconds.
-CONFIGURATION_WAIT_S = 0.8
-# Seconds from one look at the engines' entries to the next. Each engine
-# renews its entry about once a second; waiting for each renewal would cost
-# a read for each, and an engine that leaves must be known in about two.
-ENGINES_EVERY_S = 0.5
+# Wait of a read of the configuration, which is answered as soon as a new one
+# is written, as a share of the time in which that must be in force. A read
+# whose connection has gone silent is found out only when its time is over.
+CONFIGURATION_WAIT_SHARE = 0.4
+MAX_CONFIGURATION_WAIT_S = 4.0
+# Time from one look at the engines' entries to the next, as a share of that
+# in which an engine that leaves must be known. Each engine renews its entry
+# about once a second; waiting for each renewal would cost a read for each.
+ENGINES_SHARE = 0.25
+MAX_ENGINES_EVERY_S = 1.0
 # Pause after a failed call, in seconds.
 PAUSE_S = 0.25
 # Time without an answer after which the ledger counts as away.
@@ -46,6 +47,22 @@
 ASK_S = 0.5
 
 
+def paces(config: configs.LedgerConfig) -> tuple[float, float]:
+    """Return the times of reads, as the bounds of a deployment ask for.
+
+    Returns:
+      The wait of a read of the configuration and the pause from one read of
+      the engines to the next, in seconds.
+    """
+    return (
+        min(
+            config.configuration_s * CONFIGURATION_WAIT_SHARE,
+            MAX_CONFIGURATION_WAIT_S,
+        ),
+        min(config.engines_s * ENGINES_SHARE, MAX_ENGINES_EVERY_S),
+    )
+
+
 @messages.message("inforce.ask")
 @dataclasses.dataclass(frozen=True, slots=True)
 class InForceAsk:
@@ -96,6 +113,9 @@
         self.clock = context.clock
         held = context.part(outer.LedgerOuter)
         self.ledger = held.ledger
+        self.configuration_wait_s, self.engines_every_s = paces(
+            context.config.ledger or configs.LedgerConfig("")
+        )
         self.dialect = held.dialect
         self.links = context.part(peers.Peers)
         self.view = routemap.NOTHING
@@ -169,7 +189,7 @@
             page = await self.ledger.newest(topic)
         else:
             page = await self.ledger.read(
-                topic, 0, offset, CONFIGURATION_WAIT_S
+                topic, 0, offset, self.configuration_wait_s
             )
         for record in page.records:
             self.take_record(record)
@@ -216,7 +236,7 @@
                 self.lost(error)
             if self.engines.settle(self.clock.monotonic()):
                 self.tell_engines()
-            await asyncio.sleep(ENGINES_EVERY_S)
+            await asyncio.sleep(self.engines_every_s)
 
     async def read_engines(self, offset: int) -> int:
         """Read once; return from where to go on."""
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -444,7 +444,8 @@
         ]
         return (
             all(h.ready for h in self.hosts)
-            and {d.owners.generation for d in desks}
+            and all(d.owners.joined == d.owners.offers() for d in desks)
+            and {d.owners.generation for d in desks if d.owners.joined}
             == {self.store.held.generation}
             and owned == set(range(self.store.held.parts))
             and all(
--- a/tests/test_inforce.py
+++ b/tests/test_inforce.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from camphortray import config as configs
 from camphortray import enginebook
 from camphortray import inforce
 from tests import test_enginebook
@@ -56,3 +57,14 @@
     assert not part.engines.usable("s")
     part.take_answer(inforce.InForceAnswer(engines=(ENTRY,)))
     assert not part.engines.usable("s")
+
+
+@pytest.mark.parametrize("bound_s", [0.5, 2.0, 4.0, 9.0, 60.0])
+def test_reads_follow_from_the_times_in_which_changes_must_be_known(bound_s):
+    config = configs.LedgerConfig(
+        "10.0.0.1:1", configuration_s=bound_s, engines_s=bound_s
+    )
+    wait_s, every_s = inforce.paces(config)
+    # Two reads and more fit into each bound, one of them lost.
+    assert 0 < 2 * wait_s < bound_s
+    assert 0 < 4 * every_s <= bound_s
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -100,6 +100,15 @@
     assert config.peer.entry_listen == "10.1.0.10:8166"
     assert config.peer.seeds == ("10.1.0.1:8166",)
     assert config.ledger.address == "10.200.1.7:8169"
+    assert (config.ledger.configuration_s, config.ledger.engines_s) == (2, 2)
+
+
+def test_bounds_of_the_deployment_reach_the_ledger(tmp_path):
+    path = tmp_path / "boot.toml"
+    bounds = "[bounds]\nconfigApplyMs = 4000\ndrainMs = 3000\n"
+    path.write_text(GOOD.replace("[bounds]\n", bounds))
+    ledger = settings.load(str(path)).config().ledger
+    assert (ledger.configuration_s, ledger.engines_s) == (4, 3)
 
 
 @pytest.mark.parametrize(
@@ -109,6 +118,7 @@
         (('zone = "hall-a"', "zone = 3"), "zone"),
         (('front = "10.1.0.10:8161"', 'front = "nowhere"'), "listen.front"),
         (("graceS = 8", "graceS = 0"), "bounds.graceS"),
+        (("graceS = 8", "drainMs = 0"), "bounds.drainMs"),
         (('address = "10.200.1.7:8169"', ""), "address"),
         (("[listen]", "[listen"), "syntax"),
     ],
