Let a share smaller than a slot of each engine be that small

Cause: a host that grants slots for itself on a share got a slot of each engine at least. At 195 hosts a share of 1.5 / 195 of 217 slots is 1.7 of them, and each host granted 31: 6,045 in all where none coordinates.

Change: where a share comes to less than a slot of each engine, it falls on as many engines as it has slots, three at least, and on others at each host. At 9 and 12 hosts nothing changes, where a share is a slot of each or more.

--- a/camphortray/slot_accounting.py
+++ b/camphortray/slot_accounting.py
@@ -24,8 +24,10 @@
       revocations: Slots taken back whose holder has not answered yet.
     """
 
-    def __init__(self, on: configs.ExperimentsConfig = configs.ALL_ON) -> None:
-        self.table = slottable.SlotTable(on)
+    def __init__(
+        self, on: configs.ExperimentsConfig = configs.ALL_ON, spread: str = ""
+    ) -> None:
+        self.table = slottable.SlotTable(on, spread)
         self.held = slot_queue.Leases()
         self.orphaned = orphaned_leases.OrphanedLeases()
         self.revocations = revocations.Revocations()
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -113,9 +113,11 @@
       on: What an ablation has not switched off.
     """
 
-    def __init__(self, on: configs.ExperimentsConfig = configs.ALL_ON) -> None:
+    def __init__(
+        self, on: configs.ExperimentsConfig = configs.ALL_ON, spread: str = ""
+    ) -> None:
         self.on = on
-        self.use = slot_accounting.SlotAccounting(on)
+        self.use = slot_accounting.SlotAccounting(on, spread)
         self.queue: list[SlotRequest] = []
         self.items = slot_queue.ItemQueue()
         self.hold_s = FIRST_HOLD_S
--- a/camphortray/slottable.py
+++ b/camphortray/slottable.py
@@ -16,6 +16,10 @@
 from camphortray import config as configs
 from camphortray import enginehealth
 
+# Fewest engines of a share: one may be put aside, and a request is tried at
+# another after a failure.
+MIN_SINGLE = 3
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineSlots:
@@ -35,10 +39,17 @@
       health: Which engines are put aside or tried with one request.
       used: Slots in use, by engine; also of engines that are gone.
       on: What an ablation has not switched off.
+      spread: Own to each host, so that shares smaller than a slot of each
+        engine fall on other engines at each.
+      single: Engines that give one slot each with such a share.
     """
 
-    def __init__(self, on: configs.ExperimentsConfig = configs.ALL_ON) -> None:
+    def __init__(
+        self, on: configs.ExperimentsConfig = configs.ALL_ON, spread: str = ""
+    ) -> None:
         self.on = on
+        self.spread = spread
+        self.single: frozenset[str] = frozenset()
         self.engines: dict[str, int] = {}
         self.zones: dict[str, str] = {}
         self.health = enginehealth.HealthBook()
@@ -76,6 +87,7 @@
 
     def rebuild(self) -> None:
         """Count all anew."""
+        self.single = self.choose_single()
         self.sound, self.sound_slots = {}, 0
         self.free, self.sound_free = {}, 0
         for engine in self.engines:
@@ -99,9 +111,20 @@
         """Return the slots of an engine that this book may give out."""
         slots = self.engines.get(engine, 0)
         if self._share < 1.0 and slots:
-            return max(1, math.ceil(slots * self._share))
+            part = slots * self._share
+            return math.ceil(part) if part >= 1.0 else engine in self.single
         return slots
 
+    def choose_single(self) -> frozenset[str]:
+        """Return the engines of a share with less than a slot of each."""
+        if self._share == 1.0:
+            return frozenset()
+        count = math.ceil(sum(self.engines.values()) * self._share)
+        ranked = sorted(
+            self.engines, key=lambda name: affinity(self.spread, name)
+        )
+        return frozenset(ranked[: max(MIN_SINGLE, count)])
+
     def count(self, engine: str, by: int) -> None:
         """Change the number of slots in use at an engine."""
         left = self.used.get(engine, 0) + by
