Let all hosts follow the successor of a silent coordinator

(1) The hosts of the platform's list count in the election and the share before they have been heard of, and a host is ready once it has read the list or met another host, after a second at the latest. A coordinator on a share polls no engines. (2) A host that is asked by one whose coordinator did not answer asks that coordinator too. If it gets no answer either, it grants all slots and tells all hosts, which exclude the silent one for as long as membership takes to find out. One host alone that is cut off from the coordinator changes nothing for the others.

--- a/camphortray/lease_reporting.py
+++ b/camphortray/lease_reporting.py
@@ -98,7 +98,9 @@
         wants = [p.want for p in waiting if not p.answer.done()]
         if name == holder.own_name:
             coordinator = holder.served.coordinator(service)
-            coordinator.act(coordinator.audit.report(name, leases, wants, now))
+            coordinator.act(
+                coordinator.reconciler.report(name, leases, wants, now)
+            )
         elif held or waiting or self.reported_to.get(service) == name:
             # Once more when nothing is left: the last end may be lost.
             if held or waiting:
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -38,6 +38,9 @@
 ASK_S = 1.0
 # Seconds from one renewal of the metrics to the next.
 METRICS_S = 1.0
+# Longest time after a start in which this host finds out which others there
+# are before it takes part without, in seconds.
+INTRODUCED_S = 1.0
 MESSAGES = (gossip.Ping, gossip.News, antientropy.Sync, watch.Doubt)
 
 
@@ -89,6 +92,7 @@
         ] = []
         self.listed: tuple[hostlist.ListedHost, ...] = ()
         self.list_read = False
+        self.started_at = self.clock.monotonic()
         self.http_address = ""
         self.list_pace = listpace.ListPace(context.rng)
         self.metrics_at = 0.0
@@ -154,10 +158,31 @@
                     names.add(name)
         return names
 
+    def peer_address(self, name: str) -> configs.Address:
+        """Return where a member takes links, as far as is known or listed.
+
+        Raises:
+          MessageError: that is not known.
+        """
+        member = self.members.get(name)
+        host, _, program = name.partition("/")
+        found = member.peer_address if member is not None else ""
+        for line in self.listed:
+            if not found and line.kind == "host" and line.name == host:
+                found = line.peer_address
+        if not found:
+            raise errors.MessageError("no address", step="ask", peer=name)
+        return configs.Address.from_text(found)
+
+    def ready(self) -> str:
+        return "" if self.introduced else "no other hosts known yet"
+
     @property
     def introduced(self) -> bool:
         """Whether this host has learned which others there are."""
-        return self.list_read or self.node.known.joined
+        waited_s = self.clock.monotonic() - self.started_at
+        known = self.list_read or self.node.known.joined
+        return known or waited_s > INTRODUCED_S
 
     def live_peers(self, program: str) -> list[configs.Address]:
         """Return where other live members of a program take links."""
--- a/camphortray/owner_candidates.py
+++ b/camphortray/owner_candidates.py
@@ -13,8 +13,6 @@
 MIN_CANDIDATES = 16
 # A candidate stays one until this many times as many hosts go before it.
 STAY_FACTOR = 1.5
-# Longest time for a host to find out which others there are, in seconds.
-START_S = 1.0
 # Time for which a host that found partitions without an owner offers itself
 # whatever its rank, in seconds.
 UNOWNED_S = 10.0
@@ -26,14 +24,12 @@
     Attributes:
       own_name: Name of this host's member.
       count: Number of candidates.
-      started_at: When this host started.
       unowned_at: When partitions were last found without an owner.
     """
 
     def __init__(self, own_name: str, partitions: int, now: float) -> None:
         self.own_name = own_name
         self.count = max(MIN_CANDIDATES, CANDIDATES_PER_PARTITION * partitions)
-        self.started_at = now
         self.unowned_at = now - UNOWNED_S
 
     def note_unowned(self, now: float) -> None:
@@ -53,7 +49,7 @@
         """
         if now - self.unowned_at < UNOWNED_S:
             return True
-        if not known and now - self.started_at < START_S:
+        if not known:
             return False
         most = self.count * STAY_FACTOR if member else self.count
         own = shards.score("job-owner", self.own_name)
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -45,6 +45,9 @@
 # way there and back is some milliseconds; the objective of a question is
 # some hundreds.
 ANSWER_S = 0.12
+# The same for a check by its successor, which excludes it for all.
+CHECK_S = 0.25
+SILENT = "coordinator-silent"
 # Beyond its patience a queued request waits this long for the word of its
 # coordinator, in seconds.
 SLACK_S = 0.1
@@ -62,6 +65,8 @@
       coordinators: Who gives out the slots of which service.
       served: What this host coordinates.
       reports: What coordinators are told of all this host holds.
+      checking: Coordinators that are asked whether they answer.
+      published: Until when a coordinator is excluded by this host's word.
       pending: Wants without an answer, by id.
       held: Slots in use, by id of the want.
       recalled: Wants granted and taken back before their items knew.
@@ -79,8 +84,12 @@
         self.inforce = context.part(inforce.InForce)
         self.own_name = self.members.own_name
         self.coordinators = coordinator_election.CoordinatorElection(
-            self.own_name, functools.partial(self.members.live, "host")
+            self.own_name,
+            functools.partial(self.members.live, "host"),
+            functools.partial(self.members.possible, "host"),
         )
+        self.checking: set[str] = set()
+        self.published: dict[str, float] = {}
         self.served = slot_coordinator.SlotCoordinators(self)
         self.reports = lease_reporting.LeaseReporter(self)
         self.coordinators.on_change = self.reports.soon
@@ -97,6 +106,7 @@
         self.served.start()
         self.links.on(SlotDecisions, self.on_decisions_sent)
         self.members.listen(self.on_member)
+        self.members.on_fact(SILENT, self.on_silent)
         self.inforce.listen_engines(self.served.update_engines)
         self.inforce.peers_of = functools.partial(
             self.members.live_peers, "host"
@@ -114,7 +124,60 @@
     def share_of(self, service: str) -> float:
         """Return the share of the slots that this host gives out."""
         holders = self.served.holders(service)
-        return self.coordinators.share_of(service, holders)
+        now = self.clock.monotonic()
+        return self.coordinators.share_of(service, holders, now)
+
+    def check_natural(self, service: str) -> None:
+        """Find out whether the host that should coordinate is silent.
+
+        Called as another host, which could not reach it, asks this one.
+        """
+        now = self.clock.monotonic()
+        name = self.coordinators.natural(service) or self.own_name
+        if name == self.own_name or name in self.checking:
+            return
+        if self.coordinators.usable_name(name, now):
+            self.checking.add(name)
+            self.links.spawn(self.check(service, name))
+        elif now >= self.published.get(name, 0.0):
+            self.publish_silent(name)
+
+    async def check(self, service: str, name: str) -> None:
+        """Ask a coordinator that another host has left; tell all if silent.
+
+        One host alone may be cut off from it. Where its successor does not
+        reach it either, no host needs to find out for itself.
+        """
+        try:
+            address = self.members.peer_address(name)
+            ask = SlotAsk(service, str(self.links.address), ())
+            await self.links.ask(address, ask, CHECK_S)
+        except errors.MessageError as error:
+            LOG.warning("Coordinator {} is silent: {}", name, error)
+            self.publish_silent(name)
+        finally:
+            self.checking.discard(name)
+
+    def publish_silent(self, name: str) -> None:
+        """Let all hosts exclude a coordinator."""
+        keep_s = coordinator_election.CONFIRMED_S
+        self.published[name] = self.clock.monotonic() + keep_s
+        member = self.members.member(name)
+        started = member.started if member is not None else 0
+        self.members.publish(SILENT, name, started, keep_s)
+        self.served.update_engines()
+
+    def on_silent(self, fact: membership.Fact) -> None:
+        """Exclude a coordinator that its successor does not reach."""
+        member = self.members.member(fact.key)
+        if fact.key == self.own_name:
+            return
+        if member is not None and member.started > int(fact.value):
+            # It has started again since.
+            return
+        now = self.clock.monotonic()
+        seconds = coordinator_election.CONFIRMED_S
+        self.coordinators.exclude(fact.key, now, seconds)
 
     async def runs_at(self, entry: enginebook.EngineEntry) -> int:
         upstream = self.upstream(entry)
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -50,6 +50,10 @@
     def share_of(self, service: str) -> float:
         """Return the share of the slots that this host gives out."""
 
+    @abc.abstractmethod
+    def check_natural(self, service: str) -> None:
+        """Find out whether the host that should coordinate is silent."""
+
     @abc.abstractmethod
     async def runs_at(self, entry: enginebook.EngineEntry) -> int:
         """Return how many requests an engine runs or has queued.
@@ -68,20 +72,31 @@
 
     Attributes:
       book: What decides.
-      audit: What sets the book right.
+      reconciler: What sets the book right.
       holders: Address and time of the last word, by name of member.
     """
 
     def __init__(self, home: CoordinatorHost, service: str) -> None:
         self.home = home
         self.service = service
-        self.book = slot_scheduler.SlotScheduler(home.experiments)
-        self.audit = slot_reconciler.SlotReconciler(self.book)
+        self.book = slot_scheduler.SlotScheduler(
+            home.experiments, home.own_name
+        )
+        self.reconciler = slot_reconciler.SlotReconciler(self.book)
         self.holders: dict[str, tuple[configs.Address, float]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.polling = False
         self.unresponsive: frozenset[str] = frozenset()
 
+    @property
+    def full(self) -> bool:
+        """Whether all slots are granted here.
+
+        A book on a share is for moments, and for few requests: engines are
+        not to be asked by each of hundreds of hosts.
+        """
+        return self.book.use.table.share == 1.0
+
     def update_engines(self, now: float) -> None:
         """Take the engines as they are now."""
         held = self.home.inforce.engines.usable(self.service)
@@ -107,7 +122,7 @@
                 word.refused[decision.want.id] = decision.retry_after_s
             else:
                 revoked[holder].append(decision.want.id)
-        if self.book.use.orphaned:
+        if self.book.use.orphaned and self.full:
             self.poll_engines()
         for holder, word in words.items():
             if revoked[holder]:
@@ -192,7 +207,7 @@
     async def poll_until_clear(self, begun: bool) -> None:
         """Ask all engines if the book has begun, else those in doubt."""
         try:
-            while begun or self.book.use.orphaned:
+            while self.full and (begun or self.book.use.orphaned):
                 entries = self.home.inforce.engines.usable(self.service)
                 asked = [
                     self.poll_engine(entry, begun)
@@ -203,7 +218,7 @@
                 begun = False
                 await asyncio.sleep(orphaned_leases.LOOK_S)
                 now = self.home.clock.monotonic()
-                self.act(self.audit.expire_orphaned(now))
+                self.act(self.reconciler.expire_orphaned(now))
         finally:
             self.polling = False
 
@@ -218,7 +233,7 @@
             return
         now = self.home.clock.monotonic()
         known = self.book.use.orphaned.count(entry.name)
-        self.act(self.audit.reported(entry.name, running, now, begun))
+        self.act(self.reconciler.reported(entry.name, running, now, begun))
         left = self.book.use.orphaned.count(entry.name)
         if left != known:
             LOG.info(
@@ -244,7 +259,7 @@
     def drop(self, holder: str, now: float) -> None:
         """Forget a holder."""
         if self.holders.pop(holder, None) is not None:
-            self.act(self.audit.forget(holder, now))
+            self.act(self.reconciler.forget(holder, now))
 
 
 class SlotCoordinators:
@@ -279,13 +294,12 @@
                 self.home, service
             )
             coordinator.update_engines(self.home.clock.monotonic())
-            if coordinator.book.use.table.share == 1.0:
-                # A book on a share is for moments, and for few requests.
+            if coordinator.full:
                 coordinator.poll_engines(begun=True)
         return coordinator
 
     def holders(self, service: str) -> int:
-        """Return how many other hosts have turned here."""
+        """Return how many other hosts hold leases of this one."""
         coordinator = self.by_service.get(service)
         return len(coordinator.holders) if coordinator is not None else 0
 
@@ -306,6 +320,9 @@
         now = self.home.clock.monotonic()
         for coordinator in list(self.by_service.values()):
             coordinator.expire(now)
+            if not coordinator.full:
+                # Else as engines are polled.
+                coordinator.act(coordinator.reconciler.expire_orphaned(now))
             if coordinator.book.use.table.share != self.home.share_of(
                 coordinator.service
             ):
@@ -316,9 +333,15 @@
     ) -> SlotDecisions:
         """Answer a host that asks for slots."""
         now = self.home.clock.monotonic()
+        if not ask.wants:
+            # A check whether this host answers.
+            return SlotDecisions(ask.service)
         coordinator = self.coordinator(ask.service)
         holder = str(sender)
         coordinator.note_holder(holder, ask.address, now)
+        if not coordinator.full:
+            self.home.check_natural(ask.service)
+            coordinator.book.set_share(self.home.share_of(ask.service))
         decisions: list[slot_scheduler.Decision] = []
         for text in ask.wants:
             decisions += coordinator.book.ask(text.want(holder, now), now)
@@ -368,4 +391,6 @@
             for lease in report.leases
         ]
         wants = [text.want(holder, now) for text in report.wants]
-        coordinator.act(coordinator.audit.report(holder, leases, wants, now))
+        coordinator.act(
+            coordinator.reconciler.report(holder, leases, wants, now)
+        )
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+import pytest
+
 from camphortray import errors
+from camphortray import orphaned_leases
+from camphortray import shards
 from camphortray import slot_client
 from camphortray import slot_messages
 from camphortray import slot_scheduler
@@ -152,3 +156,67 @@
         part.on_decisions(again, part.own_name)
         held = await task
         assert held.want.id == asked[1] != "i"
+
+
+@pytest.mark.parametrize("asker", [2, 3])
+async def test_all_hosts_leave_a_coordinator_that_its_successor_cannot_reach(
+    asker,
+):
+    """Each host found out with a request of its own, which waited for it."""
+    async with platformkit.Platform(hosts=4) as platform:
+        chief, _ = slotclientkit.roles(platform)
+        names = [
+            host.part(slot_client.SlotClient).own_name
+            for host in platform.hosts
+        ]
+        ranked = shards.rank(f"slots/{SERVICE}", names)
+        other = platform.hosts[names.index(ranked[asker])]
+
+        async def silent(sender, message):
+            await asyncio.sleep(3600)
+
+        first = chief.part(slot_client.SlotClient)
+        first.links.handlers[slot_messages.SlotAsk] = silent
+        # The first request finds out; the next one asks the successor.
+        assert await slotclientkit.ask(other, "a") == 200
+        assert await slotclientkit.ask(other, "b") == 200
+        rest = [
+            host.part(slot_client.SlotClient)
+            for host in platform.hosts
+            if host is not chief
+        ]
+        name = first.own_name
+        await platform.until(
+            lambda: all(name in part.coordinators.excluded for part in rest)
+        )
+        successors = {slotclientkit.coordinator(part) for part in rest}
+        assert len(successors) == 1
+        (successor,) = (part for part in rest if part.own_name in successors)
+        assert name not in successors
+        assert await slotclientkit.ask(other, "c") == 200
+        await platform.until(lambda: successor.share_of(SERVICE) == 1.0)
+
+
+async def test_a_coordinator_on_a_share_leaves_the_engines_alone(monkeypatch):
+    """Hundreds of hosts, each on its own, polled all engines for seconds."""
+    asked = []
+
+    async def noted(self, entry):
+        asked.append(entry.name)
+        return 3
+
+    monkeypatch.setattr(slot_client.SlotClient, "runs_at", noted)
+    monkeypatch.setattr(slot_client.SlotClient, "share_of", lambda *_: 0.5)
+    async with platformkit.Platform(hosts=1, engines=2) as platform:
+        (host,) = platform.hosts
+        part = host.part(slot_client.SlotClient)
+        coordinator = part.served.coordinator(SERVICE)
+        now = part.clock.monotonic()
+        coordinator.book.use.found("i-0", 2, now)
+        coordinator.act(coordinator.book.decide(now))
+        assert await slotclientkit.ask(host, "a") == 200
+        assert not asked
+        monkeypatch.setattr(orphaned_leases, "LONGEST_S", 0.0)
+        coordinator.book.use.orphaned.held["i-0"].until = now
+        part.served.expire_holders()
+        assert not coordinator.book.use.orphaned
