Let a new coordinator learn what runs before it starts items

Cause: a coordinator that has just begun takes all slots for free. Items of the one before run on at their engines, and as many more were started beside them before holders and engines had reported; questions then waited inside the engines. The larger the fleet, the more of it depends on one coordinator.

Change: batch items get no slots in its first quarter of a second, in which reports come; callers are served at once. Hosts of the platform's list count only until they have been heard of, so that one that leaves is left at once, and one that is listed and gone is excluded for a minute.

--- a/camphortray/coordinator_election.py
+++ b/camphortray/coordinator_election.py
@@ -17,6 +17,8 @@
 # latter outlasts the time in which membership finds out that a host is lost.
 EXCLUDED_S = 2.0
 CONFIRMED_S = 6.0
+# The same of one that is listed and has never been heard of.
+UNKNOWN_S = 60.0
 # Factor on the even share of the slots that a host gives out for itself:
 # callers spread unevenly, and not all hosts lose their coordinator.
 ALONE_SHARE = 1.5
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -146,15 +146,14 @@
     def possible(self, program: str) -> set[str]:
         """Return names of members that may be there, this one too.
 
-        Those of the platform's list that are not known to be dead, beside
+        Those of the platform's list that have not been heard of yet, beside
         all that are live.
         """
         names = {member.name for member in self.live(program)}
         for line in self.listed:
             name = f"{line.name}/{program}"
             if line.kind == "host" and line.status == "live":
-                held = self.members.get(name)
-                if held is None or not held.dead:
+                if name not in self.members:
                     names.add(name)
         return names
 
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -177,6 +177,9 @@
             return
         now = self.clock.monotonic()
         seconds = coordinator_election.CONFIRMED_S
+        if member is None:
+            # Of the platform's list alone, which keeps hosts that are gone.
+            seconds = coordinator_election.UNKNOWN_S
         self.coordinators.exclude(fact.key, now, seconds)
 
     async def runs_at(self, entry: enginebook.EngineEntry) -> int:
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -27,6 +27,9 @@
 # A holder not heard of for this long is gone: its connections are closed
 # by then, or its next report brings all back.
 HOLDER_S = 3.0
+# Time in which a new coordinator learns what runs, from the reports of holders
+# and engines, before it grants slots to batch items, in seconds.
+LEARN_S = 0.25
 
 
 class CoordinatorHost(abc.ABC):
@@ -295,6 +298,8 @@
             )
             coordinator.update_engines(self.home.clock.monotonic())
             if coordinator.full:
+                now = self.home.clock.monotonic()
+                coordinator.book.items_from = now + LEARN_S
                 coordinator.poll_engines(begun=True)
         return coordinator
 
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -110,6 +110,8 @@
       wait_again_s: Mean time that an item waits which has given way.
       peaks: Slots that online requests have held.
       look_at: When an item that is held back may fit.
+      items_from: When batch items may get slots; before, a new coordinator
+        does not know yet what runs.
       on: What an ablation has not switched off.
     """
 
@@ -124,6 +126,7 @@
         self.wait_again_s = FIRST_WAIT_S
         self.peaks = onlinepeaks.Peaks()
         self.look_at = math.inf
+        self.items_from = -math.inf
 
     @property
     def leases(self) -> dict[str, Lease]:
@@ -218,6 +221,9 @@
         """Give batch items what is left."""
         passed: list[SlotRequest] = []
         self.look_at = math.inf
+        if now < self.items_from:
+            self.look_at = self.items_from
+            return
         while (
             not self.queue
             and self.use.table.free_slots(now) > 0
--- a/tests/test_owner_candidates.py
+++ b/tests/test_owner_candidates.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from camphortray import hostlist
 from camphortray import jobdesk
+from camphortray import membership
 from camphortray import owner_candidates
 from tests import platformkit
 
@@ -105,3 +107,20 @@
             while not any(desk.owners.held for desk in rest):
                 for desk in rest:
                     await desk.owners.seek(0.05)
+
+
+async def test_hosts_of_the_list_count_until_they_are_known():
+    """A host that leaves was taken for one that may still coordinate."""
+    async with platformkit.Platform(hosts=2) as platform:
+        first, second = platform.hosts
+        part = first.part(membership.Membership)
+        part.listed = (
+            hostlist.ListedHost("host-1", "host", "live", "127.0.0.1:1"),
+            hostlist.ListedHost("other", "host", "live", "127.0.0.1:2"),
+        )
+        names = part.possible("host")
+        assert names == {"host-0/host", "host-1/host", "other/host"}
+        second.part(membership.Membership).leave()
+        await platform.until(
+            lambda: part.possible("host") == {"host-0/host", "other/host"}
+        )
--- a/tests/test_slot_scheduler.py
+++ b/tests/test_slot_scheduler.py
@@ -4,6 +4,7 @@
 
 from camphortray import enginehealth
 from camphortray import errors
+from camphortray import slot_reconciler
 from camphortray import slot_scheduler
 from tests import slotkit
 
@@ -230,3 +231,21 @@
         found.append(decision.engine)
     assert found[:2] == ["e-b", "e-b"]
     assert found[2] != "e-b"
+
+
+def test_a_new_coordinator_learns_what_runs_before_it_starts_items():
+    """Items of a lost coordinator ran on, and as many were started beside."""
+    book = slotkit.book_of(engines=1, slots=2)
+    book.items_from = 0.25
+    assert slotkit.kinds(book.ask(slotkit.item("i"), 0.0)) == []
+    assert book.next_look(0.0) == 0.25
+    # A caller does not wait for it.
+    assert slotkit.kinds(book.ask(slotkit.online("q"), 0.1)) == [
+        ("Grant", "q")
+    ]
+    lease = slot_scheduler.Lease(slotkit.item("j"), "e0", 0.0)
+    reconciler = slot_reconciler.SlotReconciler(book)
+    reconciler.report("h", [lease], [lease.want], 0.2)
+    assert slotkit.kinds(book.decide(0.25)) == []
+    book.done("q", enginehealth.Outcome.GOOD, 0.3)
+    assert "i" in book.leases
