--- a/tests/test_slot_scheduler.py
+++ b/tests/test_slot_scheduler.py
@@ -248,4 +248,6 @@
     reconciler.report("h", [lease], [lease.want], 0.2)
     assert slotkit.kinds(book.decide(0.25)) == []
     book.done("q", enginehealth.Outcome.GOOD, 0.3)
+    # Once no burst would take its slot back.
+    book.decide(5.0)
     assert "i" in book.leases
