Name partitions of jobs and their owners in the field's terms

No behaviour changes. Modules, old to new: jobdesk job_router, jobowners partition_manager, jobowner partition_owner, ownerbook owner_cache, jobbook partition_state, openitems item_reconciler, itemwatch item_stall_detector, itemfate item_retry, intake job_reader, taking job_writer, jobwaiting backlog_gossip, courier append_forwarder. Classes: JobDesk JobRouter, JobOwners PartitionManager, JobOwner PartitionOwner, OwnerBook OwnerCache, OwnerWord OwnerClaim, JobBook PartitionState, OpenItems ItemReconciler, JobWaiting BacklogGossip, Courier AppendForwarder, Taker JobWriter. In the owner cache, hear and tell are on_claim and on_assignment. Messages between hosts keep their names on the wire.

--- a/camphortray/courier.py
+++ b/camphortray/append_forwarder.py
@@ -8,7 +8,7 @@
 nothing has to be known about what became of it on the way.
 """
 
-__all__ = ["Appended", "Courier", "LogAppend"]
+__all__ = ["AppendForwarder", "Appended", "LogAppend"]
 
 import asyncio
 from collections.abc import Callable
@@ -130,7 +130,7 @@
             self.task.cancel()
 
 
-class Courier:
+class AppendForwarder:
     """Takes records to the log, by way of another host if that is better.
 
     Attributes:
--- a/camphortray/jobwaiting.py
+++ b/camphortray/backlog_gossip.py
@@ -1,19 +1,19 @@
 """Tells other hosts how much waits, and keeps routes within their limits."""
 
-__all__ = ["JobWaiting"]
+__all__ = ["BacklogGossip"]
 
 import asyncio
 
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import inforce
-from camphortray import jobbook
 from camphortray import jobmessages
-from camphortray import jobowner
 from camphortray import jobquota
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
+from camphortray import partition_owner
+from camphortray import partition_state
 from camphortray import peers
 from camphortray import shards
 from camphortray import tasks
@@ -27,7 +27,7 @@
 QUOTA_S = 0.3
 
 
-class JobWaiting:
+class BacklogGossip:
     """Tokens that wait, by route, over the partitions of all hosts.
 
     Attributes:
@@ -38,7 +38,7 @@
     def __init__(
         self,
         context: kernel.Context,
-        owners: dict[int, jobowner.JobOwner],
+        owners: dict[int, partition_owner.PartitionOwner],
     ) -> None:
         self.clock = context.clock
         self.members = context.part(membership.Membership)
@@ -80,7 +80,7 @@
                         FACT_KEEP_S,
                     )
 
-    def count(self, owner: jobowner.JobOwner) -> dict[str, int]:
+    def count(self, owner: partition_owner.PartitionOwner) -> dict[str, int]:
         """Return the waiting tokens of a partition by route."""
         counts: dict[str, int] = {}
         for job in owner.book.jobs.values():
@@ -110,7 +110,7 @@
         now = self.clock.monotonic()
         return self.quota.ask(ask.route, ask.job, ask.tokens, ask.limit, now)
 
-    async def has_room(self, part: jobbook.JobPart) -> bool:
+    async def has_room(self, part: partition_state.JobPart) -> bool:
         """Return whether a job fits into what may wait on its route."""
         route = self.inforce.routes.find(part.host_name, part.target)
         if route is None or not route.waiting_limit:
--- a/camphortray/callkeeper.py
+++ b/camphortray/callkeeper.py
@@ -17,12 +17,12 @@
 from typing import Any
 from typing import ClassVar
 
+from camphortray import append_forwarder
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import callshard
 from camphortray import callwatch
 from camphortray import config as configs
-from camphortray import courier
 from camphortray import errors
 from camphortray import grouping
 from camphortray import journal
@@ -88,7 +88,7 @@
             f"{config.host.name}/entry", context.incarnation
         )
         service = context.part(outer.Outer).log
-        self.courier = courier.Courier(
+        self.courier = append_forwarder.AppendForwarder(
             service,
             context.part(peers.Peers),
             grouping.Limits.from_config(config),
--- a/camphortray/handover.py
+++ b/camphortray/handover.py
@@ -7,10 +7,10 @@
 from camphortray import config as configs
 from camphortray import itemwork
 from camphortray import jobmessages
-from camphortray import jobowner
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
+from camphortray import partition_owner
 from camphortray import peers
 
 LOG = logs.logger("jobs")
@@ -45,7 +45,7 @@
     def __init__(
         self,
         context: kernel.Context,
-        owners: dict[int, jobowner.JobOwner],
+        owners: dict[int, partition_owner.PartitionOwner],
     ) -> None:
         self.clock = context.clock
         self.members = context.part(membership.Membership)
@@ -58,7 +58,7 @@
         """Take what others leave to this host."""
         self.links.on(jobmessages.ProgressWord, self.on_progress)
 
-    def leave(self, owner: jobowner.JobOwner) -> None:
+    def leave(self, owner: partition_owner.PartitionOwner) -> None:
         """Note what is under way before an owner stops."""
         jobs = owner.items.progress()
         if jobs and self.on:
--- a/camphortray/isolation.py
+++ b/camphortray/isolation.py
@@ -11,7 +11,7 @@
 
 from camphortray import completion
 from camphortray import errors
-from camphortray import intake
+from camphortray import job_reader
 from camphortray import jobqueue
 from camphortray import kernel
 from camphortray import poison
@@ -147,7 +147,7 @@
 
     One that could not be sent online gets a text of its own.
     """
-    line, _ = intake.parse_line(item.line)
+    line, _ = job_reader.parse_line(item.line)
     try:
         asked = completion.parse(path, bytes(line.body))
     except errors.Refused:
--- a/camphortray/openitems.py
+++ b/camphortray/item_reconciler.py
@@ -9,7 +9,7 @@
 runs it, and its job never becomes whole.
 """
 
-__all__ = ["OpenItems"]
+__all__ = ["ItemReconciler"]
 
 import asyncio
 from collections.abc import Awaitable
@@ -20,16 +20,16 @@
 import traceback
 
 from camphortray import errors
-from camphortray import itemwatch
+from camphortray import item_stall_detector
 from camphortray import itemwork
-from camphortray import jobbook
 from camphortray import logs
+from camphortray import partition_state
 from camphortray import tasks
 
 LOG = logs.logger("jobs")
-Stage = itemwatch.Stage
+Stage = item_stall_detector.Stage
 Key = tuple[str, int]
-Keep = Callable[[jobbook.Job, jobbook.Result], Awaitable[None]]
+Keep = Callable[[partition_state.Job, partition_state.Result], Awaitable[None]]
 # Items of one partition that run or wait for a slot at once; the others
 # wait here, the oldest jobs first.
 MAX_RUNNING = 400
@@ -42,7 +42,7 @@
 RECORD_PAUSE_S = 30.0
 
 
-class OpenItems:
+class ItemReconciler:
     """The open items of one partition, each queued or run.
 
     Attributes:
@@ -66,7 +66,7 @@
         self.epoch = epoch
         self.keep = keep
         self.ending = ending
-        self.jobs: dict[str, jobbook.Job] = {}
+        self.jobs: dict[str, partition_state.Job] = {}
         self.queued: dict[Key, None] = {}
         self.running: dict[Key, asyncio.Task[None]] = {}
         self.works: dict[Key, itemwork.ItemWork] = {}
@@ -75,7 +75,7 @@
         self.lives = 0
         self.closed = False
 
-    def begin(self, jobs: dict[str, jobbook.Job]) -> None:
+    def begin(self, jobs: dict[str, partition_state.Job]) -> None:
         """Run what is open of some jobs, the oldest first."""
         self.jobs = jobs
         for job in sorted(jobs.values(), key=lambda held: held.taken_at):
@@ -100,7 +100,7 @@
             return False
         return place not in job.listed and job.items[place] is not None
 
-    def take_up(self, job: jobbook.Job) -> None:
+    def take_up(self, job: partition_state.Job) -> None:
         """See to it that each open item of a job is queued or run.
 
         It may be called at any time and as often as one likes.
@@ -223,7 +223,7 @@
 
     # The watch.
 
-    def stages(self) -> Iterator[itemwatch.StageAt]:
+    def stages(self) -> Iterator[item_stall_detector.StageAt]:
         """Yield what each open item waits for.
 
         None waits here once the partition is given up: the next owner runs
@@ -234,7 +234,7 @@
         wall = self.parts.clock.wall()
         for job, place in self.all_open():
             item, work = job.items[place], self.works.get((job.id, place))
-            yield itemwatch.StageAt(
+            yield item_stall_detector.StageAt(
                 job.id,
                 item.id if item is not None else "",
                 self.stage_of((job.id, place)),
@@ -243,7 +243,7 @@
                 round(wall - job.taken_at, 1),
             )
 
-    def all_open(self) -> Iterator[tuple[jobbook.Job, int]]:
+    def all_open(self) -> Iterator[tuple[partition_state.Job, int]]:
         """Yield all items that are neither listed nor of an ended job."""
         for job in self.jobs.values():
             if len(job.listed) < len(job.items):
--- a/camphortray/itemdriver.py
+++ b/camphortray/itemdriver.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from camphortray import errors
-from camphortray import intake
 from camphortray import isolation
 from camphortray import itempolicy
 from camphortray import itemrun
+from camphortray import job_reader
 from camphortray import jobqueue
 from camphortray import jobs
 from camphortray import kernel
@@ -125,7 +125,7 @@
             return
         accept = held.job.accept
         service = self.tree.view.services[accept.service]
-        line, _ = intake.parse_line(item.line)
+        line, _ = job_reader.parse_line(item.line)
         self.sent += 1
         attempt = itemrun.Try(
             f"{accept.job}-{item.index}.{held.epoch}.{self.sent}",
@@ -276,7 +276,7 @@
         service = held.job.accept.service
         self.runner.signals.answered(service, True, status == "done")
         try:
-            custom_id = intake.parse_line(item.line)[0].custom_id
+            custom_id = job_reader.parse_line(item.line)[0].custom_id
         except ValueError:
             custom_id = ""
         held.outbox.add(
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -11,19 +11,19 @@
 from camphortray import errors
 from camphortray import eventstream
 from camphortray import inforce
-from camphortray import itemfate
-from camphortray import itemwatch
-from camphortray import jobbook
+from camphortray import item_retry
+from camphortray import item_stall_detector
 from camphortray import lease_table
 from camphortray import logs
 from camphortray import metrics as metrics_module
 from camphortray import outer
+from camphortray import partition_state
 from camphortray import routemap
 from camphortray import slot_client
 from camphortray import slot_scheduler
 
 LOG = logs.logger("items")
-Stage = itemwatch.Stage
+Stage = item_stall_detector.Stage
 # Seconds without an event after which a run is taken up elsewhere.
 SILENT_S = 0.5
 # The same before the first event.
@@ -61,7 +61,7 @@
     outer: outer.LedgerOuter
     inforce: inforce.InForce
     slots: slot_client.SlotClient
-    pace: itemfate.Pace
+    pace: item_retry.Pace
     metrics: metrics_module.Metrics = dataclasses.field(
         default_factory=metrics_module.Metrics
     )
@@ -99,7 +99,7 @@
     def __init__(
         self,
         parts: WorkParts,
-        job: jobbook.Job,
+        job: partition_state.Job,
         place: int,
         life: str = "",
     ) -> None:
@@ -111,7 +111,7 @@
         assert item is not None
         self.item = item
         self.stage, self.stage_at = Stage.ROUTE, parts.clock.monotonic()
-        self.tries = itemfate.ItemTries()
+        self.tries = item_retry.ItemTries()
         self.reader = eventstream.EventReader()
         self.text: list[bytes] = []
         self.number = 0
@@ -119,7 +119,7 @@
         self.held: lease_table.HeldLease | None = None
         self.first_at = self.last_at = 0.0
 
-    async def run(self) -> jobbook.Result:
+    async def run(self) -> partition_state.Result:
         """Return how the item ended; however long that takes."""
         while True:
             self.enter(Stage.ROUTE)
@@ -137,7 +137,7 @@
                 continue
             except errors.NoSlot as error:
                 LOG.debug("{}: {}", self.item.id, error)
-                await asyncio.sleep(itemfate.PAUSE_S)
+                await asyncio.sleep(item_retry.PAUSE_S)
                 continue
             if not self.still_leads(held):
                 # The operator has moved the route while it waited.
@@ -246,7 +246,7 @@
             self.age_s() > route.keep_s + KEEP_SLACK_S - DEADLINE_SLACK_S
         )
 
-    def abandoned(self, why: str) -> jobbook.Result:
+    def abandoned(self, why: str) -> partition_state.Result:
         """Return the result of an item that is given up."""
         LOG.info(
             "Item {} of {} is abandoned: {}; {} failed, {} broke off.",
@@ -256,7 +256,9 @@
             self.tries.failed,
             self.tries.breaks,
         )
-        return jobbook.Result(self.place, jobbook.State.ABANDONED)
+        return partition_state.Result(
+            self.place, partition_state.State.ABANDONED
+        )
 
     async def place_at(self, route: routemap.Route) -> lease_table.HeldLease:
         """Wait for a slot."""
@@ -309,7 +311,7 @@
 
     async def attempt(
         self, route: routemap.Route, held: lease_table.HeldLease
-    ) -> jobbook.Result | None:
+    ) -> partition_state.Result | None:
         """Run once; return the result if that ended it."""
         outcome = enginehealth.Outcome.NOTHING
         count = self.reader.count
@@ -343,8 +345,8 @@
                 self.number,
                 fields={"age_s": round(self.age_s(), 2)},
             )
-            return jobbook.Result(
-                self.place, jobbook.State.DONE, b"\n".join(self.text)
+            return partition_state.Result(
+                self.place, partition_state.State.DONE, b"\n".join(self.text)
             )
         except errors.UpstreamError as error:
             if not self.time_over(route):
@@ -366,7 +368,7 @@
         held: lease_table.HeldLease,
         error: errors.UpstreamError,
         brought: int,
-    ) -> jobbook.Result | None:
+    ) -> partition_state.Result | None:
         """Take note of a failed run; return a result if it is the last."""
         name = held.upstream.name
         LOG.info(
@@ -379,7 +381,7 @@
         )
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
             self.parts.inforce.note_leaving(name)
-        fate = itemfate.decide(
+        fate = item_retry.decide(
             self.tries,
             error,
             name,
@@ -387,7 +389,7 @@
             route.max_attempts,
             brought,
         )
-        if fate is itemfate.Fate.ABANDON:
+        if fate is item_retry.Fate.ABANDON:
             return self.abandoned(str(error))
         return None
 
--- a/camphortray/jobdesk.py
+++ b/camphortray/job_router.py
@@ -1,6 +1,6 @@
 """Calls on batch jobs, at any host, brought to the owner of the job."""
 
-__all__ = ["JobDesk"]
+__all__ = ["JobRouter"]
 
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -11,15 +11,15 @@
 
 from camphortray import config as configs
 from camphortray import errors
-from camphortray import jobbook
 from camphortray import jobmessages
-from camphortray import jobowner
-from camphortray import jobowners
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
 from camphortray import outer
-from camphortray import ownerbook
+from camphortray import owner_cache
+from camphortray import partition_manager
+from camphortray import partition_owner
+from camphortray import partition_state
 from camphortray import peers
 
 LOG = logs.logger("jobs")
@@ -34,18 +34,18 @@
 RETRY_S = 0.5
 
 Ask = Any
-Handler = Callable[[jobowner.JobOwner, Any], Awaitable[Any]]
+Handler = Callable[[partition_owner.PartitionOwner, Any], Awaitable[Any]]
 
 
 @kernel.PARTS.register("host")
-class JobDesk(kernel.Part):
+class JobRouter(kernel.Part):
     """Brings calls on jobs to the owners of their partitions.
 
     Attributes:
       owners: Partitions owned here, and who owns the others.
     """
 
-    name: ClassVar[str] = "jobdesk"
+    name: ClassVar[str] = "job_router"
     requires: ClassVar[tuple[str, ...]] = (
         "outer",
         "membership",
@@ -59,10 +59,10 @@
         self.members = context.part(membership.Membership)
         self.links = context.part(peers.Peers)
         self.ledger = context.part(outer.LedgerOuter).ledger
-        self.owners = jobowners.JobOwners(context)
+        self.owners = partition_manager.PartitionManager(context)
 
     @classmethod
-    def from_config(cls, context: kernel.Context) -> "JobDesk":
+    def from_config(cls, context: kernel.Context) -> "JobRouter":
         return cls(context)
 
     async def start(self) -> None:
@@ -86,7 +86,7 @@
         """Return the partition of a job."""
         return xxhash.xxh64_intdigest(job.encode()) % self.ledger.parts
 
-    async def submit(self, part: jobbook.JobPart) -> None:
+    async def submit(self, part: partition_state.JobPart) -> None:
         """Accept a job.
 
         Raises:
@@ -156,7 +156,7 @@
             except errors.MessageError as error:
                 unsure = True
                 refusal = unsure_of(error)
-            except ownerbook.NoOwner as error:
+            except owner_cache.NoOwner as error:
                 refusal = self.miss(part, error.miss)
             else:
                 if not isinstance(reply, jobmessages.JobRefusal):
@@ -181,7 +181,7 @@
             return await self.handle(self.owners.held[part], ask)
         member = self.members.member(self.owners.book.name(part))
         if member is None or member.dead:
-            raise ownerbook.NoOwner(part, ownerbook.Miss.GONE)
+            raise owner_cache.NoOwner(part, owner_cache.Miss.GONE)
         address = configs.Address.from_text(member.peer_address)
         return await self.links.ask(address, ask, timeout_s)
 
@@ -196,18 +196,18 @@
         owner = self.owners.held.get(part)
         if owner is None:
             return jobmessages.JobRefusal.of(
-                self.miss(part, ownerbook.Miss.ELSEWHERE)
+                self.miss(part, owner_cache.Miss.ELSEWHERE)
             )
         return await self.handle(owner, ask)
 
-    def miss(self, part: int, why: ownerbook.Miss) -> errors.Refused:
+    def miss(self, part: int, why: owner_cache.Miss) -> errors.Refused:
         """Return the refusal of a call that found no owner, and count it."""
         self.metrics.inc(
             "camphortray_owner_misses_total",
             "Tries of calls on jobs that found no owner to ask, by why.",
             {"why": why.value},
         )
-        return no_owner(str(ownerbook.NoOwner(part, why)))
+        return no_owner(str(owner_cache.NoOwner(part, why)))
 
     def tell_missed(
         self, job: str, part: int, refusal: errors.Refused
@@ -231,11 +231,13 @@
             },
         )
 
-    async def handle(self, owner: jobowner.JobOwner, ask: Ask) -> Any:
+    async def handle(
+        self, owner: partition_owner.PartitionOwner, ask: Ask
+    ) -> Any:
         """Answer a call as the owner."""
         if not owner.ready.is_set() or owner.lost:
             return jobmessages.JobRefusal.of(
-                self.miss(owner.part, ownerbook.Miss.NOT_READ)
+                self.miss(owner.part, owner_cache.Miss.NOT_READ)
             )
         try:
             if isinstance(ask, jobmessages.SubmitAsk):
@@ -251,7 +253,7 @@
     # Calls as the owner.
 
     async def on_submit(
-        self, owner: jobowner.JobOwner, ask: jobmessages.SubmitAsk
+        self, owner: partition_owner.PartitionOwner, ask: jobmessages.SubmitAsk
     ) -> jobmessages.Taken:
         """Accept a job."""
         known = ask.job.job in owner.book.jobs
@@ -282,7 +284,7 @@
         return jobmessages.Taken()
 
     async def on_page(
-        self, owner: jobowner.JobOwner, ask: jobmessages.PageAsk
+        self, owner: partition_owner.PartitionOwner, ask: jobmessages.PageAsk
     ) -> jobmessages.PageReply:
         """Give results of a job."""
         found = await owner.page(ask.job, ask.after, ask.wait_s)
@@ -292,7 +294,7 @@
         job, results = found
         if not results and self.owners.lapsed:
             # Another owner may have more by now.
-            raise self.miss(owner.part, ownerbook.Miss.OUT_OF_TOUCH)
+            raise self.miss(owner.part, owner_cache.Miss.OUT_OF_TOUCH)
         return jobmessages.PageReply(
             len(job.items),
             ask.after,
@@ -303,7 +305,7 @@
         )
 
     async def on_body(
-        self, owner: jobowner.JobOwner, ask: jobmessages.BodyAsk
+        self, owner: partition_owner.PartitionOwner, ask: jobmessages.BodyAsk
     ) -> jobmessages.BodyReply:
         """Give the body of an item that has no result yet."""
         job = owner.book.jobs.get(ask.job)
@@ -317,7 +319,7 @@
         return jobmessages.BodyReply(item.body)
 
     async def on_end(
-        self, owner: jobowner.JobOwner, ask: jobmessages.EndAsk
+        self, owner: partition_owner.PartitionOwner, ask: jobmessages.EndAsk
     ) -> jobmessages.Taken:
         """End a job."""
         if ask.job not in owner.book.jobs:
@@ -332,7 +334,7 @@
         LOG.info("Job {} ended by its caller.", ask.job)
         return jobmessages.Taken()
 
-    async def sure(self, owner: jobowner.JobOwner) -> None:
+    async def sure(self, owner: partition_owner.PartitionOwner) -> None:
         """Make sure that this host knows of all jobs of a partition.
 
         Raises:
@@ -344,7 +346,7 @@
             raise no_owner(str(error)) from error
 
 
-def item_id(job: jobbook.Job, result: jobbook.Result) -> str:
+def item_id(job: partition_state.Job, result: partition_state.Result) -> str:
     """Return the id of the item of a result."""
     item = job.items[result.item]
     return item.id if item is not None else ""
--- a/camphortray/taking.py
+++ b/camphortray/job_writer.py
@@ -1,6 +1,6 @@
 """Takes the lines of a job or file and writes them in chunks."""
 
-__all__ = ["Taken", "Taker"]
+__all__ = ["JobWriter", "Taken"]
 
 from collections.abc import AsyncIterator
 import dataclasses
@@ -9,7 +9,7 @@
 
 from camphortray import config as configs
 from camphortray import errors
-from camphortray import intake
+from camphortray import job_reader
 from camphortray import jobs
 from camphortray import jobshard
 from camphortray import logs
@@ -39,7 +39,7 @@
     digest: str
 
 
-class Taker:
+class JobWriter:
     """One taking; nothing counts until the whole is accepted.
 
     Attributes:
@@ -52,7 +52,7 @@
         job: str,
         streams: configs.StreamConfig,
         *,
-        check: intake.LineCheck,
+        check: job_reader.LineCheck,
         max_items: int,
         store: bool = True,
     ) -> None:
@@ -62,7 +62,7 @@
         self.max_items = max_items
         # A chunk and one more item together stay below the limit.
         self.limit = min(CHUNK_BYTES, streams.record_limit_bytes // 3)
-        self.reader = intake.LineReader(check, self.limit)
+        self.reader = job_reader.LineReader(check, self.limit)
         self.digest = xxhash.xxh3_128()
         shard.uploads += 1
         self.upload = shard.uploads
--- a/camphortray/jobapi.py
+++ b/camphortray/jobapi.py
@@ -9,7 +9,8 @@
 import xxhash
 
 from camphortray import errors
-from camphortray import intake
+from camphortray import job_reader
+from camphortray import job_writer
 from camphortray import jobcalls
 from camphortray import jobparams
 from camphortray import jobs
@@ -18,7 +19,6 @@
 from camphortray import logs
 from camphortray import results
 from camphortray import shardset
-from camphortray import taking
 from camphortray import tree
 from camphortray import web
 
@@ -62,11 +62,11 @@
             return
         self.calls.check_log(shard)
         known = job in shard.fold.jobs
-        taker = taking.Taker(
+        taker = job_writer.JobWriter(
             shard,
             job,
             self.context.config.streams,
-            check=intake.LineCheck(params.path),
+            check=job_reader.LineCheck(params.path),
             max_items=params.service.get("job.max_items"),
             store=not known,
         )
@@ -79,7 +79,7 @@
         call: web.Call,
         job: str,
         params: jobparams.JobParams,
-        taken: taking.Taken,
+        taken: job_writer.Taken,
     ) -> jobs.JobAccept:
         """Return the record that accepts a job."""
         now = self.context.clock.wall()
@@ -176,7 +176,7 @@
             # Cut off, so that it cannot be taken for the whole.
             response.abort()
             return
-        raise taking.no_log(error) from error
+        raise job_writer.no_log(error) from error
     if not response.status:
         response.start(200, headers)
     response.end()
--- a/camphortray/jobcalls.py
+++ b/camphortray/jobcalls.py
@@ -10,13 +10,13 @@
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import forward
+from camphortray import job_writer
 from camphortray import jobs
 from camphortray import jobshard
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
 from camphortray import shardset
-from camphortray import taking
 from camphortray import web
 
 LOG = logs.logger("jobs")
@@ -85,7 +85,7 @@
         try:
             await shard.catch_up()
         except errors.LogError as error:
-            raise taking.no_log(error) from error
+            raise job_writer.no_log(error) from error
 
     def check_log(self, shard: jobshard.JobShard) -> None:
         """Refuse new work at once while the log is away."""
@@ -196,7 +196,7 @@
         try:
             outcome = await shard.append(kind, body)
         except errors.LogRefused as error:
-            raise taking.no_log(error) from error
+            raise job_writer.no_log(error) from error
         except errors.LogError as error:
             raise errors.Refused(
                 503, "log_down", str(error), ran="unknown", retry_after=5
@@ -227,7 +227,7 @@
         try:
             outcome = await shard.append(jobs.ACCEPT, accept)
         except errors.LogRefused as error:
-            raise taking.no_log(error) from error
+            raise job_writer.no_log(error) from error
         except errors.LogError as error:
             # It may still land; then the job runs, and a resend with the
             # same key finds it.
--- a/camphortray/jobmessages.py
+++ b/camphortray/jobmessages.py
@@ -18,8 +18,8 @@
 
 from camphortray import errors
 from camphortray import itemwork
-from camphortray import jobbook
 from camphortray import messages
+from camphortray import partition_state
 
 
 @messages.message("job.submit")
@@ -27,7 +27,7 @@
 class SubmitAsk:
     """Asks the owner to accept a job, with all its items."""
 
-    job: jobbook.JobPart
+    job: partition_state.JobPart
 
 
 @messages.message("job.page")
@@ -80,7 +80,7 @@
 
     total: int
     after: int
-    results: tuple[tuple[str, jobbook.State, bytes], ...]
+    results: tuple[tuple[str, partition_state.State, bytes], ...]
 
 
 @messages.message("job.body-reply")
--- a/camphortray/openai_files.py
+++ b/camphortray/openai_files.py
@@ -8,7 +8,8 @@
 import uuid
 
 from camphortray import errors
-from camphortray import intake
+from camphortray import job_reader
+from camphortray import job_writer
 from camphortray import jobapi
 from camphortray import jobcalls
 from camphortray import jobparams
@@ -20,7 +21,6 @@
 from camphortray import records
 from camphortray import results
 from camphortray import shardset
-from camphortray import taking
 from camphortray import web
 
 # Largest field of the form besides the file, in bytes.
@@ -66,8 +66,8 @@
             return
         self.calls.check_log(shard)
         name = self.new_id(shard)
-        check = intake.FileCheck(jobparams.PATHS)
-        taker = taking.Taker(
+        check = job_reader.FileCheck(jobparams.PATHS)
+        taker = job_writer.JobWriter(
             shard,
             name,
             self.context.config.streams,
--- a/camphortray/ownerbook.py
+++ b/camphortray/owner_cache.py
@@ -1,6 +1,6 @@
 """Who owns each partition of jobs, as one host has heard or been told."""
 
-__all__ = ["Miss", "NoOwner", "OwnerBook", "OwnerWord"]
+__all__ = ["Miss", "NoOwner", "OwnerCache", "OwnerClaim"]
 
 import enum
 from typing import NamedTuple
@@ -18,7 +18,7 @@
 
 
 # What a caller is told, by why there is no owner.
-TOLD = {
+EXPLAINED = {
     Miss.UNHEARD: "no owner has been heard of",
     Miss.GIVEN_UP: "given up here, and the next owner not heard of",
     Miss.GONE: "the owner is gone, and the next one not heard of",
@@ -36,53 +36,53 @@
     """
 
     def __init__(self, part: int, miss: Miss) -> None:
-        super().__init__(f"partition {part} changes hands: {TOLD[miss]}")
+        super().__init__(f"partition {part} changes hands: {EXPLAINED[miss]}")
         self.miss = miss
 
 
-class OwnerWord(NamedTuple):
+class OwnerClaim(NamedTuple):
     """What an owner has told of itself.
 
     Attributes:
       epoch: In which it owns the partition.
       name: Its member.
-      heard_at: When this host heard of it, monotonic.
+      observed_at: When this host heard of it, monotonic.
     """
 
     epoch: int
     name: str
-    heard_at: float
+    observed_at: float
 
 
-class OwnerBook:
+class OwnerCache:
     """Owners of partitions as one host knows them.
 
     Owners tell once that they own a partition, and that may be late. A host
-    whose word is stale, as it has been told that the owner is not, can ask
+    whose claim is stale, as it has been told that the owner is not, can ask
     the store, which deals the partitions. What the store says goes before
-    the word of an owner until a newer owner is heard of; it says who is to
+    the claim of an owner until a newer owner is heard of; it says who is to
     own a partition, not who has read it, which that host itself must say.
 
     Attributes:
       own_name: Member of this host.
-      known: Newest word of an owner, by partition.
+      known: Newest claim of an owner, by partition.
       dealt: Member that the store deals a partition to, by partition.
     """
 
     def __init__(self, own_name: str) -> None:
         self.own_name = own_name
-        self.known: dict[int, OwnerWord] = {}
+        self.known: dict[int, OwnerClaim] = {}
         self.dealt: dict[int, str] = {}
 
-    def hear(self, part: int, word: OwnerWord) -> bool:
-        """Take an owner's word; return whether it is the newest."""
+    def on_claim(self, part: int, claim: OwnerClaim) -> bool:
+        """Take an owner's claim; return whether it is the newest."""
         held = self.known.get(part)
-        if held is None or word[:2] > held[:2]:
-            self.known[part] = word
+        if held is None or claim[:2] > held[:2]:
+            self.known[part] = claim
             self.dealt.pop(part, None)
-        return self.known[part][:2] == word[:2]
+        return self.known[part][:2] == claim[:2]
 
-    def tell(self, dealt: dict[int, str]) -> None:
+    def on_assignment(self, dealt: dict[int, str]) -> None:
         """Take what the store says of all partitions."""
         self.dealt = {
             part: name
@@ -96,8 +96,8 @@
         Raises:
           NoOwner: there is none.
         """
-        word = self.known.get(part)
-        name = self.dealt.get(part) or (word.name if word else "")
+        claim = self.known.get(part)
+        name = self.dealt.get(part) or (claim.name if claim else "")
         if not name:
             raise NoOwner(part, Miss.UNHEARD)
         if name == self.own_name:
@@ -106,5 +106,5 @@
 
     def age_s(self, part: int, now: float) -> float | None:
         """Return the age of what is known of an owner, None if nothing."""
-        word = self.known.get(part)
-        return None if word is None else now - word.heard_at
+        claim = self.known.get(part)
+        return None if claim is None else now - claim.observed_at
--- a/camphortray/jobowners.py
+++ b/camphortray/partition_manager.py
@@ -1,24 +1,24 @@
 """Which partitions of jobs this host owns, and who owns the others."""
 
-__all__ = ["JobOwners"]
+__all__ = ["PartitionManager"]
 
 import asyncio
 import contextlib
 
+from camphortray import backlog_gossip
 from camphortray import errors
 from camphortray import handover
 from camphortray import inforce
-from camphortray import itemfate
-from camphortray import itemwatch
+from camphortray import item_retry
+from camphortray import item_stall_detector
 from camphortray import itemwork
-from camphortray import jobowner
-from camphortray import jobwaiting
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
 from camphortray import outer
+from camphortray import owner_cache
 from camphortray import owner_candidates
-from camphortray import ownerbook
+from camphortray import partition_owner
 from camphortray import slot_client
 from camphortray import tasks
 
@@ -49,7 +49,7 @@
 ANEW_EVERY_S = 5.0
 
 
-class JobOwners:
+class PartitionManager:
     """A member of the store's group of owners.
 
     Attributes:
@@ -80,16 +80,16 @@
             parties,
             context.part(inforce.InForce),
             context.part(slot_client.SlotClient),
-            itemfate.Pace(),
+            item_retry.Pace(),
             context.metrics,
         )
         self.member = f"{context.config.host.name}.{context.incarnation}"
         self.generation = self.acted_on = 0
-        self.held: dict[int, jobowner.JobOwner] = {}
-        self.book = ownerbook.OwnerBook(self.members.own_name)
+        self.held: dict[int, partition_owner.PartitionOwner] = {}
+        self.book = owner_cache.OwnerCache(self.members.own_name)
         self.seek_at = 0.0
         self.seeking: asyncio.Task[None] | None = None
-        self.waiting = jobwaiting.JobWaiting(context, self.held)
+        self.waiting = backlog_gossip.BacklogGossip(context, self.held)
         self.handover = handover.Handover(context, self.held)
         self.touched_at = -KEEP_S
         self.candidates = owner_candidates.OwnerCandidates(
@@ -106,7 +106,7 @@
         self.look_task: asyncio.Task[None] | None = None
 
     @property
-    def known(self) -> dict[int, ownerbook.OwnerWord]:
+    def known(self) -> dict[int, owner_cache.OwnerClaim]:
         """Newest word of an owner, by partition."""
         return self.book.known
 
@@ -145,11 +145,11 @@
                     owner.epoch,
                     now - owner.begun_at,
                 )
-        found = itemwatch.Look(
+        found = item_stall_detector.Look(
             item for owner in ready for item in owner.items.stages()
         )
         metrics = self.context.metrics
-        for stage in itemwatch.Stage:
+        for stage in item_stall_detector.Stage:
             metrics.set(
                 "camphortray_items_open",
                 "Accepted items that are not listed, by what they wait for.",
@@ -272,7 +272,7 @@
         except errors.LogError as error:
             LOG.info("Could not leave the group: {}", error)
 
-    def give_up(self, owner: jobowner.JobOwner) -> None:
+    def give_up(self, owner: partition_owner.PartitionOwner) -> None:
         """Stop owning a partition; the next owner gets what is under way."""
         self.handover.leave(owner)
         owner.stop()
@@ -312,13 +312,15 @@
             if changed:
                 self.give_away(owner)
 
-    def give_away(self, owner: jobowner.JobOwner) -> None:
+    def give_away(self, owner: partition_owner.PartitionOwner) -> None:
         """Give a partition up that another may have owned meanwhile."""
         self.give_up(owner)
         if self.held.get(owner.part) is owner:
             del self.held[owner.part]
 
-    async def confirmed(self, owner: jobowner.JobOwner) -> bool | None:
+    async def confirmed(
+        self, owner: partition_owner.PartitionOwner
+    ) -> bool | None:
         """Return whether the store confirms an owner's epoch; None if silent.
 
         Its answers may be lost; given up after the first, all items under
@@ -352,7 +354,7 @@
 
     def take(self, part: int, epoch: int) -> None:
         """Take a partition over."""
-        owner = jobowner.JobOwner(
+        owner = partition_owner.PartitionOwner(
             self.parts,
             self.ledger,
             part,
@@ -364,7 +366,7 @@
         self.held[part] = owner
         owner.start()
 
-    def on_lost(self, owner: jobowner.JobOwner) -> None:
+    def on_lost(self, owner: partition_owner.PartitionOwner) -> None:
         """Forget a partition that another has taken over."""
         self.handover.leave(owner)
         word = self.known.get(owner.part)
@@ -390,8 +392,8 @@
         """Take note of who owns a partition."""
         number, _, name = fact.key.partition("/")
         part, epoch = int(number), int(fact.value)
-        word = ownerbook.OwnerWord(epoch, name, self.clock.monotonic())
-        newest = self.book.hear(part, word)
+        word = owner_cache.OwnerClaim(epoch, name, self.clock.monotonic())
+        newest = self.book.on_claim(part, word)
         owner = self.held.get(part)
         if owner is not None and epoch > owner.epoch:
             # The store does not reach this host, or it would have said so;
@@ -429,7 +431,7 @@
             LOG.info("The store does not say who owns what: {}", error)
         else:
             program = self.context.program
-            self.book.tell(
+            self.book.on_assignment(
                 {
                     part: f"{member.rpartition('.')[0]}/{program}"
                     for part, member in found.items()
--- a/camphortray/jobowner.py
+++ b/camphortray/partition_owner.py
@@ -1,6 +1,6 @@
 """Owns one partition of jobs for one epoch: keeps them and runs items."""
 
-__all__ = ["JobOwner"]
+__all__ = ["PartitionOwner"]
 
 import asyncio
 import collections
@@ -9,11 +9,11 @@
 import traceback
 
 from camphortray import errors
+from camphortray import item_reconciler
 from camphortray import itemwork
-from camphortray import jobbook
 from camphortray import ledger as ledgers
 from camphortray import logs
-from camphortray import openitems
+from camphortray import partition_state
 from camphortray import partwriter
 from camphortray import tasks
 
@@ -41,7 +41,7 @@
 MOST_UNREADABLE = 5
 
 
-class JobOwner:
+class PartitionOwner:
     """A partition while this host owns it.
 
     Attributes:
@@ -63,7 +63,7 @@
         epoch: int,
         keep_s: float,
         on_change: Callable[[], None],
-        on_lost: Callable[["JobOwner"], None],
+        on_lost: Callable[["PartitionOwner"], None],
     ) -> None:
         self.parts = parts
         self.ledger = ledger
@@ -72,7 +72,7 @@
         self.keep_s = keep_s
         self.on_change = on_change
         self.on_lost = on_lost
-        self.book = jobbook.JobBook()
+        self.book = partition_state.PartitionState()
         self.writer = partwriter.PartWriter(
             ledger,
             TOPIC,
@@ -87,7 +87,9 @@
         self.lost = False
         self.unreadable = 0
         self.ending: collections.Counter[str] = collections.Counter()
-        self.items = openitems.OpenItems(parts, epoch, self.keep, self.ending)
+        self.items = item_reconciler.ItemReconciler(
+            parts, epoch, self.keep, self.ending
+        )
         self.submits: dict[str, asyncio.Task[None]] = {}
         self.news: dict[str, asyncio.Event] = {}
         self.task: asyncio.Task[None] | None = None
@@ -123,7 +125,7 @@
                     self.part,
                     lambda: limit.reschedule(loop.time() + CALL_S),
                 )
-            self.book = jobbook.JobBook()
+            self.book = partition_state.PartitionState()
             unreadable = self.load(page.records)
             # No other can have added anything since the epoch was set,
             # but the pages of a listing are no snapshot.
@@ -211,7 +213,9 @@
 
     # Results.
 
-    async def keep(self, job: jobbook.Job, result: jobbook.Result) -> None:
+    async def keep(
+        self, job: partition_state.Job, result: partition_state.Result
+    ) -> None:
         """Keep the result of an item.
 
         Raises:
@@ -219,18 +223,18 @@
           RecordError: it is larger than can be kept.
         """
         most = self.ledger.record_bytes
-        size = len(result.text) + jobbook.RESULT_OVERHEAD
+        size = len(result.text) + partition_state.RESULT_OVERHEAD
         if size > self.ledger.append_bytes:
             raise errors.RecordError(
                 f"result of {size} bytes is larger than an append may be",
                 step="result",
                 peer="ledger",
             )
-        for record in jobbook.next_result(job, (), result, most):
+        for record in partition_state.next_result(job, (), result, most):
             self.writer.check_size(record)
 
         def make(before: partwriter.Records) -> partwriter.Records:
-            return jobbook.next_result(job, before, result, most)
+            return partition_state.next_result(job, before, result, most)
 
         while True:
             write = self.writer.put(make, size, RESULT_S)
@@ -248,7 +252,9 @@
         """Take records that are kept now."""
         for record in records:
             self.book.apply(record)
-        for name in {jobbook.split_key(record.key)[1] for record in records}:
+        for name in {
+            partition_state.split_key(record.key)[1] for record in records
+        }:
             job = self.book.jobs.get(name)
             if job is not None and job.ended:
                 # Items may have begun anew meanwhile, as an earlier call
@@ -294,7 +300,7 @@
 
     # Calls.
 
-    async def submit(self, part: jobbook.JobPart) -> None:
+    async def submit(self, part: partition_state.JobPart) -> None:
         """Accept a job; the same id again is the same job.
 
         Raises:
@@ -328,14 +334,16 @@
         if not task.cancelled():
             task.exception()
 
-    async def accept(self, part: jobbook.JobPart) -> None:
+    async def accept(self, part: partition_state.JobPart) -> None:
         """Write a job."""
-        records = jobbook.accept_records(part, self.ledger.record_bytes)
+        records = partition_state.accept_records(
+            part, self.ledger.record_bytes
+        )
         await self.writer.write(records, WRITE_S)
 
     async def page(
         self, name: str, after: int, wait_s: float
-    ) -> tuple[jobbook.Job, list[jobbook.Result]] | None:
+    ) -> tuple[partition_state.Job, list[partition_state.Result]] | None:
         """Return a job and its results from a position on, or None."""
         job = self.book.jobs.get(name)
         if job is None:
@@ -345,7 +353,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await event.wait()
-        found: list[jobbook.Result] = []
+        found: list[partition_state.Result] = []
         size = 0
         for result in job.results[after:]:
             size += len(result.text) + 100
@@ -365,7 +373,7 @@
             return
         self.ending[name] += 1
         self.items.stop_job(name)
-        record = jobbook.end_record(name)
+        record = partition_state.end_record(name)
         write = self.writer.put(lambda before: (record,), 0, WRITE_S)
         # Its caller may have gone, or been told that nothing is known, when
         # it turns out that the job goes on.
--- a/camphortray/jobbook.py
+++ b/camphortray/partition_state.py
@@ -13,8 +13,8 @@
 __all__ = [
     "Item",
     "Job",
-    "JobBook",
     "JobPart",
+    "PartitionState",
     "Result",
     "State",
     "accept_records",
@@ -307,7 +307,7 @@
     return ledgers.LedgerRecord(f"e/{job}", b"1")
 
 
-class JobBook:
+class PartitionState:
     """All jobs of a partition.
 
     Attributes:
--- a/camphortray/shardrun.py
+++ b/camphortray/shardrun.py
@@ -10,8 +10,8 @@
 from camphortray import dispatch
 from camphortray import errors
 from camphortray import fold as folds
-from camphortray import intake
 from camphortray import itemdriver
+from camphortray import job_reader
 from camphortray import jobqueue
 from camphortray import jobs
 from camphortray import jobshard
@@ -171,14 +171,14 @@
             return
         service = self.tree.view.services[job.accept.service]
         try:
-            _, body = intake.parse_line(line)
+            _, body = job_reader.parse_line(line)
             if body.model not in service.models:
                 raise ValueError(f"no model {body.model!r}")
         except ValueError as error:
             why = itemdriver.reason(str(error))
             self.dispatcher.driver.end(held, item, "failed", why)
             return
-        item.prefix = intake.prefix_of(body)
+        item.prefix = job_reader.prefix_of(body)
         self.dispatcher.push(held, item)
 
     async def forget(self) -> None:
