Name requests and calls at most once in the field's terms

No behaviour changes: passage forwarder (Forwarder), exchange proxy_exchange, recording replay_buffer, window concurrency_limit, breakbook crash_counter (CrashCounter), breaks crash_reports (CrashReports), callkeeper at_most_once (AtMostOnce), callwatch claim_probe (ClaimProbes).

--- a/camphortray/admission.py
+++ b/camphortray/admission.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import ClassVar
 
+from camphortray import concurrency_limit as windows
 from camphortray import errors
 from camphortray import fairness
 from camphortray import kernel
@@ -14,7 +15,6 @@
 from camphortray import settings
 from camphortray import signals
 from camphortray import tasks
-from camphortray import window as windows
 
 # Seconds from one search of the queues for late requests to the next.
 SWEEP_S = 0.1
--- a/camphortray/callkeeper.py
+++ b/camphortray/at_most_once.py
@@ -6,7 +6,7 @@
 turns out to have landed.
 """
 
-__all__ = ["CallKeeper"]
+__all__ = ["AtMostOnce"]
 
 import asyncio
 from collections.abc import Awaitable
@@ -21,7 +21,7 @@
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import callshard
-from camphortray import callwatch
+from camphortray import claim_probe
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import grouping
@@ -67,7 +67,7 @@
 
 
 @kernel.PARTS.register("entry")
-class CallKeeper(kernel.Part):
+class AtMostOnce(kernel.Part):
     """Claims calls, dispatches them once, keeps their answers.
 
     Attributes:
@@ -116,7 +116,7 @@
         for shard in self.shards:
             shard.journal.send = self.courier.send
         self.active: dict[str, Running] = {}
-        self.watch = callwatch.CallWatch(
+        self.watch = claim_probe.ClaimProbes(
             context.part(peers.Peers),
             self.members,
             self.writer,
@@ -127,7 +127,7 @@
         self.tasks: set[asyncio.Task[Any]] = set()
 
     @classmethod
-    def from_config(cls, context: kernel.Context) -> "CallKeeper":
+    def from_config(cls, context: kernel.Context) -> "AtMostOnce":
         return cls(context)
 
     async def start(self) -> None:
--- a/camphortray/callwatch.py
+++ b/camphortray/claim_probe.py
@@ -1,6 +1,6 @@
 """Asks the host that claimed a call whether it is still at work on it."""
 
-__all__ = ["CallProbe", "CallState", "CallWatch"]
+__all__ = ["CallProbe", "CallState", "ClaimProbes"]
 
 from collections.abc import Callable
 import dataclasses
@@ -43,7 +43,7 @@
     running: bool
 
 
-class CallWatch:
+class ClaimProbes:
     """Both sides of the question.
 
     A resend must not be held back for an answer that nobody will write:
--- a/camphortray/completing.py
+++ b/camphortray/completing.py
@@ -10,10 +10,10 @@
 from camphortray import completion as completions
 from camphortray import engine
 from camphortray import errors
-from camphortray import exchange
 from camphortray import logs
 from camphortray import poison
 from camphortray import prefix
+from camphortray import proxy_exchange
 from camphortray import resume
 from camphortray import retry
 from camphortray import routedtry
@@ -36,7 +36,7 @@
 GUESSED_TOKENS = 1024
 
 
-class CompletionExchange(exchange.Exchange):
+class CompletionExchange(proxy_exchange.Exchange):
     """One completion until its answer has ended.
 
     Attributes:
@@ -164,7 +164,7 @@
 
     # What is sent, and passed on.
 
-    def request_for(self, held: exchange.Try) -> engine.EngineRequest:
+    def request_for(self, held: proxy_exchange.Try) -> engine.EngineRequest:
         position = self.position
         self.first_s = self.expected_first_s(held.upstream)
         return engine.EngineRequest(
@@ -187,8 +187,8 @@
             wait_s += tokens * float(self.service.get("objective.itl_s"))
         return max(MIN_FIRST_S, FIRST_TIMES * wait_s)
 
-    def head_of(self, stream: engine.EngineStream) -> exchange.Headers:
-        return (("content-type", exchange.EVENTS),)
+    def head_of(self, stream: engine.EngineStream) -> proxy_exchange.Headers:
+        return (("content-type", proxy_exchange.EVENTS),)
 
     def first_limit_s(self) -> float:
         return HEAD_TIMES * self.first_s
@@ -197,7 +197,7 @@
         return float(self.service.get("limit.silence_s"))
 
     async def pass_whole(
-        self, stream: engine.EngineStream, held: exchange.Try
+        self, stream: engine.EngineStream, held: proxy_exchange.Try
     ) -> None:
         body = await engine.read_all(stream, self.first_limit_s())
         check_whole(body, held.upstream)
@@ -206,7 +206,9 @@
 
     # What follows on a failure.
 
-    def go_on(self, held: exchange.Try, error: errors.UpstreamError) -> bool:
+    def go_on(
+        self, held: proxy_exchange.Try, error: errors.UpstreamError
+    ) -> bool:
         LOG.warning("Try {} failed: {}", self.tries, error)
         self.parts.metrics.inc(
             "online_tries_failed_total",
--- a/camphortray/breakbook.py
+++ b/camphortray/crash_counter.py
@@ -1,8 +1,8 @@
 """Requests at which engines broke off again and again."""
 
-__all__ = ["BreakBook"]
+__all__ = ["CrashCounter"]
 
-# Breaks at which a request counts as the cause. Engines that crash take
+# CrashReports at which a request counts as the cause. Engines that crash take
 # other requests with them, and some lose an answer now and then: one
 # request meets three of these by chance about never.
 MOST_BREAKS = 3
@@ -12,7 +12,7 @@
 MAX_REQUESTS = 10_000
 
 
-class BreakBook:
+class CrashCounter:
     """Counts breaks by what tells a request from others."""
 
     def __init__(self) -> None:
--- a/camphortray/breaks.py
+++ b/camphortray/crash_reports.py
@@ -1,10 +1,10 @@
-"""Breaks of engines at requests, told over all hosts."""
+"""CrashReports of engines at requests, told over all hosts."""
 
-__all__ = ["Breaks"]
+__all__ = ["CrashReports"]
 
 from typing import ClassVar
 
-from camphortray import breakbook
+from camphortray import crash_counter
 from camphortray import kernel
 from camphortray import membership
 
@@ -12,8 +12,8 @@
 
 
 @kernel.PARTS.register("host")
-class Breaks(kernel.Part):
-    """Breaks of all requests, over all hosts.
+class CrashReports(kernel.Part):
+    """CrashReports of all requests, over all hosts.
 
     Attributes:
       book: What is known here.
@@ -25,11 +25,11 @@
     def __init__(self, context: kernel.Context) -> None:
         self.clock = context.clock
         self.members = context.part(membership.Membership)
-        self.book = breakbook.BreakBook()
+        self.book = crash_counter.CrashCounter()
         self.members.on_fact(BREAK, self.on_break)
 
     @classmethod
-    def from_config(cls, context: kernel.Context) -> "Breaks":
+    def from_config(cls, context: kernel.Context) -> "CrashReports":
         return cls(context)
 
     def on_break(self, fact: membership.Fact) -> None:
@@ -40,7 +40,7 @@
     def tell(self, fingerprint: str, name: str) -> None:
         """Tell all hosts of a break."""
         key = f"{fingerprint}/{name}"
-        self.members.publish(BREAK, key, 1, breakbook.KEEP_S)
+        self.members.publish(BREAK, key, 1, crash_counter.KEEP_S)
 
     def barred(self, fingerprint: str) -> bool:
         """Return whether a request is not to be run again."""
--- a/camphortray/passage.py
+++ b/camphortray/forwarder.py
@@ -1,18 +1,17 @@
 """Takes one opaque request to an engine and brings its answer back."""
 
-__all__ = ["Passage", "PassageParts"]
+__all__ = ["Forwarder", "ForwarderParts"]
 
 import asyncio
 import dataclasses
 from typing import NoReturn
 
-from camphortray import breaks
 from camphortray import clock as clocks
+from camphortray import crash_reports
 from camphortray import engine
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import eventstream
-from camphortray import exchange
 from camphortray import httpserver
 from camphortray import inforce
 from camphortray import lease_table
@@ -20,12 +19,13 @@
 from camphortray import metrics as metrics_module
 from camphortray import opaque
 from camphortray import outer
+from camphortray import proxy_exchange
 from camphortray import retry
 from camphortray import routemap
 from camphortray import slot_client
 from camphortray import slot_scheduler
 
-LOG = logs.logger("passage")
+LOG = logs.logger("forwarder")
 # Tries before a request is given up, most of which an engine refused as
 # not run; each of these costs a few milliseconds.
 MAX_TRIES = 6
@@ -45,18 +45,18 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class PassageParts:
-    """The parts of the program that a passage works with."""
+class ForwarderParts:
+    """The parts of the program that a forwarder works with."""
 
     clock: clocks.Clock
     outer: outer.LedgerOuter
     inforce: inforce.InForce
     slots: slot_client.SlotClient
-    breaks: breaks.Breaks
+    breaks: crash_reports.CrashReports
     metrics: metrics_module.Metrics
 
 
-class SlotTry(exchange.Try):
+class SlotTry(proxy_exchange.Try):
     """One try at an engine that the book of slots has given.
 
     Attributes:
@@ -66,7 +66,7 @@
 
     def __init__(
         self,
-        parts: PassageParts,
+        parts: ForwarderParts,
         held: lease_table.HeldLease,
         reader: eventstream.EventReader,
         route: routemap.Route,
@@ -102,7 +102,7 @@
         return enginehealth.Outcome.NOTHING
 
 
-class Passage(exchange.Exchange):
+class Forwarder(proxy_exchange.Exchange):
     """One opaque request until its answer has ended.
 
     Attributes:
@@ -116,7 +116,7 @@
 
     def __init__(
         self,
-        parts: PassageParts,
+        parts: ForwarderParts,
         request: opaque.OpaqueRequest,
         response: httpserver.Response,
     ) -> None:
@@ -238,14 +238,14 @@
         self.coordinator = held.coordinator
         return SlotTry(self.parts, held, self.reader, route)
 
-    def request_for(self, held: exchange.Try) -> engine.EngineRequest:
+    def request_for(self, held: proxy_exchange.Try) -> engine.EngineRequest:
         return self.request.for_engine(
             now_of(self.parts),
             self.reader.last,
             first_silent_s(self.request.route) if self.movable else 0.0,
         )
 
-    def head_of(self, stream: engine.EngineStream) -> exchange.Headers:
+    def head_of(self, stream: engine.EngineStream) -> proxy_exchange.Headers:
         return stream.headers
 
     def first_limit_s(self) -> float:
@@ -270,7 +270,9 @@
             self.give_up(502, "upstream_failed", str(error), None)
         self.give_up(503, "busy", str(error), error.retry_after_s)
 
-    def go_on(self, held: exchange.Try, error: errors.UpstreamError) -> bool:
+    def go_on(
+        self, held: proxy_exchange.Try, error: errors.UpstreamError
+    ) -> bool:
         name = held.upstream.name
         LOG.info("{} failed at {}: {}", self.request.id, name, error)
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
@@ -299,7 +301,9 @@
         route = self.request.route
         return retry.RetryRule(route.repeatable, route.max_attempts, MAX_TRIES)
 
-    def broke(self, held: exchange.Try, error: errors.UpstreamError) -> bool:
+    def broke(
+        self, held: proxy_exchange.Try, error: errors.UpstreamError
+    ) -> bool:
         """Return whether the request may have crashed its engine.
 
         What does so does it as it begins to run; and silence may be this
@@ -320,7 +324,7 @@
         return route.repeatable and self.ran < route.max_attempts
 
     async def pass_whole(
-        self, stream: engine.EngineStream, held: exchange.Try
+        self, stream: engine.EngineStream, held: proxy_exchange.Try
     ) -> None:
         body = await engine.read_all(stream, self.left_s())
         self.answer = Answer(stream.status, body, stream.headers)
@@ -367,6 +371,6 @@
     return max(LEAST_SILENT_S, SILENT_SHARE * route.gap_s)
 
 
-def now_of(parts: PassageParts) -> float:
+def now_of(parts: ForwarderParts) -> float:
     """Return monotonic seconds."""
     return parts.clock.monotonic()
--- a/camphortray/exchange.py
+++ b/camphortray/proxy_exchange.py
@@ -3,7 +3,7 @@
 What is alike whatever the protocol of the request stands here: a try at an
 engine, the answer passed on as it comes, a stream that goes on at another
 engine. Who finds an engine, and what follows on a failure, is a front's to
-say: ``passage`` for opaque requests, ``completing`` for completions.
+say: ``forwarder`` for opaque requests, ``completing`` for completions.
 """
 
 __all__ = ["EVENTS", "Exchange", "Try"]
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -7,7 +7,7 @@
 from typing import ClassVar
 
 from camphortray import admission
-from camphortray import callkeeper
+from camphortray import at_most_once
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import completing
@@ -18,7 +18,7 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import outer
-from camphortray import recording
+from camphortray import replay_buffer
 from camphortray import routedtry
 from camphortray import routing
 from camphortray import settings
@@ -66,7 +66,7 @@
             routing.Router(context.rng, zone),
             context.metrics,
         )
-        self.keeper = context.part(callkeeper.CallKeeper)
+        self.keeper = context.part(at_most_once.AtMostOnce)
         self.count = 0
         routes = context.part(web.Routes)
         access = web.Access.WORKSPACE
@@ -126,7 +126,7 @@
             await self.admit(exchange)
             return
         service = exchange.service
-        recorder = recording.Recorder(call.response)
+        recorder = replay_buffer.Recorder(call.response)
         exchange.response = cast(httpserver.Response, recorder)
         request = callrequest.CallRequest.of(
             call.caller,
--- a/camphortray/routedtry.py
+++ b/camphortray/routedtry.py
@@ -8,11 +8,11 @@
 from camphortray import clock as clocks
 from camphortray import engine
 from camphortray import errors
-from camphortray import exchange
 from camphortray import logs
 from camphortray import metrics as metrics_module
 from camphortray import outer
 from camphortray import poison
+from camphortray import proxy_exchange
 from camphortray import routing
 from camphortray import settings
 from camphortray import signals
@@ -38,7 +38,7 @@
     metrics: metrics_module.Metrics
 
 
-class RoutedTry(exchange.Try):
+class RoutedTry(proxy_exchange.Try):
     """One try, counted at its engine from its making to its end.
 
     Attributes:
--- a/camphortray/services.py
+++ b/camphortray/services.py
@@ -6,7 +6,7 @@
 from typing import ClassVar
 
 from camphortray import admission
-from camphortray import callkeeper
+from camphortray import at_most_once
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import deadline
@@ -56,7 +56,7 @@
         self.outer = context.part(outer.Outer)
         self.upstreams = context.part(upstreams.Upstreams)
         self.admission = context.part(admission.Admission)
-        self.keeper = context.part(callkeeper.CallKeeper)
+        self.keeper = context.part(at_most_once.AtMostOnce)
         self.budgets: dict[str, retry.RetryBudget] = {}
         zone = context.config.host.availability_zone
         self.router = routing.Router(context.rng, zone)
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -121,8 +121,8 @@
         self.ends.append(outcome)
 
 
-class Breaks:
-    """Breaks told, and what is barred."""
+class CrashReports:
+    """CrashReports told, and what is barred."""
 
     def __init__(self):
         self.told = []
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,11 +8,11 @@
 
 from bench import fleet as fleets
 from camphortray import admission
+from camphortray import concurrency_limit
 from camphortray import errors
 from camphortray import fairness
 from camphortray import ratelimits
 from camphortray import signals
-from camphortray import window
 
 pytestmark = pytest.mark.looptime
 WORK_S = 0.5
@@ -200,7 +200,7 @@
     [(192, 3, 128, 32, 192), (192, 390, 1, 1, 192), (32, 1, 32, 16, 32)],
 )
 def test_the_window_fits_slots_and_hosts(slots, hosts, first, low, high):
-    made = window.Window()
+    made = concurrency_limit.Window()
     made.bound(slots, hosts)
     assert made.room(first - 1) and not made.room(first)
     for now in range(100):
--- a/tests/test_callkeeper.py
+++ b/tests/test_at_most_once.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from camphortray import callkeeper
+from camphortray import at_most_once
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import cluster as clusters
@@ -38,7 +38,7 @@
         return self.cluster.plain.runs
 
     def keeper(self, host=0):
-        return self.hosts[host].part("entry", callkeeper.CallKeeper)
+        return self.hosts[host].part("entry", at_most_once.AtMostOnce)
 
     def introduce(self):
         """Let each host know the other."""
@@ -80,8 +80,8 @@
 
 @pytest.fixture
 async def world(monkeypatch):
-    monkeypatch.setattr(callkeeper, "CLAIM_S", 0.5)
-    monkeypatch.setattr(callkeeper, "PAUSE_S", 0.05)
+    monkeypatch.setattr(at_most_once, "CLAIM_S", 0.5)
+    monkeypatch.setattr(at_most_once, "PAUSE_S", 0.05)
     monkeypatch.setattr(journal, "READ_BACK_S", 0.05)
     monkeypatch.setattr(journal, "MAX_PAUSE_S", 0.1)
     cluster = clusters.Cluster(engines=1, hosts=2)
@@ -127,7 +127,7 @@
     world.introduce()
     world.cluster.plain.faults.set("lose_answers", 1)
     assert (await world.call())[:2] == (502, "unknown")
-    async with asyncio.timeout(callkeeper.RESEND_S / 2):
+    async with asyncio.timeout(at_most_once.RESEND_S / 2):
         assert (await world.call(1))[:2] == (409, "unknown")
     assert world.runs == {"k": 1}
 
@@ -145,7 +145,7 @@
     return all(
         any(
             name in shard.fold.calls and shard.fold.calls[name].answer
-            for shard in host.part("entry", callkeeper.CallKeeper).shards
+            for shard in host.part("entry", at_most_once.AtMostOnce).shards
         )
         for host in world.hosts
         if "entry" in host.kernels
@@ -252,7 +252,7 @@
     assert got[1] == first[1] and got[0] in (first[0], 502)
     world.cluster.plain.faults.set("drain", False)
     for host in world.hosts:
-        host.part("entry", callkeeper.membership.Membership).publish(
+        host.part("entry", at_most_once.membership.Membership).publish(
             "upstream-leaving", f"{clusters.PLAIN}-0", False
         )
     await settled(world.keeper())
@@ -296,7 +296,7 @@
     # gone but still listed, they append themselves under the same id.
     # None is given up here, as it is beside load within the hurried time of
     # the other tests; the call is then refused as not run, which it was not.
-    monkeypatch.setattr(callkeeper, "CLAIM_S", 60.0)
+    monkeypatch.setattr(at_most_once, "CLAIM_S", 60.0)
     world.introduce()
     bundlers = [world.keeper(n).courier.bundlers for n in (0, 1)]
     for mine in bundlers:
--- a/tests/test_passage.py
+++ b/tests/test_forwarder.py
@@ -9,9 +9,9 @@
 from camphortray import clock as clocks
 from camphortray import enginehealth
 from camphortray import errors
+from camphortray import forwarder
 from camphortray import metrics
 from camphortray import opaque
-from camphortray import passage
 from camphortray import routemap
 from tests import hostkit
 
@@ -51,28 +51,28 @@
         self.end()
 
 
-def passage_of(script, route=hostkit.STREAM_ROUTE, refusals=0):
-    """Return a passage with engines that follow a script."""
+def forwarder_of(script, route=hostkit.STREAM_ROUTE, refusals=0):
+    """Return a forwarder with engines that follow a script."""
     clock = clocks.SystemClock()
     slots = hostkit.Slots()
     slots.refusals = refusals
-    parts = passage.PassageParts(
+    parts = forwarder.ForwarderParts(
         clock,
         hostkit.Parties(hostkit.ScriptedEngines(script)),
         hostkit.InForce([route]),
         slots,
-        hostkit.Breaks(),
+        hostkit.CrashReports(),
         metrics.Metrics(),
     )
     now = clock.monotonic()
     request = opaque.OpaqueRequest(
         "r1", route, "POST", "/p/1", (("host", "h"),), b"b", now, now + 5.0
     )
-    return passage.Passage(parts, request, Response())
+    return forwarder.Forwarder(parts, request, Response())
 
 
 async def outcome(held):
-    """Run a passage; return the status the caller sees, 0 for a cut."""
+    """Run a forwarder; return the status the caller sees, 0 for a cut."""
     try:
         await held.run()
     except errors.Refused as refusal:
@@ -96,7 +96,7 @@
 
 
 async def test_a_stream_is_passed_on_unchanged():
-    held = passage_of([answer(*hostkit.events(1, 4))])
+    held = forwarder_of([answer(*hostkit.events(1, 4))])
     assert await outcome(held) == 200
     assert held.response.data == ALL
     assert held.response.headers == hostkit.STAMP
@@ -110,7 +110,7 @@
         # Not run for certain: another engine, whatever the kind.
         (hostkit.STREAM_ROUTE, [hostkit.FULL, answer(*TWO)], 200, 2),
         (hostkit.STREAM_ROUTE, [hostkit.UNREACHED, answer(*TWO)], 200, 2),
-        (ONCE, [hostkit.FULL] * passage.MAX_TRIES, 503, 6),
+        (ONCE, [hostkit.FULL] * forwarder.MAX_TRIES, 503, 6),
         # May have run: at most once where it may not be repeated.
         (hostkit.STREAM_ROUTE, [hostkit.BROKEN], 502, 1),
         (ONCE, [hostkit.BROKEN], 502, 1),
@@ -136,7 +136,7 @@
         hostkit.Answer(a.chunks) if isinstance(a, hostkit.Answer) else a
         for a in script
     ]
-    held = passage_of(script, route)
+    held = forwarder_of(script, route)
     assert await outcome(held) == status
     assert len(held.parts.outer.party.seen) == sent
 
@@ -147,7 +147,7 @@
     # answer, with the head of the first engine, each event once.
     torn = hostkit.event(3)[:5]
     other = (("server-stamp", "s2"), ("content-type", hostkit.EVENTS))
-    held = passage_of(
+    held = forwarder_of(
         [
             hostkit.Answer([*TWO, torn, fault]),
             hostkit.Answer(hostkit.events(3, 4), headers=other),
@@ -181,7 +181,7 @@
         hostkit.Answer(a.chunks) if isinstance(a, hostkit.Answer) else a
         for a in script
     ]
-    held = passage_of(script, route)
+    held = forwarder_of(script, route)
     assert await outcome(held) == status
     assert len(held.parts.outer.party.seen) == sent
     ends = held.parts.slots.ends
@@ -192,7 +192,7 @@
 
 
 async def test_a_stream_torn_at_its_end_is_not_made_to_look_whole():
-    held = passage_of([hostkit.Answer([*TWO, hostkit.event(3)[:5]])])
+    held = forwarder_of([hostkit.Answer([*TWO, hostkit.event(3)[:5]])])
     assert await outcome(held) == 0
     assert not held.response.ended
 
@@ -211,14 +211,14 @@
     route, statuses, seen
 ):
     script = [hostkit.Answer([b"{}"], s, BODY) for s in statuses]
-    held = passage_of(script, route)
+    held = forwarder_of(script, route)
     assert await outcome(held) == seen
     assert held.response.data == b"{}"
     assert held.response.headers == BODY
 
 
 async def test_no_room_is_told_at_once_with_a_time_to_come_back():
-    held = passage_of([], refusals=1)
+    held = forwarder_of([], refusals=1)
     with pytest.raises(errors.Refused) as told:
         await held.run()
     assert (told.value.status, told.value.ran) == (503, "no")
@@ -229,7 +229,7 @@
 async def test_no_room_after_a_try_that_ran_promises_nothing():
     # The first try broke off and may have run; a 503 now would say that
     # the request never runs.
-    held = passage_of([hostkit.BROKEN], hostkit.RESUMABLE)
+    held = forwarder_of([hostkit.BROKEN], hostkit.RESUMABLE)
     acquire = held.parts.slots.acquire
 
     async def once(service, want, on_revoke=None):
@@ -250,14 +250,14 @@
         await asyncio.sleep(60.0)
 
     silent.read = read
-    held = passage_of([silent])
+    held = forwarder_of([silent])
     assert await outcome(held) == 504
     assert silent.closed
     assert asyncio.get_running_loop().time() == pytest.approx(5.0, abs=0.1)
 
 
 async def test_an_engine_gets_no_more_time_than_is_left():
-    held = passage_of([answer(*TWO)])
+    held = forwarder_of([answer(*TWO)])
     held.request = dataclasses.replace(
         held.request, deadline_at=held.request.arrived_at + 1.0
     )
@@ -267,7 +267,7 @@
 
 
 async def test_a_request_that_breaks_engines_is_not_run_again():
-    held = passage_of([])
+    held = forwarder_of([])
     held.parts.breaks.barring = True
     assert await outcome(held) == 503
     assert not held.parts.outer.party.seen
@@ -277,7 +277,7 @@
     # Its first engine breaks off; meanwhile other hosts tell of two more
     # breaks, so that it is not tried again. A 503 would now say that it
     # never ran, and its caller would send it once more.
-    held = passage_of([hostkit.BROKEN], hostkit.RESUMABLE)
+    held = forwarder_of([hostkit.BROKEN], hostkit.RESUMABLE)
 
     def tell(fingerprint, name):
         held.parts.breaks.barring = True
@@ -287,7 +287,7 @@
 
 
 async def test_each_break_is_told_to_all_hosts():
-    held = passage_of([hostkit.BROKEN, hostkit.BROKEN], hostkit.RESUMABLE)
+    held = forwarder_of([hostkit.BROKEN, hostkit.BROKEN], hostkit.RESUMABLE)
     await outcome(held)
     fingerprints = {name for name, _ in held.parts.breaks.told}
     assert len(held.parts.breaks.told) == 2
@@ -303,7 +303,7 @@
         await asyncio.sleep(60.0)
 
     waiting.read = read
-    held = passage_of([waiting])
+    held = forwarder_of([waiting])
     task = asyncio.ensure_future(held.run())
     await begun.wait()
     task.cancel()
@@ -334,7 +334,7 @@
         await asyncio.sleep(3600.0)
 
     hanging.read = read
-    held = passage_of([hanging])
+    held = forwarder_of([hanging])
     task = asyncio.ensure_future(held.run())
     await asyncio.sleep(waits_s)
     task.cancel()
@@ -356,7 +356,7 @@
         hostkit.Answer(a.chunks) if isinstance(a, hostkit.Answer) else a
         for a in script
     ]
-    held = passage_of(script, hostkit.RESUMABLE)
+    held = forwarder_of(script, hostkit.RESUMABLE)
     assert await outcome(held) == 200
     assert held.parts.breaks.told == []
 
@@ -367,8 +367,8 @@
         ({"objective_s": 0.3, "gap_s": 0.3}, 0.6, 0.24),
         # Slow engines, as their operator knows: not moved for that.
         ({"objective_s": 5.0, "gap_s": 2.0}, 10.0, 1.6),
-        ({"objective_s": 0.3, "gap_s": 0.05}, 0.6, passage.LEAST_SILENT_S),
-        ({"objective_s": 0.3}, 0.6, passage.SILENT_S),
+        ({"objective_s": 0.3, "gap_s": 0.05}, 0.6, forwarder.LEAST_SILENT_S),
+        ({"objective_s": 0.3}, 0.6, forwarder.SILENT_S),
     ],
 )
 async def test_how_long_an_engine_may_be_silent_is_the_routes_to_say(
@@ -386,7 +386,7 @@
 
     silent.read = timed
     route = dataclasses.replace(hostkit.RESUMABLE, **fields)
-    held = passage_of([silent, answer(*hostkit.events(3, 4))], route)
+    held = forwarder_of([silent, answer(*hostkit.events(3, 4))], route)
     assert await outcome(held) == 200
     assert held.response.data == ALL
     assert silences[0] == pytest.approx(first_s)
--- a/tests/test_jobproxy.py
+++ b/tests/test_jobproxy.py
@@ -62,7 +62,7 @@
     assert [str(target) for target in proxy.targets()] == asked
 
 
-class Breaks(httpserver.Handler):
+class CrashReports(httpserver.Handler):
     """A batch role that ends the connection after it read the body."""
 
     def __init__(self):
@@ -83,7 +83,7 @@
     # The batch role breaks off after it has read a job. It may have taken
     # it, so the caller is told "unknown" and no other role gets it; what
     # only reads is asked elsewhere.
-    handler = Breaks()
+    handler = CrashReports()
     server = httpserver.HttpServer(handler)
     await server.start(configs.Address("127.0.0.1", 0))
     async with clusters.Cluster(engines=1) as cluster:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -16,15 +16,16 @@
     "addresses",
     "antientropy",
     "attempt",
-    "breakbook",
     "burn",
     "burnrate",
     "calls",
     "check",
     "collector",
     "completion",
+    "concurrency_limit",
     "coordinator",
     "coordinator_election",
+    "crash_counter",
     "deadline",
     "declaration",
     "draining",
@@ -91,14 +92,14 @@
     "trace",
     "view",
     "watch",
-    "window",
 )
 # Names that have been replaced by the field's terms, of modules, classes and
 # functions; docs/GLOSSARY.md has the terms.
 RETIRED = frozenset(
     """
-    Courier Desk Desks EngineBook Home JobBook JobDesk JobOwner JobOwners
-    JobWaiting LeavingBook OpenItems Orphans OwnerBook OwnerWord PlaceAsk
+    BreakBook Breaks CallKeeper CallWatch Courier Desk Desks EngineBook
+    Home JobBook JobDesk JobOwner JobOwners JobWaiting LeavingBook
+    OpenItems Orphans OwnerBook OwnerWord Passage PassageParts PlaceAsk
     PlaceEnd PlaceReport PlaceWord Placement Placing Recall Recalls
     SlotAudit SlotBook SlotUse StrayEntries Taker WantText look_at_engines
     on_turn take_grant take_recall take_word trust_again
@@ -106,10 +107,11 @@
 )
 RETIRED_MODULES = frozenset(
     """
-    courier enginebook intake itemfate itemwatch jobbook jobdesk jobowner
-    jobowners jobwaiting leaving openitems orphans ownerbook placements
-    placing placingcalls placingreports recalls slotaudit slotbook
-    slotcoordinators slotdesk slotuse slotwants strays taking
+    breakbook breaks callkeeper callwatch courier enginebook exchange
+    intake itemfate itemwatch jobbook jobdesk jobowner jobowners jobwaiting
+    leaving openitems orphans ownerbook passage placements placing
+    placingcalls placingreports recalls recording slotaudit slotbook
+    slotcoordinators slotdesk slotuse slotwants strays taking window
     """.split()
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
--- a/tests/test_misbehaviour.py
+++ b/tests/test_misbehaviour.py
@@ -6,8 +6,8 @@
 import pytest
 
 from camphortray import cluster as clusters
-from camphortray import exchange
 from camphortray import httpclient
+from camphortray import proxy_exchange
 from camphortray import standin_engine
 from tests import online
 
@@ -35,7 +35,7 @@
 JSON_BODY = '{"choices":[{"message":{"content":"NAME"}}]}'
 MISBEHAVIOURS = {
     "ends without its closing event": lambda n: stray(
-        n, exchange.EVENTS, EVENT.replace("stray ", "")
+        n, proxy_exchange.EVENTS, EVENT.replace("stray ", "")
     ),
     "cut off by length": lambda n: stray(n, JSON, '{"a":', 900),
     "half an object, closed": lambda n: stray(n, JSON, '{"choices":[{"te'),
@@ -43,7 +43,9 @@
     "not HTTP": lambda n: b"SSH-2.0-what\r\n\r\n",
     "closes": lambda n: b"",
     "error event": lambda n: stray(
-        n, exchange.EVENTS, 'data: {"error":{"code":500}}\n\ndata: [DONE]\n\n'
+        n,
+        proxy_exchange.EVENTS,
+        'data: {"error":{"code":500}}\n\ndata: [DONE]\n\n',
     ),
 }
 
@@ -106,7 +108,7 @@
         ) as cluster,
     ):
         host = cluster.hosts["host-0"]
-        stream = exchange.EVENTS.encode() in MISBEHAVIOURS[name]("n")
+        stream = proxy_exchange.EVENTS.encode() in MISBEHAVIOURS[name]("n")
         for number in range(6):
             question = online.prompt(number)
             status, _, body = await online.ask(host, question, stream=stream)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -9,13 +9,12 @@
 
 import camphortray
 from camphortray import admission
-from camphortray import callkeeper
+from camphortray import at_most_once
 from camphortray import cluster as clusters
 from camphortray import completing
 from camphortray import completion
 from camphortray import config as configs
 from camphortray import errors
-from camphortray import exchange
 from camphortray import fold as folds
 from camphortray import httpclient
 from camphortray import jobcalls
@@ -23,6 +22,7 @@
 from camphortray import jobshard
 from camphortray import ownership
 from camphortray import poison
+from camphortray import proxy_exchange
 from camphortray import ratelimits
 from camphortray import shardset
 from camphortray import standin_engine
@@ -41,7 +41,7 @@
 # Rows driven by the tests of their own module, by the code's name there.
 ELSEWHERE = {
     "owner_changed unknown": "test_jobapi",
-    "other_request no": "test_callkeeper",
+    "other_request no": "test_at_most_once",
     "too_late no": "test_admission",
     "slow_head no": "test_httpserver",
     "quota no": "test_platform_jobs",
@@ -273,7 +273,7 @@
 
 
 def claim_lost(cluster, patch):
-    patch.setattr(callkeeper, "CLAIM_S", 0.2)
+    patch.setattr(at_most_once, "CLAIM_S", 0.2)
     cluster.platform.faults.set("log_down", True)
 
 
@@ -309,7 +309,7 @@
     async def run(self):
         raise RuntimeError("a fault of ours")
 
-    patch.setattr(exchange.Exchange, "run", run)
+    patch.setattr(proxy_exchange.Exchange, "run", run)
 
 
 def chat(arrange=None, body=GOOD, headers=KEY):
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -9,8 +9,8 @@
 
 LINES = [
     {"time": "2", "host": "b", "part": "slots", "message": "x.0 refused"},
-    {"time": "1", "host": "a", "part": "passage", "request_id": "x"},
-    {"time": "3", "host": "a", "part": "passage", "message": "y ends"},
+    {"time": "1", "host": "a", "part": "forwarder", "request_id": "x"},
+    {"time": "3", "host": "a", "part": "forwarder", "message": "y ends"},
     {"time": "4", "host": "a", "part": "p", "avoided": ["e1"], "n": 3},
 ]
 
