--- a/camphortray/backlog_gossip.py
+++ b/camphortray/backlog_gossip.py
@@ -13,7 +13,7 @@
 from camphortray import logs
 from camphortray import membership
 from camphortray import partition_owner
-from camphortray import partition_state
+from camphortray import partition_records
 from camphortray import peers
 from camphortray import shards
 from camphortray import tasks
@@ -110,7 +110,7 @@
         now = self.clock.monotonic()
         return self.quota.ask(ask.route, ask.job, ask.tokens, ask.limit, now)
 
-    async def has_room(self, part: partition_state.JobPart) -> bool:
+    async def has_room(self, part: partition_records.JobPart) -> bool:
         """Return whether a job fits into what may wait on its route."""
         route = self.inforce.routes.find(part.host_name, part.target)
         if route is None or not route.waiting_limit:
--- a/camphortray/item_reconciler.py
+++ b/camphortray/item_reconciler.py
@@ -23,13 +23,16 @@
 from camphortray import item_stall_detector
 from camphortray import itemwork
 from camphortray import logs
+from camphortray import partition_records
 from camphortray import partition_state
 from camphortray import tasks
 
 LOG = logs.logger("jobs")
 Stage = item_stall_detector.Stage
 Key = tuple[str, int]
-Keep = Callable[[partition_state.Job, partition_state.Result], Awaitable[None]]
+Keep = Callable[
+    [partition_state.Job, partition_records.Result], Awaitable[None]
+]
 # Items of one partition that run or wait for a slot at once; the others
 # wait here, the oldest jobs first.
 MAX_RUNNING = 400
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -17,6 +17,7 @@
 from camphortray import logs
 from camphortray import metrics as metrics_module
 from camphortray import outer
+from camphortray import partition_records
 from camphortray import partition_state
 from camphortray import routemap
 from camphortray import slot_client
@@ -119,7 +120,7 @@
         self.held: lease_table.HeldLease | None = None
         self.first_at = self.last_at = 0.0
 
-    async def run(self) -> partition_state.Result:
+    async def run(self) -> partition_records.Result:
         """Return how the item ended; however long that takes."""
         while True:
             self.enter(Stage.ROUTE)
@@ -246,7 +247,7 @@
             self.age_s() > route.keep_s + KEEP_SLACK_S - DEADLINE_SLACK_S
         )
 
-    def abandoned(self, why: str) -> partition_state.Result:
+    def abandoned(self, why: str) -> partition_records.Result:
         """Return the result of an item that is given up."""
         LOG.info(
             "Item {} of {} is abandoned: {}; {} failed, {} broke off.",
@@ -256,8 +257,8 @@
             self.tries.failed,
             self.tries.breaks,
         )
-        return partition_state.Result(
-            self.place, partition_state.State.ABANDONED
+        return partition_records.Result(
+            self.place, partition_records.State.ABANDONED
         )
 
     async def place_at(self, route: routemap.Route) -> lease_table.HeldLease:
@@ -311,7 +312,7 @@
 
     async def attempt(
         self, route: routemap.Route, held: lease_table.HeldLease
-    ) -> partition_state.Result | None:
+    ) -> partition_records.Result | None:
         """Run once; return the result if that ended it."""
         outcome = enginehealth.Outcome.NOTHING
         count = self.reader.count
@@ -345,8 +346,8 @@
                 self.number,
                 fields={"age_s": round(self.age_s(), 2)},
             )
-            return partition_state.Result(
-                self.place, partition_state.State.DONE, b"\n".join(self.text)
+            return partition_records.Result(
+                self.place, partition_records.State.DONE, b"\n".join(self.text)
             )
         except errors.UpstreamError as error:
             if not self.time_over(route):
@@ -368,7 +369,7 @@
         held: lease_table.HeldLease,
         error: errors.UpstreamError,
         brought: int,
-    ) -> partition_state.Result | None:
+    ) -> partition_records.Result | None:
         """Take note of a failed run; return a result if it is the last."""
         name = held.upstream.name
         LOG.info(
--- a/camphortray/job_router.py
+++ b/camphortray/job_router.py
@@ -19,6 +19,7 @@
 from camphortray import owner_cache
 from camphortray import partition_manager
 from camphortray import partition_owner
+from camphortray import partition_records
 from camphortray import partition_state
 from camphortray import peers
 
@@ -86,7 +87,7 @@
         """Return the partition of a job."""
         return xxhash.xxh64_intdigest(job.encode()) % self.ledger.parts
 
-    async def submit(self, part: partition_state.JobPart) -> None:
+    async def submit(self, part: partition_records.JobPart) -> None:
         """Accept a job.
 
         Raises:
@@ -346,7 +347,7 @@
             raise no_owner(str(error)) from error
 
 
-def item_id(job: partition_state.Job, result: partition_state.Result) -> str:
+def item_id(job: partition_state.Job, result: partition_records.Result) -> str:
     """Return the id of the item of a result."""
     item = job.items[result.item]
     return item.id if item is not None else ""
--- a/camphortray/jobmessages.py
+++ b/camphortray/jobmessages.py
@@ -19,7 +19,7 @@
 from camphortray import errors
 from camphortray import itemwork
 from camphortray import messages
-from camphortray import partition_state
+from camphortray import partition_records
 
 
 @messages.message("job.submit")
@@ -27,7 +27,7 @@
 class SubmitAsk:
     """Asks the owner to accept a job, with all its items."""
 
-    job: partition_state.JobPart
+    job: partition_records.JobPart
 
 
 @messages.message("job.page")
@@ -80,7 +80,7 @@
 
     total: int
     after: int
-    results: tuple[tuple[str, partition_state.State, bytes], ...]
+    results: tuple[tuple[str, partition_records.State, bytes], ...]
 
 
 @messages.message("job.body-reply")
--- a/camphortray/partition_manager.py
+++ b/camphortray/partition_manager.py
@@ -9,8 +9,8 @@
 from camphortray import errors
 from camphortray import handover
 from camphortray import inforce
+from camphortray import item_gauges
 from camphortray import item_retry
-from camphortray import item_stall_detector
 from camphortray import itemwork
 from camphortray import kernel
 from camphortray import logs
@@ -31,11 +31,6 @@
 # From one look of a host that is no candidate at its rank to the next.
 RANK_EVERY_S = 1.0
 FACT_KEEP_S = 600.0
-# Seconds from one look at the open items to the next, and after which a
-# partition that has not been taken over yet is told of. A takeover takes
-# some tens of milliseconds, and a second or two where the store is slow.
-LOOK_EVERY_S = 1.0
-LATE_TAKEOVER_S = 5.0
 # Times that an epoch is confirmed before its partition is given up. Each
 # takes some tenths of a second at most, all together less than an ended
 # job's items may still reach engines.
@@ -101,7 +96,7 @@
         self.again: set[int] = set()
         self.anew_at = -ANEW_EVERY_S
         self.draining = False
-        self.left: set[tuple[str, str]] = set()
+        self.gauges = item_gauges.ItemGauges(context, self.held)
         self.task: asyncio.Task[None] | None = None
         self.look_task: asyncio.Task[None] | None = None
 
@@ -120,58 +115,9 @@
             tasks.forever("membership of owners", self.keep_membership)
         )
         self.look_task = loop.create_task(
-            tasks.forever("look at open items", self.look_on)
+            tasks.forever("gauges of open items", self.gauges.run)
         )
 
-    async def look_on(self) -> None:
-        """Show what open items wait for, for ever."""
-        while True:
-            await asyncio.sleep(LOOK_EVERY_S)
-            self.look()
-
-    def look(self) -> None:
-        """Count open items by what they wait for; tell of those left."""
-        now = self.clock.monotonic()
-        ready, late = [], 0
-        for owner in self.held.values():
-            if owner.ready.is_set():
-                ready.append(owner)
-            elif now - owner.begun_at > LATE_TAKEOVER_S:
-                late += 1
-                LOG.warning(
-                    "Partition {} in epoch {} is not taken over after"
-                    " {:.1f} s.",
-                    owner.part,
-                    owner.epoch,
-                    now - owner.begun_at,
-                )
-        found = item_stall_detector.Look(
-            item for owner in ready for item in owner.items.stages()
-        )
-        metrics = self.context.metrics
-        for stage in item_stall_detector.Stage:
-            metrics.set(
-                "camphortray_items_open",
-                "Accepted items that are not listed, by what they wait for.",
-                {"stage": stage.value},
-                found.counts[stage],
-            )
-        metrics.set(
-            "camphortray_partitions_late",
-            "Partitions dealt to this host and not taken over in time.",
-            {},
-            late,
-        )
-        for item in found.left:
-            if (item.job, item.item) not in self.left:
-                LOG.error(
-                    "Item {} of {} is left: open, neither queued nor run.",
-                    item.item,
-                    item.job,
-                    fields={"age_s": item.age_s, "run": item.run},
-                )
-        self.left = {(item.job, item.item) for item in found.left}
-
     async def keep_membership(self) -> None:
         """Be a member of the group whenever this host is a candidate."""
         while not self.draining:
--- a/camphortray/partition_owner.py
+++ b/camphortray/partition_owner.py
@@ -13,6 +13,7 @@
 from camphortray import itemwork
 from camphortray import ledger as ledgers
 from camphortray import logs
+from camphortray import partition_records
 from camphortray import partition_state
 from camphortray import partwriter
 from camphortray import tasks
@@ -214,7 +215,7 @@
     # Results.
 
     async def keep(
-        self, job: partition_state.Job, result: partition_state.Result
+        self, job: partition_state.Job, result: partition_records.Result
     ) -> None:
         """Keep the result of an item.
 
@@ -223,7 +224,7 @@
           RecordError: it is larger than can be kept.
         """
         most = self.ledger.record_bytes
-        size = len(result.text) + partition_state.RESULT_OVERHEAD
+        size = len(result.text) + partition_records.RESULT_OVERHEAD
         if size > self.ledger.append_bytes:
             raise errors.RecordError(
                 f"result of {size} bytes is larger than an append may be",
@@ -253,7 +254,7 @@
         for record in records:
             self.book.apply(record)
         for name in {
-            partition_state.split_key(record.key)[1] for record in records
+            partition_records.split_key(record.key)[1] for record in records
         }:
             job = self.book.jobs.get(name)
             if job is not None and job.ended:
@@ -300,7 +301,7 @@
 
     # Calls.
 
-    async def submit(self, part: partition_state.JobPart) -> None:
+    async def submit(self, part: partition_records.JobPart) -> None:
         """Accept a job; the same id again is the same job.
 
         Raises:
@@ -334,16 +335,16 @@
         if not task.cancelled():
             task.exception()
 
-    async def accept(self, part: partition_state.JobPart) -> None:
+    async def accept(self, part: partition_records.JobPart) -> None:
         """Write a job."""
-        records = partition_state.accept_records(
+        records = partition_records.accept_records(
             part, self.ledger.record_bytes
         )
         await self.writer.write(records, WRITE_S)
 
     async def page(
         self, name: str, after: int, wait_s: float
-    ) -> tuple[partition_state.Job, list[partition_state.Result]] | None:
+    ) -> tuple[partition_state.Job, list[partition_records.Result]] | None:
         """Return a job and its results from a position on, or None."""
         job = self.book.jobs.get(name)
         if job is None:
@@ -353,7 +354,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await event.wait()
-        found: list[partition_state.Result] = []
+        found: list[partition_records.Result] = []
         size = 0
         for result in job.results[after:]:
             size += len(result.text) + 100
@@ -373,7 +374,7 @@
             return
         self.ending[name] += 1
         self.items.stop_job(name)
-        record = partition_state.end_record(name)
+        record = partition_records.end_record(name)
         write = self.writer.put(lambda before: (record,), 0, WRITE_S)
         # Its caller may have gone, or been told that nothing is known, when
         # it turns out that the job goes on.
--- a/camphortray/partition_state.py
+++ b/camphortray/partition_state.py
@@ -1,112 +1,21 @@
 """Batch jobs of opaque items, as one partition of the ledger holds them.
 
-The state is the newest record of each key, and each key is written once:
-
-- ``j/JOB/N``: part N of an accepted job, all parts in one append;
-- ``r/JOB/N``: results whose first one stands at position N;
-- ``e/JOB``: the job was ended by its caller.
-
-Only the owner of the partition appends, in its epoch, so no record here is
-ever void. A job that is kept no longer is dropped key by key.
+The state is the newest record of each key, and each key is written once (see
+``partition_records``). Only the owner of the partition appends, in its epoch,
+so no record here is ever void. A job that is kept no longer is dropped key by
+key.
 """
 
-__all__ = [
-    "Item",
-    "Job",
-    "JobPart",
-    "PartitionState",
-    "Result",
-    "State",
-    "accept_records",
-    "end_record",
-    "next_result",
-    "result_record",
-    "split_key",
-]
+__all__ = ["Job", "PartitionState", "next_result"]
 
 from collections.abc import Iterable
 import dataclasses
-import enum
 
 import msgspec
 
 from camphortray import errors
 from camphortray import ledger as ledgers
-
-# What the framing of a record adds to the bytes of its items, at most.
-ITEM_OVERHEAD = 256
-# What a record adds to the text of its result, in bytes, about.
-RESULT_OVERHEAD = 128
-# Most bytes of a text: other hosts ask its owner for it, in one message, which
-# holds about a megabyte.
-TEXT_BYTES = 900_000
-
-
-class State(enum.Enum):
-    """How an item ended."""
-
-    DONE = "done"
-    ABANDONED = "abandoned"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Item:
-    """One item as its caller sent it.
-
-    Attributes:
-      id: Unique in its job.
-      target: Path and query at the engine.
-      headers: Travel to the engine as they are.
-      body: Decoded bytes.
-      tokens: Of prompt and longest output together.
-    """
-
-    id: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    tokens: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Result:
-    """How an item ended.
-
-    Attributes:
-      item: Its place among the items.
-      state: How.
-      text: Data of all its events, joined by line feeds.
-      pieces: In how many records of their own the text is kept, if it is
-        larger than one; it is empty here then. 0 once they are read.
-    """
-
-    item: int
-    state: State
-    text: bytes = b""
-    pieces: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobPart:
-    """Part of an accepted job.
-
-    Attributes:
-      job: Its id.
-      host_name: Of the caller's ``Host`` header.
-      target: Path under which it was sent.
-      taken_at: When, in seconds since 1970.
-      total: Items of the whole job.
-      first: Place of the first item of this part.
-      items: Items of this part.
-    """
-
-    job: str
-    host_name: str
-    target: str
-    taken_at: float
-    total: int
-    first: int
-    items: tuple[Item, ...]
+from camphortray import partition_records
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -128,8 +37,10 @@
     host_name: str
     target: str
     taken_at: float
-    items: list[Item | None]
-    results: list[Result] = dataclasses.field(default_factory=list)
+    items: list[partition_records.Item | None]
+    results: list[partition_records.Result] = dataclasses.field(
+        default_factory=list
+    )
     listed: set[int] = dataclasses.field(default_factory=set)
     ended: bool = False
 
@@ -158,7 +69,9 @@
             if (item := self.items[place]) is not None
         )
 
-    def add(self, position: int, results: Iterable[Result]) -> None:
+    def add(
+        self, position: int, results: Iterable[partition_records.Result]
+    ) -> None:
         """Take results that stand from a position on."""
         for result in results:
             if position == len(self.results) and (
@@ -176,67 +89,10 @@
         return None
 
 
-PARTS = msgspec.msgpack.Decoder(JobPart)
-RESULTS = msgspec.msgpack.Decoder(tuple[Result, ...])
-ENCODER = msgspec.msgpack.Encoder()
-
-
-def accept_records(
-    job: JobPart, record_bytes: int
-) -> list[ledgers.LedgerRecord]:
-    """Return the records that accept a job, each within a size.
-
-    Args:
-      job: With all its items.
-      record_bytes: Most bytes of one record.
-
-    Raises:
-      RecordError: one item alone is too large.
-    """
-    groups: list[list[Item]] = [[]]
-    size = ITEM_OVERHEAD
-    for item in job.items:
-        item_size = size_of(item)
-        if item_size + ITEM_OVERHEAD > record_bytes:
-            raise errors.RecordError(
-                f"item {item.id!r} is larger than a record may be",
-                step="accept",
-            )
-        if groups[-1] and size + item_size > record_bytes:
-            groups.append([])
-            size = ITEM_OVERHEAD
-        groups[-1].append(item)
-        size += item_size
-    records = []
-    first = 0
-    for number, group in enumerate(groups):
-        part = dataclasses.replace(job, first=first, items=tuple(group))
-        key = f"j/{job.job}/{number}"
-        records.append(ledgers.LedgerRecord(key, ENCODER.encode(part)))
-        first += len(group)
-    return records
-
-
-def size_of(item: Item) -> int:
-    """Return the bytes of an item in a record, at most."""
-    texts = [item.id, item.target]
-    texts += [text for pair in item.headers for text in pair]
-    size = sum(len(text.encode()) + 5 for text in texts)
-    return size + len(item.body) + ITEM_OVERHEAD
-
-
-def result_record(
-    job: str, position: int, results: tuple[Result, ...]
-) -> ledgers.LedgerRecord:
-    """Return the record of results that stand from a position on."""
-    value = ENCODER.encode(results)
-    return ledgers.LedgerRecord(f"r/{job}/{position:06d}", value)
-
-
 def next_result(
     job: Job,
     before: Iterable[ledgers.LedgerRecord],
-    result: Result,
+    result: partition_records.Result,
     record_bytes: int,
 ) -> tuple[ledgers.LedgerRecord, ...]:
     """Return the records of a result, at the next position of its job.
@@ -260,51 +116,34 @@
         held.item
         for record in before
         if record.key.startswith(prefix)
-        for held in RESULTS.decode(record.value)
+        for held in partition_records.RESULTS.decode(record.value)
     ]
     if result.item in job.listed or result.item in ahead:
         return ()
     position = len(job.results) + len(ahead)
-    size = record_bytes - len(job.id.encode()) - RESULT_OVERHEAD
+    size = (
+        record_bytes - len(job.id.encode()) - partition_records.RESULT_OVERHEAD
+    )
     if len(result.text) <= size:
-        return (result_record(job.id, position, (result,)),)
-    if len(result.text) > TEXT_BYTES or size <= 0:
+        return (partition_records.result_record(job.id, position, (result,)),)
+    if len(result.text) > partition_records.TEXT_BYTES or size <= 0:
+        most = partition_records.TEXT_BYTES
         raise errors.RecordError(
-            f"result of {len(result.text)} bytes, {TEXT_BYTES} at most",
+            f"result of {len(result.text)} bytes, {most} at most",
             step="result",
         )
     pieces = [
         ledgers.LedgerRecord(
-            piece_key(job.id, position, number),
+            partition_records.piece_key(job.id, position, number),
             result.text[start : start + size],
         )
         for number, start in enumerate(range(0, len(result.text), size))
     ]
     last = dataclasses.replace(result, text=b"", pieces=len(pieces))
-    return (*pieces, result_record(job.id, position, (last,)))
-
-
-def piece_key(job: str, position: int, number: int) -> str:
-    """Return the key of a piece of a text."""
-    return f"t/{job}/{position:06d}.{number:03d}"
-
-
-def split_key(key: str) -> tuple[str, str, str]:
-    """Return kind, job and number of a key; the id may have slashes.
-
-    >>> split_key("r/a/b/000001"), split_key("e/a/b")
-    (('r', 'a/b', '000001'), ('e', 'a/b', ''))
-    """
-    kind, _, rest = key.partition("/")
-    if kind == "e":
-        return kind, rest, ""
-    job, _, number = rest.rpartition("/")
-    return kind, job, number
-
-
-def end_record(job: str) -> ledgers.LedgerRecord:
-    """Return the record that ends a job."""
-    return ledgers.LedgerRecord(f"e/{job}", b"1")
+    return (
+        *pieces,
+        partition_records.result_record(job.id, position, (last,)),
+    )
 
 
 class PartitionState:
@@ -320,7 +159,9 @@
         self.jobs: dict[str, Job] = {}
         self.keys: dict[str, list[str]] = {}
         self.ends: set[str] = set()
-        self.early: dict[str, dict[int, tuple[Result, ...]]] = {}
+        self.early: dict[
+            str, dict[int, tuple[partition_records.Result, ...]]
+        ] = {}
         self.pieces: dict[str, dict[str, bytes]] = {}
 
     def load(self, records: Iterable[ledgers.LedgerRecord]) -> None:
@@ -334,15 +175,15 @@
         Raises:
           RecordError: it cannot be read.
         """
-        kind, job, number = split_key(record.key)
+        kind, job, number = partition_records.split_key(record.key)
         if not record.value:
             self.forget_key(job, record.key)
             return
         try:
             if kind == "j":
-                self.apply_part(PARTS.decode(record.value))
+                self.apply_part(partition_records.PARTS.decode(record.value))
             elif kind == "r":
-                results = RESULTS.decode(record.value)
+                results = partition_records.RESULTS.decode(record.value)
                 self.early.setdefault(job, {})[int(number)] = results
             elif kind == "t":
                 self.pieces.setdefault(job, {})[record.key] = record.value
@@ -357,7 +198,7 @@
             held.append(record.key)
         self.settle(job)
 
-    def apply_part(self, part: JobPart) -> None:
+    def apply_part(self, part: partition_records.JobPart) -> None:
         """Take part of an accepted job."""
         job = self.jobs.get(part.job)
         if job is None:
@@ -391,8 +232,11 @@
         job.ended = job.ended or name in self.ends
 
     def whole(
-        self, name: str, position: int, results: tuple[Result, ...]
-    ) -> tuple[Result, ...] | None:
+        self,
+        name: str,
+        position: int,
+        results: tuple[partition_records.Result, ...],
+    ) -> tuple[partition_records.Result, ...] | None:
         """Return results with their texts; None while a piece is missing."""
         if not any(result.pieces for result in results):
             return results
@@ -400,7 +244,7 @@
         found = []
         for result in results:
             keys = [
-                piece_key(name, position, number)
+                partition_records.piece_key(name, position, number)
                 for number in range(result.pieces)
             ]
             if not all(key in held for key in keys):
--- a/spec/ledger.py
+++ b/spec/ledger.py
@@ -8,6 +8,7 @@
 from camphortray import attempt
 from camphortray import errors
 from camphortray import ledger
+from camphortray import partition_records
 from camphortray import partition_state
 from spec import model
 
@@ -16,7 +17,7 @@
 MAX_LOG = 4
 MAX_GENERATION = 3
 MAX_LATE = 1
-DONE = partition_state.State.DONE
+DONE = partition_records.State.DONE
 
 # A record as key and value.
 Pair = tuple[str, bytes]
@@ -71,17 +72,17 @@
     a: Host = Host()
     b: Host = Host()
     late: frozenset[Append] = frozenset()
-    read: tuple[partition_state.Result, ...] = ()
+    read: tuple[partition_records.Result, ...] = ()
     refused: bool = False
 
 
 def accept_of(job: str) -> Pair:
     """Return the record that accepts a job of two items."""
     items = tuple(
-        partition_state.Item(f"{job}{n}", "/", (), b"") for n in range(2)
+        partition_records.Item(f"{job}{n}", "/", (), b"") for n in range(2)
     )
-    part = partition_state.JobPart(job, "h", "/", 0.0, 2, 0, items)
-    (record,) = partition_state.accept_records(part, 65_536)
+    part = partition_records.JobPart(job, "h", "/", 0.0, 2, 0, items)
+    (record,) = partition_records.accept_records(part, 65_536)
     return record.key, record.value
 
 
@@ -135,8 +136,8 @@
         steps.append((f"a caller reads at {name}", self.read(state, job)))
         if len(state.log) < MAX_LOG and job.open_items:
             text = f"{name}{host.epoch}".encode()
-            result = partition_state.Result(job.open_items[0], DONE, text)
-            record = partition_state.result_record(
+            result = partition_records.Result(job.open_items[0], DONE, text)
+            record = partition_records.result_record(
                 JOB, len(job.results), (result,)
             )
             pair = record.key, record.value
--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -11,7 +11,7 @@
 from camphortray import itemwork
 from camphortray import ledger as ledgers
 from camphortray import partition_owner
-from camphortray import partition_state
+from camphortray import partition_records
 from camphortray import routemap
 from tests import breakrig
 from tests import hostkit
@@ -148,14 +148,14 @@
     )
 
 
-def part_of(job: str, count: int) -> partition_state.JobPart:
+def part_of(job: str, count: int) -> partition_records.JobPart:
     """Return a job taken now."""
     items = tuple(
-        partition_state.Item(f"{job}-{n}", f"/p/{job}-{n}", (), b"body", 10)
+        partition_records.Item(f"{job}-{n}", f"/p/{job}-{n}", (), b"body", 10)
         for n in range(count)
     )
     now = clocks.SystemClock().wall()
-    return partition_state.JobPart(job, "h", "/p/", now, count, 0, items)
+    return partition_records.JobPart(job, "h", "/p/", now, count, 0, items)
 
 
 class House:
@@ -199,7 +199,7 @@
         self.owner.stop()
         self.deal()
 
-    async def submit(self, part: partition_state.JobPart) -> bool:
+    async def submit(self, part: partition_records.JobPart) -> bool:
         """Send a job until it is accepted, as callers do, or in vain."""
         loop = asyncio.get_running_loop()
         end_at = loop.time() + BOUND_S
@@ -211,16 +211,16 @@
             await asyncio.sleep(0.01)
         return False
 
-    async def results(self, job: str) -> list[partition_state.Result]:
+    async def results(self, job: str) -> list[partition_records.Result]:
         """Read all that is listed of a job by the present owner."""
         return await results(self.owner, job)
 
 
 async def results(
     owner: partition_owner.PartitionOwner, job: str
-) -> list[partition_state.Result]:
+) -> list[partition_records.Result]:
     """Read all that is listed of a job, page by page."""
-    found: list[partition_state.Result] = []
+    found: list[partition_records.Result] = []
     while page := await owner.page(job, len(found), 0.0):
         if not page[1]:
             break
--- a/tests/test_item_reconciler.py
+++ b/tests/test_item_reconciler.py
@@ -7,7 +7,7 @@
 from camphortray import errors
 from camphortray import item_reconciler
 from camphortray import ledger
-from camphortray import partition_state
+from camphortray import partition_records
 from tests import hostkit
 from tests import test_partition_owner
 
@@ -118,7 +118,7 @@
     # text is larger than one message between hosts, by which it is read; one
     # larger than a record is kept in pieces.
     held = ledger.MemoryLedger()
-    size = partition_state.TEXT_BYTES + 1
+    size = partition_records.TEXT_BYTES + 1
 
     def large():
         return hostkit.Answer([b"id: 1\ndata: " + b"x" * size + b"\n\n"])
@@ -168,7 +168,7 @@
 ):
     held = ledger.MemoryLedger()
     first = await owner_of(held)
-    records = partition_state.accept_records(
+    records = partition_records.accept_records(
         test_partition_owner.part_of(count=8), 900
     )
     await first.writer.write(records[1:], 1.0)
--- a/tests/test_itemrig.py
+++ b/tests/test_itemrig.py
@@ -10,6 +10,7 @@
 from camphortray import errors
 from camphortray import eventstream
 from camphortray import ledger
+from camphortray import partition_records
 from camphortray import partition_state
 from tests import breakrig
 from tests import hostkit
@@ -276,15 +277,15 @@
     broken = breakrig.Break("", HANG)
     held = breakrig.RigLedger(broken)
     part = itemrig.part_of("j1", 9)
-    records = partition_state.accept_records(part, 262_144)
+    records = partition_records.accept_records(part, 262_144)
     for number in range(6):
         item = number - 1 if twice and number == hole else number
-        result = partition_state.Result(
-            item, partition_state.State.DONE, itemrig.TEXT
+        result = partition_records.Result(
+            item, partition_records.State.DONE, itemrig.TEXT
         )
         if item >= 0 and (twice or number != hole):
             records.append(
-                partition_state.result_record("j1", number, (result,))
+                partition_records.result_record("j1", number, (result,))
             )
     await held.append(itemrig.JOBS, 0, records, ledger.Fence(0, 0))
     house = itemrig.House(broken, held)
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -9,19 +9,23 @@
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import itemwork
+from camphortray import partition_records
 from camphortray import partition_state
 from camphortray import routemap
 from tests import hostkit
 
 pytestmark = pytest.mark.looptime
-DONE, ABANDONED = partition_state.State.DONE, partition_state.State.ABANDONED
+DONE, ABANDONED = (
+    partition_records.State.DONE,
+    partition_records.State.ABANDONED,
+)
 
 
 def work_of(script, routes=(hostkit.BATCH_ROUTE,), age_s=0.0):
     """Return an item's work, with engines that follow a script."""
     clock = clocks.SystemClock()
     parts = hostkit.work_parts(clock, script, routes)
-    item = partition_state.Item("i1", "/p/1", (("model", "m"),), b"body", 10)
+    item = partition_records.Item("i1", "/p/1", (("model", "m"),), b"body", 10)
     job = partition_state.Job("j", "h", "/p/", clock.wall() - age_s, [item])
     return itemwork.ItemWork(parts, job, 0)
 
@@ -38,7 +42,7 @@
 
 async def test_an_item_is_done_with_all_its_events():
     work = work_of([hostkit.Answer(hostkit.events(1, 5))])
-    assert await work.run() == partition_state.Result(0, DONE, text(5))
+    assert await work.run() == partition_records.Result(0, DONE, text(5))
     ((_, request),) = work.parts.outer.party.seen
     assert request.id == "i1"
     assert request.body == b"body"
--- a/tests/test_partition_owner.py
+++ b/tests/test_partition_owner.py
@@ -8,13 +8,13 @@
 from camphortray import errors
 from camphortray import ledger
 from camphortray import partition_owner
-from camphortray import partition_state
+from camphortray import partition_records
 from tests import hostkit
 from tests import test_partition_state
 
 pytestmark = pytest.mark.looptime
 JOBS = ledger.Topic.JOBS
-DONE = partition_state.State.DONE
+DONE = partition_records.State.DONE
 
 
 def good():
@@ -80,12 +80,12 @@
     first = await Owned(held, [good()]).ready()
     first.parts.slots.names = []
     await first.writer.write(
-        partition_state.accept_records(part_of(), 262_144), 1.0
+        partition_records.accept_records(part_of(), 262_144), 1.0
     )
     await first.writer.write(
         (
-            partition_state.result_record(
-                "j1", 0, (partition_state.Result(1, DONE, b"kept"),)
+            partition_records.result_record(
+                "j1", 0, (partition_records.Result(1, DONE, b"kept"),)
             ),
         ),
         1.0,
@@ -93,7 +93,7 @@
     first.stop()
     second = await Owned(held, [good(), good()], epoch=2).ready()
     found = await all_results(second, "j1", 3)
-    assert found[0] == partition_state.Result(1, DONE, b"kept")
+    assert found[0] == partition_records.Result(1, DONE, b"kept")
     assert sorted(r.item for r in found) == [0, 1, 2]
     await second.close()
 
@@ -279,6 +279,6 @@
     await owner.submit(part_of(count=2))
     await asyncio.sleep(0.1)
     assert owner.items.running
-    await owner.writer.write((partition_state.end_record("j1"),), 1.0)
+    await owner.writer.write((partition_records.end_record("j1"),), 1.0)
     await asyncio.sleep(0.1)
     assert not owner.items.running
--- a/tests/test_partition_state.py
+++ b/tests/test_partition_state.py
@@ -9,36 +9,42 @@
 from camphortray import jobquota
 from camphortray import ledger
 from camphortray import messages
+from camphortray import partition_records
 from camphortray import partition_state
 
-DONE, ABANDONED = partition_state.State.DONE, partition_state.State.ABANDONED
+DONE, ABANDONED = (
+    partition_records.State.DONE,
+    partition_records.State.ABANDONED,
+)
 
 
 def part_of(job="j1", count=3, size=10, taken_at=100.0):
     """Return a job with some items."""
     items = tuple(
-        partition_state.Item(
+        partition_records.Item(
             f"{job}-{n}", f"/p/{n}", (("model", "m"),), bytes([n]) * size, 100
         )
         for n in range(count)
     )
-    return partition_state.JobPart(job, "h", "/p/", taken_at, count, 0, items)
+    return partition_records.JobPart(
+        job, "h", "/p/", taken_at, count, 0, items
+    )
 
 
 def records_of(job="j1", count=3):
     """Return the records of a job with two results, and its end."""
-    records = partition_state.accept_records(part_of(job, count), 262_144)
+    records = partition_records.accept_records(part_of(job, count), 262_144)
     records.append(
-        partition_state.result_record(
-            job, 0, (partition_state.Result(2, DONE, b"two"),)
+        partition_records.result_record(
+            job, 0, (partition_records.Result(2, DONE, b"two"),)
         )
     )
     records.append(
-        partition_state.result_record(
-            job, 1, (partition_state.Result(0, ABANDONED),)
+        partition_records.result_record(
+            job, 1, (partition_records.Result(0, ABANDONED),)
         )
     )
-    records.append(partition_state.end_record(job))
+    records.append(partition_records.end_record(job))
     return records
 
 
@@ -60,7 +66,7 @@
 
 def test_a_large_job_is_split_and_read_back_whole():
     part = part_of(count=50, size=1000)
-    records = partition_state.accept_records(part, 8_000)
+    records = partition_records.accept_records(part, 8_000)
     assert len(records) > 5
     assert all(len(r.value) <= 8_000 for r in records)
     book = partition_state.PartitionState()
@@ -74,13 +80,13 @@
     # every 30 s until its time was over, and then abandoned.
     job = partition_state.Job("j1", "h", "/p/", 0.0, [None] * 3)
     text = bytes(range(256)) * 10
-    large = partition_state.Result(1, DONE, text)
+    large = partition_records.Result(1, DONE, text)
     pieces = partition_state.next_result(job, (), large, 1_200)
     assert len(pieces) == 4
     assert all(len(r.value) <= 1_200 for r in pieces)
-    small = partition_state.Result(0, DONE, b"x")
+    small = partition_records.Result(0, DONE, b"x")
     after = partition_state.next_result(job, pieces, small, 1_200)
-    accepted = partition_state.accept_records(part_of(), 262_144)
+    accepted = partition_records.accept_records(part_of(), 262_144)
     for records in itertools.permutations([*accepted, *pieces, *after]):
         book = partition_state.PartitionState()
         book.load(records)
@@ -91,34 +97,34 @@
     assert lacking.jobs["j1"].results == []
     assert lacking.drop_gaps() == ["j1"]
     # The largest that is kept can be read at other hosts.
-    texts = (("j1-1", DONE, b"x" * partition_state.TEXT_BYTES),)
+    texts = (("j1-1", DONE, b"x" * partition_records.TEXT_BYTES),)
     messages.encode(
         messages.Envelope(1, True, jobmessages.PageReply(3, 0, texts))
     )
     with pytest.raises(errors.RecordError):
-        beyond = partition_state.Result(
-            1, DONE, b"x" * (partition_state.TEXT_BYTES + 1)
+        beyond = partition_records.Result(
+            1, DONE, b"x" * (partition_records.TEXT_BYTES + 1)
         )
         partition_state.next_result(job, (), beyond, 262_144)
 
 
 def test_an_item_larger_than_a_record_is_refused_by_name():
     with pytest.raises(errors.RecordError, match="j1-0"):
-        partition_state.accept_records(part_of(count=1, size=9_000), 8_000)
+        partition_records.accept_records(part_of(count=1, size=9_000), 8_000)
 
 
 def test_a_result_counts_once_and_keeps_its_place():
     job = partition_state.Job("j", "h", "/", 0.0, [None] * 3)
-    first = partition_state.Result(1, DONE, b"one")
+    first = partition_records.Result(1, DONE, b"one")
     job.add(0, [first])
-    job.add(1, [partition_state.Result(1, DONE, b"other")])
-    job.add(5, [partition_state.Result(2, DONE)])
+    job.add(1, [partition_records.Result(1, DONE, b"other")])
+    job.add(5, [partition_records.Result(2, DONE)])
     assert job.results == [first]
     assert job.open_items == [0, 2]
 
 
 def test_a_job_lacking_a_part_is_not_whole():
-    records = partition_state.accept_records(
+    records = partition_records.accept_records(
         part_of(count=4, size=3_000), 8_000
     )
     book = partition_state.PartitionState()
@@ -158,7 +164,7 @@
     book.load(records_of()[:1])
     job = book.jobs["j1"]
     assert job.waiting_tokens == 300
-    job.add(0, [partition_state.Result(0, DONE)])
+    job.add(0, [partition_records.Result(0, DONE)])
     assert job.waiting_tokens == 200
     job.ended = True
     assert job.waiting_tokens == 0
