--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -42,10 +42,7 @@
 
 @pytest.mark.parametrize("seed", [7, 12, 14, 16, 45])
 def test_all_hosts_ask_one_coordinator_and_give_all_back(seed):
-    # 503 and 502 with 4 of 60 seeds, engines and coordinator being well: the
-    # time of questions to them was over before their answers were read. That
-    # is mended. Beside load 10, seed 14 was red once more in 40 seeds, with a
-    # status other than 200 that was not kept; see KNOWN-RED.txt.
+    """Engines and a coordinator that were well were given up by pauses."""
     played = test_slot_client
     stalls.run(
         played.test_all_hosts_ask_one_coordinator_and_give_all_back(),
