--- a/camphortray/coordinator_election.py
+++ b/camphortray/coordinator_election.py
@@ -14,7 +14,7 @@
 
 # Time for which a silent coordinator is not asked again, in seconds: by a
 # host that alone has noticed, and by all once its successor has too. The
-# latter outlasts the time in which membership finds out that a host is lost.
+# latter outlasts the time in which membership suspects a host that is lost.
 EXCLUDED_S = 2.0
 CONFIRMED_S = 6.0
 # The same of one that is listed and has never been heard of.
