Name membership and one-way messages in the field's terms

No behaviour changes. Modules: watch failure_detector (FailureDetector), neighbours overlay (Overlay), knowledge member_state (MemberState), hello handshake, catchup gossip_repair (GossipRepair), hostroll host_registry (HostRegistry), listpace list_polling (ListPolling). Methods: tell of links notify, take_news apply_gossip, take_fact merge_fact, take_member merge_member, tell_member notify_member, tell_engines notify_engines, told of the overlay gossip_targets, told of quotas on_counts, tell of tasks log_failure. node keeps its name, and members, whose name is that of many variables, waits.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -113,7 +113,7 @@
     async def start(self) -> None:
         """Open no socket."""
 
-    def tell(self, address: configs.Address, message: Any) -> None:
+    def notify(self, address: configs.Address, message: Any) -> None:
         self.network.send(self, address, message)
 
     async def ask(
--- a/bench/membership_node.py
+++ b/bench/membership_node.py
@@ -46,7 +46,7 @@
     node = nodes.Node(all_members[0], [], random.Random(1))
     node.start(0.0)
     news = gossip.News(tuple(all_members[1:]))
-    node.known.take_news(news, 0.0, "seed")
+    node.known.apply_gossip(news, 0.0, "seed")
     node.tick(0.0)
     return node
 
@@ -69,10 +69,10 @@
     new = dataclasses.replace(member, name="host-new/entry")
     now = TICKS * TICK_S + 1
     began = time.perf_counter()
-    node.known.take_member(new, now)
+    node.known.merge_member(new, now)
     node.tick(now)
     dead = dataclasses.replace(new, status=members.Status.DEAD)
-    node.known.take_member(dead, now)
+    node.known.merge_member(dead, now)
     node.tick(now)
     return (time.perf_counter() - began) / 2
 
--- a/bench/rest.py
+++ b/bench/rest.py
@@ -26,7 +26,7 @@
 
 def count_messages(counts: collections.Counter[str]) -> None:
     """Count the messages that links send, by class."""
-    ask, tell = links.Link.ask, links.Link.tell
+    ask, tell = links.Link.ask, links.Link.notify
 
     async def counted_ask(
         self: links.Link, message: Any, timeout_s: float
@@ -39,7 +39,7 @@
         tell(self, message)
 
     links.Link.ask = counted_ask  # type: ignore[method-assign]
-    links.Link.tell = counted_tell  # type: ignore[method-assign]
+    links.Link.notify = counted_tell  # type: ignore[method-assign]
 
 
 async def renew(platform: platformkit.Platform) -> None:
--- a/camphortray/backlog_gossip.py
+++ b/camphortray/backlog_gossip.py
@@ -54,7 +54,7 @@
         """Begin to tell and to answer."""
         self.links.on(jobmessages.QuotaAsk, self.on_quota)
         self.members.on_fact(WAITING, self.on_waiting)
-        work = tasks.forever("count of waiting tokens", self.tell_counts)
+        work = tasks.forever("count of waiting tokens", self.publish_counts)
         self.task = asyncio.get_running_loop().create_task(work)
 
     def stop(self) -> None:
@@ -62,7 +62,7 @@
         if self.task is not None:
             self.task.cancel()
 
-    async def tell_counts(self) -> None:
+    async def publish_counts(self) -> None:
         """Tell others how much waits in the partitions owned here."""
         while True:
             await asyncio.sleep(COUNT_EVERY_S)
@@ -94,7 +94,7 @@
         """Take an owner's count."""
         epoch, counts = fact.value
         part = int(fact.key.partition("/")[0])
-        self.quota.told(part, int(epoch), dict(counts))
+        self.quota.on_counts(part, int(epoch), dict(counts))
 
     async def on_quota(
         self, sender: peers.Sender, ask: jobmessages.QuotaAsk
@@ -106,7 +106,7 @@
         """Reserve room for a job on its route."""
         for part, owner in self.owners.items():
             if owner.ready.is_set():
-                self.quota.told(part, owner.epoch, self.count(owner))
+                self.quota.on_counts(part, owner.epoch, self.count(owner))
         now = self.clock.monotonic()
         return self.quota.ask(ask.route, ask.job, ask.tokens, ask.limit, now)
 
--- a/camphortray/crash_reports.py
+++ b/camphortray/crash_reports.py
@@ -37,7 +37,7 @@
         fingerprint, _, name = fact.key.partition("/")
         self.book.note(fingerprint, name, self.clock.monotonic())
 
-    def tell(self, fingerprint: str, name: str) -> None:
+    def report(self, fingerprint: str, name: str) -> None:
         """Tell all hosts of a break."""
         key = f"{fingerprint}/{name}"
         self.members.publish(BREAK, key, 1, crash_counter.KEEP_S)
--- a/camphortray/watch.py
+++ b/camphortray/failure_detector.py
@@ -6,7 +6,7 @@
 for dead only if it does not refute the suspicion in time.
 """
 
-__all__ = ["Doubt", "Watch"]
+__all__ = ["Doubt", "FailureDetector"]
 
 import dataclasses
 import random
@@ -50,7 +50,7 @@
     pause_s: float = RETELL_S
 
 
-class Watch:
+class FailureDetector:
     """What one watcher knows of those it watches.
 
     Attributes:
@@ -69,7 +69,7 @@
         self.dead_at: dict[str, float] = {}
 
     def set_targets(self, names: set[str], now: float) -> None:
-        """Watch these members, spread evenly over the interval."""
+        """FailureDetector these members, spread evenly over the interval."""
         for name in self.due_at.keys() - names:
             del self.due_at[name]
             self.retells.pop(name, None)
@@ -105,7 +105,7 @@
         ]
         return len(fresh) if self.host in fresh else 0
 
-    def tells(self, name: str, now: float) -> bool:
+    def announces(self, name: str, now: float) -> bool:
         """Return whether the doubt is to be told to the others now."""
         held = self.retells.get(name)
         if held is None:
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -278,7 +278,7 @@
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
             self.parts.inforce.note_leaving(name)
         if self.broke(held, error):
-            self.parts.breaks.tell(
+            self.parts.breaks.report(
                 self.request.fingerprint, f"{self.request.id}.{self.ran}"
             )
         if self.rule.allows(error, self.ran, self.refused):
--- a/camphortray/gossip.py
+++ b/camphortray/gossip.py
@@ -12,7 +12,7 @@
 # Entries in one message, so that a burst does not hold up a link.
 MAX_BATCH = 64
 # Failed sends to a neighbour in a row after which what waits for it is
-# dropped; it is asked what it lacks instead, see ``catchup``.
+# dropped; it is asked what it lacks instead, see ``gossip_repair``.
 MAX_FAILURES = 2
 
 
@@ -70,7 +70,7 @@
 
     Attributes:
       pending: By neighbour, keys of members and facts in order.
-      busy: Neighbours that have not yet answered the last message.
+      busy: Overlay that have not yet answered the last message.
       dropped: Entries dropped as a neighbour did not answer, by neighbour.
     """
 
--- a/camphortray/catchup.py
+++ b/camphortray/gossip_repair.py
@@ -1,6 +1,6 @@
 """Which neighbours may lack news, and when to ask them what they lack."""
 
-__all__ = ["CatchUp"]
+__all__ = ["GossipRepair"]
 
 from collections.abc import Iterable
 import dataclasses
@@ -20,8 +20,8 @@
     pause_s: float = RETRY_S
 
 
-class CatchUp:
-    """Neighbours that may lack news.
+class GossipRepair:
+    """Overlay that may lack news.
 
     News goes once to each neighbour there is at that moment. What was told
     before a member became a neighbour, and what was dropped as the neighbour
--- a/camphortray/granting.py
+++ b/camphortray/granting.py
@@ -190,7 +190,7 @@
                     upstream: slotmessages.Work.from_load(load)
                     for upstream, load in loads.items()
                 }
-                self.peers.tell(
+                self.peers.notify(
                     configs.Address.from_text(address),
                     slotmessages.OnlineWork(works),
                 )
@@ -270,7 +270,7 @@
             round(coordinator.GRANT_S * 1000),
             round(max(paces, default=0.0) * 1000),
         )
-        self.peers.tell(self.holders[host], message)
+        self.peers.notify(self.holders[host], message)
 
     async def run(self) -> None:
         """Report and decide while there is anything to do."""
--- a/camphortray/handover.py
+++ b/camphortray/handover.py
@@ -86,7 +86,7 @@
             return
         address = configs.Address.from_text(member.peer_address)
         for word in words:
-            self.links.tell(address, word)
+            self.links.notify(address, word)
 
     async def on_progress(
         self, sender: peers.Sender, word: jobmessages.ProgressWord
--- a/camphortray/hostroll.py
+++ b/camphortray/host_registry.py
@@ -1,6 +1,6 @@
 """The hosts as they write themselves into the ledger."""
 
-__all__ = ["HostRoll"]
+__all__ = ["HostRegistry"]
 
 import asyncio
 from typing import ClassVar
@@ -28,14 +28,14 @@
 
 
 @kernel.PARTS.register("host")
-class HostRoll(kernel.Part):
+class HostRegistry(kernel.Part):
     """Keeps this host's entry, and drops those of hosts that are gone.
 
     Attributes:
       dead_at: When a member was first seen dead, by name of host.
     """
 
-    name: ClassVar[str] = "hostroll"
+    name: ClassVar[str] = "host_registry"
     requires: ClassVar[tuple[str, ...]] = ("outer", "membership", "peers")
 
     def __init__(self, context: kernel.Context) -> None:
@@ -49,7 +49,7 @@
         self.task: asyncio.Task[None] | None = None
 
     @classmethod
-    def from_config(cls, context: kernel.Context) -> "HostRoll":
+    def from_config(cls, context: kernel.Context) -> "HostRegistry":
         return cls(context)
 
     async def start(self) -> None:
--- a/camphortray/inforce.py
+++ b/camphortray/inforce.py
@@ -217,7 +217,7 @@
         )
         for listener in self.listeners:
             listener(found)
-        self.tell_engines()
+        self.notify_engines()
 
     # The engines.
 
@@ -235,7 +235,7 @@
                 LOG.debug("No entries of engines: {}", error)
                 self.lost(error)
             if self.engines.settle(self.clock.monotonic()):
-                self.tell_engines()
+                self.notify_engines()
             await asyncio.sleep(self.engines_every_s)
 
     async def read_engines(self, offset: int) -> int:
@@ -255,7 +255,7 @@
             changes = [self.take_entry(record) for record in page.records]
             changed = any(changes)
         if changed:
-            self.tell_engines()
+            self.notify_engines()
         return page.end
 
     def entry_of(
@@ -302,9 +302,9 @@
         """Send an engine nothing new, by its own word."""
         if self.engines.leaving(name):
             LOG.notice("{} leaves, by its own word.", name)
-            self.tell_engines()
+            self.notify_engines()
 
-    def tell_engines(self) -> None:
+    def notify_engines(self) -> None:
         """Tell whoever listens."""
         for listener in self.engine_listeners:
             listener()
@@ -364,4 +364,4 @@
             changed = any([self.engines.put(e) for e in reply.engines])
         self.listed = True
         if changed:
-            self.tell_engines()
+            self.notify_engines()
--- a/camphortray/job_router.py
+++ b/camphortray/job_router.py
@@ -166,7 +166,7 @@
                 if refusal.code != "no_owner":
                     raise unsure_of(refusal) if unsure else refusal
             if self.clock.monotonic() >= until:
-                self.tell_missed(job, part, refusal)
+                self.log_missed(job, part, refusal)
                 # An earlier try may have been kept: promise nothing.
                 raise unsure_of(refusal) if unsure else refusal
             await self.owners.seek(FIND_PAUSE_S)
@@ -210,9 +210,7 @@
         )
         return no_owner(str(owner_cache.NoOwner(part, why)))
 
-    def tell_missed(
-        self, job: str, part: int, refusal: errors.Refused
-    ) -> None:
+    def log_missed(self, job: str, part: int, refusal: errors.Refused) -> None:
         """Tell what a call that found no owner in its time was decided by."""
         book = self.owners.book
         word = book.known.get(part)
--- a/camphortray/jobquota.py
+++ b/camphortray/jobquota.py
@@ -20,7 +20,7 @@
         self.counts: dict[int, tuple[int, dict[str, int]]] = {}
         self.reserved: dict[str, dict[str, tuple[int, float]]] = {}
 
-    def told(self, part: int, epoch: int, counts: dict[str, int]) -> None:
+    def on_counts(self, part: int, epoch: int, counts: dict[str, int]) -> None:
         """Take an owner's count; one of an older epoch is void."""
         held = self.counts.get(part, (0, {}))
         if epoch >= held[0]:
--- a/camphortray/links.py
+++ b/camphortray/links.py
@@ -120,7 +120,7 @@
             )
         return reply
 
-    def tell(self, message: Any) -> None:
+    def notify(self, message: Any) -> None:
         """Send a one-way message in the background; it may be lost."""
         if self.queue.qsize() >= MAX_QUEUED:
             self.queue.get_nowait()
--- a/camphortray/listpace.py
+++ b/camphortray/list_polling.py
@@ -1,6 +1,6 @@
 """Says when to read the platform's list of hosts."""
 
-__all__ = ["ListPace"]
+__all__ = ["ListPolling"]
 
 import random
 
@@ -10,7 +10,7 @@
 MIN_PAUSE_S = 5.0
 
 
-class ListPace:
+class ListPolling:
     """Looks now and then, and soon when a second opinion is wanted.
 
     A list of hundreds of hosts is large, and a way that is broken for one
--- a/camphortray/knowledge.py
+++ b/camphortray/member_state.py
@@ -1,6 +1,6 @@
 """What one member knows of the fleet, and what it says of itself."""
 
-__all__ = ["Knowledge"]
+__all__ = ["MemberState"]
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -9,12 +9,12 @@
 from typing import Any
 
 from camphortray import antientropy
-from camphortray import catchup
 from camphortray import facts
+from camphortray import failure_detector
 from camphortray import gossip
+from camphortray import gossip_repair
 from camphortray import members
-from camphortray import neighbours
-from camphortray import watch
+from camphortray import overlay
 
 # Seconds from its start in which a process takes itself for the later one
 # of two that bear its name.
@@ -25,7 +25,7 @@
     """Do nothing."""
 
 
-class Knowledge:
+class MemberState:
     """Entries, facts, and what follows from them.
 
     Whatever is new goes from here to the neighbours, to the watch and to
@@ -58,9 +58,9 @@
         self.directory = members.Directory()
         self.facts = facts.FactTable()
         self.gossip = gossip.Gossip()
-        self.catch_up = catchup.CatchUp()
-        self.watch = watch.Watch(own.host, rng)
-        self.neighbours = neighbours.Neighbours(own, self.directory)
+        self.catch_up = gossip_repair.GossipRepair()
+        self.watch = failure_detector.FailureDetector(own.host, rng)
+        self.neighbours = overlay.Overlay(own, self.directory)
         self.on_member: Callable[[members.Member], None] = ignore
         self.on_fact: Callable[[facts.Fact], None] = ignore
         self.listed: dict[str, str] = {}
@@ -122,7 +122,7 @@
         self.gossip.add(member.name, source)
         self.on_member(member)
 
-    def take_member(
+    def merge_member(
         self, member: members.Member, now: float, source: str = ""
     ) -> bool:
         """Take an entry in; return whether it was new."""
@@ -135,7 +135,7 @@
         self.put(member, now, source)
         return True
 
-    def take_fact(
+    def merge_fact(
         self, fact: facts.Fact, now: float, source: str = ""
     ) -> bool:
         """Take a fact in; return whether it was new."""
@@ -145,15 +145,15 @@
         self.on_fact(fact)
         return True
 
-    def take_news(
+    def apply_gossip(
         self,
         news: gossip.News | antientropy.SyncReply,
         now: float,
         source: str,
     ) -> bool:
         """Take all in; return whether anything was new."""
-        fresh = [self.take_member(m, now, source) for m in news.entries]
-        fresh += [self.take_fact(f, now, source) for f in news.known]
+        fresh = [self.merge_member(m, now, source) for m in news.entries]
+        fresh += [self.merge_fact(f, now, source) for f in news.known]
         return any(fresh)
 
     def mark(self, name: str, status: members.Status, now: float) -> None:
@@ -171,11 +171,11 @@
             return
         self.neighbours.moved = False
         self.watch.set_targets(self.neighbours.watched(), now)
-        told = self.neighbours.told()
-        for name in sorted(told - self.gossip.neighbours):
+        targets = self.neighbours.gossip_targets()
+        for name in sorted(targets - self.gossip.neighbours):
             self.gossip.add_for(name, self.own.name)
             self.catch_up.owe(name, now)
-        self.gossip.set_neighbours(told)
+        self.gossip.set_neighbours(targets)
 
     def news_of(self, keys: Iterable[str]) -> gossip.News:
         """Return what is held of these keys now."""
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -14,10 +14,11 @@
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import facts
+from camphortray import failure_detector
 from camphortray import gossip
 from camphortray import hostlist
 from camphortray import kernel
-from camphortray import listpace
+from camphortray import list_polling
 from camphortray import logs
 from camphortray import members
 from camphortray import node as nodes
@@ -25,7 +26,6 @@
 from camphortray import peers
 from camphortray import revisions
 from camphortray import tasks
-from camphortray import watch
 
 LOG = logs.logger("membership")
 Fact = facts.Fact
@@ -41,7 +41,7 @@
 # Longest time after a start in which this host finds out which others there
 # are before it takes part without, in seconds.
 INTRODUCED_S = 1.0
-MESSAGES = (gossip.Ping, gossip.News, antientropy.Sync, watch.Doubt)
+MESSAGES = (gossip.Ping, gossip.News, antientropy.Sync, failure_detector.Doubt)
 
 
 @kernel.PARTS.register("entry", "batch", "host")
@@ -83,8 +83,8 @@
             offset,
             sibling_of(config, context.program),
         )
-        self.node.known.on_member = self.tell_member
-        self.node.known.on_fact = self.tell_fact
+        self.node.known.on_member = self.notify_member
+        self.node.known.on_fact = self.notify_fact
         self.fact_listeners: dict[str, list[Callable[[Fact], None]]] = {}
         self.listeners: list[Callable[[Member], None]] = []
         self.list_listeners: list[
@@ -94,7 +94,7 @@
         self.list_read = False
         self.started_at = self.clock.monotonic()
         self.http_address = ""
-        self.list_pace = listpace.ListPace(context.rng)
+        self.list_pace = list_polling.ListPolling(context.rng)
         self.metrics_at = 0.0
         self.dropping: set[str] = set()
         self.list_task: asyncio.Task[None] | None = None
@@ -229,7 +229,7 @@
 
     def offer(self, fact: Fact) -> None:
         """Tell all hosts a fact whose version others may tell as well."""
-        self.node.known.take_fact(fact, self.clock.monotonic())
+        self.node.known.merge_fact(fact, self.clock.monotonic())
 
     def on_fact(self, kind: str, listener: Callable[[Fact], None]) -> None:
         """Call ``listener`` with each new fact of a kind."""
@@ -237,7 +237,7 @@
 
     # What the node tells.
 
-    def tell_member(self, member: Member) -> None:
+    def notify_member(self, member: Member) -> None:
         """Tell whoever listens, and close links of no more use."""
         if member.status is not Status.ALIVE:
             LOG.info("{} is {}.", member.name, member.status)
@@ -249,7 +249,7 @@
         for listener in self.listeners:
             listener(member)
 
-    def tell_fact(self, fact: Fact) -> None:
+    def notify_fact(self, fact: Fact) -> None:
         """Tell whoever listens to that kind."""
         for listener in self.fact_listeners.get(fact.kind, []):
             listener(fact)
@@ -302,7 +302,7 @@
         self.dropping = set(dropped)
         metrics.set(
             "camphortray_neighbours_behind",
-            "Neighbours that may lack news and have not answered yet.",
+            "Overlay that may lack news and have not answered yet.",
             {},
             len(self.node.known.catch_up.debts),
         )
--- a/camphortray/node.py
+++ b/camphortray/node.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 from camphortray import antientropy
+from camphortray import failure_detector
 from camphortray import gossip
-from camphortray import knowledge
+from camphortray import member_state
 from camphortray import members
-from camphortray import watch
 
 # Time between two ticks beyond which this host was itself paused, in
 # seconds; what it then takes for silence of others is its own.
@@ -87,7 +87,7 @@
         wall_offset_s: float = 0.0,
         sibling: str = "",
     ) -> None:
-        self.known = knowledge.Knowledge(own, rng, wall_offset_s)
+        self.known = member_state.MemberState(own, rng, wall_offset_s)
         self.seeds = list(seeds)
         self.sibling = sibling
         self.rng = rng
@@ -129,7 +129,7 @@
         """Tell all hosts a fact, this one at once."""
         wall_ms = self.known.wall_ms(now)
         fact = self.known.facts.make(kind, key, value, keep_s, wall_ms)
-        self.known.take_fact(fact, now)
+        self.known.merge_fact(fact, now)
 
     # Time passes.
 
@@ -278,8 +278,8 @@
                 message, self.known.directory, self.known.facts
             )
         if isinstance(message, gossip.News):
-            self.known.take_news(message, now, sender)
-        elif isinstance(message, watch.Doubt):
+            self.known.apply_gossip(message, now, sender)
+        elif isinstance(message, failure_detector.Doubt):
             self.on_doubt(sender, message, now)
         return None
 
@@ -299,7 +299,9 @@
             self.known.digest, self.revision, self.head, unknown, news
         )
 
-    def on_doubt(self, sender: str, doubt: watch.Doubt, now: float) -> None:
+    def on_doubt(
+        self, sender: str, doubt: failure_detector.Doubt, now: float
+    ) -> None:
         """Note another watcher's doubt and look for oneself at once."""
         held = self.known.directory.members.get(doubt.name)
         host = sender.partition("/")[0]
@@ -340,7 +342,7 @@
         self.known.directory.note_revision(name, pong.revision)
         self.on_head(name, pong.head)
         for member in pong.news:
-            self.known.take_member(member, now, name)
+            self.known.merge_member(member, now, name)
         if pong.unknown:
             self.known.gossip.add_for(name, self.known.own.name)
         if pong.digest == self.known.digest:
@@ -368,9 +370,9 @@
             return [self.probe(ask.name, now, fresh=True)]
         self.wants_list = True
         self.weigh(held, self.known.own.host, now)
-        if not self.known.watch.tells(ask.name, now):
+        if not self.known.watch.announces(ask.name, now):
             return []
-        doubt = watch.Doubt(held.name, held.incarnation)
+        doubt = failure_detector.Doubt(held.name, held.incarnation)
         return [
             self.ask(member, doubt, now, False)
             for member in self.known.neighbours.other_watchers(held.host)
@@ -399,7 +401,7 @@
         if not ask.name:
             self.known.joined = True
         self.known.catch_up.paid(ask.name)
-        if self.known.take_news(reply, now, ask.name):
+        if self.known.apply_gossip(reply, now, ask.name):
             self.repairs.clear()
         news = antientropy.lacking(
             reply, self.known.directory, self.known.facts
--- a/camphortray/neighbours.py
+++ b/camphortray/overlay.py
@@ -1,19 +1,19 @@
 """Whom a member watches, who watches it, and whom it tells news."""
 
-__all__ = ["Neighbours"]
+__all__ = ["Overlay"]
 
 from camphortray import members
 from camphortray import ring
 
 WATCHERS = 3
-# Neighbours in the own availability zone, so that a zone that is cut off
+# Overlay in the own availability zone, so that a zone that is cut off
 # still spreads news among its own.
 ZONE_NEIGHBOURS = 2
 # Doubts that make a member suspected.
 DOUBTS = 2
 
 
-class Neighbours:
+class Overlay:
     """The places of hosts beside each other, as one member sees them.
 
     Attributes:
@@ -61,7 +61,7 @@
         """Return the members that this one watches."""
         return self.names(set(self.ring.watched_by(self.host)))
 
-    def told(self) -> set[str]:
+    def gossip_targets(self) -> set[str]:
         """Return the members that this one tells news."""
         near: set[str] = set()
         for each in (self.ring, self.zone_ring):
--- a/camphortray/peers.py
+++ b/camphortray/peers.py
@@ -16,7 +16,7 @@
 
 from camphortray import config as configs
 from camphortray import errors
-from camphortray import hello as hellos
+from camphortray import handshake as hellos
 from camphortray import kernel
 from camphortray import links
 from camphortray import logs
@@ -29,7 +29,7 @@
 CONNECT_S = 1.0
 # One-way messages of one link that wait for their handler; the oldest are
 # dropped beyond that.
-MAX_TOLD = 256
+MAX_ONEWAY = 256
 
 Sender = hellos.Sender
 PeerFault = links.PeerFault
@@ -85,20 +85,20 @@
         assert request is not None
         self.peers.traffic.opened(client=False)
         sender = hellos.Hello.from_text(request.headers[hellos.HEADER]).sender
-        told: asyncio.Queue[Any] = asyncio.Queue(MAX_TOLD)
+        oneway: asyncio.Queue[Any] = asyncio.Queue(MAX_ONEWAY)
         worker = asyncio.get_running_loop().create_task(
-            self.take_told(sender, told)
+            self.run_oneway(sender, oneway)
         )
         try:
             async for data in socket:
-                self.answer(socket, sender, data, told)
+                self.answer(socket, sender, data, oneway)
         except links.LINK_ERRORS as error:
             LOG.debug("Link from {} ended: {}", sender, error)
         finally:
             worker.cancel()
 
-    async def take_told(
-        self, sender: Sender, told: "asyncio.Queue[Any]"
+    async def run_oneway(
+        self, sender: Sender, oneway: "asyncio.Queue[Any]"
     ) -> None:
         """Run the handlers of one-way messages in their order.
 
@@ -106,14 +106,14 @@
         answers to probes, and this host would look lost.
         """
         while True:
-            await self.peers.dispatch(sender, await told.get())
+            await self.peers.dispatch(sender, await oneway.get())
 
     def answer(
         self,
         socket: ws_server.ServerConnection,
         sender: Sender,
         data: str | bytes,
-        told: "asyncio.Queue[Any]",
+        oneway: "asyncio.Queue[Any]",
     ) -> None:
         """Run the handler of one message in the background."""
         if isinstance(data, str):
@@ -125,9 +125,9 @@
             LOG.warning("Bad message from {}: {}", sender, error)
             return
         if envelope.number == 0:
-            if told.full():
-                told.get_nowait()
-            told.put_nowait(envelope.message)
+            if oneway.full():
+                oneway.get_nowait()
+            oneway.put_nowait(envelope.message)
             return
         # A slow handler must not hold up messages behind it.
         self.peers.spawn(self.reply(socket, sender, envelope))
@@ -263,9 +263,9 @@
         """Ask a peer; see ``Link.ask``."""
         return await self.link(address).ask(message, timeout_s)
 
-    def tell(self, address: configs.Address, message: Any) -> None:
+    def notify(self, address: configs.Address, message: Any) -> None:
         """Tell a peer something, without knowing that it arrives."""
-        self.link(address).tell(message)
+        self.link(address).notify(message)
 
     async def ask_anew(
         self, address: configs.Address, message: Any, timeout_s: float = 1.0
--- a/camphortray/ratelimits.py
+++ b/camphortray/ratelimits.py
@@ -131,10 +131,10 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.wake.wait(), TICK_S)
             self.wake.clear()
-            self.tell_due()
+            self.publish_due()
             self.forget()
 
-    def tell_due(self) -> None:
+    def publish_due(self) -> None:
         """Tell each demand to the host that divides its limit."""
         live = {member.name: member for member in self.members.live("entry")}
         grouped: dict[str, dict[str, float]] = collections.defaultdict(dict)
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -414,7 +414,7 @@
         member = self.members.member(coordinator)
         if member is not None and not member.dead:
             address = configs.Address.from_text(member.peer_address)
-            self.links.tell(address, LeaseEnd(service, want_id, outcome))
+            self.links.notify(address, LeaseEnd(service, want_id, outcome))
 
     async def on_decisions_sent(
         self, sender: peers.Sender, word: SlotDecisions
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -179,7 +179,7 @@
         if holder == self.home.own_name:
             self.home.on_decisions(word, holder)
         elif holder in self.holders:
-            self.home.links.tell(self.holders[holder][0], word)
+            self.home.links.notify(self.holders[holder][0], word)
 
     def reschedule(self) -> None:
         """Decide anew when time alone may change something."""
--- a/camphortray/slots.py
+++ b/camphortray/slots.py
@@ -284,7 +284,7 @@
                 grouped[member.peer_address][name] = want
         own = str(self.peers.address)
         for address, asked in grouped.items():
-            self.peers.tell(
+            self.peers.notify(
                 configs.Address.from_text(address),
                 slotmessages.Wants(own, asked),
             )
--- a/camphortray/suspects.py
+++ b/camphortray/suspects.py
@@ -209,10 +209,10 @@
                 {"upstream": upstream.name, "at": at, "suspects": part},
                 keep_s=poison.SUSPECT_S,
             )
-        self.peers.spawn(self.tell_quarantined(suspects))
+        self.peers.spawn(self.publish_quarantined(suspects))
         return True
 
-    async def tell_quarantined(self, suspects: set[str]) -> None:
+    async def publish_quarantined(self, suspects: set[str]) -> None:
         """Tell later hosts too of what a crash here has proved."""
         await asyncio.sleep(poison.SETTLE_S + PAUSE_S)
         now = self.clock.wall()
@@ -322,4 +322,4 @@
         if address is None:
             self.permits.done(upstream, holder)
         else:
-            self.peers.tell(address, ApartDone(upstream, holder))
+            self.peers.notify(address, ApartDone(upstream, holder))
--- a/camphortray/tasks.py
+++ b/camphortray/tasks.py
@@ -44,13 +44,13 @@
         except asyncio.CancelledError as error:
             if cancelled():
                 raise
-            tell(name, error)
+            log_failure(name, error)
         except Exception as error:
-            tell(name, error)
+            log_failure(name, error)
         await asyncio.sleep(AGAIN_S)
 
 
-def tell(name: str, error: BaseException) -> None:
+def log_failure(name: str, error: BaseException) -> None:
     """Write the line on an error that ended some work."""
     trace = "".join(traceback.format_exception(error))
     LOG.error("Begins again, the {}, after an error: {}", name, trace)
--- a/tests/grouprig.py
+++ b/tests/grouprig.py
@@ -172,7 +172,7 @@
         """Answer messages of a kind."""
         self.handlers[cls] = handler
 
-    def tell(self, address, word):
+    def notify(self, address, word):
         """Send a message; a break loses it, or it raises."""
         met = self.group.broken.met
         self.group.broken.now("tell")
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -128,7 +128,7 @@
         self.told = []
         self.barring = False
 
-    def tell(self, fingerprint, name):
+    def report(self, fingerprint, name):
         self.told.append((fingerprint, name))
 
     def barred(self, fingerprint):
--- a/tests/jobcluster.py
+++ b/tests/jobcluster.py
@@ -7,6 +7,7 @@
 
 from camphortray import cluster as clusters
 from camphortray import coordinator
+from camphortray import failure_detector
 from camphortray import httpclient
 from camphortray import journal
 from camphortray import membership
@@ -15,7 +16,6 @@
 from camphortray import slots
 from camphortray import standin_engine
 from camphortray import takeover
-from camphortray import watch
 from tests import history
 
 # Bound on each wait, in seconds; far above what any wait takes.
@@ -29,8 +29,8 @@
         (coordinator, "GRANT_S", 0.2),
         (slots, "RENEW_S", 0.06),
         (slots, "LAPSE_S", 0.03),
-        (watch, "PROBE_S", 0.3),
-        (watch, "SUSPECT_S", 0.6),
+        (failure_detector, "PROBE_S", 0.3),
+        (failure_detector, "SUSPECT_S", 0.6),
         (membership, "TICK_S", 0.02),
         (membership, "ASK_S", 0.3),
         (journal, "MAX_PAUSE_S", 0.1),
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -279,10 +279,10 @@
     # never ran, and its caller would send it once more.
     held = forwarder_of([hostkit.BROKEN], hostkit.RESUMABLE)
 
-    def tell(fingerprint, name):
+    def report(fingerprint, name):
         held.parts.breaks.barring = True
 
-    held.parts.breaks.tell = tell
+    held.parts.breaks.report = report
     assert await outcome(held) == 502
 
 
--- a/tests/test_catchup.py
+++ b/tests/test_gossip_repair.py
@@ -12,8 +12,8 @@
 
 import pytest
 
-from camphortray import catchup
 from camphortray import gossip
+from camphortray import gossip_repair
 from tests import fakenet
 
 FACT = "job-owner 0/h1"
@@ -76,7 +76,7 @@
     net.run(lost_s)
     assert not knows(net, "h1/entry")
     net.blocked = lambda src, dst, fresh: False
-    net.run(catchup.MAX_RETRY_S + 2 * fakenet.TICK_S)
+    net.run(gossip_repair.MAX_RETRY_S + 2 * fakenet.TICK_S)
     assert knows(net, "h1/entry")
 
 
@@ -119,7 +119,7 @@
 
 
 def test_a_neighbour_is_asked_ever_less_often_and_no_more_once_it_is_none():
-    owed = catchup.CatchUp()
+    owed = gossip_repair.GossipRepair()
     owed.owe("a", 0.0)
     now, asked = 0.0, []
     while now < 30.0:
@@ -128,7 +128,7 @@
         now = round(now + fakenet.TICK_S, 3)
     pauses = [b - a for a, b in zip(asked, asked[1:], strict=False)]
     assert asked[0] == 0.0
-    assert max(pauses) <= catchup.MAX_RETRY_S + fakenet.TICK_S
+    assert max(pauses) <= gossip_repair.MAX_RETRY_S + fakenet.TICK_S
     assert len(asked) <= 32
     assert owed.due(set(), now) == []
     assert not owed.debts
--- a/tests/test_item_left_lying.py
+++ b/tests/test_item_left_lying.py
@@ -110,7 +110,7 @@
     )
     transport = socket.transport
     while not transport.get_write_buffer_size():
-        link.tell(word)
+        link.notify(word)
         await asyncio.sleep(0.001)
     halting.writers[0].write_eof()
     await until(lambda: socket.state is not socket.state.OPEN)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -33,6 +33,7 @@
     "enginehealth",
     "eventstream",
     "facts",
+    "failure_detector",
     "fairness",
     "fold",
     "gossip",
@@ -49,12 +50,11 @@
     "jobrecords",
     "jobs",
     "jobstate",
-    "knowledge",
     "limits",
-    "listpace",
+    "list_polling",
+    "member_state",
     "members",
     "multipart",
-    "neighbours",
     "node",
     "online",
     "onlinepeaks",
@@ -64,6 +64,7 @@
     "orders",
     "orphaned_leases",
     "outlier",
+    "overlay",
     "owner_candidates",
     "partition_state",
     "plan",
@@ -91,27 +92,28 @@
     "takeover",
     "trace",
     "view",
-    "watch",
 )
 # Names that have been replaced by the field's terms, of modules, classes and
 # functions; docs/GLOSSARY.md has the terms.
 RETIRED = frozenset(
     """
-    BreakBook Breaks CallKeeper CallWatch Courier Desk Desks EngineBook
-    Home JobBook JobDesk JobOwner JobOwners JobWaiting LeavingBook
-    OpenItems Orphans OwnerBook OwnerWord Passage PassageParts PlaceAsk
-    PlaceEnd PlaceReport PlaceWord Placement Placing Recall Recalls
-    SlotAudit SlotBook SlotUse StrayEntries Taker WantText look_at_engines
-    on_turn take_grant take_recall take_word trust_again
+    BreakBook Breaks CallKeeper CallWatch CatchUp Courier Desk Desks
+    EngineBook Home HostRoll JobBook JobDesk JobOwner JobOwners JobWaiting
+    Knowledge LeavingBook ListPace Neighbours OpenItems Orphans OwnerBook
+    OwnerWord Passage PassageParts PlaceAsk PlaceEnd PlaceReport PlaceWord
+    Placement Placing Recall Recalls SlotAudit SlotBook SlotUse
+    StrayEntries Taker WantText Watch look_at_engines on_turn take_grant
+    take_recall take_word trust_again
     """.split()
 )
 RETIRED_MODULES = frozenset(
     """
-    breakbook breaks callkeeper callwatch courier enginebook exchange
-    intake itemfate itemwatch jobbook jobdesk jobowner jobowners jobwaiting
-    leaving openitems orphans ownerbook passage placements placing
-    placingcalls placingreports recalls recording slotaudit slotbook
-    slotcoordinators slotdesk slotuse slotwants strays taking window
+    breakbook breaks callkeeper callwatch catchup courier enginebook
+    exchange hello hostroll intake itemfate itemwatch jobbook jobdesk
+    jobowner jobowners jobwaiting knowledge leaving listpace neighbours
+    openitems orphans ownerbook passage placements placing placingcalls
+    placingreports recalls recording slotaudit slotbook slotcoordinators
+    slotdesk slotuse slotwants strays taking watch window
     """.split()
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
--- a/tests/test_lease_reporting.py
+++ b/tests/test_lease_reporting.py
@@ -48,7 +48,7 @@
     async with platformkit.Platform(hosts=2) as platform:
         chief, other = slotclientkit.roles(platform)
         held = other.part(slot_client.SlotClient)
-        tell, lost = held.links.tell, []
+        tell, lost = held.links.notify, []
 
         def lose(address, message):
             if isinstance(message, slot_messages.LeaseEnd) and not lost:
@@ -56,7 +56,7 @@
                 return
             tell(address, message)
 
-        held.links.tell = lose
+        held.links.notify = lose
         assert await slotclientkit.ask(other, "a") == 200
         assert lost
         book = (
@@ -161,7 +161,7 @@
     async with platformkit.Platform(hosts=2) as platform:
         chief, other = slotclientkit.roles(platform)
         held = other.part(slot_client.SlotClient)
-        tell, lost = held.links.tell, []
+        tell, lost = held.links.notify, []
 
         def lose(address, message):
             if isinstance(message, slot_messages.LeaseEnd):
@@ -169,7 +169,7 @@
                 return
             tell(address, message)
 
-        held.links.tell = lose
+        held.links.notify = lose
         for engine in platform.engines.values():
             engine.faults = ["wait"] * 4
         asking = asyncio.ensure_future(slotclientkit.ask(other, "a"))
--- a/tests/test_listpace.py
+++ b/tests/test_list_polling.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from camphortray import listpace
+from camphortray import list_polling
 
 
 def looks(hosts, wanted, seconds):
-    pace = listpace.ListPace(random.Random(1))
+    pace = list_polling.ListPolling(random.Random(1))
     return [
         at for at in range(seconds) if pace.due(float(at), hosts, wanted(at))
     ]
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -23,7 +23,7 @@
     # The owner of the partition gives up as its writer ends.
     ("partwriter", "run"),
     # Ends with its link; the next question opens another.
-    ("peers", "take_told"),
+    ("peers", "run_oneway"),
     # Not part of a host.
     ("load", "keep_addresses"),
     ("standin_model", "run"),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -131,7 +131,7 @@
     held = node.known.directory.members["h1/entry"]
     if case == "suspicion":
         suspect = dataclasses.replace(held, status=members.Status.SUSPECT)
-        node.known.take_member(suspect, net.now)
+        node.known.merge_member(suspect, net.now)
     else:
         net.blocked = lambda src, dst, fresh: src == "h1/entry"
         net.send("h0/entry", [node.probe("h1/entry", net.now, fresh=True)])
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -17,6 +17,7 @@
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import facts
+from camphortray import failure_detector
 from camphortray import gossip
 from camphortray import httpclient
 from camphortray import httpserver
@@ -28,7 +29,6 @@
 from camphortray import node as nodes
 from camphortray import peers
 from camphortray import tls
-from camphortray import watch
 
 LIMIT_S = 20
 MEMBER = members.Member(
@@ -41,7 +41,7 @@
     gossip.News((MEMBER,), (FACT,)),
     antientropy.Sync(b"\x00" * 256),
     antientropy.SyncReply((1, 2), (MEMBER,), (FACT,)),
-    watch.Doubt("h/entry", 3),
+    failure_detector.Doubt("h/entry", 3),
     links_module.Ack(),
     links_module.PeerFault("x"),
     links_module.Probe(),
@@ -115,7 +115,12 @@
     own = members.Member("me/entry", 1, members.Status.ALIVE, "z", "q", "")
     node = nodes.Node(own, [], random.Random(1))
     node.start(100.0)
-    with_answers = (gossip.Ping, gossip.News, antientropy.Sync, watch.Doubt)
+    with_answers = (
+        gossip.Ping,
+        gossip.News,
+        antientropy.Sync,
+        failure_detector.Doubt,
+    )
     if isinstance(message, with_answers):
         node.receive("other/entry", message, 100.0)
     node.tick(100.1)
@@ -340,13 +345,13 @@
 
     links.on(gossip.News, hear)
     async with asyncio.timeout(LIMIT_S):
-        links.tell(links.address, gossip.News())
+        links.notify(links.address, gossip.News())
         await heard.get()
         server_side = next(iter(links.server.server.connections))
         server_side.transport.pause_reading()
-        links.tell(links.address, gossip.News())
+        links.notify(links.address, gossip.News())
         await links.link(links.address).sender
-        links.tell(links.address, gossip.News())
+        links.notify(links.address, gossip.News())
         await heard.get()
     await links.stop()
 
@@ -365,7 +370,7 @@
     links.on(gossip.News, slow)
     for version in (1, 2, 3):
         fact = dataclasses.replace(FACT, version=version)
-        links.tell(links.address, gossip.News(known=(fact,)))
+        links.notify(links.address, gossip.News(known=(fact,)))
     link = links.link(links.address)
     await link.sender
     reply = await links.ask(links.address, gossip.Ping(1, 5), 5.0)
