--- a/camphortray/backlog_gossip.py
+++ b/camphortray/backlog_gossip.py
@@ -1,4 +1,4 @@
-"""Tells other hosts how much waits, and keeps routes within their limits."""
+"""Publishes how much waits, and keeps routes within their limits."""
 
 __all__ = ["BacklogGossip"]
 
@@ -21,7 +21,7 @@
 LOG = logs.logger("jobs")
 WAITING = "job-waiting"
 FACT_KEEP_S = 600.0
-# Seconds from one word on waiting tokens to the next.
+# Seconds from one count of waiting tokens to the next.
 COUNT_EVERY_S = 0.25
 # Time for the keeper of a route's reservations to answer, in seconds.
 QUOTA_S = 0.3
@@ -32,7 +32,7 @@
 
     Attributes:
       owners: Partitions owned here, by number.
-      due: Whether something has changed since others were told.
+      due: Whether something has changed since the last count was published.
     """
 
     def __init__(
@@ -47,23 +47,23 @@
         self.owners = owners
         self.quota = jobquota.QuotaBook()
         self.due = False
-        self.told: dict[int, dict[str, int]] = {}
+        self.published: dict[int, dict[str, int]] = {}
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Begin to tell and to answer."""
+        """Begin to publish and to answer."""
         self.links.on(jobmessages.QuotaAsk, self.on_quota)
         self.members.on_fact(WAITING, self.on_waiting)
         work = tasks.forever("count of waiting tokens", self.publish_counts)
         self.task = asyncio.get_running_loop().create_task(work)
 
     def stop(self) -> None:
-        """Tell nothing more."""
+        """Publish nothing more."""
         if self.task is not None:
             self.task.cancel()
 
     async def publish_counts(self) -> None:
-        """Tell others how much waits in the partitions owned here."""
+        """Publish how much waits in the partitions owned here."""
         while True:
             await asyncio.sleep(COUNT_EVERY_S)
             if not self.due:
@@ -71,8 +71,10 @@
             self.due = False
             for part, owner in list(self.owners.items()):
                 counts = self.count(owner)
-                if owner.ready.is_set() and (counts != self.told.get(part)):
-                    self.told[part] = counts
+                if owner.ready.is_set() and (
+                    counts != self.published.get(part)
+                ):
+                    self.published[part] = counts
                     self.members.publish(
                         WAITING,
                         f"{part}/{self.members.own_name}",
@@ -129,6 +131,6 @@
         try:
             reply = await self.links.ask(address, ask, QUOTA_S)
         except errors.MessageError as error:
-            LOG.info("No word on room, counts here: {}", error)
+            LOG.info("No answer on room, counted here: {}", error)
             return self.reserve(ask)
         return bool(reply.granted)
--- a/camphortray/item_gauges.py
+++ b/camphortray/item_gauges.py
@@ -11,7 +11,7 @@
 
 LOG = logs.logger("jobs")
 # Seconds from one look at the open items to the next, and after which a
-# partition that has not been taken over yet is told of. A takeover takes
+# partition that has not been taken over yet is logged. A takeover takes
 # some tens of milliseconds, and a second or two where the store is slow.
 LOOK_EVERY_S = 1.0
 LATE_TAKEOVER_S = 5.0
@@ -42,7 +42,7 @@
             self.look()
 
     def look(self) -> None:
-        """Count open items by what they wait for; tell of those left."""
+        """Count open items by what they wait for; log those left."""
         now = self.clock.monotonic()
         ready, late = [], 0
         for owner in self.owners.values():
--- a/camphortray/item_reconciler.py
+++ b/camphortray/item_reconciler.py
@@ -184,7 +184,7 @@
             pause_s = max(pause_s, min(2 * pause_s, MOST_ERROR_PAUSE_S))
 
     def failed(self, work: itemwork.ItemWork, error: BaseException) -> None:
-        """Tell of an error that no code expects."""
+        """Log an error that no code expects."""
         self.count("error")
         LOG.error(
             "Item {} of {} is run again after an error: {}",
@@ -268,7 +268,7 @@
         """Take up what is left, and what a task holds and does not run.
 
         Neither should ever be found. It is the second line: whatever ends
-        an item's task without a word, or lets it wait for what never
+        an item's task without a line, or lets it wait for what never
         comes, costs the item seconds and not its life.
         """
         if self.closed:
--- a/camphortray/item_stall_detector.py
+++ b/camphortray/item_stall_detector.py
@@ -1,6 +1,6 @@
-"""Tells what each open item of a partition waits for, and which for nothing.
+"""Finds what each open item of a partition waits for, and which for nothing.
 
-An accepted item is open until it is listed. Its owner can tell at any moment
+An accepted item is open until it is listed. Its owner can say at any moment
 what stands between the two; an item that waits for nothing is left lying, and
 no other host will see to it as long as this one owns its partition.
 """
--- a/camphortray/job_reader.py
+++ b/camphortray/job_reader.py
@@ -160,7 +160,7 @@
         """Yield line number and item for each line now whole.
 
         Raises:
-          Refused: a line is no item; its number is told.
+          Refused: a line is no item; the error has its number.
         """
         lines = (self.rest + data).split(b"\n")
         self.rest = b"" if last else lines.pop()
--- a/camphortray/job_router.py
+++ b/camphortray/job_router.py
@@ -211,9 +211,9 @@
         return no_owner(str(owner_cache.NoOwner(part, why)))
 
     def log_missed(self, job: str, part: int, refusal: errors.Refused) -> None:
-        """Tell what a call that found no owner in its time was decided by."""
+        """Log what a call that found no owner in its time was decided by."""
         book = self.owners.book
-        word = book.known.get(part)
+        claim = book.known.get(part)
         LOG.notice(
             "Call on job {} found no owner of partition {}: {}",
             job,
@@ -222,8 +222,8 @@
             fields={
                 "job": job,
                 "part": part,
-                "owner": word.name if word else "",
-                "epoch": word.epoch if word else 0,
+                "owner": claim.name if claim else "",
+                "epoch": claim.epoch if claim else 0,
                 "word_age_s": book.age_s(part, self.clock.monotonic()),
                 "dealt_to": book.dealt.get(part, ""),
                 "generation": self.owners.generation,
--- a/camphortray/lease_reporting.py
+++ b/camphortray/lease_reporting.py
@@ -1,4 +1,4 @@
-"""Decides what a host tells its coordinators of all it holds, and when.
+"""Reports all that a host holds to its coordinators.
 
 Once a second, and whenever a service has turned to another coordinator: so
 one that has just begun learns what runs, and what was lost on the way is
@@ -84,7 +84,7 @@
         self.holder.links.spawn(self.report(service))
 
     async def report(self, service: str) -> None:
-        """Tell the coordinator all that this host holds."""
+        """Report all that this host holds to its coordinator."""
         holder = self.holder
         now = holder.clock.monotonic()
         held = [p for p in holder.held.values() if p.service == service]
--- a/camphortray/lease_table.py
+++ b/camphortray/lease_table.py
@@ -79,6 +79,6 @@
     answer: "asyncio.Future[tuple[str, str]]"
 
     def granted(self, engine_name: str, coordinator: str) -> Granted:
-        """Return what was granted, as the answer tells it."""
+        """Return what was granted, as the answer has it."""
         names = frozenset(self.coordinators | {coordinator})
         return Granted(engine_name, coordinator, names)
--- a/camphortray/orphaned_leases.py
+++ b/camphortray/orphaned_leases.py
@@ -7,8 +7,8 @@
 Measured on a day whose busiest host lost power: the first event of questions
 came after 0.7 to 1.0 s for the second after its leases were dropped.
 
-So a lease that ends without word counts on as an orphan, until the engine's
-own report says that it has no such run, or the run must be over.
+So a lease that ends without a message counts on as an orphan, until the
+engine's own report says that it has no such run, or the run must be over.
 """
 
 __all__ = ["LONGEST_S", "LOOK_S", "OrphanedLeases"]
@@ -57,7 +57,7 @@
         return held.count if held is not None else 0
 
     def add(self, engine: str, name: str, now: float) -> None:
-        """Count a lease that has ended without word."""
+        """Count a lease that has ended without a message."""
         self.engines[name] = engine
         held = self.held.setdefault(engine, Held(0, 0.0))
         held.count += 1
--- a/camphortray/owner_cache.py
+++ b/camphortray/owner_cache.py
@@ -1,4 +1,4 @@
-"""Who owns each partition of jobs, as one host has heard or been told."""
+"""Who owns each partition of jobs, as one host has learned."""
 
 __all__ = ["Miss", "NoOwner", "OwnerCache", "OwnerClaim"]
 
@@ -17,7 +17,7 @@
     OUT_OF_TOUCH = "out of touch"
 
 
-# What a caller is told, by why there is no owner.
+# What a caller gets to read, by why there is no owner.
 EXPLAINED = {
     Miss.UNHEARD: "no owner has been heard of",
     Miss.GIVEN_UP: "given up here, and the next owner not heard of",
@@ -41,7 +41,7 @@
 
 
 class OwnerClaim(NamedTuple):
-    """What an owner has told of itself.
+    """What an owner says of itself.
 
     Attributes:
       epoch: In which it owns the partition.
@@ -57,8 +57,8 @@
 class OwnerCache:
     """Owners of partitions as one host knows them.
 
-    Owners tell once that they own a partition, and that may be late. A host
-    whose claim is stale, as it has been told that the owner is not, can ask
+    Owners publish once that they own a partition, and that may be late. A host
+    whose claim is stale, as the owner has refused a call, can ask
     the store, which deals the partitions. What the store says goes before
     the claim of an owner until a newer owner is heard of; it says who is to
     own a partition, not who has read it, which that host itself must say.
--- a/camphortray/partition_manager.py
+++ b/camphortray/partition_manager.py
@@ -102,7 +102,7 @@
 
     @property
     def known(self) -> dict[int, owner_cache.OwnerClaim]:
-        """Newest word of an owner, by partition."""
+        """Newest claim of an owner, by partition."""
         return self.book.known
 
     def start(self) -> None:
@@ -155,7 +155,7 @@
         self.joined = False
 
     async def join(self) -> None:
-        """Tell the store that this host lives, and take what it deals."""
+        """Renew the membership at the store, and take what it assigns."""
         begun_at = self.clock.monotonic()
         try:
             found = await self.ledger.join(
@@ -315,21 +315,21 @@
     def on_lost(self, owner: partition_owner.PartitionOwner) -> None:
         """Forget a partition that another has taken over."""
         self.handover.leave(owner)
-        word = self.known.get(owner.part)
-        if word is not None and word.epoch > owner.epoch:
-            self.handover.give(owner.part, word.name)
+        claim = self.known.get(owner.part)
+        if claim is not None and claim.epoch > owner.epoch:
+            self.handover.give(owner.part, claim.name)
         if self.held.get(owner.part) is owner:
             del self.held[owner.part]
 
     def on_change(self, part: int) -> None:
-        """Tell others of a partition that has been taken over."""
+        """Publish that a partition has been taken over."""
         self.waiting.due = True
         owner = self.held.get(part)
         if owner is None or not owner.ready.is_set():
             return
         self.begun[part] = owner.epoch
-        word = self.known.get(part)
-        if word is None or word[:2] != (owner.epoch, self.members.own_name):
+        claim = self.known.get(part)
+        if claim is None or claim[:2] != (owner.epoch, self.members.own_name):
             key = f"{part}/{self.members.own_name}"
             self.members.publish(OWNER, key, owner.epoch, FACT_KEEP_S)
             self.handover.give(part, self.members.own_name)
@@ -338,8 +338,8 @@
         """Take note of who owns a partition."""
         number, _, name = fact.key.partition("/")
         part, epoch = int(number), int(fact.value)
-        word = owner_cache.OwnerClaim(epoch, name, self.clock.monotonic())
-        newest = self.book.on_claim(part, word)
+        claim = owner_cache.OwnerClaim(epoch, name, self.clock.monotonic())
+        newest = self.book.on_claim(part, claim)
         owner = self.held.get(part)
         if owner is not None and epoch > owner.epoch:
             # The store does not reach this host, or it would have said so;
--- a/camphortray/partition_owner.py
+++ b/camphortray/partition_owner.py
@@ -22,7 +22,7 @@
 TOPIC = ledgers.Topic.JOBS
 # Pause after a failed try to take a partition over, in seconds.
 PAUSE_S = 0.1
-# Time in which a record must be kept before its caller is told otherwise.
+# Time in which a record must be kept before its caller gets an error.
 WRITE_S = 2.5
 # Time for a result, which waits for as long as the store is away.
 RESULT_S = 3600.0
@@ -262,7 +262,7 @@
                 # to end it was refused while this one still waited.
                 self.items.stop_job(name)
             elif job is not None:
-                # Also where whoever sent it has been told that it is not
+                # Also where whoever sent it has got an error that it is not
                 # known what became of it.
                 self.items.take_up(job)
             event = self.news.pop(name, None)
@@ -271,16 +271,16 @@
         self.changed()
 
     def changed(self) -> None:
-        """Tell of a change.
+        """Notify of a change.
 
-        What goes wrong with whoever is told does not end the writer, by
+        What goes wrong with a listener does not end the writer, by
         which this is called, nor the takeover.
         """
         try:
             self.on_change()
         except (Exception, asyncio.CancelledError) as error:
             LOG.error(
-                "Change of partition {} not told: {}",
+                "Listener of partition {} failed: {}",
                 self.part,
                 "".join(traceback.format_exception(error)),
             )
@@ -376,7 +376,7 @@
         self.items.stop_job(name)
         record = partition_records.end_record(name)
         write = self.writer.put(lambda before: (record,), 0, WRITE_S)
-        # Its caller may have gone, or been told that nothing is known, when
+        # Its caller may have gone, or got an error that nothing is known, when
         # it turns out that the job goes on.
         write.done.add_done_callback(lambda _: self.end_known(name))
         await self.writer.outcome(write, WRITE_S)
@@ -384,8 +384,8 @@
     def end_known(self, name: str) -> None:
         """Go on with a job whose end was refused.
 
-        Nobody was told that it has ended; another call to end it may still
-        wait.
+        Nobody got an answer that it has ended; another call to end it may
+        still wait.
         """
         self.ending[name] -= 1
         if self.ending[name]:
--- a/camphortray/slot_accounting.py
+++ b/camphortray/slot_accounting.py
@@ -1,8 +1,8 @@
 """Decides which slots count as in use, for the book that gives out the rest.
 
 A slot is in use by a lease, or by an orphan: a run whose lease has ended
-without word of its end. The table counts both; each change is made here, so
-that no slot is lost for good or given out twice.
+without a message of its end. The table counts both; each change is made here,
+so that no slot is lost for good or given out twice.
 """
 
 __all__ = ["SlotAccounting"]
@@ -66,7 +66,7 @@
     # Orphans.
 
     def orphan(self, name: str, now: float) -> None:
-        """Count on the slot of a lease that ends without word."""
+        """Count on the slot of a lease that ends without a message."""
         lease = self.held.pop(name)
         if lease is None:
             return
@@ -86,7 +86,7 @@
         """Count a lease that was not given here.
 
         A book that has just begun may have met its run at the engine
-        before its holder told of it.
+        before its holder reported it.
         """
         if self.orphaned.adopt(lease.engine):
             self.table.count(lease.engine, -1)
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -48,7 +48,7 @@
 # The same for a check by its successor, which excludes it for all.
 CHECK_S = 0.25
 SILENT = "coordinator-silent"
-# Beyond its patience a queued request waits this long for the word of its
+# Beyond its patience a queued request waits this long for the answer of its
 # coordinator, in seconds.
 SLACK_S = 0.1
 # Grants of engines that are not usable here after which a want is given
@@ -64,9 +64,9 @@
     Attributes:
       coordinators: Who gives out the slots of which service.
       served: What this host coordinates.
-      reports: What coordinators are told of all this host holds.
+      reports: Sends coordinators all that this host holds.
       checking: Coordinators that are asked whether they answer.
-      published: Until when a coordinator is excluded by this host's word.
+      published: Until when a coordinator is excluded by this host's update.
       pending: Wants without an answer, by id.
       held: Slots in use, by id of the want.
       recalled: Wants granted and taken back before their items knew.
@@ -143,7 +143,7 @@
             self.publish_silent(name)
 
     async def check(self, service: str, name: str) -> None:
-        """Ask a coordinator that another host has left; tell all if silent.
+        """Ask a coordinator that another host has left; publish its silence.
 
         One host alone may be cut off from it. Where its successor does not
         reach it either, no host needs to find out for itself.
@@ -317,7 +317,7 @@
                 str(self.links.address),
                 (WireRequest.of(pending.want, now),),
             )
-            word = await self.links.ask(address, message, ANSWER_S)
+            reply = await self.links.ask(address, message, ANSWER_S)
         except errors.MessageError as error:
             LOG.info(
                 "Request {} has no coordinator: {}", pending.want.id, error
@@ -331,8 +331,8 @@
                 pending.fail_over(self.own_name)
                 self.ask_here(pending)
             return
-        if isinstance(word, SlotDecisions):
-            self.on_decisions(word, name)
+        if isinstance(reply, SlotDecisions):
+            self.on_decisions(reply, name)
 
     def ask_here(self, pending: lease_table.Pending) -> None:
         """Ask this host's own coordinator."""
@@ -341,18 +341,18 @@
         now = self.clock.monotonic()
         coordinator.act(coordinator.book.ask(pending.want, now))
 
-    def on_decisions(self, word: SlotDecisions, coordinator: str) -> None:
+    def on_decisions(self, update: SlotDecisions, coordinator: str) -> None:
         """Take what a coordinator has decided."""
-        for want_id, name in word.granted.items():
-            self.on_grant(word.service, want_id, name, coordinator)
-        for want_id, seconds in word.refused.items():
+        for want_id, name in update.granted.items():
+            self.on_grant(update.service, want_id, name, coordinator)
+        for want_id, seconds in update.refused.items():
             pending = self.pending.get(want_id)
             if pending is not None and not pending.answer.done():
                 pending.answer.set_exception(
                     errors.NoSlot("no room in time", seconds)
                 )
-        for want_id in word.revoked:
-            self.on_revocation(word.service, want_id, coordinator)
+        for want_id in update.revoked:
+            self.on_revocation(update.service, want_id, coordinator)
 
     def on_grant(
         self, service: str, want_id: str, name: str, coordinator: str
@@ -381,7 +381,7 @@
     def release(
         self, held: lease_table.HeldLease, outcome: enginehealth.Outcome
     ) -> None:
-        """Give a slot back, and tell how its engine was."""
+        """Give a slot back, and report how its engine was."""
         if self.held.pop(held.want.id, None) is not None:
             self.end_all(
                 held.coordinators, held.service, held.want.id, outcome
@@ -394,7 +394,7 @@
         want_id: str,
         outcome: enginehealth.Outcome = enginehealth.Outcome.NOTHING,
     ) -> None:
-        """Tell all coordinators that may count something that it has ended."""
+        """Send all coordinators that may count something its end."""
         for name in coordinators:
             self.end(name, service, want_id, outcome)
 
@@ -405,7 +405,7 @@
         want_id: str,
         outcome: enginehealth.Outcome = enginehealth.Outcome.NOTHING,
     ) -> None:
-        """Tell a coordinator that something has ended."""
+        """Send a coordinator the end of something."""
         if coordinator == self.own_name:
             served = self.served.coordinator(service)
             now = self.clock.monotonic()
@@ -417,10 +417,10 @@
             self.links.notify(address, LeaseEnd(service, want_id, outcome))
 
     async def on_decisions_sent(
-        self, sender: peers.Sender, word: SlotDecisions
+        self, sender: peers.Sender, update: SlotDecisions
     ) -> None:
         """Take what a coordinator decides later."""
-        self.on_decisions(word, str(sender))
+        self.on_decisions(update, str(sender))
 
     def in_flight(self) -> list[str]:
         return [f"{len(self.held)} slots"] if self.held else []
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -66,7 +66,7 @@
         """
 
     @abc.abstractmethod
-    def on_decisions(self, word: SlotDecisions, coordinator: str) -> None:
+    def on_decisions(self, update: SlotDecisions, coordinator: str) -> None:
         """Take what was decided on this host's own wants."""
 
 
@@ -76,7 +76,7 @@
     Attributes:
       book: What decides.
       reconciler: What sets the book right.
-      holders: Address and time of the last word, by name of member.
+      holders: Address and time of the last message, by name of member.
     """
 
     def __init__(self, home: CoordinatorHost, service: str) -> None:
@@ -111,28 +111,28 @@
         self.act(self.book.set_engines(found, now))
 
     def act(self, decisions: list[slot_scheduler.Decision]) -> None:
-        """Tell holders what was decided."""
+        """Send holders what was decided."""
         self.log_refusals(decisions)
         self.log_unresponsive()
-        words: dict[str, SlotDecisions] = {}
+        updates: dict[str, SlotDecisions] = {}
         revoked: dict[str, list[str]] = collections.defaultdict(list)
         for decision in decisions:
             holder = decision.want.holder
-            word = words.setdefault(holder, SlotDecisions(self.service))
+            update = updates.setdefault(holder, SlotDecisions(self.service))
             if isinstance(decision, slot_scheduler.Grant):
-                word.granted[decision.want.id] = decision.engine
+                update.granted[decision.want.id] = decision.engine
             elif isinstance(decision, slot_scheduler.Refuse):
-                word.refused[decision.want.id] = decision.retry_after_s
+                update.refused[decision.want.id] = decision.retry_after_s
             else:
                 revoked[holder].append(decision.want.id)
         if self.book.use.orphaned and self.full:
             self.poll_engines()
-        for holder, word in words.items():
+        for holder, update in updates.items():
             if revoked[holder]:
-                word = dataclasses.replace(
-                    word, revoked=tuple(revoked[holder])
+                update = dataclasses.replace(
+                    update, revoked=tuple(revoked[holder])
                 )
-            self.send(holder, word)
+            self.send(holder, update)
         self.reschedule()
 
     def log_refusals(self, decisions: list[slot_scheduler.Decision]) -> None:
@@ -174,12 +174,12 @@
             LOG.notice("Holder {} confirms again, or is gone.", holder)
         self.unresponsive = silent
 
-    def send(self, holder: str, word: SlotDecisions) -> None:
-        """Bring word to a holder."""
+    def send(self, holder: str, update: SlotDecisions) -> None:
+        """Send decisions to a holder."""
         if holder == self.home.own_name:
-            self.home.on_decisions(word, holder)
+            self.home.on_decisions(update, holder)
         elif holder in self.holders:
-            self.home.links.notify(self.holders[holder][0], word)
+            self.home.links.notify(self.holders[holder][0], update)
 
     def reschedule(self) -> None:
         """Decide anew when time alone may change something."""
@@ -228,7 +228,7 @@
     async def poll_engine(
         self, entry: engine_registry.EngineEntry, begun: bool
     ) -> None:
-        """Take one engine's word on what it runs."""
+        """Take one engine's report of what it runs."""
         try:
             running = await self.home.runs_at(entry)
         except errors.UpstreamError as error:
@@ -354,8 +354,8 @@
         here: list[slot_scheduler.Decision] = []
         others: list[slot_scheduler.Decision] = []
         for decision in decisions:
-            told = here if decision.want.id in asked else others
-            told.append(decision)
+            chosen = here if decision.want.id in asked else others
+            chosen.append(decision)
         coordinator.act(others)
         coordinator.log_refusals(here)
         return SlotDecisions(
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -113,7 +113,7 @@
 @messages.message("place.end")
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseEnd:
-    """Tells a coordinator that a want or lease has ended."""
+    """The end of a request or lease, for its coordinator."""
 
     service: str
     id: str
@@ -123,7 +123,7 @@
 @messages.message("place.report")
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseReport:
-    """Tells a coordinator all that the sender holds and waits for."""
+    """All that the sender holds and waits for, for its coordinator."""
 
     service: str
     address: str
@@ -134,7 +134,7 @@
 @messages.message("place.word")
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotDecisions:
-    """Tells a host what was decided, in answer or later.
+    """What was decided, for a holder, in answer or later.
 
     Attributes:
       granted: Engine by id of the want.
--- a/camphortray/slot_reconciler.py
+++ b/camphortray/slot_reconciler.py
@@ -1,7 +1,7 @@
 """Reconciles the slots in use with what holders and engines report.
 
 Messages get lost, hosts lose power, and a book that has just begun knows of
-nothing. Holders tell all they hold, engines how much they run; the book is
+nothing. Holders report all they hold, engines how much they run; the book is
 brought in line with both, and decides anew.
 """
 
@@ -29,7 +29,7 @@
         self.book = book
         self.use = book.use
 
-    # What holders tell.
+    # Reports of holders.
 
     def report(
         self,
@@ -87,7 +87,7 @@
         self.merge_items(holder, ())
         return book.decide(now)
 
-    # What engines tell.
+    # Reports of engines.
 
     def reported(
         self, engine: str, running: int, now: float, begun: bool
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -75,7 +75,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
-    """Tells a holder to run a request at an engine."""
+    """Lets a holder run a request at an engine."""
 
     want: SlotRequest
     engine: str
@@ -83,7 +83,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse:
-    """Tells a holder that there is no room in time."""
+    """Refuses a request, as there is no room in time."""
 
     want: SlotRequest
     retry_after_s: float
@@ -91,7 +91,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Revoke:
-    """Tells a holder to stop a batch item at its engine."""
+    """Takes a slot back: its holder stops the item at its engine."""
 
     want: SlotRequest
 
@@ -138,7 +138,7 @@
         """Slots in use, by engine."""
         return self.use.table.used
 
-    # What is told.
+    # Events.
 
     def set_engines(
         self, engines: Iterable[EngineSlots], now: float
@@ -334,7 +334,7 @@
         decisions.append(Grant(want, engine))
 
     def next_look(self, now: float) -> float | None:
-        """Return when to decide anew though nothing has been told."""
+        """Return when to decide anew though nothing has happened."""
         times = [
             want.asked_at + want.objective_s * PATIENCE for want in self.queue
         ]
