Name configuration in force in the field's terms

No behaviour changes: inforce active_config (ActiveConfig), spread config_gossip, dialect config_decoder (in platform/ too), recent record_cache. The log's part is config.

--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -9,7 +9,7 @@
 from typing import Any
 import zlib
 
-from camphortray_platform import dialect
+from camphortray_platform import config_decoder
 
 from camphortray import errors
 from camphortray import ledger
@@ -29,7 +29,7 @@
 KEEP_S = 600
 (ONCE_KIND,) = (
     name
-    for name, kind in dialect.KINDS.items()
+    for name, kind in config_decoder.KINDS.items()
     if kind is routemap.Kind.NON_IDEMPOTENT
 )
 
--- a/camphortray/inforce.py
+++ b/camphortray/active_config.py
@@ -5,7 +5,7 @@
 go back within a process.
 """
 
-__all__ = ["InForce"]
+__all__ = ["ActiveConfig"]
 
 import asyncio
 from collections.abc import Callable
@@ -27,7 +27,7 @@
 from camphortray import routemap
 from camphortray import tasks
 
-LOG = logs.logger("inforce")
+LOG = logs.logger("config")
 # Wait of a read of the configuration, which is answered as soon as a new one
 # is written, as a share of the time in which that must be in force. A read
 # whose connection has gone silent is found out only when its time is over.
@@ -63,9 +63,9 @@
     )
 
 
-@messages.message("inforce.ask")
+@messages.message("active_config.ask")
 @dataclasses.dataclass(frozen=True, slots=True)
-class InForceAsk:
+class ActiveConfigAsk:
     """Asks a peer for what it has in force.
 
     Attributes:
@@ -75,9 +75,9 @@
     revision: int
 
 
-@messages.message("inforce.answer")
+@messages.message("active_config.answer")
 @dataclasses.dataclass(frozen=True, slots=True)
-class InForceAnswer:
+class ActiveConfigAnswer:
     """Answers with the configuration, if newer, and the engines.
 
     Attributes:
@@ -94,7 +94,7 @@
 
 
 @kernel.PARTS.register("host")
-class InForce(revisions.Revisions):
+class ActiveConfig(revisions.Revisions):
     """What is in force on this host.
 
     Attributes:
@@ -133,11 +133,11 @@
         self.tasks: list[asyncio.Task[None]] = []
 
     @classmethod
-    def from_config(cls, context: kernel.Context) -> "InForce":
+    def from_config(cls, context: kernel.Context) -> "ActiveConfig":
         return cls(context)
 
     async def start(self) -> None:
-        self.links.on(InForceAsk, self.answer)
+        self.links.on(ActiveConfigAsk, self.answer)
         loop = asyncio.get_running_loop()
         for name, work in (
             ("reading of the configuration", self.follow_configuration),
@@ -312,11 +312,11 @@
     # Peers.
 
     async def answer(
-        self, sender: peers.Sender, ask: InForceAsk
-    ) -> InForceAnswer:
+        self, sender: peers.Sender, ask: ActiveConfigAsk
+    ) -> ActiveConfigAnswer:
         """Tell a peer what is in force here."""
         newer = self.view.revision > ask.revision
-        return InForceAnswer(
+        return ActiveConfigAnswer(
             self.record.key if newer else "",
             self.record.value if newer else b"",
             tuple(self.engines.entries.values()) if self.listed else (),
@@ -339,15 +339,15 @@
             address = self.context.rng.choice(addresses)
             try:
                 reply = await self.links.ask(
-                    address, InForceAsk(self.view.revision), ASK_S
+                    address, ActiveConfigAsk(self.view.revision), ASK_S
                 )
             except errors.MessageError as error:
                 LOG.debug("No word from a peer: {}", error)
                 continue
-            if isinstance(reply, InForceAnswer):
+            if isinstance(reply, ActiveConfigAnswer):
                 self.take_answer(reply)
 
-    def take_answer(self, reply: InForceAnswer) -> None:
+    def take_answer(self, reply: ActiveConfigAnswer) -> None:
         """Take over what a peer has."""
         if reply.fresh:
             self.peer_reached_at = self.clock.monotonic()
--- a/camphortray/backlog_gossip.py
+++ b/camphortray/backlog_gossip.py
@@ -4,9 +4,9 @@
 
 import asyncio
 
+from camphortray import active_config
 from camphortray import config as configs
 from camphortray import errors
-from camphortray import inforce
 from camphortray import jobmessages
 from camphortray import jobquota
 from camphortray import kernel
@@ -43,7 +43,7 @@
         self.clock = context.clock
         self.members = context.part(membership.Membership)
         self.links = context.part(peers.Peers)
-        self.inforce = context.part(inforce.InForce)
+        self.active_config = context.part(active_config.ActiveConfig)
         self.owners = owners
         self.quota = jobquota.QuotaBook()
         self.due = False
@@ -86,7 +86,7 @@
         """Return the waiting tokens of a partition by route."""
         counts: dict[str, int] = {}
         for job in owner.book.jobs.values():
-            route = self.inforce.routes.find(job.host_name, job.target)
+            route = self.active_config.routes.find(job.host_name, job.target)
             tokens = job.waiting_tokens
             if route is not None and tokens:
                 counts[route.name] = counts.get(route.name, 0) + tokens
@@ -114,7 +114,7 @@
 
     async def has_room(self, part: partition_records.JobPart) -> bool:
         """Return whether a job fits into what may wait on its route."""
-        route = self.inforce.routes.find(part.host_name, part.target)
+        route = self.active_config.routes.find(part.host_name, part.target)
         if route is None or not route.waiting_limit:
             return True
         tokens = sum(item.tokens for item in part.items)
--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -7,6 +7,7 @@
 import defopt
 
 from camphortray import burnkeeper
+from camphortray import config_gossip
 from camphortray import hostsapi
 from camphortray import jobapi
 from camphortray import openai_batch
@@ -14,7 +15,6 @@
 from camphortray import orderdriver
 from camphortray import program
 from camphortray import settingsapi
-from camphortray import spread
 
 # Importing a part registers it with the kernel.
 PARTS = (
@@ -25,7 +25,7 @@
     openai_files,
     orderdriver,
     settingsapi,
-    spread,
+    config_gossip,
 )
 
 
--- a/camphortray/spread.py
+++ b/camphortray/config_gossip.py
@@ -22,7 +22,7 @@
 from camphortray import membership
 from camphortray import messages
 from camphortray import peers
-from camphortray import recent
+from camphortray import record_cache
 from camphortray import snapshot
 from camphortray import tasks
 from camphortray import tree
@@ -81,8 +81,8 @@
         self.members = context.part(membership.Membership)
         self.links = context.part(peers.Peers)
         self.journal = context.part(tree.Tree).journal
-        self.recent = recent.Recent()
-        self.behind = recent.Behind(context.rng)
+        self.recent = record_cache.Recent()
+        self.behind = record_cache.Behind(context.rng)
         self.parts: list[snapshot.Part] = []
         self.task: asyncio.Task[None] | None = None
         self.links.on(RecordsAsk, self.answer)
@@ -203,7 +203,7 @@
         """
         if number == 0:
             state = self.journal.fold.snapshot()
-            self.parts = snapshot.split(state, recent.PAGE_BYTES)
+            self.parts = snapshot.split(state, record_cache.PAGE_BYTES)
         if number >= len(self.parts):
             return Records()
         return Records(part=self.parts[number])
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -8,6 +8,7 @@
 
 from camphortray import addresses
 from camphortray import burnkeeper
+from camphortray import config_gossip
 from camphortray import granting
 from camphortray import hostsapi
 from camphortray import jobproxy
@@ -17,7 +18,6 @@
 from camphortray import services
 from camphortray import settingsapi
 from camphortray import settingskeeper
-from camphortray import spread
 
 # Importing a part registers it with the kernel.
 PARTS = (
@@ -31,7 +31,7 @@
     services,
     settingsapi,
     settingskeeper,
-    spread,
+    config_gossip,
 )
 
 
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import NoReturn
 
+from camphortray import active_config
 from camphortray import clock as clocks
 from camphortray import crash_reports
 from camphortray import engine
@@ -13,7 +14,6 @@
 from camphortray import errors
 from camphortray import eventstream
 from camphortray import httpserver
-from camphortray import inforce
 from camphortray import lease_table
 from camphortray import logs
 from camphortray import metrics as metrics_module
@@ -50,7 +50,7 @@
 
     clock: clocks.Clock
     outer: outer.LedgerOuter
-    inforce: inforce.InForce
+    active_config: active_config.ActiveConfig
     slots: slot_client.SlotClient
     breaks: crash_reports.CrashReports
     metrics: metrics_module.Metrics
@@ -181,7 +181,7 @@
             fields={
                 "status": status,
                 "route": route.name,
-                "revision": self.parts.inforce.view.revision,
+                "revision": self.parts.active_config.view.revision,
                 "ran": self.ran,
                 "refused": self.refused,
                 "avoided": sorted(self.tried),
@@ -276,7 +276,7 @@
         name = held.upstream.name
         LOG.info("{} failed at {}: {}", self.request.id, name, error)
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
-            self.parts.inforce.note_leaving(name)
+            self.parts.active_config.note_leaving(name)
         if self.broke(held, error):
             self.parts.breaks.report(
                 self.request.fingerprint, f"{self.request.id}.{self.ran}"
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -5,12 +5,12 @@
 import asyncio
 import dataclasses
 
+from camphortray import active_config
 from camphortray import clock as clocks
 from camphortray import engine
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import eventstream
-from camphortray import inforce
 from camphortray import item_retry
 from camphortray import item_stall_detector
 from camphortray import lease_table
@@ -60,7 +60,7 @@
 
     clock: clocks.Clock
     outer: outer.LedgerOuter
-    inforce: inforce.InForce
+    active_config: active_config.ActiveConfig
     slots: slot_client.SlotClient
     pace: item_retry.Pace
     metrics: metrics_module.Metrics = dataclasses.field(
@@ -199,7 +199,7 @@
         """
         missing_since: float | None = None
         while True:
-            held = self.parts.inforce
+            held = self.parts.active_config
             found = held.routes.find(self.job.host_name, self.item.target)
             if found is not None:
                 return found
@@ -214,7 +214,7 @@
 
     def still_leads(self, held: lease_table.HeldLease) -> bool:
         """Return whether the item's route leads to the service of a slot."""
-        route = self.parts.inforce.routes.find(
+        route = self.parts.active_config.routes.find(
             self.job.host_name, self.item.target
         )
         return route is not None and (
@@ -381,7 +381,7 @@
             fields={"last_event": self.reader.last, "run": self.number},
         )
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
-            self.parts.inforce.note_leaving(name)
+            self.parts.active_config.note_leaving(name)
         fate = item_retry.decide(
             self.tries,
             error,
--- a/camphortray/outer.py
+++ b/camphortray/outer.py
@@ -4,7 +4,7 @@
 
 from typing import ClassVar
 
-from camphortray import dialect as dialects
+from camphortray import config_decoder as dialects
 from camphortray import engine
 from camphortray import errors
 from camphortray import hostlist
--- a/camphortray/partition_manager.py
+++ b/camphortray/partition_manager.py
@@ -5,10 +5,10 @@
 import asyncio
 import contextlib
 
+from camphortray import active_config
 from camphortray import backlog_gossip
 from camphortray import errors
 from camphortray import handover
-from camphortray import inforce
 from camphortray import item_gauges
 from camphortray import item_retry
 from camphortray import itemwork
@@ -73,7 +73,7 @@
         self.parts = itemwork.WorkParts(
             context.clock,
             parties,
-            context.part(inforce.InForce),
+            context.part(active_config.ActiveConfig),
             context.part(slot_client.SlotClient),
             item_retry.Pace(),
             context.metrics,
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -14,6 +14,7 @@
 import functools
 from typing import ClassVar
 
+from camphortray import active_config
 from camphortray import config as configs
 from camphortray import coordinator_election
 from camphortray import engine
@@ -21,7 +22,6 @@
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import httpclient
-from camphortray import inforce
 from camphortray import keepalive
 from camphortray import kernel
 from camphortray import lease_reporting
@@ -81,7 +81,7 @@
         self.experiments = context.config.experiments
         self.links = context.part(peers.Peers)
         self.members = context.part(membership.Membership)
-        self.inforce = context.part(inforce.InForce)
+        self.active_config = context.part(active_config.ActiveConfig)
         self.own_name = self.members.own_name
         self.coordinators = coordinator_election.CoordinatorElection(
             self.own_name,
@@ -107,8 +107,8 @@
         self.links.on(SlotDecisions, self.on_decisions_sent)
         self.members.listen(self.on_member)
         self.members.on_fact(SILENT, self.on_silent)
-        self.inforce.listen_engines(self.served.update_engines)
-        self.inforce.peers_of = functools.partial(
+        self.active_config.listen_engines(self.served.update_engines)
+        self.active_config.peers_of = functools.partial(
             self.members.live_peers, "host"
         )
         work = tasks.forever("report of slots", self.reports.run)
@@ -221,7 +221,7 @@
                 self.end_all(granted.coordinators, service, want.id)
                 want = dataclasses.replace(want, id=f"{want.id}-{number}")
                 continue
-            entry = self.inforce.engines.find(granted.engine)
+            entry = self.active_config.engines.find(granted.engine)
             if entry is not None:
                 upstream = self.upstream(entry)
                 return self.placement(
@@ -283,7 +283,7 @@
 
     def upstream(self, entry: engine_registry.EngineEntry) -> engine.Upstream:
         """Return an engine as plug-ins know it."""
-        service = self.inforce.view.services.get(entry.service)
+        service = self.active_config.view.services.get(entry.service)
         max_idle = keepalive.most_idle(
             service.connection_limit if service else 0,
             len(self.members.live("host")),
@@ -293,7 +293,7 @@
             entry.name,
             configs.Address.from_text(entry.address),
             entry.availability_zone,
-            self.inforce.dialect.plugin,
+            self.active_config.dialect.plugin,
             True,
             entry.slots,
             entry.id,
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -7,11 +7,11 @@
 import collections
 import dataclasses
 
+from camphortray import active_config
 from camphortray import clock as clocks
 from camphortray import config as configs
 from camphortray import engine_registry
 from camphortray import errors
-from camphortray import inforce
 from camphortray import logs
 from camphortray import orphaned_leases
 from camphortray import peers
@@ -38,14 +38,14 @@
     Attributes:
       clock: Source of time.
       links: To other hosts.
-      inforce: Engines as this host knows them.
+      active_config: Engines as this host knows them.
       own_name: Name of the member.
       experiments: What an ablation switches off.
     """
 
     clock: clocks.Clock
     links: peers.Peers
-    inforce: inforce.InForce
+    active_config: active_config.ActiveConfig
     own_name: str
     experiments: configs.ExperimentsConfig
 
@@ -102,7 +102,7 @@
 
     def update_engines(self, now: float) -> None:
         """Take the engines as they are now."""
-        held = self.home.inforce.engines.usable(self.service)
+        held = self.home.active_config.engines.usable(self.service)
         self.book.set_share(self.home.share_of(self.service))
         found = [
             slot_scheduler.EngineSlots(e.name, e.slots, e.availability_zone)
@@ -211,7 +211,7 @@
         """Ask all engines if the book has begun, else those in doubt."""
         try:
             while self.full and (begun or self.book.use.orphaned):
-                entries = self.home.inforce.engines.usable(self.service)
+                entries = self.home.active_config.engines.usable(self.service)
                 asked = [
                     self.poll_engine(entry, begun)
                     for entry in entries
--- a/tests/grouprig.py
+++ b/tests/grouprig.py
@@ -4,10 +4,10 @@
 import itertools
 from types import SimpleNamespace
 
+from camphortray import active_config
 from camphortray import clock as clocks
 from camphortray import config as configs
 from camphortray import facts
-from camphortray import inforce
 from camphortray import ledger as ledgers
 from camphortray import membership
 from camphortray import metrics
@@ -110,7 +110,7 @@
             membership.Membership: self,
             peers.Peers: self,
             outer.LedgerOuter: parties,
-            inforce.InForce: parts.inforce,
+            active_config.ActiveConfig: parts.active_config,
             slot_client.SlotClient: parts.slots,
         }
         self.clock = clocks.SystemClock()
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -74,7 +74,7 @@
         return self.party
 
 
-class InForce:
+class ActiveConfig:
     """What is in force, as plain attributes."""
 
     def __init__(self, routes=(), revision=1):
@@ -159,7 +159,7 @@
     return itemwork.WorkParts(
         clock,
         Parties(ScriptedEngines(script)),
-        InForce(routes),
+        ActiveConfig(routes),
         Slots(),
         item_retry.Pace(),
     )
--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -137,12 +137,12 @@
 def work_parts(broken: breakrig.Break) -> itemwork.WorkParts:
     """Return the parts that items are run with."""
     slots = RigSlots(broken)
-    inforce = hostkit.InForce([ROUTE])
-    inforce.routes = RigRoutes(broken, slots)
+    active_config = hostkit.ActiveConfig([ROUTE])
+    active_config.routes = RigRoutes(broken, slots)
     return itemwork.WorkParts(
         clocks.SystemClock(),
         hostkit.Parties(RigEngine(broken)),
-        inforce,
+        active_config,
         slots,
         RigPace(broken),
     )
--- a/tests/test_inforce.py
+++ b/tests/test_active_config.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from camphortray import active_config
 from camphortray import config as configs
 from camphortray import engine_registry
-from camphortray import inforce
 from tests import test_engine_registry
 
 ENTRY = test_engine_registry.ENTRY
@@ -21,7 +21,7 @@
 
 def held():
     """Return what is in force on a host that has lost the ledger."""
-    part = inforce.InForce.__new__(inforce.InForce)
+    part = active_config.ActiveConfig.__new__(active_config.ActiveConfig)
     part.clock = Clock()
     part.engines = engine_registry.EngineRegistry()
     part.reached_at = 90.0
@@ -45,7 +45,7 @@
     # more than it may.
     part = held()
     if peer_reached:
-        part.take_answer(inforce.InForceAnswer(fresh=True))
+        part.take_answer(active_config.ActiveConfigAnswer(fresh=True))
     part.reached()
     part.engines.gone("i-1", part.clock.now)
     assert bool(part.engines.usable("s")) == stays
@@ -55,7 +55,7 @@
     part = held()
     part.engines.gone("i-1", 99.0)
     assert not part.engines.usable("s")
-    part.take_answer(inforce.InForceAnswer(engines=(ENTRY,)))
+    part.take_answer(active_config.ActiveConfigAnswer(engines=(ENTRY,)))
     assert not part.engines.usable("s")
 
 
@@ -64,7 +64,7 @@
     config = configs.LedgerConfig(
         "10.0.0.1:1", configuration_s=bound_s, engines_s=bound_s
     )
-    wait_s, every_s = inforce.paces(config)
+    wait_s, every_s = active_config.paces(config)
     # Two reads and more fit into each bound, one of them lost.
     assert 0 < 2 * wait_s < bound_s
     assert 0 < 4 * every_s <= bound_s
--- a/tests/test_spread.py
+++ b/tests/test_config_gossip.py
@@ -7,9 +7,9 @@
 import pytest
 
 from camphortray import cluster as clusters
+from camphortray import config_gossip
 from camphortray import log
-from camphortray import recent
-from camphortray import spread
+from camphortray import record_cache
 from camphortray import tree
 
 LIMIT_S = 20
@@ -31,19 +31,19 @@
     ],
 )
 def test_kept_records_have_no_gaps(offsets, since, expected):
-    kept = recent.Recent()
+    kept = record_cache.Recent()
     for offset in offsets:
         kept.add(record(offset))
     assert [r.offset for r in kept.since(since)] == expected
 
 
 def test_what_is_kept_and_passed_on_is_bounded():
-    kept = recent.Recent()
-    for offset in range(recent.MAX_RECORDS + 10):
+    kept = record_cache.Recent()
+    for offset in range(record_cache.MAX_RECORDS + 10):
         kept.add(record(offset, 10_000))
-    assert kept.size <= recent.MAX_BYTES
+    assert kept.size <= record_cache.MAX_BYTES
     page = kept.since(kept.records[0].offset)
-    assert sum(len(r.body) for r in page) <= recent.PAGE_BYTES
+    assert sum(len(r.body) for r in page) <= record_cache.PAGE_BYTES
     assert kept.since(0) == []
 
 
@@ -61,7 +61,7 @@
 def test_a_host_asks_only_after_a_second_and_who_is_ahead(
     heads, own, waited_s, expected
 ):
-    behind = recent.Behind(random.Random(3))
+    behind = record_cache.Behind(random.Random(3))
     for name, head in heads.items():
         behind.note(name, head)
     assert behind.choose(own, {"a", "b"}, 10.0) is None
@@ -84,15 +84,15 @@
     # the settings and pass them on, as records or, where they keep these
     # no more, as their fold. Then an operator changes a value: the host
     # hears that it is behind, asks, and has the new revision too.
-    monkeypatch.setattr(spread, "LOOK_S", 0.05)
-    monkeypatch.setattr(recent, "BEHIND_S", 0.1)
-    monkeypatch.setattr(recent, "PAGE_BYTES", 700)
+    monkeypatch.setattr(config_gossip, "LOOK_S", 0.05)
+    monkeypatch.setattr(record_cache, "BEHIND_S", 0.1)
+    monkeypatch.setattr(record_cache, "PAGE_BYTES", 700)
     async with clusters.Cluster(engines=1, hosts=2) as cluster:
         for host in cluster.hosts.values():
             await until(host, 3)
             if not kept:
-                host.part("entry", spread.Spread).recent.clear()
-                host.part("batch", spread.Spread).recent.clear()
+                host.part("entry", config_gossip.Spread).recent.clear()
+                host.part("batch", config_gossip.Spread).recent.clear()
         host = cluster.add_host("host-9", "zone-0")
         nowhere = dataclasses.replace(
             host.config.log, address=clusters.free_address()
@@ -109,10 +109,10 @@
         view = host.part("entry", tree.Tree).view
         assert view.by_model[clusters.MODEL].get("limit.queue") == 7
         # What leaves a gap, or is old, changes nothing.
-        held = host.part("entry", spread.Spread)
+        held = host.part("entry", config_gossip.Spread)
         body = log.LogRecord(9, 1.0, b"x").body
         for offset in (9, 0):
             assert not held.take_records(
-                (spread.PassedRecord(offset, 1.0, body),)
+                (config_gossip.PassedRecord(offset, 1.0, body),)
             )
         assert held.journal.fold.next == 4
--- a/tests/test_enginelives.py
+++ b/tests/test_enginelives.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies
 import pytest
 
+from camphortray import active_config
 from camphortray import engine_registry
-from camphortray import inforce
 from camphortray import ledger
 from camphortray import slot_client
 from tests import platformkit
@@ -25,7 +25,7 @@
 
 def lives(host):
     """Return the lives that take new work on a host."""
-    engines = host.part(inforce.InForce).engines
+    engines = host.part(active_config.ActiveConfig).engines
     return {entry.name for entry in engines.usable(SERVICE)}
 
 
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -8,12 +8,12 @@
 from camphortray_platform import settings
 import pytest
 
+from camphortray import active_config
 from camphortray import config as configs
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import handover
 from camphortray import httpclient
-from camphortray import inforce
 from camphortray import routemap
 from camphortray import slot_client
 from camphortray import slot_scheduler
@@ -122,7 +122,7 @@
 def kept_connections(on):
     part = slot_client.SlotClient.__new__(slot_client.SlotClient)
     part.experiments = on
-    part.inforce = types.SimpleNamespace(
+    part.active_config = types.SimpleNamespace(
         view=routemap.NOTHING, dialect=types.SimpleNamespace(plugin="p")
     )
     part.members = types.SimpleNamespace(live=lambda role: [])
@@ -146,7 +146,7 @@
 
 
 def peers_word(on):
-    part = inforce.InForce.__new__(inforce.InForce)
+    part = active_config.ActiveConfig.__new__(active_config.ActiveConfig)
     part.context = context_of(on)
     part.clock = part.context.clock
     part.reached_at = 90.0
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -59,7 +59,7 @@
     parts = forwarder.ForwarderParts(
         clock,
         hostkit.Parties(hostkit.ScriptedEngines(script)),
-        hostkit.InForce([route]),
+        hostkit.ActiveConfig([route]),
         slots,
         hostkit.CrashReports(),
         metrics.Metrics(),
--- a/tests/test_invalid_entries.py
+++ b/tests/test_invalid_entries.py
@@ -2,7 +2,7 @@
 
 import json
 
-from camphortray_platform import dialect
+from camphortray_platform import config_decoder
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -11,9 +11,9 @@
 from camphortray import errors
 from camphortray import invalid_entries
 from camphortray import ledger
-from tests import test_inforce
+from tests import test_active_config
 
-DIALECT = dialect.PlatformDialect()
+DIALECT = config_decoder.PlatformDialect()
 SOUND = {
     "service": "s",
     "address": "10.0.0.1:80",
@@ -101,7 +101,7 @@
 
 def follower():
     """Return what is in force on a host that reads the registry."""
-    part = test_inforce.held()
+    part = test_active_config.held()
     part.dialect = DIALECT
     part.strays = invalid_entries.InvalidEntries()
     for name in list(part.engines.entries):
--- a/tests/test_item_stall_detector.py
+++ b/tests/test_item_stall_detector.py
@@ -38,7 +38,7 @@
     owner = await owned.ready()
     await owner.submit(test_partition_owner.part_of(count=2))
     assert await stages(owner) == {Stage.RUN: 2}
-    owner.parts.inforce.routes.by_host.clear()
+    owner.parts.active_config.routes.by_host.clear()
     await owner.submit(test_partition_owner.part_of("j2", count=1))
     assert await stages(owner) == {Stage.RUN: 2, Stage.ROUTE: 1}
     owner.ledger.down = True
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -144,11 +144,11 @@
     # its jobs before the configuration: it knows no route, and gave the
     # items up at once, although the operator had taken no route away.
     work = work_of([hostkit.Answer(hostkit.events(1, 1))], routes=())
-    work.parts.inforce.view = routemap.NOTHING
+    work.parts.active_config.view = routemap.NOTHING
     task = asyncio.ensure_future(work.run())
     await asyncio.sleep(30.0)
     assert not task.done()
-    held = work.parts.inforce
+    held = work.parts.active_config
     held.view = routemap.Configuration(1)
     held.routes = routemap.RouteMap([hostkit.BATCH_ROUTE])
     assert (await task).state is DONE
@@ -157,10 +157,10 @@
 async def test_items_of_a_route_that_was_taken_away_are_given_up():
     work = work_of([], routes=())
     task = asyncio.ensure_future(work.run())
-    work.parts.inforce.away = True
+    work.parts.active_config.away = True
     await asyncio.sleep(30.0)
     assert not task.done()
-    work.parts.inforce.away = False
+    work.parts.active_config.away = False
     assert (await task).state is ABANDONED
 
 
@@ -180,7 +180,7 @@
     )
     work = work_of([leaving, hostkit.Answer(hostkit.events(1, 1))])
     await work.run()
-    assert work.parts.inforce.left == ["e0"]
+    assert work.parts.active_config.left == ["e0"]
 
 
 async def test_an_item_whose_route_moved_while_it_waited_goes_elsewhere():
@@ -194,7 +194,7 @@
     acquire = slots.acquire
 
     async def late(service, want, on_revoke=None):
-        held = work.parts.inforce
+        held = work.parts.active_config
         held.routes = routemap.RouteMap([moved])
         return await acquire(service, want, on_revoke)
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -70,7 +70,7 @@
     "plan",
     "poison",
     "prefix",
-    "recent",
+    "record_cache",
     "records",
     "resume",
     "retry",
@@ -98,22 +98,23 @@
 RETIRED = frozenset(
     """
     BreakBook Breaks CallKeeper CallWatch CatchUp Courier Desk Desks
-    EngineBook Home HostRoll JobBook JobDesk JobOwner JobOwners JobWaiting
-    Knowledge LeavingBook ListPace Neighbours OpenItems Orphans OwnerBook
-    OwnerWord Passage PassageParts PlaceAsk PlaceEnd PlaceReport PlaceWord
-    Placement Placing Recall Recalls SlotAudit SlotBook SlotUse
-    StrayEntries Taker WantText Watch look_at_engines on_turn take_grant
-    take_recall take_word trust_again
+    EngineBook Home HostRoll InForce InForceAnswer InForceAsk JobBook
+    JobDesk JobOwner JobOwners JobWaiting Knowledge LeavingBook ListPace
+    Neighbours OpenItems Orphans OwnerBook OwnerWord Passage PassageParts
+    PlaceAsk PlaceEnd PlaceReport PlaceWord Placement Placing Recall
+    Recalls SlotAudit SlotBook SlotUse StrayEntries Taker WantText Watch
+    look_at_engines on_turn take_grant take_recall take_word trust_again
     """.split()
 )
 RETIRED_MODULES = frozenset(
     """
-    breakbook breaks callkeeper callwatch catchup courier enginebook
-    exchange hello hostroll intake itemfate itemwatch jobbook jobdesk
-    jobowner jobowners jobwaiting knowledge leaving listpace neighbours
-    openitems orphans ownerbook passage placements placing placingcalls
-    placingreports recalls recording slotaudit slotbook slotcoordinators
-    slotdesk slotuse slotwants strays taking watch window
+    breakbook breaks callkeeper callwatch catchup courier dialect
+    enginebook exchange hello hostroll inforce intake itemfate itemwatch
+    jobbook jobdesk jobowner jobowners jobwaiting knowledge leaving
+    listpace neighbours openitems orphans ownerbook passage placements
+    placing placingcalls placingreports recalls recent recording slotaudit
+    slotbook slotcoordinators slotdesk slotuse slotwants spread strays
+    taking watch window
     """.split()
 )
 FORBIDDEN = frozenset({"asyncio", "select", "socket", "ssl", "time"})
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -11,9 +11,9 @@
 
 import pytest
 
+from camphortray import config_gossip
 from camphortray import granting
 from camphortray import slots
-from camphortray import spread
 from tests import jobcluster
 from tests import sources
 
@@ -71,7 +71,7 @@
         (slots.Slots, "ask"),
         (granting.Granting, "report"),
         (granting.Granting, "busy"),
-        (spread.Spread, "fetch"),
+        (config_gossip.Spread, "fetch"),
     ],
 )
 async def test_a_job_is_done_though_a_loop_meets_an_odd_error(
@@ -94,4 +94,4 @@
         )
         told = await cluster.ended(job["id"])
         assert told["done"] == 8
-        assert met or part is spread.Spread
+        assert met or part is config_gossip.Spread
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 
-from camphortray_platform import dialect
+from camphortray_platform import config_decoder
 from camphortray_platform import settings
 from camphortray_platform import store
 import pytest
@@ -280,7 +280,7 @@
             ],
         }
     ).encode()
-    found = dialect.PlatformDialect().configuration("config", text)
+    found = config_decoder.PlatformDialect().configuration("config", text)
     (route,) = found.routes
     assert found.revision == 7
     assert route.timeout_s == 5.0
@@ -288,13 +288,15 @@
     assert route.gap_s == 0.45
     services = [route.service_of(str(n)) for n in range(1000)]
     assert 50 < services.count("s2") < 200
-    assert dialect.PlatformDialect().configuration("other", text) is None
+    assert (
+        config_decoder.PlatformDialect().configuration("other", text) is None
+    )
 
 
 @pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"version":"x"}'])
 def test_what_is_no_configuration_is_told(value):
     with pytest.raises(errors.RecordError):
-        dialect.PlatformDialect().configuration("config", value)
+        config_decoder.PlatformDialect().configuration("config", value)
 
 
 def test_an_engine_that_is_not_ready_drains():
@@ -306,6 +308,8 @@
         "sequence": 4,
         "slots": 8,
     }
-    entry = dialect.PlatformDialect().engine("i-1", json.dumps(value).encode())
+    entry = config_decoder.PlatformDialect().engine(
+        "i-1", json.dumps(value).encode()
+    )
     assert entry.draining
     assert (entry.name, entry.slots, entry.sequence) == ("i-1", 8, 4)
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -250,8 +250,8 @@
         (host,) = platform.hosts
         (engine,) = platform.engines.values()
         await platform.store.configure(5, routes)
-        inforce = host.part(slot_client.SlotClient).inforce
-        await platform.until(lambda: inforce.view.revision == 5)
+        active_config = host.part(slot_client.SlotClient).active_config
+        await platform.until(lambda: active_config.view.revision == 5)
         path = platformkit.BATCH_PREFIX + "j"
         send = [("Attempt-Id", "j")]
         status, _, told = await host.call("POST", path, send, job_body(3))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -96,13 +96,13 @@
         assert status == 404
         routes = [platformkit.route("n", "/new1/", "streaming")]
         await platform.store.configure(9, routes)
-        inforce = host.part(slot_client.SlotClient).inforce
-        await platform.until(lambda: inforce.view.revision == 9)
+        active_config = host.part(slot_client.SlotClient).active_config
+        await platform.until(lambda: active_config.view.revision == 9)
         status, _, body = await host.call("POST", "/new1/q", ASK)
         assert (status, body) == (200, whole())
         await platform.store.configure(8)
         await asyncio.sleep(0.05)
-        assert inforce.view.revision == 9
+        assert active_config.view.revision == 9
 
 
 async def test_a_draining_engine_gets_nothing_new():
@@ -110,7 +110,7 @@
         (host,) = platform.hosts
         leaving = platform.engines["i-0"]
         await platform.register(leaving, state="draining", sequence=2)
-        book = host.part(slot_client.SlotClient).inforce.engines
+        book = host.part(slot_client.SlotClient).active_config.engines
         await platform.until(
             lambda: len(book.usable(platformkit.SERVICE)) == 1
         )
--- a/tests/test_ways_out.py
+++ b/tests/test_ways_out.py
@@ -7,11 +7,11 @@
 from camphortray_platform import store
 import pytest
 
+from camphortray import active_config
 from camphortray import clock as clocks
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import httpclient
-from camphortray import inforce
 from camphortray import ledger
 from camphortray import membership
 from camphortray import metrics
@@ -306,7 +306,7 @@
     by_class = {
         membership.Membership: members,
         outer.LedgerOuter: parts.outer,
-        inforce.InForce: parts.inforce,
+        active_config.ActiveConfig: parts.active_config,
         slot_client.SlotClient: parts.slots,
         peers.Peers: types.SimpleNamespace(on=lambda cls, handler: None),
     }
