--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -189,12 +189,12 @@
         return report.running + report.waiting
 
     def exclude(self, name: str) -> None:
-        """Turn to others than a silent coordinator for a while."""
+        """Do not consider an unresponsive coordinator for a while."""
         LOG.warning("Coordinator {} does not answer; excluded.", name)
         self.coordinators.exclude(name, self.clock.monotonic())
 
     def on_member(self, member: membership.Member) -> None:
-        """Choose coordinators anew."""
+        """Elect coordinators anew if a member's change may matter."""
         if member.dead:
             self.served.drop(member.name)
         self.coordinators.on_member(member, self.clock.monotonic())
