--- a/bench/rest.py
+++ b/bench/rest.py
@@ -26,7 +26,7 @@
 
 def count_messages(counts: collections.Counter[str]) -> None:
     """Count the messages that links send, by class."""
-    ask, tell = links.Link.ask, links.Link.notify
+    ask, notify = links.Link.ask, links.Link.notify
 
     async def counted_ask(
         self: links.Link, message: Any, timeout_s: float
@@ -34,12 +34,12 @@
         counts[type(message).__name__] += 1
         return await ask(self, message, timeout_s)
 
-    def counted_tell(self: links.Link, message: Any) -> None:
+    def counted_notify(self: links.Link, message: Any) -> None:
         counts[type(message).__name__] += 1
-        tell(self, message)
+        notify(self, message)
 
     links.Link.ask = counted_ask  # type: ignore[method-assign]
-    links.Link.notify = counted_tell  # type: ignore[method-assign]
+    links.Link.notify = counted_notify  # type: ignore[method-assign]
 
 
 async def renew(platform: platformkit.Platform) -> None:
--- a/camphortray/cluster.py
+++ b/camphortray/cluster.py
@@ -24,7 +24,7 @@
 
 LOOPBACK = "127.0.0.1"
 REGION = "cantabria"
-SERVICE = "lessor-assist"
+SERVICE = "assist"
 MODEL = "assist-lm"
 PLAIN = "fitters"
 WORKSPACE = "home-1"
--- a/camphortray/crash_counter.py
+++ b/camphortray/crash_counter.py
@@ -2,7 +2,7 @@
 
 __all__ = ["CrashCounter"]
 
-# CrashReports at which a request counts as the cause. Engines that crash take
+# Crashes at which a request counts as the cause. Engines that crash take
 # other requests with them, and some lose an answer now and then: one
 # request meets three of these by chance about never.
 MOST_BREAKS = 3
--- a/camphortray/crash_reports.py
+++ b/camphortray/crash_reports.py
@@ -1,4 +1,4 @@
-"""CrashReports of engines at requests, told over all hosts."""
+"""Crashes of engines at requests, counted over all hosts."""
 
 __all__ = ["CrashReports"]
 
@@ -13,7 +13,7 @@
 
 @kernel.PARTS.register("host")
 class CrashReports(kernel.Part):
-    """CrashReports of all requests, over all hosts.
+    """Crashes at all requests, over all hosts.
 
     Attributes:
       book: What is known here.
--- a/camphortray/failure_detector.py
+++ b/camphortray/failure_detector.py
@@ -69,7 +69,7 @@
         self.dead_at: dict[str, float] = {}
 
     def set_targets(self, names: set[str], now: float) -> None:
-        """FailureDetector these members, spread evenly over the interval."""
+        """Watch these members, spread evenly over the interval."""
         for name in self.due_at.keys() - names:
             del self.due_at[name]
             self.retells.pop(name, None)
--- a/camphortray/gossip_repair.py
+++ b/camphortray/gossip_repair.py
@@ -21,7 +21,7 @@
 
 
 class GossipRepair:
-    """Overlay that may lack news.
+    """Neighbours that may lack news.
 
     News goes once to each neighbour there is at that moment. What was told
     before a member became a neighbour, and what was dropped as the neighbour
--- a/camphortray/item_retry.py
+++ b/camphortray/item_retry.py
@@ -11,7 +11,7 @@
 NEVER = frozenset({422})
 # An engine's own failure at the item.
 FAILED = frozenset({500})
-# CrashReports at which an item counts as the cause, and how long it then keeps
+# Crashes at which an item counts as the cause, and how long it then keeps
 # away from engines, in seconds: it may be run again, but seldom.
 BREAKS = 3
 BARRED_S = 15.0
--- a/camphortray/overlay.py
+++ b/camphortray/overlay.py
@@ -6,7 +6,7 @@
 from camphortray import ring
 
 WATCHERS = 3
-# Overlay in the own availability zone, so that a zone that is cut off
+# Neighbours in the own availability zone, so that a zone that is cut off
 # still spreads news among its own.
 ZONE_NEIGHBOURS = 2
 # Doubts that make a member suspected.
--- a/tests/breakrig.py
+++ b/tests/breakrig.py
@@ -36,7 +36,7 @@
 
 
 class Break:
-    """CrashReports one step so many times; it is sound afterwards.
+    """Breaks one step so many times; it is sound afterwards.
 
     Attributes:
       armed: Whether it breaks from now on.
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -122,7 +122,7 @@
 
 
 class CrashReports:
-    """CrashReports told, and what is barred."""
+    """Crashes reported, and what is barred."""
 
     def __init__(self):
         self.told = []
