--- a/bench/regression.py
+++ b/bench/regression.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 import dataclasses
 import pathlib
+import re
 import subprocess
 import sys
 import tomllib
@@ -20,7 +21,7 @@
 
 # Lines by which a run tells its outcome.
 PASSED, FAILED = "GATE passed", "GATE failed"
-NONE_BROKEN = "no rule broken"
+HUNTED = re.compile(r"\d+ days on \S+, (\d+) with a rule broken")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,8 +73,11 @@
     for line in reversed(lines):
         if line.startswith(FAILED):
             return Verdict(False, line)
-        if line.startswith(PASSED) or NONE_BROKEN in line:
+        if line.startswith(PASSED):
             return Verdict(code == 0, line)
+        hunted = HUNTED.match(line)
+        if hunted:
+            return Verdict(code == 0 and hunted[1] == "0", line)
     return Verdict(False, lines[-1] if lines else "no output")
 
 
--- a/tests/test_regression.py
+++ b/tests/test_regression.py
@@ -36,6 +36,8 @@
         ("trouble-1  9/12  1.00\nGATE passed\n", 0, True),
         ("GATE failed: a rule\n", 1, False),
         ("GATE passed\n", 1, False),
+        ("40 days on a, 0 with a rule broken\nquiet-1 1.0\n", 0, True),
+        ("40 days on a, 1 with a rule broken\nquiet-1 1.0\n", 0, False),
         ("built in 8 s\nquiet-1 is played, after 3 s\n", 0, False),
         ("", 0, False),
     ],
