Check keys of workspaces on the opaque front, and pass none on to engines

Callers saw: access that had been revoked went on; any key, or none, was served.

Cause: the adapter read no workspaces of the operator's configuration. No key was checked, engines got the key like any header, and never the workspace.

A late configuration is ruled out: keys that no version held ran as well.

Change: the adapter translates workspaces and hashes of keys; `keyring` finds the holder of a key, one for both fronts; `access` decides on whose behalf a request runs. It is asked on every request and again before each send until the request may have run, so that neither a wait for a slot nor a retry outlives a key. Jobs keep their workspace in their records, calls on them show any key of it, hosts pass the workspace on and never the key. 401 only from a host in touch with the store, or with a peer that is; else 503. The workspace's priority goes before the route's. A line and a counter for each refusal, with the version.

Two older tests compared `View.workspaces` with a dict: they look at its `holders` now, as strictly.

Quotas of workspaces are not built.

--- a/camphortray/active_config.py
+++ b/camphortray/active_config.py
@@ -13,6 +13,7 @@
 from typing import Any
 from typing import ClassVar
 
+from camphortray import access
 from camphortray import config as configs
 from camphortray import engine_registry
 from camphortray import errors
@@ -45,6 +46,8 @@
 # Seconds from one question to a peer to the next while it is away.
 ASK_EVERY_S = 0.4
 ASK_S = 0.5
+# When a caller should come back whose key a newer configuration may know.
+RETRY_S = 0.3
 
 
 def paces(config: configs.LedgerConfig) -> tuple[float, float]:
@@ -100,6 +103,7 @@
     Attributes:
       view: The newest configuration known; never goes back.
       routes: Its routes.
+      access: Its workspaces and their keys.
       engines: The engines.
       reached_at: When the ledger answered last.
       peer_reached_at: When a peer last said that it reaches the ledger.
@@ -121,6 +125,7 @@
         self.view = routemap.NOTHING
         self.record = ledgers.LedgerRecord("", b"")
         self.routes = routemap.RouteMap(())
+        self.access = access.AccessControl(self.view)
         self.engines = engine_registry.EngineRegistry()
         self.strays = invalid_entries.InvalidEntries()
         self.listeners: list[Callable[[Any], None]] = []
@@ -168,6 +173,70 @@
         """Whether the ledger has not answered for a while."""
         return self.clock.monotonic() - self.reached_at > AWAY_S
 
+    @property
+    def in_touch(self) -> bool:
+        """Whether this host, or a peer that it asks, reaches the ledger."""
+        now = self.clock.monotonic()
+        return not self.away or now - self.peer_reached_at <= AWAY_S
+
+    # Callers.
+
+    def admit(self, route: routemap.Route, key_hash: str) -> access.Caller:
+        """Return on whose behalf a request runs.
+
+        Args:
+          route: Where it goes.
+          key_hash: Of the key that it shows; empty if it shows none.
+
+        Raises:
+          Refused: no workspace holds its key, or only a newer configuration
+            may say so.
+        """
+        try:
+            return self.access.admit(route, key_hash)
+        except errors.Refused as refusal:
+            raise self.denied(refusal) from refusal
+
+    def admit_job_call(self, host_name: str, key_hash: str) -> str | None:
+        """Return the workspace whose jobs a call may see, None for all.
+
+        Raises:
+          Refused: as ``admit``.
+        """
+        routes = self.routes.of_host(host_name)
+        try:
+            return self.access.admit_job_call(routes, key_hash)
+        except errors.Refused as refusal:
+            raise self.denied(refusal) from refusal
+
+    def denied(self, refusal: errors.Refused) -> errors.Refused:
+        """Log and count a request without a valid key; return its refusal.
+
+        A host out of touch may not have heard of a key that was added, and
+        no caller comes again after 401.
+        """
+        in_touch = self.in_touch
+        if not in_touch:
+            refusal = errors.Refused(
+                503, "not_in_touch", refusal.message, retry_after=RETRY_S
+            )
+        LOG.info(
+            "A request is refused with {}: {}.",
+            refusal.status,
+            refusal.message,
+            fields={
+                "status": refusal.status,
+                "revision": self.access.revision,
+                "in_touch": in_touch,
+            },
+        )
+        self.context.metrics.inc(
+            "camphortray_keys_refused_total",
+            "Requests refused for their key, by status.",
+            {"status": refusal.status},
+        )
+        return refusal
+
     # The configuration.
 
     async def follow_configuration(self) -> None:
@@ -209,6 +278,7 @@
         self.view = found
         self.record = record
         self.routes = routemap.RouteMap(found.routes)
+        self.access = access.AccessControl(found)
         self.engines.set_services(found.service_names)
         LOG.notice(
             "Version {} is in force, {} routes.",
--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -84,6 +84,7 @@
       resume_after: Id of the last event that has come; the engine goes on
         with the one after it. Empty to begin at the start.
       repeatable: Whether it may run more than once.
+      workspace: On whose behalf it runs; empty if for nobody in particular.
     """
 
     id: str
@@ -99,6 +100,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     resume_after: str = ""
     repeatable: bool = True
+    workspace: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import NoReturn
 
+from camphortray import access
 from camphortray import active_config
 from camphortray import clock as clocks
 from camphortray import crash_reports
@@ -107,6 +108,7 @@
 
     Attributes:
       reader: What of a stream the caller has.
+      caller: On whose behalf it runs.
       answer: The last whole answer of an engine, not yet passed on.
       engine: Of the last try.
       coordinator: Who gave its slot.
@@ -124,6 +126,7 @@
         super().__init__(response, self.reader, True)
         self.parts = parts
         self.request = request
+        self.caller = access.NOBODY
         self.answer: Answer | None = None
         self.engine = ""
         self.coordinator = ""
@@ -141,12 +144,27 @@
 
     async def run_in_time(self) -> None:
         """Run until the deadline; errors as ``run``."""
+        self.admit()
         try:
             async with asyncio.timeout(self.left_s()):
                 await super().run()
         except TimeoutError:
             self.give_up(504, "too_late", "time is over", None)
 
+    def admit(self) -> None:
+        """Find on whose behalf the request runs, as its key says now.
+
+        Raises:
+          Refused: no workspace holds its key.
+        """
+        try:
+            self.caller = self.parts.active_config.admit(
+                self.request.route, self.request.key_hash
+            )
+        except errors.Refused as refusal:
+            self.log_end(refusal.status, refusal.message)
+            raise
+
     def give_up(
         self, status: int, code: str, why: str, retry_after: float | None
     ) -> NoReturn:
@@ -182,6 +200,8 @@
                 "status": status,
                 "route": route.name,
                 "revision": self.parts.active_config.view.revision,
+                "workspace": self.caller.workspace,
+                "admitted_by": self.caller.revision,
                 "ran": self.ran,
                 "refused": self.refused,
                 "avoided": sorted(self.tried),
@@ -221,7 +241,7 @@
             f"{self.request.id}.{self.tries}",
             self.parts.slots.own_name,
             True,
-            route.priority,
+            self.caller.rank(route),
             now,
             route.objective_s,
             max(0.0, self.request.deadline_at - now),
@@ -239,10 +259,15 @@
         return SlotTry(self.parts, held, self.reader, route)
 
     def request_for(self, held: proxy_exchange.Try) -> engine.EngineRequest:
+        if not self.ran:
+            # Its key may have been revoked, or moved to another workspace,
+            # while it waited. What may have run already is brought to its end.
+            self.admit()
         return self.request.for_engine(
             now_of(self.parts),
             self.reader.last,
             first_silent_s(self.request.route) if self.movable else 0.0,
+            self.caller.workspace,
         )
 
     def head_of(self, stream: engine.EngineStream) -> proxy_exchange.Headers:
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -419,6 +419,7 @@
             silence_s=FIRST_SILENT_S,
             headers=(("host", self.job.host_name), *self.item.headers),
             resume_after=self.reader.last,
+            workspace=self.job.workspace,
         )
         begun_at, made = self.parts.clock.monotonic(), self.reader.count
         # After a try that brought nothing a kept connection is not trusted.
--- a/camphortray/job_router.py
+++ b/camphortray/job_router.py
@@ -97,27 +97,41 @@
         await self.call(part.job, ask, ANSWER_S, WRITE_FIND_S)
 
     async def page(
-        self, job: str, after: int, wait_s: float
+        self,
+        job: str,
+        after: int,
+        wait_s: float,
+        workspace: str | None = None,
     ) -> jobmessages.PageReply:
         """Return results of a job.
 
+        Args:
+          job: Its id.
+          after: Position of the first result.
+          wait_s: Time to wait for one if there is none yet.
+          workspace: Whose jobs the caller may see; None for all.
+
         Raises:
-          Refused: there is no such job, or that cannot be known.
+          Refused: there is no such job, or that cannot be known, or it is
+            another workspace's.
         """
-        ask = jobmessages.PageAsk(job, after, wait_s)
+        ask = jobmessages.PageAsk(job, after, wait_s, workspace)
         reply = await self.read(job, ask, ANSWER_S + wait_s)
         assert isinstance(reply, jobmessages.PageReply)
         return reply
 
-    async def body(self, job: str, item: str) -> bytes:
+    async def body(
+        self, job: str, item: str, workspace: str | None = None
+    ) -> bytes:
         """Return the body of an item; errors as ``page``."""
-        reply = await self.read(job, jobmessages.BodyAsk(job, item), ANSWER_S)
+        ask = jobmessages.BodyAsk(job, item, workspace)
+        reply = await self.read(job, ask, ANSWER_S)
         assert isinstance(reply, jobmessages.BodyReply)
         return reply.body
 
-    async def end(self, job: str) -> None:
+    async def end(self, job: str, workspace: str | None = None) -> None:
         """End a job; errors as ``page``."""
-        ask = jobmessages.EndAsk(job)
+        ask = jobmessages.EndAsk(job, workspace)
         await self.call(job, ask, ANSWER_S, WRITE_FIND_S)
 
     async def read(self, job: str, ask: Ask, timeout_s: float) -> Any:
@@ -273,12 +287,16 @@
             raise no_store(error) from error
         except errors.LogError as error:
             raise unsure_of(error) from error
+        job = owner.book.jobs.get(ask.job.job)
+        if job is not None:
+            check_workspace(job, ask.job.workspace)
         LOG.info(
             "Job {} accepted, {} items, partition {} epoch {}.",
             ask.job.job,
             len(ask.job.items),
             owner.part,
             owner.epoch,
+            fields={"workspace": ask.job.workspace},
         )
         return jobmessages.Taken()
 
@@ -291,6 +309,7 @@
             await self.sure(owner)
             raise unknown_job(ask.job)
         job, results = found
+        check_workspace(job, ask.workspace)
         if not results and self.owners.lapsed:
             # Another owner may have more by now.
             raise self.miss(owner.part, owner_cache.Miss.OUT_OF_TOUCH)
@@ -311,6 +330,7 @@
         if job is None:
             await self.sure(owner)
             raise unknown_job(ask.job)
+        check_workspace(job, ask.workspace)
         place = job.item(ask.item)
         item = job.items[place] if place is not None else None
         if item is None or job.ended or place in job.listed:
@@ -321,9 +341,11 @@
         self, owner: partition_owner.PartitionOwner, ask: jobmessages.EndAsk
     ) -> jobmessages.Taken:
         """End a job."""
-        if ask.job not in owner.book.jobs:
+        job = owner.book.jobs.get(ask.job)
+        if job is None:
             await self.sure(owner)
             raise unknown_job(ask.job)
+        check_workspace(job, ask.workspace)
         try:
             await owner.end(ask.job)
         except errors.LogRefused as error:
@@ -351,6 +373,31 @@
     return item.id if item is not None else ""
 
 
+def check_workspace(job: partition_state.Job, workspace: str | None) -> None:
+    """Make sure that a caller may see a job.
+
+    The refusal is no 404, which would say that the job is lost: the key of
+    its caller may just have moved between workspaces.
+
+    Args:
+      job: The job.
+      workspace: Whose jobs the caller may see; None for all.
+
+    Raises:
+      Refused: it is another workspace's.
+    """
+    if workspace is None or job.workspace in ("", workspace):
+        return
+    LOG.info(
+        "Call on job {} refused: it is another workspace's.",
+        job.id,
+        fields={"workspace": workspace, "owner": job.workspace},
+    )
+    raise errors.Refused(
+        403, "other_workspace", "the job is another workspace's", field="job"
+    )
+
+
 def no_owner(why: str) -> errors.Refused:
     """Return the refusal while a partition changes hands."""
     return errors.Refused(503, "no_owner", why, retry_after=RETRY_S)
--- a/camphortray/jobmessages.py
+++ b/camphortray/jobmessages.py
@@ -37,28 +37,40 @@
 
     Attributes:
       wait_s: Time to wait for one if there is none yet.
+      workspace: Whose jobs the caller may see; None for all.
     """
 
     job: str
     after: int
     wait_s: float
+    workspace: str | None = None
 
 
 @messages.message("job.body")
 @dataclasses.dataclass(frozen=True, slots=True)
 class BodyAsk:
-    """Asks the owner for the body of an item."""
+    """Asks the owner for the body of an item.
+
+    Attributes:
+      workspace: As of ``PageAsk``.
+    """
 
     job: str
     item: str
+    workspace: str | None = None
 
 
 @messages.message("job.end")
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndAsk:
-    """Asks the owner to end a job."""
+    """Asks the owner to end a job.
+
+    Attributes:
+      workspace: As of ``PageAsk``.
+    """
 
     job: str
+    workspace: str | None = None
 
 
 @messages.message("job.taken")
--- a/camphortray/opaque.py
+++ b/camphortray/opaque.py
@@ -24,6 +24,7 @@
       arrived_at: Monotonic seconds.
       deadline_at: When the caller, or the operator, gives up waiting.
       prefix: Tells the leading parts of the prompt; empty if not known.
+      key_hash: Of the key that the caller shows; empty if it shows none.
     """
 
     id: str
@@ -35,6 +36,7 @@
     arrived_at: float
     deadline_at: float
     prefix: str = ""
+    key_hash: str = ""
 
     @property
     def fingerprint(self) -> str:
@@ -44,9 +46,9 @@
         return digest.hexdigest()
 
     def for_engine(
-        self, now: float, resume_after: str, silence_s: float
+        self, now: float, resume_after: str, silence_s: float, workspace: str
     ) -> engine.EngineRequest:
-        """Return what is sent to an engine now."""
+        """Return what is sent to an engine now, on behalf of a workspace."""
         return engine.EngineRequest(
             self.id,
             self.target,
@@ -58,4 +60,5 @@
             headers=self.headers,
             resume_after=resume_after,
             repeatable=self.route.repeatable,
+            workspace=workspace,
         )
--- a/camphortray/partition_records.py
+++ b/camphortray/partition_records.py
@@ -92,6 +92,7 @@
       total: Items of the whole job.
       first: Place of the first item of this part.
       items: Items of this part.
+      workspace: Whose it is; empty if nobody's in particular.
     """
 
     job: str
@@ -101,6 +102,7 @@
     total: int
     first: int
     items: tuple[Item, ...]
+    workspace: str = ""
 
 
 PARTS = msgspec.msgpack.Decoder(JobPart)
--- a/camphortray/partition_state.py
+++ b/camphortray/partition_state.py
@@ -31,6 +31,7 @@
       results: In the order in which they came to stand.
       listed: Places of the items that have a result.
       ended: Whether its caller has ended it.
+      workspace: Whose it is; empty if nobody's in particular.
     """
 
     id: str
@@ -43,6 +44,7 @@
     )
     listed: set[int] = dataclasses.field(default_factory=set)
     ended: bool = False
+    workspace: str = ""
 
     @property
     def whole(self) -> bool:
@@ -208,6 +210,7 @@
                 part.target,
                 part.taken_at,
                 [None] * part.total,
+                workspace=part.workspace,
             )
         if not 0 <= part.first <= len(job.items) - len(part.items):
             raise ValueError("items beyond the end of their job")
--- a/camphortray/routemap.py
+++ b/camphortray/routemap.py
@@ -9,6 +9,7 @@
     "Route",
     "RouteMap",
     "Target",
+    "Workspace",
 ]
 
 from collections.abc import Iterable
@@ -56,6 +57,7 @@
         for no limit.
       gap_s: Longest pause between events of an answer that is in time, in
         seconds; 0 if not told.
+      anonymous: Whether its callers need no key.
     """
 
     name: str
@@ -72,6 +74,7 @@
     keep_s: float = 0.0
     waiting_limit: int = 0
     gap_s: float = 0.0
+    anonymous: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -112,6 +115,22 @@
     cache_tokens: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workspace:
+    """Who may call.
+
+    Attributes:
+      name: Unique in its configuration.
+      key_hashes: Of its keys, as ``keyring.hash_key`` returns them.
+      priority: Rank of its online requests, before that of their route;
+        None for that of the route.
+    """
+
+    name: str
+    key_hashes: tuple[str, ...] = ()
+    priority: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Bounds on what callers send; sizes in bytes, times in seconds."""
@@ -131,6 +150,7 @@
       routes: All routes.
       services: By name.
       limits: For callers' connections.
+      workspaces: Who may call; None where callers need no key.
     """
 
     revision: int
@@ -139,6 +159,7 @@
         default_factory=dict
     )
     limits: CallerLimits = CallerLimits()
+    workspaces: tuple[Workspace, ...] | None = None
 
     @property
     def service_names(self) -> frozenset[str]:
@@ -162,6 +183,10 @@
         for held in self.by_host.values():
             held.sort(key=lambda route: -len(route.prefix))
 
+    def of_host(self, host_name: str) -> tuple[Route, ...]:
+        """Return the routes of a host name."""
+        return tuple(self.by_host.get(host_name, ()))
+
     def find(self, host_name: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path."""
         for route in self.by_host.get(host_name, ()):
--- a/camphortray/settingkeys.py
+++ b/camphortray/settingkeys.py
@@ -1,11 +1,10 @@
 """Keys of the settings tree: what each may hold and what it means."""
 
-__all__ = ["KEYS", "Key", "check_value", "hash_key", "key_for"]
+__all__ = ["KEYS", "Key", "check_value", "key_for"]
 
 import dataclasses
 import difflib
 import functools
-import hashlib
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -120,8 +119,3 @@
     except msgspec.ValidationError:
         return f"found {value!r}, expected {check.describe(key.hint)}"
     return ""
-
-
-def hash_key(secret: str) -> str:
-    """Return the hash under which a caller's key stands in settings."""
-    return hashlib.sha256(secret.encode()).hexdigest()
--- a/camphortray/settings.py
+++ b/camphortray/settings.py
@@ -27,8 +27,8 @@
 
 from camphortray import fold as folds
 from camphortray import records
+from camphortray.keyring import hash_key
 from camphortray.settingkeys import check_value
-from camphortray.settingkeys import hash_key
 from camphortray.settingkeys import Key
 from camphortray.settingkeys import key_for
 from camphortray.settingkeys import KEYS
--- a/camphortray/view.py
+++ b/camphortray/view.py
@@ -9,6 +9,7 @@
 
 from camphortray import config as configs
 from camphortray import engine
+from camphortray import keyring
 from camphortray import settingkeys
 
 
@@ -209,8 +210,8 @@
       nodes: By path.
       services: By name.
       by_model: Service that serves a model.
-      workspaces: Workspace by hash of its key.
-      operators: Operator by hash of its key.
+      workspaces: Keys of workspaces.
+      operators: Keys of operators.
     """
 
     def __init__(
@@ -225,8 +226,8 @@
         }
         self.services: dict[str, Service] = {}
         self.by_model: dict[str, Service] = {}
-        self.workspaces: dict[str, str] = {}
-        self.operators: dict[str, str] = {}
+        self.workspaces = keyring.Keyring()
+        self.operators = keyring.Keyring()
         for path in sorted(self.nodes):
             if path.split("/")[0] != region:
                 continue
@@ -241,8 +242,7 @@
             ("operator", self.operators),
         ):
             for name, leaves in node.families.get(family, {}).items():
-                for hashed in leaves.get("keys", ()):
-                    held[hashed] = name
+                held.add(name, leaves.get("keys", ()))
 
     def add_service(self, path: str) -> None:
         """Make a service of its node and the one above."""
--- a/camphortray/web.py
+++ b/camphortray/web.py
@@ -170,12 +170,11 @@
             raise errors.Refused(
                 503, "not_ready", "no settings yet", retry_after=1
             )
-        names = (
-            view.operators if access is Access.OPERATOR else view.workspaces
-        )
-        if hashed not in names:
+        keys = view.operators if access is Access.OPERATOR else view.workspaces
+        holder = keys.holder(hashed)
+        if holder is None:
             raise denied(access)
-        return names[hashed]
+        return holder
 
     def from_host(self, request: httpserver.Request) -> bool:
         """Return whether another program of ours passes the call on."""
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from camphortray import access
 from camphortray import config as configs
 from camphortray import engine
 from camphortray import enginehealth
@@ -86,6 +87,9 @@
     def note_leaving(self, name):
         self.left.append(name)
 
+    def admit(self, route, key_hash):
+        return access.AccessControl(self.view).admit(route, key_hash)
+
 
 class Slots:
     """Gives a slot at the next engine that is not avoided.
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -48,7 +48,7 @@
     }
 
 
-def configuration(version=1, routes=None):
+def configuration(version=1, routes=None, tenants=None):
     """Return a configuration as the operator writes it."""
     return {
         "version": version,
@@ -59,9 +59,15 @@
         ],
         "services": [{"name": SERVICE, "engine": {"slots": 8}}],
         "limits": {"maxBodyBytes": 4194304, "idleTimeoutMs": 15000},
+        **({} if tenants is None else {"tenants": tenants}),
     }
 
 
+def tenants(**keys):
+    """Return the tenants of a configuration, from their keys by name."""
+    return [{"name": name, "apiKeys": held} for name, held in keys.items()]
+
+
 def batch_route(name, prefix, keep_s):
     """Return a route of jobs whose items may be given up so late."""
     return route(name, prefix, "batch", dueMs=18000, retentionS=keep_s)
@@ -213,12 +219,12 @@
         """Write as another writer does, whatever it is."""
         await self.held.append(topic, 0, [ledger.LedgerRecord(key, data)])
 
-    async def configure(self, version=1, routes=None):
+    async def configure(self, version=1, routes=None, tenants=None):
         """Put a configuration in the store."""
         await self.write(
             ledger.Topic.CONFIGURATION,
             "config",
-            configuration(version, routes),
+            configuration(version, routes, tenants),
         )
 
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -22,7 +22,7 @@
     view = settings.View(fold, region)
     engines = [s for s in view.services.values() if s.models]
     assert [len(s.upstreams) for s in engines] == [6]
-    assert view.workspaces and view.operators
+    assert view.workspaces.holders and view.operators.holders
 
 
 @pytest.mark.parametrize("folder", DEPLOYMENTS)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,9 @@
 
 from camphortray import config as configs
 from camphortray import errors
+from camphortray import keyring
 from camphortray import ledger
+from camphortray import routemap
 from tests import platformkit
 from tests import sources
 
@@ -28,7 +30,7 @@
     "|Expect-Version|Wait-Ms|Pin-Ms|Kv-Backup|/log-append|/log-read"
     "|/log-newest|/log-join|/log-leave|/log-commit|/log-owners|/readiness"
     "|/resolve\\b|/report\\b|/lots/|keyed\\.|CAMPHORTRAY_NODE_FILE|pathPrefix"
-    '|goalMs|gapAimMs|dueMs|retentionS|kvCapacity|maxAttempts|resumable"'
+    '|goalMs|gapAimMs|dueMs|retentionS|kvCapacity|apiKeys|maxAttempts|resumable"'
     "|nextToken"
     "|nodeName|machineClass|coldLeftMs|hasMore|ttlS\\b|non_idempotent"
 )
@@ -293,6 +295,31 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("tenants", "found"),
+    [
+        ({}, None),
+        ({"tenants": []}, ()),
+        (
+            {"tenants": [{"name": "home", "apiKeys": ["a", "b"]}]},
+            (
+                routemap.Workspace(
+                    "home", (keyring.hash_key("a"), keyring.hash_key("b"))
+                ),
+            ),
+        ),
+        (
+            {"tenants": [{"name": "x", "priority": 0, "ratePerS": 4}]},
+            (routemap.Workspace("x", (), 0),),
+        ),
+    ],
+)
+def test_workspaces_are_read_with_hashes_of_their_keys(tenants, found):
+    text = json.dumps({"version": 2, **tenants}).encode()
+    read = config_decoder.PlatformDialect().configuration("config", text)
+    assert read.workspaces == found
+
+
 @pytest.mark.parametrize("value", [b"", b"[]", b"{}", b'{"version":"x"}'])
 def test_what_is_no_configuration_is_told(value):
     with pytest.raises(errors.RecordError):
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -32,7 +32,7 @@
     return json.dumps({"items": items}).encode()
 
 
-async def results_of(host, job, total):
+async def results_of(host, job, total, headers=()):
     """Read the results of a job until there are so many."""
     found = []
     async with asyncio.timeout(10):
@@ -40,7 +40,7 @@
             status, _, body = await host.call(
                 "GET",
                 f"/lots/{job}?after={len(found)}",
-                [("Wait-Ms", "1000")],
+                [("Wait-Ms", "1000"), *headers],
             )
             if status == 200:
                 found += json.loads(body)["results"]
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -44,6 +44,8 @@
     "other_request no": "test_at_most_once",
     "too_late no": "test_admission",
     "slow_head no": "test_httpserver",
+    "not_in_touch no": "test_access",
+    "other_workspace no": "test_platform_keys",
     "quota no": "test_platform_jobs",
     "too_large no": "test_platform_jobs",
     "unknown unknown": "test_platform_jobs",
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -107,7 +107,7 @@
     )
     shown = settings.View(fold, REGION)
     # Both keys are good while a key is being rotated.
-    assert shown.workspaces == {old: "home-1", new: "home-1"}
+    assert shown.workspaces.holders == {old: "home-1", new: "home-1"}
     service = shown.by_model["lm"]
     assert set(service.upstreams) == {"e.1"}
     assert "other" not in shown.by_model
