Give the last try of a request all the time that is left

Callers saw: an answer cut off, or 502, with engines well and time left.

Cause: whether another try may follow was asked before the try about to be sent was counted, so that the last one, too, was ended by a limit of silence before its head (two objectives). A silence within the first answer and one before the second head were enough; pauses of the process pass for such silences where engines share them.

Evidence: tests/test_answer_cut.py plays forwarder, HTTP client and engine plug-in on a clock moved by hand with one, two and three pauses at each step of an answer. Silence and an own pause are told from the other ways by a counter and fields of the log line for each (`early_end`); `UpstreamGarbled` tells bytes that are no answer from a close.

--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -48,6 +48,7 @@
         self.idle = False
         self.lost = False
         self.failure = ""
+        self.malformed = False
         self.uses = 0
         self.idle_limit_s = 0.0
         self.on_idle_lost: Callable[[], None] | None = None
@@ -93,6 +94,7 @@
             self.pump(len(data))
         except h11.RemoteProtocolError as error:
             self.failure = f"malformed answer: {error}"
+            self.malformed = True
             self.abort()
         if self.sink is None or self.complete or self.lost:
             self.wake()
@@ -188,8 +190,22 @@
                 ran=True,
                 step=step,
                 peer=self.peer,
+                paused_s=self.timer.paused_s,
             )
 
+    def broken(self, step: str) -> errors.UpstreamBroken:
+        """Return the error of an answer that ended before it was whole."""
+        kind = (
+            errors.UpstreamGarbled if self.malformed else errors.UpstreamBroken
+        )
+        return kind(
+            self.failure or "connection closed",
+            ran=True,
+            step=step,
+            peer=self.peer,
+            paused_s=self.timer.paused_s,
+        )
+
     def send(self, *events: Any) -> None:
         """Send events in one write."""
         data = b"".join([self.h11.send(event) or b"" for event in events])
--- /dev/null
+++ b/camphortray/early_end.py
@@ -0,0 +1,69 @@
+"""Why a try, or the answer that it was to bring, ended before it was whole."""
+
+__all__ = ["Cause", "cause_of", "count", "fields_of"]
+
+import enum
+from typing import Any
+
+from camphortray import errors
+from camphortray import metrics as metrics_module
+
+
+class Cause(enum.Enum):
+    """Ways in which an answer ends early."""
+
+    SILENCE = "silence"
+    CLOSED = "closed"
+    GARBLED = "garbled"
+    NOT_RUN = "not_run"
+    ENGINE_FAILED = "engine_failed"
+    FAULT = "fault"
+    NO_SLOT = "no_slot"
+    REVOKED = "revoked"
+    TIME_OVER = "time_over"
+    BARRED = "barred"
+
+
+def cause_of(error: errors.UpstreamError) -> Cause:
+    """Return the way in which a try ended.
+
+    >>> cause_of(errors.UpstreamTimeout("silent", ran=True)).value
+    'silence'
+    """
+    if not error.ran:
+        return Cause.NOT_RUN
+    if isinstance(error, errors.UpstreamTimeout):
+        return Cause.SILENCE
+    if isinstance(error, errors.UpstreamGarbled):
+        return Cause.GARBLED
+    if isinstance(error, errors.UpstreamBroken):
+        return Cause.CLOSED
+    if isinstance(error, errors.UpstreamRefused):
+        return Cause.ENGINE_FAILED
+    return Cause.FAULT
+
+
+def fields_of(error: errors.UpstreamError) -> dict[str, Any]:
+    """Return the fields of the log line on a try that ended early."""
+    paused_s = (
+        error.paused_s if isinstance(error, errors.UpstreamBroken) else 0.0
+    )
+    return {
+        "cause": cause_of(error).value,
+        "paused_ms": round(paused_s * 1000),
+    }
+
+
+def count(metrics: metrics_module.Metrics, work: str, cause: Cause) -> None:
+    """Count a try that ended early.
+
+    Args:
+      metrics: Of the process.
+      work: What was tried: ``"request"`` or ``"item"``.
+      cause: Why it ended.
+    """
+    metrics.inc(
+        "camphortray_tries_ended_early_total",
+        "Tries at engines that ended before their answer was whole.",
+        {"work": work, "cause": cause.value},
+    )
--- a/camphortray/errors.py
+++ b/camphortray/errors.py
@@ -19,6 +19,7 @@
     "UpstreamBroken",
     "UpstreamError",
     "UpstreamFault",
+    "UpstreamGarbled",
     "UpstreamRefused",
     "UpstreamTimeout",
     "UpstreamUnsendable",
@@ -180,13 +181,29 @@
 
 
 class UpstreamBroken(UpstreamError):
-    """The connection broke; ``ran`` is False if no byte had left."""
+    """The connection broke; ``ran`` is False if no byte had left.
+
+    Attributes:
+      paused_s: Seconds that this process stood still, as far as it noticed,
+        since the last byte of the answer.
+    """
 
     def __init__(
-        self, message: str, *, ran: bool, step: str = "", peer: str = ""
+        self,
+        message: str,
+        *,
+        ran: bool,
+        step: str = "",
+        peer: str = "",
+        paused_s: float = 0.0,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.ran = ran
+        self.paused_s = paused_s
+
+
+class UpstreamGarbled(UpstreamBroken):
+    """What the upstream sent is no answer, or not one to the request."""
 
 
 class UpstreamUnsendable(UpstreamBroken):
--- a/camphortray/eventstream.py
+++ b/camphortray/eventstream.py
@@ -152,6 +152,6 @@
     return before != after
 
 
-def broken(message: str) -> errors.UpstreamBroken:
+def broken(message: str) -> errors.UpstreamGarbled:
     """Return the error of a stream that cannot be trusted."""
-    return errors.UpstreamBroken(message, ran=True, step="stream")
+    return errors.UpstreamGarbled(message, ran=True, step="stream")
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -10,6 +10,7 @@
 from camphortray import active_config
 from camphortray import clock as clocks
 from camphortray import crash_reports
+from camphortray import early_end
 from camphortray import engine
 from camphortray import enginehealth
 from camphortray import errors
@@ -149,7 +150,8 @@
             async with asyncio.timeout(self.left_s()):
                 await super().run()
         except TimeoutError:
-            self.give_up(504, "too_late", "time is over", None)
+            cause = early_end.Cause.TIME_OVER
+            self.give_up(504, "too_late", "time is over", None, cause)
 
     def admit(self) -> None:
         """Find on whose behalf the request runs, as its key says now.
@@ -166,14 +168,19 @@
             raise
 
     def give_up(
-        self, status: int, code: str, why: str, retry_after: float | None
+        self,
+        status: int,
+        code: str,
+        why: str,
+        retry_after: float | None,
+        cause: early_end.Cause,
     ) -> NoReturn:
-        """End the request without an answer.
+        """End the request without an answer, or cut off one that has begun.
 
         Raises:
           Refused: always.
         """
-        self.log_end(status, why)
+        self.log_end(status, why, cause)
         raise errors.Refused(
             status,
             code,
@@ -182,11 +189,20 @@
             retry_after=retry_after,
         )
 
-    def log_end(self, status: int, why: str) -> None:
+    def log_end(
+        self, status: int, why: str, cause: early_end.Cause | None = None
+    ) -> None:
         """Write the line on how the request ended, with what decided it.
 
         It also feeds the metrics, which count the same ends.
+
+        Args:
+          status: That the caller gets, or would have got if its answer had
+            not begun.
+          why: In words.
+          cause: Of an end without a whole answer of an engine.
         """
+        cut = cause is not None and bool(self.response.status)
         now = now_of(self.parts)
         took_s = now - self.request.arrived_at
         route = self.request.route
@@ -212,8 +228,16 @@
                 "events": self.reader.count,
                 "last_event": self.reader.last,
                 "left_ms": round((self.request.deadline_at - now) * 1000),
+                "cause": cause.value if cause else "",
+                "cut": cut,
             },
         )
+        if cut and cause is not None:
+            self.parts.metrics.inc(
+                "camphortray_answers_cut_total",
+                "Answers cut off after they had begun, by why.",
+                {"cause": cause.value},
+            )
         self.parts.metrics.inc(
             "camphortray_requests_total",
             "Requests by how they ended.",
@@ -234,7 +258,10 @@
         if self.parts.breaks.barred(self.request.fingerprint):
             # 503 would promise that it has not run.
             status = 502 if self.ran else 503
-            self.give_up(status, "quarantined", "it broke engines", None)
+            cause = early_end.Cause.BARRED
+            self.give_up(
+                status, "quarantined", "it broke engines", None, cause
+            )
         route = self.request.route
         now = now_of(self.parts)
         want = slot_scheduler.SlotRequest(
@@ -266,7 +293,10 @@
         return self.request.for_engine(
             now_of(self.parts),
             self.reader.last,
-            first_silent_s(self.request.route) if self.movable else 0.0,
+            # Not counted yet, this try may have run by the time it is silent.
+            first_silent_s(self.request.route)
+            if self.movable_after(self.ran + 1)
+            else 0.0,
             self.caller.workspace,
         )
 
@@ -291,15 +321,27 @@
 
     def no_slot(self, error: errors.NoSlot) -> NoReturn:
         """Refuse: certainly not run, or cut off where it has run."""
+        cause = early_end.Cause.NO_SLOT
         if self.ran:
-            self.give_up(502, "upstream_failed", str(error), None)
-        self.give_up(503, "busy", str(error), error.retry_after_s)
+            self.give_up(502, "upstream_failed", str(error), None, cause)
+        self.give_up(503, "busy", str(error), error.retry_after_s, cause)
 
     def go_on(
         self, held: proxy_exchange.Try, error: errors.UpstreamError
     ) -> bool:
         name = held.upstream.name
-        LOG.info("{} failed at {}: {}", self.request.id, name, error)
+        cause = early_end.cause_of(error)
+        early_end.count(self.parts.metrics, "request", cause)
+        LOG.info(
+            "{} failed at {}: {}",
+            self.request.id,
+            name,
+            error,
+            fields={
+                **early_end.fields_of(error),
+                "events": self.reader.count,
+            },
+        )
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
             self.parts.active_config.note_leaving(name)
         if self.broke(held, error):
@@ -314,10 +356,10 @@
             self.answer.send(self.response)
             self.log_end(self.answer.status, "the engine's own failure")
         elif self.ran:
-            self.give_up(502, "upstream_failed", str(error), None)
+            self.give_up(502, "upstream_failed", str(error), None, cause)
         else:
             wait_s = self.left_s() / 4
-            self.give_up(503, "upstream_refused", str(error), wait_s)
+            self.give_up(503, "upstream_refused", str(error), wait_s, cause)
         return False
 
     @property
@@ -345,8 +387,12 @@
     @property
     def movable(self) -> bool:
         """Whether a try under way may be followed by one more."""
+        return self.movable_after(self.ran)
+
+    def movable_after(self, ran: int) -> bool:
+        """Return whether another try may follow once so many may have run."""
         route = self.request.route
-        return route.repeatable and self.ran < route.max_attempts
+        return route.repeatable and ran < route.max_attempts
 
     async def pass_whole(
         self, stream: engine.EngineStream, held: proxy_exchange.Try
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -93,12 +93,7 @@
                 self.close()
                 return b""
             if connection.lost:
-                raise errors.UpstreamBroken(
-                    connection.failure or "answer was cut off",
-                    ran=True,
-                    step="read",
-                    peer=connection.peer,
-                )
+                raise connection.broken("read")
             await self.wait(timeout_s or self.timeouts.chunk_s)
         return connection.take()
 
@@ -233,12 +228,7 @@
                     self.proofs.note(address, True, now)
             while connection.head is None:
                 if connection.lost:
-                    raise errors.UpstreamBroken(
-                        connection.failure or "connection closed",
-                        ran=True,
-                        step="head",
-                        peer=connection.peer,
-                    )
+                    raise connection.broken("head")
                 seconds = limits.head_s
                 if connection.uses > 1 and limits.kept_head_s:
                     seconds = min(seconds, limits.kept_head_s)
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -7,6 +7,7 @@
 
 from camphortray import active_config
 from camphortray import clock as clocks
+from camphortray import early_end
 from camphortray import engine
 from camphortray import enginehealth
 from camphortray import errors
@@ -325,6 +326,9 @@
         try:
             await asyncio.wait({task})
             if task.cancelled():
+                early_end.count(
+                    self.parts.metrics, "item", early_end.Cause.REVOKED
+                )
                 LOG.info(
                     "Item {} of {} gives way at {} after event {!r}.",
                     self.item.id,
@@ -372,13 +376,18 @@
     ) -> partition_records.Result | None:
         """Take note of a failed run; return a result if it is the last."""
         name = held.upstream.name
+        early_end.count(self.parts.metrics, "item", early_end.cause_of(error))
         LOG.info(
             "Item {} of {} failed at {}: {}",
             self.item.id,
             self.job.id,
             name,
             error,
-            fields={"last_event": self.reader.last, "run": self.number},
+            fields={
+                "last_event": self.reader.last,
+                "run": self.number,
+                **early_end.fields_of(error),
+            },
         )
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
             self.parts.active_config.note_leaving(name)
--- a/camphortray/timers.py
+++ b/camphortray/timers.py
@@ -158,6 +158,10 @@
     Moving the limit later costs no new entry in the loop's heap: the one
     entry made looks at the limit when it comes up and sets itself anew.
     With a limit on each chunk that is most of the timer's cost.
+
+    Attributes:
+      paused_s: Seconds that this process stood still since the limit was set,
+        as far as its checks noticed.
     """
 
     def __init__(self, callback: Callable[[], None]) -> None:
@@ -167,10 +171,12 @@
         self.limit_at: float | None = None
         self.set_at = 0.0
         self.seconds = 0.0
+        self.paused_s = 0.0
 
     def set(self, seconds: float) -> None:
         """Call back in ``seconds``, instead of any time set before."""
         self.seconds = seconds
+        self.paused_s = 0.0
         self.set_at = now = self.loop.time()
         self.limit_at = now + seconds
         check_at = now + seconds / CHECKS
@@ -201,6 +207,8 @@
         now = self.loop.time()
         # What was set after a pause is not moved on by it.
         due_at = max(handle.when(), self.set_at)
+        if now - due_at > LATE_S:
+            self.paused_s += now - due_at
         self.limit_at = limit_at = moved_on(
             limit_at, due_at, now, self.seconds
         )
--- /dev/null
+++ b/tests/test_answer_cut.py
@@ -0,0 +1,192 @@
+"""Answers while this process, and its engines with it, stand still."""
+
+import asyncio
+import dataclasses
+import itertools
+
+from camphortray_platform import engines
+import pytest
+
+from camphortray import config as configs
+from camphortray import early_end
+from camphortray import engine
+from camphortray import errors
+from camphortray import forwarder
+from camphortray import lease_table
+from camphortray import metrics
+from camphortray import opaque
+from tests import handclock
+from tests import hostkit
+from tests import test_forwarder
+
+EVENTS = 6
+WHOLE = b"".join(hostkit.events(1, EVENTS))
+# First event in 0.6 s, then one each 0.25 s, or another engine is tried.
+ROUTE = dataclasses.replace(hostkit.RESUMABLE, objective_s=0.3)
+
+
+class Clock:
+    """The loop's own clock."""
+
+    def monotonic(self):
+        return asyncio.get_running_loop().time()
+
+
+class Slots(hostkit.Slots):
+    """Slots at engines of the loop, the same one again if need be."""
+
+    async def acquire(self, service, want, on_revoke=None):
+        free = [name for name in self.names if name not in want.avoid]
+        name = (free or self.names)[0]
+        address = configs.Address("127.0.0.1", self.names.index(name) + 1)
+        upstream = engine.Upstream(name, address, "z", instance=name)
+        return lease_table.HeldLease(want, service, upstream, 0.0, on_revoke)
+
+
+async def ask(loop, held, route):
+    """Send a request to engines; return its forwarder and the status."""
+    loop.engines = dict(enumerate(held, 1))
+    parts = forwarder.ForwarderParts(
+        Clock(),
+        hostkit.Parties(engines.PlatformEngine()),
+        hostkit.ActiveConfig([route]),
+        Slots(len(held)),
+        hostkit.CrashReports(),
+        metrics.Metrics(),
+    )
+    request = opaque.OpaqueRequest(
+        "r1", route, "POST", "/p/1", (("host", "h"),), b"q", 0.0, 5.0
+    )
+    sent = forwarder.Forwarder(parts, request, test_forwarder.Response())
+    return sent, await test_forwarder.outcome(sent)
+
+
+def play(pauses, gaps, shared=True, close_after=(None, None), route=ROUTE):
+    """Send a request to two engines while the process stands still.
+
+    Args:
+      pauses: Begin and length of each, in seconds.
+      gaps: Seconds before the head and before each event, of each engine.
+      shared: Whether engines stand still as well.
+      close_after: Events after which each engine closes.
+      route: Of the request.
+    """
+    loop = handclock.HandLoop(pauses, shared)
+    held = [
+        handclock.Engine(loop, f"e{n}", gaps, close)
+        for n, close in enumerate(close_after)
+    ]
+    return handclock.run(ask(loop, held, route), loop)
+
+
+def pauses(count, begin, gap, length):
+    """Return pauses one after the other."""
+    return [(begin + n * (gap + length), length) for n in range(count)]
+
+
+# Engines that keep to the limits of the route, some of them just so.
+PROMPT = (0.03, *[0.02] * EVENTS)
+SLOW_START = (0.5, *[0.05] * EVENTS)
+SLOW = (0.55, *[0.24] * EVENTS)
+# As slow as its operator has never seen: beyond the limits, well in time.
+LATE = (0.7, *[0.05] * EVENTS)
+
+
+@pytest.mark.parametrize("gaps", [PROMPT, SLOW_START, SLOW, LATE])
+@pytest.mark.parametrize("shared", [False, True])
+@pytest.mark.parametrize("count", [0, 1, 2, 3])
+def test_no_pause_cuts_an_answer_off_whose_engine_goes_on(count, shared, gaps):
+    """Limits of silence on the last try cut off answers with time left."""
+    cut = []
+    begins = [step / 25 for step in range(40 if count else 1)]
+    lengths = (0.04, 0.06, 0.1, 0.2, 0.6)
+    for begin, gap, length in itertools.product(
+        begins, (0.01, 0.06, 0.2), lengths
+    ):
+        moments = pauses(count, begin, gap, length)
+        sent, status = play(moments, gaps, shared)
+        if (status, sent.response.data) != (200, WHOLE):
+            cut.append((status, sent.ran, moments))
+    assert cut == []
+
+
+@pytest.mark.parametrize(
+    ("gaps", "close_after", "max_attempts", "status", "causes"),
+    [
+        # Cut off in the last try, by its engine.
+        (PROMPT, (3, 3), 1, 0, {"closed": 1}),
+        (PROMPT, (2, 4), 2, 0, {"closed": 2}),
+        # Nothing had begun.
+        (PROMPT, (0, 0), 2, 502, {"closed": 2}),
+        # Gone on with at the second engine.
+        (PROMPT, (2, None), 2, 200, {"closed": 1}),
+        (
+            (0.03, 0.02, 0.02, 0.4, 0.02, 0.02, 0.02),
+            (None, None),
+            2,
+            200,
+            {"silence": 1},
+        ),
+        # Its time is over.
+        ((0.03, 0.02, *[9.0] * 5), (None, None), 2, 0, {"silence": 1}),
+    ],
+)
+def test_each_way_in_which_an_answer_ends_early_is_counted(
+    gaps, close_after, max_attempts, status, causes
+):
+    route = dataclasses.replace(ROUTE, max_attempts=max_attempts)
+    sent, found = play([], gaps, False, close_after, route)
+    assert found == status
+    text = sent.parts.metrics.render()[0].decode()
+    for cause, count in causes.items():
+        line = (
+            "camphortray_tries_ended_early_total"
+            f'{{cause="{cause}",work="request"}} {count}'
+        )
+        assert line in text
+    assert ("camphortray_answers_cut_total{" in text) == (status == 0)
+
+
+@pytest.mark.parametrize(
+    ("error", "cause"),
+    [
+        (hostkit.SILENT, early_end.Cause.SILENCE),
+        (hostkit.BROKEN, early_end.Cause.CLOSED),
+        (hostkit.UNREACHED, early_end.Cause.NOT_RUN),
+        (hostkit.FULL, early_end.Cause.NOT_RUN),
+        (
+            errors.UpstreamGarbled("?", ran=True),
+            early_end.Cause.GARBLED,
+        ),
+        (
+            errors.UpstreamRefused("500", status=500, ran=True),
+            early_end.Cause.ENGINE_FAILED,
+        ),
+        (errors.UpstreamFault("odd"), early_end.Cause.FAULT),
+    ],
+)
+def test_the_cause_of_an_early_end_follows_from_its_error(error, cause):
+    assert early_end.cause_of(error) is cause
+
+
+@pytest.mark.parametrize(
+    ("moments", "paused_ms"),
+    [([], 0), ([(0.2, 0.3)], 300), (pauses(2, 0.1, 0.06, 0.2), 400)],
+)
+def test_pauses_since_the_last_byte_are_told_of_a_silence(moments, paused_ms):
+    # The first engine is silent after one event.
+    gaps = (0.03, 0.02, *[9.0] * 5)
+    loop = handclock.HandLoop(moments)
+    held = [handclock.Engine(loop, f"e{n}", gaps) for n in range(2)]
+    seen = []
+
+    def go_on(self, tried, error):
+        seen.append(early_end.fields_of(error))
+        return False
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(forwarder.Forwarder, "go_on", go_on)
+        handclock.run(ask(loop, held, ROUTE), loop)
+    assert [fields["cause"] for fields in seen] == ["silence"]
+    # A check notices a pause from its own time on.
+    assert seen[0]["paused_ms"] == pytest.approx(paused_ms, abs=130)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -30,8 +30,8 @@
     "|Expect-Version|Wait-Ms|Pin-Ms|Kv-Backup|/log-append|/log-read"
     "|/log-newest|/log-join|/log-leave|/log-commit|/log-owners|/readiness"
     "|/resolve\\b|/report\\b|/lots/|keyed\\.|CAMPHORTRAY_NODE_FILE|pathPrefix"
-    '|goalMs|gapAimMs|dueMs|retentionS|kvCapacity|apiKeys|maxAttempts|resumable"'
-    "|nextToken"
+    '|goalMs|gapAimMs|dueMs|retentionS|kvCapacity|maxAttempts|resumable"'
+    "|nextToken|apiKeys"
     "|nodeName|machineClass|coldLeftMs|hasMore|ttlS\\b|non_idempotent"
 )
 
