Look a key up again before a completion is sent

Callers saw: access that had been revoked still served a request that waited for room, up to its deadline, or that an engine had refused as not run.

Cause: the OpenAI front checked the key once, as the request arrived.

Change: before each try, until one may have run, the key must still be its caller's. tests/test_online_path.py: two rows, an engine that refuses while the key is revoked or moved; both red before (the request was tried again), green after.

--- a/camphortray/completing.py
+++ b/camphortray/completing.py
@@ -165,6 +165,9 @@
     # What is sent, and passed on.
 
     def request_for(self, held: proxy_exchange.Try) -> engine.EngineRequest:
+        if not self.ran:
+            # Its key may have been revoked while it waited.
+            self.call.check()
         position = self.position
         self.first_s = self.expected_first_s(held.upstream)
         return engine.EngineRequest(
--- a/camphortray/web.py
+++ b/camphortray/web.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import functools
 import hmac
 from typing import Any
 from typing import ClassVar
@@ -47,12 +48,14 @@
       response: To be answered.
       caller: Name of the workspace or operator, or empty.
       params: Values of the ``{name}`` parts of the route.
+      check: Raises ``Refused`` once its key is no longer the caller's.
     """
 
     request: httpserver.Request
     response: httpserver.Response
     caller: str
     params: dict[str, str]
+    check: Callable[[], None]
 
 
 Handler = Callable[[Call], Awaitable[None]]
@@ -150,7 +153,19 @@
     ) -> None:
         route, params = self.find(request.method, request.path)
         caller = self.caller(route.access, request)
-        await route.handler(Call(request, response, caller, params))
+        check = functools.partial(self.check, route.access, request, caller)
+        await route.handler(Call(request, response, caller, params, check))
+
+    def check(
+        self, access: Access, request: httpserver.Request, caller: str
+    ) -> None:
+        """Make sure that a call still comes from the caller it began with.
+
+        Raises:
+          Refused: its key has been revoked, or moved to another.
+        """
+        if self.caller(access, request) != caller:
+            raise denied(access)
 
     def caller(self, access: Access, request: httpserver.Request) -> str:
         """Return who calls.
--- a/tests/test_online_path.py
+++ b/tests/test_online_path.py
@@ -12,6 +12,7 @@
 from camphortray import poison
 from camphortray import signals
 from camphortray import standin_engine
+from camphortray import tree
 from camphortray import upstreams
 from camphortray.plugins import openai_engine
 from tests import online
@@ -208,6 +209,29 @@
         await client.close()
 
 
+@pytest.mark.parametrize("moved", [False, True])
+async def test_a_request_is_not_sent_again_once_its_key_is_revoked(moved):
+    """A key revoked while its request waits served that request."""
+    async with make_cluster(timing=online.FAST) as cluster:
+        host = cluster.hosts["host-0"]
+        holders = host.part("entry", tree.Tree).view.workspaces.holders
+        tries = 0
+
+        def revoke(model):
+            nonlocal tries
+            tries += 1
+            for hashed in list(holders):
+                del holders[hashed]
+                if moved:
+                    holders[hashed] = "another"
+            raise standin_engine.NotRun("busy", leaving=False)
+
+        for engine in cluster.engines.values():
+            engine.check_open = revoke
+        status, head, _ = await online.ask(host, online.prompt())
+        assert (status, head["camphortray-ran"], tries) == (401, "no", 1)
+
+
 async def test_an_outage_is_refused_at_once_and_not_multiplied():
     # Callers are told at once when to come back. Both engines refuse all;
     # each request is tried a few times until the budget is spent, then
