Name flow control and the endpoint cache in the field's terms

writegate -> flow_control, addressbook -> endpoint_cache, with their classes; the client's book is its endpoints, an address put aside is ejected.

--- a/camphortray/client.py
+++ b/camphortray/client.py
@@ -20,8 +20,8 @@
 
 import msgspec
 
-from camphortray import addressbook
 from camphortray import config as configs
+from camphortray import endpoint_cache
 from camphortray import errors
 from camphortray import httpclient
 
@@ -45,13 +45,13 @@
         self,
         response: httpclient.ClientResponse,
         address: str,
-        book: addressbook.AddressBook,
+        endpoints: endpoint_cache.EndpointCache,
     ) -> None:
         self.response = response
         self.status = response.status
         self.headers = response.headers
         self.address = address
-        self.book = book
+        self.endpoints = endpoints
         self.closed = False
 
     async def read(self) -> bytes:
@@ -86,7 +86,7 @@
         """Give up on the rest."""
         if not self.closed:
             self.closed = True
-            self.book.in_flight[self.address] -= 1
+            self.endpoints.in_flight[self.address] -= 1
             self.response.close()
 
 
@@ -111,7 +111,7 @@
         seed: int | None = None,
     ) -> None:
         self.rng = random.Random(seed)
-        self.book = addressbook.AddressBook(known, self.rng)
+        self.endpoints = endpoint_cache.EndpointCache(known, self.rng)
         self.http = httpclient.HttpClient(TIMEOUTS, tls)
         self.key = key
         self.availability_zone = availability_zone
@@ -155,7 +155,7 @@
         """
         now = asyncio.get_running_loop().time()
         sending = Sending(
-            addressbook.Plan(method, idempotent or bool(idempotency_key)),
+            endpoint_cache.Plan(method, idempotent or bool(idempotency_key)),
             target,
             body,
             [*headers, *self.own_headers(idempotency_key)],
@@ -179,21 +179,23 @@
         """Try one address; return None if another try may follow."""
         address = await self.address_for(sending)
         sending.tries += 1
-        self.book.in_flight[address] += 1
+        self.endpoints.in_flight[address] += 1
         try:
             response = await self.send(sending, address)
         except errors.UpstreamBroken as error:
-            self.book.in_flight[address] -= 1
-            self.book.failed(address, asyncio.get_running_loop().time())
+            self.endpoints.in_flight[address] -= 1
+            self.endpoints.failed(address, asyncio.get_running_loop().time())
             sending.tried |= {address}
             ran = "unknown" if error.ran else "no"
             if not sending.again(0, ran):
                 raise
             return None
         except BaseException:
-            self.book.in_flight[address] -= 1
+            self.endpoints.in_flight[address] -= 1
             raise
-        return await self.judge(sending, Answer(response, address, self.book))
+        return await self.judge(
+            sending, Answer(response, address, self.endpoints)
+        )
 
     async def send(
         self, sending: "Sending", address: str
@@ -221,7 +223,7 @@
         ran = answer.headers.get("camphortray-ran", "")
         if not ran or not sending.again(answer.status, ran):
             return answer
-        pause_s = addressbook.pause_before(
+        pause_s = endpoint_cache.pause_before(
             answer.headers.get("retry-after", ""), sending.tries, self.rng
         )
         now = asyncio.get_running_loop().time()
@@ -238,11 +240,11 @@
         """Return the address to try, asking for hosts if need be."""
         await self.look_up()
         now = asyncio.get_running_loop().time()
-        address = self.book.choose(sending.tried, now)
+        address = self.endpoints.choose(sending.tried, now)
         if address is None:
             # All were tried; whoever was full may have room by now.
             sending.tried = frozenset()
-            address = self.book.choose(sending.tried, now)
+            address = self.endpoints.choose(sending.tried, now)
         if address is None:
             raise errors.UpstreamBroken(
                 "no address is known", ran=False, step="look up"
@@ -252,11 +254,11 @@
     async def look_up(self) -> None:
         """Have addresses; ask ahead of time, so that no request waits."""
         now = asyncio.get_running_loop().time()
-        if now < self.book.refresh_at:
+        if now < self.endpoints.refresh_at:
             return
         if self.refreshing is None or self.refreshing.done():
             self.refreshing = asyncio.ensure_future(self.refresh())
-        if now >= self.book.expires:
+        if now >= self.endpoints.expires:
             await asyncio.shield(self.refreshing)
 
     async def refresh(self) -> None:
@@ -266,7 +268,7 @@
             fields["availability_zone"] = self.availability_zone
         target = f"/v1/hosts?{urllib.parse.urlencode(fields)}"
         loop = asyncio.get_running_loop()
-        for address in self.book.sources(loop.time()):
+        for address in self.endpoints.sources(loop.time()):
             try:
                 status, _, body = await self.http.call(
                     configs.Address.from_text(address),
@@ -278,10 +280,10 @@
                 hosts = [host["address"] for host in answer["hosts"]]
                 keep_s = float(answer["keep_s"])
             except (errors.UpstreamBroken, msgspec.DecodeError, KeyError):
-                self.book.failed(address, loop.time())
+                self.endpoints.failed(address, loop.time())
                 continue
             if status == 200 and hosts:
-                self.book.take(hosts, keep_s, loop.time())
+                self.endpoints.take(hosts, keep_s, loop.time())
                 return
 
     async def close(self) -> None:
@@ -301,7 +303,7 @@
 
     def __init__(
         self,
-        plan: addressbook.Plan,
+        plan: endpoint_cache.Plan,
         target: str,
         body: bytes,
         headers: list[tuple[str, str]],
@@ -321,5 +323,5 @@
         return (
             self.tries < MAX_TRIES
             and not late
-            and addressbook.may_resend(self.plan, status, ran)
+            and endpoint_cache.may_resend(self.plan, status, ran)
         )
--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -15,8 +15,8 @@
 import h11
 
 from camphortray import errors
+from camphortray import flow_control
 from camphortray import timers
-from camphortray import writegate
 
 # Unread bytes at which the shell stops reading the socket.
 HIGH_WATER = 262_144
@@ -31,7 +31,7 @@
 Sink = Callable[[bytes], bool]
 
 
-class ClientConnection(writegate.WriteGate):
+class ClientConnection(flow_control.FlowControl):
     """One connection to an upstream, serving one request at a time."""
 
     def __init__(self, peer: str) -> None:
--- a/camphortray/addressbook.py
+++ b/camphortray/endpoint_cache.py
@@ -1,6 +1,6 @@
 """What a caller knows of the hosts, and which it should use next."""
 
-__all__ = ["AddressBook", "Plan", "may_resend", "pause_before"]
+__all__ = ["EndpointCache", "Plan", "may_resend", "pause_before"]
 
 import collections
 from collections.abc import Sequence
@@ -10,7 +10,7 @@
 # Addresses among which a caller spreads its own requests.
 SPREAD = 3
 # Seconds for which an address that failed is used last.
-ASIDE_S = 5.0
+EJECTED_S = 5.0
 # Share of the time an answer may be kept after which it is asked for
 # anew; the range spreads callers that began together.
 REFRESH_SHARES = (0.5, 0.8)
@@ -68,7 +68,7 @@
     return wanted * (1 + JITTER * rng.random())
 
 
-class AddressBook:
+class EndpointCache:
     """Addresses of hosts, kept for as long as the hosts allow.
 
     Attributes:
@@ -85,7 +85,7 @@
         self.hosts: list[str] = []
         self.expires = 0.0
         self.refresh_at = 0.0
-        self.aside: dict[str, float] = {}
+        self.ejected: dict[str, float] = {}
         self.in_flight: collections.Counter[str] = collections.Counter()
 
     def take(self, hosts: Sequence[str], keep_s: float, now: float) -> None:
@@ -104,12 +104,12 @@
 
     def bad(self, address: str, now: float) -> bool:
         """Return whether an address failed a moment ago."""
-        return self.aside.get(address, now) > now
+        return self.ejected.get(address, now) > now
 
     def failed(self, address: str, now: float) -> None:
-        """Put an address aside for a while."""
-        self.aside = {a: at for a, at in self.aside.items() if at > now}
-        self.aside[address] = now + ASIDE_S
+        """Use an address last for a while."""
+        self.ejected = {a: at for a, at in self.ejected.items() if at > now}
+        self.ejected[address] = now + EJECTED_S
 
     def choose(self, tried: frozenset[str], now: float) -> str | None:
         """Return the address to use, or None if all were tried.
--- a/camphortray/writegate.py
+++ b/camphortray/flow_control.py
@@ -1,11 +1,11 @@
 """Lets writers wait while a transport takes no more."""
 
-__all__ = ["WriteGate"]
+__all__ = ["FlowControl"]
 
 import asyncio
 
 
-class WriteGate(asyncio.Protocol):
+class FlowControl(asyncio.Protocol):
     """The half of a protocol that the transport tells of backpressure.
 
     Attributes:
--- a/camphortray/httpserver.py
+++ b/camphortray/httpserver.py
@@ -22,10 +22,10 @@
 
 from camphortray import config as configs
 from camphortray import errors
+from camphortray import flow_control
 from camphortray import httpmessage
 from camphortray import logs
 from camphortray import timers
-from camphortray import writegate
 
 LOG = logs.logger("http")
 Request = httpmessage.Request
@@ -67,7 +67,7 @@
         """Answer one request; a ``Refused`` raised becomes JSON."""
 
 
-class Connection(writegate.WriteGate):
+class Connection(flow_control.FlowControl):
     """One caller's connection."""
 
     def __init__(self, server: "HttpServer") -> None:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -6,17 +6,17 @@
 import msgspec
 import pytest
 
-from camphortray import addressbook
 from camphortray import client as clients
 from camphortray import cluster as clusters
 from camphortray import config as configs
+from camphortray import endpoint_cache
 from camphortray import errors
 from camphortray import httpserver
 
 PLANS = {
-    "post": addressbook.Plan("POST"),
-    "declared": addressbook.Plan("POST", True),
-    "get": addressbook.Plan("GET"),
+    "post": endpoint_cache.Plan("POST"),
+    "declared": endpoint_cache.Plan("POST", True),
+    "get": endpoint_cache.Plan("GET"),
 }
 
 
@@ -39,7 +39,7 @@
 def test_only_what_did_not_run_or_may_repeat_is_sent_again(
     plan, status, ran, expected
 ):
-    assert addressbook.may_resend(PLANS[plan], status, ran) == expected
+    assert endpoint_cache.may_resend(PLANS[plan], status, ran) == expected
 
 
 @pytest.mark.parametrize(
@@ -47,25 +47,25 @@
 )
 def test_a_pause_is_never_shorter_than_asked_for(told, low, high):
     rng = random.Random(1)
-    pauses = [addressbook.pause_before(told, 1, rng) for _ in range(50)]
+    pauses = [endpoint_cache.pause_before(told, 1, rng) for _ in range(50)]
     assert low <= min(pauses) and max(pauses) <= high
     assert len(set(pauses)) > 1 or high == 0
 
 
 def test_addresses_are_kept_refreshed_ahead_and_put_aside():
-    book = addressbook.AddressBook(["seed"], random.Random(1))
-    assert book.choose(frozenset(), 0.0) == "seed"
-    book.take(["a", "b", "c", "d"], 30.0, 0.0)
-    assert 15.0 <= book.refresh_at <= 24.0
-    assert book.choose(frozenset(), 1.0) == "a"
-    book.in_flight["a"] += 1
-    assert book.choose(frozenset(), 1.0) == "b"
-    book.failed("b", 1.0)
-    assert book.choose(frozenset({"c"}), 2.0) == "d"
-    assert book.choose(frozenset({"a", "c", "d"}), 2.0) == "b"
-    assert book.choose(frozenset("abcd"), 2.0) is None
-    assert book.choose(frozenset(), 31.0) == "seed"
-    assert book.sources(2.0)[-1] == "b"
+    cache = endpoint_cache.EndpointCache(["seed"], random.Random(1))
+    assert cache.choose(frozenset(), 0.0) == "seed"
+    cache.take(["a", "b", "c", "d"], 30.0, 0.0)
+    assert 15.0 <= cache.refresh_at <= 24.0
+    assert cache.choose(frozenset(), 1.0) == "a"
+    cache.in_flight["a"] += 1
+    assert cache.choose(frozenset(), 1.0) == "b"
+    cache.failed("b", 1.0)
+    assert cache.choose(frozenset({"c"}), 2.0) == "d"
+    assert cache.choose(frozenset({"a", "c", "d"}), 2.0) == "b"
+    assert cache.choose(frozenset("abcd"), 2.0) is None
+    assert cache.choose(frozenset(), 31.0) == "seed"
+    assert cache.sources(2.0)[-1] == "b"
 
 
 class Scripted(httpserver.Handler):
@@ -143,7 +143,7 @@
         assert status == outcome
         counts = tuple(len(s.handler.bodies) for s in servers)
         assert counts == sent
-        assert not any(client.book.in_flight.values())
+        assert not any(client.endpoints.in_flight.values())
     for server in servers:
         await server.stop()
 
@@ -173,9 +173,9 @@
             known, key=clusters.WORKSPACE_KEY, availability_zone="zone-1"
         ) as client:
             async with asyncio.timeout(20):
-                while len(client.book.hosts) < 3:
-                    client.book.refresh_at = 0
-                    client.book.expires = 0
+                while len(client.endpoints.hosts) < 3:
+                    client.endpoints.refresh_at = 0
+                    client.endpoints.expires = 0
                     await client.look_up()
             answer = await client.request("GET", "/v1/models")
             assert (await answer.json())["data"][0]["id"] == clusters.MODEL
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,7 +12,7 @@
 PACKAGE = pathlib.Path(camphortray.__file__).parent
 # Modules that decide. What they need of time and chance is handed in.
 DECISIONS = (
-    "addressbook",
+    "endpoint_cache",
     "addresses",
     "antientropy",
     "attempt",
