--- a/camphortray/ctl_logs.py
+++ b/camphortray/ctl_logs.py
@@ -6,7 +6,7 @@
 import pathlib
 import sys
 
-from camphortray import story
+from camphortray import log_search
 
 
 def lines_of(files: tuple[str, ...]) -> Iterator[str]:
@@ -30,13 +30,13 @@
       files: Log files; standard input without any.
     """
     try:
-        found = story.find(story.read_lines(lines_of(files)), name)
+        found = log_search.find(log_search.read_lines(lines_of(files)), name)
     except OSError as error:
         print(f"camphortray-ctl: {error}", file=sys.stderr)
         return 2
     try:
         for line in found:
-            print(story.tell(line))
+            print(log_search.format_line(line))
     except BrokenPipeError:
         # Whoever reads, such as a pager, has seen enough.
         sys.stderr.close()
--- a/camphortray/story.py
+++ b/camphortray/log_search.py
@@ -1,6 +1,6 @@
-"""Tells the story of one id out of the log lines of many hosts."""
+"""Finds the log lines that speak of one id, out of those of many hosts."""
 
-__all__ = ["Line", "find", "read_lines", "tell"]
+__all__ = ["Line", "find", "format_line", "read_lines"]
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -8,7 +8,7 @@
 import json
 from typing import Any
 
-# Fields that open each line of a story, and so are not shown again.
+# Fields that open each line shown, and so are not shown again.
 OPENING = ("time", "host", "part", "level", "message")
 
 
@@ -64,7 +64,7 @@
     return sorted(found, key=lambda line: line.time)
 
 
-def tell(line: Line) -> str:
+def format_line(line: Line) -> str:
     """Return a line for people."""
     fields = line.fields
     rest = " ".join(
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -88,7 +88,7 @@
     "slot_scheduler",
     "slottable",
     "snapshot",
-    "story",
+    "log_search",
     "takeover",
     "trace",
     "view",
--- a/tests/test_story.py
+++ b/tests/test_log_search.py
@@ -1,11 +1,11 @@
-"""The story of one id, out of the lines of many hosts."""
+"""Log lines of one id, out of those of many hosts."""
 
 import json
 
 import pytest
 
 from camphortray import ctl_logs
-from camphortray import story
+from camphortray import log_search
 
 LINES = [
     {"time": "2", "host": "b", "part": "slots", "message": "x.0 refused"},
@@ -39,5 +39,5 @@
 
 
 def test_what_decided_a_line_is_shown_behind_it():
-    line = story.Line("4", LINES[3])
-    assert story.tell(line) == "4 a p:  [avoided=['e1'] n=3]"
+    line = log_search.Line("4", LINES[3])
+    assert log_search.format_line(line) == "4 a p:  [avoided=['e1'] n=3]"
