Name modules of burn in the field's terms

burnkeeper -> burn_recorder, burngather -> burn_aggregation, burnrate -> burn_rate, burnpage -> burn_page.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from camphortray import burn
-from camphortray import burnkeeper
+from camphortray import burn_recorder
 from camphortray import engine
 from camphortray import records
 from camphortray import rollout
@@ -112,10 +112,10 @@
         for seconds in times[:50]:
             for minute in range(5):
                 ledger.timed(key, burn.ITL, seconds, 0.041, 1e9 + 60 * minute)
-    body = burnkeeper.BurnRecord("host-1/entry", 1, tuple(ledger.rows()))
+    body = burn_recorder.BurnRecord("host-1/entry", 1, tuple(ledger.rows()))
     record = records.Record(
         records.RecordId(records.Writer("host-1/entry", 1), 1),
-        burnkeeper.KIND,
+        burn_recorder.KIND,
         records.NO_EPOCH,
         msgspec.to_builtins(body, str_keys=False),
     )
--- a/camphortray/batch.py
+++ b/camphortray/batch.py
@@ -6,7 +6,7 @@
 
 import defopt
 
-from camphortray import burnkeeper
+from camphortray import burn_recorder
 from camphortray import config_gossip
 from camphortray import hostsapi
 from camphortray import jobapi
@@ -18,7 +18,7 @@
 
 # Importing a part registers it with the kernel.
 PARTS = (
-    burnkeeper,
+    burn_recorder,
     hostsapi,
     jobapi,
     openai_batch,
--- a/camphortray/burngather.py
+++ b/camphortray/burn_aggregation.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from camphortray import burn
-from camphortray import burnkeeper
-from camphortray import burnrate
+from camphortray import burn_rate
+from camphortray import burn_recorder
 from camphortray import config as configs
 from camphortray import ctl_client
 from camphortray import errors
@@ -37,7 +37,7 @@
     host: str
     incarnation: int
     rows: tuple[burn.Row, ...]
-    objectives: dict[str, burnrate.Objective] = dataclasses.field(
+    objectives: dict[str, burn_rate.Objective] = dataclasses.field(
         default_factory=dict
     )
 
@@ -55,7 +55,7 @@
     """
 
     rows: tuple[burn.Row, ...]
-    objectives: dict[str, burnrate.Objective]
+    objectives: dict[str, burn_rate.Objective]
     answered: tuple[str, ...]
     missing: dict[str, str]
     kept: int
@@ -121,7 +121,7 @@
     try:
         while True:
             try:
-                page = await service.read(burnkeeper.STREAM, offset)
+                page = await service.read(burn_recorder.STREAM, offset)
             except errors.LogTruncated as error:
                 offset = error.first
                 continue
@@ -167,7 +167,7 @@
             if at not in seen:
                 seen.add(at)
                 rows.append(row)
-    objectives: dict[str, burnrate.Objective] = {}
+    objectives: dict[str, burn_rate.Objective] = {}
     for answer in answers:
         objectives.update(answer.objectives)
     return Gathered(
--- a/camphortray/burnpage.py
+++ b/camphortray/burn_page.py
@@ -8,8 +8,8 @@
 import itertools
 
 from camphortray import burn
-from camphortray import burngather
-from camphortray import burnrate
+from camphortray import burn_aggregation
+from camphortray import burn_rate
 
 HOUR_S = 3600
 # Size of a plot in pixels; time runs to the right.
@@ -42,20 +42,20 @@
     """
 
     at: float
-    gathered: burngather.Gathered
-    burns: list[burnrate.Burn]
-    harms: list[burnrate.Harm]
+    gathered: burn_aggregation.Gathered
+    burns: list[burn_rate.Burn]
+    harms: list[burn_rate.Harm]
 
     @classmethod
     def from_gathered(
-        cls, gathered: burngather.Gathered, at: float
+        cls, gathered: burn_aggregation.Gathered, at: float
     ) -> "Report":
         """Work out the figures."""
         return cls(
             at,
             gathered,
-            burnrate.burns(gathered.rows, gathered.objectives, at),
-            burnrate.harm(gathered.rows),
+            burn_rate.burns(gathered.rows, gathered.objectives, at),
+            burn_rate.harm(gathered.rows),
         )
 
 
@@ -98,7 +98,7 @@
     return [f"{n}: {why}" for n, why in report.gathered.missing.items()]
 
 
-def harm_line(harm: burnrate.Harm) -> str:
+def harm_line(harm: burn_rate.Harm) -> str:
     """Return the comparison of one service."""
     return (
         f"{harm.service}: p99 first token"
@@ -111,7 +111,7 @@
 
 def window_lengths() -> list[int]:
     """Return the lengths of all windows in seconds, the shortest first."""
-    pairs = ((w.short_s, w.long_s) for w in burnrate.WINDOWS)
+    pairs = ((w.short_s, w.long_s) for w in burn_rate.WINDOWS)
     return sorted(set(itertools.chain.from_iterable(pairs)))
 
 
@@ -221,7 +221,7 @@
         late = {
             at: value * 1000
             for at, cell in minutes.items()
-            if (value := burnrate.p99(cell.ttft)) is not None
+            if (value := burn_rate.p99(cell.ttft)) is not None
         }
         plots.append(plot(f"{name}: p99 time to first token, ms", late))
     return "".join(plots)
--- a/camphortray/burnkeeper.py
+++ b/camphortray/burn_recorder.py
@@ -1,6 +1,6 @@
 """Counts what callers go through on this host and keeps it for reports."""
 
-__all__ = ["BurnKeeper", "BurnRecord", "STREAM"]
+__all__ = ["BurnRecord", "BurnRecorder", "STREAM"]
 
 import asyncio
 import dataclasses
@@ -10,7 +10,7 @@
 import msgspec
 
 from camphortray import burn
-from camphortray import burnrate
+from camphortray import burn_rate
 from camphortray import errors
 from camphortray import kernel
 from camphortray import logs
@@ -49,7 +49,7 @@
 
 
 @kernel.PARTS.register("entry", "batch")
-class BurnKeeper(kernel.Part, signals.Listener):
+class BurnRecorder(kernel.Part, signals.Listener):
     """Listens to signals; tells reports; keeps closed minutes in the log."""
 
     name: ClassVar[str] = "burn"
@@ -80,7 +80,7 @@
         )
 
     @classmethod
-    def from_config(cls, context: kernel.Context) -> "BurnKeeper":
+    def from_config(cls, context: kernel.Context) -> "BurnRecorder":
         return cls(context)
 
     def on_view(self, view: Any) -> None:
@@ -150,7 +150,7 @@
                 "incarnation": self.context.incarnation,
                 "rows": self.ledger.rows(since),
                 "objectives": {
-                    name: burnrate.Objective(
+                    name: burn_rate.Objective(
                         service.get("objective.available"),
                         service.get("objective.share"),
                     )
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -7,7 +7,7 @@
 import defopt
 
 from camphortray import addresses
-from camphortray import burnkeeper
+from camphortray import burn_recorder
 from camphortray import config_gossip
 from camphortray import granting
 from camphortray import hostsapi
@@ -22,7 +22,7 @@
 # Importing a part registers it with the kernel.
 PARTS = (
     addresses,
-    burnkeeper,
+    burn_recorder,
     granting,
     hostsapi,
     jobproxy,
--- a/camphortray/report.py
+++ b/camphortray/report.py
@@ -10,9 +10,9 @@
 import defopt
 import msgspec
 
-from camphortray import burngather
-from camphortray import burnpage
-from camphortray import burnrate
+from camphortray import burn_aggregation
+from camphortray import burn_page
+from camphortray import burn_rate
 from camphortray import ctl_client
 from camphortray import errors
 from camphortray import plugins
@@ -44,11 +44,11 @@
       as_json: Print JSON.
     """
     now = time.time()
-    longest = max(window.long_s for window in burnrate.WINDOWS)
-    gathered = asyncio.run(burngather.gather(entry, log, now - longest))
-    report = burnpage.Report.from_gathered(gathered, now)
+    longest = max(window.long_s for window in burn_rate.WINDOWS)
+    gathered = asyncio.run(burn_aggregation.gather(entry, log, now - longest))
+    report = burn_page.Report.from_gathered(gathered, now)
     if html:
-        pathlib.Path(html).write_text(burnpage.page(report), "utf-8")
+        pathlib.Path(html).write_text(burn_page.page(report), "utf-8")
     if as_json:
         shown = {
             "burns": report.burns,
@@ -57,7 +57,7 @@
         }
         print(msgspec.json.encode(shown).decode())
     else:
-        print(burnpage.text(report))
+        print(burn_page.text(report))
     return EXIT_ALERT if any(row.alert for row in report.burns) else 0
 
 
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -5,10 +5,10 @@
 import pytest
 
 from camphortray import burn
-from camphortray import burngather
-from camphortray import burnkeeper
-from camphortray import burnpage
-from camphortray import burnrate
+from camphortray import burn_aggregation
+from camphortray import burn_page
+from camphortray import burn_rate
+from camphortray import burn_recorder
 from camphortray import clock
 from camphortray import config as configs
 from camphortray import settings
@@ -16,7 +16,7 @@
 
 NOW = 1_800_000_000.0
 ONLINE, BATCH = burn.Key("lm", False), burn.Key("lm", True)
-OBJECTIVES = {"lm": burnrate.Objective(0.99, 0.95)}
+OBJECTIVES = {"lm": burn_rate.Objective(0.99, 0.95)}
 
 
 def ledger_of(*events):
@@ -44,14 +44,14 @@
 )
 def test_an_alert_needs_both_of_its_windows(events, alert, left):
     rows = ledger_of(*events).rows()
-    (found,) = burnrate.burns(rows, OBJECTIVES, NOW)
+    (found,) = burn_rate.burns(rows, OBJECTIVES, NOW)
     assert found.alert == alert
     if left is not None:
         assert found.left == pytest.approx(left)
 
 
 def test_no_events_are_no_sign_that_all_is_well():
-    (found,) = burnrate.burns(
+    (found,) = burn_rate.burns(
         ledger_of((2 * 3600, 10, 0)).rows(), OBJECTIVES, NOW
     )
     assert found.rates[300] is None
@@ -86,7 +86,7 @@
         ledger.timed(ONLINE, burn.TTFT, 0.8 if minute >= 5 else 0.1, 1.2, wall)
         for _ in range(100 if minute >= 5 else 1):
             ledger.timed(BATCH, burn.ITL, 0.01, 0.041, wall)
-    (found,) = burnrate.harm(ledger.rows())
+    (found,) = burn_rate.harm(ledger.rows())
     assert found.minutes == (5, 5)
     assert found.ttft_s[0] < 0.13 < 0.7 < found.ttft_s[1]
 
@@ -94,7 +94,7 @@
 def answer(host, incarnation, *events, objectives=True):
     rows = tuple(ledger_of(*events).rows())
     held = OBJECTIVES if objectives else {}
-    return burngather.Answer(host, incarnation, rows, held)
+    return burn_aggregation.Answer(host, incarnation, rows, held)
 
 
 def test_each_life_of_each_process_counts_once():
@@ -104,22 +104,22 @@
     lost = answer("h1/entry", 1, (600, 5, 0))
     new = answer("h1/entry", 2, (60, 7, 0))
     kept = [lost, lost, answer("h1/entry", 2, (60, 7, 0))]
-    gathered = burngather.merge_answers([new], kept, {})
+    gathered = burn_aggregation.merge_answers([new], kept, {})
     assert sum(row.cell.good[0] for row in gathered.rows) == 12
     assert gathered.kept == 1
 
 
 def test_who_did_not_answer_is_named_and_not_counted_as_good():
-    gathered = burngather.merge_answers(
+    gathered = burn_aggregation.merge_answers(
         [answer("h1/entry", 1, (60, 80, 20))],
         [],
         {"h2/entry": "no answer <in> 5 s"},
     )
-    report = burnpage.Report.from_gathered(gathered, NOW)
-    shown = burnpage.text(report)
+    report = burn_page.Report.from_gathered(gathered, NOW)
+    shown = burn_page.text(report)
     assert "NO ANSWER: h2/entry" in shown
     assert "page" in shown.splitlines()[-1]
-    page = burnpage.page(report)
+    page = burn_page.page(report)
     assert "No answer from h2/entry: no answer &lt;in&gt; 5 s" in page
     assert "http" not in page.replace("http-equiv", "")
 
@@ -128,9 +128,11 @@
     ledger = burn.Ledger()
     for minute in (0, 1, 2, 5):
         ledger.timed(ONLINE, burn.TTFT, 0.1, 1.2, NOW + 60 * minute)
-    held = burngather.Answer("h/entry", 1, tuple(ledger.rows()), OBJECTIVES)
-    gathered = burngather.merge_answers([held], [], {})
-    page = burnpage.page(burnpage.Report.from_gathered(gathered, NOW + 300))
+    held = burn_aggregation.Answer(
+        "h/entry", 1, tuple(ledger.rows()), OBJECTIVES
+    )
+    gathered = burn_aggregation.merge_answers([held], [], {})
+    page = burn_page.page(burn_page.Report.from_gathered(gathered, NOW + 300))
     assert page.count("<svg") == 2
     assert "lm, online: tokens a second" in page
 
@@ -164,7 +166,7 @@
     # token need not ask for the time; the next minute must not be added
     # to it, nor may a change of settings lose what was counted.
     stub = Stub()
-    keeper = burnkeeper.BurnKeeper(stub)
+    keeper = burn_recorder.BurnRecorder(stub)
     for _ in range(3):
         keeper.next_token("lm", "e", False, 0.01)
         keeper.on_view(stub.view)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -17,7 +17,7 @@
     "antientropy",
     "attempt",
     "burn",
-    "burnrate",
+    "burn_rate",
     "calls",
     "check",
     "collector",
