Name backends, slot grants and the priority queue in the field's terms

outer -> backends (LedgerBackends, Backends; the part too), granting -> slot_granter (SlotGranter), slotmessages -> grant_messages, which stood beside slot_messages, ordered -> priority_queue (PriorityQueue), which stood beside orders. Three families in one commit, as they touch the same files.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,6 +1,6 @@
 """A fleet in virtual time: real parts, modelled engines and network.
 
-The parts ``granting``, ``slots``, ``signals``, ``membership`` and
+The parts ``slot_granter``, ``slots``, ``signals``, ``membership`` and
 ``upstreams`` are those of the product. Links between hosts only delay and
 count messages; engines are the timing model of the stand-in engine.
 """
@@ -15,7 +15,6 @@
 from camphortray import clock as clocks
 from camphortray import config as configs
 from camphortray import errors
-from camphortray import granting
 from camphortray import kernel
 from camphortray import membership
 from camphortray import messages
@@ -24,6 +23,7 @@
 from camphortray import routing
 from camphortray import settings
 from camphortray import signals
+from camphortray import slot_granter
 from camphortray import slots
 from camphortray import standin_engine
 from camphortray import tree
@@ -285,7 +285,9 @@
             FixedUpstreams,
             signals.Signals,
         ]
-        classes.append(granting.Granting if name == "entry" else slots.Slots)
+        classes.append(
+            slot_granter.SlotGranter if name == "entry" else slots.Slots
+        )
         for cls in classes:
             context.parts[cls.name] = cls.from_config(context)
         return Program(context)
@@ -308,7 +310,7 @@
         for program in self.entries + self.batches:
             for member in members:
                 program.part(membership.Membership).put(member)
-            last = granting.Granting, slots.Slots
+            last = slot_granter.SlotGranter, slots.Slots
             for part in program.context.parts.values():
                 if isinstance(part, last):
                     await part.start()
--- a/bench/harm.py
+++ b/bench/harm.py
@@ -18,10 +18,10 @@
 import looptime
 
 from bench import fleet as fleets
-from camphortray import granting
 from camphortray import headroom
 from camphortray import routing
 from camphortray import signals as signals_module
+from camphortray import slot_granter
 from camphortray import slots as slots_module
 from camphortray import standin_engine
 from camphortray import trace
@@ -97,7 +97,7 @@
         make = rooms.get(self.way)
         for program in self.fleet.entries:
             if make is not None:
-                part = program.part(granting.Granting)
+                part = program.part(slot_granter.SlotGranter)
                 part.room_of = lambda _: make(fleets.MeasuredModel.slots)
 
     async def run(self) -> Outcome:
--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -162,7 +162,7 @@
     """Run one job of ``count`` items through a host."""
     async with jobcluster.JobCluster() as cluster:
         part = cluster.shards("host-0")
-        party = part.dispatcher.driver.runner.outer
+        party = part.dispatcher.driver.runner.backends
         party.engines["openai"] = InstantEngine(party.engine("openai"))
         streams = cluster.platform.log.streams
         held = sum(len(r.body) for s in streams.values() for r in s.records)
--- a/camphortray/active_config.py
+++ b/camphortray/active_config.py
@@ -14,6 +14,7 @@
 from typing import ClassVar
 
 from camphortray import access
+from camphortray import backends
 from camphortray import config as configs
 from camphortray import engine_registry
 from camphortray import errors
@@ -22,7 +23,6 @@
 from camphortray import ledger as ledgers
 from camphortray import logs
 from camphortray import messages
-from camphortray import outer
 from camphortray import peers
 from camphortray import revisions
 from camphortray import routemap
@@ -110,12 +110,12 @@
     """
 
     name: ClassVar[str] = "settings"
-    requires: ClassVar[tuple[str, ...]] = ("outer", "peers")
+    requires: ClassVar[tuple[str, ...]] = ("backends", "peers")
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.clock = context.clock
-        held = context.part(outer.LedgerOuter)
+        held = context.part(backends.LedgerBackends)
         self.ledger = held.ledger
         self.configuration_wait_s, self.engines_every_s = paces(
             context.config.ledger or configs.LedgerConfig("")
--- a/camphortray/at_most_once.py
+++ b/camphortray/at_most_once.py
@@ -18,6 +18,7 @@
 from typing import ClassVar
 
 from camphortray import append_forwarder
+from camphortray import backends
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import callshard
@@ -29,7 +30,6 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
-from camphortray import outer
 from camphortray import ownership
 from camphortray import peers
 from camphortray import records
@@ -78,7 +78,7 @@
     """
 
     name: ClassVar[str] = "calls"
-    requires: ClassVar[tuple[str, ...]] = ("outer", "membership", "peers")
+    requires: ClassVar[tuple[str, ...]] = ("backends", "membership", "peers")
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
@@ -87,7 +87,7 @@
         self.writer = records.Writer(
             f"{config.host.name}/entry", context.incarnation
         )
-        service = context.part(outer.Outer).log
+        service = context.part(backends.Backends).log
         self.courier = append_forwarder.AppendForwarder(
             service,
             context.part(peers.Peers),
--- a/camphortray/outer.py
+++ b/camphortray/backends.py
@@ -1,6 +1,6 @@
-"""The outer parties as one part: log, host list, weights, upstreams."""
+"""The backends as one part: log, host list, weights, upstreams."""
 
-__all__ = ["LedgerOuter", "Outer", "Parties"]
+__all__ = ["Backends", "LedgerBackends", "Parties"]
 
 from typing import ClassVar
 
@@ -26,7 +26,7 @@
       hosts: The platform's host list.
     """
 
-    name: ClassVar[str] = "outer"
+    name: ClassVar[str] = "backends"
 
     hosts: hostlist.HostList
 
@@ -46,8 +46,8 @@
 
 
 @kernel.PARTS.register("host")
-class LedgerOuter(Parties):
-    """The outer parties of a host whose platform offers a ledger.
+class LedgerBackends(Parties):
+    """The backends of a host whose platform offers a ledger.
 
     Attributes:
       ledger: Keyed records with fenced writers.
@@ -65,7 +65,7 @@
         self.dialect = dialects.DIALECTS.get(told.plugin).from_config(told)
 
     @classmethod
-    def from_config(cls, context: kernel.Context) -> "LedgerOuter":
+    def from_config(cls, context: kernel.Context) -> "LedgerBackends":
         return cls(context)
 
     async def stop(self) -> None:
@@ -74,8 +74,8 @@
 
 
 @kernel.PARTS.register("entry", "batch")
-class Outer(Parties):
-    """Holds one plug-in for each outer party.
+class Backends(Parties):
+    """Holds one plug-in for each backend.
 
     Attributes:
       log: The platform's log.
@@ -97,7 +97,7 @@
         self.services: dict[str, service.Service] = {}
 
     @classmethod
-    def from_config(cls, context: kernel.Context) -> "Outer":
+    def from_config(cls, context: kernel.Context) -> "Backends":
         return cls(context)
 
     def service(self, plugin: str) -> service.Service:
--- a/camphortray/burn_recorder.py
+++ b/camphortray/burn_recorder.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
+from camphortray import backends
 from camphortray import burn
 from camphortray import burn_rate
 from camphortray import errors
 from camphortray import kernel
 from camphortray import logs
-from camphortray import outer
 from camphortray import records
 from camphortray import signals
 from camphortray import tasks
@@ -54,7 +54,7 @@
 
     name: ClassVar[str] = "burn"
     requires: ClassVar[tuple[str, ...]] = (
-        "outer",
+        "backends",
         "routes",
         "settings",
         "signals",
@@ -64,7 +64,7 @@
         self.context = context
         self.wall = context.clock.wall
         self.tree = context.part(tree.Tree)
-        self.log = context.part(outer.Outer).log
+        self.log = context.part(backends.Backends).log
         self.ledger = burn.Ledger()
         self.kept_until = self.wall()
         self.sequence = 0
--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -151,7 +151,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class PlatformConfig:
-    """Where an outer party is and which plug-in speaks to it."""
+    """Where a backend is and which plug-in speaks to it."""
 
     address: AddressText
     plugin: str = "http"
--- a/camphortray/entry.py
+++ b/camphortray/entry.py
@@ -9,7 +9,6 @@
 from camphortray import addresses
 from camphortray import burn_recorder
 from camphortray import config_gossip
-from camphortray import granting
 from camphortray import hostsapi
 from camphortray import jobproxy
 from camphortray import ordersapi
@@ -18,12 +17,13 @@
 from camphortray import services
 from camphortray import settingsapi
 from camphortray import settingskeeper
+from camphortray import slot_granter
 
 # Importing a part registers it with the kernel.
 PARTS = (
     addresses,
     burn_recorder,
-    granting,
+    slot_granter,
     hostsapi,
     jobproxy,
     ordersapi,
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -8,6 +8,7 @@
 
 from camphortray import access
 from camphortray import active_config
+from camphortray import backends
 from camphortray import clock as clocks
 from camphortray import crash_reports
 from camphortray import early_end
@@ -20,7 +21,6 @@
 from camphortray import logs
 from camphortray import metrics as metrics_module
 from camphortray import opaque
-from camphortray import outer
 from camphortray import proxy_exchange
 from camphortray import retry
 from camphortray import routemap
@@ -51,7 +51,7 @@
     """The parts of the program that a forwarder works with."""
 
     clock: clocks.Clock
-    outer: outer.LedgerOuter
+    backends: backends.LedgerBackends
     active_config: active_config.ActiveConfig
     slots: slot_client.SlotClient
     breaks: crash_reports.CrashReports
@@ -73,7 +73,7 @@
         reader: eventstream.EventReader,
         route: routemap.Route,
     ) -> None:
-        party = parts.outer.engine(held.upstream.plugin)
+        party = parts.backends.engine(held.upstream.plugin)
         super().__init__(held.upstream, party)
         self.parts = parts
         self.held = held
--- a/camphortray/host_registry.py
+++ b/camphortray/host_registry.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
+from camphortray import backends
 from camphortray import errors
 from camphortray import hostlist
 from camphortray import kernel
 from camphortray import ledger as ledgers
 from camphortray import logs
 from camphortray import membership
-from camphortray import outer
 from camphortray import peers
 from camphortray import tasks
 
@@ -36,12 +36,12 @@
     """
 
     name: ClassVar[str] = "host_registry"
-    requires: ClassVar[tuple[str, ...]] = ("outer", "membership", "peers")
+    requires: ClassVar[tuple[str, ...]] = ("backends", "membership", "peers")
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.clock = context.clock
-        self.ledger = context.part(outer.LedgerOuter).ledger
+        self.ledger = context.part(backends.LedgerBackends).ledger
         self.links = context.part(peers.Peers)
         self.members = context.part(membership.Membership)
         self.dead_at: dict[str, float] = {}
--- a/camphortray/itemrun.py
+++ b/camphortray/itemrun.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
+from camphortray import backends as backends_module
 from camphortray import collector
 from camphortray import engine
 from camphortray import errors
 from camphortray import kernel
 from camphortray import logs
-from camphortray import outer as outer_module
 from camphortray import settings
 from camphortray import signals as signals_module
 from camphortray import slots as slots_module
@@ -76,7 +76,7 @@
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
-        self.outer = context.part(outer_module.Outer)
+        self.backends = context.part(backends_module.Backends)
         self.upstreams = context.part(upstreams_module.Upstreams)
         self.signals = context.part(signals_module.Signals)
         self.suspects = context.part(suspects_module.Suspects)
@@ -158,7 +158,7 @@
     ) -> bytes:
         """Read one answer to its end."""
         upstream = slot.upstream
-        party = self.outer.engine(upstream.plugin)
+        party = self.backends.engine(upstream.plugin)
         clock = self.context.clock
         silence = service.get("limit.silence_s")
         request = attempt.request()
@@ -202,7 +202,7 @@
     async def cancel(self, upstream: engine.Upstream, request_id: str) -> None:
         """Cancel at the engine, on a connection of its own."""
         try:
-            party = self.outer.engine(upstream.plugin)
+            party = self.backends.engine(upstream.plugin)
             await party.cancel(upstream, request_id)
         except errors.UpstreamError as error:
             LOG.debug("Not cancelled: {}", error)
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from camphortray import active_config
+from camphortray import backends
 from camphortray import clock as clocks
 from camphortray import early_end
 from camphortray import engine
@@ -17,7 +18,6 @@
 from camphortray import lease_table
 from camphortray import logs
 from camphortray import metrics as metrics_module
-from camphortray import outer
 from camphortray import partition_records
 from camphortray import partition_state
 from camphortray import routemap
@@ -60,7 +60,7 @@
     """The parts of the program that items are run with."""
 
     clock: clocks.Clock
-    outer: outer.LedgerOuter
+    backends: backends.LedgerBackends
     active_config: active_config.ActiveConfig
     slots: slot_client.SlotClient
     pace: item_retry.Pace
@@ -411,7 +411,7 @@
         Raises:
           UpstreamError: it is not whole.
         """
-        party = self.parts.outer.engine(upstream.plugin)
+        party = self.parts.backends.engine(upstream.plugin)
         if self.reader.doubted or not self.reader.last:
             # Nothing to go on from: an engine begins at the first event,
             # and what came before would stand twice.
--- a/camphortray/job_router.py
+++ b/camphortray/job_router.py
@@ -9,13 +9,13 @@
 
 import xxhash
 
+from camphortray import backends
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import jobmessages
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
-from camphortray import outer
 from camphortray import owner_cache
 from camphortray import partition_manager
 from camphortray import partition_owner
@@ -48,7 +48,7 @@
 
     name: ClassVar[str] = "job_router"
     requires: ClassVar[tuple[str, ...]] = (
-        "outer",
+        "backends",
         "membership",
         "settings",
         "slot_client",
@@ -59,7 +59,7 @@
         self.metrics = context.metrics
         self.members = context.part(membership.Membership)
         self.links = context.part(peers.Peers)
-        self.ledger = context.part(outer.LedgerOuter).ledger
+        self.ledger = context.part(backends.LedgerBackends).ledger
         self.owners = partition_manager.PartitionManager(context)
 
     @classmethod
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -11,6 +11,7 @@
 from typing import ClassVar
 
 from camphortray import antientropy
+from camphortray import backends
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import facts
@@ -22,7 +23,6 @@
 from camphortray import logs
 from camphortray import members
 from camphortray import node as nodes
-from camphortray import outer
 from camphortray import peers
 from camphortray import revisions
 from camphortray import tasks
@@ -63,7 +63,7 @@
         self.clock = context.clock
         self.links = context.part(peers.Peers)
         self.tree = context.part(revisions.Revisions)
-        self.outer = context.part(outer.Parties)
+        self.backends = context.part(backends.Parties)
         config = context.config
         self.own_name = f"{config.host.name}/{context.program}"
         own = Member(
@@ -366,7 +366,7 @@
     async def read_list(self) -> None:
         """Read the list and hand it on."""
         try:
-            self.listed = await self.outer.hosts.read()
+            self.listed = await self.backends.hosts.read()
         except errors.CamphortrayError as error:
             LOG.debug("No list: {}", error)
             return
--- a/camphortray/orderdriver.py
+++ b/camphortray/orderdriver.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from camphortray import backends
 from camphortray import compaction
 from camphortray import engine
 from camphortray import errors
@@ -16,7 +17,6 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import orders
-from camphortray import outer
 from camphortray import ownership
 from camphortray import records
 from camphortray import rollout
@@ -52,7 +52,7 @@
         self.clock = context.clock
         self.fold = orders.OrdersFold()
         self.journal = journal.Journal(
-            context.part(outer.Outer).log,
+            context.part(backends.Backends).log,
             shards.stream_name("orders", number),
             self.fold,
             records.Writer(f"{config.host.name}/batch", context.incarnation),
@@ -83,11 +83,15 @@
     """Brings upstreams to what the settings want, and keeps them there."""
 
     name: ClassVar[str] = "orders"
-    requires: ClassVar[tuple[str, ...]] = ("outer", "settings", "membership")
+    requires: ClassVar[tuple[str, ...]] = (
+        "backends",
+        "settings",
+        "membership",
+    )
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
-        self.outer = context.part(outer.Outer)
+        self.backends = context.part(backends.Backends)
         self.tree = context.part(tree.Tree)
         self.shards = [
             OrderShard(number, context)
@@ -172,7 +176,7 @@
         """Return the state of an upstream, or None if it does not answer."""
         async with self.limit:
             try:
-                party = self.outer.engine(upstream.plugin)
+                party = self.backends.engine(upstream.plugin)
                 return await party.state(upstream)
             except errors.CamphortrayError as error:
                 LOG.info("No state: {}", error)
@@ -195,7 +199,7 @@
         The store's rate is shared by all shards; as many loads run as
         would each end in the time that settings allow for one.
         """
-        store = self.outer.weights
+        store = self.backends.weights
         if store is None:
             return 1
         counts = []
@@ -284,7 +288,7 @@
         """Send an order and note what became of it."""
         if order.action == "load":
             shard.sent_at[upstream.name] = self.context.clock.monotonic()
-        party = self.outer.engine(upstream.plugin)
+        party = self.backends.engine(upstream.plugin)
         try:
             answer = await party.order(upstream, with_fencing(order, epoch))
         except errors.CamphortrayError as error:
--- a/camphortray/ordersapi.py
+++ b/camphortray/ordersapi.py
@@ -5,10 +5,10 @@
 from typing import Any
 from typing import ClassVar
 
+from camphortray import backends
 from camphortray import journal
 from camphortray import kernel
 from camphortray import orders
-from camphortray import outer
 from camphortray import records
 from camphortray import shards
 from camphortray import web
@@ -19,7 +19,7 @@
     """``GET /v1/admin/orders``, read from the log's streams."""
 
     name: ClassVar[str] = "ordersapi"
-    requires: ClassVar[tuple[str, ...]] = ("outer", "routes")
+    requires: ClassVar[tuple[str, ...]] = ("backends", "routes")
 
     def __init__(self, context: kernel.Context) -> None:
         writer = records.Writer(
@@ -27,7 +27,7 @@
         )
         self.journals = [
             journal.Journal(
-                context.part(outer.Outer).log,
+                context.part(backends.Backends).log,
                 shards.stream_name("orders", number),
                 orders.OrdersFold(),
                 writer,
--- a/camphortray/partition_manager.py
+++ b/camphortray/partition_manager.py
@@ -6,6 +6,7 @@
 import contextlib
 
 from camphortray import active_config
+from camphortray import backends
 from camphortray import backlog_gossip
 from camphortray import errors
 from camphortray import handover
@@ -15,7 +16,6 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
-from camphortray import outer
 from camphortray import owner_cache
 from camphortray import owner_candidates
 from camphortray import partition_owner
@@ -68,7 +68,7 @@
         self.context = context
         self.clock = context.clock
         self.members = context.part(membership.Membership)
-        parties = context.part(outer.LedgerOuter)
+        parties = context.part(backends.LedgerBackends)
         self.ledger = parties.ledger
         self.parts = itemwork.WorkParts(
             context.clock,
--- a/camphortray/plugins/__init__.py
+++ b/camphortray/plugins/__init__.py
@@ -1,4 +1,4 @@
-"""Plug-ins for the outer parties; importing this registers them all."""
+"""Plug-ins for the backends; importing this registers them all."""
 
 from camphortray.plugins import http_host_list
 from camphortray.plugins import http_log
--- a/camphortray/ordered.py
+++ b/camphortray/priority_queue.py
@@ -1,6 +1,6 @@
-"""Things by name that are wanted in the order of a key."""
+"""A priority queue of things by name, which may be changed or dropped."""
 
-__all__ = ["Ordered"]
+__all__ = ["PriorityQueue"]
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -16,7 +16,7 @@
 T = TypeVar("T")
 
 
-class Ordered(Generic[T]):
+class PriorityQueue(Generic[T]):
     """Holds things by name; the one with the least key comes first.
 
     Attributes:
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -8,6 +8,7 @@
 
 from camphortray import admission
 from camphortray import at_most_once
+from camphortray import backends
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import completing
@@ -17,7 +18,6 @@
 from camphortray import httpserver
 from camphortray import kernel
 from camphortray import logs
-from camphortray import outer
 from camphortray import replay_buffer
 from camphortray import routedtry
 from camphortray import routing
@@ -59,7 +59,7 @@
         zone = context.config.host.availability_zone
         self.parts = routedtry.RoutedParts(
             context.clock,
-            context.part(outer.Outer),
+            context.part(backends.Backends),
             context.part(upstreams.Upstreams),
             context.part(signals.Signals),
             context.part(suspects.Suspects),
--- a/camphortray/routedtry.py
+++ b/camphortray/routedtry.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 import dataclasses
 
+from camphortray import backends
 from camphortray import clock as clocks
 from camphortray import engine
 from camphortray import errors
 from camphortray import logs
 from camphortray import metrics as metrics_module
-from camphortray import outer
 from camphortray import poison
 from camphortray import proxy_exchange
 from camphortray import routing
@@ -30,7 +30,7 @@
     """The parts of the program that such tries are made with."""
 
     clock: clocks.Clock
-    outer: outer.Outer
+    backends: backends.Backends
     upstreams: upstreams.Upstreams
     signals: signals.Signals
     suspects: suspects.Suspects
@@ -59,7 +59,7 @@
         fingerprint: Callable[[], str],
         suspected: bool = False,
     ) -> None:
-        super().__init__(upstream, parts.outer.engine(upstream.plugin))
+        super().__init__(upstream, parts.backends.engine(upstream.plugin))
         self.parts = parts
         self.service = service
         self.id = name
--- a/camphortray/services.py
+++ b/camphortray/services.py
@@ -7,6 +7,7 @@
 
 from camphortray import admission
 from camphortray import at_most_once
+from camphortray import backends
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import deadline
@@ -15,7 +16,6 @@
 from camphortray import forward
 from camphortray import kernel
 from camphortray import logs
-from camphortray import outer
 from camphortray import retry
 from camphortray import routing
 from camphortray import service as plain
@@ -53,7 +53,7 @@
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.tree = context.part(tree.Tree)
-        self.outer = context.part(outer.Outer)
+        self.backends = context.part(backends.Backends)
         self.upstreams = context.part(upstreams.Upstreams)
         self.admission = context.part(admission.Admission)
         self.keeper = context.part(at_most_once.AtMostOnce)
@@ -224,7 +224,7 @@
         self, upstream: engine.Upstream, passed: plain.ServiceCall, fresh: bool
     ) -> calls.Answer:
         """Send a call to one upstream."""
-        party = self.outer.service(upstream.plugin)
+        party = self.backends.service(upstream.plugin)
         with self.upstreams.count(upstream):
             answer = await party.call(upstream, passed, fresh)
         return calls.Answer(answer.status, answer.headers, answer.body)
--- a/camphortray/shardset.py
+++ b/camphortray/shardset.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import ClassVar
 
+from camphortray import backends
 from camphortray import compaction
 from camphortray import dispatch
 from camphortray import errors
@@ -16,7 +17,6 @@
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
-from camphortray import outer
 from camphortray import ownership
 from camphortray import records
 from camphortray import shardrun
@@ -38,7 +38,7 @@
 
     name: ClassVar[str] = "jobs"
     requires: ClassVar[tuple[str, ...]] = (
-        "outer",
+        "backends",
         "settings",
         "upstreams",
         "slots",
@@ -73,7 +73,7 @@
             f"{context.config.host.name}/batch", context.incarnation
         )
         held = journal.Journal(
-            context.part(outer.Outer).log,
+            context.part(backends.Backends).log,
             shards.stream_name("jobs", number),
             jobs.JobsFold(),
             writer,
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -15,6 +15,7 @@
 from typing import ClassVar
 
 from camphortray import active_config
+from camphortray import backends
 from camphortray import config as configs
 from camphortray import coordinator_election
 from camphortray import engine
@@ -28,7 +29,6 @@
 from camphortray import lease_table
 from camphortray import logs
 from camphortray import membership
-from camphortray import outer
 from camphortray import peers
 from camphortray import slot_coordinator
 from camphortray import slot_messages
@@ -184,7 +184,9 @@
 
     async def runs_at(self, entry: engine_registry.EngineEntry) -> int:
         upstream = self.upstream(entry)
-        party = self.context.part(outer.LedgerOuter).engine(upstream.plugin)
+        party = self.context.part(backends.LedgerBackends).engine(
+            upstream.plugin
+        )
         report = await party.load(upstream)
         return report.running + report.waiting
 
--- a/camphortray/granting.py
+++ b/camphortray/slot_granter.py
@@ -4,7 +4,7 @@
 docs/design/slots.md.
 """
 
-__all__ = ["CoordinatorMap", "Granting", "coordinator_of"]
+__all__ = ["CoordinatorMap", "SlotGranter", "coordinator_of"]
 
 import asyncio
 import collections
@@ -14,6 +14,7 @@
 
 from camphortray import config as configs
 from camphortray import coordinator
+from camphortray import grant_messages
 from camphortray import headroom
 from camphortray import kernel
 from camphortray import membership
@@ -22,7 +23,6 @@
 from camphortray import settings
 from camphortray import shards
 from camphortray import signals
-from camphortray import slotmessages
 from camphortray import tasks
 from camphortray import timers
 from camphortray import tree
@@ -72,7 +72,7 @@
 
 
 @kernel.PARTS.register("entry")
-class Granting(kernel.Part, signals.Listener):
+class SlotGranter(kernel.Part, signals.Listener):
     """Coordinator of some upstreams, and reporter to the others'.
 
     Attributes:
@@ -80,7 +80,7 @@
       reports: Online work of this host.
     """
 
-    name: ClassVar[str] = "granting"
+    name: ClassVar[str] = "slot_granter"
     requires: ClassVar[tuple[str, ...]] = (
         "peers",
         "membership",
@@ -105,14 +105,14 @@
         self.task: asyncio.Task[None] | None = None
 
     @classmethod
-    def from_config(cls, context: kernel.Context) -> "Granting":
+    def from_config(cls, context: kernel.Context) -> "SlotGranter":
         return cls(context)
 
     async def start(self) -> None:
         self.tree.listen(self.on_view)
         self.context.part(signals.Signals).add(self)
-        self.peers.on(slotmessages.OnlineWork, self.on_online)
-        self.peers.on(slotmessages.Wants, self.on_wants)
+        self.peers.on(grant_messages.OnlineWork, self.on_online)
+        self.peers.on(grant_messages.Wants, self.on_wants)
         self.task = asyncio.get_running_loop().create_task(
             tasks.forever("grants of slots", self.run)
         )
@@ -187,16 +187,16 @@
                 self.take_loads(self.context.config.host.name, loads)
             else:
                 works = {
-                    upstream: slotmessages.Work.from_load(load)
+                    upstream: grant_messages.Work.from_load(load)
                     for upstream, load in loads.items()
                 }
                 self.peers.notify(
                     configs.Address.from_text(address),
-                    slotmessages.OnlineWork(works),
+                    grant_messages.OnlineWork(works),
                 )
 
     async def on_online(
-        self, sender: peers.Sender, message: slotmessages.OnlineWork
+        self, sender: peers.Sender, message: grant_messages.OnlineWork
     ) -> None:
         """Take a host's word about its online work."""
         loads = {name: work.load() for name, work in message.works.items()}
@@ -212,7 +212,7 @@
                 self.decide(upstream)
 
     async def on_wants(
-        self, sender: peers.Sender, message: slotmessages.Wants
+        self, sender: peers.Sender, message: grant_messages.Wants
     ) -> None:
         """Grant a host what there is, also if nothing has changed."""
         now = self.clock.monotonic()
@@ -225,7 +225,7 @@
         self.renew(sender.host, message)
         self.work.set()
 
-    def renew(self, host: str, message: slotmessages.Wants) -> None:
+    def renew(self, host: str, message: grant_messages.Wants) -> None:
         """Tell a host its grants on all upstreams it asked for."""
         granted = {
             upstream: self.coordinators[upstream].holders[host].granted
@@ -265,7 +265,7 @@
             for name, held in self.coordinators.items()
             if name in slots
         ]
-        message = slotmessages.Grants(
+        message = grant_messages.Grants(
             slots,
             round(coordinator.GRANT_S * 1000),
             round(max(paces, default=0.0) * 1000),
--- a/camphortray/slot_queue.py
+++ b/camphortray/slot_queue.py
@@ -8,7 +8,7 @@
 import itertools
 import math
 
-from camphortray import ordered
+from camphortray import priority_queue
 
 # Share added to the time that a batch item is expected to need.
 MARGIN = 1.15
@@ -86,8 +86,12 @@
     """
 
     def __init__(self) -> None:
-        self.timely: ordered.Ordered[SlotRequest] = ordered.Ordered()
-        self.late: ordered.Ordered[SlotRequest] = ordered.Ordered()
+        self.timely: priority_queue.PriorityQueue[SlotRequest] = (
+            priority_queue.PriorityQueue()
+        )
+        self.late: priority_queue.PriorityQueue[SlotRequest] = (
+            priority_queue.PriorityQueue()
+        )
 
     def __len__(self) -> int:
         return len(self.timely) + len(self.late)
@@ -139,9 +143,15 @@
 
     def __init__(self) -> None:
         self.held: dict[str, Lease] = {}
-        self.late: ordered.Ordered[Lease] = ordered.Ordered()
-        self.by_spare: ordered.Ordered[Lease] = ordered.Ordered()
-        self.by_made: ordered.Ordered[Lease] = ordered.Ordered()
+        self.late: priority_queue.PriorityQueue[Lease] = (
+            priority_queue.PriorityQueue()
+        )
+        self.by_spare: priority_queue.PriorityQueue[Lease] = (
+            priority_queue.PriorityQueue()
+        )
+        self.by_made: priority_queue.PriorityQueue[Lease] = (
+            priority_queue.PriorityQueue()
+        )
 
     @property
     def items(self) -> int:
--- a/camphortray/slots.py
+++ b/camphortray/slots.py
@@ -9,13 +9,13 @@
 
 from camphortray import config as configs
 from camphortray import engine
-from camphortray import granting
+from camphortray import grant_messages
 from camphortray import holding
 from camphortray import kernel
 from camphortray import membership
 from camphortray import peers
 from camphortray import settings
-from camphortray import slotmessages
+from camphortray import slot_granter
 from camphortray import tasks
 from camphortray import timers
 from camphortray import tree
@@ -82,7 +82,7 @@
         self.upstreams = context.part(upstreams.Upstreams)
         self.peers = context.part(peers.Peers)
         self.members = context.part(membership.Membership)
-        self.coordinators = granting.CoordinatorMap(self.members)
+        self.coordinators = slot_granter.CoordinatorMap(self.members)
         self.holdings: holding.Holdings[Slot] = holding.Holdings()
         self.waiters: list[Waiter] = []
         self.known: dict[str, engine.Upstream] = {}
@@ -98,7 +98,7 @@
         return cls(context)
 
     async def start(self) -> None:
-        self.peers.on(slotmessages.Grants, self.on_grants)
+        self.peers.on(grant_messages.Grants, self.on_grants)
         self.task = asyncio.get_running_loop().create_task(
             tasks.forever("asking for slots", self.run)
         )
@@ -222,7 +222,7 @@
         self.hand_out()
 
     async def on_grants(
-        self, sender: peers.Sender, message: slotmessages.Grants
+        self, sender: peers.Sender, message: grant_messages.Grants
     ) -> None:
         """Take grants; slots above them are revoked."""
         now = self.clock.monotonic()
@@ -248,7 +248,7 @@
                 {"upstream": slot.upstream.name},
             )
 
-    def wants(self) -> dict[str, slotmessages.Want]:
+    def wants(self) -> dict[str, grant_messages.Want]:
         """Return what this host could use, by upstream."""
         waiting: collections.Counter[str] = collections.Counter()
         alike = collections.Counter(
@@ -263,7 +263,7 @@
                 waiting[candidate.upstream.name] += count
         used = dict(self.holdings.in_use())
         return {
-            name: slotmessages.Want(
+            name: grant_messages.Want(
                 waiting[name] + used.get(name, 0), used.get(name, 0)
             )
             for name in sorted({*waiting, *used, *self.asked})
@@ -273,7 +273,7 @@
         """Ask every coordinator for what could be used."""
         wants = self.wants()
         self.asked = {name for name, want in wants.items() if want.wanted}
-        grouped: dict[str, dict[str, slotmessages.Want]] = (
+        grouped: dict[str, dict[str, grant_messages.Want]] = (
             collections.defaultdict(dict)
         )
         for name, want in wants.items():
@@ -286,11 +286,11 @@
         for address, asked in grouped.items():
             self.peers.notify(
                 configs.Address.from_text(address),
-                slotmessages.Wants(own, asked),
+                grant_messages.Wants(own, asked),
             )
         self.asked_at = self.clock.monotonic()
 
-    def grant_alone(self, name: str, want: slotmessages.Want) -> None:
+    def grant_alone(self, name: str, want: grant_messages.Want) -> None:
         """Use a small share of an upstream that nobody coordinates."""
         upstream = self.known.get(name)
         limit = upstream.slots if upstream is not None else 0
--- a/camphortray/tree.py
+++ b/camphortray/tree.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 from typing import ClassVar
 
+from camphortray import backends
 from camphortray import fold as folds
 from camphortray import journal
 from camphortray import kernel
 from camphortray import logs
-from camphortray import outer
 from camphortray import records
 from camphortray import revisions
 from camphortray import settings
@@ -26,7 +26,7 @@
       journal: The settings stream.
     """
 
-    requires: ClassVar[tuple[str, ...]] = ("outer",)
+    requires: ClassVar[tuple[str, ...]] = ("backends",)
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
@@ -38,7 +38,7 @@
             context.incarnation,
         )
         self.journal = journal.Journal(
-            context.part(outer.Outer).log,
+            context.part(backends.Backends).log,
             settings.STREAM,
             self.fold,
             writer,
--- a/camphortray/upstreams.py
+++ b/camphortray/upstreams.py
@@ -8,13 +8,13 @@
 import enum
 from typing import ClassVar
 
+from camphortray import backends
 from camphortray import draining as leaving_module
 from camphortray import engine
 from camphortray import errors
 from camphortray import kernel
 from camphortray import logs
 from camphortray import membership
-from camphortray import outer
 from camphortray import outlier
 from camphortray import retry
 from camphortray import routing
@@ -63,12 +63,16 @@
     """
 
     name: ClassVar[str] = "upstreams"
-    requires: ClassVar[tuple[str, ...]] = ("outer", "membership", "settings")
+    requires: ClassVar[tuple[str, ...]] = (
+        "backends",
+        "membership",
+        "settings",
+    )
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.clock = context.clock
-        self.outer = context.part(outer.Outer)
+        self.backends = context.part(backends.Backends)
         self.tree = context.part(tree.Tree)
         self.members = context.part(membership.Membership)
         self.loads = routing.LoadBook()
@@ -229,7 +233,7 @@
 
     async def state(self, upstream: engine.Upstream) -> engine.EngineState:
         """Ask an upstream for its state."""
-        return await self.outer.engine(upstream.plugin).state(upstream)
+        return await self.backends.engine(upstream.plugin).state(upstream)
 
     async def until_up(self, upstream: engine.Upstream) -> None:
         """Probe until an upstream answers, then use it again."""
@@ -252,7 +256,7 @@
             pause_s = max(TICK_S, hosts / LIST_READS_PER_S)
             await asyncio.sleep(pause_s * rng.uniform(0.8, 1.2))
             try:
-                lines = await self.outer.hosts.read()
+                lines = await self.backends.hosts.read()
             except errors.CamphortrayError as error:
                 LOG.debug("No list: {}", error)
                 continue
@@ -312,7 +316,7 @@
 
     async def poll(self, upstream: engine.Upstream, with_state: bool) -> None:
         """Ask one engine for its load, and perhaps its state."""
-        party = self.outer.engine(upstream.plugin)
+        party = self.backends.engine(upstream.plugin)
         try:
             report = await party.load(upstream)
             now = self.clock.monotonic()
--- a/tests/grouprig.py
+++ b/tests/grouprig.py
@@ -5,13 +5,13 @@
 from types import SimpleNamespace
 
 from camphortray import active_config
+from camphortray import backends
 from camphortray import clock as clocks
 from camphortray import config as configs
 from camphortray import facts
 from camphortray import ledger as ledgers
 from camphortray import membership
 from camphortray import metrics
-from camphortray import outer
 from camphortray import partition_manager
 from camphortray import partition_owner
 from camphortray import partition_state
@@ -104,12 +104,12 @@
         self.handlers: dict[type, object] = {}
         parts = itemrig.work_parts(group.broken)
         parties = SimpleNamespace(
-            ledger=group.ledger, engine=parts.outer.engine
+            ledger=group.ledger, engine=parts.backends.engine
         )
         self.parts = {
             membership.Membership: self,
             peers.Peers: self,
-            outer.LedgerOuter: parties,
+            backends.LedgerBackends: parties,
             active_config.ActiveConfig: parts.active_config,
             slot_client.SlotClient: parts.slots,
         }
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -138,7 +138,7 @@
     ]
     held = forwarder_of(script, route)
     assert await outcome(held) == status
-    assert len(held.parts.outer.party.seen) == sent
+    assert len(held.parts.backends.party.seen) == sent
 
 
 @pytest.mark.parametrize("fault", [hostkit.BROKEN, hostkit.SILENT])
@@ -157,7 +157,7 @@
     assert await outcome(held) == 200
     assert held.response.data == ALL
     assert held.response.headers == hostkit.STAMP
-    (_, (_, second)) = held.parts.outer.party.seen
+    (_, (_, second)) = held.parts.backends.party.seen
     assert second.resume_after == "2"
 
 
@@ -183,7 +183,7 @@
     ]
     held = forwarder_of(script, route)
     assert await outcome(held) == status
-    assert len(held.parts.outer.party.seen) == sent
+    assert len(held.parts.backends.party.seen) == sent
     ends = held.parts.slots.ends
     good = [hostkit.GOOD] if status == 200 else []
     odd = [enginehealth.Outcome.NOTHING] * (sent - len(good))
@@ -262,7 +262,7 @@
         held.request, deadline_at=held.request.arrived_at + 1.0
     )
     await held.run()
-    ((_, request),) = held.parts.outer.party.seen
+    ((_, request),) = held.parts.backends.party.seen
     assert request.deadline_s <= 1.0
 
 
@@ -270,7 +270,7 @@
     held = forwarder_of([])
     held.parts.breaks.barring = True
     assert await outcome(held) == 503
-    assert not held.parts.outer.party.seen
+    assert not held.parts.backends.party.seen
 
 
 async def test_a_request_barred_after_it_ran_gets_no_promise():
--- a/tests/test_item_left_lying.py
+++ b/tests/test_item_left_lying.py
@@ -166,7 +166,7 @@
                 await asyncio.sleep(0.001)
         slots.revokes[-1]()
     await asyncio.sleep(0.01)
-    script = owner.parts.outer.party.script
+    script = owner.parts.backends.party.script
     script += [test_partition_owner.good() for _ in range(3)]
     await owner.submit(test_partition_owner.part_of("j2", count=2))
     for job, count in (("j2", 2), ("j1", 1)):
--- a/tests/test_item_reconciler.py
+++ b/tests/test_item_reconciler.py
@@ -47,7 +47,7 @@
     await owner.submit(test_partition_owner.part_of(count=1))
     (result,) = await listed(owner)
     assert result.text == b"d1\nd2"
-    seen = [r.resume_after for _, r in owner.parts.outer.party.seen]
+    seen = [r.resume_after for _, r in owner.parts.backends.party.seen]
     assert seen == ["", ""]
     await owner.close()
 
@@ -102,7 +102,7 @@
     found = await listed(owner, count=2)
     texts = {b"x" * 9_000, b"d1\nd2"}
     assert {result.text for result in found} == texts
-    assert len(owner.parts.outer.party.seen) == 2
+    assert len(owner.parts.backends.party.seen) == 2
     await owner.close()
     second = await owner_of(held, epoch=2)
     assert await listed(second, count=2) == found
@@ -126,7 +126,7 @@
     owner = await owner_of(held, [large] * 100)
     await owner.submit(test_partition_owner.part_of(count=1))
     await asyncio.sleep(50.0)
-    assert len(owner.parts.outer.party.seen) < 5
+    assert len(owner.parts.backends.party.seen) < 5
     await owner.close()
 
 
@@ -209,10 +209,10 @@
     owner = await owner_of(ledger.MemoryLedger(), [stuck, slow])
     await owner.submit(test_partition_owner.part_of(count=1))
     async with asyncio.timeout(40.0):
-        while len(owner.parts.outer.party.seen) < 2:
+        while len(owner.parts.backends.party.seen) < 2:
             await asyncio.sleep(0.1)
     back.set()
     (result,) = await listed(owner)
     assert result.text == b"d1\nd2"
-    assert len(owner.parts.outer.party.seen) == 2
+    assert len(owner.parts.backends.party.seen) == 2
     await owner.close()
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -37,13 +37,13 @@
 
 def asked(work):
     """Return after which event each request was to go on."""
-    return [r.resume_after for _, r in work.parts.outer.party.seen]
+    return [r.resume_after for _, r in work.parts.backends.party.seen]
 
 
 async def test_an_item_is_done_with_all_its_events():
     work = work_of([hostkit.Answer(hostkit.events(1, 5))])
     assert await work.run() == partition_records.Result(0, DONE, text(5))
-    ((_, request),) = work.parts.outer.party.seen
+    ((_, request),) = work.parts.backends.party.seen
     assert request.id == "i1"
     assert request.body == b"body"
     assert ("host", "h") in request.headers
@@ -66,7 +66,7 @@
     )
     assert (await work.run()).text == text(5)
     assert asked(work) == ["", "2"]
-    names = [name for name, _ in work.parts.outer.party.seen]
+    names = [name for name, _ in work.parts.backends.party.seen]
     assert names[0] != names[1]
 
 
@@ -95,7 +95,7 @@
 
 async def test_a_slot_taken_back_keeps_what_has_come():
     work = work_of([])
-    party = work.parts.outer.party
+    party = work.parts.backends.party
 
     async def read(timeout_s):
         work.parts.slots.revokes[-1]()
@@ -201,7 +201,7 @@
     slots.acquire = late
     assert (await work.run()).state is DONE
     assert len(slots.ends) == 2
-    assert len(work.parts.outer.party.seen) == 1
+    assert len(work.parts.backends.party.seen) == 1
 
 
 async def test_an_item_does_not_wait_for_ever_at_a_service_left():
--- a/tests/test_jobapi.py
+++ b/tests/test_jobapi.py
@@ -9,10 +9,10 @@
 
 from camphortray import cluster as clusters
 from camphortray import coordinator
-from camphortray import granting
 from camphortray import job_writer
 from camphortray import jobcalls
 from camphortray import jobs
+from camphortray import slot_granter
 from camphortray import slots
 from camphortray import standin_engine
 from camphortray import standin_platform
@@ -227,13 +227,13 @@
     # once for each slot taken back, and it goes on where it was.
     lost = note_revoked(monkeypatch)
     silent = []
-    grant = granting.Granting.grant
+    grant = slot_granter.SlotGranter.grant
 
     def unless_silent(part, host, granted):
         if not silent:
             grant(part, host, granted)
 
-    monkeypatch.setattr(granting.Granting, "grant", unless_silent)
+    monkeypatch.setattr(slot_granter.SlotGranter, "grant", unless_silent)
     values = {"limit.silence_s": LONG_S}
     async with jobcluster.JobCluster(speed=0.05, values=values) as cluster:
         asked = [item(f"q {n}", tokens=30) for n in range(40)]
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -60,7 +60,7 @@
     "onlinepeaks",
     "opaque",
     "openai_format",
-    "ordered",
+    "priority_queue",
     "orders",
     "orphaned_leases",
     "outlier",
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -12,7 +12,7 @@
 import pytest
 
 from camphortray import config_gossip
-from camphortray import granting
+from camphortray import slot_granter
 from camphortray import slots
 from tests import jobcluster
 from tests import sources
@@ -69,8 +69,8 @@
     [
         (slots.Slots, "wants"),
         (slots.Slots, "ask"),
-        (granting.Granting, "report"),
-        (granting.Granting, "busy"),
+        (slot_granter.SlotGranter, "report"),
+        (slot_granter.SlotGranter, "busy"),
         (config_gossip.Spread, "fetch"),
     ],
 )
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from camphortray import backends
 from camphortray import clock
 from camphortray import config as configs
 from camphortray import engine
@@ -13,7 +14,6 @@
 from camphortray import membership
 from camphortray import metrics
 from camphortray import orderdriver
-from camphortray import outer
 from camphortray import peers
 from camphortray import records
 from camphortray import settings
@@ -103,10 +103,10 @@
             random.Random(incarnation),
             metrics.Metrics(),
         )
-        for cls in (outer.Outer, peers.Peers, tree.Tree):
+        for cls in (backends.Backends, peers.Peers, tree.Tree):
             context.parts[cls.name] = cls.from_config(context)
-            context.part(outer.Outer).log = self.log
-        context.part(outer.Outer).engines["openai"] = self.engines
+            context.part(backends.Backends).log = self.log
+        context.part(backends.Backends).engines["openai"] = self.engines
         members = membership.Membership.from_config(context)
         context.parts["membership"] = members
         await context.part(tree.Tree).start()
--- a/tests/test_partition_owner.py
+++ b/tests/test_partition_owner.py
@@ -186,7 +186,7 @@
         await owner.end("j1")
     held.refuse = 0
     owner.parts.slots.refusals = 0
-    owner.parts.outer.party.script = [good()]
+    owner.parts.backends.party.script = [good()]
     assert len(await all_results(owner, "j1", 1)) == 1
     await owner.close()
 
--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from camphortray import backends
 from camphortray import clock
 from camphortray import config as configs
 from camphortray import engine
 from camphortray import errors
 from camphortray import kernel
 from camphortray import metrics
-from camphortray import outer
 from tests import test_config
 
 TAPE = test_config.GOOD.replace('"127.0.0.1:9000"', '"127.0.0.1:9"', 1)
@@ -27,7 +27,7 @@
         random.Random(0),
         metrics.Metrics(),
     )
-    return outer.Outer.from_config(context)
+    return backends.Backends.from_config(context)
 
 
 async def test_a_plugin_from_outside_takes_the_place_of_the_log():
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -8,10 +8,10 @@
 
 from bench import fleet as fleets
 from camphortray import coordinator
-from camphortray import granting
 from camphortray import membership
 from camphortray import settings
 from camphortray import signals
+from camphortray import slot_granter
 from camphortray import slots
 
 pytestmark = pytest.mark.looptime
@@ -68,7 +68,7 @@
 def boss_of(fleet):
     """Return the entry program that coordinates the upstream."""
     live = fleet.entries[0].part(membership.Membership).live("entry")
-    name = granting.coordinator_of(UPSTREAM, live).host
+    name = slot_granter.coordinator_of(UPSTREAM, live).host
     return next(p for p in fleet.entries if p.context.config.host.name == name)
 
 
--- a/tests/test_slottable.py
+++ b/tests/test_slottable.py
@@ -6,7 +6,7 @@
 
 from camphortray import enginehealth
 from camphortray import onlinepeaks
-from camphortray import ordered
+from camphortray import priority_queue
 from camphortray import slot_queue
 from camphortray import slot_reconciler
 from camphortray import slot_scheduler
@@ -147,11 +147,11 @@
 def test_what_is_gone_does_not_pile_up():
     # Items ask anew each time they are moved; kept for ever, the entries
     # of what has gone would grow by some hundred thousand an hour.
-    held = ordered.Ordered()
+    held = priority_queue.PriorityQueue()
     for number in range(5000):
         held.add(f"i{number}", float(number), number)
         held.drop(f"i{number}")
-    assert len(held.heap) <= ordered.SLACK_ENTRIES + 1
+    assert len(held.heap) <= priority_queue.SLACK_ENTRIES + 1
 
 
 @pytest.mark.parametrize("seed", range(20))
--- a/tests/test_ways_out.py
+++ b/tests/test_ways_out.py
@@ -8,6 +8,7 @@
 import pytest
 
 from camphortray import active_config
+from camphortray import backends
 from camphortray import clock as clocks
 from camphortray import config as configs
 from camphortray import errors
@@ -15,7 +16,6 @@
 from camphortray import ledger
 from camphortray import membership
 from camphortray import metrics
-from camphortray import outer
 from camphortray import partition_manager
 from camphortray import peers
 from camphortray import slot_client
@@ -195,7 +195,7 @@
     owner = await owner_of([huge], Bounded())
     await owner.submit(test_partition_owner.part_of("j1", count=1))
     await asyncio.sleep(1.0)
-    owner.parts.outer.party.script.append(test_partition_owner.good())
+    owner.parts.backends.party.script.append(test_partition_owner.good())
     async with asyncio.timeout(WAIT_S):
         await owner.submit(test_partition_owner.part_of("j2", count=1))
         await test_partition_owner.all_results(owner, "j2", 1)
@@ -223,7 +223,7 @@
         return await given(service, want, on_revoke)
 
     slots.acquire = acquire
-    script = owner.parts.outer.party.script
+    script = owner.parts.backends.party.script
     await owner.submit(test_partition_owner.part_of(count=2))
     await asyncio.sleep(1.0)
     assert not script
@@ -255,7 +255,7 @@
     held.refuse = 0
     slots.refusals = 0
     slots.names = names
-    owner.parts.outer.party.script.append(test_partition_owner.good())
+    owner.parts.backends.party.script.append(test_partition_owner.good())
     if not owner.book.jobs["j1"].ended:
         await listed(owner, "j1", 1)
     await owner.close()
@@ -295,7 +295,7 @@
 def owners_on(held, script):
     """Return the owners of one host on a ledger, without other hosts."""
     parts = hostkit.work_parts(clocks.SystemClock(), script)
-    parts.outer.ledger = held
+    parts.backends.ledger = held
     members = types.SimpleNamespace(
         own_name="h/host",
         on_fact=lambda kind, listener: None,
@@ -305,7 +305,7 @@
     )
     by_class = {
         membership.Membership: members,
-        outer.LedgerOuter: parts.outer,
+        backends.LedgerBackends: parts.backends,
         active_config.ActiveConfig: parts.active_config,
         slot_client.SlotClient: parts.slots,
         peers.Peers: types.SimpleNamespace(on=lambda cls, handler: None),
