Say reports, updates and verdicts where a word was told

tell, told and word give way to report, state, publish and update in the modules that had most of them (online, handover, limits, httpclient, itemrun, completing, engine_registry, membership); ProgressWord -> ProgressUpdate.

--- a/camphortray/completing.py
+++ b/camphortray/completing.py
@@ -76,7 +76,7 @@
 
     @functools.cached_property
     def fingerprint(self) -> str:
-        """What tells the request from others, sent again or not."""
+        """What identifies the request, sent again or not."""
         return poison.fingerprint(self.completion.model, self.text)
 
     def left_s(self) -> float:
@@ -87,18 +87,18 @@
 
     async def next_try(self) -> routedtry.RoutedTry:
         while True:
-            told = self.verdict()
-            if told.standing is poison.Standing.QUARANTINED:
+            verdict = self.verdict()
+            if verdict.standing is poison.Standing.QUARANTINED:
                 raise self.refusal(
                     422,
                     "quarantined",
                     "this request has crashed two upstreams; it is not run"
                     " again until the time given is over",
-                    told.at - self.parts.clock.wall(),
+                    verdict.at - self.parts.clock.wall(),
                 )
-            if told.standing is poison.Standing.FREE:
+            if verdict.standing is poison.Standing.FREE:
                 return self.try_at(self.choose())
-            wait_s = told.at - self.parts.clock.wall()
+            wait_s = verdict.at - self.parts.clock.wall()
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
                 continue
@@ -254,7 +254,7 @@
         return self.parts.upstreams.budget(self.service).allow(now)
 
     def refusal_of(self, error: errors.UpstreamError) -> errors.Refused:
-        """Return the refusal that tells a caller of an upstream's failure."""
+        """Return the refusal of a request whose upstream failed."""
         if isinstance(error, errors.UpstreamRefused):
             if error.status in engine.FINAL:
                 return self.refusal(
@@ -272,7 +272,7 @@
         message: str,
         retry_after: float | None = None,
     ) -> errors.Refused:
-        """Return a refusal with the true word on whether it ran."""
+        """Return a refusal that says whether it may have run."""
         ran = "unknown" if self.ran else "no"
         return errors.Refused(
             status, code, message, ran=ran, retry_after=retry_after
--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -1,4 +1,4 @@
-"""Which engines there are and which take new work, by all that is told."""
+"""Which engines there are and which take new work, by all that is known."""
 
 __all__ = ["EngineEntry", "EngineRegistry", "MOST_SLOTS"]
 
@@ -19,7 +19,7 @@
 # hundreds at most; an entry with more is not an engine's own, and believed
 # it would draw all requests to itself.
 MOST_SLOTS = 4_096
-# The life of an engine that does not tell when it started.
+# The life of an engine that does not state its start.
 UNTOLD = 0
 
 
@@ -35,7 +35,7 @@
       slots: Requests it runs at once.
       draining: Whether it said that it leaves.
       sequence: Grows with each entry of the same life.
-      born: Unix milliseconds of its start, or 0 if it does not tell.
+      born: Unix milliseconds of its start, or 0 if it does not state it.
     """
 
     id: str
@@ -189,24 +189,24 @@
         """Return the entries that count, by name of the life.
 
         Of several at one address the engine that started last has it, and
-        where none tells its start, the one that was heard of last: the
+        where none states its start, the one that was heard of last: the
         others are gone, or were never there.
         """
         if self.counted is not None:
             return self.counted
         at_address: dict[str, EngineEntry] = {}
-        for entry in self.told():
+        for entry in self.trusted():
             other = at_address.get(entry.address)
             if other is None or entry.born >= other.born:
                 at_address[entry.address] = entry
         self.counted = {entry.name: entry for entry in at_address.values()}
         return self.counted
 
-    def told(self) -> list[EngineEntry]:
+    def trusted(self) -> list[EngineEntry]:
         """Return the entries that name an engine of a known service.
 
-        An entry without its start is no engine's where engines tell it.
-        Some registries are of before engines told it, so that entries
+        An entry without its start is no engine's where engines state it.
+        Some registries are of before engines stated it, so that entries
         without are left out only where they are not the most of their
         service: a single stray entry then decides nothing.
         """
--- a/camphortray/handover.py
+++ b/camphortray/handover.py
@@ -56,7 +56,7 @@
 
     def start(self) -> None:
         """Take what others leave to this host."""
-        self.links.on(jobmessages.ProgressWord, self.on_progress)
+        self.links.on(jobmessages.ProgressUpdate, self.on_progress)
 
     def leave(self, owner: partition_owner.PartitionOwner) -> None:
         """Note what is under way before an owner stops."""
@@ -71,36 +71,36 @@
         now = self.clock.monotonic()
         if left is None or now - left.at > KEEP_S:
             return
-        words = [
-            jobmessages.ProgressWord(part, job, group)
+        updates = [
+            jobmessages.ProgressUpdate(part, job, group)
             for job, items in left.jobs.items()
             for group in groups(items)
         ]
-        LOG.info("Hands {} items on to {}.", count(words), name)
+        LOG.info("Hands {} items on to {}.", count(updates), name)
         if name == self.members.own_name:
-            for word in words:
-                self.take(word)
+            for update in updates:
+                self.on_update(update)
             return
         member = self.members.member(name)
         if member is None or member.dead:
             return
         address = configs.Address.from_text(member.peer_address)
-        for word in words:
-            self.links.notify(address, word)
+        for update in updates:
+            self.links.notify(address, update)
 
     async def on_progress(
-        self, sender: peers.Sender, word: jobmessages.ProgressWord
+        self, sender: peers.Sender, update: jobmessages.ProgressUpdate
     ) -> None:
         """Take what the owner before has left."""
-        self.take(word)
+        self.on_update(update)
 
-    def take(self, word: jobmessages.ProgressWord) -> None:
+    def on_update(self, update: jobmessages.ProgressUpdate) -> None:
         """Let the owner here go on from there."""
-        owner = self.owners.get(word.part)
+        owner = self.owners.get(update.part)
         if owner is None:
             return
-        for found in word.items:
-            owner.items.take_progress(word.job, found)
+        for found in update.items:
+            owner.items.take_progress(update.job, found)
 
 
 def groups(
@@ -119,6 +119,6 @@
     return [tuple(group) for group in found]
 
 
-def count(words: list[jobmessages.ProgressWord]) -> int:
+def count(updates: list[jobmessages.ProgressUpdate]) -> int:
     """Return the number of items in some messages."""
-    return sum(len(word.items) for word in words)
+    return sum(len(update.items) for update in updates)
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -21,7 +21,7 @@
 
 # Idle connections kept for one address.
 MAX_IDLE = 64
-# Longest that a connection is kept whose server tells a longer limit.
+# Longest that a connection is kept whose server states a longer limit.
 MAX_IDLE_S = 60.0
 
 Body = clientconnection.Body
@@ -147,8 +147,8 @@
 
     def close(self) -> None:
         """Give the connection back, or drop it if not fully read."""
-        told = self.headers.get("keep-alive", "")
-        self.client.release(self.address, self.connection, told)
+        keep_alive = self.headers.get("keep-alive", "")
+        self.client.release(self.address, self.connection, keep_alive)
 
 
 class HttpClient:
@@ -210,18 +210,18 @@
         connection = await self.connect(address, limits, fresh)
         self.busy.add(connection)
         try:
-            told = framing(address, headers, body)
+            framed = framing(address, headers, body)
             kept = connection.uses > 0
             prove_s = keepalive.ACKNOWLEDGED_S if prove and kept else 0.0
             try:
                 await connection.send_request(
-                    method, target, told, body, prove_s
+                    method, target, framed, body, prove_s
                 )
             except errors.UpstreamBroken as error:
                 if not kept or error.ran:
                     raise
                 connection = await self.instead(connection, address, limits)
-                await connection.send_request(method, target, told, body)
+                await connection.send_request(method, target, framed, body)
             else:
                 if prove_s:
                     now = connection.loop.time()
@@ -327,14 +327,14 @@
         self,
         address: configs.Address,
         connection: ClientConnection,
-        told: str = "",
+        keep_alive: str = "",
     ) -> None:
         """Keep a connection for later, or drop it.
 
         Args:
           address: Where it leads.
           connection: Which.
-          told: What the server said of keeping it.
+          keep_alive: The server's header on keeping it.
         """
         if connection not in self.busy:
             return
@@ -345,7 +345,7 @@
             connection.abort()
             return
         connection.idle = True
-        connection.idle_limit_s = keepalive.idle_limit_s(told)
+        connection.idle_limit_s = keepalive.idle_limit_s(keep_alive)
         connection.timer.stop()
         connection.on_idle_lost = lambda: remove(kept, connection)
         kept.append(connection)
--- a/camphortray/itemrun.py
+++ b/camphortray/itemrun.py
@@ -39,7 +39,7 @@
       body: Body of the request, as the caller wrote it.
       collector: What has come so far.
       idempotent: Whether it may be cancelled and run on elsewhere.
-      fingerprint: Gives what tells the request from others.
+      fingerprint: Gives what identifies the request.
       crashed: Whether the upstream of the last try crashed.
     """
 
@@ -96,10 +96,10 @@
           Revoked: the slot was taken back.
         """
         upstream = slot.upstream
-        told = service.name, upstream.name, True
+        labels = service.name, upstream.name, True
         attempt.crashed = good = False
         flight = self.suspects.begin(upstream, attempt.fingerprint)
-        self.signals.begun(*told)
+        self.signals.begun(*labels)
         try:
             with self.upstreams.count(upstream):
                 answer = await self.watched(service, attempt, slot, fresh)
@@ -111,7 +111,7 @@
             raise
         finally:
             self.suspects.end(flight)
-            self.signals.ended(*told, good)
+            self.signals.ended(*labels, good)
 
     async def look_at(
         self, flight: suspects_module.Flight, error: errors.UpstreamError
@@ -164,7 +164,7 @@
         request = attempt.request()
         held = attempt.collector
         last = clock.monotonic()
-        tell = self.signals.first_token
+        on_token = self.signals.first_token
         try:
             async with asyncio.timeout(service.get("limit.deadline_s")):
                 stream = await party.open(upstream, request, fresh)
@@ -172,8 +172,8 @@
                 while data := await stream.read(silence):
                     held.feed(data)
                     now = clock.monotonic()
-                    tell(service.name, upstream.name, True, now - last)
-                    tell, last = self.signals.next_token, now
+                    on_token(service.name, upstream.name, True, now - last)
+                    on_token, last = self.signals.next_token, now
             finally:
                 stream.close()
             if not held.complete:
@@ -208,6 +208,6 @@
             LOG.debug("Not cancelled: {}", error)
 
     async def stop(self) -> None:
-        """Wait until engines were told of all cancels."""
+        """Wait until engines have been sent all cancels."""
         if self.cancels:
             await asyncio.wait(self.cancels, timeout=2.0)
--- a/camphortray/jobmessages.py
+++ b/camphortray/jobmessages.py
@@ -7,7 +7,7 @@
     "JobRefusal",
     "PageAsk",
     "PageReply",
-    "ProgressWord",
+    "ProgressUpdate",
     "QuotaAsk",
     "QuotaReply",
     "SubmitAsk",
@@ -138,7 +138,7 @@
 
 @messages.message("job.progress")
 @dataclasses.dataclass(frozen=True, slots=True)
-class ProgressWord:
+class ProgressUpdate:
     """Tells the owner of a partition what the one before has got.
 
     Attributes:
--- a/camphortray/limits.py
+++ b/camphortray/limits.py
@@ -1,6 +1,6 @@
 """Rate limits of workspaces, shared by hosts in proportion to demand.
 
-A host that knows no share yet uses a small one. It tells the host that
+A host that knows no share yet uses a small one. It reports to the host that
 divides a workspace's limit what demand it sees, and is given a rate for a
 time: a long one while demand is far below the limit, so that nearly all
 workspaces cost nearly nothing.
@@ -18,9 +18,9 @@
 # Demand below this, in requests per second, is forgotten.
 NO_DEMAND = 0.01
 # Share of a limit that a host lets through, or has as demand, before it
-# tells. Most workspaces ask a host now and then and so cost no message.
+# reports. Most workspaces ask a host now and then and so cost no message.
 FREE_SHARE = 0.1
-# Growth of demand over what was told that is told at once, and the least
+# Growth of demand over the last report that is reported at once, and the least
 # seconds between two reports for one workspace.
 NEWS = 1.5
 REPORT_EVERY_S = 1.0
@@ -61,8 +61,8 @@
     demand: float = 0.0
     share: Share | None = None
     share_until: float = 0.0
-    told: float = 0.0
-    told_at: float = -math.inf
+    reported: float = 0.0
+    reported_at: float = -math.inf
 
 
 class LocalLimits:
@@ -108,7 +108,7 @@
         return limit * part / hosts
 
     def due(self, now: float) -> dict[str, float]:
-        """Return the demands to tell, by key; forget those that ended."""
+        """Return the demands to report, by key; forget those that ended."""
         due = {}
         for key, local in list(self.locals.items()):
             demand = local.demand * math.exp(-(now - local.at) / DEMAND_S)
@@ -118,12 +118,12 @@
             few = demand < FREE_SHARE * local.limit and local.tokens >= 1
             if few and local.share is None:
                 continue
-            waited = now - local.told_at
-            grown = demand > NEWS * local.told
+            waited = now - local.reported_at
+            grown = demand > NEWS * local.reported
             ends = local.share_until - now < REPORT_EVERY_S
             if waited >= REPORT_EVERY_S and (grown or ends):
-                local.told = demand
-                local.told_at = now
+                local.reported = demand
+                local.reported_at = now
                 due[key] = round(demand, 2)
         return due
 
@@ -155,7 +155,7 @@
         unknown = max(0, hosts - len(self.demands)) / max(1, hosts)
         usable = limit * (1 - UNKNOWN_SHARE * unknown)
         if total <= FAR * limit:
-            # Room for this host's demand to grow; it tells when it does.
+            # Room for this host's demand to grow; it reports when it does.
             return Share(demand + (usable - total) / 2, FAR_S)
         if total <= usable:
             part = demand / total
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -228,14 +228,14 @@
         self.act(self.node.flush(now))
 
     def offer(self, fact: Fact) -> None:
-        """Tell all hosts a fact whose version others may tell as well."""
+        """Publish a fact whose version others may publish as well."""
         self.node.known.merge_fact(fact, self.clock.monotonic())
 
     def on_fact(self, kind: str, listener: Callable[[Fact], None]) -> None:
         """Call ``listener`` with each new fact of a kind."""
         self.fact_listeners.setdefault(kind, []).append(listener)
 
-    # What the node tells.
+    # What the node reports.
 
     def notify_member(self, member: Member) -> None:
         """Tell whoever listens, and close links of no more use."""
@@ -393,7 +393,7 @@
                 task.cancel()
         if self.node.known.own.status is not Status.LEAVING:
             return
-        # Hosts need not find out by probing what this one can tell.
+        # Hosts need not find out by probing what this one can announce.
         asks = self.node.end(self.clock.monotonic())
         await asyncio.gather(*(self.carry_out(ask) for ask in asks))
 
--- a/camphortray/online.py
+++ b/camphortray/online.py
@@ -1,4 +1,4 @@
-"""What a host tells of its online work at each upstream, and how often."""
+"""What a host reports of its online work at each upstream, and how often."""
 
 __all__ = ["OnlineReports", "REPEAT_S"]
 
@@ -13,7 +13,7 @@
 # Weight of one latency in their mean.
 STRAIN_WEIGHT = 0.1
 # Least seconds from one report on an upstream to the next. A first
-# arrival, and each doubling after it, is told at once all the same.
+# arrival, and each doubling after it, is reported at once all the same.
 SETTLE_S = 0.02
 # A request counts as waiting for its first token for at most this long;
 # one that is not streamed gives no sign when it starts to decode.
@@ -35,16 +35,16 @@
       strain: Mean of recent latencies as shares of their objectives; one
         long step is no breach of an objective that holds for a share.
       strained_at: When the last latency was measured.
-      told: What was reported last.
-      told_at: When.
+      reported: What was reported last.
+      reported_at: When.
     """
 
     begun: list[float] = dataclasses.field(default_factory=list)
     flowing: int = 0
     strain: float = 0.0
     strained_at: float = -STRAIN_S
-    told: headroom.Load = headroom.Load()
-    told_at: float = -REPEAT_S
+    reported: headroom.Load = headroom.Load()
+    reported_at: float = -REPEAT_S
 
     def load(self, now: float) -> headroom.Load:
         """Return the work as it is now."""
@@ -63,7 +63,7 @@
 
 
 class OnlineReports:
-    """Counts online work and says what is due to be told."""
+    """Counts online work and says which reports are due."""
 
     def __init__(self) -> None:
         self.works: dict[str, Work] = {}
@@ -115,8 +115,8 @@
             least = 1.0 if is_arrival(work, load) else RESERVE
             if self.allowance >= least and is_due(now, work, load):
                 self.allowance -= 1
-                work.told = load
-                work.told_at = now
+                work.reported = load
+                work.reported_at = now
                 due[name] = load
         self.forget_idle()
         return due
@@ -133,33 +133,33 @@
             name
             for name, work in self.works.items()
             if not work.begun and not work.flowing and not work.strain
-            if work.told == headroom.Load()
+            if work.reported == headroom.Load()
         ]
         for name in idle:
             del self.works[name]
 
 
 def is_arrival(work: Work, load: headroom.Load) -> bool:
-    """Return whether a first request waits, or twice as many as told."""
-    return load.pending >= max(1, 2 * work.told.pending)
+    """Return whether a first request waits, or twice as many as reported."""
+    return load.pending >= max(1, 2 * work.reported.pending)
 
 
 def is_due(now: float, work: Work, load: headroom.Load) -> bool:
     """Return whether a report differs enough, or is old enough."""
-    told = work.told
+    reported = work.reported
     if is_arrival(work, load):
         return True
-    quiet = now - work.told_at
-    if load == told:
+    quiet = now - work.reported_at
+    if load == reported:
         return quiet >= REPEAT_S and load != headroom.Load()
     if quiet < SETTLE_S:
         return False
-    if bool(load.in_flight) != bool(told.in_flight):
+    if bool(load.in_flight) != bool(reported.in_flight):
         return True
-    if bool(load.pending) != bool(told.pending):
+    if bool(load.pending) != bool(reported.pending):
         return True
     # While requests wait, each one more takes back more slots, until
     # there are none left to take: a growth by a quarter is news.
-    if load.pending > told.pending * 1.25:
+    if load.pending > reported.pending * 1.25:
         return True
     return quiet >= REPEAT_S / 4
