--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -13,6 +13,7 @@
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import eventstream
+from camphortray import item_deadline
 from camphortray import item_retry
 from camphortray import item_stall_detector
 from camphortray import lease_table
@@ -38,12 +39,6 @@
 # Seconds to wait for a slot before the route is looked at again: a service
 # that the route has left may never have one.
 REASK_S = 3.0
-# Seconds beyond the keeping time after which an item is given up: clocks
-# of hosts differ, and too early would be wrong.
-KEEP_SLACK_S = 4.0
-# Seconds before the end of its time from which a run that breaks off may have
-# been ended by its engine for that; the way there and the clocks' pace.
-DEADLINE_SLACK_S = 0.25
 # Seconds beyond the longest time that a wait may take, after which the item
 # is taken from whoever waits. A run without an event ends itself after
 # FIRST_SILENT_S and the time for a connection, a wait for a slot after
@@ -89,6 +84,7 @@
 
     Attributes:
       life: Unique among all that have run this item.
+      deadline: How much time it has.
       stage: What it waits for.
       stage_at: Since when, monotonic.
       text: Data of the events so far.
@@ -112,6 +108,7 @@
         item = job.items[place]
         assert item is not None
         self.item = item
+        self.deadline = item_deadline.ItemDeadline(parts.clock, job.taken_at)
         self.stage, self.stage_at = Stage.ROUTE, parts.clock.monotonic()
         self.tries = item_retry.ItemTries()
         self.reader = eventstream.EventReader()
@@ -126,7 +123,7 @@
         while True:
             self.enter(Stage.ROUTE)
             route = await self.route()
-            if route is None or self.is_over(route):
+            if route is None or self.deadline.is_over(route):
                 return self.abandoned("its time is over")
             self.enter(Stage.PAUSE)
             now = self.parts.clock.monotonic()
@@ -222,32 +219,6 @@
             route.service_of(self.item.id) == held.service
         )
 
-    def age_s(self) -> float:
-        """Return the seconds since the job was accepted."""
-        return self.parts.clock.wall() - self.job.taken_at
-
-    def is_over(self, route: routemap.Route) -> bool:
-        """Return whether the item may be given up for its age."""
-        return bool(route.keep_s) and (
-            self.age_s() > route.keep_s + KEEP_SLACK_S
-        )
-
-    def left_s(self, route: routemap.Route) -> float | None:
-        """Return the seconds that an engine gets for a run; None for any."""
-        if not route.keep_s:
-            return None
-        return max(1.0, route.keep_s + KEEP_SLACK_S - self.age_s())
-
-    def time_over(self, route: routemap.Route) -> bool:
-        """Return whether an engine has ended a run as its time was over.
-
-        That says nothing of the engine. Held against it, the items of an
-        old job put one engine after the other aside while others waited.
-        """
-        return bool(route.keep_s) and (
-            self.age_s() > route.keep_s + KEEP_SLACK_S - DEADLINE_SLACK_S
-        )
-
     def abandoned(self, why: str) -> partition_records.Result:
         """Return the result of an item that is given up."""
         LOG.info(
@@ -267,7 +238,6 @@
         parts = self.parts
         now = parts.clock.monotonic()
         self.number += 1
-        due_s = (route.due_s or route.timeout_s) - self.age_s()
         avoid = {self.tries.avoid} - {""}
         want = slot_scheduler.SlotRequest(
             # With the life: an owner before, or this one before an end that
@@ -279,7 +249,7 @@
             route.priority,
             now,
             route.objective_s,
-            due_at=now + due_s,
+            due_at=now + self.deadline.due_s(route),
             work_s=parts.pace.left_s(self.reader.count),
             made_s=parts.pace.made_s(self.reader.count),
             start_s=parts.pace.start_s(self.reader.count),
@@ -335,7 +305,7 @@
                     self.job.id,
                     held.upstream.name,
                     self.reader.last,
-                    fields={"age_s": round(self.age_s(), 2)},
+                    fields={"age_s": round(self.deadline.age_s(), 2)},
                 )
                 return None
             task.result()
@@ -348,13 +318,13 @@
                 held.upstream.name,
                 self.reader.count,
                 self.number,
-                fields={"age_s": round(self.age_s(), 2)},
+                fields={"age_s": round(self.deadline.age_s(), 2)},
             )
             return partition_records.Result(
                 self.place, partition_records.State.DONE, b"\n".join(self.text)
             )
         except errors.UpstreamError as error:
-            if not self.time_over(route):
+            if not self.deadline.ends_runs(route):
                 outcome = enginehealth.outcome_of(error)
             brought = self.reader.count - count
             return self.failed(route, held, error, brought)
@@ -417,7 +387,7 @@
             # and what came before would stand twice.
             self.reader, self.text = eventstream.EventReader(), []
         self.reader.restart()
-        left_s = self.left_s(route)
+        left_s = self.deadline.left_s(route)
         request = engine.EngineRequest(
             self.item.id,
             self.item.target,
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -8,6 +8,7 @@
 from camphortray import clock as clocks
 from camphortray import enginehealth
 from camphortray import errors
+from camphortray import item_deadline
 from camphortray import itemwork
 from camphortray import partition_records
 from camphortray import partition_state
@@ -170,7 +171,7 @@
     task = asyncio.ensure_future(work.run())
     await asyncio.sleep(2.0)
     assert not task.done()
-    await asyncio.sleep(itemwork.KEEP_SLACK_S)
+    await asyncio.sleep(item_deadline.KEEP_SLACK_S)
     assert (await task).state is ABANDONED
 
 
