--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -343,8 +343,11 @@
         await platform.until(lambda: len(under_way()) == len(jobs))
         taken = []
         other = second.part(job_router.JobRouter).owners.handover
-        take = other.take
-        other.take = lambda word: (taken.append(word), take(word))
+        on_update = other.on_update
+        other.on_update = lambda update: (
+            taken.append(update),
+            on_update(update),
+        )
         first.kernel.request_drain()
         await platform.until(
             lambda: (
