--- a/bench/keys.py
+++ b/bench/keys.py
@@ -7,11 +7,11 @@
 
 __all__ = ["main"]
 
-import json
 import time
 
 from camphortray_platform import config_decoder
 import defopt
+import msgspec
 
 from camphortray import access
 from camphortray import keyring
@@ -25,16 +25,16 @@
 
 def record(workspaces: int) -> bytes:
     """Return the operator's record with so many workspaces."""
-    tenants = [
-        {
-            "name": f"w{number}",
-            "apiKeys": [f"{number:018d}-{key}" for key in range(KEYS_EACH)],
-            "priority": 1,
-        }
+    tenants = tuple(
+        config_decoder.TenantText(
+            f"w{number}",
+            tuple(f"{number:018d}-{key}" for key in range(KEYS_EACH)),
+            1,
+        )
         for number in range(workspaces)
-    ]
-    text = {"version": 1, "routes": [], "tenants": tenants}
-    return json.dumps(text).encode()
+    )
+    text = config_decoder.ConfigurationText(1, tenants=tenants)
+    return msgspec.json.encode(text)
 
 
 def measure(workspaces: int) -> tuple[int, float, float, float]:
