Give each process a block of ports that no other gives out

Cause: a port was found free by a probe and bound later. Processes began at different ports of one range, but two suites take thousands, and the one ran into the other's.

--- a/camphortray/cluster.py
+++ b/camphortray/cluster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import itertools
 import os
 import socket
@@ -33,22 +34,68 @@
 HOST_KEY = "key-of-hosts"
 PROGRAMS = (entry, batch)
 PORTS = range(10_000, 32_000)
-# Far enough apart for some hundred clusters in each of many processes.
-NUMBERS = itertools.count(os.getpid() * 1_013)
+# Ports of one process; its block is claimed by its first port.
+BLOCK_PORTS = 2_000
 # Longest wait for hosts to become ready, and from one look to the next.
 READY_S = 20.0
 READY_LOOK_S = 0.01
 
 
+class PortBlock:
+    """Ports that no other process on this machine gives out.
+
+    Two processes that look for free ports in one range would both find a
+    port free before either listens on it.
+
+    Attributes:
+      claim: Bound to the first port of the block for as long as it is used.
+      ports: All others, over and over.
+    """
+
+    def __init__(self, claim: socket.socket) -> None:
+        self.claim = claim
+        first = claim.getsockname()[1] + 1
+        self.ports = itertools.cycle(range(first, first + BLOCK_PORTS - 1))
+
+    @classmethod
+    def from_range(cls, ports: range) -> "PortBlock":
+        """Claim a block of some ports.
+
+        Raises:
+          OSError: all are taken.
+        """
+        starts = list(ports[::BLOCK_PORTS])
+        shift = os.getpid() % len(starts)
+        for start in starts[shift:] + starts[:shift]:
+            claim = socket.socket()
+            try:
+                claim.bind((LOOPBACK, start))
+            except OSError:
+                claim.close()
+                continue
+            return cls(claim)
+        raise OSError("no block of ports is free")
+
+
+@functools.cache
+def port_block() -> PortBlock:
+    """Return the block of this process."""
+    return PortBlock.from_range(PORTS)
+
+
+# A child has its parent's block in its memory, but must not give out of it.
+os.register_at_fork(after_in_child=port_block.cache_clear)
+
+
 def free_port() -> int:
-    """Return a port that is free now and was not given before.
+    """Return a port that is free now and was not given lately.
 
     It lies below the ports that systems give to outgoing connections, so
-    that none of those takes it before it is listened on; and processes
-    side by side begin at different ones.
+    that none of those takes it before it is listened on; and no other
+    process of ours is given it.
     """
     while True:
-        port = PORTS[next(NUMBERS) % len(PORTS)]
+        port = next(port_block().ports)
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
