--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -33,6 +33,8 @@
 import tempfile
 import tomllib
 
+import msgspec
+
 from camphortray import config as configs
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -252,7 +254,8 @@
       ValueError: it names a switch that there is not.
     """
     known = {
-        field.name for field in dataclasses.fields(configs.ExperimentsConfig)
+        field.name
+        for field in msgspec.structs.fields(configs.ExperimentsConfig)
     }
     unknown = set(listed["off"]) - known - {""}
     if unknown:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -12,6 +12,8 @@
 import random
 from typing import Any
 
+import msgspec
+
 from camphortray import clock as clocks
 from camphortray import config as configs
 from camphortray import errors
@@ -160,7 +162,7 @@
     def drop(self, name: str) -> None:
         """Hold a member for dead."""
         dead = membership.Status.DEAD
-        self.put(dataclasses.replace(self.held[name], status=dead))
+        self.put(msgspec.structs.replace(self.held[name], status=dead))
 
     async def stop(self) -> None:
         """Stop nothing."""
--- a/bench/membership_node.py
+++ b/bench/membership_node.py
@@ -4,13 +4,13 @@
 line is JSON.
 """
 
-import dataclasses
 import json
 import random
 import time
 import tracemalloc
 
 import defopt
+import msgspec
 
 from camphortray import antientropy
 from camphortray import gossip
@@ -66,12 +66,12 @@
 
 def one_change(node: nodes.Node, member: members.Member) -> float:
     """Return the seconds it takes to learn of a host and of its loss."""
-    new = dataclasses.replace(member, name="host-new/entry")
+    new = msgspec.structs.replace(member, name="host-new/entry")
     now = TICKS * TICK_S + 1
     began = time.perf_counter()
     node.known.merge_member(new, now)
     node.tick(now)
-    dead = dataclasses.replace(new, status=members.Status.DEAD)
+    dead = msgspec.structs.replace(new, status=members.Status.DEAD)
     node.known.merge_member(dead, now)
     node.tick(now)
     return (time.perf_counter() - began) / 2
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -8,7 +8,6 @@
 __all__ = ["main", "relay"]
 
 import asyncio
-import dataclasses
 import os
 import pathlib
 import statistics
@@ -74,7 +73,7 @@
 def to_toml(config: configs.Config) -> str:
     """Return the settings of a host as TOML."""
     lines = []
-    for section, values in dataclasses.asdict(config).items():
+    for section, values in msgspec.to_builtins(config).items():
         if not isinstance(values, dict):
             continue
         lines.append(f"[{section}]")
--- a/camphortray/access.py
+++ b/camphortray/access.py
@@ -3,15 +3,15 @@
 __all__ = ["ANONYMOUS", "AccessControl", "Caller"]
 
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 from camphortray import errors
 from camphortray import keyring
 from camphortray import routemap
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Caller:
+class Caller(msgspec.Struct, frozen=True):
     """The caller that a request runs for.
 
     Attributes:
--- a/camphortray/active_config.py
+++ b/camphortray/active_config.py
@@ -9,10 +9,11 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 from typing import Any
 from typing import ClassVar
 
+import msgspec
+
 from camphortray import access
 from camphortray import backends
 from camphortray import config as configs
@@ -67,8 +68,7 @@
 
 
 @messages.message("active_config.ask")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ActiveConfigAsk:
+class ActiveConfigAsk(msgspec.Struct, frozen=True):
     """Asks a peer for what it has in force.
 
     Attributes:
@@ -79,8 +79,7 @@
 
 
 @messages.message("active_config.answer")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ActiveConfigAnswer:
+class ActiveConfigAnswer(msgspec.Struct, frozen=True):
     """Answers with the configuration, if newer, and the engines.
 
     Attributes:
--- a/camphortray/antientropy.py
+++ b/camphortray/antientropy.py
@@ -3,7 +3,8 @@
 __all__ = ["Sync", "SyncReply", "lacking", "reply", "sync"]
 
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 from camphortray import facts
 from camphortray import gossip
@@ -14,8 +15,7 @@
 
 
 @messages.message("sync")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sync:
+class Sync(msgspec.Struct, frozen=True):
     """Asks for what differs; also how a new host joins.
 
     Attributes:
@@ -26,8 +26,7 @@
 
 
 @messages.message("sync-reply")
-@dataclasses.dataclass(frozen=True, slots=True)
-class SyncReply:
+class SyncReply(msgspec.Struct, frozen=True):
     """All entries and facts of the buckets that differ.
 
     Attributes:
--- a/camphortray/append_forwarder.py
+++ b/camphortray/append_forwarder.py
@@ -32,8 +32,7 @@
 
 
 @messages.message("log-append")
-@dataclasses.dataclass(frozen=True, slots=True)
-class LogAppend:
+class LogAppend(msgspec.Struct, frozen=True):
     """Asks a peer to append an encoded record."""
 
     stream: str
@@ -41,8 +40,7 @@
 
 
 @messages.message("log-appended")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Appended:
+class Appended(msgspec.Struct, frozen=True):
     """Confirms that the log has stored the record."""
 
     offset: int
--- a/camphortray/check.py
+++ b/camphortray/check.py
@@ -1,8 +1,7 @@
-"""Checks values against data classes and lists every fault at once."""
+"""Checks values against structs and lists every fault at once."""
 
 __all__ = ["build", "describe"]
 
-import dataclasses
 import difflib
 import typing
 from typing import Any
@@ -13,7 +12,7 @@
 
 from camphortray import errors
 
-T = TypeVar("T")
+T = TypeVar("T", bound=msgspec.Struct)
 
 
 def describe(hint: Any) -> str:
@@ -58,7 +57,7 @@
     """Build ``cls`` from plain data.
 
     Args:
-      cls: A frozen data class; nested data classes are checked in turn.
+      cls: A frozen ``msgspec.Struct``; nested ones are checked in turn.
       data: A mapping, as read from TOML.
       file: Name of the file, for the faults.
       key: Dotted key of ``data`` in the file.
@@ -69,15 +68,14 @@
     if not isinstance(data, dict):
         fault = errors.Fault(file, key or "(top)", repr(data), "a table")
         return result.Err((fault,))
-    hints = typing.get_type_hints(cls, include_extras=True)
-    fields = {f.name: f for f in dataclasses.fields(cls)}  # type: ignore
+    fields = {f.name: f for f in msgspec.structs.fields(cls)}
     faults = unknown_keys(data, set(fields), file, key)
     values: dict[str, Any] = {}
     for name, field in fields.items():
         dotted = f"{key}.{name}" if key else name
-        if name not in data and is_optional(field):
+        if name not in data and not field.required:
             continue
-        outcome = one_field(hints[name], name, data, file, dotted)
+        outcome = one_field(field.type, name, data, file, dotted)
         if outcome.is_ok():
             values[name] = outcome.unwrap()
         else:
@@ -90,8 +88,8 @@
 def one_field(
     hint: Any, name: str, data: dict[str, Any], file: str, dotted: str
 ) -> result.Result[Any, tuple[errors.Fault, ...]]:
-    """Check one field; nested data classes give their own faults."""
-    if dataclasses.is_dataclass(hint):
+    """Check one field; nested structs give their own faults."""
+    if isinstance(hint, msgspec.StructMeta):
         nested: Any = hint
         return build(nested, data.get(name, {}), file=file, key=dotted)
     if name not in data:
@@ -105,14 +103,6 @@
         return result.Err((fault,))
 
 
-def is_optional(field: dataclasses.Field[Any]) -> bool:
-    """Return whether a field has a default."""
-    return (
-        field.default is not dataclasses.MISSING
-        or field.default_factory is not dataclasses.MISSING
-    )
-
-
 def unknown_keys(
     data: dict[str, Any], known: set[str], file: str, key: str
 ) -> list[errors.Fault]:
--- a/camphortray/claim_probe.py
+++ b/camphortray/claim_probe.py
@@ -3,9 +3,10 @@
 __all__ = ["CallProbe", "CallState", "ClaimProbes"]
 
 from collections.abc import Callable
-import dataclasses
 from typing import Any
 
+import msgspec
+
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import membership
@@ -18,8 +19,7 @@
 
 
 @messages.message("calls.probe")
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallProbe:
+class CallProbe(msgspec.Struct, frozen=True):
     """Asks whether a call is in progress.
 
     Attributes:
@@ -32,8 +32,7 @@
 
 
 @messages.message("calls.state")
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallState:
+class CallState(msgspec.Struct, frozen=True):
     """The reply to a probe.
 
     Attributes:
--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -18,7 +18,6 @@
     "TlsConfig",
 ]
 
-import dataclasses
 import pathlib
 import tomllib
 from typing import Annotated
@@ -59,8 +58,7 @@
         return f"{ip}:{self.port}"
 
 
-@dataclasses.dataclass(frozen=True)
-class HostConfig:
+class HostConfig(msgspec.Struct, frozen=True):
     """Who this host is.
 
     Attributes:
@@ -74,8 +72,7 @@
     region: Name
 
 
-@dataclasses.dataclass(frozen=True)
-class EntryConfig:
+class EntryConfig(msgspec.Struct, frozen=True):
     """How callers reach the entry role.
 
     Attributes:
@@ -98,8 +95,7 @@
     idle_timeout_s: Seconds = 75.0
 
 
-@dataclasses.dataclass(frozen=True)
-class BatchConfig:
+class BatchConfig(msgspec.Struct, frozen=True):
     """How the batch role is reached and bounded.
 
     Attributes:
@@ -115,8 +111,7 @@
     drain_s: Seconds = 60.0
 
 
-@dataclasses.dataclass(frozen=True)
-class PeerConfig:
+class PeerConfig(msgspec.Struct, frozen=True):
     """Links between hosts.
 
     Attributes:
@@ -132,8 +127,7 @@
     shared_key: str = ""
 
 
-@dataclasses.dataclass(frozen=True)
-class TlsConfig:
+class TlsConfig(msgspec.Struct, frozen=True):
     """Certificates; empty names mean plain TCP.
 
     Attributes:
@@ -149,8 +143,7 @@
     callers: bool = False
 
 
-@dataclasses.dataclass(frozen=True)
-class PlatformConfig:
+class PlatformConfig(msgspec.Struct, frozen=True):
     """Where a backend is and which plug-in speaks to it."""
 
     address: AddressText
@@ -158,8 +151,7 @@
     timeout_s: Seconds = 2.0
 
 
-@dataclasses.dataclass(frozen=True)
-class LedgerConfig(PlatformConfig):
+class LedgerConfig(PlatformConfig, frozen=True):
     """The platform's keyed store and what it takes.
 
     Attributes:
@@ -182,8 +174,7 @@
     engines_s: Seconds = 2.0
 
 
-@dataclasses.dataclass(frozen=True)
-class StreamConfig:
+class StreamConfig(msgspec.Struct, frozen=True):
     """What the platform's log allows this deployment.
 
     Attributes:
@@ -199,8 +190,7 @@
     min_flush_s: Seconds = 0.05
 
 
-@dataclasses.dataclass(frozen=True)
-class ShardsConfig:
+class ShardsConfig(msgspec.Struct, frozen=True):
     """Number of streams of each kind; alike on all hosts, for ever."""
 
     jobs: Count = 16
@@ -208,16 +198,14 @@
     orders: Count = 4
 
 
-@dataclasses.dataclass(frozen=True)
-class LoggingConfig:
+class LoggingConfig(msgspec.Struct, frozen=True):
     """Form and level of the log lines."""
 
     format: Literal["text", "json"] = "text"
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
-@dataclasses.dataclass(frozen=True)
-class FrontConfig:
+class FrontConfig(msgspec.Struct, frozen=True):
     """Listeners and limits of the program ``host``.
 
     Attributes:
@@ -241,8 +229,7 @@
     item_keep_s: Seconds = 120.0
 
 
-@dataclasses.dataclass(frozen=True)
-class ExperimentsConfig:
+class ExperimentsConfig(msgspec.Struct, frozen=True):
     """Mechanisms that an ablation switches off; all are on by default.
 
     For measuring what each is worth, on a copy; never for callers.
@@ -279,8 +266,7 @@
 ALL_ON = ExperimentsConfig()
 
 
-@dataclasses.dataclass(frozen=True)
-class Config:
+class Config(msgspec.Struct, frozen=True):
     """All settings of one host.
 
     Attributes:
@@ -294,17 +280,17 @@
     log: PlatformConfig
     hostlist: PlatformConfig
     weights: PlatformConfig | None = None
-    entry: EntryConfig = dataclasses.field(default_factory=EntryConfig)
-    batch: BatchConfig = dataclasses.field(default_factory=BatchConfig)
-    peer: PeerConfig = dataclasses.field(default_factory=PeerConfig)
-    tls: TlsConfig = dataclasses.field(default_factory=TlsConfig)
-    streams: StreamConfig = dataclasses.field(default_factory=StreamConfig)
-    shards: ShardsConfig = dataclasses.field(default_factory=ShardsConfig)
-    logging: LoggingConfig = dataclasses.field(default_factory=LoggingConfig)
+    entry: EntryConfig = msgspec.field(default_factory=EntryConfig)
+    batch: BatchConfig = msgspec.field(default_factory=BatchConfig)
+    peer: PeerConfig = msgspec.field(default_factory=PeerConfig)
+    tls: TlsConfig = msgspec.field(default_factory=TlsConfig)
+    streams: StreamConfig = msgspec.field(default_factory=StreamConfig)
+    shards: ShardsConfig = msgspec.field(default_factory=ShardsConfig)
+    logging: LoggingConfig = msgspec.field(default_factory=LoggingConfig)
     plugins: tuple[str, ...] = ()
     ledger: LedgerConfig | None = None
-    front: FrontConfig = dataclasses.field(default_factory=FrontConfig)
-    experiments: ExperimentsConfig = dataclasses.field(
+    front: FrontConfig = msgspec.field(default_factory=FrontConfig)
+    experiments: ExperimentsConfig = msgspec.field(
         default_factory=ExperimentsConfig
     )
 
--- a/camphortray/config_gossip.py
+++ b/camphortray/config_gossip.py
@@ -9,10 +9,11 @@
 __all__ = ["Spread"]
 
 import asyncio
-import dataclasses
 from typing import Any
 from typing import ClassVar
 
+import msgspec
+
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import facts
@@ -37,8 +38,7 @@
 
 
 @messages.message("record")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PassedRecord:
+class PassedRecord(msgspec.Struct, frozen=True):
     """A record as the log keeps it; see ``log.LogRecord``."""
 
     offset: int
@@ -47,8 +47,7 @@
 
 
 @messages.message("records-ask")
-@dataclasses.dataclass(frozen=True, slots=True)
-class RecordsAsk:
+class RecordsAsk(msgspec.Struct, frozen=True):
     """Asks for records of the settings stream.
 
     Attributes:
@@ -61,8 +60,7 @@
 
 
 @messages.message("records")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Records:
+class Records(msgspec.Struct, frozen=True):
     """Answers with records, or one part of a snapshot, or nothing."""
 
     records: tuple[PassedRecord, ...] = ()
--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -19,11 +19,12 @@
 import abc
 from collections.abc import AsyncIterator
 from collections.abc import Callable
-import dataclasses
 import json
 from typing import Any
 from typing import Literal
 
+import msgspec
+
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import registry
@@ -32,8 +33,7 @@
 FINAL_STATUSES = frozenset({400, 413, 422})
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Upstream:
+class Upstream(msgspec.Struct, frozen=True):
     """An upstream as declared in the settings.
 
     Attributes:
@@ -57,8 +57,7 @@
     max_idle: int = 64
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineRequest:
+class EngineRequest(msgspec.Struct, frozen=True):
     """A request as sent to an engine.
 
     Attributes:
@@ -99,8 +98,7 @@
     workspace: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True):
     """Load reported by an engine; it lags behind the actual load.
 
     Attributes:
@@ -116,8 +114,7 @@
     age_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CacheEvent:
+class CacheEvent(msgspec.Struct, frozen=True):
     """A prefix was stored in or evicted from an engine's cache.
 
     Attributes:
@@ -131,16 +128,14 @@
     stored: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CacheEvents:
+class CacheEvents(msgspec.Struct, frozen=True):
     """Cache events after a sequence number; delayed, possibly with gaps."""
 
     next: int
     events: tuple[CacheEvent, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Order:
+class Order(msgspec.Struct, frozen=True):
     """A command to an upstream.
 
     Attributes:
@@ -160,8 +155,7 @@
     fencing: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderAnswer:
+class OrderAnswer(msgspec.Struct, frozen=True):
     """Response to an order.
 
     Attributes:
@@ -173,8 +167,7 @@
     reason: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineState:
+class EngineState(msgspec.Struct, frozen=True):
     """Models loaded in an engine, and its state.
 
     Attributes:
--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -5,7 +5,8 @@
 import collections
 from collections.abc import Collection
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 from camphortray import config as configs
 
@@ -23,8 +24,7 @@
 UNKNOWN_START = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineEntry:
+class EngineEntry(msgspec.Struct, frozen=True):
     """Registry entry of an engine, written by the engine itself.
 
     Attributes:
@@ -107,7 +107,7 @@
         same_incarnation = held is not None and held.born == entry.born
         if held is not None and same_incarnation and held.draining:
             # Draining is final within an incarnation.
-            entry = dataclasses.replace(entry, draining=True)
+            entry = msgspec.structs.replace(entry, draining=True)
         if not same_incarnation:
             # ``current`` relies on the order of arrival.
             self.entries.pop(entry.id, None)
@@ -115,7 +115,9 @@
         if held is None or not same_incarnation:
             self.cached = None
             return True
-        changed = dataclasses.replace(held, sequence=entry.sequence) != entry
+        changed = (
+            msgspec.structs.replace(held, sequence=entry.sequence) != entry
+        )
         if changed:
             self.cached = None
         elif self.cached is not None and entry.name in self.cached:
@@ -183,7 +185,7 @@
         entry = self.current().get(name)
         if entry is None or entry.draining:
             return False
-        self.entries[entry.id] = dataclasses.replace(entry, draining=True)
+        self.entries[entry.id] = msgspec.structs.replace(entry, draining=True)
         self.cached = None
         return True
 
--- a/camphortray/enginehealth.py
+++ b/camphortray/enginehealth.py
@@ -3,10 +3,11 @@
 __all__ = ["HealthTracker", "Outcome", "outcome_of"]
 
 from collections.abc import Collection
-import dataclasses
 import enum
 import math
 
+import msgspec
+
 from camphortray import errors
 
 # Seconds for which an engine gets no requests after it refused one as full:
@@ -31,8 +32,7 @@
     NOTHING = "nothing"
 
 
-@dataclasses.dataclass(slots=True)
-class Health:
+class Health(msgspec.Struct):
     """Health of an engine, derived from the outcomes of its leases.
 
     Attributes:
--- a/camphortray/errors.py
+++ b/camphortray/errors.py
@@ -25,7 +25,7 @@
     "UpstreamUnsendable",
 ]
 
-import dataclasses
+import msgspec
 
 
 class CamphortrayError(Exception):
@@ -50,8 +50,7 @@
         return f"{where}: {self.message}" if where else self.message
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fault:
+class Fault(msgspec.Struct, frozen=True):
     """One fault in a settings file.
 
     Attributes:
--- a/camphortray/eventstream.py
+++ b/camphortray/eventstream.py
@@ -3,7 +3,8 @@
 __all__ = ["Event", "EventReader", "Framing", "events_of"]
 
 import abc
-import dataclasses
+
+import msgspec
 
 from camphortray import errors
 
@@ -13,8 +14,7 @@
 MAX_EVENT_BYTES = 1_048_576
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Event:
+class Event(msgspec.Struct, frozen=True):
     """One event.
 
     Attributes:
--- a/camphortray/experiment.py
+++ b/camphortray/experiment.py
@@ -2,7 +2,6 @@
 
 __all__ = ["Experiment", "FaultPlan", "from_file", "from_text"]
 
-import dataclasses
 import ipaddress
 import pathlib
 import tomllib
@@ -23,8 +22,7 @@
 TraceName = Literal["winter-morning", "open-day-weekend", "night"]
 
 
-@dataclasses.dataclass(frozen=True)
-class FaultPlan:
+class FaultPlan(msgspec.Struct, frozen=True):
     """One fault of a stand-in, switched at a time.
 
     Attributes:
@@ -40,8 +38,7 @@
     value: bool | int | float | str = True
 
 
-@dataclasses.dataclass(frozen=True)
-class Experiment:
+class Experiment(msgspec.Struct, frozen=True):
     """What to send, for how long, and what to break.
 
     Attributes:
@@ -120,7 +117,7 @@
         faults = [*built.unwrap_err(), *faults]
     if faults:
         raise errors.ConfigError(tuple(faults))
-    return dataclasses.replace(built.unwrap(), faults=tuple(plans))
+    return msgspec.structs.replace(built.unwrap(), faults=tuple(plans))
 
 
 def from_file(path: str) -> Experiment:
--- a/camphortray/facts.py
+++ b/camphortray/facts.py
@@ -2,7 +2,6 @@
 
 __all__ = ["Fact", "FactTable"]
 
-import dataclasses
 from typing import Any
 
 import msgspec
@@ -17,8 +16,7 @@
 MAX_AHEAD_MS = 60_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fact:
+class Fact(msgspec.Struct, frozen=True):
     """A small fact for all hosts; the highest version of a key wins.
 
     Attributes:
--- a/camphortray/failure_detector.py
+++ b/camphortray/failure_detector.py
@@ -8,9 +8,10 @@
 
 __all__ = ["Doubt", "FailureDetector"]
 
-import dataclasses
 import random
 
+import msgspec
+
 from camphortray import messages
 
 # Seconds from one probe of a member to the next by the same watcher.
@@ -29,8 +30,7 @@
 
 
 @messages.message("doubt")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Doubt:
+class Doubt(msgspec.Struct, frozen=True):
     """A watcher's word that it cannot reach a member.
 
     Attributes:
@@ -42,8 +42,7 @@
     incarnation: int
 
 
-@dataclasses.dataclass(slots=True)
-class Retell:
+class Retell(msgspec.Struct):
     """When a doubt that still holds is told again."""
 
     at: float
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -3,9 +3,10 @@
 __all__ = ["Forwarder", "ForwarderParts"]
 
 import asyncio
-import dataclasses
 from typing import NoReturn
 
+import msgspec
+
 from camphortray import access
 from camphortray import active_config
 from camphortray import backends
@@ -46,8 +47,7 @@
 RETRYABLE_STATUSES = frozenset({500, 502, 504})
 
 
-@dataclasses.dataclass(frozen=True)
-class ForwarderParts:
+class ForwarderParts(msgspec.Struct, frozen=True):
     """The components that a forwarder uses."""
 
     clock: clocks.Clock
@@ -433,8 +433,7 @@
         self.answer.send(self.response)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """A complete answer of an engine."""
 
     status: int
--- a/camphortray/gossip.py
+++ b/camphortray/gossip.py
@@ -3,7 +3,8 @@
 __all__ = ["Gossip", "News", "Ping", "Pong"]
 
 import collections
-import dataclasses
+
+import msgspec
 
 from camphortray import facts
 from camphortray import members
@@ -17,8 +18,7 @@
 
 
 @messages.message("ping")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ping:
+class Ping(msgspec.Struct, frozen=True):
     """Asks a member for a sign of life.
 
     Attributes:
@@ -35,8 +35,7 @@
 
 
 @messages.message("pong")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pong:
+class Pong(msgspec.Struct, frozen=True):
     """Answers a ping.
 
     Attributes:
@@ -53,8 +52,7 @@
 
 
 @messages.message("news")
-@dataclasses.dataclass(frozen=True, slots=True)
-class News:
+class News(msgspec.Struct, frozen=True):
     """Entries of members and facts that are new to the sender."""
 
     entries: tuple[members.Member, ...] = ()
--- a/camphortray/gossip_repair.py
+++ b/camphortray/gossip_repair.py
@@ -3,7 +3,8 @@
 __all__ = ["GossipRepair"]
 
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 # Seconds until a neighbour that did not answer is asked again; doubles up to
 # the second number, within which one that has stood still has all again. A
@@ -12,8 +13,7 @@
 MAX_RETRY_S = 1.0
 
 
-@dataclasses.dataclass(slots=True)
-class Debt:
+class Debt(msgspec.Struct):
     """When a neighbour is asked next."""
 
     at: float
--- a/camphortray/grant_messages.py
+++ b/camphortray/grant_messages.py
@@ -2,9 +2,10 @@
 
 __all__ = ["Grants", "OnlineWork", "Want", "Wants", "Work"]
 
-import dataclasses
 from typing import NamedTuple
 
+import msgspec
+
 from camphortray import headroom
 from camphortray import messages
 
@@ -35,15 +36,13 @@
 
 
 @messages.message("slots.online")
-@dataclasses.dataclass(frozen=True, slots=True)
-class OnlineWork:
+class OnlineWork(msgspec.Struct, frozen=True):
     """Reports a host's online work to a coordinator, by upstream."""
 
     works: dict[str, Work]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Want:
+class Want(msgspec.Struct, frozen=True):
     """Slots that a host could use on one upstream.
 
     Attributes:
@@ -56,8 +55,7 @@
 
 
 @messages.message("slots.want")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Wants:
+class Wants(msgspec.Struct, frozen=True):
     """Requests slots from a coordinator, by upstream.
 
     Attributes:
@@ -70,8 +68,7 @@
 
 
 @messages.message("slots.grant")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grants:
+class Grants(msgspec.Struct, frozen=True):
     """Grants a host slots, by upstream.
 
     Attributes:
--- a/camphortray/handover.py
+++ b/camphortray/handover.py
@@ -2,7 +2,8 @@
 
 __all__ = ["Handover"]
 
-import dataclasses
+
+import msgspec
 
 from camphortray import config as configs
 from camphortray import itemwork
@@ -21,8 +22,7 @@
 MAX_MESSAGE_BYTES = 200_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SavedProgress:
+class SavedProgress(msgspec.Struct, frozen=True):
     """The partial output of a partition's items when it was released.
 
     Attributes:
--- a/camphortray/handshake.py
+++ b/camphortray/handshake.py
@@ -2,17 +2,17 @@
 
 __all__ = ["HEADER", "Hello", "Sender"]
 
-import dataclasses
 import hashlib
 import hmac
 
+import msgspec
+
 HEADER = "Camphortray-Hello"
 # Seconds by which the clocks of two hosts may differ.
 MAX_SKEW_S = 60.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sender:
+class Sender(msgspec.Struct, frozen=True):
     """Who sent a message.
 
     Attributes:
@@ -29,8 +29,7 @@
         return f"{self.host}/{self.program}"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hello:
+class Hello(msgspec.Struct, frozen=True):
     """What the first header of a link says.
 
     The signature is an HMAC of the other fields under the shared key.
--- a/camphortray/hostlist.py
+++ b/camphortray/hostlist.py
@@ -10,7 +10,6 @@
 ]
 
 import abc
-import dataclasses
 from typing import Literal
 
 import msgspec
@@ -25,8 +24,7 @@
 ListedStatus = Literal["live", "leaving", "gone"]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListedHost:
+class ListedHost(msgspec.Struct, frozen=True):
     """One line of the list.
 
     Attributes:
@@ -104,7 +102,7 @@
 
     @classmethod
     def from_config(cls, config: configs.PlatformConfig) -> "LedgerHostList":
-        data = dataclasses.asdict(config)
+        data = msgspec.structs.asdict(config)
         held = configs.LedgerConfig(**data)
         return cls(ledgers.LEDGERS.get(config.plugin).from_config(held))
 
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -10,9 +10,10 @@
 ]
 
 import asyncio
-import dataclasses
 import ssl
 
+import msgspec
+
 from camphortray import clientconnection
 from camphortray import config as configs
 from camphortray import errors
@@ -30,8 +31,7 @@
 Sink = clientconnection.Sink
 
 
-@dataclasses.dataclass(frozen=True)
-class Timeouts:
+class Timeouts(msgspec.Struct, frozen=True):
     """Longest waits, in seconds.
 
     Attributes:
--- a/camphortray/httpserver.py
+++ b/camphortray/httpserver.py
@@ -12,13 +12,13 @@
 
 import abc
 import asyncio
-import dataclasses
 import ssl
 import traceback
 from typing import Any
 from typing import cast
 
 import h11
+import msgspec
 
 from camphortray import config as configs
 from camphortray import errors
@@ -41,8 +41,7 @@
 LINGER_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Limits:
+class Limits(msgspec.Struct, frozen=True):
     """Bounds on one connection; times in seconds.
 
     Attributes:
--- a/camphortray/item_deadline.py
+++ b/camphortray/item_deadline.py
@@ -2,7 +2,8 @@
 
 __all__ = ["ItemDeadline", "RETENTION_SLACK_S"]
 
-import dataclasses
+
+import msgspec
 
 from camphortray import clock as clocks
 from camphortray import routemap
@@ -15,8 +16,7 @@
 RUN_LIMIT_SLACK_S = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ItemDeadline:
+class ItemDeadline(msgspec.Struct, frozen=True):
     """Time limits of the items of one job.
 
     Attributes:
--- a/camphortray/item_retry.py
+++ b/camphortray/item_retry.py
@@ -2,9 +2,10 @@
 
 __all__ = ["DurationEstimator", "RetryDecision", "RetryState", "decide"]
 
-import dataclasses
 import enum
 
+import msgspec
+
 from camphortray import errors
 
 # Statuses that mean that the item can never be done.
@@ -37,8 +38,7 @@
     ABANDON = "abandon"
 
 
-@dataclasses.dataclass(slots=True)
-class RetryState:
+class RetryState(msgspec.Struct):
     """Failed tries of an item by its present owner.
 
     Attributes:
@@ -100,8 +100,7 @@
     return RetryDecision.RETRY
 
 
-@dataclasses.dataclass(slots=True)
-class Rate:
+class Rate(msgspec.Struct):
     """Mean seconds per event over recent measurements.
 
     Sums are kept instead of a mean of rates: a run that is stopped after its
--- a/camphortray/item_stall_detector.py
+++ b/camphortray/item_stall_detector.py
@@ -9,9 +9,10 @@
 
 import collections
 from collections.abc import Iterable
-import dataclasses
 import enum
 
+import msgspec
+
 
 class Stage(enum.Enum):
     """What an open item waits for."""
@@ -26,8 +27,7 @@
     UNASSIGNED = "left"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ItemStage:
+class ItemStage(msgspec.Struct, frozen=True):
     """An open item and its stage.
 
     Attributes:
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -3,7 +3,8 @@
 __all__ = ["ItemWork", "Progress", "WorkParts"]
 
 import asyncio
-import dataclasses
+
+import msgspec
 
 from camphortray import active_config
 from camphortray import backends
@@ -50,8 +51,7 @@
     """The slot was revoked."""
 
 
-@dataclasses.dataclass(frozen=True)
-class WorkParts:
+class WorkParts(msgspec.Struct, frozen=True):
     """The components that running an item depends on."""
 
     clock: clocks.Clock
@@ -59,13 +59,12 @@
     active_config: active_config.ActiveConfig
     slots: slot_client.SlotClient
     estimator: item_retry.DurationEstimator
-    metrics: metrics_module.Metrics = dataclasses.field(
+    metrics: metrics_module.Metrics = msgspec.field(
         default_factory=metrics_module.Metrics
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Progress:
+class Progress(msgspec.Struct, frozen=True):
     """The partial output of an item that is not done.
 
     Attributes:
--- a/camphortray/jobmessages.py
+++ b/camphortray/jobmessages.py
@@ -14,7 +14,8 @@
     "Taken",
 ]
 
-import dataclasses
+
+import msgspec
 
 from camphortray import errors
 from camphortray import itemwork
@@ -23,16 +24,14 @@
 
 
 @messages.message("job.submit")
-@dataclasses.dataclass(frozen=True, slots=True)
-class SubmitAsk:
+class SubmitAsk(msgspec.Struct, frozen=True):
     """Requests that the owner accept a job, with all its items."""
 
     job: partition_records.JobPart
 
 
 @messages.message("job.page")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PageAsk:
+class PageAsk(msgspec.Struct, frozen=True):
     """Requests results of a job from a position on.
 
     Attributes:
@@ -49,8 +48,7 @@
 
 
 @messages.message("job.body")
-@dataclasses.dataclass(frozen=True, slots=True)
-class BodyAsk:
+class BodyAsk(msgspec.Struct, frozen=True):
     """Requests the body of an item.
 
     Attributes:
@@ -65,8 +63,7 @@
 
 
 @messages.message("job.end")
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndAsk:
+class EndAsk(msgspec.Struct, frozen=True):
     """Requests that the owner end a job.
 
     Attributes:
@@ -79,14 +76,12 @@
 
 
 @messages.message("job.taken")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Taken:
+class Taken(msgspec.Struct, frozen=True):
     """Acknowledges that a requested change has been stored."""
 
 
 @messages.message("job.page-reply")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PageReply:
+class PageReply(msgspec.Struct, frozen=True):
     """Results of a job.
 
     Attributes:
@@ -101,16 +96,14 @@
 
 
 @messages.message("job.body-reply")
-@dataclasses.dataclass(frozen=True, slots=True)
-class BodyReply:
+class BodyReply(msgspec.Struct, frozen=True):
     """The body of an item."""
 
     body: bytes
 
 
 @messages.message("job.refusal")
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobRefusal:
+class JobRefusal(msgspec.Struct, frozen=True):
     """A refusal that is passed on to the caller."""
 
     status: int
@@ -142,8 +135,7 @@
 
 
 @messages.message("job.progress")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProgressUpdate:
+class ProgressUpdate(msgspec.Struct, frozen=True):
     """Passes partial output from the previous owner of a partition.
 
     Attributes:
@@ -158,8 +150,7 @@
 
 
 @messages.message("job.quota")
-@dataclasses.dataclass(frozen=True, slots=True)
-class QuotaAsk:
+class QuotaAsk(msgspec.Struct, frozen=True):
     """Requests quota for the tokens of a job on its route.
 
     Attributes:
@@ -176,8 +167,7 @@
 
 
 @messages.message("job.quota-reply")
-@dataclasses.dataclass(frozen=True, slots=True)
-class QuotaReply:
+class QuotaReply(msgspec.Struct, frozen=True):
     """Returns whether the quota is granted."""
 
     granted: bool
--- a/camphortray/kernel.py
+++ b/camphortray/kernel.py
@@ -12,7 +12,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-import dataclasses
 import graphlib
 import random
 import signal
@@ -20,6 +19,8 @@
 from typing import ClassVar
 from typing import TypeVar
 
+import msgspec
+
 from camphortray import clock as clocks
 from camphortray import config as configs
 from camphortray import errors
@@ -37,8 +38,7 @@
     """Stand in until a kernel runs."""
 
 
-@dataclasses.dataclass
-class Context:
+class Context(msgspec.Struct):
     """What every part of one program shares.
 
     Attributes:
@@ -60,7 +60,7 @@
     clock: clocks.Clock
     rng: random.Random
     metrics: metrics_module.Metrics
-    parts: dict[str, "Part"] = dataclasses.field(default_factory=dict)
+    parts: dict[str, "Part"] = msgspec.field(default_factory=dict)
     not_ready: Callable[[], list[str]] = list
     request_drain: Callable[[], None] = do_nothing
 
--- a/camphortray/lease_table.py
+++ b/camphortray/lease_table.py
@@ -7,14 +7,14 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
+
+import msgspec
 
 from camphortray import engine
 from camphortray import slot_queue
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Granted:
+class Granted(msgspec.Struct, frozen=True):
     """Answer to a slot request.
 
     Attributes:
@@ -29,8 +29,7 @@
     coordinators: frozenset[str]
 
 
-@dataclasses.dataclass(eq=False, slots=True, kw_only=True)
-class Coordinated:
+class Coordinated(msgspec.Struct, eq=False, kw_only=True):
     """Request or lease that coordinators count.
 
     Attributes:
@@ -39,7 +38,7 @@
     """
 
     coordinator: str = ""
-    earlier: set[str] = dataclasses.field(default_factory=set)
+    earlier: set[str] = msgspec.field(default_factory=set)
 
     @property
     def coordinators(self) -> set[str]:
@@ -52,8 +51,7 @@
         self.coordinator = name
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class HeldLease(Coordinated):
+class HeldLease(Coordinated, eq=False):
     """Lease of a slot in use.
 
     Attributes:
@@ -71,8 +69,7 @@
     on_revoke: Callable[[], None] | None = None
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class Pending(Coordinated):
+class Pending(Coordinated, eq=False):
     """Slot request that waits for its answer.
 
     Attributes:
--- a/camphortray/ledger.py
+++ b/camphortray/ledger.py
@@ -25,9 +25,10 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Sequence
-import dataclasses
 import enum
 
+import msgspec
+
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import registry
@@ -54,8 +55,7 @@
     JOBS = "jobs"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LedgerRecord:
+class LedgerRecord(msgspec.Struct, frozen=True):
     """A record; one with an empty value drops its key.
 
     Attributes:
@@ -69,8 +69,7 @@
     offset: int = -1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LedgerPage:
+class LedgerPage(msgspec.Struct, frozen=True):
     """Records of a partition.
 
     Attributes:
@@ -82,8 +81,7 @@
     records: tuple[LedgerRecord, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fence:
+class Fence(msgspec.Struct, frozen=True):
     """Who appends; appends of an older epoch are refused by the store.
 
     Attributes:
@@ -96,8 +94,7 @@
     sequence: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Assignment:
+class Assignment(msgspec.Struct, frozen=True):
     """Which partitions should be a member's own.
 
     Attributes:
@@ -247,7 +244,9 @@
     def add(self, records: Sequence[LedgerRecord]) -> None:
         """Add records and wake readers."""
         for record in records:
-            self.records.append(dataclasses.replace(record, offset=self.end))
+            self.records.append(
+                msgspec.structs.replace(record, offset=self.end)
+            )
         self.changed.set()
         self.changed = asyncio.Event()
 
--- a/camphortray/links.py
+++ b/camphortray/links.py
@@ -4,9 +4,9 @@
 
 import abc
 import asyncio
-import dataclasses
 from typing import Any
 
+import msgspec
 from websockets.asyncio import connection as ws_connection
 import websockets.exceptions
 
@@ -33,20 +33,17 @@
 
 
 @messages.message("ack")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ack:
+class Ack(msgspec.Struct, frozen=True):
     """Answers a question that needs no other answer."""
 
 
 @messages.message("probe")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Probe:
+class Probe(msgspec.Struct, frozen=True):
     """Asks for an ``Ack``, to see whether a link still works."""
 
 
 @messages.message("fault")
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerFault:
+class PeerFault(msgspec.Struct, frozen=True):
     """Answers a question that failed."""
 
     message: str
--- a/camphortray/log.py
+++ b/camphortray/log.py
@@ -4,7 +4,8 @@
 
 import abc
 import asyncio
-import dataclasses
+
+import msgspec
 
 from camphortray import config as configs
 from camphortray import errors
@@ -15,8 +16,7 @@
 PAGE_BYTES = 4_194_304
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LogRecord:
+class LogRecord(msgspec.Struct, frozen=True):
     """One record as the log keeps it.
 
     Attributes:
@@ -31,8 +31,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Page:
+class Page(msgspec.Struct, frozen=True):
     """Some records of a stream, in order and without gaps.
 
     Attributes:
--- a/camphortray/member_state.py
+++ b/camphortray/member_state.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import random
 from typing import Any
 
+import msgspec
+
 from camphortray import antientropy
 from camphortray import facts
 from camphortray import failure_detector
@@ -83,7 +84,9 @@
     def change(self, now: float, **fields: Any) -> None:
         """Change this member's own entry."""
         number = self.own.incarnation + 1
-        self.own = dataclasses.replace(self.own, incarnation=number, **fields)
+        self.own = msgspec.structs.replace(
+            self.own, incarnation=number, **fields
+        )
         if not self.replaced:
             self.put(self.own, now)
 
@@ -101,7 +104,7 @@
             self.put(member, now)
             return
         number = max(self.own.incarnation, member.incarnation)
-        self.own = dataclasses.replace(self.own, incarnation=number)
+        self.own = msgspec.structs.replace(self.own, incarnation=number)
         self.change(now)
 
     def put(
@@ -110,7 +113,7 @@
         """Hold an entry, tell neighbours and whoever listens."""
         held = self.directory.members.get(member.name)
         if held is not None and held.revision > member.revision:
-            member = dataclasses.replace(member, revision=held.revision)
+            member = msgspec.structs.replace(member, revision=held.revision)
         self.directory.put(member, now)
         if member.status is members.Status.SUSPECT:
             watching = member.name in self.watch.due_at
@@ -161,7 +164,7 @@
         held = self.directory.members.get(name)
         if held is None:
             return
-        worse = dataclasses.replace(held, status=status)
+        worse = msgspec.structs.replace(held, status=status)
         if self.directory.newer(worse):
             self.put(worse, now)
 
--- a/camphortray/members.py
+++ b/camphortray/members.py
@@ -9,7 +9,6 @@
     "digest_of",
 ]
 
-import dataclasses
 import enum
 from typing import Annotated
 
@@ -49,8 +48,7 @@
 RANKS = {status: rank for rank, status in enumerate(Status)}
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True):
     """One program of one host.
 
     Attributes:
@@ -98,7 +96,7 @@
 
     def trimmed(self) -> "Member":
         """Return the entry as it travels; only pings tell a revision."""
-        return dataclasses.replace(self, revision=0)
+        return msgspec.structs.replace(self, revision=0)
 
 
 def bucket_of(key: str) -> int:
@@ -160,7 +158,9 @@
         """Take note of the revision that a member says it has."""
         held = self.members.get(name)
         if held is not None and held.revision < revision:
-            self.members[name] = dataclasses.replace(held, revision=revision)
+            self.members[name] = msgspec.structs.replace(
+                held, revision=revision
+            )
 
     def prune(self, now: float) -> list[str]:
         """Forget members that have long been dead; return their names."""
--- a/camphortray/messages.py
+++ b/camphortray/messages.py
@@ -15,7 +15,6 @@
 ]
 
 from collections.abc import Callable
-import dataclasses
 from typing import Any
 
 import cbor2
@@ -31,14 +30,13 @@
 DEFAULTS: dict[type, dict[str, Any]] = {}
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Envelope:
+class Envelope(msgspec.Struct, frozen=True):
     """A message as it travels.
 
     Attributes:
       number: 0 for one-way messages, else the number of the question.
       reply: Whether it answers question ``number``.
-      message: An instance of a registered data class.
+      message: An instance of a registered struct.
     """
 
     number: int
@@ -47,15 +45,15 @@
 
 
 def message(kind: str) -> Callable[[type], type]:
-    """Return a decorator that registers a data class as a message."""
+    """Return a decorator that registers a struct as a message."""
 
     def decorate(cls: type) -> type:
         KINDS[kind] = cls
         NAMES[cls] = kind
         DEFAULTS[cls] = {
             field.name: field.default
-            for field in dataclasses.fields(cls)
-            if field.default is not dataclasses.MISSING
+            for field in msgspec.structs.fields(cls)
+            if field.default is not msgspec.NODEFAULT
         }
         return cls
 
--- a/camphortray/node.py
+++ b/camphortray/node.py
@@ -8,10 +8,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import random
 from typing import Any
 
+import msgspec
+
 from camphortray import antientropy
 from camphortray import failure_detector
 from camphortray import gossip
@@ -39,8 +40,7 @@
 DEAD_SHARE = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ask:
+class Ask(msgspec.Struct, frozen=True):
     """Ask a peer and hand its answer, or None, to ``Node.answered``.
 
     Attributes:
@@ -60,8 +60,7 @@
     keys: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(slots=True)
-class Repair:
+class Repair(msgspec.Struct):
     """When a neighbour whose digest differs is asked what differs."""
 
     at: float
--- a/camphortray/onlinepeaks.py
+++ b/camphortray/onlinepeaks.py
@@ -3,15 +3,15 @@
 __all__ = ["Peak", "SlidingPeaks"]
 
 import collections
-import dataclasses
 import math
 
+import msgspec
+
 # Longest window for which peaks are kept.
 MAX_WINDOW_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Peak:
+class Peak(msgspec.Struct, frozen=True):
     """The largest count within a window.
 
     Attributes:
--- a/camphortray/opaque.py
+++ b/camphortray/opaque.py
@@ -2,16 +2,15 @@
 
 __all__ = ["OpaqueRequest"]
 
-import dataclasses
 
+import msgspec
 import xxhash
 
 from camphortray import engine
 from camphortray import routemap
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OpaqueRequest:
+class OpaqueRequest(msgspec.Struct, frozen=True):
     """A caller's request and its route.
 
     Attributes:
--- a/camphortray/orders.py
+++ b/camphortray/orders.py
@@ -96,7 +96,7 @@
         placed.answer = answer
 
     def dump(self) -> dict[str, Any]:
-        return {"placed": [dataclasses.asdict(p) for p in self.all()]}
+        return {"placed": [msgspec.to_builtins(p) for p in self.all()]}
 
     def load(self, state: dict[str, Any]) -> None:
         held = msgspec.convert(state["placed"], list[Placed])
--- a/camphortray/orphaned_leases.py
+++ b/camphortray/orphaned_leases.py
@@ -13,7 +13,7 @@
 
 __all__ = ["MAX_ORPHAN_S", "OrphanedLeases", "POLL_S"]
 
-import dataclasses
+import msgspec
 
 # Interval at which engines with orphaned leases are polled. Their reports are
 # some 10 ms old; an online request runs for some hundreds of milliseconds.
@@ -23,8 +23,7 @@
 MAX_ORPHAN_S = 8.0
 
 
-@dataclasses.dataclass(slots=True)
-class EngineOrphans:
+class EngineOrphans(msgspec.Struct):
     """Orphaned leases of one engine.
 
     Attributes:
--- a/camphortray/partition_records.py
+++ b/camphortray/partition_records.py
@@ -19,7 +19,6 @@
     "split_key",
 ]
 
-import dataclasses
 import enum
 
 import msgspec
@@ -43,8 +42,7 @@
     ABANDONED = "abandoned"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Item:
+class Item(msgspec.Struct, frozen=True):
     """One item as submitted by the caller.
 
     Attributes:
@@ -62,8 +60,7 @@
     tokens: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Result:
+class Result(msgspec.Struct, frozen=True):
     """The result of an item.
 
     Attributes:
@@ -81,8 +78,7 @@
     pieces: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobPart:
+class JobPart(msgspec.Struct, frozen=True):
     """Part of an accepted job.
 
     Attributes:
@@ -140,7 +136,7 @@
     records = []
     first = 0
     for number, group in enumerate(groups):
-        part = dataclasses.replace(job, first=first, items=tuple(group))
+        part = msgspec.structs.replace(job, first=first, items=tuple(group))
         key = f"j/{job.job}/{number}"
         records.append(ledgers.LedgerRecord(key, ENCODER.encode(part)))
         first += len(group)
--- a/camphortray/partition_state.py
+++ b/camphortray/partition_state.py
@@ -9,7 +9,6 @@
 __all__ = ["Job", "PartitionState", "next_result"]
 
 from collections.abc import Iterable
-import dataclasses
 
 import msgspec
 
@@ -18,8 +17,7 @@
 from camphortray import partition_records
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class Job:
+class Job(msgspec.Struct, eq=False):
     """One job.
 
     Attributes:
@@ -39,10 +37,10 @@
     target: str
     taken_at: float
     items: list[partition_records.Item | None]
-    results: list[partition_records.Result] = dataclasses.field(
+    results: list[partition_records.Result] = msgspec.field(
         default_factory=list
     )
-    finished: set[int] = dataclasses.field(default_factory=set)
+    finished: set[int] = msgspec.field(default_factory=set)
     ended: bool = False
     workspace: str = ""
 
@@ -146,7 +144,7 @@
         )
         for number, start in enumerate(range(0, len(result.text), text_bytes))
     ]
-    last = dataclasses.replace(result, text=b"", pieces=len(pieces))
+    last = msgspec.structs.replace(result, text=b"", pieces=len(pieces))
     return (
         *pieces,
         partition_records.result_record(job.id, position, (last,)),
@@ -267,7 +265,7 @@
             if not all(key in pieces for key in keys):
                 return None
             text = b"".join(pieces.pop(key) for key in keys) or result.text
-            joined.append(dataclasses.replace(result, text=text, pieces=0))
+            joined.append(msgspec.structs.replace(result, text=text, pieces=0))
         return tuple(joined)
 
     def drop_gaps(self) -> list[str]:
--- a/camphortray/partwriter.py
+++ b/camphortray/partwriter.py
@@ -5,9 +5,10 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
-import dataclasses
 import traceback
 
+import msgspec
+
 from camphortray import attempt
 from camphortray import clock as clocks
 from camphortray import errors
@@ -41,8 +42,7 @@
 RecordFactory = Callable[[Records], Records]
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class Write:
+class Write(msgspec.Struct, eq=False):
     """Records that are appended together.
 
     The records are built just before the append, so that a record which
--- a/camphortray/ratelimits.py
+++ b/camphortray/ratelimits.py
@@ -5,9 +5,10 @@
 import asyncio
 import collections
 import contextlib
-import dataclasses
 from typing import ClassVar
 
+import msgspec
+
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import kernel
@@ -28,16 +29,14 @@
 
 
 @messages.message("limits.demand")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Demands:
+class Demands(msgspec.Struct, frozen=True):
     """Reports demand in requests per second, by ``SERVICE/WORKSPACE``."""
 
     demands: dict[str, float]
 
 
 @messages.message("limits.share")
-@dataclasses.dataclass(frozen=True, slots=True)
-class Shares:
+class Shares(msgspec.Struct, frozen=True):
     """Answers with the host's shares, by ``SERVICE/WORKSPACE``."""
 
     shares: dict[str, limits.Share]
--- a/camphortray/retry.py
+++ b/camphortray/retry.py
@@ -3,7 +3,8 @@
 __all__ = ["RetryBudget", "RetryRule"]
 
 import collections
-import dataclasses
+
+import msgspec
 
 from camphortray import errors
 
@@ -18,8 +19,7 @@
 BUCKETS = 12
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryRule:
+class RetryRule(msgspec.Struct, frozen=True):
     """Decides whether a failed attempt of a request may be retried.
 
     Attributes:
--- a/camphortray/revocations.py
+++ b/camphortray/revocations.py
@@ -18,7 +18,7 @@
     "SLOW_CONFIRM_S",
 ]
 
-import dataclasses
+import msgspec
 
 # Time for a holder to confirm that it has stopped an item. The round trip
 # takes some milliseconds.
@@ -28,8 +28,7 @@
 SLOW_CONFIRM_S = 0.012
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Revocation:
+class Revocation(msgspec.Struct, frozen=True):
     """A revoked lease.
 
     Attributes:
--- a/camphortray/routemap.py
+++ b/camphortray/routemap.py
@@ -13,9 +13,9 @@
 ]
 
 from collections.abc import Iterable
-import dataclasses
 import enum
 
+import msgspec
 import xxhash
 
 
@@ -28,16 +28,14 @@
     BATCH = "batch"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
+class Target(msgspec.Struct, frozen=True):
     """A service that receives a weighted share of a route's requests."""
 
     service: str
     weight: float = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Where requests of one host name and path prefix go.
 
     Attributes:
@@ -99,8 +97,7 @@
         return self.targets[-1].service
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineService:
+class EngineService(msgspec.Struct, frozen=True):
     """Configuration of a service that engines run.
 
     Attributes:
@@ -117,8 +114,7 @@
     cache_tokens: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Workspace:
+class Workspace(msgspec.Struct, frozen=True):
     """A group of callers that share API keys.
 
     Attributes:
@@ -134,8 +130,7 @@
     priority: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on the size and duration of callers' HTTP requests."""
 
     head_bytes: int = 32_768
@@ -144,8 +139,7 @@
     idle_s: float = 75.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True):
     """One version of the operator's configuration.
 
     Attributes:
@@ -158,9 +152,7 @@
 
     revision: int
     routes: tuple[Route, ...] = ()
-    services: dict[str, EngineService] = dataclasses.field(
-        default_factory=dict
-    )
+    services: dict[str, EngineService] = msgspec.field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
     workspaces: tuple[Workspace, ...] | None = None
 
--- a/camphortray/service.py
+++ b/camphortray/service.py
@@ -10,14 +10,14 @@
 
 import abc
 from collections.abc import Callable
-import dataclasses
+
+import msgspec
 
 from camphortray import engine
 from camphortray import registry
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceCall:
+class ServiceCall(msgspec.Struct, frozen=True):
     """One call to a plain service.
 
     Attributes:
@@ -37,8 +37,7 @@
     deadline_s: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceAnswer:
+class ServiceAnswer(msgspec.Struct, frozen=True):
     """A whole answer."""
 
     status: int
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -10,10 +10,11 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import functools
 from typing import ClassVar
 
+import msgspec
+
 from camphortray import active_config
 from camphortray import backends
 from camphortray import config as configs
@@ -236,13 +237,13 @@
             ``MAX_UNUSABLE_GRANTS`` grants was usable.
         """
         zone = self.context.config.host.availability_zone
-        request = dataclasses.replace(request, zone=zone)
+        request = msgspec.structs.replace(request, zone=zone)
         for attempt in range(MAX_UNUSABLE_GRANTS):
             granted = await self.request_grant(service, request)
             if request.id in self.revoked_early:
                 self.revoked_early.discard(request.id)
                 self.send_ends(granted.coordinators, service, request.id)
-                request = dataclasses.replace(
+                request = msgspec.structs.replace(
                     request, id=f"{request.id}-{attempt}"
                 )
                 continue
@@ -255,7 +256,7 @@
             # Either the coordinator does not know yet that the engine is
             # leaving, or this host does not know yet that it has joined.
             self.send_ends(granted.coordinators, service, request.id)
-            request = dataclasses.replace(
+            request = msgspec.structs.replace(
                 request,
                 id=f"{request.id}-{attempt}",
                 avoid=request.avoid | {granted.engine},
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -5,7 +5,8 @@
 import abc
 import asyncio
 import collections
-import dataclasses
+
+import msgspec
 
 from camphortray import active_config
 from camphortray import clock as clocks
@@ -134,7 +135,7 @@
             self.poll_engines()
         for holder, update in updates.items():
             if revoked[holder]:
-                update = dataclasses.replace(
+                update = msgspec.structs.replace(
                     update, revoked=tuple(revoked[holder])
                 )
             self.send(holder, update)
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -12,10 +12,11 @@
     "WireRequest",
 ]
 
-import dataclasses
 import math
 from typing import NamedTuple
 
+import msgspec
+
 from camphortray import enginehealth
 from camphortray import messages
 from camphortray import slot_scheduler
@@ -95,8 +96,7 @@
 
 
 @messages.message("place.ask")
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotAsk:
+class SlotAsk(msgspec.Struct, frozen=True):
     """Asks a coordinator for slots.
 
     Attributes:
@@ -111,8 +111,7 @@
 
 
 @messages.message("place.end")
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeaseEnd:
+class LeaseEnd(msgspec.Struct, frozen=True):
     """Notifies a coordinator of the end of a waiting request or lease."""
 
     service: str
@@ -121,8 +120,7 @@
 
 
 @messages.message("place.report")
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeaseReport:
+class LeaseReport(msgspec.Struct, frozen=True):
     """Reports all leases and waiting requests of the sender."""
 
     service: str
@@ -132,8 +130,7 @@
 
 
 @messages.message("place.word")
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotDecisions:
+class SlotDecisions(msgspec.Struct, frozen=True):
     """Decisions on the requests of a holder, as a reply or sent later.
 
     Attributes:
@@ -144,6 +141,6 @@
     """
 
     service: str
-    granted: dict[str, str] = dataclasses.field(default_factory=dict)
-    refused: dict[str, float] = dataclasses.field(default_factory=dict)
+    granted: dict[str, str] = msgspec.field(default_factory=dict)
+    refused: dict[str, float] = msgspec.field(default_factory=dict)
     revoked: tuple[str, ...] = ()
--- a/camphortray/slot_queue.py
+++ b/camphortray/slot_queue.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-import dataclasses
 import itertools
 import math
 
+import msgspec
+
 from camphortray import priority_queue
 
 # Safety factor on the time that a batch item is expected to need.
@@ -20,8 +21,7 @@
 MAX_CANDIDATES = 64
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotRequest:
+class SlotRequest(msgspec.Struct, frozen=True):
     """A request for a slot.
 
     Attributes:
@@ -63,8 +63,7 @@
         return self.due_at - RESULT_READ_S - self.work_s * WORK_MARGIN_FACTOR
 
 
-@dataclasses.dataclass(slots=True)
-class Lease:
+class Lease(msgspec.Struct):
     """The right to run one request on an engine."""
 
     want: SlotRequest
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -26,10 +26,10 @@
 
 from collections.abc import Iterable
 from collections.abc import Set
-import dataclasses
 import functools
 import math
 
+import msgspec
 import xxhash
 
 from camphortray import config as configs
@@ -71,24 +71,21 @@
 MAX_SKIPPED_ITEMS = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grant:
+class Grant(msgspec.Struct, frozen=True):
     """Lets the holder run its request on an engine."""
 
     want: SlotRequest
     engine: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(msgspec.Struct, frozen=True):
     """Refuses a request that cannot get a slot in time."""
 
     want: SlotRequest
     retry_after_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Revoke:
+class Revoke(msgspec.Struct, frozen=True):
     """Revokes the lease of a batch item, which its holder then stops."""
 
     want: SlotRequest
--- a/camphortray/slottable.py
+++ b/camphortray/slottable.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Iterable
 from collections.abc import Set
-import dataclasses
 import math
 
+import msgspec
 import xxhash
 
 from camphortray import config as configs
@@ -21,8 +21,7 @@
 MIN_SINGLE_ENGINES = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineSlots:
+class EngineSlots(msgspec.Struct, frozen=True):
     """An engine, how many requests it runs at once, and its zone."""
 
     name: str
--- a/camphortray/suspects.py
+++ b/camphortray/suspects.py
@@ -46,8 +46,7 @@
 
 
 @messages.message("apart.ask")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ApartAsk:
+class ApartAsk(msgspec.Struct, frozen=True):
     """Requests a permit for a suspect from an upstream's coordinator."""
 
     upstream: str
@@ -56,16 +55,14 @@
 
 
 @messages.message("apart.answer")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ApartAnswer:
+class ApartAnswer(msgspec.Struct, frozen=True):
     """Answers ``ApartAsk``."""
 
     granted: bool
 
 
 @messages.message("apart.done")
-@dataclasses.dataclass(frozen=True, slots=True)
-class ApartDone:
+class ApartDone(msgspec.Struct, frozen=True):
     """Releases a permit."""
 
     upstream: str
--- a/camphortray/weights.py
+++ b/camphortray/weights.py
@@ -3,15 +3,15 @@
 __all__ = ["MemoryWeightStore", "WEIGHT_STORES", "WeightSize", "WeightStore"]
 
 import abc
-import dataclasses
+
+import msgspec
 
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import registry
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WeightSize:
+class WeightSize(msgspec.Struct, frozen=True):
     """Size of the weights of a model version, and the rate of the store.
 
     Attributes:
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -1,6 +1,6 @@
 """In-memory engines, slots and routes of one host, for tests."""
 
-import dataclasses
+import msgspec
 
 from camphortray import access
 from camphortray import config as configs
@@ -155,8 +155,10 @@
     timeout_s=5.0,
     objective_s=0.3,
 )
-RESUMABLE = dataclasses.replace(STREAM_ROUTE, resumable=True, max_attempts=2)
-BATCH_ROUTE = dataclasses.replace(
+RESUMABLE = msgspec.structs.replace(
+    STREAM_ROUTE, resumable=True, max_attempts=2
+)
+BATCH_ROUTE = msgspec.structs.replace(
     STREAM_ROUTE,
     kind=routemap.Kind.BATCH,
     due_s=18.0,
--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-import dataclasses
+
+import msgspec
 
 from camphortray import clock as clocks
 from camphortray import engine
@@ -25,7 +26,7 @@
 MARKED = breakrig.MARKED
 TEXT = b"\n".join(b"d%d" % n for n in range(1, EVENTS + 1))
 # Failures of engines are to end no item here.
-ROUTE = dataclasses.replace(hostkit.BATCH_ROUTE, max_attempts=99)
+ROUTE = msgspec.structs.replace(hostkit.BATCH_ROUTE, max_attempts=99)
 
 
 class RigStream(engine.EngineStream):
--- a/tests/test_answer_cut.py
+++ b/tests/test_answer_cut.py
@@ -1,10 +1,10 @@
 """Tests of answers while this process, or its engines too, are paused."""
 
 import asyncio
-import dataclasses
 import itertools
 
 from camphortray_platform import engines
+import msgspec
 import pytest
 
 from camphortray import config as configs
@@ -23,7 +23,7 @@
 WHOLE = b"".join(hostkit.events(1, EVENTS))
 # Another engine is tried if the first event takes over 0.6 s, or a later one
 # over 0.25 s.
-ROUTE = dataclasses.replace(hostkit.RESUMABLE, objective_s=0.3)
+ROUTE = msgspec.structs.replace(hostkit.RESUMABLE, objective_s=0.3)
 
 
 class Clock:
@@ -139,7 +139,7 @@
 def test_each_cause_of_an_early_end_is_counted(
     gaps, close_after, max_attempts, status, causes
 ):
-    route = dataclasses.replace(ROUTE, max_attempts=max_attempts)
+    route = msgspec.structs.replace(ROUTE, max_attempts=max_attempts)
     sent, actual_status = request_with_pauses(
         [], gaps, False, close_after, route
     )
--- a/tests/test_config_gossip.py
+++ b/tests/test_config_gossip.py
@@ -1,9 +1,9 @@
 """Tests of settings passed on between hosts."""
 
 import asyncio
-import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from camphortray import cluster as clusters
@@ -94,10 +94,10 @@
                 host.part("entry", config_gossip.Spread).recent.clear()
                 host.part("batch", config_gossip.Spread).recent.clear()
         host = cluster.add_host("host-9", "zone-0")
-        nowhere = dataclasses.replace(
+        nowhere = msgspec.structs.replace(
             host.config.log, address=clusters.free_address()
         )
-        host.config = dataclasses.replace(host.config, log=nowhere)
+        host.config = msgspec.structs.replace(host.config, log=nowhere)
         await host.start("entry")
         await until(host, 3)
         view = host.part("entry", tree.Tree).view
--- a/tests/test_coordinator_election.py
+++ b/tests/test_coordinator_election.py
@@ -1,8 +1,8 @@
 """The election of coordinators, as seen by one host."""
 
-import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from camphortray import coordinator_election
@@ -49,7 +49,7 @@
     changes, others_see, it_sees
 ):
     live = live_members()
-    live[FIRST] = dataclasses.replace(live[FIRST], **changes)
+    live[FIRST] = msgspec.structs.replace(live[FIRST], **changes)
     assert election_of(LAST, live)[0].coordinator(SERVICE, 0.0) == others_see
     assert election_of(FIRST, live)[0].coordinator(SERVICE, 0.0) == it_sees
 
@@ -137,7 +137,7 @@
     engines = [slottable.EngineSlots(f"e{n}", 7) for n in range(31)]
     granted = 0
     for name in names:
-        alone = [dataclasses.replace(MEMBER, name=name)]
+        alone = [msgspec.structs.replace(MEMBER, name=name)]
         election = coordinator_election.CoordinatorElection(
             name, lambda alone=alone: alone, lambda: names
         )
@@ -161,14 +161,14 @@
     rng = random.Random(seed)
     live = {}
     election, changed = election_of(LAST, live)
-    own = dataclasses.replace(MEMBER, name=LAST)
+    own = msgspec.structs.replace(MEMBER, name=LAST)
     live[LAST] = own
     election.coordinator(SERVICE, 0.0)
     for _ in range(200):
         name = rng.choice(NAMES)
         status = rng.choice(list(members.Status))
         address = rng.choice(["", "10.0.0.1:2"])
-        member = dataclasses.replace(
+        member = msgspec.structs.replace(
             MEMBER, name=name, status=status, http_address=address
         )
         if status in (members.Status.ALIVE, members.Status.SUSPECT):
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,7 +1,6 @@
 """Tests of a graceful shutdown, over real connections."""
 
 import asyncio
-import dataclasses
 
 import msgspec
 import pytest
@@ -139,7 +138,7 @@
     Streams(leaving)
     core = leaving.kernels["entry"]
     callers = core.context.part(web.Callers)
-    callers.settings = dataclasses.replace(callers.settings, drain_s=0.3)
+    callers.settings = msgspec.structs.replace(callers.settings, drain_s=0.3)
     client = httpclient.HttpClient()
     stream = await client.request(leaving.address, "GET", "/stream")
     assert await stream.read() == b"begun"
--- a/tests/test_engine_registry.py
+++ b/tests/test_engine_registry.py
@@ -1,7 +1,6 @@
 """Tests of the engine registry: restarts, outages and stray entries."""
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from camphortray import engine_registry
@@ -13,7 +12,7 @@
 
 def entry(**fields):
     """Return an entry that differs in some fields."""
-    return dataclasses.replace(ENTRY, **fields)
+    return msgspec.structs.replace(ENTRY, **fields)
 
 
 def names(registry):
--- a/tests/test_enginelives.py
+++ b/tests/test_enginelives.py
@@ -1,9 +1,8 @@
 """Engines that start again under their id, and strays, on whole hosts."""
 
-import dataclasses
-
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from camphortray import active_config
@@ -129,7 +128,7 @@
                 engine_id, "s", f"10.0.0.{number}:80", "z", 8, False, 1, clock
             )
         else:
-            entry = dataclasses.replace(
+            entry = msgspec.structs.replace(
                 held,
                 sequence=held.sequence + 1,
                 draining=held.draining or step == "drain",
@@ -159,7 +158,7 @@
             assert used.born == latest[used.id]
     # The next heartbeat of each that lives, read from the registry.
     beats = [
-        dataclasses.replace(entry, sequence=entry.sequence + 1)
+        msgspec.structs.replace(entry, sequence=entry.sequence + 1)
         for entry in newest.values()
     ]
     end = len(late) + 2 * engine_registry.RETURN_S
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -1,11 +1,11 @@
 """Tests that each switch for ablations changes its own decision only."""
 
-import dataclasses
 import pathlib
 import tomllib
 import types
 
 from camphortray_platform import settings
+import msgspec
 import pytest
 
 from camphortray import active_config
@@ -22,7 +22,7 @@
 from tests import test_platform
 
 ROOT = pathlib.Path(__file__).parent.parent
-SWITCHES = [f.name for f in dataclasses.fields(configs.ExperimentsConfig)]
+SWITCHES = [f.name for f in msgspec.structs.fields(configs.ExperimentsConfig)]
 
 
 def scheduler_of(switches, *slots):
@@ -198,7 +198,7 @@
 def test_all_switches_are_on_by_default():
     config = configs.Config.from_toml(test_config.GOOD)
     assert config.experiments == configs.ExperimentsConfig()
-    assert all(dataclasses.astuple(config.experiments))
+    assert all(msgspec.structs.astuple(config.experiments))
 
 
 def test_the_deploy_file_turns_no_switch_off():
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,9 +1,9 @@
 """Tests of forwarding opaque requests: what callers get on failures."""
 
 import asyncio
-import dataclasses
 import types
 
+import msgspec
 import pytest
 
 from camphortray import clock as clocks
@@ -87,10 +87,10 @@
 
 ALL = b"".join(hostkit.events(1, 4))
 TWO = hostkit.events(1, 2)
-REPEATABLE = dataclasses.replace(
+REPEATABLE = msgspec.structs.replace(
     hostkit.STREAM_ROUTE, kind=routemap.Kind.IDEMPOTENT, max_attempts=2
 )
-ONCE = dataclasses.replace(REPEATABLE, kind=routemap.Kind.NON_IDEMPOTENT)
+ONCE = msgspec.structs.replace(REPEATABLE, kind=routemap.Kind.NON_IDEMPOTENT)
 # An internal error of a library, raised instead of one of its own types.
 UNEXPECTED = AttributeError("'NoneType' object has no attribute 'write'")
 
@@ -122,7 +122,7 @@
         (hostkit.RESUMABLE, [hostkit.BROKEN, answer(*TWO)], 200, 2),
         # A request of a route with one attempt is not tried again.
         (
-            dataclasses.replace(hostkit.RESUMABLE, max_attempts=1),
+            msgspec.structs.replace(hostkit.RESUMABLE, max_attempts=1),
             [answer(*TWO, hostkit.BROKEN)],
             0,
             1,
@@ -263,7 +263,7 @@
 
 async def test_an_engine_gets_no_more_time_than_is_left():
     forwarding = forwarder_of([answer(*TWO)])
-    forwarding.request = dataclasses.replace(
+    forwarding.request = msgspec.structs.replace(
         forwarding.request, deadline_at=forwarding.request.arrived_at + 1.0
     )
     await forwarding.run()
@@ -394,7 +394,7 @@
         return await read(timeout_s)
 
     silent.read = timed
-    route = dataclasses.replace(hostkit.RESUMABLE, **fields)
+    route = msgspec.structs.replace(hostkit.RESUMABLE, **fields)
     forwarding = forwarder_of([silent, answer(*hostkit.events(3, 4))], route)
     assert await outcome(forwarding) == 200
     assert forwarding.response.data == ALL
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -1,8 +1,8 @@
 """Items at engines: resumed, moved to others, and when abandoned."""
 
 import asyncio
-import dataclasses
 
+import msgspec
 import pytest
 
 from camphortray import clock as clocks
@@ -189,7 +189,7 @@
 async def test_an_item_whose_route_moved_while_it_waited_goes_elsewhere():
     # The item waits for a slot of one service while the operator points the
     # route to another. At the old service it would run on the old version.
-    moved = dataclasses.replace(
+    moved = msgspec.structs.replace(
         hostkit.BATCH_ROUTE, targets=(routemap.Target("s2"),)
     )
     work = work_of([hostkit.Answer(hostkit.events(1, 1))])
--- a/tests/test_jobapi.py
+++ b/tests/test_jobapi.py
@@ -5,6 +5,7 @@
 import json
 import time
 
+import msgspec
 import pytest
 
 from camphortray import cluster as clusters
@@ -510,7 +511,8 @@
         await cluster.until(lambda: len(cluster.sent()) >= 2)
         cluster.set(log_down=True)
         part = cluster.shards("host-0")
-        part.context.config.batch.__dict__["memory_mb"] = 0.001
+        batch = part.context.config.batch
+        msgspec.structs.force_setattr(batch, "memory_mb", 0.001)
         await cluster.until(part.paused)
         held = len(part.dispatcher.held[job["id"]].tasks)
         sent = len(cluster.sent())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,7 +1,6 @@
 """Failure tests of membership among pure nodes, in virtual time."""
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from camphortray import members
@@ -130,7 +129,7 @@
     node = net.nodes["h0/entry"]
     held = node.known.directory.members["h1/entry"]
     if case == "suspicion":
-        suspect = dataclasses.replace(held, status=members.Status.SUSPECT)
+        suspect = msgspec.structs.replace(held, status=members.Status.SUSPECT)
         node.known.merge_member(suspect, net.now)
     else:
         net.blocked = lambda src, dst, fresh: src == "h1/entry"
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,7 +1,6 @@
 """Tests of links between hosts: bad bytes, keys and certificates."""
 
 import asyncio
-import dataclasses
 import random
 import ssl
 
@@ -296,7 +295,7 @@
     config = configs.TlsConfig(
         issued["certificate"], issued["key"], callers=True
     )
-    plain = dataclasses.replace(config, callers=False)
+    plain = msgspec.structs.replace(config, callers=False)
     assert tls.caller_context(plain) is None
     server = httpserver.HttpServer(Hello(), tls=tls.caller_context(config))
     await server.start(configs.Address("127.0.0.1", 0))
@@ -369,7 +368,7 @@
 
     links.on(gossip.News, slow)
     for version in (1, 2, 3):
-        fact = dataclasses.replace(FACT, version=version)
+        fact = msgspec.structs.replace(FACT, version=version)
         links.notify(links.address, gossip.News(known=(fact,)))
     link = links.link(links.address)
     await link.sender
@@ -399,7 +398,7 @@
     links = await links_of(config_of())
 
     async def large(sender, ping):
-        fact = dataclasses.replace(FACT, value="v" * 1_100_000)
+        fact = msgspec.structs.replace(FACT, value="v" * 1_100_000)
         return gossip.News(known=(fact,))
 
     links.on(gossip.Ping, large)
--- a/tests/test_slot_reconciler.py
+++ b/tests/test_slot_reconciler.py
@@ -1,7 +1,6 @@
 """Slots in use after lost messages and hosts, by reports and time limits."""
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from camphortray import enginehealth
@@ -46,7 +45,7 @@
     reconciler = slot_reconciler.SlotReconciler(scheduler)
     slotkit.fill(scheduler, 4)
     decisions = reconciler.forget("h", 0.01)
-    other = dataclasses.replace(slotkit.online("o", 0.02), holder="other")
+    other = msgspec.structs.replace(slotkit.online("o", 0.02), holder="other")
     decisions += scheduler.ask(other, 0.02)
     assert decisions == []
     assert not scheduler.leases
@@ -159,7 +158,7 @@
 
 def held_by(name, holder):
     """Return the request of a batch item of one host."""
-    return dataclasses.replace(slotkit.item(name), holder=holder)
+    return msgspec.structs.replace(slotkit.item(name), holder=holder)
 
 
 def test_a_holder_that_stops_its_item_may_be_preempted_again():
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -27,6 +27,7 @@
 from camphortray import links
 from camphortray import members
 from camphortray import messages
+from camphortray import orders
 from camphortray import partition_records
 from camphortray import ratelimits
 from camphortray import slot_messages
@@ -481,11 +482,13 @@
 TEXTS = (
     (
         engine.Order("load", "lm", "1"),
-        b'{"action":"load","model":"lm","version":"1","adapter":"","role":"","fencing":0}',
+        b'{"action":"load","model":"lm","version":"1","adapter":"","role":"",'
+        b'"fencing":0}',
     ),
     (
         engine.Order("role", role="prefill", fencing=4),
-        b'{"action":"role","model":"","version":"","adapter":"","role":"prefill","fencing":4}',
+        b'{"action":"role","model":"","version":"","adapter":"","role":"prefi'
+        b'll","fencing":4}',
     ),
     (
         engine.OrderAnswer(True),
@@ -493,7 +496,8 @@
     ),
     (
         engine.EngineState((("lm", "1"),), adapters=(("lm", "a"),)),
-        b'{"models":[["lm","1"]],"loading":[],"adapters":[["lm","a"]],"role":"mixed","draining":false,"incarnation":0}',
+        b'{"models":[["lm","1"]],"loading":[],"adapters":[["lm","a"]],"role":'
+        b'"mixed","draining":false,"incarnation":0}',
     ),
     (
         engine.LoadReport(1, 2, 0.5),
@@ -505,7 +509,8 @@
     ),
     (
         hostlist.ListedHost("host-1", "host", "live", "127.0.0.1:1"),
-        b'{"name":"host-1","kind":"host","status":"live","peer_address":"127.0.0.1:1"}',
+        b'{"name":"host-1","kind":"host","status":"live","peer_address":"127.'
+        b'0.0.1:1"}',
     ),
     (
         hostlist.RollEntry("127.0.0.1:1", 1700),
@@ -513,6 +518,20 @@
     ),
 )
 
+# A snapshot of the last orders.
+ORDERS = (
+    "a166706c6163656482a366696e74656e74a46773657276696365617368757073"
+    "747265616d68656e67696e652d31656f72646572a666616374696f6e646c6f61"
+    "64656d6f64656c626c6d6776657273696f6e613167616461707465726064726f"
+    "6c65606766656e63696e6700626174fb409a9200000000006565706f63680466"
+    "616e73776572a46773657276696365617368757073747265616d68656e67696e"
+    "652d31686163636570746564f466726561736f6e6462757379a366696e74656e"
+    "74a46773657276696365617368757073747265616d68656e67696e652d32656f"
+    "72646572a666616374696f6e64726f6c65656d6f64656c606776657273696f6e"
+    "6067616461707465726064726f6c656770726566696c6c6766656e63696e6704"
+    "626174fb00000000000000006565706f63680566616e73776572f6"
+)
+
 
 def test_every_kind_of_message_has_a_case():
     """A new kind whose bytes nobody wrote down."""
@@ -560,3 +579,22 @@
     """An engine or host that cannot read what this release sends."""
     assert msgspec.json.encode(value) == text
     assert msgspec.json.decode(text, type=type(value)) == value
+
+
+def test_a_snapshot_of_orders_has_the_bytes_that_are_stored():
+    """An owner that gives an order again, as it cannot read the snapshot."""
+    first = engine.Order("load", "lm", "1")
+    second = engine.Order("role", role="prefill", fencing=4)
+    refused = orders.OrderAnswered("s", "engine-1", False, "busy")
+    placed = (
+        orders.Placed(
+            orders.OrderIntent("s", "engine-1", first, 1700.5), 4, refused
+        ),
+        orders.Placed(orders.OrderIntent("s", "engine-2", second), 5),
+    )
+    fold = orders.OrdersFold()
+    fold.placed = {(p.intent.service, p.intent.upstream): p for p in placed}
+    assert cbor2.dumps(fold.dump()).hex() == ORDERS
+    read = orders.OrdersFold()
+    read.load(cbor2.loads(bytes.fromhex(ORDERS)))
+    assert read.placed == fold.placed
