Leave out of a start what a host does not run

Cause: the program host imports the interfaces to the log, to plain services and to the store of weights, for a part that only the programs entry and batch run; and difflib, which only faulty settings need.

Change: that part stands in a module of its own, log_backends; check imports difflib where it finds a key that it does not know. Most of what else a host imports and does not run comes with libraries that it does run (typing extensions, urllib.request, importlib.metadata, email) and stays.

Tests: test_start_cost has a table of modules that a start must not import. Its four rows fail before and pass after. test_orders and test_plugins take the part from its new module.

--- a/camphortray/at_most_once.py
+++ b/camphortray/at_most_once.py
@@ -19,7 +19,6 @@
 from typing import ClassVar
 
 from camphortray import append_forwarder
-from camphortray import backends
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import callshard
@@ -29,6 +28,7 @@
 from camphortray import grouping
 from camphortray import journal
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import logs
 from camphortray import membership
 from camphortray import ownership
@@ -92,7 +92,7 @@
         self.writer = records.Writer(
             f"{config.host.name}/entry", context.incarnation
         )
-        service = context.part(backends.Backends).log
+        service = context.part(log_backends.Backends).log
         self.forwarder = append_forwarder.AppendForwarder(
             service,
             context.part(peers.Peers),
--- a/camphortray/burn_recorder.py
+++ b/camphortray/burn_recorder.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from camphortray import backends
 from camphortray import burn
 from camphortray import burn_rate
 from camphortray import errors
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import logs
 from camphortray import records
 from camphortray import signals
@@ -64,7 +64,7 @@
         self.context = context
         self.wall = context.clock.wall
         self.tree = context.part(tree.Tree)
-        self.log = context.part(backends.Backends).log
+        self.log = context.part(log_backends.Backends).log
         self.ledger = burn.Ledger()
         self.kept_until = self.wall()
         self.sequence = 0
--- a/camphortray/check.py
+++ b/camphortray/check.py
@@ -2,7 +2,6 @@
 
 __all__ = ["build", "describe"]
 
-import difflib
 import typing
 from typing import Any
 from typing import TypeVar
@@ -111,6 +110,9 @@
     for name in data:
         if name in known:
             continue
+        # Only faulty settings need it, and every start would import it.
+        import difflib
+
         near = difflib.get_close_matches(name, known, n=1)
         expected = f"perhaps {near[0]}" if near else "no such key"
         dotted = f"{key}.{name}" if key else name
--- a/camphortray/itemrun.py
+++ b/camphortray/itemrun.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from camphortray import backends as backends_module
 from camphortray import collector
 from camphortray import engine
 from camphortray import errors
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import logs
 from camphortray import settings
 from camphortray import signals as signals_module
@@ -80,7 +80,7 @@
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
-        self.backends = context.part(backends_module.Backends)
+        self.backends = context.part(log_backends.Backends)
         self.upstreams = context.part(upstreams_module.Upstreams)
         self.signals = context.part(signals_module.Signals)
         self.suspects = context.part(suspects_module.Suspects)
--- a/camphortray/orderdriver.py
+++ b/camphortray/orderdriver.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
-from camphortray import backends
 from camphortray import compaction
 from camphortray import engine
 from camphortray import errors
 from camphortray import journal
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import logs
 from camphortray import orders
 from camphortray import ownership
@@ -52,7 +52,7 @@
         self.clock = context.clock
         self.fold = orders.OrdersFold()
         self.journal = journal.Journal(
-            context.part(backends.Backends).log,
+            context.part(log_backends.Backends).log,
             shards.stream_name("orders", number),
             self.fold,
             records.Writer(f"{config.host.name}/batch", context.incarnation),
@@ -91,7 +91,7 @@
 
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
-        self.backends = context.part(backends.Backends)
+        self.backends = context.part(log_backends.Backends)
         self.tree = context.part(tree.Tree)
         self.shards = [
             OrderShard(number, context)
--- a/camphortray/ordersapi.py
+++ b/camphortray/ordersapi.py
@@ -5,9 +5,9 @@
 from typing import Any
 from typing import ClassVar
 
-from camphortray import backends
 from camphortray import journal
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import orders
 from camphortray import records
 from camphortray import shards
@@ -27,7 +27,7 @@
         )
         self.journals = [
             journal.Journal(
-                context.part(backends.Backends).log,
+                context.part(log_backends.Backends).log,
                 shards.stream_name("orders", number),
                 orders.OrdersFold(),
                 writer,
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -8,7 +8,6 @@
 
 from camphortray import admission
 from camphortray import at_most_once
-from camphortray import backends
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import completing
@@ -17,6 +16,7 @@
 from camphortray import errors
 from camphortray import httpserver
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import logs
 from camphortray import replay_buffer
 from camphortray import routedtry
@@ -60,7 +60,7 @@
         zone = context.config.host.availability_zone
         self.parts = routedtry.RoutedParts(
             context.clock,
-            context.part(backends.Backends),
+            context.part(log_backends.Backends),
             context.part(upstreams.Upstreams),
             context.part(signals.Signals),
             context.part(suspects.Suspects),
--- a/camphortray/routedtry.py
+++ b/camphortray/routedtry.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 import dataclasses
 
-from camphortray import backends
 from camphortray import clock as clocks
 from camphortray import engine
 from camphortray import errors
+from camphortray import log_backends
 from camphortray import logs
 from camphortray import metrics as metrics_module
 from camphortray import poison
@@ -30,7 +30,7 @@
     """The parts of the program that each routed attempt uses."""
 
     clock: clocks.Clock
-    backends: backends.Backends
+    backends: log_backends.Backends
     upstreams: upstreams.Upstreams
     signals: signals.Signals
     suspects: suspects.Suspects
--- a/camphortray/services.py
+++ b/camphortray/services.py
@@ -7,7 +7,6 @@
 
 from camphortray import admission
 from camphortray import at_most_once
-from camphortray import backends
 from camphortray import callrequest
 from camphortray import calls
 from camphortray import deadline
@@ -15,6 +14,7 @@
 from camphortray import errors
 from camphortray import forward
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import logs
 from camphortray import retry
 from camphortray import routing
@@ -53,7 +53,7 @@
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.tree = context.part(tree.Tree)
-        self.backends = context.part(backends.Backends)
+        self.backends = context.part(log_backends.Backends)
         self.upstreams = context.part(upstreams.Upstreams)
         self.admission = context.part(admission.Admission)
         self.at_most_once = context.part(at_most_once.AtMostOnce)
--- a/camphortray/shardset.py
+++ b/camphortray/shardset.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import ClassVar
 
-from camphortray import backends
 from camphortray import compaction
 from camphortray import dispatch
 from camphortray import errors
@@ -15,6 +14,7 @@
 from camphortray import jobshard
 from camphortray import journal
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import logs
 from camphortray import membership
 from camphortray import ownership
@@ -76,7 +76,7 @@
             f"{context.config.host.name}/batch", context.incarnation
         )
         held = journal.Journal(
-            context.part(backends.Backends).log,
+            context.part(log_backends.Backends).log,
             shards.stream_name("jobs", number),
             jobs.JobsFold(),
             writer,
--- a/camphortray/tree.py
+++ b/camphortray/tree.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from typing import ClassVar
 
-from camphortray import backends
 from camphortray import fold as folds
 from camphortray import journal
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import logs
 from camphortray import records
 from camphortray import revisions
@@ -38,7 +38,7 @@
             context.incarnation,
         )
         self.journal = journal.Journal(
-            context.part(backends.Backends).log,
+            context.part(log_backends.Backends).log,
             settings.STREAM,
             self.fold,
             writer,
--- a/camphortray/upstreams.py
+++ b/camphortray/upstreams.py
@@ -8,11 +8,11 @@
 import enum
 from typing import ClassVar
 
-from camphortray import backends
 from camphortray import draining as leaving_module
 from camphortray import engine
 from camphortray import errors
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import logs
 from camphortray import membership
 from camphortray import outlier
@@ -77,7 +77,7 @@
     def __init__(self, context: kernel.Context) -> None:
         self.context = context
         self.clock = context.clock
-        self.backends = context.part(backends.Backends)
+        self.backends = context.part(log_backends.Backends)
         self.tree = context.part(tree.Tree)
         self.members = context.part(membership.Membership)
         self.loads = routing.LoadTracker()
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from camphortray import backends
 from camphortray import clock
 from camphortray import config as configs
 from camphortray import engine
 from camphortray import kernel
 from camphortray import log
+from camphortray import log_backends
 from camphortray import membership
 from camphortray import metrics
 from camphortray import orderdriver
@@ -103,10 +103,10 @@
             random.Random(incarnation),
             metrics.Metrics(),
         )
-        for cls in (backends.Backends, peers.Peers, tree.Tree):
+        for cls in (log_backends.Backends, peers.Peers, tree.Tree):
             context.parts[cls.name] = cls.from_config(context)
-            context.part(backends.Backends).log = self.log
-        context.part(backends.Backends).engines["openai"] = self.engines
+            context.part(log_backends.Backends).log = self.log
+        context.part(log_backends.Backends).engines["openai"] = self.engines
         members = membership.Membership.from_config(context)
         context.parts["membership"] = members
         await context.part(tree.Tree).start()
--- a/tests/test_plugins.py
+++ b/tests/test_plugins.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from camphortray import backends
 from camphortray import clock
 from camphortray import config as configs
 from camphortray import engine
 from camphortray import errors
 from camphortray import kernel
+from camphortray import log_backends
 from camphortray import metrics
 from tests import test_config
 
@@ -27,7 +27,7 @@
         random.Random(0),
         metrics.Metrics(),
     )
-    return backends.Backends.from_config(context)
+    return log_backends.Backends.from_config(context)
 
 
 async def test_an_external_plugin_replaces_the_log():
--- a/tests/test_start_cost.py
+++ b/tests/test_start_cost.py
@@ -48,3 +48,19 @@
     _, classes, generated = start
     assert classes > 100
     assert generated == []
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "camphortray.log",
+        "camphortray.service",
+        "camphortray.weights",
+        "difflib",
+    ],
+)
+def test_a_start_imports_nothing_that_a_host_does_not_run(start, name):
+    """All hosts start at once and spend the time on modules left unused."""
+    modules, _, _ = start
+    assert "camphortray.backends" in modules
+    assert name not in modules
