Report waiting tokens to the hosts that keep a quota, not to all hosts

Cause: every owner of a partition published its waiting tokens as a fact for all hosts, up to four times a second while jobs come and end. A fact is flooded: each host passes it to some nine neighbours, each time in a News that is acknowledged. Only the one host that keeps the quota of a route ever reads the counts.

Change: an owner sends its counts to the first two hosts in rendezvous order for each route with a limit, when they have changed, and again to a host that has not acknowledged them, has started again or has become one of the two. The second host decides when the first does not answer; before, the owner decided alone. Counts of routes without a limit are not sent. Facts of owners of earlier releases are still read; a quota host of an earlier release lacks the counts of newer owners until it is replaced.

The tests of the reporter have a new interface and were not run on the code before.

--- a/camphortray/jobmessages.py
+++ b/camphortray/jobmessages.py
@@ -1,12 +1,14 @@
 """Messages between hosts and the owners of partitions of batch jobs."""
 
 __all__ = [
+    "BacklogReport",
     "BodyAsk",
     "BodyReply",
     "EndAsk",
     "JobRefusal",
     "PageAsk",
     "PageReply",
+    "PartitionBacklog",
     "ProgressUpdate",
     "QuotaAsk",
     "QuotaReply",
@@ -171,3 +173,25 @@
     """Returns whether the quota is granted."""
 
     granted: bool
+
+
+class PartitionBacklog(msgspec.Struct, frozen=True):
+    """Waiting tokens of a partition.
+
+    Attributes:
+      part: Number of the partition.
+      epoch: Epoch of its owner.
+      counts: Waiting tokens by route, of the routes whose quota the receiver
+        keeps.
+    """
+
+    part: int
+    epoch: int
+    counts: dict[str, int]
+
+
+@messages.message("job.backlog")
+class BacklogReport(msgspec.Struct, frozen=True):
+    """Reports waiting tokens to a host that keeps the quota of routes."""
+
+    rows: tuple[PartitionBacklog, ...]
--- a/camphortray/partition_manager.py
+++ b/camphortray/partition_manager.py
@@ -7,7 +7,7 @@
 
 from camphortray import active_config
 from camphortray import backends
-from camphortray import backlog_gossip
+from camphortray import backlog_reporting
 from camphortray import errors
 from camphortray import handover
 from camphortray import item_gauges
@@ -87,7 +87,7 @@
         self.owner_cache = owner_cache.OwnerCache(self.members.own_name)
         self.next_query_at = 0.0
         self.owner_query: asyncio.Task[None] | None = None
-        self.backlog = backlog_gossip.BacklogGossip(context, self.held)
+        self.backlog = backlog_reporting.BacklogReporter(context, self.held)
         self.handover = handover.Handover(context, self.held)
         self.renewed_at = -MEMBERSHIP_TTL_S
         self.candidates = owner_candidates.OwnerCandidates(
@@ -335,7 +335,7 @@
 
     def on_change(self, part: int) -> None:
         """Publish the ownership of a partition once its records are read."""
-        self.backlog.counts_changed = True
+        self.backlog.changed.set()
         owner = self.held.get(part)
         if owner is None or not owner.ready.is_set():
             return
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -326,6 +326,17 @@
         "2d31656974656d7381a365706c61636501646c61737462653764746578748241"
         "784179",
     ),
+    (
+        jobmessages.BacklogReport(
+            (
+                jobmessages.PartitionBacklog(3, 7, {"route-1": 20}),
+                jobmessages.PartitionBacklog(4, 8, {}),
+            )
+        ),
+        "85016b6a6f622e6261636b6c6f6705f5a164726f777382a36470617274036565"
+        "706f63680766636f756e7473a167726f7574652d3114a3647061727404656570"
+        "6f63680866636f756e7473a0",
+    ),
     (
         jobmessages.QuotaAsk("route-1", "job-1", 10, 20),
         "8501696a6f622e71756f746105f5a465726f75746567726f7574652d31636a6f"
