Leave the engines out of an answer to a host that has them

The question carries a digest of the engines that the asker has, without their sequence numbers, which each heartbeat raises; a peer that has the same leaves them out. While an entry is missing at the asker, it asks for all, as only a listing shows that an engine is still there.

The tests need the new field and were not run on the code before.

--- a/camphortray/active_config.py
+++ b/camphortray/active_config.py
@@ -73,9 +73,11 @@
 
     Attributes:
       revision: Version of the configuration that the asker has.
+      engines: Digest of the engines that it has, 0 to be sent all.
     """
 
     revision: int
+    engines: int = 0
 
 
 @messages.message("active_config.answer")
@@ -85,7 +87,7 @@
     Attributes:
       key: Key of the configuration's record.
       configuration: Its bytes, empty if the asker has it already.
-      engines: Entries of all engines.
+      engines: Entries of all engines, empty if the asker has them already.
       fresh: Whether the peer reaches the ledger itself.
     """
 
@@ -387,13 +389,23 @@
     ) -> ActiveConfigAnswer:
         """Tell a peer what is in force here."""
         newer = self.view.revision > ask.revision
+        known = ask.engines != 0 and ask.engines == self.engines_digest
         return ActiveConfigAnswer(
             self.record.key if newer else "",
             self.record.value if newer else b"",
-            tuple(self.engines.entries.values()) if self.listed else (),
+            (
+                tuple(self.engines.entries.values())
+                if self.listed and not known
+                else ()
+            ),
             not self.away,
         )
 
+    @property
+    def engines_digest(self) -> int:
+        """Digest of the engines known here, 0 if they have not been listed."""
+        return self.engines.digest if self.listed else 0
+
     def to_ask(self) -> list[configs.Address]:
         """Return the peers that may tell what is lacking here."""
         if not self.away or not self.context.config.experiments.peers_word:
@@ -408,10 +420,9 @@
             if not addresses:
                 continue
             address = self.context.rng.choice(addresses)
+            ask = ActiveConfigAsk(self.view.revision, self.engines_digest)
             try:
-                reply = await self.links.ask(
-                    address, ActiveConfigAsk(self.view.revision), ASK_S
-                )
+                reply = await self.links.ask(address, ask, ASK_S)
             except errors.MessageError as error:
                 LOG.debug("No word from a peer: {}", error)
                 continue
--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -5,8 +5,10 @@
 import collections
 from collections.abc import Collection
 from collections.abc import Iterable
+from typing import Any
 
 import msgspec
+import xxhash
 
 from camphortray import config as configs
 
@@ -59,6 +61,19 @@
         """
         return f"{self.id}~{self.born}" if self.born else self.id
 
+    @property
+    def content(self) -> tuple[Any, ...]:
+        """All fields but the sequence number, which each heartbeat raises."""
+        return (
+            self.id,
+            self.born,
+            self.service,
+            self.address,
+            self.availability_zone,
+            self.slots,
+            self.draining,
+        )
+
     @property
     def age(self) -> tuple[int, int]:
         """Version of the entry; entries of one id sort oldest first."""
@@ -84,13 +99,15 @@
         self.missing: dict[str, float] = {}
         self.removed: dict[str, tuple[int, int]] = {}
         self.returned_at = -RETURN_S
-        # Cached result of ``current``; None if it has to be recomputed.
+        # Cached results of ``current`` and ``digest``; None if they have to be
+        # recomputed.
         self.cached: dict[str, EngineEntry] | None = None
+        self.cached_digest: int | None = None
 
     def set_services(self, services: Collection[str]) -> None:
         """Set the services that the configuration names."""
         self.services = frozenset(services)
-        self.cached = None
+        self.invalidate()
 
     def put(self, entry: EngineEntry) -> bool:
         """Store an entry; return whether more than its sequence changed."""
@@ -113,13 +130,13 @@
             self.entries.pop(entry.id, None)
         self.entries[entry.id] = entry
         if held is None or not same_incarnation:
-            self.cached = None
+            self.invalidate()
             return True
         changed = (
             msgspec.structs.replace(held, sequence=entry.sequence) != entry
         )
         if changed:
-            self.cached = None
+            self.invalidate()
         elif self.cached is not None and entry.name in self.cached:
             self.cached[entry.name] = entry
         return changed
@@ -153,7 +170,7 @@
     def drop(self, engine_id: str) -> None:
         """Remove an engine; remember the version of its last entry."""
         entry = self.entries.pop(engine_id)
-        self.cached = None
+        self.invalidate()
         self.missing.pop(engine_id, None)
         self.removed[engine_id] = entry.age
         while len(self.removed) > MAX_REMEMBERED:
@@ -186,9 +203,28 @@
         if entry is None or entry.draining:
             return False
         self.entries[entry.id] = msgspec.structs.replace(entry, draining=True)
-        self.cached = None
+        self.invalidate()
         return True
 
+    def invalidate(self) -> None:
+        """Forget what was computed from the entries."""
+        self.cached = None
+        self.cached_digest = None
+
+    @property
+    def digest(self) -> int:
+        """Digest of all entries but for their sequence numbers.
+
+        0 without entries, and while an entry is missing: only a listing that
+        names its engine shows that it is still there.
+        """
+        if self.missing or not self.entries:
+            return 0
+        if self.cached_digest is None:
+            rows = sorted(entry.content for entry in self.entries.values())
+            self.cached_digest = xxhash.xxh3_64_intdigest(repr(rows).encode())
+        return self.cached_digest
+
     def current(self) -> dict[str, EngineEntry]:
         """Return the valid entries by name of the incarnation.
 
--- a/tests/test_active_config.py
+++ b/tests/test_active_config.py
@@ -1,10 +1,15 @@
 """Engines and configuration in force while the ledger is away."""
 
+import asyncio
+
+import msgspec
 import pytest
 
 from camphortray import active_config
 from camphortray import config as configs
 from camphortray import engine_registry
+from camphortray import ledger
+from camphortray import routemap
 from tests import test_engine_registry
 
 ENTRY = test_engine_registry.ENTRY
@@ -29,6 +34,7 @@
     part.was_away = True
     part.listed = True
     part.engine_listeners = []
+    part.record = ledger.LedgerRecord("", b"")
     part.engines.put(ENTRY)
     return part
 
@@ -68,3 +74,73 @@
     # Two reads and more fit into each bound, one of them lost.
     assert 0 < 2 * wait_s < bound_s
     assert 0 < 4 * every_s <= bound_s
+
+
+def engines_of(count):
+    """Return entries of so many engines."""
+    return [
+        msgspec.structs.replace(
+            ENTRY, id=f"i-{n}", address=f"10.0.0.{n + 1}:80"
+        )
+        for n in range(count)
+    ]
+
+
+def answered(asking, answering):
+    """Return what a peer answers to a host that asks it."""
+    asking.view = answering.view = routemap.EMPTY_CONFIGURATION
+    ask = active_config.ActiveConfigAsk(0, asking.engines_digest)
+    return asyncio.run(answering.answer(None, ask))
+
+
+@pytest.mark.parametrize(
+    ("differ", "sent"),
+    [
+        ("nothing", 0),
+        ("sequence", 0),
+        ("draining", 3),
+        ("another engine", 4),
+        ("restarted", 3),
+        ("missing", 3),
+        ("not listed", 3),
+    ],
+)
+def test_a_peer_sends_the_engines_only_to_a_host_that_lacks_some(differ, sent):
+    """Guards against listings of all engines sent again and again."""
+    asking, answering = held(), held()
+    answering.reached_at = answering.clock.now
+    first, *others = engines_of(3)
+    for part in (asking, answering):
+        part.engines.replace_all([first, *others], 0.0)
+    if differ == "sequence":
+        newer = msgspec.structs.replace(first, sequence=first.sequence + 1)
+        answering.engines.put(newer)
+    elif differ == "draining":
+        answering.engines.mark_draining(first.name)
+    elif differ == "another engine":
+        answering.engines.put(engines_of(4)[3])
+    elif differ == "restarted":
+        newer = msgspec.structs.replace(first, born=first.born + 1)
+        answering.engines.put(newer)
+    elif differ == "missing":
+        asking.engines.note_recovery(asking.clock.now)
+        asking.engines.handle_missing(first.id, asking.clock.now)
+    elif differ == "not listed":
+        asking.listed = False
+    reply = answered(asking, answering)
+    assert len(reply.engines) == sent
+    assert reply.fresh
+    asking.take_answer(reply)
+    assert asking.peer_reached_at == asking.clock.now
+    assert not answered(asking, answering).engines
+
+
+def test_an_engine_that_a_peer_lists_is_kept_after_an_outage():
+    """Guards against an engine dropped as a listing left it out."""
+    asking, answering = held(), held()
+    for part in (asking, answering):
+        part.engines.replace_all(engines_of(3), 0.0)
+    asking.engines.note_recovery(asking.clock.now)
+    asking.engines.handle_missing("i-0", asking.clock.now)
+    asking.take_answer(answered(asking, answering))
+    assert not asking.engines.drop_overdue(asking.clock.now + 60.0)
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -100,6 +100,11 @@
         active_config.ActiveConfigAsk(7),
         "8501716163746976655f636f6e6669672e61736b05f5a1687265766973696f6e07",
     ),
+    (
+        active_config.ActiveConfigAsk(7, 9),
+        "8501716163746976655f636f6e6669672e61736b05f5a2687265766973696f6e"
+        "0767656e67696e657309",
+    ),
     (
         active_config.ActiveConfigAnswer(),
         "8501746163746976655f636f6e6669672e616e7377657205f5a0",
