Do not send a neighbour what it has just sent

The copy that comes from a neighbour shows that it holds this very version, but the key stayed in what waits for it and was sent back.

A key that waits for a neighbour is dropped when the neighbour sends the version held here. An older or newer one changes nothing.

The new test of the key fails on the code before.

--- a/camphortray/gossip.py
+++ b/camphortray/gossip.py
@@ -98,6 +98,15 @@
         """Have a key told to one neighbour."""
         self.pending.setdefault(name, {})[key] = None
 
+    def discard(self, name: str, key: str) -> None:
+        """Do not send a key to a neighbour that has just sent the same."""
+        keys = self.pending.get(name)
+        if keys is None:
+            return
+        keys.pop(key, None)
+        if not keys:
+            del self.pending[name]
+
     def take(self) -> dict[str, list[str]]:
         """Return the keys to send now, by neighbour."""
         batches = {}
--- a/camphortray/member_state.py
+++ b/camphortray/member_state.py
@@ -133,20 +133,26 @@
             if member.version > self.own.version:
                 self.refute(member, now)
             return False
-        if not self.directory.newer(member):
-            return False
-        self.put(member, now, source)
-        return True
+        if self.directory.newer(member):
+            self.put(member, now, source)
+            return True
+        held = self.directory.members.get(member.name)
+        if held is not None and held.version == member.version:
+            self.gossip.discard(source, member.name)
+        return False
 
     def merge_fact(
         self, fact: facts.Fact, now: float, source: str = ""
     ) -> bool:
         """Take a fact in; return whether it was new."""
-        if not self.facts.take(fact, self.wall_ms(now)):
-            return False
-        self.gossip.add(fact.name, source)
-        self.on_fact(fact)
-        return True
+        if self.facts.take(fact, self.wall_ms(now)):
+            self.gossip.add(fact.name, source)
+            self.on_fact(fact)
+            return True
+        held = self.facts.facts.get(fact.name)
+        if held is not None and held.order == fact.order:
+            self.gossip.discard(source, fact.name)
+        return False
 
     def apply_gossip(
         self,
--- a/tests/test_gossip_repair.py
+++ b/tests/test_gossip_repair.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from camphortray import facts
 from camphortray import gossip
 from camphortray import gossip_repair
 from tests import fakenet
@@ -138,3 +139,34 @@
     net = fakenet.FakeNet(hosts=12)
     net.run(15)
     assert not any(n.known.catch_up.debts for n in net.nodes.values())
+
+
+def test_a_key_is_not_sent_back_to_a_neighbour_that_holds_it():
+    """Guards against copies of each fact that all neighbours hold already."""
+    net = fakenet.FakeNet(hosts=3)
+    net.run(10)
+    node = net.nodes["h0/entry"]
+    publish(net, "h0/entry")
+    (fact,) = node.known.facts.facts.values()
+    name = f"{fact.kind} {fact.key}"
+    assert node.known.gossip.pending.keys() == {"h1/entry", "h2/entry"}
+    node.known.merge_fact(fact, net.now, "h1/entry")
+    assert "h1/entry" not in node.known.gossip.pending
+    assert name in node.known.gossip.pending["h2/entry"]
+
+
+@pytest.mark.parametrize(
+    ("versions", "sent"), [((5, 5), False), ((5, 4), True)]
+)
+def test_a_neighbour_with_an_older_version_is_sent_the_newer(versions, sent):
+    """Guards against a change that stops at a neighbour that is behind."""
+    net = fakenet.FakeNet(hosts=2)
+    net.run(10)
+    known = net.nodes["h0/entry"].known
+    held, theirs = (
+        facts.Fact("k", "x", known.wall_ms(net.now) + number, 1, 60.0)
+        for number in versions
+    )
+    known.merge_fact(held, net.now)
+    known.merge_fact(theirs, net.now, "h1/entry")
+    assert ("k x" in known.gossip.pending.get("h1/entry", {})) == sent
