--- a/camphortray/facts.py
+++ b/camphortray/facts.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Fact", "FactTable"]
 
+import heapq
 from typing import Any
 
 import msgspec
@@ -43,9 +44,14 @@
         """What decides between two; the value breaks a tie alike."""
         return self.version, msgspec.json.encode(self.value)
 
+    @property
+    def expires_ms(self) -> float:
+        """When it is to be forgotten, in wall-clock milliseconds."""
+        return self.version + self.keep_s * 1000
+
     def expired(self, wall_ms: int) -> bool:
         """Return whether it is to be forgotten."""
-        return self.version + self.keep_s * 1000 <= wall_ms
+        return self.expires_ms <= wall_ms
 
 
 class FactTable:
@@ -58,6 +64,8 @@
 
     def __init__(self) -> None:
         self.facts: dict[str, Fact] = {}
+        # When each version taken in expires, in wall-clock milliseconds.
+        self.expiries: list[tuple[float, str]] = []
         self.buckets = [0] * members.BUCKETS
 
     def make(
@@ -86,6 +94,7 @@
             self.toggle(held)
         self.facts[fact.name] = fact
         self.toggle(fact)
+        heapq.heappush(self.expiries, (fact.expires_ms, fact.name))
         return True
 
     def toggle(self, fact: Fact) -> None:
@@ -95,7 +104,10 @@
 
     def prune(self, wall_ms: int) -> None:
         """Forget what has expired."""
-        for fact in list(self.facts.values()):
-            if fact.expired(wall_ms):
+        while self.expiries and self.expiries[0][0] <= wall_ms:
+            _, name = heapq.heappop(self.expiries)
+            fact = self.facts.get(name)
+            # A later version may have taken its place.
+            if fact is not None and fact.expired(wall_ms):
                 self.toggle(fact)
-                del self.facts[fact.name]
+                del self.facts[name]
