Carry the sequence numbers of engines that an answer leaves out

An answer without the engines carries their sequence numbers in the order of their ids, 3 bytes or so each. They count only while the asker still has the engines that the answer was given for.

--- a/camphortray/active_config.py
+++ b/camphortray/active_config.py
@@ -89,12 +89,16 @@
       configuration: Its bytes, empty if the asker has it already.
       engines: Entries of all engines, empty if the asker has them already.
       fresh: Whether the peer reaches the ledger itself.
+      digest: Digest of the engines if they are left out, else 0.
+      sequences: Their sequence numbers, in the order of their ids.
     """
 
     key: str = ""
     configuration: bytes = b""
     engines: tuple[engine_registry.EngineEntry, ...] = ()
     fresh: bool = False
+    digest: int = 0
+    sequences: tuple[int, ...] = ()
 
 
 @kernel.PARTS.register("host")
@@ -390,15 +394,14 @@
         """Tell a peer what is in force here."""
         newer = self.view.revision > ask.revision
         known = ask.engines != 0 and ask.engines == self.engines_digest
+        listed = self.listed and not known
         return ActiveConfigAnswer(
             self.record.key if newer else "",
             self.record.value if newer else b"",
-            (
-                tuple(self.engines.entries.values())
-                if self.listed and not known
-                else ()
-            ),
+            tuple(self.engines.entries.values()) if listed else (),
             not self.away,
+            ask.engines if known else 0,
+            self.engines.sequences if known else (),
         )
 
     @property
@@ -437,6 +440,8 @@
             self.take_record(
                 ledgers.LedgerRecord(reply.key, reply.configuration)
             )
+        if reply.digest and reply.digest == self.engines_digest:
+            self.engines.renew(reply.sequences)
         if not reply.engines:
             return
         now = self.clock.monotonic()
--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -225,6 +225,22 @@
             self.cached_digest = xxhash.xxh3_64_intdigest(repr(rows).encode())
         return self.cached_digest
 
+    @property
+    def sequences(self) -> tuple[int, ...]:
+        """Sequence numbers of all entries, in the order of their ids."""
+        return tuple(
+            entry.sequence for _, entry in sorted(self.entries.items())
+        )
+
+    def renew(self, sequences: tuple[int, ...]) -> None:
+        """Raise the sequence numbers to those of a peer with equal entries."""
+        for engine_id, sequence in zip(
+            sorted(self.entries), sequences, strict=False
+        ):
+            held = self.entries[engine_id]
+            if sequence > held.sequence:
+                self.put(msgspec.structs.replace(held, sequence=sequence))
+
     def current(self) -> dict[str, EngineEntry]:
         """Return the valid entries by name of the incarnation.
 
--- a/tests/test_active_config.py
+++ b/tests/test_active_config.py
@@ -144,3 +144,39 @@
     asking.engines.handle_missing("i-0", asking.clock.now)
     asking.take_answer(answered(asking, answering))
     assert not asking.engines.drop_overdue(asking.clock.now + 60.0)
+
+
+def test_an_engine_that_left_does_not_come_back_by_a_lagging_peer():
+    """Guards against a version of a removed engine that is too old."""
+    asking, fresh = held(), held()
+    fresh.reached_at = fresh.clock.now
+    first, *others = engines_of(3)
+    for part in (asking, fresh):
+        part.engines.replace_all([first, *others], 0.0)
+    # The engine goes on for 100 heartbeats, which the fresh peer reads.
+    newest = msgspec.structs.replace(first, sequence=first.sequence + 100)
+    fresh.engines.put(newest)
+    asking.take_answer(answered(asking, fresh))
+    # It ends; the host that is cut off hears so.
+    fresh.engines.handle_missing(first.id, fresh.clock.now)
+    asking.take_answer(answered(asking, fresh))
+    assert first.id not in asking.engines.entries
+    # A peer that has lost the store meanwhile tells an entry between.
+    between = msgspec.structs.replace(first, sequence=first.sequence + 50)
+    late = active_config.ActiveConfigAnswer(
+        engines=(between, *others), fresh=False
+    )
+    asking.take_answer(late)
+    assert first.id not in asking.engines.entries
+
+
+def test_sequences_of_other_engines_than_those_held_change_nothing():
+    """Guards against an answer that comes after the engines have changed."""
+    asking, answering = held(), held()
+    for part in (asking, answering):
+        part.engines.replace_all(engines_of(3), 0.0)
+    reply = answered(asking, answering)
+    reply = msgspec.structs.replace(reply, sequences=(9, 9, 9))
+    asking.engines.mark_draining(engines_of(3)[0].name)
+    asking.take_answer(reply)
+    assert asking.engines.sequences == (1, 1, 1)
