Keep the limit of a route through losses and starts of its quota hosts

A host of an earlier release does not answer it, and each timeout ends the link with all other questions on it; - a silent quota host held up the reports to the other for its 0.5 s, beyond what reservations allow for; - a count whose answer was lost stayed at the quota host when the next was as before; - a quota host that had just started, or just become one, decided before it had the counts; - with both silent, each owner decided by the whole limit; - counts at a host that keeps no quota any more stayed for ever; - an error ended the report of a change until the next one.

Change: reports are one-way, repeated each second while tokens wait and for 3 s after their last change, and expire after 30 s. Quota hosts known for less than a second are asked last, and one that started less than a second ago does not decide. The two stand in different zones where there are such. An owner that decides alone keeps to the share of its partitions.

The time limit of a quota request is 0.3 s again.

--- a/camphortray/backlog_reporting.py
+++ b/camphortray/backlog_reporting.py
@@ -7,6 +7,7 @@
 __all__ = ["BacklogReporter"]
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -28,29 +29,72 @@
 LOG = logs.logger("jobs")
 # Kind of the facts that hold the counts of owners of earlier releases.
 WAITING_FACT = "job-waiting"
-# Hosts that receive the counts of a route. The first keeps its quota; the
-# others take over when it does not answer.
-QUOTA_HOSTS = 2
-# Seconds between reports of waiting tokens.
+# Shortest interval between reports, in seconds, and the reports a second
+# that a quota host is to receive at most for a route.
 REPORT_INTERVAL_S = 0.25
-# Time limit for the acknowledgement of a report, in seconds.
-REPORT_TIMEOUT_S = 0.5
+MAX_REPORTS_PER_S = 100
+# Reports may be lost. A count is repeated at this interval while tokens wait,
+# and for so long after its last change, in seconds.
+REPEAT_INTERVAL_S = 1.0
+REPEAT_S = 3.0
+# Lifetime of a reported count, in seconds. The next owner of a partition
+# reports it long before.
+COUNT_TTL_S = 30.0
+# Seconds until a new quota host, or one that has started again, has received
+# the counts of all owners.
+LEARNING_S = 1.0
+# Lifetime of a reservation beyond the interval between reports, in seconds.
+RESERVATION_MARGIN_S = 0.75
 # Time limit for the reply of one host to a quota request, in seconds.
-QUOTA_TIMEOUT_S = 0.2
+QUOTA_TIMEOUT_S = 0.3
 
 Counts = dict[int, jobmessages.PartitionBacklog]
 
 
+class SentCount(msgspec.Struct):
+    """A count as last sent to a quota host.
+
+    Attributes:
+      row: The count.
+      changed_at: When it was first sent.
+      sent_at: When it was last sent.
+    """
+
+    row: jobmessages.PartitionBacklog
+    changed_at: float
+    sent_at: float
+
+    def repeats(self, now: float) -> bool:
+        """Return whether it is to be sent again though it rests."""
+        return bool(self.row.counts) or now - self.changed_at < REPEAT_S
+
+
 class QuotaHost(msgspec.Struct):
-    """What a quota host has acknowledged.
+    """What was sent to a quota host.
 
     Attributes:
       started: Incarnation of its process, which keeps the counts.
-      counts: Counts it has acknowledged, by partition.
+      sent: Counts by partition.
     """
 
     started: int
-    counts: Counts
+    sent: dict[int, SentCount]
+
+    def due(self, counts: Counts, now: float) -> list[SentCount]:
+        """Return the counts to send now, and take note of them as sent."""
+        self.sent = {p: s for p, s in self.sent.items() if p in counts}
+        due = []
+        for part, row in counts.items():
+            sent = self.sent.get(part)
+            if sent is None or sent.row != row:
+                sent = self.sent[part] = SentCount(row, now, now)
+            elif now - sent.sent_at < REPEAT_INTERVAL_S:
+                continue
+            elif not sent.repeats(now):
+                continue
+            sent.sent_at = now
+            due.append(sent)
+        return due
 
 
 class BacklogReporter:
@@ -58,9 +102,13 @@
 
     Attributes:
       owners: Owners of the partitions owned here, by partition.
+      parts: Number of all partitions.
+      interval_s: Seconds between reports.
       quota: Counts reported to this host, and reservations kept here.
+      alone: Reservations made while no quota host answers.
       quota_hosts: Members that receive the counts of a route, by route.
-      reported: Acknowledged counts, by member.
+      known: Incarnation of each quota host, and since when it is one.
+      reported: What was sent, by member.
       changed: Set when counts or quota hosts may have changed.
     """
 
@@ -68,14 +116,21 @@
         self,
         context: kernel.Context,
         owners: dict[int, partition_owner.PartitionOwner],
+        parts: int,
     ) -> None:
         self.clock = context.clock
         self.members = context.part(membership.Membership)
         self.links = context.part(peers.Peers)
         self.active_config = context.part(active_config.ActiveConfig)
         self.owners = owners
-        self.quota = jobquota.QuotaTracker()
+        self.parts = parts
+        self.interval_s = max(REPORT_INTERVAL_S, parts / MAX_REPORTS_PER_S)
+        reservation_s = self.interval_s + RESERVATION_MARGIN_S
+        self.quota = jobquota.QuotaTracker(reservation_s)
+        self.alone = jobquota.QuotaTracker(reservation_s)
+        self.started_at = self.clock.monotonic()
         self.quota_hosts: dict[str, list[str]] = {}
+        self.known: dict[str, tuple[int, float]] = {}
         self.reported: dict[str, QuotaHost] = {}
         self.changed = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
@@ -112,20 +167,37 @@
     # Reporting.
 
     async def run(self) -> None:
-        """Report changed counts of the partitions owned here, forever."""
+        """Report counts of the partitions owned here, forever."""
+        repeat_s = None
         while True:
-            await self.changed.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(repeat_s):
+                    await self.changed.wait()
             self.changed.clear()
-            await self.report()
-            await asyncio.sleep(REPORT_INTERVAL_S)
-
-    async def report(self) -> None:
-        """Send each quota host the counts that it has not acknowledged."""
+            try:
+                repeats = self.report()
+            except Exception:
+                self.changed.set()
+                raise
+            repeat_s = REPEAT_INTERVAL_S if repeats else None
+            await asyncio.sleep(self.interval_s)
+
+    def report(self) -> bool:
+        """Send each quota host the counts that are due.
+
+        Returns:
+          Whether any is to be repeated later.
+        """
+        now = self.clock.monotonic()
         wanted = self.counts_by_host()
         for name in self.reported.keys() - wanted.keys():
             del self.reported[name]
-        await asyncio.gather(
-            *(self.send(name, counts) for name, counts in wanted.items())
+        for name, counts in wanted.items():
+            self.send(name, counts, now)
+        return any(
+            sent.repeats(now)
+            for host in self.reported.values()
+            for sent in host.sent.values()
         )
 
     def counts_by_host(self) -> dict[str, Counts]:
@@ -138,7 +210,7 @@
         routes.pop(self.members.own_name, None)
         wanted: dict[str, Counts] = {name: {} for name in routes}
         for part, owner in self.owners.items():
-            if not owner.ready.is_set():
+            if not wanted or not owner.ready.is_set():
                 continue
             counts = self.count(owner)
             for name, limited in routes.items():
@@ -148,32 +220,20 @@
                 )
         return wanted
 
-    async def send(self, name: str, counts: Counts) -> None:
-        """Send a quota host the counts that it has not acknowledged."""
+    def send(self, name: str, counts: Counts, now: float) -> None:
+        """Send a quota host the counts that are due."""
         member = self.members.member(name)
         if member is None:
             return
-        known = self.reported.get(name)
-        if known is None or known.started != member.started:
-            known = self.reported[name] = QuotaHost(member.started, {})
-        rows = tuple(
-            row
-            for part, row in counts.items()
-            if known.counts.get(part) != row
-        )
-        if not rows:
-            return
-        try:
-            await self.links.ask(
-                configs.Address.from_text(member.peer_address),
-                jobmessages.BacklogReport(rows),
-                REPORT_TIMEOUT_S,
-            )
-        except errors.MessageError as error:
-            LOG.info("Report of waiting tokens to {} failed: {}", name, error)
-            self.changed.set()
-            return
-        known.counts.update((row.part, row) for row in rows)
+        host = self.reported.get(name)
+        if host is None or host.started != member.started:
+            host = self.reported[name] = QuotaHost(member.started, {})
+        rows = tuple(sent.row for sent in host.due(counts, now))
+        if rows:
+            # One-way: the timeout of a question would end the link, with the
+            # questions of callers on it.
+            address = configs.Address.from_text(member.peer_address)
+            self.links.notify(address, jobmessages.BacklogReport(rows))
 
     def count(self, owner: partition_owner.PartitionOwner) -> dict[str, int]:
         """Return the waiting tokens of a partition, by route."""
@@ -185,27 +245,53 @@
                 counts[route.name] = counts.get(route.name, 0) + tokens
         return counts
 
+    # Quota hosts.
+
     def hosts_of(self, route: str) -> list[str]:
         """Return the members that receive the counts of a route.
 
         One host keeps the reservations of a route, so that owners that
-        accept jobs at the same time do not exceed its limit together.
+        accept jobs at the same time do not exceed its limit together. The
+        other, of another zone if there is one, takes over from it.
         """
         hosts = self.quota_hosts.get(route)
-        if hosts is None:
-            names = [member.name for member in self.members.live("host")]
-            hosts = shards.rank(f"quota/{route}", names)[:QUOTA_HOSTS]
-            self.quota_hosts[route] = hosts
+        if hosts is not None:
+            return hosts
+        live = {member.name: member for member in self.members.live("host")}
+        ranked = shards.rank(f"quota/{route}", live)
+        hosts = ranked[:1]
+        others = ranked[1:]
+        elsewhere = [
+            name
+            for name in others
+            if live[name].availability_zone != live[hosts[0]].availability_zone
+        ]
+        hosts += (elsewhere or others)[:1]
+        now = self.clock.monotonic()
+        for name in hosts:
+            started = live[name].started
+            if self.known.get(name, (None, 0.0))[0] != started:
+                self.known[name] = started, now
+        self.quota_hosts[route] = hosts
         return hosts
 
+    def hosts_to_ask(self, route: str) -> list[str]:
+        """Return the quota hosts of a route, those that are new last."""
+        now = self.clock.monotonic()
+        return sorted(
+            self.hosts_of(route),
+            key=lambda name: now - self.known[name][1] < LEARNING_S,
+        )
+
     # Keeping the quota of a route.
 
     async def on_report(
         self, sender: peers.Sender, report: jobmessages.BacklogReport
     ) -> None:
         """Record the counts reported by an owner of partitions."""
+        until = self.clock.monotonic() + COUNT_TTL_S
         for row in report.rows:
-            self.quota.update_counts(row.part, row.epoch, row.counts)
+            self.quota.update_counts(row.part, row.epoch, row.counts, until)
 
     def on_waiting(self, fact: membership.Fact) -> None:
         """Record the counts published by an owner of an earlier release."""
@@ -213,10 +299,17 @@
         part = int(fact.key.partition("/")[0])
         self.quota.update_counts(part, int(epoch), dict(counts))
 
+    @property
+    def learning(self) -> bool:
+        """Whether this host may not have received the counts of all owners."""
+        return self.clock.monotonic() - self.started_at < LEARNING_S
+
     async def on_quota(
         self, sender: peers.Sender, ask: jobmessages.QuotaAsk
-    ) -> jobmessages.QuotaReply:
+    ) -> jobmessages.QuotaReply | peers.PeerFault:
         """Answer an owner's request for a reservation."""
+        if self.learning:
+            return peers.PeerFault("the counts are not complete yet")
         return jobmessages.QuotaReply(self.reserve(ask))
 
     def reserve(self, ask: jobmessages.QuotaAsk) -> bool:
@@ -229,6 +322,22 @@
             ask.route, ask.job, ask.tokens, ask.limit, now
         )
 
+    def reserve_alone(self, ask: jobmessages.QuotaAsk) -> bool:
+        """Decide without a quota host, by the share of the partitions here.
+
+        Each owner that decided by the whole limit would accept as much.
+        """
+        self.alone.counts.clear()
+        for part, owner in self.owners.items():
+            if owner.ready.is_set():
+                self.alone.update_counts(part, owner.epoch, self.count(owner))
+        share = ask.limit * len(self.owners) // self.parts
+        now = self.clock.monotonic()
+        # A limit of 0 would be none.
+        return share > 0 and self.alone.reserve(
+            ask.route, ask.job, ask.tokens, share, now
+        )
+
     async def has_room(self, part: partition_records.JobPart) -> bool:
         """Reserve tokens for a job; return whether its route has room.
 
@@ -241,10 +350,14 @@
         ask = jobmessages.QuotaAsk(
             route.name, part.job, tokens, route.waiting_limit
         )
-        for name in list(self.hosts_of(route.name)):
+        for name in self.hosts_to_ask(route.name):
+            if name == self.members.own_name:
+                if not self.learning:
+                    return self.reserve(ask)
+                continue
             member = self.members.member(name)
-            if name == self.members.own_name or member is None:
-                break
+            if member is None:
+                continue
             address = configs.Address.from_text(member.peer_address)
             try:
                 reply = await self.links.ask(address, ask, QUOTA_TIMEOUT_S)
@@ -252,4 +365,4 @@
                 LOG.info("Quota request to {} failed: {}", name, error)
             else:
                 return bool(reply.granted)
-        return self.reserve(ask)
+        return self.reserve_alone(ask)
--- a/camphortray/jobquota.py
+++ b/camphortray/jobquota.py
@@ -2,9 +2,11 @@
 
 __all__ = ["QuotaTracker"]
 
+import math
+
 # Lifetime of a reservation, in seconds: long enough for the count of the job's
-# owner to include the job. Counts are published four times a second and spread
-# within 0.2 s; from then until the reservation expires, the job counts twice.
+# owner to include the job. From the report of that count until the reservation
+# expires, the job counts twice.
 RESERVATION_TTL_S = 1.0
 
 
@@ -12,28 +14,39 @@
     """Waiting tokens of all partitions, and recent reservations.
 
     Attributes:
-      counts: Epoch of the owner and waiting tokens by route, by partition.
+      reservation_s: Lifetime of a reservation.
+      counts: Epoch of the owner, waiting tokens by route and time of expiry,
+        by partition.
       reserved: Tokens and time of expiry by job, by route.
     """
 
-    def __init__(self) -> None:
-        self.counts: dict[int, tuple[int, dict[str, int]]] = {}
+    def __init__(self, reservation_s: float = RESERVATION_TTL_S) -> None:
+        self.reservation_s = reservation_s
+        self.counts: dict[int, tuple[int, dict[str, int], float]] = {}
         self.reserved: dict[str, dict[str, tuple[int, float]]] = {}
 
     def update_counts(
-        self, part: int, epoch: int, counts: dict[str, int]
+        self,
+        part: int,
+        epoch: int,
+        counts: dict[str, int],
+        until: float = math.inf,
     ) -> None:
         """Record the counts of an owner unless its epoch is outdated."""
-        known = self.counts.get(part, (0, {}))
-        if epoch >= known[0]:
-            self.counts[part] = epoch, counts
+        known = self.counts.get(part)
+        if known is None or epoch >= known[0]:
+            self.counts[part] = epoch, counts, until
 
     def waiting(self, route: str, now: float) -> int:
         """Return the tokens that wait on a route or are reserved there."""
         reserved = self.reserved.get(route, {})
         for job in [j for j, (_, until) in reserved.items() if until <= now]:
             del reserved[job]
-        counted = sum(c.get(route, 0) for _, c in self.counts.values())
+        counted = sum(
+            counts.get(route, 0)
+            for _, counts, until in self.counts.values()
+            if until > now
+        )
         return counted + sum(tokens for tokens, _ in reserved.values())
 
     def reserve(
@@ -50,5 +63,5 @@
             if previous is not None:
                 reserved[job] = previous
             return previous is not None
-        reserved[job] = tokens, now + RESERVATION_TTL_S
+        reserved[job] = tokens, now + self.reservation_s
         return True
--- a/camphortray/partition_manager.py
+++ b/camphortray/partition_manager.py
@@ -87,7 +87,9 @@
         self.owner_cache = owner_cache.OwnerCache(self.members.own_name)
         self.next_query_at = 0.0
         self.owner_query: asyncio.Task[None] | None = None
-        self.backlog = backlog_reporting.BacklogReporter(context, self.held)
+        self.backlog = backlog_reporting.BacklogReporter(
+            context, self.held, self.ledger.parts
+        )
         self.handover = handover.Handover(context, self.held)
         self.renewed_at = -MEMBERSHIP_TTL_S
         self.candidates = owner_candidates.OwnerCandidates(
--- a/tests/test_backlog_reporting.py
+++ b/tests/test_backlog_reporting.py
@@ -9,17 +9,32 @@
 from camphortray import active_config
 from camphortray import backlog_reporting
 from camphortray import errors
+from camphortray import gossip
 from camphortray import jobmessages
 from camphortray import membership
+from camphortray import messages
 from camphortray import peers
 from camphortray import routemap
 from tests import hostkit
+from tests import test_peers
 
 HOSTS = 9
+ZONES = 3
+PARTS = 2
+LONG_S = 100.0
 OWN = "h0/host"
 LIMITED = msgspec.structs.replace(hostkit.BATCH_ROUTE, waiting_limit=1000)
 
 
+class Clock:
+    """A clock moved by hand."""
+
+    now = 0.0
+
+    def monotonic(self):
+        return self.now
+
+
 class Members:
     """Members that are all alive; counts the facts published to all."""
 
@@ -31,7 +46,7 @@
                 f"h{number}/host",
                 1,
                 membership.Status.ALIVE,
-                "z",
+                f"z{number % ZONES}",
                 f"10.0.0.{number + 1}:1",
                 "",
                 started=1,
@@ -72,22 +87,33 @@
         self.sent = []
         self.silent = set()
         self.granted = {}
+        self.hosts = {}
 
     def on(self, cls, handler):
         pass
 
-    async def ask(self, address, message, timeout_s):
+    def name_of(self, address):
+        """Return the member that takes links at an address."""
         (name,) = (
             member.name
             for member in self.members.members.values()
             if member.peer_address == str(address)
         )
-        self.sent.append((name, message))
+        return name
+
+    def notify(self, address, message):
+        self.sent.append((self.name_of(address), message))
+
+    async def ask(self, address, message, timeout_s):
+        name = self.name_of(address)
         if name in self.silent:
             raise errors.MessageError("no answer in time")
-        if isinstance(message, jobmessages.QuotaAsk):
+        if name not in self.hosts:
             return jobmessages.QuotaReply(self.granted[name])
-        return None
+        reply = await self.hosts[name].on_quota(None, message)
+        if isinstance(reply, peers.PeerFault):
+            raise errors.MessageError(reply.message)
+        return reply
 
     def take(self):
         """Return the reports since the last call: receivers and rows."""
@@ -128,16 +154,28 @@
         peers.Peers: Links(members),
         active_config.ActiveConfig: config,
     }
-    context = types.SimpleNamespace(
-        clock=types.SimpleNamespace(monotonic=lambda: 0.0),
-        part=parts.__getitem__,
-    )
+    clock = Clock()
+    context = types.SimpleNamespace(clock=clock, part=parts.__getitem__)
     owners = {0: owner_of(0, 100), 1: owner_of(1, 200)}
-    reporter = backlog_reporting.BacklogReporter(context, owners)
+    reporter = backlog_reporting.BacklogReporter(context, owners, PARTS)
+    reporter.parts_of = parts
     members.listen(reporter.on_member)
+    # Quota hosts of long standing.
+    reporter.hosts_of(LIMITED.name)
+    clock.now += LONG_S
     return reporter
 
 
+def job_of(tokens, name="k"):
+    """Return a job with so many tokens on the limited route."""
+    return types.SimpleNamespace(
+        job=name,
+        host_name=LIMITED.host_name,
+        target=LIMITED.prefix,
+        items=[types.SimpleNamespace(tokens=tokens)],
+    )
+
+
 def other_hosts(reporter):
     """Return the quota hosts of the route but for this one."""
     return {n for n in reporter.hosts_of(LIMITED.name) if n != OWN}
@@ -149,10 +187,10 @@
 async def test_counts_go_to_the_quota_hosts_only():
     """Guards against counts that cost each host of the fleet a message."""
     reporter = reporter_of()
-    await reporter.report()
+    reporter.report()
     sent = reporter.links.take()
     assert set(sent) == other_hosts(reporter)
-    assert 1 <= len(sent) <= backlog_reporting.QUOTA_HOSTS
+    assert 1 <= len(sent) <= 2
     assert all(rows == BOTH for rows in sent.values())
     assert not reporter.members.published
 
@@ -160,54 +198,95 @@
 async def test_counts_that_rest_are_not_sent_again():
     """Guards against reports that repeat what has been acknowledged."""
     reporter = reporter_of()
-    await reporter.report()
+    reporter.report()
     reporter.links.take()
     reporter.owners[1] = owner_of(1, 50)
-    await reporter.report()
+    reporter.report()
     assert set(reporter.links.take()) == other_hosts(reporter)
-    await reporter.report()
+    reporter.report()
     assert reporter.links.take() == {}
 
 
 async def test_a_route_without_a_limit_is_not_reported():
     """Guards against messages about counts that nobody compares."""
     reporter = reporter_of((hostkit.BATCH_ROUTE,))
-    await reporter.report()
+    reporter.report()
     assert reporter.links.take() == {}
 
 
-@pytest.mark.parametrize("change", ["lost", "restarted", "silent"])
+@pytest.mark.parametrize("change", ["lost", "restarted"])
 async def test_a_quota_host_that_lacks_counts_receives_them(change):
     """Guards against a limit enforced without the counts of all owners."""
     reporter = reporter_of()
+    # The host that reports keeps no quota itself.
+    reporter.members.own_name = "none/host"
     name = sorted(other_hosts(reporter))[0]
-    if change == "silent":
-        reporter.links.silent.add(name)
-    await reporter.report()
+    reporter.report()
     reporter.links.take()
     reporter.changed.clear()
-    if change == "silent":
-        reporter.links.silent.clear()
-        reporter.changed.set()
-    elif change == "restarted":
+    if change == "restarted":
         reporter.members.replace(name, started=2)
     else:
         reporter.members.replace(name)
-        new = other_hosts(reporter) - {name}
-        assert name not in new
+        assert name not in other_hosts(reporter)
     assert reporter.changed.is_set()
-    await reporter.report()
+    reporter.report()
     sent = reporter.links.take()
     assert sent
     assert all(rows == BOTH for rows in sent.values())
     assert (name in sent) == (change != "lost")
 
 
-async def test_a_report_without_an_answer_is_repeated():
-    """Guards against counts lost with a message."""
+@pytest.mark.parametrize(
+    ("tokens", "after_s", "repeated"),
+    [
+        (50, 0.5, False),
+        (50, 1.0, True),
+        (50, 500.0, True),
+        (0, 0.5, False),
+        (0, 1.0, True),
+        (0, 500.0, False),
+    ],
+)
+async def test_a_count_is_repeated_in_case_it_was_lost(
+    tokens, after_s, repeated
+):
+    """Guards against a count that stays wrong at a quota host for ever."""
     reporter = reporter_of()
-    reporter.links.silent = set(reporter.members.members)
-    await reporter.report()
+    reporter.report()
+    reporter.owners.clear()
+    reporter.owners[1] = owner_of(1, tokens)
+    reporter.report()
+    reporter.links.take()
+    reporter.clock.now += after_s
+    reporter.report()
+    row = {"r": tokens} if tokens else {}
+    expected = dict.fromkeys(other_hosts(reporter), {1: (3, row)})
+    assert reporter.links.take() == (expected if repeated else {})
+
+
+@pytest.mark.parametrize(("tokens", "repeats"), [(50, True), (0, False)])
+async def test_a_host_with_nothing_waiting_rests(tokens, repeats):
+    """Guards against a timer that runs on hosts with nothing to report."""
+    reporter = reporter_of()
+    reporter.owners.clear()
+    reporter.owners[1] = owner_of(1, tokens)
+    reporter.report()
+    reporter.clock.now += LONG_S
+    assert reporter.report() == repeats
+
+
+async def test_a_change_is_reported_after_an_error():
+    """Guards against counts lost as the task begins again."""
+    reporter = reporter_of()
+
+    def broken(address, message):
+        raise ValueError("fault of the link")
+
+    reporter.links.notify = broken
+    reporter.changed.set()
+    with pytest.raises(ValueError, match="fault"):
+        await reporter.run()
     assert reporter.changed.is_set()
 
 
@@ -218,6 +297,7 @@
         ((), (False, True), False),
         ((0,), (True, False), False),
         ((0,), (False, True), True),
+        # By the share of its partitions, all of them, when both are silent.
         ((0, 1), (False, False), True),
     ],
 )
@@ -231,13 +311,90 @@
     hosts = reporter.hosts_of(LIMITED.name)
     reporter.links.silent = {hosts[number] for number in silent}
     reporter.links.granted = dict(zip(hosts, granted, strict=True))
-    part = types.SimpleNamespace(
-        job="k",
-        host_name=LIMITED.host_name,
-        target=LIMITED.prefix,
-        items=[types.SimpleNamespace(tokens=10)],
+    assert await reporter.has_room(job_of(10)) == expected
+
+
+def silent_reporter():
+    """Return a reporter of one of the two partitions, without answers."""
+    reporter = reporter_of()
+    reporter.members.own_name = "none/host"
+    reporter.links.silent = set(reporter.members.members)
+    del reporter.owners[1]
+    return reporter
+
+
+@pytest.mark.parametrize(("tokens", "fits"), [(400, True), (401, False)])
+async def test_without_a_quota_host_an_owner_keeps_to_its_share(tokens, fits):
+    """Guards against owners that each accept as much as the whole limit."""
+    # Half of 1000 is its share, of which 100 wait.
+    assert await silent_reporter().has_room(job_of(tokens)) == fits
+
+
+async def test_jobs_accepted_without_a_quota_host_count_at_once():
+    """Guards against a share that each of several jobs uses up alone."""
+    reporter = silent_reporter()
+    assert await reporter.has_room(job_of(300))
+    assert not await reporter.has_room(job_of(300, "l"))
+
+
+async def test_a_share_does_not_depend_on_counts_of_long_ago():
+    """Guards against refusals by counts that no owner reports any more."""
+    reporter = silent_reporter()
+    row = jobmessages.PartitionBacklog(1, 1, {"r": 900})
+    await reporter.on_report(None, jobmessages.BacklogReport((row,)))
+    assert await reporter.has_room(job_of(200))
+
+
+@pytest.mark.parametrize("change", ["started again", "just become first"])
+async def test_a_quota_host_without_counts_does_not_decide(change):
+    """Guards against a limit granted anew at each start of a host."""
+    asking, first = reporter_of(), reporter_of()
+    asking.members.own_name = "none/host"
+    name = asking.hosts_of(LIMITED.name)[0]
+    second = asking.hosts_of(LIMITED.name)[1]
+    first.members.own_name = name
+    first.owners.clear()
+    asking.links.hosts = {name: first}
+    asking.links.granted = {second: False}
+    if change == "started again":
+        first.started_at = first.clock.now
+    else:
+        asking.members.replace(name, started=2)
+    # The first, which holds no counts, would grant it.
+    assert first.reserve(jobmessages.QuotaAsk("r", "k", 800, 1000))
+    assert not await asking.has_room(job_of(800))
+    for reporter in (asking, first):
+        reporter.clock.now += backlog_reporting.LEARNING_S
+    assert await asking.has_room(job_of(800))
+
+
+async def test_the_quota_hosts_of_a_route_stand_in_different_zones():
+    """Guards against a limit that nobody keeps once a zone is lost."""
+    reporter = reporter_of()
+    for number in range(50):
+        hosts = reporter.hosts_of(f"route-{number}")
+        zones = {
+            reporter.members.member(name).availability_zone for name in hosts
+        }
+        assert len(zones) == len(hosts) == 2
+
+
+@pytest.mark.parametrize("parts", [2, 16, 96, 960])
+async def test_a_quota_host_receives_no_more_reports_with_more_owners(parts):
+    """Guards against a quota host whose work grows with the fleet."""
+    reporter = reporter_of()
+    made = backlog_reporting.BacklogReporter(
+        types.SimpleNamespace(
+            clock=reporter.clock, part=reporter.parts_of.__getitem__
+        ),
+        {},
+        parts,
     )
-    assert await reporter.has_room(part) == expected
+    owners_at_most = parts
+    received_per_s = owners_at_most / made.interval_s
+    assert received_per_s <= backlog_reporting.MAX_REPORTS_PER_S
+    # A job is reserved until its owner has reported it.
+    assert made.quota.reservation_s > made.interval_s
 
 
 @pytest.mark.parametrize(
@@ -252,3 +409,38 @@
         await reporter.on_report(None, jobmessages.BacklogReport((row,)))
     ask = jobmessages.QuotaAsk("r", "k", 100, 1000)
     assert reporter.reserve(ask) == fits
+
+
+async def test_a_report_to_an_earlier_release_fails_no_other_question(
+    monkeypatch,
+):
+    """Guards against callers' questions lost while two releases run."""
+    asking = await test_peers.links_of(test_peers.config_of())
+    earlier = await test_peers.links_of(test_peers.config_of())
+    # An earlier release cannot read the message, and does not answer it.
+    monkeypatch.delitem(messages.KINDS, "job.backlog")
+    answer = asyncio.Event()
+
+    async def wait(sender, ping):
+        await answer.wait()
+        return gossip.Pong(ping.digest)
+
+    earlier.on(gossip.Ping, wait)
+    reporter = reporter_of()
+    reporter.members.own_name = "none/host"
+    name = reporter.hosts_of(LIMITED.name)[0]
+    reporter.members.replace(name, peer_address=str(earlier.address))
+    reporter.links = asking
+    loop = asyncio.get_running_loop()
+    try:
+        question = loop.create_task(
+            asking.ask(earlier.address, gossip.Ping(1, 5), 5.0)
+        )
+        counts = reporter.counts_by_host()[name]
+        reporter.send(name, counts, reporter.clock.now)
+        await asking.link(earlier.address).sender
+        answer.set()
+        assert await question == gossip.Pong(5)
+    finally:
+        await asking.stop()
+        await earlier.stop()
