Count messages between hosts by kind

The kinds, by direction, stand beside it on the metrics address, set once a second with the other gauges.

The test needs the new counter and was not run on the code before.

--- a/camphortray/links.py
+++ b/camphortray/links.py
@@ -168,7 +168,8 @@
           One of ``LINK_ERRORS``: the link is of no use.
         """
         data = messages.encode(envelope)
-        self.peers.traffic.sent(len(data) + traffics.MASK_BYTES)
+        kind = messages.kind_of(envelope.message)
+        self.peers.traffic.sent(len(data) + traffics.MASK_BYTES, kind)
         try:
             await socket.send(data)
         except LINK_ERRORS:
@@ -257,6 +258,7 @@
         except errors.MessageError as error:
             LOG.warning("Bad message from {}: {}", self.address, error)
             return
+        self.peers.traffic.read(messages.kind_of(envelope.message))
         answer = self.waiting.get(envelope.number)
         if answer is not None and not answer.done():
             answer.set_result(envelope.message)
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -313,6 +313,13 @@
             {},
             traffic.messages,
         )
+        for (direction, kind), count in traffic.kinds.items():
+            metrics.set(
+                "camphortray_peer_messages_by_kind",
+                "Messages to and from other hosts, by direction and kind.",
+                {"direction": direction, "kind": kind},
+                count,
+            )
         for direction, count in (
             ("sent", traffic.sent_bytes),
             ("received", traffic.received_bytes),
--- a/camphortray/messages.py
+++ b/camphortray/messages.py
@@ -11,6 +11,7 @@
     "PROTOCOL_VERSION",
     "decode",
     "encode",
+    "kind_of",
     "message",
 ]
 
@@ -60,6 +61,11 @@
     return decorate
 
 
+def kind_of(content: Any) -> str:
+    """Return the kind of a message, as it travels."""
+    return NAMES[type(content)]
+
+
 def encode(envelope: Envelope) -> bytes:
     """Return the bytes of a message.
 
--- a/camphortray/peers.py
+++ b/camphortray/peers.py
@@ -124,6 +124,7 @@
         except errors.MessageError as error:
             LOG.warning("Bad message from {}: {}", sender, error)
             return
+        self.peers.traffic.read(messages.kind_of(envelope.message))
         if envelope.number == 0:
             if oneway.full():
                 oneway.get_nowait()
@@ -140,17 +141,18 @@
     ) -> None:
         """Answer one question."""
         reply = await self.peers.dispatch(sender, envelope.message)
+        reply = reply or links.Ack()
         try:
             data = messages.encode(
-                messages.Envelope(envelope.number, True, reply or links.Ack())
+                messages.Envelope(envelope.number, True, reply)
             )
         except errors.MessageError as error:
             LOG.error("No answer to {}: {}", sender, error)
-            fault = links.PeerFault(str(error))
+            reply = links.PeerFault(str(error))
             data = messages.encode(
-                messages.Envelope(envelope.number, True, fault)
+                messages.Envelope(envelope.number, True, reply)
             )
-        self.peers.traffic.sent(len(data))
+        self.peers.traffic.sent(len(data), messages.kind_of(reply))
         try:
             await socket.send(data)
         except links.LINK_ERRORS as error:
--- a/camphortray/traffic.py
+++ b/camphortray/traffic.py
@@ -2,6 +2,8 @@
 
 __all__ = ["MASK_BYTES", "Traffic"]
 
+import collections
+
 # Bytes by which a client's frames are longer, as they are masked, and of
 # the two sides of a handshake as measured.
 MASK_BYTES = 4
@@ -15,16 +17,22 @@
       sent_bytes: Bytes handed to TCP.
       received_bytes: Likewise taken.
       messages: Number of messages, both ways.
+      kinds: Number of messages by direction and kind; those received that
+        cannot be read have none.
     """
 
     def __init__(self) -> None:
         self.sent_bytes = 0
         self.received_bytes = 0
         self.messages = 0
+        self.kinds: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
-    def sent(self, size: int) -> None:
+    def sent(self, size: int, kind: str) -> None:
         """Count a message sent."""
         self.messages += 1
+        self.kinds["sent", kind] += 1
         self.sent_bytes += framed(size)
 
     def received(self, size: int) -> None:
@@ -32,6 +40,10 @@
         self.messages += 1
         self.received_bytes += framed(size)
 
+    def read(self, kind: str) -> None:
+        """Count a message received by its kind."""
+        self.kinds["received", kind] += 1
+
     def opened(self, client: bool) -> None:
         """Count the handshake of a link."""
         ask, answer = HANDSHAKE_BYTES if client else HANDSHAKE_BYTES[::-1]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -405,3 +405,23 @@
     with pytest.raises(errors.MessageError, match="over the limit"):
         await ask(links, links)
     await links.stop()
+
+
+async def test_messages_are_counted_by_kind():
+    """Guards against traffic of which nobody can tell what it is."""
+    asking = await links_of(config_of())
+    answering = await links_of(config_of())
+
+    async def answer(sender, ping):
+        return gossip.Pong(ping.digest)
+
+    answering.on(gossip.Ping, answer)
+    try:
+        await asking.ask(answering.address, gossip.Ping(1, 5), LIMIT_S)
+        sent = {("sent", "ping"): 1, ("received", "pong"): 1}
+        assert asking.traffic.kinds == sent
+        received = {("received", "ping"): 1, ("sent", "pong"): 1}
+        assert answering.traffic.kinds == received
+    finally:
+        await asking.stop()
+        await answering.stop()
