Let no quota host decide before it has the counts of a route

Change: quota hosts are known by route and forgotten when they are none; one that has started decides when it has a count of each partition, after 5 s at the latest; new ones are asked last for as long as reports need; counts last 600 s, as the facts before them did, and empty ones are repeated for 30 s.

--- a/camphortray/backlog_reporting.py
+++ b/camphortray/backlog_reporting.py
@@ -36,13 +36,15 @@
 # Reports may be lost. A count is repeated at this interval while tokens wait,
 # and for so long after its last change, in seconds.
 REPEAT_INTERVAL_S = 1.0
-REPEAT_S = 3.0
-# Lifetime of a reported count, in seconds. The next owner of a partition
-# reports it long before.
-COUNT_TTL_S = 30.0
-# Seconds until a new quota host, or one that has started again, has received
-# the counts of all owners.
-LEARNING_S = 1.0
+REPEAT_S = 30.0
+# Lifetime of a reported count, in seconds. An owner may be cut off from this
+# host for long and go on accepting jobs; the next owner's count replaces it.
+COUNT_TTL_S = 600.0
+# Longest time after a start in which a quota host waits for the counts of all
+# partitions, in seconds.
+MAX_LEARNING_S = 5.0
+# Time for the news of a new quota host to reach all owners, in seconds.
+NEWS_S = 0.25
 # Lifetime of a reservation beyond the interval between reports, in seconds.
 RESERVATION_MARGIN_S = 0.75
 # Time limit for the reply of one host to a quota request, in seconds.
@@ -107,7 +109,9 @@
       quota: Counts reported to this host, and reservations kept here.
       alone: Reservations made while no quota host answers.
       quota_hosts: Members that receive the counts of a route, by route.
-      known: Incarnation of each quota host, and since when it is one.
+      known: Incarnation of each quota host of a route, and since when it is
+        one.
+      learning_s: Seconds until a new quota host has the counts of all owners.
       reported: What was sent, by member.
       changed: Set when counts or quota hosts may have changed.
     """
@@ -130,7 +134,8 @@
         self.alone = jobquota.QuotaTracker(reservation_s)
         self.started_at = self.clock.monotonic()
         self.quota_hosts: dict[str, list[str]] = {}
-        self.known: dict[str, tuple[int, float]] = {}
+        self.known: dict[str, dict[str, tuple[int, float]]] = {}
+        self.learning_s = self.interval_s + REPEAT_INTERVAL_S + NEWS_S
         self.reported: dict[str, QuotaHost] = {}
         self.changed = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
@@ -268,19 +273,23 @@
         ]
         hosts += (elsewhere or others)[:1]
         now = self.clock.monotonic()
+        before = self.known.get(route, {})
+        self.known[route] = known = {}
         for name in hosts:
             started = live[name].started
-            if self.known.get(name, (None, 0.0))[0] != started:
-                self.known[name] = started, now
+            held = before.get(name)
+            same = held is not None and held[0] == started
+            known[name] = held if same else (started, now)
         self.quota_hosts[route] = hosts
         return hosts
 
     def hosts_to_ask(self, route: str) -> list[str]:
         """Return the quota hosts of a route, those that are new last."""
         now = self.clock.monotonic()
+        hosts = self.hosts_of(route)
+        known = self.known[route]
         return sorted(
-            self.hosts_of(route),
-            key=lambda name: now - self.known[name][1] < LEARNING_S,
+            hosts, key=lambda name: now - known[name][1] < self.learning_s
         )
 
     # Keeping the quota of a route.
@@ -301,8 +310,11 @@
 
     @property
     def learning(self) -> bool:
-        """Whether this host may not have received the counts of all owners."""
-        return self.clock.monotonic() - self.started_at < LEARNING_S
+        """Whether this host has just started and lacks counts of owners."""
+        if self.clock.monotonic() - self.started_at >= MAX_LEARNING_S:
+            return False
+        read = {part for part, o in self.owners.items() if o.ready.is_set()}
+        return len(read | self.quota.counts.keys()) < self.parts
 
     async def on_quota(
         self, sender: peers.Sender, ask: jobmessages.QuotaAsk
@@ -331,7 +343,7 @@
         for part, owner in self.owners.items():
             if owner.ready.is_set():
                 self.alone.update_counts(part, owner.epoch, self.count(owner))
-        share = ask.limit * len(self.owners) // self.parts
+        share = ask.limit * len(self.alone.counts) // self.parts
         now = self.clock.monotonic()
         # A limit of 0 would be none.
         return share > 0 and self.alone.reserve(
--- a/tests/test_backlog_reporting.py
+++ b/tests/test_backlog_reporting.py
@@ -245,6 +245,7 @@
         (50, 500.0, True),
         (0, 0.5, False),
         (0, 1.0, True),
+        (0, 29.0, True),
         (0, 500.0, False),
     ],
 )
@@ -364,10 +365,115 @@
     assert first.reserve(jobmessages.QuotaAsk("r", "k", 800, 1000))
     assert not await asking.has_room(job_of(800))
     for reporter in (asking, first):
-        reporter.clock.now += backlog_reporting.LEARNING_S
+        reporter.clock.now += backlog_reporting.MAX_LEARNING_S
     assert await asking.has_room(job_of(800))
 
 
+async def test_a_quota_host_that_was_held_for_dead_is_new_on_its_return():
+    """Guards against a host that decides by counts of long ago."""
+    asking, first = reporter_of(), reporter_of()
+    asking.members.own_name = "none/host"
+    first.owners.clear()
+    name, second = asking.hosts_of(LIMITED.name)
+    first.members.own_name = name
+    asking.links.hosts = {name: first}
+    asking.links.granted = {second: False}
+    member = asking.members.member(name)
+    asking.members.replace(name)
+    asking.report()
+    for reporter in (asking, first):
+        reporter.clock.now += LONG_S
+    asking.members.members[name] = member
+    asking.on_member(member)
+    assert not await asking.has_room(job_of(800))
+
+
+async def test_a_quota_host_of_one_route_is_new_to_another():
+    """Guards against a host that decides without the counts of a route."""
+    for number in range(300):
+        # A route whose next first host keeps the quota of another already.
+        asking = reporter_of()
+        asking.members.own_name = "none/host"
+        route = f"route-{number}"
+        asking.clock.now = 0.0
+        first, second = asking.hosts_of(route)
+        known = asking.hosts_of(LIMITED.name)
+        asking.clock.now = LONG_S
+        asking.members.replace(first)
+        new_first, new_second = asking.hosts_of(route)
+        if first in known or new_first not in known or new_second != second:
+            continue
+        assert asking.hosts_to_ask(route) == [second, new_first]
+        return
+    pytest.fail("no such route among them")
+
+
+async def test_a_quota_host_that_reads_its_own_partition_does_not_decide():
+    """Guards against a limit granted without the tokens of that partition."""
+    asking, first = reporter_of(), reporter_of()
+    asking.members.own_name = "none/host"
+    name, second = asking.hosts_of(LIMITED.name)
+    first.members.own_name = name
+    first.owners.clear()
+    first.owners[1] = owner_of(1, 900)
+    first.owners[1].ready = asyncio.Event()
+    asking.members.replace(name, started=2)
+    asking.hosts_of(LIMITED.name)
+    first.started_at = first.clock.now
+    asking.links.hosts = {name: first}
+    asking.links.granted = {second: False}
+    for reporter in (asking, first):
+        reporter.clock.now += 2.0
+    row = jobmessages.PartitionBacklog(0, 3, {"r": 100})
+    await first.on_report(None, jobmessages.BacklogReport((row,)))
+    assert not await asking.has_room(job_of(500))
+
+
+async def test_a_partition_that_is_not_read_yet_gives_no_share():
+    """Guards against a share whose waiting tokens are not known."""
+    reporter = silent_reporter()
+    reporter.owners[1] = owner_of(1, 900)
+    reporter.owners[1].ready = asyncio.Event()
+    assert not await reporter.has_room(job_of(500))
+
+
+async def test_two_hosts_that_start_accept_what_fits():
+    """Guards against jobs refused at a start with nothing waiting."""
+    hosts = {OWN: reporter_of(), "h1/host": reporter_of()}
+    for part, (name, reporter) in enumerate(hosts.items()):
+        for other in reporter.members.members.keys() - hosts.keys():
+            reporter.members.replace(other)
+        reporter.members.own_name = name
+        reporter.owners.clear()
+        reporter.owners[part] = owner_of(part, 0)
+        reporter.started_at = reporter.clock.now
+        reporter.clock.now += 0.5
+        reporter.links.hosts = hosts
+    for reporter in hosts.values():
+        reporter.report()
+        for name, message in reporter.links.sent:
+            await hosts[name].on_report(None, message)
+    assert await hosts[OWN].has_room(job_of(600))
+
+
+async def test_what_a_reporter_holds_is_bounded():
+    """Guards against memory that grows with each job and change of owner."""
+    reporter = reporter_of()
+    for number in range(2000):
+        reporter.clock.now += 0.1
+        ask = jobmessages.QuotaAsk("r", f"k{number}", 0, 1000)
+        reporter.reserve(ask)
+        reporter.reserve_alone(ask)
+        row = jobmessages.PartitionBacklog(number % 2, number, {"r": 1})
+        await reporter.on_report(None, jobmessages.BacklogReport((row,)))
+        reporter.report()
+    held = (reporter.quota.reserved["r"], reporter.alone.reserved["r"])
+    assert all(len(each) <= 11 for each in held)
+    assert len(reporter.quota.counts) == 2
+    assert all(len(host.sent) <= 2 for host in reporter.reported.values())
+    assert [len(hosts) for hosts in reporter.known.values()] == [2]
+
+
 async def test_the_quota_hosts_of_a_route_stand_in_different_zones():
     """Guards against a limit that nobody keeps once a zone is lost."""
     reporter = reporter_of()
@@ -395,6 +501,9 @@
     assert received_per_s <= backlog_reporting.MAX_REPORTS_PER_S
     # A job is reserved until its owner has reported it.
     assert made.quota.reservation_s > made.interval_s
+    # A new quota host is asked first once all have reported, and repeated.
+    period_s = made.interval_s + backlog_reporting.REPEAT_INTERVAL_S
+    assert made.learning_s > period_s
 
 
 @pytest.mark.parametrize(
