Limit the requests of a workspace over all hosts

The slot coordinator, which each online request passes already, now counts the requests that it admits for a workspace within the last window, and refuses the others at once with 429 and the time at which an earlier one leaves the window. Only the first try of a request counts. A workspace whose requests go to several services is counted by the coordinator of one of them. Hosts send a new coordinator what they had admitted; one that may not know of all admits the burst and the rate since it began; in a partition each side admits by the share of the listed hosts that it reaches. Fields of messages are new and left out where they are empty, so that the bytes that other releases know stay.

tests/test_request_limits.py plays whole hosts in virtual time against the bound of the platform's rules; with the check of the window taken out 16 of its cases fail.

--- a/camphortray/access.py
+++ b/camphortray/access.py
@@ -18,11 +18,13 @@
       workspace: Name of its workspace; empty where no key is needed.
       revision: Version of the configuration that it was looked up in.
       priority: Rank of its online requests; None to use the route's.
+      limit: Limit on the online requests of its workspace.
     """
 
     workspace: str = ""
     revision: int = 0
     priority: int | None = None
+    limit: routemap.RateLimit = routemap.NO_LIMIT
 
     def rank(self, route: routemap.Route) -> int:
         """Return the rank of its requests on a route, 0 first.
@@ -57,9 +59,16 @@
         for workspace in view.workspaces or ():
             self.keys.add(workspace.name, workspace.key_hashes)
             self.callers[workspace.name] = Caller(
-                workspace.name, view.revision, workspace.priority
+                workspace.name,
+                view.revision,
+                workspace.priority,
+                workspace.limit,
             )
 
+    def limit_of(self, workspace: str) -> routemap.RateLimit:
+        """Return the limit on the online requests of a workspace."""
+        return self.callers.get(workspace, self.anonymous).limit
+
     def admit(self, route: routemap.Route, key_hash: str) -> Caller:
         """Return the caller that a request runs for.
 
--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -217,6 +217,8 @@
       grace_s: Seconds from the signal to end until the process is killed.
       pass_s: Longest time an event may take through this host.
       item_keep_s: Seconds for which results of a job are kept.
+      limit_window_s: Window in which the online requests of a workspace
+        count against its limit.
     """
 
     listen: AddressText = "127.0.0.1:8000"
@@ -227,6 +229,7 @@
     grace_s: Seconds = 10.0
     pass_s: Seconds = 0.1
     item_keep_s: Seconds = 120.0
+    limit_window_s: Seconds = 5.0
 
 
 class ExperimentsConfig(msgspec.Struct, frozen=True):
--- a/camphortray/early_end.py
+++ b/camphortray/early_end.py
@@ -22,6 +22,7 @@
     REVOKED = "revoked"
     TIME_OVER = "time_over"
     BARRED = "barred"
+    OVER_LIMIT = "over_limit"
 
 
 def cause_of(error: errors.UpstreamError) -> Cause:
--- a/camphortray/errors.py
+++ b/camphortray/errors.py
@@ -14,6 +14,7 @@
     "NoSlot",
     "NotOwner",
     "PluginError",
+    "RateExceeded",
     "RecordError",
     "Refused",
     "UpstreamBroken",
@@ -141,6 +142,10 @@
         self.retry_after_s = retry_after_s
 
 
+class RateExceeded(NoSlot):
+    """The workspace has reached the limit on its online requests."""
+
+
 class NotOwner(CamphortrayError):
     """This host does not own the shard."""
 
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -277,10 +277,18 @@
             max(0.0, self.request.deadline_at - now),
             prefix=self.request.prefix,
             avoid=self.tried,
+            # A further attempt is the same request to its workspace's limit.
+            workspace=self.caller.workspace
+            if self.caller.limit.per_s and not self.tries
+            else "",
         )
         service = route.service_of(self.request.id)
         try:
             lease = await self.parts.slots.acquire(service, want)
+        except errors.RateExceeded as error:
+            cause = early_end.Cause.OVER_LIMIT
+            wait_s = error.retry_after_s
+            self.refuse(429, "rate_limited", error.message, wait_s, cause)
         except errors.NoSlot as error:
             self.refuse_without_slot(error)
         self.slot_s = now_of(self.parts) - now
--- a/camphortray/lease_reporting.py
+++ b/camphortray/lease_reporting.py
@@ -16,6 +16,7 @@
 from camphortray import lease_table
 from camphortray import logs
 from camphortray import membership
+from camphortray import request_limits
 from camphortray import slot_coordinator
 from camphortray import slot_messages
 from camphortray import slot_queue
@@ -38,6 +39,7 @@
       served: Services whose slots this host coordinates.
       pending: Slot requests without an answer, by id.
       held: Leases in use, by id of the slot request.
+      admitted: Recent requests that count against limits.
     """
 
     members: membership.Membership
@@ -45,6 +47,7 @@
     served: slot_coordinator.SlotCoordinators
     pending: dict[str, lease_table.Pending]
     held: dict[str, lease_table.HeldLease]
+    admitted: request_limits.RecentAdmissions
 
     @abc.abstractmethod
     async def ask(self, pending: lease_table.Pending) -> None:
@@ -95,21 +98,31 @@
             for p in held
         ]
         wants = [p.request for p in waiting if not p.answer.done()]
+        admitted = holder.admitted.unknown_to(name, service, now)
         if name == holder.own_name:
             coordinator = holder.served.coordinator(service)
+            coordinator.limits.merge(admitted, now)
+            holder.admitted.on_reported(name, admitted)
             coordinator.send_decisions(
                 coordinator.reconciler.on_holder_report(
                     name, leases, wants, now
                 )
             )
-        elif held or waiting or self.reported_to.get(service) == name:
+        elif (
+            held
+            or waiting
+            or admitted
+            or self.reported_to.get(service) == name
+        ):
             # One empty report follows the last lease, since the message that
             # ended it may have been lost.
             if held or waiting:
                 self.reported_to[service] = name
             else:
-                del self.reported_to[service]
-            await self.send(name, self.message(service, leases, wants, now))
+                self.reported_to.pop(service, None)
+            report = self.message(service, leases, wants, admitted, now)
+            if await self.send(name, report):
+                holder.admitted.on_reported(name, admitted)
 
     def fail_over(
         self,
@@ -131,6 +144,7 @@
         service: str,
         leases: Iterable[slot_queue.Lease],
         wants: Iterable[slot_queue.SlotRequest],
+        admitted: Iterable[request_limits.Admission],
         now: float,
     ) -> slot_messages.LeaseReport:
         """Return the report as a message."""
@@ -146,16 +160,26 @@
                 for lease in leases
             ),
             tuple(WireRequest.of(want, now) for want in wants),
+            tuple(
+                slot_messages.WireAdmission.of(request, now)
+                for request in admitted
+            ),
         )
 
-    async def send(self, name: str, report: slot_messages.LeaseReport) -> None:
-        """Send a report to a coordinator, and exclude it on failure."""
+    async def send(self, name: str, report: slot_messages.LeaseReport) -> bool:
+        """Send a report to a coordinator, and exclude it on failure.
+
+        Returns:
+          Whether the coordinator has received it.
+        """
         member = self.holder.members.member(name)
         if member is None:
-            return
+            return False
         address = configs.Address.from_text(member.peer_address)
         try:
             await self.holder.links.ask(address, report, REPORT_TIMEOUT_S)
         except errors.MessageError as error:
             LOG.info("Report to coordinator {} failed: {}", name, error)
             self.holder.exclude(name)
+            return False
+        return True
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -157,6 +157,19 @@
                     names.add(name)
         return names
 
+    def reach(self, program: str) -> float:
+        """Return the share of the listed hosts that may be in reach.
+
+        The list lags, so that a lost host counts until it leaves the list.
+        """
+        possible = self.possible(program)
+        listed = {
+            f"{line.name}/{program}"
+            for line in self.listed
+            if line.kind == "host" and line.status == "live"
+        }
+        return len(possible) / max(1, len(possible | listed))
+
     def peer_address(self, name: str) -> configs.Address:
         """Return where a member takes links, as far as is known or listed.
 
--- a/camphortray/routemap.py
+++ b/camphortray/routemap.py
@@ -6,6 +6,7 @@
     "EMPTY_CONFIGURATION",
     "EngineService",
     "Kind",
+    "RateLimit",
     "Route",
     "RouteMap",
     "Target",
@@ -52,8 +53,8 @@
       max_attempts: Number of engines to which one request may be sent.
       due_s: Time in which a batch job should be completed.
       keep_s: Time after which an item may be abandoned.
-      waiting_limit: Limit on the tokens of waiting requests over all hosts;
-        0 for none.
+      waiting_limit: Limit on the tokens of each workspace that wait, over
+        all hosts; 0 for none.
       gap_s: Objective for the longest pause between two events of an answer;
         0 if not configured.
       anonymous: Whether callers need no API key.
@@ -114,6 +115,29 @@
     cache_tokens: int = 0
 
 
+class RateLimit(msgspec.Struct, frozen=True):
+    """Limit on the online requests of a workspace over all hosts.
+
+    Attributes:
+      per_s: Requests per second; 0 for no limit.
+      burst: Requests beyond that rate in any window.
+    """
+
+    per_s: float = 0.0
+    burst: float = 0.0
+
+    def requests_in(self, seconds: float) -> float:
+        """Return the largest number of requests in a window.
+
+        >>> RateLimit(5, 10).requests_in(2)
+        20
+        """
+        return self.per_s * seconds + self.burst
+
+
+NO_LIMIT = RateLimit()
+
+
 class Workspace(msgspec.Struct, frozen=True):
     """A group of callers that share API keys.
 
@@ -123,11 +147,13 @@
         them.
       priority: Rank of its online requests, which overrides that of the
         route; None to use that of the route.
+      limit: Limit on its online requests.
     """
 
     name: str
     key_hashes: tuple[str, ...] = ()
     priority: int | None = None
+    limit: RateLimit = NO_LIMIT
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -31,6 +31,7 @@
 from camphortray import logs
 from camphortray import membership
 from camphortray import peers
+from camphortray import request_limits
 from camphortray import slot_coordinator
 from camphortray import slot_messages
 from camphortray import slot_scheduler
@@ -74,6 +75,7 @@
         coordinator.
       pending: Slot requests without an answer, by id.
       held: Leases in use, by id of the slot request.
+      admitted: Recent requests of this host that count against limits.
       revoked_early: Ids of slot requests whose grant was revoked before the
         batch item received it.
     """
@@ -89,6 +91,8 @@
         self.members = context.part(membership.Membership)
         self.active_config = context.part(active_config.ActiveConfig)
         self.own_name = self.members.own_name
+        self.limit_window_s = context.config.front.limit_window_s
+        self.admitted = request_limits.RecentAdmissions(self.limit_window_s)
         self.coordinators = coordinator_election.CoordinatorElection(
             self.own_name,
             functools.partial(self.members.live, "host"),
@@ -135,6 +139,10 @@
         now = self.clock.monotonic()
         return self.coordinators.share_of(service, holders, now)
 
+    def reach(self) -> float:
+        """Return the share of the listed hosts that may be in reach."""
+        return self.members.reach("host")
+
     def check_first_choice(self, service: str) -> None:
         """Check whether the preferred coordinator responds.
 
@@ -233,13 +241,16 @@
           on_revoke: Called when the slot is revoked.
 
         Raises:
+          RateExceeded: The workspace of the request has reached its limit.
           NoSlot: An online request got no slot in time, or none of
             ``MAX_UNUSABLE_GRANTS`` grants was usable.
         """
         zone = self.context.config.host.availability_zone
         request = msgspec.structs.replace(request, zone=zone)
+        request = await self.count_elsewhere(service, request)
         for attempt in range(MAX_UNUSABLE_GRANTS):
             granted = await self.request_grant(service, request)
+            request = self.on_counted(service, request, granted.coordinators)
             if request.id in self.revoked_early:
                 self.revoked_early.discard(request.id)
                 self.send_ends(granted.coordinators, service, request.id)
@@ -263,6 +274,64 @@
             )
         raise errors.NoSlot("engines given are not known here", RETRY_S)
 
+    async def count_elsewhere(
+        self, service: str, request: slot_scheduler.SlotRequest
+    ) -> slot_scheduler.SlotRequest:
+        """Count a request, unless the coordinator of its service does.
+
+        Raises:
+          RateExceeded: The workspace of the request has reached its limit.
+          NoSlot: It is not known whether it has.
+        """
+        if not request.workspace:
+            return request
+        services = self.active_config.view.service_names
+        counting = request_limits.counting_service(request.workspace, services)
+        if counting in (None, service):
+            return request
+        name = self.coordinators.coordinator(counting, self.clock.monotonic())
+        if name != self.own_name:
+            message = SlotAsk(
+                counting,
+                str(self.links.address),
+                (),
+                ((request.id, request.workspace),),
+            )
+            try:
+                address = self.members.peer_address(name)
+                reply = await self.links.ask(address, message, ASK_TIMEOUT_S)
+            except errors.MessageError as error:
+                LOG.info("No count by coordinator {}: {}", name, error)
+                self.exclude(name)
+                name = self.own_name
+        if name == self.own_name:
+            coordinator = self.served.coordinator(counting)
+            refusal = coordinator.count(request, self.clock.monotonic())
+            decisions = [] if refusal is None else [refusal]
+            reply = SlotDecisions.of(counting, decisions)
+        if request.id in reply.refused:
+            raise reply.refusal(request.id)
+        return self.on_counted(counting, request, {name})
+
+    def on_counted(
+        self,
+        service: str,
+        request: slot_scheduler.SlotRequest,
+        coordinators: Iterable[str],
+    ) -> slot_scheduler.SlotRequest:
+        """Record a request that a service's coordinator has counted.
+
+        Returns:
+          The request, which is not to be counted again.
+        """
+        if not request.workspace:
+            return request
+        admission = request_limits.Admission(
+            request.id, request.workspace, self.clock.monotonic()
+        )
+        self.admitted.add(admission, service, coordinators)
+        return msgspec.structs.replace(request, workspace="")
+
     async def request_grant(
         self, service: str, request: slot_scheduler.SlotRequest
     ) -> lease_table.Granted:
@@ -351,6 +420,9 @@
                 pending.service,
                 str(self.links.address),
                 (WireRequest.of(pending.request, now),),
+                ((pending.request.id, pending.request.workspace),)
+                if pending.request.workspace
+                else (),
             )
             reply = await self.links.ask(address, message, ASK_TIMEOUT_S)
         except errors.MessageError as error:
@@ -377,20 +449,16 @@
         coordinator = self.served.coordinator(pending.service)
         coordinator.scheduler.set_share(self.share_of(pending.service))
         now = self.clock.monotonic()
-        coordinator.send_decisions(
-            coordinator.scheduler.ask(pending.request, now)
-        )
+        coordinator.send_decisions(coordinator.ask(pending.request, now))
 
     def on_decisions(self, update: SlotDecisions, coordinator: str) -> None:
         """Apply the decisions of a coordinator."""
         for request_id, name in update.granted.items():
             self.on_grant(update.service, request_id, name, coordinator)
-        for request_id, seconds in update.refused.items():
+        for request_id in update.refused:
             pending = self.pending.get(request_id)
             if pending is not None and not pending.answer.done():
-                pending.answer.set_exception(
-                    errors.NoSlot("no room in time", seconds)
-                )
+                pending.answer.set_exception(update.refusal(request_id))
         for request_id in update.revoked:
             self.on_revocation(update.service, request_id, coordinator)
 
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -6,8 +6,6 @@
 import asyncio
 import collections
 
-import msgspec
-
 from camphortray import active_config
 from camphortray import clock as clocks
 from camphortray import config as configs
@@ -16,6 +14,7 @@
 from camphortray import logs
 from camphortray import orphaned_leases
 from camphortray import peers
+from camphortray import request_limits
 from camphortray import slot_messages
 from camphortray import slot_reconciler
 from camphortray import slot_scheduler
@@ -31,6 +30,9 @@
 # Time for which a new coordinator collects reports of holders and engines
 # before it grants slots to batch items.
 LEARNING_S = 0.25
+# When to retry a request at a host that may admit only a share of the limit
+# of its workspace: other hosts may have room.
+SHARE_RETRY_S = 0.3
 
 
 class CoordinatorHost(abc.ABC):
@@ -41,6 +43,8 @@
       links: Links to other hosts.
       active_config: Configuration and engines as this host knows them.
       own_name: Name of this host's member.
+      limit_window_s: Window in which requests count against the limit of
+        their workspace, in seconds.
       experiments: Mechanisms in use; ablation experiments disable some.
     """
 
@@ -48,12 +52,17 @@
     links: peers.Peers
     active_config: active_config.ActiveConfig
     own_name: str
+    limit_window_s: float
     experiments: configs.ExperimentsConfig
 
     @abc.abstractmethod
     def share_of(self, service: str) -> float:
         """Return the share of the slots that this host grants."""
 
+    @abc.abstractmethod
+    def reach(self) -> float:
+        """Return the share of the listed hosts that may be in reach."""
+
     @abc.abstractmethod
     def check_first_choice(self, service: str) -> None:
         """Check whether the first-choice coordinator responds."""
@@ -79,6 +88,9 @@
     Attributes:
       scheduler: Scheduler of the service.
       reconciler: Updates the scheduler from reports.
+      limits: Counts of the requests admitted, by workspace.
+      reach: Share of the listed hosts in reach. The others may have a
+        coordinator of their own, which admits requests as well.
       holders: Address of each holder and time of its last message, by name.
       timer: Runs the scheduler when its decisions may change with time alone.
       polling: Whether engines are being polled.
@@ -92,6 +104,10 @@
             host.experiments, host.own_name
         )
         self.reconciler = slot_reconciler.SlotReconciler(self.scheduler)
+        self.limits = request_limits.RequestLimits(
+            host.limit_window_s, host.clock.monotonic()
+        )
+        self.reach = host.reach()
         self.holders: dict[str, tuple[configs.Address, float]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.polling = False
@@ -116,29 +132,57 @@
         ]
         self.send_decisions(self.scheduler.set_engines(engines, now))
 
+    def ask(
+        self, want: slot_scheduler.SlotRequest, now: float
+    ) -> list[slot_scheduler.Decision]:
+        """Schedule a request if it is within the limit of its workspace."""
+        if want.workspace and not self.scheduler.knows(want.id):
+            refusal = self.count(want, now)
+            if refusal is not None:
+                return [refusal]
+        return self.scheduler.ask(want, now)
+
+    def count(
+        self, want: slot_scheduler.SlotRequest, now: float
+    ) -> slot_scheduler.Refuse | None:
+        """Count a request against the limit of its workspace, if any.
+
+        Returns:
+          Its refusal if the limit is reached, else None.
+        """
+        limit = self.host.active_config.access.limit_of(want.workspace)
+        if not limit.per_s:
+            return None
+        share = self.scheduler.accounting.table.share * self.reach
+        request = request_limits.Admission(want.id, want.workspace, now)
+        wait_s = self.limits.admit(request, limit, share)
+        if not wait_s:
+            return None
+        if self.grants_all:
+            return slot_scheduler.Throttle(want, wait_s)
+        return slot_scheduler.Refuse(want, min(wait_s, SHARE_RETRY_S))
+
+    def on_refusals(self, decisions: list[slot_scheduler.Decision]) -> None:
+        """Log refusals; a refused request does not count against a limit."""
+        for decision in decisions:
+            if isinstance(decision, slot_scheduler.Refuse):
+                want = decision.want
+                self.limits.withdraw(want.id, want.workspace)
+        self.log_refusals(decisions)
+
     def send_decisions(self, decisions: list[slot_scheduler.Decision]) -> None:
         """Send decisions to their holders."""
-        self.log_refusals(decisions)
+        self.on_refusals(decisions)
         self.log_unresponsive()
-        updates: dict[str, SlotDecisions] = {}
-        revoked: dict[str, list[str]] = collections.defaultdict(list)
+        by_holder: dict[str, list[slot_scheduler.Decision]] = (
+            collections.defaultdict(list)
+        )
         for decision in decisions:
-            holder = decision.want.holder
-            update = updates.setdefault(holder, SlotDecisions(self.service))
-            if isinstance(decision, slot_scheduler.Grant):
-                update.granted[decision.want.id] = decision.engine
-            elif isinstance(decision, slot_scheduler.Refuse):
-                update.refused[decision.want.id] = decision.retry_after_s
-            else:
-                revoked[holder].append(decision.want.id)
+            by_holder[decision.want.holder].append(decision)
         if self.scheduler.accounting.orphaned and self.grants_all:
             self.poll_engines()
-        for holder, update in updates.items():
-            if revoked[holder]:
-                update = msgspec.structs.replace(
-                    update, revoked=tuple(revoked[holder])
-                )
-            self.send(holder, update)
+        for holder, of_holder in by_holder.items():
+            self.send(holder, SlotDecisions.of(self.service, of_holder))
         self.reschedule()
 
     def log_refusals(self, decisions: list[slot_scheduler.Decision]) -> None:
@@ -149,12 +193,16 @@
                 continue
             scheduler = self.scheduler
             LOG.info(
-                "Slot refused to {}; retry after {:.0f} ms.",
+                "{} to {}; retry after {:.0f} ms.",
+                "Request over its limit"
+                if isinstance(decision, slot_scheduler.Throttle)
+                else "Slot refused",
                 decision.want.id,
                 decision.retry_after_s * 1000,
                 fields={
                     "holder": decision.want.holder,
                     "service": self.service,
+                    "workspace": decision.want.workspace,
                     "queued": len(scheduler.queue),
                     "leases": len(scheduler.leases),
                     "engines": len(scheduler.accounting.table.engines),
@@ -265,7 +313,12 @@
             self.holders[holder] = peer_address, now
 
     def expire(self, now: float) -> None:
-        """Drop holders that have sent nothing for ``HOLDER_TIMEOUT_S``."""
+        """Drop holders that have sent nothing for ``HOLDER_TIMEOUT_S``.
+
+        Requests that have left the window of their limit are dropped too.
+        """
+        self.reach = self.host.reach()
+        self.limits.prune(now)
         for holder, (_, at) in list(self.holders.items()):
             if now - at > HOLDER_TIMEOUT_S:
                 self.drop(holder, now)
@@ -352,7 +405,7 @@
     ) -> SlotDecisions:
         """Answer a request of a host for slots."""
         now = self.host.clock.monotonic()
-        if not ask.wants:
+        if not ask.wants and not ask.workspaces:
             # An empty request only checks that this host responds.
             return SlotDecisions(ask.service)
         coordinator = self.coordinator(ask.service)
@@ -362,29 +415,20 @@
             self.host.check_first_choice(ask.service)
             coordinator.scheduler.set_share(self.host.share_of(ask.service))
         decisions: list[slot_scheduler.Decision] = []
-        for wire in ask.wants:
-            decisions += coordinator.scheduler.ask(wire.want(holder, now), now)
-        asked = {wire.id for wire in ask.wants}
+        for want in ask.requests(holder, now):
+            decisions += coordinator.ask(want, now)
+        for want in ask.counted_only(holder):
+            refusal = coordinator.count(want, now)
+            decisions += [refusal] if refusal is not None else []
+        asked = {wire.id for wire in ask.wants} | dict(ask.workspaces).keys()
         replies: list[slot_scheduler.Decision] = []
         others: list[slot_scheduler.Decision] = []
         for decision in decisions:
             target = replies if decision.want.id in asked else others
             target.append(decision)
         coordinator.send_decisions(others)
-        coordinator.log_refusals(replies)
-        return SlotDecisions(
-            ask.service,
-            {
-                d.want.id: d.engine
-                for d in replies
-                if isinstance(d, slot_scheduler.Grant)
-            },
-            {
-                d.want.id: d.retry_after_s
-                for d in replies
-                if isinstance(d, slot_scheduler.Refuse)
-            },
-        )
+        coordinator.on_refusals(replies)
+        return SlotDecisions.of(ask.service, replies)
 
     async def on_end(self, sender: peers.Sender, end: LeaseEnd) -> None:
         """Apply the end of a lease or of a waiting request."""
@@ -412,6 +456,9 @@
             for lease in report.leases
         ]
         wants = [wire.want(holder, now) for wire in report.wants]
+        coordinator.limits.merge(
+            (wire.admission(now) for wire in report.admitted), now
+        )
         coordinator.send_decisions(
             coordinator.reconciler.on_holder_report(holder, leases, wants, now)
         )
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -8,17 +8,21 @@
     "LeaseReport",
     "SlotAsk",
     "SlotDecisions",
+    "WireAdmission",
     "WireLease",
     "WireRequest",
 ]
 
+from collections.abc import Iterable
 import math
 from typing import NamedTuple
 
 import msgspec
 
 from camphortray import enginehealth
+from camphortray import errors
 from camphortray import messages
+from camphortray import request_limits
 from camphortray import slot_scheduler
 
 # Sent instead of infinity for a request without a due time.
@@ -95,6 +99,27 @@
     age_ms: int
 
 
+class WireAdmission(NamedTuple):
+    """A ``request_limits.Admission`` as sent, encoded as an array."""
+
+    id: str
+    workspace: str
+    age_ms: int
+
+    @classmethod
+    def of(
+        cls, request: request_limits.Admission, now: float
+    ) -> "WireAdmission":
+        """Return the encoding of an admission."""
+        age_ms = round((now - request.at) * 1000)
+        return cls(request.id, request.workspace, age_ms)
+
+    def admission(self, now: float) -> request_limits.Admission:
+        """Return the admission that this encodes."""
+        at = now - self.age_ms / 1000
+        return request_limits.Admission(self.id, self.workspace, at)
+
+
 @messages.message("place.ask")
 class SlotAsk(msgspec.Struct, frozen=True):
     """Asks a coordinator for slots.
@@ -103,11 +128,37 @@
       service: Service whose slots are asked for.
       address: Peer address of the sender, for later decisions.
       wants: Requests for slots; none to check that the coordinator responds.
+      workspaces: Ids of the requests that count against the limit of their
+        workspace, each with the workspace. One that is not in ``wants`` is
+        only counted here.
     """
 
     service: str
     address: str
     wants: tuple[WireRequest, ...]
+    workspaces: tuple[tuple[str, str], ...] = ()
+
+    def requests(
+        self, holder: str, now: float
+    ) -> list[slot_scheduler.SlotRequest]:
+        """Return the requests for slots."""
+        workspaces = dict(self.workspaces)
+        return [
+            msgspec.structs.replace(
+                wire.want(holder, now),
+                workspace=workspaces.get(wire.id, ""),
+            )
+            for wire in self.wants
+        ]
+
+    def counted_only(self, holder: str) -> list[slot_scheduler.SlotRequest]:
+        """Return the requests that get their slots elsewhere."""
+        asked = {wire.id for wire in self.wants}
+        return [
+            slot_scheduler.SlotRequest(name, holder, True, workspace=workspace)
+            for name, workspace in self.workspaces
+            if name not in asked
+        ]
 
 
 @messages.message("place.end")
@@ -121,12 +172,17 @@
 
 @messages.message("place.report")
 class LeaseReport(msgspec.Struct, frozen=True):
-    """Reports all leases and waiting requests of the sender."""
+    """Reports all leases and waiting requests of the sender.
+
+    Attributes:
+      admitted: Recent requests counted by other coordinators.
+    """
 
     service: str
     address: str
     leases: tuple[WireLease, ...]
     wants: tuple[WireRequest, ...]
+    admitted: tuple[WireAdmission, ...] = ()
 
 
 @messages.message("place.word")
@@ -138,9 +194,45 @@
       granted: Engine by request id.
       refused: Seconds after which to retry, by request id.
       revoked: Request ids of the leases that are revoked.
+      over_limit: Request ids in ``refused`` whose workspace has reached its
+        limit.
     """
 
     service: str
     granted: dict[str, str] = msgspec.field(default_factory=dict)
     refused: dict[str, float] = msgspec.field(default_factory=dict)
     revoked: tuple[str, ...] = ()
+    over_limit: tuple[str, ...] = ()
+
+    @classmethod
+    def of(
+        cls, service: str, decisions: Iterable[slot_scheduler.Decision]
+    ) -> "SlotDecisions":
+        """Return the message with decisions on the requests of a holder."""
+        granted: dict[str, str] = {}
+        refused: dict[str, float] = {}
+        revoked: list[str] = []
+        over_limit: list[str] = []
+        for decision in decisions:
+            want_id = decision.want.id
+            if isinstance(decision, slot_scheduler.Grant):
+                granted[want_id] = decision.engine
+            elif isinstance(decision, slot_scheduler.Revoke):
+                revoked.append(want_id)
+            else:
+                refused[want_id] = decision.retry_after_s
+                if isinstance(decision, slot_scheduler.Throttle):
+                    over_limit.append(want_id)
+        return cls(
+            service, granted, refused, tuple(revoked), tuple(over_limit)
+        )
+
+    def refusal(self, request_id: str) -> errors.NoSlot:
+        """Return the error of a refused request."""
+        retry_after_s = self.refused[request_id]
+        if request_id in self.over_limit:
+            return errors.RateExceeded(
+                "the workspace has reached its limit of requests",
+                retry_after_s,
+            )
+        return errors.NoSlot("no room in time", retry_after_s)
--- a/camphortray/slot_queue.py
+++ b/camphortray/slot_queue.py
@@ -40,6 +40,8 @@
       made_s: Time spent on the output that a batch item already has. The next
         engine has to prefill all of that output.
       start_s: Expected time to the first event of a batch item.
+      workspace: Workspace against whose limit an online request counts;
+        empty if it has been counted, or if there is no limit.
     """
 
     id: str
@@ -56,6 +58,7 @@
     zone: str = ""
     made_s: float = 0.0
     start_s: float = 0.0
+    workspace: str = ""
 
     @property
     def begin_by(self) -> float:
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -22,6 +22,7 @@
     "Revoke",
     "SlotRequest",
     "SlotScheduler",
+    "Throttle",
 ]
 
 from collections.abc import Iterable
@@ -85,6 +86,10 @@
     retry_after_s: float
 
 
+class Throttle(Refuse, frozen=True):
+    """Refuses a request whose workspace has reached its limit."""
+
+
 class Revoke(msgspec.Struct, frozen=True):
     """Revokes the lease of a batch item, which its holder then stops."""
 
@@ -144,6 +149,12 @@
         self.accounting.table.set_engines(engines)
         return self.decide(now)
 
+    def knows(self, want_id: str) -> bool:
+        """Return whether an online request waits or holds a slot."""
+        return want_id in self.leases or any(
+            queued.id == want_id for queued in self.queue
+        )
+
     def set_share(self, share: float) -> None:
         """Set the share of each engine's slots that may be granted."""
         self.accounting.table.share = share
--- /dev/null
+++ b/tests/test_request_limits.py
@@ -0,0 +1,276 @@
+"""Tests of the limits on the online requests of workspaces."""
+
+import asyncio
+import collections
+
+import pytest
+
+from camphortray import errors
+from camphortray import request_limits
+from camphortray import routemap
+from camphortray import slot_client
+from tests import costrig
+from tests import platformkit
+from tests import slotclientkit
+
+WINDOW_S = 5.0
+LIMIT = routemap.RateLimit(5.0, 5.0)
+# What may run in any window, as the platform's rules have it.
+EXCESS, SLACK = 0.1, 20
+MOST = LIMIT.requests_in(WINDOW_S) * (1 + EXCESS) + SLACK
+
+
+def limits_since(since=-WINDOW_S):
+    """Return limits that began to count at a time."""
+    return request_limits.RequestLimits(WINDOW_S, since)
+
+
+def ask(limits, name, at, share=1.0, limit=LIMIT):
+    """Ask for the admission of one request of a workspace."""
+    request = request_limits.Admission(name, "w", at)
+    return limits.admit(request, limit, share)
+
+
+def admitted(limits, times, **fields):
+    """Return at which of some times a request is admitted."""
+    return [
+        at
+        for number, at in enumerate(times)
+        if not ask(limits, f"r{number}", at, **fields)
+    ]
+
+
+def most_in_window(times):
+    """Return the largest number of times in any window."""
+    times = sorted(times)
+    return max(
+        (
+            sum(start <= at < start + WINDOW_S for at in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
+@pytest.mark.parametrize(
+    ("per_s", "most"), [(1.0, 20), (5.0, 100), (5.8, 116), (40.0, 120)]
+)
+def test_a_limit_admits_what_it_allows_and_no_more(per_s, most):
+    times = [number / per_s for number in range(int(20 * per_s))]
+    found = admitted(limits_since(), times)
+    assert len(found) == most
+    assert most_in_window(found) <= LIMIT.requests_in(WINDOW_S)
+
+
+@pytest.mark.parametrize(
+    ("share", "most"), [(1.0, 30), (0.5, 15), (0.02, 1), (0.0, 1)]
+)
+def test_a_share_of_a_limit_admits_that_share(share, most):
+    assert len(admitted(limits_since(), [1.0] * 40, share=share)) == most
+
+
+def test_a_lower_limit_counts_what_was_admitted_before_it():
+    limits = limits_since()
+    assert len(admitted(limits, [1.0] * 30)) == 30
+    lower = routemap.RateLimit(1.0, 1.0)
+    assert admitted(limits, [2.0, 5.9, 6.1], limit=lower) == [6.1]
+
+
+def test_refused_requests_are_told_different_times():
+    """Guards against refused requests that all return at the same time."""
+    limits = limits_since()
+    times = [number / 10 for number in range(30)]
+    assert len(admitted(limits, times)) == 30
+    waits = [ask(limits, f"late{number}", 3.0) for number in range(3)]
+    assert waits == pytest.approx([2.0, 2.1, 2.2])
+    # Each finds the room that it was told of.
+    for number, wait_s in enumerate(waits):
+        assert not ask(limits, f"again{number}", 3.001 + wait_s)
+
+
+def test_a_request_refused_for_another_reason_is_not_counted():
+    """Guards against limits used up by requests that have not run."""
+    limits = limits_since()
+    admitted(limits, [1.0] * 30)
+    limits.withdraw("r3", "w")
+    assert not ask(limits, "next", 1.0)
+    assert ask(limits, "another", 1.0)
+
+
+def test_a_new_coordinator_admits_the_burst_and_then_the_rate():
+    """Guards against a whole window admitted anew after each change."""
+    limits = limits_since(10.0)
+    times = [10.0 + number / 50 for number in range(250)]
+    found = admitted(limits, times)
+    for at in (10.0, 11.0, 12.0, 14.0):
+        count = sum(time <= at for time in found)
+        assert count <= LIMIT.requests_in(at - 10.0) + 1
+    assert len(found) == 30
+
+
+def test_requests_of_other_coordinators_count_once():
+    """Guards against a report that is repeated and counts twice."""
+    limits = limits_since()
+    known = [
+        request_limits.Admission(f"k{number}", "w", 1.0)
+        for number in range(29)
+    ]
+    limits.merge(known, 2.0)
+    limits.merge(known, 2.5)
+    assert len(admitted(limits, [3.0, 3.0, 6.1])) == 2
+
+
+def test_a_host_reports_to_each_new_coordinator_once():
+    recent = request_limits.RecentAdmissions(WINDOW_S)
+    first = request_limits.Admission("r1", "w", 1.0)
+    second = request_limits.Admission("r2", "w", 3.0)
+    recent.add(first, "lm", {"host-1"})
+    recent.add(second, "lm", {"host-1"})
+    assert recent.unknown_to("host-1", "lm", 4.0) == []
+    assert recent.unknown_to("host-2", "other", 4.0) == []
+    assert recent.unknown_to("host-2", "lm", 4.0) == [first, second]
+    recent.on_reported("host-2", [first])
+    assert recent.unknown_to("host-2", "lm", 4.0) == [second]
+    assert recent.unknown_to("host-3", "lm", 6.5) == [second]
+    assert recent.unknown_to("host-3", "lm", 8.0) == []
+    assert not recent.known_to
+
+
+# Whole hosts.
+
+HOSTS = 9
+TENANTS = [
+    {
+        "name": "home",
+        "apiKeys": ["k"],
+        "ratePerS": LIMIT.per_s,
+        "burst": LIMIT.burst,
+    }
+]
+
+
+class Callers:
+    """Sends requests of one workspace to the hosts of a fleet.
+
+    Attributes:
+      statuses: Number of answers by status.
+      sent_at: Time at which each request that ran was sent.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.statuses = collections.Counter()
+        self.sent_at = []
+        self.tasks = []
+
+    async def send(self, seconds, per_s, host_of):
+        """Send requests at a rate, each to the host chosen for its number."""
+        for number in range(int(seconds * per_s)):
+            host = host_of(number)
+            name = f"q{len(self.tasks)}"
+            self.tasks.append(
+                self.fleet.loop.create_task(self.call(host, name))
+            )
+            await asyncio.sleep(1 / per_s)
+
+    async def call(self, host, name):
+        """Send one request."""
+        at = self.fleet.loop.now
+        path = platformkit.STREAM_PREFIX + name
+        headers = [("Attempt-Id", name), ("Key", "k")]
+        try:
+            async with asyncio.timeout(5.0):
+                status, _, _ = await host.call("POST", path, headers)
+        except (errors.CamphortrayError, OSError, TimeoutError):
+            status = 0
+        self.statuses[status] += 1
+        if status == 200:
+            self.sent_at.append(at)
+
+    async def finish(self):
+        """Wait for all answers."""
+        await asyncio.gather(*self.tasks)
+
+
+def played(monkeypatch, play):
+    """Play callers on a fleet whose workspace is limited."""
+    callers = []
+
+    async def work():
+        async with costrig.Fleet(HOSTS, 2, 1) as fleet:
+            await fleet.store.configure(2, tenants=TENANTS)
+            await asyncio.sleep(3.0)
+            callers.append(Callers(fleet))
+            await play(fleet, callers[0])
+            await callers[0].finish()
+
+    costrig.run(work, monkeypatch)
+    return callers[0]
+
+
+def spread(fleet):
+    """Return a choice that goes round all hosts."""
+    return lambda number: fleet.hosts[number % len(fleet.hosts)]
+
+
+def one_host(fleet):
+    """Return a choice of always the same host."""
+    return lambda number: fleet.hosts[0]
+
+
+def changing(fleet):
+    """Return a choice that moves on to another host now and then."""
+    return lambda number: fleet.hosts[number // 20 % len(fleet.hosts)]
+
+
+def coordinator_of(fleet):
+    """Return the host that grants the slots of the service."""
+    part = fleet.hosts[0].part(slot_client.SlotClient)
+    name = slotclientkit.coordinator(part)
+    return next(
+        host
+        for host in fleet.hosts
+        if host.part(slot_client.SlotClient).own_name == name
+    )
+
+
+@pytest.mark.parametrize("choice", [spread, one_host, changing])
+@pytest.mark.parametrize(("per_s", "refused"), [(4, False), (37, True)])
+def test_hosts_keep_a_limit_together(monkeypatch, choice, per_s, refused):
+    """Guards against a limit that each host counts by itself."""
+
+    async def play(fleet, callers):
+        await callers.send(8, per_s, choice(fleet))
+
+    callers = played(monkeypatch, play)
+    assert most_in_window(callers.sent_at) <= MOST
+    assert set(callers.statuses) == ({200, 429} if refused else {200})
+    if refused:
+        assert callers.statuses[200] >= LIMIT.requests_in(8 - WINDOW_S)
+
+
+@pytest.mark.parametrize("per_s", [4, 37])
+def test_a_limit_outlives_the_loss_of_its_coordinator(monkeypatch, per_s):
+    """Guards against a new coordinator that has counted nothing."""
+
+    async def play(fleet, callers):
+        await callers.send(4, per_s, spread(fleet))
+        await fleet.stop(coordinator_of(fleet))
+        await callers.send(5, per_s, spread(fleet))
+
+    callers = played(monkeypatch, play)
+    assert most_in_window(callers.sent_at) <= MOST
+    if per_s < LIMIT.per_s:
+        assert 429 not in callers.statuses
+
+
+def test_a_limit_holds_as_all_hosts_start_again(monkeypatch):
+    """Guards against limits that begin anew with all hosts."""
+
+    async def play(fleet, callers):
+        await callers.send(4, 37, spread(fleet))
+        await fleet.herd(2)
+        await callers.send(4, 37, spread(fleet))
+
+    callers = played(monkeypatch, play)
+    assert most_in_window(callers.sent_at) <= MOST
