Limit the waiting tokens of each workspace by itself

The limit on the tokens that wait on a route is one for each workspace, but was kept over all of them together, so that a job that fits could be refused for what others had waiting. Counts, reports and reservations are now by route and workspace, through the same hosts and losses as before; where there are no workspaces the key is the route, as it was.

--- a/camphortray/backlog_reporting.py
+++ b/camphortray/backlog_reporting.py
@@ -1,4 +1,4 @@
-"""Reports the waiting tokens of routes and enforces their limits.
+"""Reports the tokens that wait on routes and enforces their limits.
 
 The owner of a partition reports its counts to the hosts that keep the quota
 of a route and to no others: they change with each job and each result.
@@ -100,7 +100,7 @@
 
 
 class BacklogReporter:
-    """Waiting tokens by route, over the partitions of all hosts.
+    """Waiting tokens by workspace and route, over all partitions.
 
     Attributes:
       owners: Owners of the partitions owned here, by partition.
@@ -219,7 +219,11 @@
                 continue
             counts = self.count(owner)
             for name, limited in routes.items():
-                kept = {r: n for r, n in counts.items() if r in limited}
+                kept = {
+                    key: tokens
+                    for key, tokens in counts.items()
+                    if jobquota.route_of(key) in limited
+                }
                 wanted[name][part] = jobmessages.PartitionBacklog(
                     part, owner.epoch, kept
                 )
@@ -241,13 +245,14 @@
             self.links.notify(address, jobmessages.BacklogReport(rows))
 
     def count(self, owner: partition_owner.PartitionOwner) -> dict[str, int]:
-        """Return the waiting tokens of a partition, by route."""
+        """Return the waiting tokens of a partition, by ``backlog_key``."""
         counts: dict[str, int] = {}
         for job in owner.state.jobs.values():
             route = self.active_config.routes.find(job.host_name, job.target)
             tokens = job.waiting_tokens
             if route is not None and tokens:
-                counts[route.name] = counts.get(route.name, 0) + tokens
+                key = jobquota.backlog_key(route.name, job.workspace)
+                counts[key] = counts.get(key, 0) + tokens
         return counts
 
     # Quota hosts.
@@ -351,7 +356,7 @@
         )
 
     async def has_room(self, part: partition_records.JobPart) -> bool:
-        """Reserve tokens for a job; return whether its route has room.
+        """Reserve tokens for a job; return whether its workspace has room.
 
         A job without a route, or on a route without a limit, always fits.
         """
@@ -359,9 +364,8 @@
         if route is None or not route.waiting_limit:
             return True
         tokens = sum(item.tokens for item in part.items)
-        ask = jobmessages.QuotaAsk(
-            route.name, part.job, tokens, route.waiting_limit
-        )
+        key = jobquota.backlog_key(route.name, part.workspace)
+        ask = jobmessages.QuotaAsk(key, part.job, tokens, route.waiting_limit)
         for name in self.hosts_to_ask(route.name):
             if name == self.members.own_name:
                 if not self.learning:
--- a/camphortray/jobmessages.py
+++ b/camphortray/jobmessages.py
@@ -156,10 +156,10 @@
     """Requests quota for the tokens of a job on its route.
 
     Attributes:
-      route: Name of the route.
+      route: Name of the route, or a ``jobquota.backlog_key``.
       job: Id of the job.
       tokens: Tokens of all items of the job.
-      limit: Limit on the tokens that wait on the route.
+      limit: Limit on the tokens of a workspace that wait on the route.
     """
 
     route: str
@@ -181,8 +181,8 @@
     Attributes:
       part: Number of the partition.
       epoch: Epoch of its owner.
-      counts: Waiting tokens by route, of the routes whose quota the receiver
-        keeps.
+      counts: Waiting tokens by ``jobquota.backlog_key``, of the routes whose
+        quota the receiver keeps.
     """
 
     part: int
