--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -38,6 +38,8 @@
 ASK_S = 1.0
 # Seconds from one renewal of the metrics to the next.
 METRICS_S = 1.0
+# Most names in the log line about members whose status has changed.
+MAX_NAMES = 8
 # Longest time after a start in which this host finds out which others there
 # are before it takes part without, in seconds.
 INTRODUCED_S = 1.0
@@ -52,6 +54,8 @@
       node: What decides.
       own_name: ``HOST/PROGRAM`` of this program.
       listed: The platform's list as last read.
+      changed: Names of members with another status than alive that are not
+        yet logged, by status.
       list_read: Whether it has been read.
     """
 
@@ -96,6 +100,7 @@
         self.http_address = ""
         self.list_pace = list_polling.ListPolling(context.rng)
         self.metrics_at = 0.0
+        self.changed: dict[Status, list[str]] = {}
         self.dropping: set[str] = set()
         self.list_task: asyncio.Task[None] | None = None
         self.task: asyncio.Task[None] | None = None
@@ -253,7 +258,7 @@
     def notify_member(self, member: Member) -> None:
         """Tell whoever listens, and close links of no more use."""
         if member.status is not Status.ALIVE:
-            LOG.info("{} is {}.", member.name, member.status)
+            self.changed.setdefault(member.status, []).append(member.name)
         if member.dead and member.name != self.own_name:
             address = configs.Address.from_text(member.peer_address)
             self.links.forget(address)
@@ -284,8 +289,23 @@
             if now >= self.metrics_at:
                 self.metrics_at = now + METRICS_S
                 self.show_metrics()
+                self.log_changes()
             await asyncio.sleep(TICK_S)
 
+    def log_changes(self) -> None:
+        """Log the members that are no longer alive, one line a status."""
+        changed, self.changed = self.changed, {}
+        for status, names in changed.items():
+            if len(names) == 1:
+                LOG.info("{} is {}.", names[0], status)
+                continue
+            shown = ", ".join(names[:MAX_NAMES])
+            left = len(names) - MAX_NAMES
+            more = f" and {left} more" if left > 0 else ""
+            LOG.info(
+                "{} members are {}: {}{}.", len(names), status, shown, more
+            )
+
     def show_metrics(self) -> None:
         """Renew the gauges of members, facts and links."""
         metrics = self.context.metrics
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,10 +1,13 @@
 """Tests of entries and of the rings of hosts."""
 
 import random
+import types
 
+import logbook
 import pytest
 
 from camphortray import members
+from camphortray import membership
 from camphortray import ring
 
 
@@ -79,3 +82,35 @@
     assert kept.tops == anew.tops
     for host in hosts:
         assert all(host in kept.neighbours(t) for t in kept.watched_by(host))
+
+
+@pytest.mark.parametrize(
+    ("dead", "lines"),
+    [
+        (0, []),
+        (1, ["h0/host is dead."]),
+        (2, ["2 members are dead: h0/host, h1/host."]),
+        (
+            90,
+            [
+                "90 members are dead: h0/host, h1/host, h2/host, h3/host,"
+                " h4/host, h5/host, h6/host, h7/host and 82 more."
+            ],
+        ),
+    ],
+)
+def test_many_members_that_end_together_are_one_line(dead, lines):
+    """Guards against logs that grow with the square of the fleet."""
+    part = membership.Membership.__new__(membership.Membership)
+    part.own_name, part.listeners, part.changed = "h/host", [], {}
+    part.links = types.SimpleNamespace(forget=lambda address: None)
+    part.node = types.SimpleNamespace(
+        known=types.SimpleNamespace(replaced=False)
+    )
+    with logbook.TestHandler(level=logbook.INFO) as seen:
+        for number in range(dead):
+            part.notify_member(entry(1, "dead", f"h{number}/host"))
+        part.notify_member(entry(1, "alive", "alive/host"))
+        part.log_changes()
+        part.log_changes()
+    assert [record.message for record in seen.records] == lines
