Eject engines that answer online requests with errors

Status 500 counted as proof of a good engine. Engines that fail all requests at once have free slots more often than others, so they drew requests in.

The moving error rate of each engine is now kept; above 0.4 and twice the mean of all engines it is ejected as an unreachable one is. Errors of items do not count, as an item may fail everywhere.

LeaseEnd says GOOD and a new field for it, as earlier releases do not know the value.

--- a/camphortray/enginehealth.py
+++ b/camphortray/enginehealth.py
@@ -1,6 +1,12 @@
 """Circuit breaking of engines, by the outcomes of requests sent to them."""
 
-__all__ = ["HealthTracker", "Outcome", "outcome_of"]
+__all__ = [
+    "ErrorRates",
+    "HealthTracker",
+    "Outcome",
+    "answer_outcome",
+    "outcome_of",
+]
 
 from collections.abc import Collection
 import enum
@@ -20,6 +26,18 @@
 # Consecutive broken responses after which an engine is ejected. One or two
 # may be caused by the request or by the network.
 BROKEN_THRESHOLD = 3
+# Weights of a new sample in the error rates of an engine and of all engines.
+RATE_WEIGHT = 0.25
+MEAN_WEIGHT = 0.02
+# An engine is ejected if its error rate is above both the threshold and this
+# many times the mean of all engines, and readmitted below the lower rate.
+ERROR_RATE_THRESHOLD = 0.4
+MEAN_FACTOR = 2.0
+RECOVERED_RATE = 0.2
+
+
+# Lowest status of an answer that is an error of the engine.
+SERVER_ERROR = 500
 
 
 class Outcome(enum.Enum):
@@ -29,6 +47,7 @@
     FULL = "full"
     UNREACHED = "unreached"
     BROKEN = "broken"
+    FAILED = "failed"
     NOTHING = "nothing"
 
 
@@ -48,6 +67,39 @@
     trial: bool = False
 
 
+class ErrorRates:
+    """Moving averages of the error rates of engines.
+
+    An engine that answers each request with an error at once has free slots
+    more often than the others, and so gets more than its part of the load.
+
+    Attributes:
+      by_engine: Error rate of each engine that has failed a request.
+      mean: Error rate over all engines.
+    """
+
+    def __init__(self) -> None:
+        self.by_engine: dict[str, float] = {}
+        self.mean = 0.0
+
+    def record(self, engine: str, failed: bool) -> None:
+        """Record the outcome of a request."""
+        self.mean += MEAN_WEIGHT * (failed - self.mean)
+        rate = self.by_engine.get(engine, 0.0)
+        if rate or failed:
+            self.by_engine[engine] = rate + RATE_WEIGHT * (failed - rate)
+
+    def is_outlier(self, engine: str) -> bool:
+        """Return whether an engine fails far more requests than others."""
+        threshold = max(ERROR_RATE_THRESHOLD, MEAN_FACTOR * self.mean)
+        return self.by_engine.get(engine, 0.0) > threshold
+
+    def has_recovered(self, engine: str) -> bool:
+        """Return whether an engine's error rate is low again."""
+        low = max(RECOVERED_RATE, self.mean)
+        return self.by_engine.get(engine, 0.0) < low
+
+
 class HealthTracker:
     """Tracks which engines are ejected and which are on trial.
 
@@ -56,15 +108,20 @@
 
     Attributes:
       by_engine: Health of the engines that have failed, by name.
+      error_rates: Error rates of engines.
     """
 
     def __init__(self) -> None:
         self.by_engine: dict[str, Health] = {}
+        self.error_rates = ErrorRates()
 
     def keep(self, names: Collection[str]) -> None:
         """Forget engines other than ``names``."""
         for name in self.by_engine.keys() - set(names):
             del self.by_engine[name]
+        rates = self.error_rates.by_engine
+        for name in rates.keys() - set(names):
+            del rates[name]
 
     def room(
         self, engine: str, slots: int, now: float, ignore_trial: bool
@@ -93,22 +150,48 @@
         ]
 
     def record_outcome(
-        self, engine: str, outcome: Outcome, now: float
+        self, engine: str, outcome: Outcome, now: float, online: bool = True
     ) -> None:
-        """Update an engine's health from the outcome of a lease."""
+        """Update an engine's health from the outcome of a lease.
+
+        Args:
+          engine: Name of the engine.
+          outcome: How the lease ended.
+          now: Current time.
+          online: Whether it was that of an online request. A batch item may
+            be one that fails at every engine.
+        """
         if outcome is Outcome.NOTHING:
             return
+        if outcome is Outcome.FAILED and not online:
+            outcome = Outcome.GOOD
         if outcome is Outcome.GOOD:
-            self.by_engine.pop(engine, None)
+            self.error_rates.record(engine, False)
+            if self.error_rates.has_recovered(engine):
+                self.by_engine.pop(engine, None)
             return
-        health = self.by_engine.setdefault(engine, Health())
+        if online and outcome in (Outcome.FAILED, Outcome.BROKEN):
+            self.error_rates.record(engine, True)
         if outcome is Outcome.FULL:
+            health = self.by_engine.setdefault(engine, Health())
             health.closed_until = max(health.closed_until, now + FULL_S)
-            return
+        elif self.is_failing(engine, outcome):
+            self.eject(engine, now)
+
+    def is_failing(self, engine: str, outcome: Outcome) -> bool:
+        """Return whether a failure is one too many for its engine."""
+        if outcome is Outcome.UNREACHED:
+            return True
         if outcome is Outcome.BROKEN:
+            health = self.by_engine.setdefault(engine, Health())
             health.broken += 1
-            if health.broken < BROKEN_THRESHOLD:
-                return
+            if health.broken >= BROKEN_THRESHOLD:
+                return True
+        return self.error_rates.is_outlier(engine)
+
+    def eject(self, engine: str, now: float) -> None:
+        """Give an engine no requests for a while, then one at a time."""
+        health = self.by_engine.setdefault(engine, Health())
         if now < health.closed_until:
             # Sent before the engine was ejected; no new evidence.
             return
@@ -123,5 +206,14 @@
     if isinstance(error, errors.UpstreamUnsendable | errors.UpstreamFault):
         return Outcome.NOTHING
     if isinstance(error, errors.UpstreamRefused):
-        return Outcome.GOOD if error.ran else Outcome.FULL
+        return answer_outcome(error.status) if error.ran else Outcome.FULL
     return Outcome.BROKEN if error.ran else Outcome.UNREACHED
+
+
+def answer_outcome(status: int) -> Outcome:
+    """Return what the status of a complete answer shows about its engine.
+
+    >>> answer_outcome(422).value, answer_outcome(500).value
+    ('good', 'failed')
+    """
+    return Outcome.FAILED if status >= SERVER_ERROR else Outcome.GOOD
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -65,6 +65,7 @@
       lease: The lease of the slot.
       events_before: Number of events received before this attempt.
       begun_at: Start of the attempt, in monotonic seconds.
+      status: Status of the engine's answer; 0 until there is one.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self.route = route
         self.events_before = reader.count
         self.begun_at = now_of(parts)
+        self.status = 0
 
     @property
     def received_events(self) -> bool:
@@ -94,7 +96,7 @@
     def outcome(self, error: BaseException | None) -> enginehealth.Outcome:
         """Return what the end of the attempt shows about the engine."""
         if error is None:
-            return enginehealth.Outcome.GOOD
+            return enginehealth.answer_outcome(self.status)
         if isinstance(error, errors.UpstreamError):
             return enginehealth.outcome_of(error)
         # The caller disconnected or the deadline passed. This counts against
@@ -423,6 +425,8 @@
     ) -> None:
         body = await engine.read_all(stream, self.left_s())
         self.answer = Answer(stream.status, body, stream.headers)
+        if isinstance(attempt, SlotTry):
+            attempt.status = stream.status
         if stream.status in RETRYABLE_STATUSES and self.retryable:
             raise errors.UpstreamRefused(
                 "failed there",
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -524,7 +524,8 @@
         member = self.members.member(coordinator)
         if member is not None and not member.dead:
             address = configs.Address.from_text(member.peer_address)
-            self.links.notify(address, LeaseEnd(service, request_id, outcome))
+            end = LeaseEnd.of(service, request_id, outcome)
+            self.links.notify(address, end)
 
     async def on_later_decisions(
         self, sender: peers.Sender, update: SlotDecisions
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -436,7 +436,7 @@
         if coordinator is not None:
             now = self.host.clock.monotonic()
             coordinator.send_decisions(
-                coordinator.scheduler.done(end.id, end.outcome, now)
+                coordinator.scheduler.done(end.id, end.lease_outcome, now)
             )
 
     async def on_report(
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -163,11 +163,32 @@
 
 @messages.message("place.end")
 class LeaseEnd(msgspec.Struct, frozen=True):
-    """Notifies a coordinator of the end of a waiting request or lease."""
+    """Notifies a coordinator of the end of a waiting request or lease.
+
+    Attributes:
+      outcome: How the lease ended; ``GOOD`` if the engine has failed the
+        request, since earlier releases do not know ``FAILED``.
+      failed: Whether the engine has failed the request.
+    """
 
     service: str
     id: str
     outcome: enginehealth.Outcome
+    failed: bool = False
+
+    @classmethod
+    def of(
+        cls, service: str, request_id: str, outcome: enginehealth.Outcome
+    ) -> "LeaseEnd":
+        """Return the message about a lease that has ended."""
+        if outcome is enginehealth.Outcome.FAILED:
+            return cls(service, request_id, enginehealth.Outcome.GOOD, True)
+        return cls(service, request_id, outcome)
+
+    @property
+    def lease_outcome(self) -> enginehealth.Outcome:
+        """How the lease ended."""
+        return enginehealth.Outcome.FAILED if self.failed else self.outcome
 
 
 @messages.message("place.report")
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -189,7 +189,9 @@
         if outcome is enginehealth.Outcome.GOOD and lease.want.online:
             held_s = now - lease.granted_at
             self.hold_s += EWMA_WEIGHT * (held_s - self.hold_s)
-        self.accounting.table.record_outcome(lease.engine, outcome, now)
+        self.accounting.table.record_outcome(
+            lease.engine, outcome, now, lease.want.online
+        )
         return self.decide(now)
 
     # Decisions.
--- a/camphortray/slottable.py
+++ b/camphortray/slottable.py
@@ -137,12 +137,16 @@
         self.refresh(engine)
 
     def record_outcome(
-        self, engine: str, outcome: enginehealth.Outcome, now: float
+        self,
+        engine: str,
+        outcome: enginehealth.Outcome,
+        now: float,
+        online: bool = True,
     ) -> None:
         """Update the health of an engine by the outcome of a lease."""
         if not self.experiments.put_aside:
             return
-        self.health.record_outcome(engine, outcome, now)
+        self.health.record_outcome(engine, outcome, now, online)
         self.refresh(engine)
 
     def room(self, engine: str, now: float, ignore_trial: bool = False) -> int:
