Count the cancelled runs of items by cause

Runs that were preempted, overtaken by the output of the previous owner, replaced as their task hung, or ended with their job or partition were one figure or none, so that losses and the system's own choices could not be told apart.

--- a/camphortray/early_end.py
+++ b/camphortray/early_end.py
@@ -10,7 +10,13 @@
 
 
 class Cause(enum.Enum):
-    """Causes of the early end of an attempt or an answer."""
+    """Causes of the early end of an attempt or an answer.
+
+    Those of a batch item that the system itself decides on are ``REVOKED``
+    (its slot goes to an online request), ``OVERTAKEN`` (the previous owner
+    of its partition has more of its output), ``STALLED`` (its task hung) and
+    ``OWNER_STOPPED`` (its job has ended or its partition has moved).
+    """
 
     SILENCE = "silence"
     CLOSED = "closed"
@@ -20,6 +26,9 @@
     FAULT = "fault"
     NO_SLOT = "no_slot"
     REVOKED = "revoked"
+    OVERTAKEN = "overtaken"
+    STALLED = "stalled"
+    OWNER_STOPPED = "owner_stopped"
     TIME_OVER = "time_over"
     BARRED = "barred"
     OVER_LIMIT = "over_limit"
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -94,6 +94,7 @@
       text: Data of the events so far.
       number: Number of slot requests so far, and of the present run.
       run_task: Reads the stream of the present run.
+      cancel_cause: Why the last cancelled run was cancelled.
       lease: Slot of the present run.
       first_event_at: When the first event of the last run arrived, or 0.
       last_event_at: When its latest event arrived, or 0.
@@ -120,6 +121,7 @@
         self.text: list[bytes] = []
         self.number = 0
         self.run_task: asyncio.Task[None] | None = None
+        self.cancel_cause = early_end.Cause.REVOKED
         self.lease: lease_table.HeldLease | None = None
         self.first_event_at = self.last_event_at = 0.0
 
@@ -194,7 +196,7 @@
 
     def abort(self) -> None:
         """Cancel the run and release its slot, even if its task hangs."""
-        self.revoke()
+        self.cancel_run(early_end.Cause.STALLED)
         if self.lease is not None:
             outcome = enginehealth.Outcome.NOTHING
             self.parts.slots.release(self.lease, outcome)
@@ -287,11 +289,16 @@
         self.reader.resume_after(progress.last, len(progress.text))
         self.text = list(progress.text)
         # The present run has less output; the next one resumes after this.
-        self.revoke()
+        self.cancel_run(early_end.Cause.OVERTAKEN)
 
     def revoke(self) -> None:
+        """Cancel the run because its slot was revoked."""
+        self.cancel_run(early_end.Cause.REVOKED)
+
+    def cancel_run(self, cause: early_end.Cause) -> None:
         """Cancel the run; its output so far is kept."""
         if self.run_task is not None:
+            self.cancel_cause = cause
             self.run_task.cancel()
 
     async def attempt(
@@ -309,9 +316,7 @@
         try:
             await asyncio.wait({task})
             if task.cancelled():
-                early_end.count(
-                    self.parts.metrics, "item", early_end.Cause.REVOKED
-                )
+                early_end.count(self.parts.metrics, "item", self.cancel_cause)
                 LOG.info(
                     "Run of item {} of job {} at engine {} was cancelled after"
                     " event {!r}.",
@@ -319,7 +324,10 @@
                     self.job.id,
                     lease.upstream.name,
                     self.reader.last,
-                    fields={"age_s": round(self.deadline.age_s(), 2)},
+                    fields={
+                        "age_s": round(self.deadline.age_s(), 2),
+                        "cause": self.cancel_cause.value,
+                    },
                 )
                 return None
             task.result()
@@ -337,6 +345,10 @@
             return partition_records.Result(
                 self.index, partition_records.State.DONE, b"\n".join(self.text)
             )
+        except asyncio.CancelledError:
+            cause = early_end.Cause.OWNER_STOPPED
+            early_end.count(self.parts.metrics, "item", cause)
+            raise
         except errors.UpstreamError as error:
             if not self.deadline.run_limit_reached(route):
                 outcome = enginehealth.outcome_of(error)
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -117,6 +117,48 @@
     assert first.closed
 
 
+@pytest.mark.parametrize(
+    ("end", "cause"),
+    [
+        (lambda work, task: work.revoke(), "revoked"),
+        (
+            lambda work, task: work.resume_from(
+                itemwork.Progress(0, "3", (b"d1", b"d2", b"d3"))
+            ),
+            "overtaken",
+        ),
+        (lambda work, task: work.abort(), "stalled"),
+        (lambda work, task: task.cancel(), "owner_stopped"),
+    ],
+)
+async def test_each_end_of_a_run_is_counted_by_its_cause(end, cause):
+    """Guards against losses and the system's own choices counted as one."""
+    first = hostkit.Answer(hostkit.events(1, 2))
+    read_chunk = first.read
+
+    async def read(timeout_s):
+        if not first.chunks:
+            await asyncio.sleep(timeout_s)
+        return await read_chunk(timeout_s)
+
+    first.read = read
+    following = 4 if cause == "overtaken" else 3
+    work = work_of([first, hostkit.Answer(hostkit.events(following, 4))])
+    task = asyncio.ensure_future(work.run())
+    while work.reader.count < 2:
+        await asyncio.sleep(0.01)
+    end(work, task)
+    await asyncio.wait({task}, timeout=1.0)
+    text, _ = work.parts.metrics.render()
+    counted = [
+        line
+        for line in text.decode().splitlines()
+        if line.startswith("camphortray_tries_ended_early_total{")
+    ]
+    assert len(counted) == 1
+    assert f'"{cause}"' in counted[0]
+
+
 @pytest.mark.parametrize(
     ("statuses", "state"),
     [
