--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from camphortray import config as configs
 from camphortray import errors
 from camphortray import request_limits
 from camphortray import routemap
@@ -274,3 +275,28 @@
 
     callers = played(monkeypatch, play)
     assert most_in_window(callers.sent_at) <= MOST
+
+
+@pytest.mark.parametrize(("per_s", "refused"), [(2, False), (37, True)])
+def test_two_sides_of_a_partition_keep_a_limit_together(
+    monkeypatch, per_s, refused
+):
+    """Guards against a coordinator on each side that admits it all."""
+
+    async def play(fleet, callers):
+        await callers.send(3, per_s, spread(fleet))
+        separate(fleet, fleet.nodes[:3], fleet.nodes[3:])
+        await callers.send(12, per_s, spread(fleet))
+
+    callers = played(monkeypatch, play)
+    assert most_in_window(callers.sent_at) <= MOST
+    assert (429 in callers.statuses) == refused
+
+
+def separate(fleet, side, other):
+    """Cut the hosts on two sides off from each other."""
+    for near, far in ((side, other), (other, side)):
+        for host in near:
+            for node in far:
+                address = configs.Address.from_text(node.listen.control)
+                fleet.loop.cut(host.node_name, address.port)
