--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 
 import pytest
 
@@ -156,6 +157,7 @@
     Attributes:
       statuses: Number of answers by status.
       sent_at: Time at which each request that ran was sent.
+      paths: Prefixes of the routes that requests go to in turn.
     """
 
     def __init__(self, fleet):
@@ -163,6 +165,7 @@
         self.statuses = collections.Counter()
         self.sent_at = []
         self.tasks = []
+        self.paths = [platformkit.STREAM_PREFIX]
 
     async def send(self, seconds, per_s, host_of):
         """Send requests at a rate, each to the host chosen for its number."""
@@ -177,7 +180,7 @@
     async def call(self, host, name):
         """Send one request."""
         at = self.fleet.loop.now
-        path = platformkit.STREAM_PREFIX + name
+        path = self.paths[len(self.tasks) % len(self.paths)] + name
         headers = [("Attempt-Id", name), ("Key", "k")]
         try:
             async with asyncio.timeout(5.0):
@@ -250,6 +253,31 @@
         assert callers.statuses[200] >= LIMIT.requests_in(8 - WINDOW_S)
 
 
+@pytest.mark.parametrize(("per_s", "refused"), [(4, False), (37, True)])
+def test_a_limit_covers_all_services(monkeypatch, per_s, refused):
+    """Guards against a limit that each service counts by itself."""
+    routes = [
+        platformkit.route(
+            f"r-{service}", f"/{service}/", "streaming", service=service
+        )
+        for service in ("first", "second")
+    ]
+
+    async def play(fleet, callers):
+        for number, engine in enumerate(fleet.engines.values()):
+            engine.entry = functools.partial(
+                engine.entry, service=("first", "second")[number % 2]
+            )
+        await fleet.store.configure(3, routes, TENANTS)
+        await asyncio.sleep(3.0)
+        callers.paths = ["/first/", "/second/"]
+        await callers.send(8, per_s, spread(fleet))
+
+    callers = played(monkeypatch, play)
+    assert most_in_window(callers.sent_at) <= MOST
+    assert set(callers.statuses) == ({200, 429} if refused else {200})
+
+
 @pytest.mark.parametrize("per_s", [4, 37])
 def test_a_limit_outlives_the_loss_of_its_coordinator(monkeypatch, per_s):
     """Guards against a new coordinator that has counted nothing."""
