Let an ejected engine come back by doubling its requests

With answers cut off in the error rate, an engine that crashed with eight requests on it would have taken four to six successes to come back, one after the other; read from the code, not played. Only answers with an error count now, none while the engine is ejected, and on trial it gets 1, 2, 4 and 8 requests at a time.

--- a/camphortray/enginehealth.py
+++ b/camphortray/enginehealth.py
@@ -34,8 +34,6 @@
 ERROR_RATE_THRESHOLD = 0.4
 MEAN_FACTOR = 2.0
 RECOVERED_RATE = 0.2
-
-
 # Lowest status of an answer that is an error of the engine.
 SERVER_ERROR = 500
 
@@ -58,13 +56,16 @@
       closed_until: Time before which it gets no requests.
       failures: Consecutive failures that ejected it.
       broken: Consecutive broken responses.
-      trial: Whether it gets one request at a time until one succeeds.
+      trial: Whether it gets one request at a time until one succeeds. If its
+        error rate is still high, each success doubles that number.
+      successes: Number of successes on trial.
     """
 
     closed_until: float = -math.inf
     failures: int = 0
     broken: int = 0
     trial: bool = False
+    successes: int = 0
 
 
 class ErrorRates:
@@ -139,7 +140,9 @@
             return slots
         if now < health.closed_until:
             return 0
-        return 1 if health.trial and not ignore_trial else slots
+        if health.trial and not ignore_trial:
+            return min(slots, 2**health.successes)
+        return slots
 
     def retry_times(self, now: float) -> list[float]:
         """Return the times at which ejected engines are tried again."""
@@ -165,14 +168,16 @@
             return
         if outcome is Outcome.FAILED and not online:
             outcome = Outcome.GOOD
+        health = self.by_engine.get(engine)
+        is_ejected = health is not None and now < health.closed_until
+        if outcome in (Outcome.GOOD, Outcome.FAILED) and not is_ejected:
+            self.error_rates.record(engine, outcome is Outcome.FAILED)
         if outcome is Outcome.GOOD:
-            self.error_rates.record(engine, False)
             if self.error_rates.has_recovered(engine):
                 self.by_engine.pop(engine, None)
-            return
-        if online and outcome in (Outcome.FAILED, Outcome.BROKEN):
-            self.error_rates.record(engine, True)
-        if outcome is Outcome.FULL:
+            elif health is not None:
+                health.successes += 1
+        elif outcome is Outcome.FULL:
             health = self.by_engine.setdefault(engine, Health())
             health.closed_until = max(health.closed_until, now + FULL_S)
         elif self.is_failing(engine, outcome):
@@ -180,14 +185,13 @@
 
     def is_failing(self, engine: str, outcome: Outcome) -> bool:
         """Return whether a failure is one too many for its engine."""
-        if outcome is Outcome.UNREACHED:
-            return True
         if outcome is Outcome.BROKEN:
             health = self.by_engine.setdefault(engine, Health())
             health.broken += 1
-            if health.broken >= BROKEN_THRESHOLD:
-                return True
-        return self.error_rates.is_outlier(engine)
+            return health.broken >= BROKEN_THRESHOLD
+        if outcome is Outcome.FAILED:
+            return self.error_rates.is_outlier(engine)
+        return True
 
     def eject(self, engine: str, now: float) -> None:
         """Give an engine no requests for a while, then one at a time."""
@@ -197,7 +201,7 @@
             return
         pause_s = min(UNREACHED_S * 2**health.failures, UNREACHED_MAX_S)
         health.failures += 1
-        health.trial = True
+        health.trial, health.successes = True, 0
         health.closed_until = now + pause_s
 
 
