Say whether a request limit is reached or may be

A coordinator that is new, or that admits only a share, refused with 429 what may be within the limit. It now says 503 and soon again; 429 is for a limit that is known to be reached. An id that is used again counts again.

--- a/camphortray/request_limits.py
+++ b/camphortray/request_limits.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "Admission",
+    "Excess",
     "RecentAdmissions",
     "RequestLimits",
     "counting_service",
@@ -25,6 +26,9 @@
 # Time between two requests that are told when to retry, if the limit allows
 # fewer in a window than there are such requests.
 MIN_RETRY_S = 0.05
+# Time after which a request is retried that was refused although its limit
+# may not be reached: another coordinator may have room for it.
+UNCERTAIN_RETRY_S = 0.3
 
 
 class Admission(msgspec.Struct, frozen=True):
@@ -41,6 +45,19 @@
     at: float
 
 
+class Excess(msgspec.Struct, frozen=True):
+    """Refusal of a request by the limit of its workspace.
+
+    Attributes:
+      retry_after_s: Seconds until there is room for it.
+      certain: Whether the limit is reached. Else it may be, as this
+        coordinator does not know what others have admitted.
+    """
+
+    retry_after_s: float
+    certain: bool = True
+
+
 admitted_at = operator.attrgetter("at")
 
 
@@ -88,7 +105,7 @@
         request: Admission,
         limit: routemap.RateLimit,
         share: float = 1.0,
-    ) -> float:
+    ) -> Excess | None:
         """Count a request if it is within the limit of its workspace.
 
         Args:
@@ -98,38 +115,35 @@
             request a window, whatever the share.
 
         Returns:
-          0 if it was counted, else the seconds until there is room for it.
+          None if it was counted, else its refusal.
         """
         now = request.at
         log = self.logs.setdefault(request.workspace, RequestLog())
         log.forget(now - self.window_s, now)
         most = max(1, math.floor(share * limit.requests_in(self.window_s)))
-        if len(log.admitted) >= most:
-            return self.retry_s(log, most, now)
-        wait_s = self.ramp_s(log, limit, share, now)
-        if not wait_s:
-            log.admitted.append(request)
-        return wait_s
-
-    def ramp_s(
-        self,
-        log: RequestLog,
-        limit: routemap.RateLimit,
-        share: float,
-        now: float,
-    ) -> float:
-        """Return for how long a new coordinator has to hold a request back.
+        if len(log.admitted) >= most and share >= 1.0:
+            return Excess(self.retry_s(log, most, now))
+        if len(log.admitted) >= most or not self.is_known(
+            log, share * limit.requests_in(now - self.since), now
+        ):
+            return Excess(UNCERTAIN_RETRY_S, certain=False)
+        log.admitted.append(request)
+        return None
 
-        Requests that it does not know of may have run within the window, so
-        it admits the burst and then what the rate allows since it began.
+    def is_known(self, log: RequestLog, most: float, now: float) -> bool:
+        """Return whether a request is within a limit for certain.
+
+        Requests that a new coordinator does not know of may have run within
+        the window, so it admits only what the limit allows since it began.
+
+        Args:
+          log: Requests of the workspace.
+          most: Number of requests that the limit allows since then.
+          now: Present time.
         """
-        known_s = now - self.since
-        if known_s >= self.window_s:
-            return 0.0
-        admitted = log.count_since(self.since)
-        if admitted < max(1.0, share * limit.requests_in(known_s)):
-            return 0.0
-        return max(MIN_RETRY_S, 1 / max(share * limit.per_s, MIN_RETRY_S))
+        if now - self.since >= self.window_s:
+            return True
+        return log.count_since(self.since) < max(1.0, most)
 
     def retry_s(self, log: RequestLog, most: int, now: float) -> float:
         """Return when a refused request should be sent again.
@@ -145,9 +159,12 @@
 
     def withdraw(self, request_id: str, workspace: str) -> None:
         """Remove a request that was refused for another reason."""
-        log = self.logs.get(workspace)
-        if log is not None:
-            log.admitted = [a for a in log.admitted if a.id != request_id]
+        log = self.logs.get(workspace, RequestLog())
+        for place in reversed(range(len(log.admitted))):
+            if log.admitted[place].id == request_id:
+                # A caller may have sent an earlier one with the same id.
+                del log.admitted[place]
+                return
 
     def merge(self, requests: Iterable[Admission], now: float) -> None:
         """Add requests that other coordinators have admitted."""
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -30,9 +30,6 @@
 # Time for which a new coordinator collects reports of holders and engines
 # before it grants slots to batch items.
 LEARNING_S = 0.25
-# When to retry a request at a host that may admit only a share of the limit
-# of its workspace: other hosts may have room.
-SHARE_RETRY_S = 0.3
 
 
 class CoordinatorHost(abc.ABC):
@@ -144,28 +141,30 @@
 
     def count(
         self, want: slot_scheduler.SlotRequest, now: float
-    ) -> slot_scheduler.Refuse | None:
+    ) -> slot_scheduler.Throttle | None:
         """Count a request against the limit of its workspace, if any.
 
         Returns:
-          Its refusal if the limit is reached, else None.
+          Its refusal if it is not within the limit, else None.
         """
         limit = self.host.active_config.access.limit_of(want.workspace)
         if not limit.per_s:
             return None
         share = self.scheduler.accounting.table.share * self.reach
         request = request_limits.Admission(want.id, want.workspace, now)
-        wait_s = self.limits.admit(request, limit, share)
-        if not wait_s:
+        excess = self.limits.admit(request, limit, share)
+        if excess is None:
             return None
-        if self.grants_all:
-            return slot_scheduler.Throttle(want, wait_s)
-        return slot_scheduler.Refuse(want, min(wait_s, SHARE_RETRY_S))
+        return slot_scheduler.Throttle(
+            want, excess.retry_after_s, excess.certain
+        )
 
     def on_refusals(self, decisions: list[slot_scheduler.Decision]) -> None:
-        """Log refusals; a refused request does not count against a limit."""
+        """Log refusals; do not count what was refused for want of a slot."""
         for decision in decisions:
-            if isinstance(decision, slot_scheduler.Refuse):
+            if isinstance(decision, slot_scheduler.Refuse) and not isinstance(
+                decision, slot_scheduler.Throttle
+            ):
                 want = decision.want
                 self.limits.withdraw(want.id, want.workspace)
         self.log_refusals(decisions)
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -242,7 +242,10 @@
                 revoked.append(want_id)
             else:
                 refused[want_id] = decision.retry_after_s
-                if isinstance(decision, slot_scheduler.Throttle):
+                if (
+                    isinstance(decision, slot_scheduler.Throttle)
+                    and decision.certain
+                ):
                     over_limit.append(want_id)
         return cls(
             service, granted, refused, tuple(revoked), tuple(over_limit)
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -87,7 +87,13 @@
 
 
 class Throttle(Refuse, frozen=True):
-    """Refuses a request whose workspace has reached its limit."""
+    """Refuses a request by the limit of its workspace.
+
+    Attributes:
+      certain: Whether the limit is reached; else it may be.
+    """
+
+    certain: bool = True
 
 
 class Revoke(msgspec.Struct, frozen=True):
