--- a/camphortray/request_limits.py
+++ b/camphortray/request_limits.py
@@ -120,31 +120,20 @@
         now = request.at
         log = self.logs.setdefault(request.workspace, RequestLog())
         log.forget(now - self.window_s, now)
-        most = max(1, math.floor(share * limit.requests_in(self.window_s)))
-        if len(log.admitted) >= most and share >= 1.0:
+        most = math.floor(limit.requests_in(self.window_s))
+        if len(log.admitted) >= most:
             return Excess(self.retry_s(log, most, now))
-        if len(log.admitted) >= most or not self.is_known(
-            log, share * limit.requests_in(now - self.since), now
-        ):
+        if len(log.admitted) >= max(1, math.floor(share * most)):
+            return Excess(UNCERTAIN_RETRY_S, certain=False)
+        # Requests that a new coordinator does not know of may have run within
+        # the window, so it admits only what the limit allows since it began.
+        known_s = min(now - self.since, self.window_s)
+        allowed = max(1.0, share * limit.requests_in(known_s))
+        if log.count_since(self.since) >= allowed:
             return Excess(UNCERTAIN_RETRY_S, certain=False)
         log.admitted.append(request)
         return None
 
-    def is_known(self, log: RequestLog, most: float, now: float) -> bool:
-        """Return whether a request is within a limit for certain.
-
-        Requests that a new coordinator does not know of may have run within
-        the window, so it admits only what the limit allows since it began.
-
-        Args:
-          log: Requests of the workspace.
-          most: Number of requests that the limit allows since then.
-          now: Present time.
-        """
-        if now - self.since >= self.window_s:
-            return True
-        return log.count_since(self.since) < max(1.0, most)
-
     def retry_s(self, log: RequestLog, most: int, now: float) -> float:
         """Return when a refused request should be sent again.
 
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -113,12 +113,24 @@
 
 
 @pytest.mark.parametrize(
-    ("since", "share", "certain"),
-    [(-WINDOW_S, 1.0, True), (-WINDOW_S, 0.5, False), (0.0, 1.0, False)],
+    ("since", "share", "known", "certain"),
+    [
+        (-WINDOW_S, 1.0, 0, True),
+        (-WINDOW_S, 0.5, 0, False),
+        (-WINDOW_S, 0.5, 30, True),
+        (0.0, 1.0, 0, False),
+        (0.0, 1.0, 30, True),
+    ],
 )
-def test_a_refusal_says_whether_the_limit_is_reached(since, share, certain):
+def test_a_refusal_says_whether_the_limit_is_reached(
+    since, share, known, certain
+):
     """Guards against 429 to a workspace that may be within its limit."""
     limits = limits_since(since)
+    limits.merge(
+        [request_limits.Admission(f"k{n}", "w", 0.5) for n in range(known)],
+        1.0,
+    )
     admitted(limits, [1.0] * 30, share=share)
     assert ask(limits, "next", 1.0, share).certain == certain
 
