--- a/camphortray/request_limits.py
+++ b/camphortray/request_limits.py
@@ -10,6 +10,7 @@
     "RecentAdmissions",
     "RequestLimits",
     "counting_service",
+    "share_of_reach",
 ]
 
 import bisect
@@ -29,6 +30,9 @@
 # Time after which a request is retried that was refused although its limit
 # may not be reached: another coordinator may have room for it.
 UNCERTAIN_RETRY_S = 0.3
+# Share of the listed hosts from which on those in reach admit the whole limit.
+# The others admit the rest of the share at most, if they run at all.
+WHOLE_REACH = 0.9
 
 
 class Admission(msgspec.Struct, frozen=True):
@@ -226,6 +230,18 @@
             self.known_to.setdefault(request.id, set()).add(coordinator)
 
 
+def share_of_reach(reach: float) -> float:
+    """Return the share of limits for the listed hosts that are in reach.
+
+    Hosts out of reach may have been lost, or be on the other side of a
+    partition with a coordinator of their own.
+
+    >>> share_of_reach(0.4), share_of_reach(0.95)
+    (0.4, 1.0)
+    """
+    return 1.0 if reach >= WHOLE_REACH else reach
+
+
 def counting_service(workspace: str, services: Iterable[str]) -> str | None:
     """Return the service whose coordinator counts a workspace's requests.
 
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -150,7 +150,8 @@
         limit = self.host.active_config.access.limit_of(want.workspace)
         if not limit.per_s:
             return None
-        share = self.scheduler.accounting.table.share * self.reach
+        share = request_limits.share_of_reach(self.reach)
+        share *= self.scheduler.accounting.table.share
         request = request_limits.Admission(want.id, want.workspace, now)
         excess = self.limits.admit(request, limit, share)
         if excess is None:
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -232,12 +232,12 @@
         await asyncio.gather(*self.tasks)
 
 
-def played(monkeypatch, play):
+def played(monkeypatch, play, hosts=HOSTS):
     """Play callers on a fleet whose workspace is limited."""
     callers = []
 
     async def work():
-        async with costrig.Fleet(HOSTS, 2, 1) as fleet:
+        async with costrig.Fleet(hosts, 2, 1) as fleet:
             await fleet.store.configure(2, tenants=TENANTS)
             await asyncio.sleep(3.0)
             callers.append(Callers(fleet))
@@ -350,6 +350,22 @@
     assert most_in_window(callers.sent_at) <= MOST
 
 
+def test_a_limit_stays_whole_as_a_host_is_lost(monkeypatch):
+    """Guards against 503 to a workspace over its limit for a lost host."""
+
+    async def play(fleet, callers):
+        await callers.send(5, 37, spread(fleet))
+        lost = next(h for h in fleet.hosts if h is not coordinator_of(fleet))
+        await fleet.stop(lost)
+        await asyncio.sleep(WINDOW_S)
+        callers.statuses.clear()
+        await callers.send(5, 37, spread(fleet))
+
+    callers = played(monkeypatch, play, hosts=11)
+    assert most_in_window(callers.sent_at) <= MOST
+    assert set(callers.statuses) == {200, 429}
+
+
 @pytest.mark.parametrize(("per_s", "refused"), [(2, False), (37, True)])
 def test_two_sides_of_a_partition_keep_a_limit_together(
     monkeypatch, per_s, refused
