--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -310,7 +310,11 @@
         ),
         (
             {"tenants": [{"name": "x", "priority": 0, "ratePerS": 4}]},
-            (routemap.Workspace("x", (), 0),),
+            (routemap.Workspace("x", (), 0, routemap.RateLimit(4)),),
+        ),
+        (
+            {"tenants": [{"name": "x", "ratePerS": 4.5, "burst": 9}]},
+            (routemap.Workspace("x", limit=routemap.RateLimit(4.5, 9)),),
         ),
     ],
 )
