Refuse by a limit below one request a window without an error

Found by reading: the time to retry was looked up in an empty list. Times told to refused requests are kept in order and no more than the limit. The coordinator's line on a refusal says how many of the listed hosts it reaches.

--- a/camphortray/enginehealth.py
+++ b/camphortray/enginehealth.py
@@ -169,8 +169,8 @@
         if outcome is Outcome.FAILED and not online:
             outcome = Outcome.GOOD
         health = self.by_engine.get(engine)
-        is_ejected = health is not None and now < health.closed_until
-        if outcome in (Outcome.GOOD, Outcome.FAILED) and not is_ejected:
+        is_closed = health is not None and now < health.closed_until
+        if outcome in (Outcome.GOOD, Outcome.FAILED) and not is_closed:
             self.error_rates.record(engine, outcome is Outcome.FAILED)
         if outcome is Outcome.GOOD:
             if self.error_rates.has_recovered(engine):
--- a/camphortray/request_limits.py
+++ b/camphortray/request_limits.py
@@ -24,14 +24,12 @@
 from camphortray import routemap
 from camphortray import shards
 
-# Time between two requests that are told when to retry, if the limit allows
-# fewer in a window than there are such requests.
+# Shortest time after which a refused request is retried, in seconds.
 MIN_RETRY_S = 0.05
-# Time after which a request is retried that was refused although its limit
-# may not be reached: another coordinator may have room for it.
+# The same if its limit may not be reached, as others may have room for it.
 UNCERTAIN_RETRY_S = 0.3
-# Share of the listed hosts from which on those in reach admit the whole limit.
-# The others admit the rest of the share at most, if they run at all.
+# Hosts in reach admit the whole limit if they are at least this share of the
+# listed hosts. The others admit no more than the rest of it, if they run.
 WHOLE_REACH = 0.9
 
 
@@ -124,7 +122,7 @@
         now = request.at
         log = self.logs.setdefault(request.workspace, RequestLog())
         log.forget(now - self.window_s, now)
-        most = math.floor(limit.requests_in(self.window_s))
+        most = max(1, math.floor(limit.requests_in(self.window_s)))
         if len(log.admitted) >= most:
             return Excess(self.retry_s(log, most, now))
         if len(log.admitted) >= max(1, math.floor(share * most)):
@@ -147,7 +145,8 @@
         excess = len(log.admitted) - most
         following = min(excess + len(log.retries), len(log.admitted) - 1)
         at = log.admitted[following].at + self.window_s
-        log.retries.append(at)
+        if len(log.retries) < most:
+            bisect.insort(log.retries, at)
         return max(MIN_RETRY_S, at - now)
 
     def withdraw(self, request_id: str, workspace: str) -> None:
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -163,9 +163,9 @@
     def on_refusals(self, decisions: list[slot_scheduler.Decision]) -> None:
         """Log refusals; do not count what was refused for want of a slot."""
         for decision in decisions:
-            if isinstance(decision, slot_scheduler.Refuse) and not isinstance(
-                decision, slot_scheduler.Throttle
-            ):
+            if isinstance(decision, slot_scheduler.Throttle):
+                continue
+            if isinstance(decision, slot_scheduler.Refuse):
                 want = decision.want
                 self.limits.withdraw(want.id, want.workspace)
         self.log_refusals(decisions)
@@ -212,6 +212,7 @@
                         for name in scheduler.accounting.table.unhealthy()
                     },
                     "share": round(scheduler.accounting.table.share, 3),
+                    "reach": round(self.reach, 3),
                     "hold_s": round(scheduler.hold_s, 3),
                     "asked_ms_ago": round(
                         (now - decision.want.asked_at) * 1000
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -112,6 +112,13 @@
     assert len(found) == 30
 
 
+def test_a_limit_below_one_request_a_window_admits_one():
+    """Guards against an error in place of a refusal at a very low limit."""
+    limit = routemap.RateLimit(0.1)
+    times = [0.0, 1.0, 4.9, 5.1]
+    assert admitted(limits_since(), times, limit=limit) == [0.0, 5.1]
+
+
 @pytest.mark.parametrize(
     ("since", "share", "known", "certain"),
     [
