Start without a window of request limits

A settings file with a window of 0, as a deployment without limits may have it, would have ended the process; found by reading. It stands for the default now.

--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -279,7 +279,7 @@
             max(0.0, self.request.deadline_at - now),
             prefix=self.request.prefix,
             avoid=self.tried,
-            # A further attempt is the same request to its workspace's limit.
+            # Only the first attempt counts against the workspace's limit.
             workspace=self.caller.workspace
             if self.caller.limit.per_s and not self.tries
             else "",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -114,6 +114,17 @@
     assert (ledger.configuration_s, ledger.engines_s) == (4, 3)
 
 
+@pytest.mark.parametrize(
+    ("bound", "seconds"),
+    [("", 5), ("quotaWindowS = 0", 5), ("quotaWindowS = 8", 8)],
+)
+def test_the_window_of_request_limits_is_read(tmp_path, bound, seconds):
+    path = tmp_path / "boot.toml"
+    path.write_text(GOOD.replace("[bounds]\n", f"[bounds]\n{bound}\n"))
+    front = settings.load(str(path)).config().front
+    assert front.limit_window_s == seconds
+
+
 @pytest.mark.parametrize(
     ("change", "named"),
     [
@@ -122,6 +133,7 @@
         (('front = "10.1.0.10:8161"', 'front = "nowhere"'), "listen.front"),
         (("graceS = 8", "graceS = 0"), "bounds.graceS"),
         (("graceS = 8", "drainMs = 0"), "bounds.drainMs"),
+        (("graceS = 8", "quotaWindowS = -1"), "bounds.quotaWindowS"),
         (('address = "10.200.1.7:8169"', ""), "address"),
         (("[listen]", "[listen"), "syntax"),
     ],
