Keep limits of workspaces as their coordinator is lost with other hosts

Cause: a request that was admitted was known to its coordinator and to the host that sent it. With both lost the next coordinator counted too little; a coordinator back under its name was taken to know what it had counted before; a host without a coordinator granted itself up to its share of a limit that others had used up; and a host that had stood in did not hand its counts on. Requests that got no slot stayed counted.

--- a/camphortray/coordinator_election.py
+++ b/camphortray/coordinator_election.py
@@ -88,6 +88,15 @@
         names = [n for n in self.possible() if self.usable_name(n, now)]
         return shards.preferred(f"slots/{service}", names)
 
+    def standbys(self, service: str, count: int, now: float) -> list[str]:
+        """Return the members that would coordinate a service next."""
+        names = [
+            member.name
+            for member in self.live()
+            if member.name != self.own_name and self.usable(member, now)
+        ]
+        return shards.rank(f"slots/{service}", names)[:count]
+
     def share_of(self, service: str, holders: int, now: float) -> float:
         """Return the share of the slots that this host grants.
 
--- a/camphortray/request_limits.py
+++ b/camphortray/request_limits.py
@@ -1,11 +1,14 @@
 """Limits how many online requests of a workspace run in any time window.
 
 The coordinator of a service counts the requests that it admits. A workspace
-that calls several services is counted by the coordinator of one of them.
+that calls several services is counted by the coordinator of one of them. The
+standbys of a coordinator know its counts (`limit_standby`).
 """
 
 __all__ = [
     "Admission",
+    "Change",
+    "Count",
     "Excess",
     "RecentAdmissions",
     "RequestLimits",
@@ -20,6 +23,7 @@
 import operator
 
 import msgspec
+import xxhash
 
 from camphortray import routemap
 from camphortray import shards
@@ -31,6 +35,12 @@
 # Hosts in reach admit the whole limit if they are at least this share of the
 # listed hosts. The others admit no more than the rest of it, if they run.
 WHOLE_REACH = 0.9
+# Seconds without changes of the coordinator after which it may have counted
+# requests that its standby does not know.
+KNOWN_GAP_S = 1.0
+# Seconds after which hosts have reported to a new coordinator what they have
+# admitted since its last update.
+REPORTS_S = 0.5
 
 
 class Admission(msgspec.Struct, frozen=True):
@@ -60,31 +70,84 @@
     certain: bool = True
 
 
-admitted_at = operator.attrgetter("at")
+class Count(msgspec.Struct, frozen=True):
+    """An admission as coordinators keep it.
+
+    Attributes:
+      digest: Hash of the id of its slot request.
+      at: When it was admitted, in monotonic seconds.
+      here: Whether this coordinator admitted it.
+    """
+
+    digest: int
+    at: float
+    here: bool = False
+
+
+class Change(msgspec.Struct, frozen=True):
+    """An admission that was counted or withdrawn, for standbys."""
+
+    workspace: str
+    count: Count
+    withdrawn: bool = False
+
+
+counted_at = operator.attrgetter("at")
 
 
 class RequestLog:
     """Requests of one workspace that were admitted within the last window.
 
     Attributes:
-      admitted: In the order of their times.
+      counts: In the order of their times.
+      here: Number of those that this coordinator admitted.
+      reserved: Number of requests that others may have admitted since they
+        last sent their counts.
       retries: Times at which refused requests were told to retry.
     """
 
     def __init__(self) -> None:
-        self.admitted: list[Admission] = []
+        self.counts: list[Count] = []
+        self.here = 0
+        self.reserved = 0
         self.retries: list[float] = []
 
+    def add(self, count: Count) -> None:
+        """Add an admission."""
+        bisect.insort(self.counts, count, key=counted_at)
+        self.here += count.here
+
+    def pop(self, place: int) -> Count:
+        """Remove and return the admission at a place in ``counts``."""
+        count = self.counts.pop(place)
+        self.here -= count.here
+        return count
+
     def forget(self, before: float, now: float) -> None:
         """Drop admissions before a time, and retries that are due."""
-        first = bisect.bisect_right(self.admitted, before, key=admitted_at)
-        del self.admitted[:first]
+        while self.counts and self.counts[0].at <= before:
+            self.pop(0)
         del self.retries[: bisect.bisect_right(self.retries, now)]
 
+    def find(self, digest: int) -> int | None:
+        """Return the place of the newest admission with a digest, if any.
+
+        A caller may have sent several requests with the same id.
+        """
+        for place in reversed(range(len(self.counts))):
+            if self.counts[place].digest == digest:
+                return place
+        return None
+
     def count_since(self, at: float) -> int:
         """Return the number of requests admitted since a time."""
-        first = bisect.bisect_left(self.admitted, at, key=admitted_at)
-        return len(self.admitted) - first
+        first = bisect.bisect_left(self.counts, at, key=counted_at)
+        return len(self.counts) - first
+
+    def here_since(self, at: float) -> int:
+        """Return how many requests this coordinator admitted since a time."""
+        first = bisect.bisect_left(self.counts, at, key=counted_at)
+        return sum(count.here for count in self.counts[first:])
 
 
 class RequestLimits:
@@ -92,21 +155,32 @@
 
     Attributes:
       window_s: Length of the window, in seconds.
-      since: When this coordinator began to count. It may not know of
-        requests that were admitted before.
+      since: When this coordinator began to count, or the one whose standby
+        it is. It may not know of requests that were admitted before.
+      updated_at: When the last changes of a coordinator were received.
       logs: Recent admissions by workspace.
+      leads: Whether requests are admitted here, not by another coordinator
+        alone.
+      reserved_until: Until when places are kept for requests that a previous
+        coordinator may have admitted.
+      changes: What standbys have not been sent yet, if it leads.
     """
 
     def __init__(self, window_s: float, since: float) -> None:
         self.window_s = window_s
         self.since = since
+        self.updated_at = since
         self.logs: dict[str, RequestLog] = {}
+        self.leads = False
+        self.reserved_until = -math.inf
+        self.changes: list[Change] = []
 
     def admit(
         self,
         request: Admission,
         limit: routemap.RateLimit,
         share: float = 1.0,
+        spent: int = 0,
     ) -> Excess | None:
         """Count a request if it is within the limit of its workspace.
 
@@ -115,6 +189,8 @@
           limit: Limit over all hosts.
           share: Share of it that this coordinator may admit; at least one
             request a window, whatever the share.
+          spent: Requests of the workspace that this host has sent within the
+            window. They count to its share, whoever admitted them.
 
         Returns:
           None if it was counted, else its refusal.
@@ -123,59 +199,126 @@
         log = self.logs.setdefault(request.workspace, RequestLog())
         log.forget(now - self.window_s, now)
         most = max(1, math.floor(limit.requests_in(self.window_s)))
-        if len(log.admitted) >= most:
+        if len(log.counts) >= most:
             return Excess(self.retry_s(log, most, now))
-        if len(log.admitted) >= max(1, math.floor(share * most)):
+        # What others have admitted is known here, or is within their share.
+        if max(log.here, spent) >= max(1, math.floor(share * most)):
+            return Excess(UNCERTAIN_RETRY_S, certain=False)
+        reserved = log.reserved if now < self.reserved_until else 0
+        if len(log.counts) + reserved >= most:
             return Excess(UNCERTAIN_RETRY_S, certain=False)
         # Requests that a new coordinator does not know of may have run within
         # the window, so it admits only what the limit allows since it began.
         known_s = min(now - self.since, self.window_s)
         allowed = max(1.0, share * limit.requests_in(known_s))
-        if log.count_since(self.since) >= allowed:
+        if self.since > now - self.window_s and (
+            log.here_since(self.since) >= allowed
+        ):
             return Excess(UNCERTAIN_RETRY_S, certain=False)
-        log.admitted.append(request)
+        count = Count(digest(request.id), now, here=True)
+        log.add(count)
+        self.note(Change(request.workspace, count))
         return None
 
+    def note(self, change: Change) -> None:
+        """Keep a change for the standbys."""
+        if self.leads:
+            self.changes.append(change)
+
+    def begin(self, now: float) -> None:
+        """Begin to admit, as the coordinator of the service."""
+        self.leads = True
+        gap_s = now - self.updated_at
+        if gap_s > KNOWN_GAP_S:
+            self.since = now
+            return
+        self.reserved_until = now + REPORTS_S
+        for log in self.logs.values():
+            log.reserved = log.count_since(self.updated_at - gap_s)
+
     def retry_s(self, log: RequestLog, most: int, now: float) -> float:
         """Return when a refused request should be sent again.
 
         Each is told the time at which another admission leaves the window,
         so that those refused together do not all return at once.
         """
-        excess = len(log.admitted) - most
-        following = min(excess + len(log.retries), len(log.admitted) - 1)
-        at = log.admitted[following].at + self.window_s
+        excess = len(log.counts) - most
+        following = min(excess + len(log.retries), len(log.counts) - 1)
+        at = log.counts[following].at + self.window_s
         if len(log.retries) < most:
             bisect.insort(log.retries, at)
         return max(MIN_RETRY_S, at - now)
 
     def withdraw(self, request_id: str, workspace: str) -> None:
-        """Remove a request that was refused for another reason."""
-        log = self.logs.get(workspace, RequestLog())
-        for place in reversed(range(len(log.admitted))):
-            if log.admitted[place].id == request_id:
-                # A caller may have sent an earlier one with the same id.
-                del log.admitted[place]
-                return
+        """Remove a request that did not run."""
+        self.remove(digest(request_id), workspace)
+
+    def remove(self, request_digest: int, workspace: str) -> None:
+        """Remove an admission, if it is known."""
+        log = self.logs.get(workspace)
+        place = log.find(request_digest) if log is not None else None
+        if log is not None and place is not None:
+            count = log.pop(place)
+            self.note(Change(workspace, count, withdrawn=True))
 
     def merge(self, requests: Iterable[Admission], now: float) -> None:
         """Add requests that other coordinators have admitted."""
         for request in requests:
-            log = self.logs.setdefault(request.workspace, RequestLog())
-            log.forget(now - self.window_s, now)
-            if request.at <= now - self.window_s:
-                continue
-            if all(known.id != request.id for known in log.admitted):
-                bisect.insort(log.admitted, request, key=admitted_at)
+            count = Count(digest(request.id), request.at)
+            self.merge_count(request.workspace, count, now)
+
+    def merge_count(self, workspace: str, count: Count, now: float) -> None:
+        """Add an admission unless it is known or has left the window."""
+        log = self.logs.setdefault(workspace, RequestLog())
+        log.forget(now - self.window_s, now)
+        if count.at > now - self.window_s and log.find(count.digest) is None:
+            log.add(count)
+            self.note(Change(workspace, count))
+
+    def apply(
+        self, changes: Iterable[Change], since: float, now: float
+    ) -> None:
+        """Apply the changes of a coordinator whose standby this host is.
+
+        Args:
+          changes: Its changes since the last ones.
+          since: When it began to count.
+          now: Present time.
+        """
+        self.updated_at = now
+        self.since = min(self.since, since)
+        for change in changes:
+            if change.withdrawn:
+                self.remove(change.count.digest, change.workspace)
+            else:
+                self.merge_count(change.workspace, change.count, now)
+
+    def take_changes(self) -> list[Change]:
+        """Return what standbys have not been sent, and forget it."""
+        changes, self.changes = self.changes, []
+        return changes
+
+    def everything(self) -> list[Change]:
+        """Return all admissions of the window, for a new standby."""
+        return [
+            Change(workspace, count)
+            for workspace, log in self.logs.items()
+            for count in log.counts
+        ]
 
     def prune(self, now: float) -> None:
         """Drop the logs of workspaces without recent requests."""
         for workspace, log in list(self.logs.items()):
             log.forget(now - self.window_s, now)
-            if not log.admitted:
+            if not log.counts:
                 del self.logs[workspace]
 
 
+def digest(request_id: str) -> int:
+    """Return the hash by which admissions of one request are matched."""
+    return xxhash.xxh32_intdigest(request_id.encode())
+
+
 class RecentAdmissions:
     """Requests of one host that were admitted within the last window.
 
@@ -221,6 +364,18 @@
             and coordinator not in self.known_to.get(request.id, ())
         ]
 
+    def count(self, workspace: str, now: float) -> int:
+        """Return the number of requests of a workspace in the window."""
+        self.forget(now)
+        return sum(
+            request.workspace == workspace for request, _ in self.admitted
+        )
+
+    def on_lost(self, coordinator: str) -> None:
+        """Record that a coordinator has ended, and its counts with it."""
+        for names in self.known_to.values():
+            names.discard(coordinator)
+
     def on_reported(
         self, coordinator: str, requests: Iterable[Admission]
     ) -> None:
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -55,6 +55,9 @@
 # Seconds that an online request waits for the coordinator's answer beyond its
 # maximum time in the queue.
 ANSWER_MARGIN_S = 0.1
+# Number of coordinators, one after the other, that may be asked for a slot for
+# a request that counts against a limit.
+COUNTING_CANDIDATES = 2
 # Number of unusable grants (revoked early, or for an engine unknown to this
 # host) after which a request is refused, and the seconds until its caller
 # retries.
@@ -76,6 +79,7 @@
       pending: Slot requests without an answer, by id.
       held: Leases in use, by id of the slot request.
       admitted: Recent requests of this host that count against limits.
+      started: Start of each member, to notice that it has started again.
       revoked_early: Ids of slot requests whose grant was revoked before the
         batch item received it.
     """
@@ -102,7 +106,8 @@
         self.published: dict[str, float] = {}
         self.served = slot_coordinator.SlotCoordinators(self)
         self.reports = lease_reporting.LeaseReporter(self)
-        self.coordinators.on_change = self.reports.schedule
+        self.coordinators.on_change = self.on_elected
+        self.started: dict[str, int] = {}
         self.pending: dict[str, lease_table.Pending] = {}
         self.held: dict[str, lease_table.HeldLease] = {}
         self.revoked_early: set[str] = set()
@@ -139,6 +144,23 @@
         now = self.clock.monotonic()
         return self.coordinators.share_of(service, holders, now)
 
+    def elected(self, service: str) -> str:
+        """Return the member that coordinates a service."""
+        return self.coordinators.coordinator(service, self.clock.monotonic())
+
+    def sent(self, workspace: str, now: float) -> int:
+        """Return how many limited requests this host sent in the window."""
+        return self.admitted.count(workspace, now)
+
+    def standbys(self, service: str, count: int) -> list[str]:
+        """Return the members that would coordinate a service next."""
+        now = self.clock.monotonic()
+        return self.coordinators.standbys(service, count, now)
+
+    def peer_address(self, name: str) -> configs.Address:
+        """Return where a member takes links."""
+        return self.members.peer_address(name)
+
     def reach(self) -> float:
         """Return the share of the listed hosts that may be in reach."""
         return self.members.reach("host")
@@ -219,8 +241,18 @@
         )
         self.coordinators.exclude(name, self.clock.monotonic())
 
+    def on_elected(self, service: str) -> None:
+        """Report to a new coordinator of a service."""
+        self.served.standbys.on_elected(service)
+        self.reports.schedule(service)
+
     def on_member(self, member: membership.Member) -> None:
         """Re-elect coordinators if a member's change may affect them."""
+        started = self.started.setdefault(member.name, member.started)
+        if member.dead or member.started > started:
+            self.started.pop(member.name)
+            self.admitted.on_lost(member.name)
+            self.served.standbys.on_lost(member.name)
         if member.dead:
             self.served.drop(member.name)
         self.coordinators.on_member(member, self.clock.monotonic())
@@ -350,16 +382,26 @@
             async with timers.limit(left_s):
                 return pending.granted(*await pending.answer)
         except TimeoutError:
-            self.send_ends(pending.coordinators, service, request.id)
+            self.withdraw(pending)
             raise errors.NoSlot(
                 "no word on a slot", request.left_s / 4
             ) from None
         except asyncio.CancelledError:
-            self.send_ends(pending.coordinators, service, request.id)
+            self.withdraw(pending)
             raise
         finally:
             self.pending.pop(request.id, None)
 
+    def withdraw(self, pending: lease_table.Pending) -> None:
+        """Notify coordinators that a request no longer waits for a slot."""
+        for name in pending.coordinators:
+            self.send_end(
+                name,
+                pending.service,
+                pending.request.id,
+                unused=pending.request.workspace,
+            )
+
     def add_lease(
         self,
         service: str,
@@ -403,46 +445,58 @@
     async def ask(self, pending: lease_table.Pending) -> None:
         """Send a slot request to the coordinator of its service.
 
-        An online request falls back to this host's own coordinator if the
-        elected one does not respond.
+        If the elected one does not respond, a request that counts against a
+        limit goes to the next, which as its standby knows the counts. An
+        online request then falls back to this host's own coordinator.
         """
-        now = self.clock.monotonic()
-        name = self.coordinators.coordinator(pending.service, now)
-        pending.fail_over(name)
-        if name == self.own_name:
+        candidates = COUNTING_CANDIDATES if pending.request.workspace else 1
+        for _ in range(candidates):
+            now = self.clock.monotonic()
+            name = self.coordinators.coordinator(pending.service, now)
+            pending.fail_over(name)
+            if name == self.own_name:
+                self.ask_own_coordinator(pending)
+                return
+            if await self.ask_coordinator(pending, name, now):
+                return
+            self.exclude(name)
+            if pending.answer.done():
+                return
+        if pending.request.online:
+            pending.fail_over(self.own_name)
             self.ask_own_coordinator(pending)
-            return
-        member = self.members.member(name)
+
+    async def ask_coordinator(
+        self, pending: lease_table.Pending, name: str, now: float
+    ) -> bool:
+        """Send a slot request to a coordinator; return whether it replied."""
+        request = pending.request
+        message = SlotAsk(
+            pending.service,
+            str(self.links.address),
+            (WireRequest.of(request, now),),
+            ((request.id, request.workspace),) if request.workspace else (),
+        )
         try:
-            assert member is not None
-            address = configs.Address.from_text(member.peer_address)
-            message = SlotAsk(
-                pending.service,
-                str(self.links.address),
-                (WireRequest.of(pending.request, now),),
-                ((pending.request.id, pending.request.workspace),)
-                if pending.request.workspace
-                else (),
-            )
+            address = self.members.peer_address(name)
             reply = await self.links.ask(address, message, ASK_TIMEOUT_S)
         except errors.MessageError as error:
             LOG.info(
                 "Slot request {} not answered by coordinator {}: {}",
-                pending.request.id,
+                request.id,
                 name,
                 error,
             )
             # The coordinator may still grant the slot. Without this message
             # the slot would stay taken until the holder expires seconds
             # later, while other requests are refused.
-            self.send_end(name, pending.service, pending.request.id)
-            self.exclude(name)
-            if pending.request.online and not pending.answer.done():
-                pending.fail_over(self.own_name)
-                self.ask_own_coordinator(pending)
-            return
+            self.send_end(
+                name, pending.service, request.id, unused=request.workspace
+            )
+            return False
         if isinstance(reply, SlotDecisions):
             self.on_decisions(reply, name)
+        return True
 
     def ask_own_coordinator(self, pending: lease_table.Pending) -> None:
         """Submit a slot request to this host's own coordinator."""
@@ -512,19 +566,17 @@
         service: str,
         request_id: str,
         outcome: enginehealth.Outcome = enginehealth.Outcome.NOTHING,
+        unused: str = "",
     ) -> None:
         """Notify a coordinator that a request or lease has ended."""
         if coordinator == self.own_name:
             served = self.served.coordinator(service)
-            now = self.clock.monotonic()
-            served.send_decisions(
-                served.scheduler.done(request_id, outcome, now)
-            )
+            served.end(request_id, outcome, unused)
             return
         member = self.members.member(coordinator)
         if member is not None and not member.dead:
             address = configs.Address.from_text(member.peer_address)
-            end = LeaseEnd.of(service, request_id, outcome)
+            end = LeaseEnd.of(service, request_id, outcome, unused)
             self.links.notify(address, end)
 
     async def on_later_decisions(
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -7,10 +7,11 @@
 import collections
 
 from camphortray import active_config
-from camphortray import clock as clocks
 from camphortray import config as configs
 from camphortray import engine_registry
+from camphortray import enginehealth
 from camphortray import errors
+from camphortray import limit_standby
 from camphortray import logs
 from camphortray import orphaned_leases
 from camphortray import peers
@@ -32,30 +33,27 @@
 LEARNING_S = 0.25
 
 
-class CoordinatorHost(abc.ABC):
+class CoordinatorHost(limit_standby.StandbyHost):
     """What coordinators need of the host that they run on.
 
     Attributes:
-      clock: Source of time.
-      links: Links to other hosts.
       active_config: Configuration and engines as this host knows them.
       own_name: Name of this host's member.
-      limit_window_s: Window in which requests count against the limit of
-        their workspace, in seconds.
       experiments: Mechanisms in use; ablation experiments disable some.
     """
 
-    clock: clocks.Clock
-    links: peers.Peers
     active_config: active_config.ActiveConfig
     own_name: str
-    limit_window_s: float
     experiments: configs.ExperimentsConfig
 
     @abc.abstractmethod
     def share_of(self, service: str) -> float:
         """Return the share of the slots that this host grants."""
 
+    @abc.abstractmethod
+    def sent(self, workspace: str, now: float) -> int:
+        """Return how many limited requests this host sent in the window."""
+
     @abc.abstractmethod
     def reach(self) -> float:
         """Return the share of the listed hosts that may be in reach."""
@@ -85,6 +83,7 @@
     Attributes:
       scheduler: Scheduler of the service.
       reconciler: Updates the scheduler from reports.
+      standbys: Sends the counts of ``limits`` to standbys.
       limits: Counts of the requests admitted, by workspace.
       reach: Share of the listed hosts in reach. The others may have a
         coordinator of their own, which admits requests as well.
@@ -94,16 +93,21 @@
       unresponsive: Holders last logged as unresponsive.
     """
 
-    def __init__(self, host: CoordinatorHost, service: str) -> None:
+    def __init__(
+        self,
+        host: CoordinatorHost,
+        service: str,
+        standbys: limit_standby.LimitStandbys,
+    ) -> None:
         self.host = host
         self.service = service
+        self.standbys = standbys
         self.scheduler = slot_scheduler.SlotScheduler(
             host.experiments, host.own_name
         )
         self.reconciler = slot_reconciler.SlotReconciler(self.scheduler)
-        self.limits = request_limits.RequestLimits(
-            host.limit_window_s, host.clock.monotonic()
-        )
+        self.limits = standbys.limits_of(service)
+        self.limits.begin(host.clock.monotonic())
         self.reach = host.reach()
         self.holders: dict[str, tuple[configs.Address, float]] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -152,14 +156,31 @@
             return None
         share = request_limits.share_of_reach(self.reach)
         share *= self.scheduler.accounting.table.share
+        spent = 0 if share == 1.0 else self.host.sent(want.workspace, now)
         request = request_limits.Admission(want.id, want.workspace, now)
-        excess = self.limits.admit(request, limit, share)
+        excess = self.limits.admit(request, limit, share, spent)
         if excess is None:
+            self.standbys.schedule(self.service)
             return None
         return slot_scheduler.Throttle(
             want, excess.retry_after_s, excess.certain
         )
 
+    def end(
+        self, want_id: str, outcome: enginehealth.Outcome, unused: str = ""
+    ) -> None:
+        """Apply the end of a lease or of a waiting request.
+
+        Args:
+          want_id: Id of the request.
+          outcome: How the lease ended.
+          unused: Workspace of a request that was sent to no engine.
+        """
+        if unused:
+            self.limits.withdraw(want_id, unused)
+        now = self.host.clock.monotonic()
+        self.send_decisions(self.scheduler.done(want_id, outcome, now))
+
     def on_refusals(self, decisions: list[slot_scheduler.Decision]) -> None:
         """Log refusals; do not count what was refused for want of a slot."""
         for decision in decisions:
@@ -334,11 +355,13 @@
     """The coordinators on one host, and the messages to them.
 
     Attributes:
+      standbys: Counts against limits, also of other coordinators.
       by_service: Coordinator by service.
     """
 
     def __init__(self, host: CoordinatorHost) -> None:
         self.host = host
+        self.standbys = limit_standby.LimitStandbys(host)
         self.by_service: dict[str, SlotCoordinator] = {}
 
     def start(self) -> None:
@@ -347,9 +370,11 @@
         links.on(SlotAsk, self.on_ask)
         links.on(LeaseEnd, self.on_end)
         links.on(LeaseReport, self.on_report)
+        self.standbys.start()
 
     def stop(self) -> None:
         """Cancel all timers."""
+        self.standbys.stop()
         for coordinator in self.by_service.values():
             if coordinator.timer is not None:
                 coordinator.timer.cancel()
@@ -359,7 +384,7 @@
         coordinator = self.by_service.get(service)
         if coordinator is None:
             coordinator = self.by_service[service] = SlotCoordinator(
-                self.host, service
+                self.host, service, self.standbys
             )
             coordinator.update_engines(self.host.clock.monotonic())
             if coordinator.grants_all:
@@ -435,10 +460,7 @@
         """Apply the end of a lease or of a waiting request."""
         coordinator = self.by_service.get(end.service)
         if coordinator is not None:
-            now = self.host.clock.monotonic()
-            coordinator.send_decisions(
-                coordinator.scheduler.done(end.id, end.lease_outcome, now)
-            )
+            coordinator.end(end.id, end.lease_outcome, end.unused)
 
     async def on_report(
         self, sender: peers.Sender, report: LeaseReport
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -6,6 +6,7 @@
 __all__ = [
     "LeaseEnd",
     "LeaseReport",
+    "LimitUpdate",
     "SlotAsk",
     "SlotDecisions",
     "WireAdmission",
@@ -169,21 +170,28 @@
       outcome: How the lease ended; ``GOOD`` if the engine has failed the
         request, since earlier releases do not know ``FAILED``.
       failed: Whether the engine has failed the request.
+      unused: Workspace of a request that was sent to no engine, and so does
+        not count against its limit; else empty.
     """
 
     service: str
     id: str
     outcome: enginehealth.Outcome
     failed: bool = False
+    unused: str = ""
 
     @classmethod
     def of(
-        cls, service: str, request_id: str, outcome: enginehealth.Outcome
+        cls,
+        service: str,
+        request_id: str,
+        outcome: enginehealth.Outcome,
+        unused: str = "",
     ) -> "LeaseEnd":
         """Return the message about a lease that has ended."""
         if outcome is enginehealth.Outcome.FAILED:
             return cls(service, request_id, enginehealth.Outcome.GOOD, True)
-        return cls(service, request_id, outcome)
+        return cls(service, request_id, outcome, unused=unused)
 
     @property
     def lease_outcome(self) -> enginehealth.Outcome:
@@ -206,6 +214,42 @@
     admitted: tuple[WireAdmission, ...] = ()
 
 
+class WireChange(NamedTuple):
+    """A ``request_limits.Change`` as sent, encoded as an array."""
+
+    workspace: str
+    digest: int
+    age_ms: int
+    withdrawn: bool = False
+
+    @classmethod
+    def of(cls, change: request_limits.Change, now: float) -> "WireChange":
+        """Return the encoding of a change."""
+        age_ms = round((now - change.count.at) * 1000)
+        return cls(
+            change.workspace, change.count.digest, age_ms, change.withdrawn
+        )
+
+    def change(self, now: float) -> request_limits.Change:
+        """Return the change that this encodes."""
+        count = request_limits.Count(self.digest, now - self.age_ms / 1000)
+        return request_limits.Change(self.workspace, count, self.withdrawn)
+
+
+@messages.message("place.limits")
+class LimitUpdate(msgspec.Struct, frozen=True):
+    """Tells a standby what a coordinator counts against limits.
+
+    Attributes:
+      since_ms: Milliseconds since the coordinator began to count.
+      changes: What has changed since the last update that was answered.
+    """
+
+    service: str
+    since_ms: int
+    changes: tuple[WireChange, ...] = ()
+
+
 @messages.message("place.word")
 class SlotDecisions(msgspec.Struct, frozen=True):
     """Decisions on the requests of a holder, as a reply or sent later.
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -11,6 +11,7 @@
 from camphortray import request_limits
 from camphortray import routemap
 from camphortray import slot_client
+from camphortray import slot_scheduler
 from tests import costrig
 from tests import platformkit
 from tests import slotclientkit
@@ -19,7 +20,6 @@
 LIMIT = routemap.RateLimit(5.0, 5.0)
 # What may run in any window, as the platform's rules have it.
 EXCESS, SLACK = 0.1, 20
-MOST = LIMIT.requests_in(WINDOW_S) * (1 + EXCESS) + SLACK
 
 
 def limits_since(since=-WINDOW_S):
@@ -165,6 +165,42 @@
     assert len(admitted(limits, [3.0, 3.0, 6.1])) == 2
 
 
+@pytest.mark.parametrize(
+    ("lost_s", "after_s", "room"),
+    [(0.3, 0.0, 4), (0.3, 0.6, 10), (0.9, 0.6, 10), (2.0, 0.0, 5)],
+)
+def test_a_standby_goes_on_with_what_it_was_sent(lost_s, after_s, room):
+    """Guards against a window that begins anew with the next coordinator."""
+    first, standby = limits_since(0.0), limits_since(5.0)
+    first.begin(0.0)
+    times = [5.2 + number / 20 for number in range(20)]
+    assert admitted(first, times) == times
+    standby.apply(first.take_changes(), first.since, 6.2)
+    standby.begin(6.2 + lost_s)
+    at = 6.2 + lost_s + after_s
+    assert len(admitted(standby, [at] * 20)) == room
+    assert first.take_changes() == []
+
+
+def test_a_standby_forgets_what_was_withdrawn():
+    """Guards against refusals for requests that never ran."""
+    first, standby = limits_since(), limits_since()
+    first.begin(-WINDOW_S)
+    admitted(first, [1.0] * 30)
+    standby.apply(first.take_changes(), first.since, 1.0)
+    first.withdraw("r7", "w")
+    standby.apply(first.take_changes(), first.since, 1.1)
+    assert len(standby.everything()) == 29
+
+
+def test_a_share_is_not_used_up_by_what_others_admitted():
+    """Guards against refusals by the next coordinator within the limit."""
+    limits = limits_since()
+    others = [request_limits.Admission(f"k{n}", "w", 1.0) for n in range(20)]
+    limits.merge(others, 1.0)
+    assert len(admitted(limits, [1.0] * 30, share=0.2)) == 6
+
+
 def test_a_host_reports_to_each_new_coordinator_once():
     recent = request_limits.RecentAdmissions(WINDOW_S)
     first = request_limits.Admission("r1", "w", 1.0)
@@ -184,14 +220,26 @@
 # Whole hosts.
 
 HOSTS = 9
-TENANTS = [
-    {
-        "name": "home",
-        "apiKeys": ["k"],
-        "ratePerS": LIMIT.per_s,
-        "burst": LIMIT.burst,
-    }
-]
+# Statuses that promise that a request has not run.
+REFUSED = (429, 503)
+LARGE_LIMIT = routemap.RateLimit(40.0, 100.0)
+
+
+def most_of(limit):
+    """Return what may run in any window under the platform's rules."""
+    return limit.requests_in(WINDOW_S) * (1 + EXCESS) + SLACK
+
+
+def tenants(limit):
+    """Return the tenants of a configuration with one limited workspace."""
+    return [
+        {
+            "name": "home",
+            "apiKeys": ["k"],
+            "ratePerS": limit.per_s,
+            "burst": limit.burst,
+        }
+    ]
 
 
 class Callers:
@@ -199,7 +247,7 @@
 
     Attributes:
       statuses: Number of answers by status.
-      sent_at: Time at which each request that ran was sent.
+      sent_at: Time at which each request that may have run was sent.
       paths: Prefixes of the routes that requests go to in turn.
     """
 
@@ -231,7 +279,7 @@
         except (errors.CamphortrayError, OSError, TimeoutError):
             status = 0
         self.statuses[status] += 1
-        if status == 200:
+        if status not in REFUSED:
             self.sent_at.append(at)
 
     async def finish(self):
@@ -239,13 +287,16 @@
         await asyncio.gather(*self.tasks)
 
 
-def played(monkeypatch, play, hosts=HOSTS):
+MOST = most_of(LIMIT)
+
+
+def played(monkeypatch, play, hosts=HOSTS, limit=LIMIT):
     """Play callers on a fleet whose workspace is limited."""
     callers = []
 
     async def work():
         async with costrig.Fleet(hosts, 2, 1) as fleet:
-            await fleet.store.configure(2, tenants=TENANTS)
+            await fleet.store.configure(2, tenants=tenants(limit))
             await asyncio.sleep(3.0)
             callers.append(Callers(fleet))
             await play(fleet, callers[0])
@@ -320,7 +371,7 @@
             engine.entry = functools.partial(
                 engine.entry, service=("first", "second")[number % 2]
             )
-        await fleet.store.configure(3, routes, TENANTS)
+        await fleet.store.configure(3, routes, tenants(LIMIT))
         await asyncio.sleep(3.0)
         callers.paths = ["/first/", "/second/"]
         await callers.send(8, per_s, spread(fleet))
@@ -345,6 +396,66 @@
         assert set(callers.statuses) == {200}
 
 
+async def test_a_request_that_got_no_slot_does_not_count():
+    """Guards against refusals for requests that were never sent on."""
+    async with platformkit.Platform(hosts=2) as platform:
+        await platform.store.configure(2, tenants=tenants(LIMIT))
+        coordinator, other = slotclientkit.roles(platform)
+        client = other.part(slot_client.SlotClient)
+        await platform.until(
+            lambda: all(
+                host.part(slot_client.SlotClient)
+                .active_config.access.limit_of("home")
+                .per_s
+                for host in platform.hosts
+            )
+        )
+        served = coordinator.part(slot_client.SlotClient).served
+        limits = served.coordinator(platformkit.SERVICE).limits
+
+        def request(name, workspace=""):
+            now = client.clock.monotonic()
+            want = slot_scheduler.SlotRequest(
+                name,
+                client.own_name,
+                True,
+                asked_at=now,
+                objective_s=9.0,
+                workspace=workspace,
+            )
+            return client.acquire(platformkit.SERVICE, want)
+
+        for number in range(16):
+            await request(f"w{number}")
+        waiting = asyncio.create_task(request("q", "home"))
+        await platform.until(limits.everything)
+        waiting.cancel()
+        await platform.until(lambda: not limits.everything())
+
+
+@pytest.mark.parametrize("lost", [1, 4])
+@pytest.mark.parametrize("per_s", [36, 160])
+def test_a_limit_outlives_the_loss_of_several_hosts(monkeypatch, per_s, lost):
+    """Guards against admissions that are lost with those who knew of them."""
+
+    async def play(fleet, callers):
+        await callers.send(6, per_s, spread(fleet))
+        coordinator = coordinator_of(fleet)
+        others = [host for host in fleet.hosts if host is not coordinator]
+        for host in [coordinator, *others[: lost - 1]]:
+            await fleet.stop(host)
+        await callers.send(4, per_s, spread(fleet))
+        await fleet.start(
+            [n for n in fleet.nodes if n not in [h.node for h in fleet.hosts]]
+        )
+        await callers.send(3, per_s, spread(fleet))
+
+    callers = played(monkeypatch, play, 20, LARGE_LIMIT)
+    assert most_in_window(callers.sent_at) <= most_of(LARGE_LIMIT)
+    if per_s < LARGE_LIMIT.per_s:
+        assert not set(REFUSED) & set(callers.statuses)
+
+
 @pytest.mark.parametrize(("per_s", "refused"), [(4, False), (37, True)])
 def test_a_limit_holds_as_all_hosts_start_again(monkeypatch, per_s, refused):
     """Guards against limits that begin anew with all hosts."""
