Give slots that are short to workspaces by fair shares

Cause: who got a slot was decided by priority and age alone, and items by due time over all workspaces, so that a workspace at many times its usual took the slots of all others.

Change: fair_shares, start-time fair queueing over workspaces by the rate of their limits, online inside a priority and for items while they are short of time; a few requests at once are not over a share. Requests and leases name their workspace in messages that carried the rest already. The queue of the OpenAI front stands on the same arithmetic.

--- a/camphortray/access.py
+++ b/camphortray/access.py
@@ -48,6 +48,7 @@
       anonymous: The caller of a request that needs no key.
       callers: Callers by name of their workspace.
       keys: Workspace names by key.
+      mean_limit_per_s: Mean rate of the limits, 1 without any.
     """
 
     def __init__(self, view: routemap.Configuration) -> None:
@@ -64,11 +65,21 @@
                 workspace.priority,
                 workspace.limit,
             )
+        limits = [c.limit.per_s for c in self.callers.values()]
+        limited = [per_s for per_s in limits if per_s]
+        self.mean_limit_per_s = sum(limited) / len(limited) if limited else 1.0
 
     def limit_of(self, workspace: str) -> routemap.RateLimit:
         """Return the limit on the online requests of a workspace."""
         return self.callers.get(workspace, self.anonymous).limit
 
+    def weight_of(self, workspace: str) -> float:
+        """Return the weight of a workspace where slots are short.
+
+        It is the rate of its limit; without a limit, the mean of all.
+        """
+        return self.limit_of(workspace).per_s or self.mean_limit_per_s
+
     def admit(self, route: routemap.Route, key_hash: str) -> Caller:
         """Return the caller that a request runs for.
 
--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -251,6 +251,7 @@
       peers_word: Peers are asked for what is in force while the ledger is
         away.
       spread_return: Refused questions are told different times to return.
+      fair_shares: Workspaces get slots that are short by their shares.
     """
 
     prefix: bool = True
@@ -264,6 +265,7 @@
     handover: bool = True
     peers_word: bool = True
     spread_return: bool = True
+    fair_shares: bool = True
 
 
 ALL_ON = ExperimentsConfig()
--- a/camphortray/fairness.py
+++ b/camphortray/fairness.py
@@ -8,6 +8,8 @@
 from typing import Generic
 from typing import TypeVar
 
+from camphortray import fair_shares
+
 T = TypeVar("T")
 
 
@@ -32,12 +34,10 @@
 
     Attributes:
       weight: Its weight relative to other workspaces.
-      virtual_time: Virtual time up to which it has used its share.
       queue: Its requests, the oldest first.
     """
 
     weight: float
-    virtual_time: float = 0.0
     queue: collections.deque[QueuedRequest[T]] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -46,23 +46,23 @@
 class FairQueue(Generic[T]):
     """Start-time fair queueing with one lane for each workspace.
 
-    Each request advances the virtual time of its lane by ``1 / weight``; the
-    lane with the earliest virtual time is served next. A lane that becomes
-    active starts at the virtual time of the lane served last, so that it is
-    neither charged nor credited for the time it was idle.
-
     Attributes:
       limit: Largest number of requests in all lanes together.
       size: Number of requests in all lanes.
-      lanes: By workspace.
-      virtual_now: Virtual time of the lane served last.
+      lanes: By workspace, those with requests.
+      shares: What each workspace has used of the places.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.size = 0
         self.lanes: dict[str, Lane[T]] = {}
-        self.virtual_now = 0.0
+        self.weights: dict[str, float] = {}
+        self.shares = fair_shares.FairShares(self.weight_of)
+
+    def weight_of(self, workspace: str) -> float:
+        """Return the weight with which a workspace last queued."""
+        return self.weights.get(workspace, 1.0)
 
     def put(
         self, waiting: QueuedRequest[T], weight: float
@@ -73,14 +73,9 @@
         in proportion to its weight is dropped, so that a workspace that
         floods the queue loses its own requests and not those of others.
         """
-        lane = self.lanes.get(waiting.workspace)
-        if lane is None:
-            lane = self.lanes[waiting.workspace] = Lane(
-                max(weight, 1e-6), self.virtual_now
-            )
-        lane.weight = max(weight, 1e-6)
-        if not lane.queue:
-            lane.virtual_time = max(lane.virtual_time, self.virtual_now)
+        name = waiting.workspace
+        lane = self.lanes.setdefault(name, Lane(weight))
+        lane.weight = self.weights[name] = max(weight, fair_shares.MIN_WEIGHT)
         lane.queue.append(waiting)
         self.size += 1
         if self.size <= self.limit:
@@ -95,14 +90,13 @@
 
     def pop(self) -> QueuedRequest[T] | None:
         """Remove and return the next request, or return None."""
-        waiting_lanes = [lane for lane in self.lanes.values() if lane.queue]
-        if not waiting_lanes:
+        if not self.lanes:
             return None
-        lane = min(waiting_lanes, key=lambda each: each.virtual_time)
-        self.virtual_now = lane.virtual_time
-        lane.virtual_time += 1 / lane.weight
+        name = min(self.lanes, key=self.shares.start)
+        self.shares.advance(self.lanes)
+        self.shares.charge(name, 1.0)
         self.size -= 1
-        waiting = lane.queue.popleft()
+        waiting = self.lanes[name].queue.popleft()
         self.drop_idle_lanes()
         return waiting
 
@@ -115,21 +109,15 @@
             self.drop_idle_lanes()
 
     def drop_idle_lanes(self) -> None:
-        """Drop empty lanes that have not used more than their share.
-
-        A lane that has used more keeps its virtual time. Otherwise a workspace
-        that sends one request at a time would always be served first.
-        """
-        idle = [
-            name
-            for name, lane in self.lanes.items()
-            if not lane.queue and lane.virtual_time <= self.virtual_now
-        ]
-        for name in idle:
-            del self.lanes[name]
-        if not self.size:
-            # Without competing requests there is no share to account for.
-            self.lanes.clear()
+        """Drop empty lanes, and weights that no longer count."""
+        self.lanes = {n: lane for n, lane in self.lanes.items() if lane.queue}
+        if not self.lanes:
+            self.shares.advance(())
+        self.weights = {
+            name: weight
+            for name, weight in self.weights.items()
+            if name in self.lanes or name in self.shares.used
+        }
 
     def remove_if(
         self, predicate: Callable[[QueuedRequest[T]], bool]
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -279,10 +279,9 @@
             max(0.0, self.request.deadline_at - now),
             prefix=self.request.prefix,
             avoid=self.tried,
+            workspace=self.caller.workspace,
             # Only the first attempt counts against the workspace's limit.
-            workspace=self.caller.workspace
-            if self.caller.limit.per_s and not self.tries
-            else "",
+            counts=bool(self.caller.limit.per_s) and not self.tries,
         )
         service = route.service_of(self.request.id)
         try:
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -269,6 +269,7 @@
             made_s=parts.estimator.made_s(self.reader.count),
             start_s=parts.estimator.start_s(self.reader.count),
             avoid=frozenset(avoid),
+            workspace=self.job.workspace,
         )
         # An engine is avoided for one request only: it may be the only one.
         self.retries.avoid = ""
--- a/camphortray/lease_reporting.py
+++ b/camphortray/lease_reporting.py
@@ -148,6 +148,8 @@
         now: float,
     ) -> slot_messages.LeaseReport:
         """Return the report as a message."""
+        leases, wants = list(leases), list(wants)
+        named = [*(lease.want for lease in leases), *wants]
         return slot_messages.LeaseReport(
             service,
             str(self.holder.links.address),
@@ -164,6 +166,7 @@
                 slot_messages.WireAdmission.of(request, now)
                 for request in admitted
             ),
+            tuple((w.id, w.workspace) for w in named if w.workspace),
         )
 
     async def send(self, name: str, report: slot_messages.LeaseReport) -> bool:
--- a/camphortray/lease_table.py
+++ b/camphortray/lease_table.py
@@ -82,6 +82,11 @@
     service: str
     answer: "asyncio.Future[tuple[str, str]]"
 
+    @property
+    def counted_for(self) -> str:
+        """Workspace whose limit its coordinator counts it for, or empty."""
+        return self.request.workspace if self.request.counts else ""
+
     def granted(self, engine_name: str, coordinator: str) -> Granted:
         """Return the grant for the names in ``answer``."""
         names = frozenset(self.coordinators | {coordinator})
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -42,7 +42,6 @@
 SlotAsk = slot_messages.SlotAsk
 LeaseEnd = slot_messages.LeaseEnd
 SlotDecisions = slot_messages.SlotDecisions
-WireRequest = slot_messages.WireRequest
 # Timeout in seconds for a coordinator's reply, after which the host decides
 # for itself. A round trip takes milliseconds, while the latency objective of
 # an online request is hundreds of milliseconds.
@@ -315,7 +314,7 @@
           RateExceeded: The workspace of the request has reached its limit.
           NoSlot: It is not known whether it has.
         """
-        if not request.workspace:
+        if not request.counts:
             return request
         services = self.active_config.view.service_names
         counting = request_limits.counting_service(request.workspace, services)
@@ -356,13 +355,13 @@
         Returns:
           The request, which is not to be counted again.
         """
-        if not request.workspace:
+        if not request.counts:
             return request
         admission = request_limits.Admission(
             request.id, request.workspace, self.clock.monotonic()
         )
         self.admitted.add(admission, service, coordinators)
-        return msgspec.structs.replace(request, workspace="")
+        return msgspec.structs.replace(request, counts=False)
 
     async def request_grant(
         self, service: str, request: slot_scheduler.SlotRequest
@@ -399,7 +398,7 @@
                 name,
                 pending.service,
                 pending.request.id,
-                unused=pending.request.workspace,
+                unused=pending.counted_for,
             )
 
     def add_lease(
@@ -449,7 +448,7 @@
         limit goes to the next, which as its standby knows the counts. An
         online request then falls back to this host's own coordinator.
         """
-        candidates = COUNTING_CANDIDATES if pending.request.workspace else 1
+        candidates = COUNTING_CANDIDATES if pending.request.counts else 1
         for _ in range(candidates):
             now = self.clock.monotonic()
             name = self.coordinators.coordinator(pending.service, now)
@@ -471,11 +470,8 @@
     ) -> bool:
         """Send a slot request to a coordinator; return whether it replied."""
         request = pending.request
-        message = SlotAsk(
-            pending.service,
-            str(self.links.address),
-            (WireRequest.of(request, now),),
-            ((request.id, request.workspace),) if request.workspace else (),
+        message = SlotAsk.of(
+            pending.service, str(self.links.address), request, now
         )
         try:
             address = self.members.peer_address(name)
@@ -491,7 +487,7 @@
             # the slot would stay taken until the holder expires seconds
             # later, while other requests are refused.
             self.send_end(
-                name, pending.service, request.id, unused=request.workspace
+                name, pending.service, request.id, unused=pending.counted_for
             )
             return False
         if isinstance(reply, SlotDecisions):
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -103,7 +103,7 @@
         self.service = service
         self.standbys = standbys
         self.scheduler = slot_scheduler.SlotScheduler(
-            host.experiments, host.own_name
+            host.experiments, host.own_name, self.weight_of
         )
         self.reconciler = slot_reconciler.SlotReconciler(self.scheduler)
         self.limits = standbys.limits_of(service)
@@ -123,6 +123,10 @@
         """
         return self.scheduler.accounting.table.share == 1.0
 
+    def weight_of(self, workspace: str) -> float:
+        """Return the weight of a workspace where slots are short."""
+        return self.host.active_config.access.weight_of(workspace)
+
     def update_engines(self, now: float) -> None:
         """Pass the engines now in use to the scheduler."""
         entries = self.host.active_config.engines.usable(self.service)
@@ -137,7 +141,7 @@
         self, want: slot_scheduler.SlotRequest, now: float
     ) -> list[slot_scheduler.Decision]:
         """Schedule a request if it is within the limit of its workspace."""
-        if want.workspace and not self.scheduler.knows(want.id):
+        if want.counts and not self.scheduler.knows(want.id):
             refusal = self.count(want, now)
             if refusal is not None:
                 return [refusal]
@@ -470,15 +474,8 @@
         coordinator = self.coordinator(report.service)
         holder = str(sender)
         coordinator.note_holder(holder, report.address, now)
-        leases = [
-            slot_scheduler.Lease(
-                lease.want.want(holder, now),
-                lease.engine,
-                now - lease.age_ms / 1000,
-            )
-            for lease in report.leases
-        ]
-        wants = [wire.want(holder, now) for wire in report.wants]
+        leases = report.held(holder, now)
+        wants = report.requests(holder, now)
         coordinator.limits.merge(
             (wire.admission(now) for wire in report.admitted), now
         )
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -92,6 +92,29 @@
         )
 
 
+def named_requests(
+    wires: Iterable[WireRequest],
+    owners: Iterable[tuple[str, str]],
+    holder: str,
+    now: float,
+) -> list[slot_scheduler.SlotRequest]:
+    """Return the requests of a holder with their workspaces.
+
+    Args:
+      wires: The requests as sent.
+      owners: Ids of requests, each with its workspace.
+      holder: Host that sent them.
+      now: Present time.
+    """
+    names = dict(owners)
+    return [
+        msgspec.structs.replace(
+            wire.want(holder, now), workspace=names.get(wire.id, "")
+        )
+        for wire in wires
+    ]
+
+
 class WireLease(NamedTuple):
     """A lease as sent, encoded as an array."""
 
@@ -132,24 +155,42 @@
       workspaces: Ids of the requests that count against the limit of their
         workspace, each with the workspace. One that is not in ``wants`` is
         only counted here.
+      owners: Ids of the other requests, each with its workspace.
     """
 
     service: str
     address: str
     wants: tuple[WireRequest, ...]
     workspaces: tuple[tuple[str, str], ...] = ()
+    owners: tuple[tuple[str, str], ...] = ()
+
+    @classmethod
+    def of(
+        cls,
+        service: str,
+        address: str,
+        want: slot_scheduler.SlotRequest,
+        now: float,
+    ) -> "SlotAsk":
+        """Return the message that asks for a slot."""
+        named = ((want.id, want.workspace),) if want.workspace else ()
+        return cls(
+            service,
+            address,
+            (WireRequest.of(want, now),),
+            named if want.counts else (),
+            () if want.counts else named,
+        )
 
     def requests(
         self, holder: str, now: float
     ) -> list[slot_scheduler.SlotRequest]:
         """Return the requests for slots."""
-        workspaces = dict(self.workspaces)
+        counted = dict(self.workspaces)
+        owners = (*self.owners, *self.workspaces)
         return [
-            msgspec.structs.replace(
-                wire.want(holder, now),
-                workspace=workspaces.get(wire.id, ""),
-            )
-            for wire in self.wants
+            msgspec.structs.replace(request, counts=request.id in counted)
+            for request in named_requests(self.wants, owners, holder, now)
         ]
 
     def counted_only(self, holder: str) -> list[slot_scheduler.SlotRequest]:
@@ -205,6 +246,7 @@
 
     Attributes:
       admitted: Recent requests counted by other coordinators.
+      owners: Ids of leases and waiting requests, each with its workspace.
     """
 
     service: str
@@ -212,6 +254,24 @@
     leases: tuple[WireLease, ...]
     wants: tuple[WireRequest, ...]
     admitted: tuple[WireAdmission, ...] = ()
+    owners: tuple[tuple[str, str], ...] = ()
+
+    def requests(
+        self, holder: str, now: float
+    ) -> list[slot_scheduler.SlotRequest]:
+        """Return the waiting requests."""
+        return named_requests(self.wants, self.owners, holder, now)
+
+    def held(self, holder: str, now: float) -> list[slot_scheduler.Lease]:
+        """Return the leases."""
+        wires = [lease.want for lease in self.leases]
+        requests = named_requests(wires, self.owners, holder, now)
+        return [
+            slot_scheduler.Lease(
+                request, lease.engine, now - lease.age_ms / 1000
+            )
+            for request, lease in zip(requests, self.leases, strict=True)
+        ]
 
 
 class WireChange(NamedTuple):
--- a/camphortray/slot_queue.py
+++ b/camphortray/slot_queue.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from camphortray import fair_shares
 from camphortray import priority_queue
 
 # Safety factor on the time that a batch item is expected to need.
@@ -40,8 +41,9 @@
       made_s: Time spent on the output that a batch item already has. The next
         engine has to prefill all of that output.
       start_s: Expected time to the first event of a batch item.
-      workspace: Workspace against whose limit an online request counts;
-        empty if it has been counted, or if there is no limit.
+      workspace: Workspace that it runs for, or empty.
+      counts: Whether it is still to be counted against the limit of its
+        workspace.
     """
 
     id: str
@@ -59,6 +61,7 @@
     made_s: float = 0.0
     start_s: float = 0.0
     workspace: str = ""
+    counts: bool = False
 
     @property
     def begin_by(self) -> float:
@@ -67,11 +70,16 @@
 
 
 class Lease(msgspec.Struct):
-    """The right to run one request on an engine."""
+    """The right to run one request on an engine.
+
+    Attributes:
+      charged_s: Slot time that its workspace was charged.
+    """
 
     want: SlotRequest
     engine: str
     granted_at: float
+    charged_s: float = 0.0
 
     @property
     def slack_s(self) -> float:
@@ -82,14 +90,21 @@
 class ItemQueue:
     """Batch items that wait for a slot.
 
-    The earliest due time goes first; items that can no longer meet theirs go
-    after all others.
+    The earliest due time goes first, of all workspaces or of the one that is
+    furthest below its share; items that can no longer meet theirs go after
+    all others.
+
+    Attributes:
+      timely: Items that may meet their due time.
+      lanes: The same items, by workspace.
+      late: The other items.
     """
 
     def __init__(self) -> None:
         self.timely: priority_queue.PriorityQueue[SlotRequest] = (
             priority_queue.PriorityQueue()
         )
+        self.lanes: dict[str, priority_queue.PriorityQueue[SlotRequest]] = {}
         self.late: priority_queue.PriorityQueue[SlotRequest] = (
             priority_queue.PriorityQueue()
         )
@@ -105,17 +120,43 @@
 
     def add(self, want: SlotRequest) -> None:
         """Add an item."""
+        self.drop(want.id)
         self.timely.add(want.id, want.due_at, want)
+        lane = self.lanes.setdefault(
+            want.workspace, priority_queue.PriorityQueue()
+        )
+        lane.add(want.id, want.due_at, want)
 
     def drop(self, want_id: str) -> None:
         """Remove an item, if it is there."""
-        self.timely.drop(want_id)
         self.late.drop(want_id)
+        want = self.timely.drop(want_id)
+        if want is None:
+            return
+        lane = self.lanes[want.workspace]
+        lane.drop(want_id)
+        if not lane:
+            del self.lanes[want.workspace]
+
+    def first(
+        self, shares: fair_shares.FairShares | None = None
+    ) -> SlotRequest | None:
+        """Return the next timely item, without removing it.
+
+        Args:
+          shares: Shares by which workspaces take turns; None if all items
+            are ordered by due time alone.
+        """
+        if shares is None or len(self.lanes) < 2:
+            return self.timely.first()
+        return self.lanes[min(self.lanes, key=shares.start)].first()
 
-    def pop(self, now: float) -> SlotRequest | None:
+    def pop(
+        self, now: float, shares: fair_shares.FairShares | None = None
+    ) -> SlotRequest | None:
         """Remove and return the next item, or None if none waits."""
-        while (want := self.timely.first()) is not None:
-            self.timely.drop(want.id)
+        while (want := self.first(shares)) is not None:
+            self.drop(want.id)
             if want.begin_by >= now:
                 return want
             self.late.add(want.id, want.due_at, want)
--- a/camphortray/slot_reconciler.py
+++ b/camphortray/slot_reconciler.py
@@ -60,7 +60,7 @@
                 self.accounting.orphan(name, now)
         for name, lease in named.items():
             if name not in self.accounting.leases:
-                self.accounting.adopt(lease)
+                self.scheduler.adopt(lease)
 
     def merge_items(
         self, holder: str, wants: Iterable[slot_queue.SlotRequest]
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -11,6 +11,10 @@
   expected within its maximum wait, else is refused at once;
 - batch items take the slots that online requests do not use, earliest due
   time first; items that can no longer meet their due time go last.
+
+Where slots are short, workspaces get them by fair shares: requests wait in the
+order of the shares, so that those beyond the share of their workspace wait or
+are refused first.
 """
 
 __all__ = [
@@ -25,6 +29,7 @@
     "Throttle",
 ]
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Set
 import functools
@@ -35,6 +40,7 @@
 
 from camphortray import config as configs
 from camphortray import enginehealth
+from camphortray import fair_shares
 from camphortray import onlinepeaks
 from camphortray import slot_accounting
 from camphortray import slot_queue
@@ -46,6 +52,9 @@
 
 # Assumed time for which an online request holds a slot, until one is measured.
 INITIAL_HOLD_S = 0.7
+# Requests that a workspace may send at once after it was idle before it counts
+# as over its share of the slots.
+BURST_REQUESTS = 5
 # Weight of a new sample in the exponential moving averages.
 EWMA_WEIGHT = 0.05
 # Largest share of its time-to-first-event objective that a request may wait
@@ -110,8 +119,12 @@
 
     Attributes:
       accounting: Leases and the number of slots in use.
-      queue: Online requests that wait, by priority, then by age.
+      queue: Online requests that wait, by priority, then by the share of
+        their workspace, then by age.
+      shares: Slot time that workspaces use while online requests wait.
       items: Batch items that wait.
+      item_shares: Slot time that workspaces use while items are short of
+        time.
       hold_s: Mean time for which an online request holds a slot.
       requeue_wait_s: Mean time for which a preempted item waits for a slot.
       peaks: Recent peaks in the slots held by online requests.
@@ -125,8 +138,13 @@
         self,
         experiments: configs.ExperimentsConfig = configs.ALL_ON,
         salt: str = "",
+        weight_of: Callable[[str], float] = fair_shares.equal_weight,
     ) -> None:
         self.experiments = experiments
+        self.shares = fair_shares.FairShares(
+            weight_of, BURST_REQUESTS * INITIAL_HOLD_S
+        )
+        self.item_shares = fair_shares.FairShares(weight_of)
         self.accounting = slot_accounting.SlotAccounting(experiments, salt)
         self.queue: list[SlotRequest] = []
         self.items = slot_queue.ItemQueue()
@@ -177,9 +195,45 @@
         if not self.accounting.table.engines:
             return [Refuse(want, self.retry_after_s(self.hold_s, want))]
         self.queue.append(want)
-        self.queue.sort(key=lambda queued: (queued.priority, queued.asked_at))
+        self.sort_queue()
         return self.decide(now)
 
+    def sort_queue(self) -> None:
+        """Order the waiting requests by priority, share and age."""
+        self.queue.sort(key=lambda queued: (queued.priority, queued.asked_at))
+        if not self.experiments.fair_shares:
+            return
+        if len({queued.workspace for queued in self.queue}) < 2:
+            return
+        tags = self.shares.tags(
+            (queued.workspace for queued in self.queue), self.hold_s
+        )
+        ordered = sorted(
+            zip(self.queue, tags, strict=True),
+            key=lambda tagged: (tagged[0].priority, tagged[1]),
+        )
+        self.queue = [queued for queued, _ in ordered]
+
+    def adopt(self, lease: Lease) -> None:
+        """Add a lease that another coordinator has granted."""
+        self.accounting.adopt(lease)
+        self.charge(lease)
+
+    def charge(self, lease: Lease) -> None:
+        """Charge the workspace of a lease the time that it may take."""
+        if lease.want.online:
+            lease.charged_s = self.hold_s
+            self.shares.charge(lease.want.workspace, lease.charged_s)
+        else:
+            lease.charged_s = lease.want.work_s
+            self.item_shares.charge(lease.want.workspace, lease.charged_s)
+
+    def settle(self, lease: Lease, now: float) -> None:
+        """Charge the workspace of an ended lease the time that it took."""
+        shares = self.shares if lease.want.online else self.item_shares
+        held_s = now - lease.granted_at
+        shares.correct(lease.want.workspace, held_s - lease.charged_s)
+
     def done(
         self, want_id: str, outcome: enginehealth.Outcome, now: float
     ) -> list[Decision]:
@@ -192,6 +246,7 @@
             return (
                 self.decide(now) if self.accounting.end_orphan(want_id) else []
             )
+        self.settle(lease, now)
         if outcome is enginehealth.Outcome.GOOD and lease.want.online:
             held_s = now - lease.granted_at
             self.hold_s += EWMA_WEIGHT * (held_s - self.hold_s)
@@ -215,6 +270,7 @@
     def serve_queue(self, now: float, decisions: list[Decision]) -> None:
         """Grant slots to queued online requests, or refuse them."""
         waiting: list[SlotRequest] = []
+        self.shares.advance({want.workspace for want in self.queue})
         for want in self.queue:
             engine = self.free_engine(want, now)
             if engine is None:
@@ -253,7 +309,7 @@
             and self.accounting.table.free_slots(now) > 0
             and len(skipped) < MAX_SKIPPED_ITEMS
         ):
-            want = self.items.pop(now)
+            want = self.next_item(now)
             if want is None:
                 break
             engine = None
@@ -271,6 +327,16 @@
         for want in skipped:
             self.items.add(want)
 
+    def next_item(self, now: float) -> SlotRequest | None:
+        """Remove and return the item that is to get a slot next."""
+        first = self.items.first()
+        short = first is not None and self.pressed(first, now)
+        if not self.experiments.fair_shares or not short:
+            self.item_shares.advance(())
+            return self.items.pop(now)
+        self.item_shares.advance(self.items.lanes)
+        return self.items.pop(now, self.item_shares)
+
     def would_hold_slot(self, want: SlotRequest, now: float) -> bool:
         """Return whether a batch item would hold a slot for long enough.
 
@@ -361,6 +427,7 @@
         self, lease: Lease, now: float, decisions: list[Decision]
     ) -> None:
         """Revoke a lease; its holder asks for a slot again to resume."""
+        self.settle(lease, now)
         self.accounting.revoke(lease, now)
         decisions.append(Revoke(lease.want))
 
@@ -372,7 +439,9 @@
         decisions: list[Decision],
     ) -> None:
         """Grant a slot."""
-        self.accounting.add(Lease(want, engine, now))
+        lease = Lease(want, engine, now)
+        self.accounting.add(lease)
+        self.charge(lease)
         decisions.append(Grant(want, engine))
 
     def next_decision_at(self, now: float) -> float | None:
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -121,6 +121,15 @@
     )
 
 
+def fair_shares(switches):
+    scheduler = scheduler_of(switches, 1)
+    for name in ("a", "b", "d", "c"):
+        workspace = "w1" if name == "c" else "w2"
+        want = online_request(name, objective_s=9.0, workspace=workspace)
+        scheduler.ask(want, 0.0)
+    return [want.id for want in scheduler.queue]
+
+
 def kept_connections(switches):
     part = slot_client.SlotClient.__new__(slot_client.SlotClient)
     part.experiments = switches
@@ -174,6 +183,7 @@
     "handover": (hand_over, [3], []),
     "peers_word": (peers_word, ["peer"], []),
     "spread_return": (spread_return, 4, 1),
+    "fair_shares": (fair_shares, ["c", "b", "d"], ["b", "d", "c"]),
 }
 
 
