Place requests by how fast engines are

Cause: placement knew free slots, zone and prefix, and no engine's speed. An engine that turns five times slower kept the prefixes that it had, and got requests while it had a free slot.

Change: engine_speeds learns each engine's time between events from the ends of leases; an engine at over twice the usual time is used last and probed once a second, prefixes are spread in proportion to speed, items go to slower engines than questions.

Rigs take the new argument of a release.

--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -252,6 +252,7 @@
         away.
       spread_return: Refused questions are told different times to return.
       fair_shares: Workspaces get slots that are short by their shares.
+      speeds: Requests are placed by how fast engines are.
     """
 
     prefix: bool = True
@@ -266,6 +267,7 @@
     peers_word: bool = True
     spread_return: bool = True
     fair_shares: bool = True
+    speeds: bool = True
 
 
 ALL_ON = ExperimentsConfig()
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -14,6 +14,7 @@
 from camphortray import crash_reports
 from camphortray import early_end
 from camphortray import engine
+from camphortray import engine_speeds
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import eventstream
@@ -66,6 +67,7 @@
       events_before: Number of events received before this attempt.
       begun_at: Start of the attempt, in monotonic seconds.
       status: Status of the engine's answer; 0 until there is one.
+      first_at: Time of the first event; 0 until there is one.
     """
 
     def __init__(
@@ -84,14 +86,24 @@
         self.events_before = reader.count
         self.begun_at = now_of(parts)
         self.status = 0
+        self.first_at = 0.0
 
     @property
     def received_events(self) -> bool:
         """Whether this attempt has received any event."""
         return self.reader.count > self.events_before
 
+    def first(self) -> None:
+        self.first_at = now_of(self.parts)
+
     async def ended(self, error: BaseException | None) -> None:
-        self.parts.slots.release(self.lease, self.outcome(error))
+        pace_s = 0.0
+        if error is None and self.first_at:
+            pace_s = engine_speeds.pace_of(
+                self.reader.count - self.events_before,
+                now_of(self.parts) - self.first_at,
+            )
+        self.parts.slots.release(self.lease, self.outcome(error), pace_s)
 
     def outcome(self, error: BaseException | None) -> enginehealth.Outcome:
         """Return what the end of the attempt shows about the engine."""
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -11,6 +11,7 @@
 from camphortray import clock as clocks
 from camphortray import early_end
 from camphortray import engine
+from camphortray import engine_speeds
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import eventstream
@@ -358,11 +359,11 @@
         finally:
             task.cancel()
             self.run_task = self.lease = None
-            self.parts.slots.release(lease, outcome)
             new_events = self.reader.count - events_before
-            self.parts.estimator.ran(
-                new_events, self.last_event_at - self.first_event_at
-            )
+            stream_s = self.last_event_at - self.first_event_at
+            pace_s = engine_speeds.pace_of(new_events, stream_s)
+            self.parts.slots.release(lease, outcome, pace_s)
+            self.parts.estimator.ran(new_events, stream_s)
             if new_events > 0:
                 self.retries.failures_since_event = 0
 
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -537,42 +537,52 @@
             self.send_end(coordinator, service, request_id)
 
     def release(
-        self, held: lease_table.HeldLease, outcome: enginehealth.Outcome
+        self,
+        held: lease_table.HeldLease,
+        outcome: enginehealth.Outcome,
+        pace_s: float = 0.0,
     ) -> None:
-        """Release a slot and report the outcome at its engine."""
+        """Release a slot and report how its engine has done.
+
+        Args:
+          held: Lease of the slot.
+          outcome: How the run ended.
+          pace_s: Mean seconds between the events of its stream, if known.
+        """
         if self.held.pop(held.request.id, None) is not None:
-            self.send_ends(
-                held.coordinators, held.service, held.request.id, outcome
+            end = LeaseEnd.of(
+                held.service, held.request.id, outcome, pace_s=pace_s
             )
+            for name in held.coordinators:
+                self.notify_end(name, end)
 
     def send_ends(
-        self,
-        coordinators: Iterable[str],
-        service: str,
-        request_id: str,
-        outcome: enginehealth.Outcome = enginehealth.Outcome.NOTHING,
+        self, coordinators: Iterable[str], service: str, request_id: str
     ) -> None:
         """Notify all coordinators that may count a request of its end."""
         for name in coordinators:
-            self.send_end(name, service, request_id, outcome)
+            self.send_end(name, service, request_id)
 
     def send_end(
         self,
         coordinator: str,
         service: str,
         request_id: str,
-        outcome: enginehealth.Outcome = enginehealth.Outcome.NOTHING,
         unused: str = "",
     ) -> None:
+        """Notify a coordinator of the end of a request that did not run."""
+        outcome = enginehealth.Outcome.NOTHING
+        end = LeaseEnd.of(service, request_id, outcome, unused)
+        self.notify_end(coordinator, end)
+
+    def notify_end(self, coordinator: str, end: LeaseEnd) -> None:
         """Notify a coordinator that a request or lease has ended."""
         if coordinator == self.own_name:
-            served = self.served.coordinator(service)
-            served.end(request_id, outcome, unused)
+            self.served.coordinator(end.service).on_end(end)
             return
         member = self.members.member(coordinator)
         if member is not None and not member.dead:
             address = configs.Address.from_text(member.peer_address)
-            end = LeaseEnd.of(service, request_id, outcome, unused)
             self.links.notify(address, end)
 
     async def on_later_decisions(
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -9,7 +9,6 @@
 from camphortray import active_config
 from camphortray import config as configs
 from camphortray import engine_registry
-from camphortray import enginehealth
 from camphortray import errors
 from camphortray import limit_standby
 from camphortray import logs
@@ -91,6 +90,7 @@
       timer: Runs the scheduler when its decisions may change with time alone.
       polling: Whether engines are being polled.
       unresponsive: Holders last logged as unresponsive.
+      slow: Engines last logged as slow.
     """
 
     def __init__(
@@ -113,6 +113,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.polling = False
         self.unresponsive: frozenset[str] = frozenset()
+        self.slow: frozenset[str] = frozenset()
 
     @property
     def grants_all(self) -> bool:
@@ -170,20 +171,33 @@
             want, excess.retry_after_s, excess.certain
         )
 
-    def end(
-        self, want_id: str, outcome: enginehealth.Outcome, unused: str = ""
-    ) -> None:
-        """Apply the end of a lease or of a waiting request.
-
-        Args:
-          want_id: Id of the request.
-          outcome: How the lease ended.
-          unused: Workspace of a request that was sent to no engine.
-        """
-        if unused:
-            self.limits.withdraw(want_id, unused)
+    def on_end(self, end: LeaseEnd) -> None:
+        """Apply the end of a lease or of a waiting request."""
+        if end.unused:
+            self.limits.withdraw(end.id, end.unused)
         now = self.host.clock.monotonic()
-        self.send_decisions(self.scheduler.done(want_id, outcome, now))
+        decisions = self.scheduler.done(
+            end.id, end.lease_outcome, now, end.pace_us / 1e6
+        )
+        self.send_decisions(decisions)
+        self.log_slow_engines(now)
+
+    def log_slow_engines(self, now: float) -> None:
+        """Log engines that became far slower than usual, or no longer are."""
+        speeds = self.scheduler.accounting.table.speeds
+        slow = frozenset(speeds.slow(now))
+        for name in slow ^ self.slow:
+            LOG.notice(
+                "Engine {} is {}.",
+                name,
+                "slow" if name in slow else "no longer slow",
+                fields={
+                    "service": self.service,
+                    "factor": round(speeds.factor(name), 2),
+                    "usual_ms": round(speeds.usual_s * 1000, 1),
+                },
+            )
+        self.slow = slow
 
     def on_refusals(self, decisions: list[slot_scheduler.Decision]) -> None:
         """Log refusals; do not count what was refused for want of a slot."""
@@ -464,7 +478,7 @@
         """Apply the end of a lease or of a waiting request."""
         coordinator = self.by_service.get(end.service)
         if coordinator is not None:
-            coordinator.end(end.id, end.lease_outcome, end.unused)
+            coordinator.on_end(end)
 
     async def on_report(
         self, sender: peers.Sender, report: LeaseReport
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -213,6 +213,8 @@
       failed: Whether the engine has failed the request.
       unused: Workspace of a request that was sent to no engine, and so does
         not count against its limit; else empty.
+      pace_us: Mean microseconds between the events of its stream; 0 if they
+        are too few.
     """
 
     service: str
@@ -220,6 +222,7 @@
     outcome: enginehealth.Outcome
     failed: bool = False
     unused: str = ""
+    pace_us: int = 0
 
     @classmethod
     def of(
@@ -228,11 +231,14 @@
         request_id: str,
         outcome: enginehealth.Outcome,
         unused: str = "",
+        pace_s: float = 0.0,
     ) -> "LeaseEnd":
         """Return the message about a lease that has ended."""
-        if outcome is enginehealth.Outcome.FAILED:
-            return cls(service, request_id, enginehealth.Outcome.GOOD, True)
-        return cls(service, request_id, outcome, unused=unused)
+        failed = outcome is enginehealth.Outcome.FAILED
+        if failed:
+            outcome = enginehealth.Outcome.GOOD
+        pace_us = round(pace_s * 1e6)
+        return cls(service, request_id, outcome, failed, unused, pace_us)
 
     @property
     def lease_outcome(self) -> enginehealth.Outcome:
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -235,9 +235,20 @@
         shares.correct(lease.want.workspace, held_s - lease.charged_s)
 
     def done(
-        self, want_id: str, outcome: enginehealth.Outcome, now: float
+        self,
+        want_id: str,
+        outcome: enginehealth.Outcome,
+        now: float,
+        pace_s: float = 0.0,
     ) -> list[Decision]:
-        """End the lease of a request, or remove the request if it waits."""
+        """End the lease of a request, or remove the request if it waits.
+
+        Args:
+          want_id: Id of the request.
+          outcome: How the lease ended.
+          now: Present time.
+          pace_s: Mean seconds between the events of its stream, if known.
+        """
         self.items.drop(want_id)
         self.accounting.revocations.confirmed(want_id)
         self.queue = [queued for queued in self.queue if queued.id != want_id]
@@ -250,6 +261,7 @@
         if outcome is enginehealth.Outcome.GOOD and lease.want.online:
             held_s = now - lease.granted_at
             self.hold_s += EWMA_WEIGHT * (held_s - self.hold_s)
+        self.accounting.table.speeds.record(lease.engine, pace_s, now)
         self.accounting.table.record_outcome(
             lease.engine, outcome, now, lease.want.online
         )
@@ -402,7 +414,7 @@
     def free_engine(self, want: SlotRequest, now: float) -> str | None:
         """Return the best engine with a free slot for a request."""
         return self.accounting.table.best(
-            want.prefix, want.zone, want.avoid, now
+            want.prefix, want.zone, want.avoid, now, want.online
         )
 
     def victim(self, want: SlotRequest, now: float) -> Lease | None:
--- a/camphortray/slottable.py
+++ b/camphortray/slottable.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from camphortray import config as configs
+from camphortray import engine_speeds
 from camphortray import enginehealth
 
 # Minimum number of engines that a small share uses: one may be ejected as
@@ -36,6 +37,7 @@
       engines: Slots by engine.
       zones: Availability zone by engine.
       health: Engines that are ejected or on trial with one request.
+      speeds: How fast engines are.
       used: Slots in use, by engine; also of engines that are gone.
       experiments: Mechanisms in use; ablation experiments disable some.
       salt: Differs between hosts, so that each grants slots of different
@@ -55,6 +57,7 @@
         self.engines: dict[str, int] = {}
         self.zones: dict[str, str] = {}
         self.health = enginehealth.HealthTracker()
+        self.speeds = engine_speeds.EngineSpeeds()
         self.used: dict[str, int] = {}
         self._share = 1.0
         # Slots of healthy engines, and their free slots by zone and engine.
@@ -85,6 +88,7 @@
         self.engines = {engine.name: engine.slots for engine in listed}
         self.zones = {engine.name: engine.zone for engine in listed}
         self.health.keep(self.engines)
+        self.speeds.keep(self.engines)
         self.rebuild()
 
     def rebuild(self) -> None:
@@ -184,48 +188,88 @@
         )
 
     def best(
-        self, prefix: str, zone: str, avoid: Set[str], now: float
+        self,
+        prefix: str,
+        zone: str,
+        avoid: Set[str],
+        now: float,
+        online: bool = True,
     ) -> str | None:
         """Return the best engine with a free slot for a request, if any.
 
         Engines in the zone of the request go first: traffic between zones is
         expensive, and a free slot elsewhere answers no sooner. Requests that
         share a prefix go to the same engine while it has a free slot, for its
-        prefix cache; others go to the engine with the most free slots.
+        prefix cache; others go to the engine with the most free slots. Fast
+        engines get more online requests and slow ones more items; engines
+        that are far slower than usual come last.
 
         Args:
           prefix: Identifies the shared prompt prefix, or empty.
           zone: Availability zone of the host that asks.
           avoid: Engines that are excluded.
           now: Present time.
+          online: Whether a caller waits for it.
         """
         prefix = prefix if self.experiments.prefix else ""
         zone = zone if self.experiments.zone else ""
-        unhealthy_free = {
-            name: self.free_slots_of(name, now) for name in self.unhealthy()
-        }
         near = dict(self.free.get(zone, {}))
         far: dict[str, int] = {}
-        for name, free in unhealthy_free.items():
-            if free:
+        for name in self.unhealthy():
+            if free := self.free_slots_of(name, now):
                 (near if self.zones[name] == zone else far)[name] = free
-        found = pick(near, prefix, avoid)
+        slow: Set[str] = frozenset()
+        if self.experiments.speeds:
+            slow = self.speeds.slow(now)
+            probe = self.probe(avoid, now) if slow else None
+            if probe is not None:
+                return probe
+        found = self.pick(near, prefix, avoid | slow, online)
         if found is not None:
             return found
         for other, engines in self.free.items():
             if other != zone:
                 far.update(engines)
-        return pick(far, prefix, avoid)
-
+        return self.pick(far, prefix, avoid | slow, online) or (
+            self.pick(near | far, prefix, avoid, online) if slow else None
+        )
 
-def pick(engines: dict[str, int], prefix: str, avoid: Set[str]) -> str | None:
-    """Return the best engine, given the free slots of each."""
-    names = [name for name in engines if name not in avoid]
-    if not names:
+    def probe(self, avoid: Set[str], now: float) -> str | None:
+        """Return a slow engine that is to be tried again, if any."""
+        for name in sorted(self.speeds.probes(now) - avoid):
+            if not self.used.get(name) and self.free_slots_of(name, now):
+                return name
         return None
-    if not prefix:
-        return max(names, key=lambda name: (engines[name], name))
-    return max(names, key=lambda name: affinity(prefix, name))
+
+    def pick(
+        self,
+        engines: dict[str, int],
+        prefix: str,
+        avoid: Set[str],
+        online: bool,
+    ) -> str | None:
+        """Return the best of some engines, given the free slots of each."""
+        names = [name for name in engines if name not in avoid]
+        if not names:
+            return None
+        factor_of = self.speeds.factor if self.experiments.speeds else equal
+        if prefix:
+            return max(
+                names,
+                key=lambda name: engine_speeds.weighted_rank(
+                    affinity(prefix, name), factor_of(name)
+                ),
+            )
+        sign = -1 if online else 1
+        return max(
+            names,
+            key=lambda name: (engines[name] * factor_of(name) ** sign, name),
+        )
+
+
+def equal(engine: str) -> float:
+    """Return the factor of an engine where all count as equally fast."""
+    return 1.0
 
 
 def affinity(prefix: str, engine: str) -> int:
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -132,7 +132,7 @@
         self.revokes.append(on_revoke)
         return lease_table.HeldLease(want, service, upstream, 0.0, on_revoke)
 
-    def release(self, held, outcome):
+    def release(self, held, outcome, pace_s=0.0):
         self.ends.append(outcome)
 
 
--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -89,7 +89,7 @@
         self.granted.add(item)
         return held
 
-    def release(self, held, outcome):
+    def release(self, held, outcome, pace_s=0.0):
         super().release(held, outcome)
         item = "-".join(held.request.id.split(".")[:2])
         self.broken.now("release", item)
--- a/tests/slotplay.py
+++ b/tests/slotplay.py
@@ -57,10 +57,13 @@
                 now += 0.001
 
     def finish(self, now, number, name, engine, held_s):
-        """End a request."""
-        outcome = enginehealth.Outcome.GOOD
+        """End a request, unless it was revoked."""
         if name in self.scheduler.leases:
-            self.apply(self.scheduler.done(name, outcome, now), now)
+            self.apply(self.end_lease(name, held_s, now), now)
+
+    def end_lease(self, name, held_s, now):
+        """End a lease; return the decisions that follow."""
+        return self.scheduler.done(name, enginehealth.Outcome.GOOD, now)
 
     def apply(self, decisions, now):
         """Start what is granted a slot and count what is refused."""
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -130,6 +130,15 @@
     return [want.id for want in scheduler.queue]
 
 
+def speeds(switches):
+    scheduler = scheduler_of(switches, 2, 2)
+    for _ in range(3):
+        scheduler.accounting.table.speeds.record("e1", 0.02, 0.0)
+        scheduler.accounting.table.speeds.record("e0", 0.2, 0.0)
+    scheduler.ask(online_request("a", zone="z0"), 0.0)
+    return engines(scheduler)
+
+
 def kept_connections(switches):
     part = slot_client.SlotClient.__new__(slot_client.SlotClient)
     part.experiments = switches
@@ -183,6 +192,7 @@
     "handover": (hand_over, [3], []),
     "peers_word": (peers_word, ["peer"], []),
     "spread_return": (spread_return, 4, 1),
+    "speeds": (speeds, ["e1"], ["e0"]),
     "fair_shares": (fair_shares, ["c", "b", "d"], ["b", "d", "c"]),
 }
 
--- a/tests/test_ways_out.py
+++ b/tests/test_ways_out.py
@@ -87,7 +87,7 @@
     slots, given = owner.parts.slots, owner.parts.slots.release
     odd = [ValueError("odd")]
 
-    def release(held, outcome):
+    def release(held, outcome, pace_s=0.0):
         given(held, outcome)
         if odd:
             raise odd.pop()
