Cut the cost of fair shares and of counts against limits

Cause: each item that was skipped went through two heaps, the shares were looked at for each, and each count that a report or an update brought was searched in the window. A former coordinator kept the changes that it received as a standby for nobody.

Change: items without a workspace have no lane; whether time is short is decided once a decision; digests are counted; changes are dropped where nobody is to be sent them (test_a_former_coordinator_keeps_no_changes).

--- a/bench/slots.py
+++ b/bench/slots.py
@@ -1,4 +1,4 @@
-"""Processor time of one decision on slots, by engines and items waiting.
+"""Processor time of a decision on slots, by engines, items and workspaces.
 
 Each round asks for an online slot and gives one back, on a book whose slots
 are all in use by batch items. ``python -m bench.slots``.
@@ -15,10 +15,25 @@
 
 ROUNDS = 400
 SLOTS = 8
-SIZES = ((6, 20), (36, 100), (600, 100), (600, 2000))
+# Engines, waiting items and workspaces; 0 where requests run for none.
+SIZES = (
+    (6, 20, 0),
+    (36, 100, 0),
+    (600, 100, 0),
+    (600, 2000, 0),
+    (24, 400, 77),
+    (600, 2000, 200),
+)
 
 
-def full_book(engines: int, waiting: int) -> slot_scheduler.SlotScheduler:
+def workspace_of(number: int, workspaces: int) -> str:
+    """Return the workspace of a request, in turn; empty if there is none."""
+    return f"w{number % workspaces}" if workspaces else ""
+
+
+def full_book(
+    engines: int, waiting: int, workspaces: int
+) -> slot_scheduler.SlotScheduler:
     """Return a book with all slots taken by items, and more waiting."""
     book = slot_scheduler.SlotScheduler()
     book.set_engines(
@@ -30,21 +45,31 @@
     )
     for number in range(engines * SLOTS + waiting):
         want = slot_scheduler.SlotRequest(
-            f"i{number}", "h", False, due_at=18.0 + number % 97, work_s=4.8
+            f"i{number}",
+            "h",
+            False,
+            due_at=18.0 + number % 97,
+            work_s=4.8,
+            workspace=workspace_of(number, workspaces),
         )
         book.items.add(want)
     book.decide(0.0)
     return book
 
 
-def measure(engines: int, waiting: int) -> float:
+def measure(engines: int, waiting: int, workspaces: int) -> float:
     """Return microseconds of processor time for an ask and its end."""
-    book = full_book(engines, waiting)
+    book = full_book(engines, waiting, workspaces)
     begun = time.process_time()
     for number in range(ROUNDS):
         now = 1.0 + number / 1000
         want = slot_scheduler.SlotRequest(
-            f"q{number}", "h", True, asked_at=now, prefix=f"p{number % 8}"
+            f"q{number}",
+            "h",
+            True,
+            asked_at=now,
+            prefix=f"p{number % 8}",
+            workspace=workspace_of(number, workspaces),
         )
         for decision in book.ask(want, now):
             if isinstance(decision, slot_scheduler.Revoke):
@@ -58,10 +83,11 @@
 def main() -> int:
     """Print a line for each size and one of JSON; return the exit code."""
     found = {}
-    for engines, waiting in SIZES:
-        microseconds = measure(engines, waiting)
-        found[f"{engines} engines, {waiting} items"] = round(microseconds, 1)
-        print(f"{engines} engines, {waiting} waiting: {microseconds:.1f} us")
+    for engines, waiting, workspaces in SIZES:
+        microseconds = measure(engines, waiting, workspaces)
+        size = f"{engines} engines, {waiting} items, {workspaces} workspaces"
+        found[size] = round(microseconds, 1)
+        print(f"{size}: {microseconds:.1f} us")
     print(json.dumps({"bench": "slots", "us": found}))
     return 0
 
--- a/camphortray/limit_standby.py
+++ b/camphortray/limit_standby.py
@@ -162,3 +162,6 @@
         changes = [wire.change(now) for wire in update.changes]
         limits.apply(changes, now - update.since_ms / 1000, now)
         limits.prune(now)
+        if update.service not in self.timers:
+            # Nobody is sent what only the coordinator has counted.
+            limits.take_changes()
--- a/camphortray/request_limits.py
+++ b/camphortray/request_limits.py
@@ -100,6 +100,7 @@
 
     Attributes:
       counts: In the order of their times.
+      known: Number of times that each digest is in ``counts``.
       here: Number of those that this coordinator admitted.
       reserved: Number of requests that others may have admitted since they
         last sent their counts.
@@ -108,6 +109,7 @@
 
     def __init__(self) -> None:
         self.counts: list[Count] = []
+        self.known: collections.Counter[int] = collections.Counter()
         self.here = 0
         self.reserved = 0
         self.retries: list[float] = []
@@ -115,28 +117,36 @@
     def add(self, count: Count) -> None:
         """Add an admission."""
         bisect.insort(self.counts, count, key=counted_at)
+        self.known[count.digest] += 1
         self.here += count.here
 
-    def pop(self, place: int) -> Count:
-        """Remove and return the admission at a place in ``counts``."""
-        count = self.counts.pop(place)
+    def dropped(self, count: Count) -> None:
+        """Update what is derived from ``counts`` after a removal."""
         self.here -= count.here
-        return count
+        self.known[count.digest] -= 1
+        if not self.known[count.digest]:
+            del self.known[count.digest]
 
     def forget(self, before: float, now: float) -> None:
         """Drop admissions before a time, and retries that are due."""
-        while self.counts and self.counts[0].at <= before:
-            self.pop(0)
+        first = bisect.bisect_right(self.counts, before, key=counted_at)
+        for count in self.counts[:first]:
+            self.dropped(count)
+        del self.counts[:first]
         del self.retries[: bisect.bisect_right(self.retries, now)]
 
-    def find(self, digest: int) -> int | None:
-        """Return the place of the newest admission with a digest, if any.
+    def pop(self, digest: int) -> Count | None:
+        """Remove and return the newest admission with a digest, if any.
 
         A caller may have sent several requests with the same id.
         """
+        if digest not in self.known:
+            return None
         for place in reversed(range(len(self.counts))):
             if self.counts[place].digest == digest:
-                return place
+                count = self.counts.pop(place)
+                self.dropped(count)
+                return count
         return None
 
     def count_since(self, at: float) -> int:
@@ -256,9 +266,8 @@
     def remove(self, request_digest: int, workspace: str) -> None:
         """Remove an admission, if it is known."""
         log = self.logs.get(workspace)
-        place = log.find(request_digest) if log is not None else None
-        if log is not None and place is not None:
-            count = log.pop(place)
+        count = log.pop(request_digest) if log is not None else None
+        if count is not None:
             self.note(Change(workspace, count, withdrawn=True))
 
     def merge(self, requests: Iterable[Admission], now: float) -> None:
@@ -271,7 +280,7 @@
         """Add an admission unless it is known or has left the window."""
         log = self.logs.setdefault(workspace, RequestLog())
         log.forget(now - self.window_s, now)
-        if count.at > now - self.window_s and log.find(count.digest) is None:
+        if count.at > now - self.window_s and count.digest not in log.known:
             log.add(count)
             self.note(Change(workspace, count))
 
--- a/camphortray/slot_queue.py
+++ b/camphortray/slot_queue.py
@@ -96,7 +96,7 @@
 
     Attributes:
       timely: Items that may meet their due time.
-      lanes: The same items, by workspace.
+      lanes: The same items, by workspace, if they have one.
       late: The other items.
     """
 
@@ -120,23 +120,26 @@
 
     def add(self, want: SlotRequest) -> None:
         """Add an item."""
-        self.drop(want.id)
         self.timely.add(want.id, want.due_at, want)
-        lane = self.lanes.setdefault(
-            want.workspace, priority_queue.PriorityQueue()
-        )
-        lane.add(want.id, want.due_at, want)
+        if want.workspace:
+            lane = self.lanes.setdefault(
+                want.workspace, priority_queue.PriorityQueue()
+            )
+            lane.add(want.id, want.due_at, want)
 
     def drop(self, want_id: str) -> None:
         """Remove an item, if it is there."""
         self.late.drop(want_id)
+        self.drop_timely(want_id)
+
+    def drop_timely(self, want_id: str) -> None:
+        """Remove an item from those that may meet their due time."""
         want = self.timely.drop(want_id)
-        if want is None:
-            return
-        lane = self.lanes[want.workspace]
-        lane.drop(want_id)
-        if not lane:
-            del self.lanes[want.workspace]
+        lane = self.lanes.get(want.workspace) if want is not None else None
+        if want is not None and lane is not None:
+            lane.drop(want_id)
+            if not lane:
+                del self.lanes[want.workspace]
 
     def first(
         self, shares: fair_shares.FairShares | None = None
@@ -147,7 +150,7 @@
           shares: Shares by which workspaces take turns; None if all items
             are ordered by due time alone.
         """
-        if shares is None or len(self.lanes) < 2:
+        if shares is None or not self.lanes:
             return self.timely.first()
         return self.lanes[min(self.lanes, key=shares.start)].first()
 
@@ -156,7 +159,7 @@
     ) -> SlotRequest | None:
         """Remove and return the next item, or None if none waits."""
         while (want := self.first(shares)) is not None:
-            self.drop(want.id)
+            self.drop_timely(want.id)
             if want.begin_by >= now:
                 return want
             self.late.add(want.id, want.due_at, want)
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -316,12 +316,15 @@
         if now < self.items_from:
             self.recheck_at = self.items_from
             return
+        if self.queue or not self.accounting.table.free_slots(now):
+            return
+        turns = self.item_turns(now)
         while (
             not self.queue
             and self.accounting.table.free_slots(now) > 0
             and len(skipped) < MAX_SKIPPED_ITEMS
         ):
-            want = self.next_item(now)
+            want = self.items.pop(now, turns)
             if want is None:
                 break
             engine = None
@@ -339,15 +342,19 @@
         for want in skipped:
             self.items.add(want)
 
-    def next_item(self, now: float) -> SlotRequest | None:
-        """Remove and return the item that is to get a slot next."""
+    def item_turns(self, now: float) -> fair_shares.FairShares | None:
+        """Return the shares by which items take turns, if time is short."""
         first = self.items.first()
-        short = first is not None and self.pressed(first, now)
-        if not self.experiments.fair_shares or not short:
+        if (
+            first is None
+            or len(self.items.lanes) < 2
+            or not self.experiments.fair_shares
+            or not self.pressed(first, now)
+        ):
             self.item_shares.advance(())
-            return self.items.pop(now)
+            return None
         self.item_shares.advance(self.items.lanes)
-        return self.items.pop(now, self.item_shares)
+        return self.item_shares
 
     def would_hold_slot(self, want: SlotRequest, now: float) -> bool:
         """Return whether a batch item would hold a slot for long enough.
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -165,7 +165,7 @@
         scheduler.items.add(slotkit.item(f"a{number}", 8.0, workspace="a"))
     scheduler.items.add(slotkit.item("b0", due_b, workspace="b"))
     scheduler.pressed = lambda want, now: short
-    assert scheduler.next_item(0.0).id == first
+    assert scheduler.items.pop(0.0, scheduler.item_turns(0.0)).id == first
 
 
 def test_what_a_run_did_not_use_is_credited():
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -434,6 +434,23 @@
         await platform.until(lambda: not limits.everything())
 
 
+def test_a_former_coordinator_keeps_no_changes(monkeypatch):
+    """Guards against memory that grows with each request counted elsewhere."""
+
+    async def play(fleet, callers):
+        served = [h.part(slot_client.SlotClient).served for h in fleet.hosts]
+        for each in served:
+            each.coordinator(platformkit.SERVICE)
+        await callers.send(8, 4, spread(fleet))
+        limits = [
+            each.standbys.limits_of(platformkit.SERVICE) for each in served
+        ]
+        callers.kept = [len(each.changes) for each in limits]
+
+    callers = played(monkeypatch, play)
+    assert max(callers.kept) <= 4
+
+
 @pytest.mark.parametrize("lost", [4])
 @pytest.mark.parametrize("per_s", [36, 160])
 def test_a_limit_outlives_the_loss_of_several_hosts(monkeypatch, per_s, lost):
