--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -13,6 +13,7 @@
     "LoggingConfig",
     "PeerConfig",
     "PlatformConfig",
+    "ResourcesConfig",
     "ShardsConfig",
     "StreamConfig",
     "TlsConfig",
@@ -35,6 +36,7 @@
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class Address(NamedTuple):
@@ -58,6 +60,22 @@
         return f"{ip}:{self.port}"
 
 
+class ResourcesConfig(msgspec.Struct, frozen=True):
+    """What a host has; 0 where that is not known.
+
+    Attributes:
+      cores: Processor time a second, in cores of usual speed.
+      memory_mb: Memory of the process, in MB.
+      descriptors: Open files and sockets.
+      link_mbps: Bandwidth of its link, in Mbit/s.
+    """
+
+    cores: Amount = 0.0
+    memory_mb: Amount = 0.0
+    descriptors: Amount = 0.0
+    link_mbps: Amount = 0.0
+
+
 class HostConfig(msgspec.Struct, frozen=True):
     """Who this host is.
 
@@ -65,11 +83,13 @@
       name: Unique name of the host.
       availability_zone: Where it stands.
       region: Root of its part of the settings tree.
+      resources: What it has, which it announces to the other hosts.
     """
 
     name: Name
     availability_zone: Name
     region: Name
+    resources: ResourcesConfig = ResourcesConfig()
 
 
 class EntryConfig(msgspec.Struct, frozen=True):
--- a/camphortray/coordinator_election.py
+++ b/camphortray/coordinator_election.py
@@ -1,14 +1,15 @@
 """Elects the host that grants the slots of a service.
 
 The coordinator is the live host that ranks first for the service by rendezvous
-hash. A host that gets no answer from it excludes it for a while; the host
-ranked next then grants only a share of the slots, as other hosts may still
-use the first.
+hash, of those large enough where hosts differ in size. A host that gets no
+answer from it excludes it for a while; the host ranked next then grants only a
+share of the slots, as other hosts may still use the first.
 """
 
 __all__ = ["CoordinatorElection"]
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from camphortray import members
 from camphortray import shards
@@ -20,6 +21,9 @@
 CONFIRMED_EXCLUSION_S = 6.0
 # The same for a coordinator in the host list that has never sent a message.
 UNSEEN_EXCLUSION_S = 60.0
+# Least capacity of a coordinator, as a share of that of the largest host. A
+# coordinator receives two messages for each request of its service.
+CAPACITY_SHARE = 0.5
 # Factor on a host's even share of the slots while it grants for itself: load
 # is uneven between hosts, and not all hosts lose their coordinator.
 FALLBACK_SHARE_FACTOR = 1.5
@@ -35,6 +39,7 @@
         those without a message so far.
       elected: Coordinator by service.
       excluded: When the exclusion of a member ends, by name.
+      least: Least capacity of a coordinator at the last election.
       on_change: Called with each service whose coordinator has changed.
     """
 
@@ -49,12 +54,13 @@
         self.possible = possible or self.live_names
         self.elected: dict[str, str] = {}
         self.excluded: dict[str, float] = {}
+        self.least = 0.0
         self.on_change: Callable[[str], None] = lambda service: None
 
     def coordinator(self, service: str, now: float) -> str:
         """Return the member that coordinates a service."""
         if service not in self.elected:
-            names = [m.name for m in self.live() if self.usable(m, now)]
+            names = [m.name for m in self.candidates(now)]
             found = shards.preferred(f"slots/{service}", names)
             self.elected[service] = found or self.own_name
         return self.elected[service]
@@ -67,6 +73,22 @@
             and self.usable_name(member.name, now)
         )
 
+    def candidates(self, now: float) -> list[members.Member]:
+        """Return the live hosts that may coordinate and can carry it."""
+        usable = [m for m in self.live() if self.usable(m, now)]
+        self.least = least_capacity(usable)
+        return [m for m in usable if carries(m, self.least)]
+
+    def possible_names(self) -> set[str]:
+        """Return all hosts that may be alive and large enough.
+
+        The size of a host without a message so far is not known.
+        """
+        known = self.live()
+        least = least_capacity(known)
+        small = {m.name for m in known if not carries(m, least)}
+        return self.possible() - small
+
     def live_names(self) -> set[str]:
         """Return the names of live members."""
         return {member.name for member in self.live()}
@@ -77,7 +99,7 @@
         Hosts that have sent no message yet are included: otherwise, after
         a loss of all hosts, each of them would grant all slots.
         """
-        return shards.preferred(f"slots/{service}", self.possible())
+        return shards.preferred(f"slots/{service}", self.possible_names())
 
     def usable_name(self, name: str, now: float) -> bool:
         """Return whether a member is not excluded."""
@@ -85,15 +107,15 @@
 
     def successor(self, service: str, now: float) -> str | None:
         """Return the first choice among the hosts that are not excluded."""
-        names = [n for n in self.possible() if self.usable_name(n, now)]
+        names = [n for n in self.possible_names() if self.usable_name(n, now)]
         return shards.preferred(f"slots/{service}", names)
 
     def standbys(self, service: str, count: int, now: float) -> list[str]:
         """Return the members that would coordinate a service next."""
         names = [
             member.name
-            for member in self.live()
-            if member.name != self.own_name and self.usable(member, now)
+            for member in self.candidates(now)
+            if member.name != self.own_name
         ]
         return shards.rank(f"slots/{service}", names)[:count]
 
@@ -140,17 +162,36 @@
         an election examines all members.
         """
         usable = self.usable(member, now)
+        if self.changes_least(member, usable, now):
+            self.re_elect(now)
+            return
         for service, name in list(self.elected.items()):
             key = f"slots/{service}"
             if member.name == name:
                 affected = not usable
             else:
-                affected = usable and (
-                    shards.score(key, member.name) > shards.score(key, name)
+                affected = (
+                    usable
+                    and carries(member, self.least)
+                    and shards.score(key, member.name)
+                    > shards.score(key, name)
                 )
             if affected:
                 self.re_elect_service(service, now)
 
+    def changes_least(
+        self, member: members.Member, usable: bool, now: float
+    ) -> bool:
+        """Return whether a member's change moves the least capacity."""
+        least = CAPACITY_SHARE * member.capacity
+        if usable:
+            return least > self.least
+        if not least or least < self.least:
+            return False
+        before = self.least
+        self.candidates(now)
+        return self.least != before
+
     def re_elect_service(self, service: str, now: float) -> None:
         """Repeat the election for one service."""
         before = self.elected.pop(service)
@@ -161,3 +202,14 @@
         """Repeat the elections for all services."""
         for service in list(self.elected):
             self.re_elect_service(service, now)
+
+
+def least_capacity(hosts: Iterable[members.Member]) -> float:
+    """Return the least capacity of a coordinator among some hosts."""
+    largest = max((host.capacity for host in hosts), default=0.0)
+    return CAPACITY_SHARE * largest
+
+
+def carries(host: members.Member, least: float) -> bool:
+    """Return whether a host is large enough; one of unknown size is."""
+    return not host.capacity or host.capacity >= least
--- a/camphortray/members.py
+++ b/camphortray/members.py
@@ -62,6 +62,7 @@
       revision: Settings revision last heard from it; 0 if unheard of.
       started: Incarnation of its process, as in its log records.
       left: Whether it said that it leaves.
+      capacity: Units of load that it can carry; 0 if not known.
     """
 
     name: Name
@@ -73,6 +74,7 @@
     revision: int = 0
     started: int = 0
     left: bool = False
+    capacity: float = 0.0
 
     @property
     def host(self) -> str:
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -17,6 +17,7 @@
 from camphortray import facts
 from camphortray import failure_detector
 from camphortray import gossip
+from camphortray import host_capacity
 from camphortray import hostlist
 from camphortray import kernel
 from camphortray import list_polling
@@ -78,6 +79,7 @@
             "",
             "",
             started=context.incarnation,
+            capacity=host_capacity.capacity_of(config.host.resources),
         )
         offset = self.clock.wall() - self.clock.monotonic()
         self.node = nodes.Node(
--- a/tests/test_coordinator_election.py
+++ b/tests/test_coordinator_election.py
@@ -155,13 +155,18 @@
     )
 
 
+@pytest.mark.parametrize(
+    "sizes", [(0.0,) * 4, (2.0, 2.0, 0.5, 0.5), (2.0, 1.2, 0.5, 0.0)]
+)
 @pytest.mark.parametrize("seed", range(5))
-def test_a_change_of_one_member_elects_as_an_election_of_all_does(seed):
+def test_a_change_of_one_member_elects_as_an_election_of_all_does(seed, sizes):
     """Elections missed a coordinator that joined or left."""
     rng = random.Random(seed)
+    rng.shuffle(size_list := list(sizes))
+    capacities = dict(zip(NAMES, size_list, strict=True))
     live = {}
     election, changed = election_of(LAST, live)
-    own = msgspec.structs.replace(MEMBER, name=LAST)
+    own = msgspec.structs.replace(MEMBER, name=LAST, capacity=capacities[LAST])
     live[LAST] = own
     election.coordinator(SERVICE, 0.0)
     for _ in range(200):
@@ -169,7 +174,11 @@
         status = rng.choice(list(members.Status))
         address = rng.choice(["", "10.0.0.1:2"])
         member = msgspec.structs.replace(
-            MEMBER, name=name, status=status, http_address=address
+            MEMBER,
+            name=name,
+            status=status,
+            http_address=address,
+            capacity=capacities[name],
         )
         if status in (members.Status.ALIVE, members.Status.SUSPECT):
             live[name] = member
@@ -182,3 +191,27 @@
         recomputed, _ = election_of(LAST, live)
         assert found == recomputed.coordinator(SERVICE, 0.0)
         assert changed == ([SERVICE] if found != before else [])
+
+
+@pytest.mark.parametrize(
+    ("capacities", "expected"),
+    [
+        ((0.4, 0.4, 2.1, 2.1), THIRD),
+        ((1.2, 0.4, 2.1, 2.1), FIRST),
+        ((0.0, 0.4, 2.1, 2.1), FIRST),
+        ((0.4, 0.4, 0.4, 0.4), FIRST),
+    ],
+)
+def test_a_host_that_is_too_small_is_not_elected(capacities, expected):
+    """Guards against a coordinator that cannot answer in a burst."""
+    live = live_members()
+    ranked = (FIRST, SECOND, THIRD, LAST)
+    for name, capacity in zip(ranked, capacities, strict=True):
+        live[name] = msgspec.structs.replace(live[name], capacity=capacity)
+    election, _ = election_of(SECOND, live)
+    assert election.coordinator(SERVICE, 0.0) == expected
+    assert election.first_choice(SERVICE) == expected
+    assert SECOND not in election.standbys(SERVICE, 4, 0.0)
+    del live[THIRD], live[LAST]
+    election, _ = election_of(SECOND, live)
+    assert election.coordinator(SERVICE, 0.0) == FIRST
