Show who uses slots, and how fast engines are

Cause: nothing told an operator whose requests hold and wait for slots, or which engines are used last and why.

--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -90,6 +90,7 @@
         self.context = context
         self.clock = context.clock
         self.experiments = context.config.experiments
+        self.metrics = context.metrics
         self.links = context.part(peers.Peers)
         self.members = context.part(membership.Membership)
         self.active_config = context.part(active_config.ActiveConfig)
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -8,10 +8,12 @@
 
 from camphortray import active_config
 from camphortray import config as configs
+from camphortray import contention_gauges
 from camphortray import engine_registry
 from camphortray import errors
 from camphortray import limit_standby
 from camphortray import logs
+from camphortray import metrics as metric_registry
 from camphortray import orphaned_leases
 from camphortray import peers
 from camphortray import request_limits
@@ -37,12 +39,12 @@
 
     Attributes:
       active_config: Configuration and engines as this host knows them.
-      own_name: Name of this host's member.
+      metrics: Metrics of this host.
       experiments: Mechanisms in use; ablation experiments disable some.
     """
 
     active_config: active_config.ActiveConfig
-    own_name: str
+    metrics: metric_registry.Metrics
     experiments: configs.ExperimentsConfig
 
     @abc.abstractmethod
@@ -84,6 +86,7 @@
       reconciler: Updates the scheduler from reports.
       standbys: Sends the counts of ``limits`` to standbys.
       limits: Counts of the requests admitted, by workspace.
+      gauges: Metrics of the workspaces and engines.
       reach: Share of the listed hosts in reach. The others may have a
         coordinator of their own, which admits requests as well.
       holders: Address of each holder and time of its last message, by name.
@@ -108,6 +111,7 @@
         self.reconciler = slot_reconciler.SlotReconciler(self.scheduler)
         self.limits = standbys.limits_of(service)
         self.limits.begin(host.clock.monotonic())
+        self.gauges = contention_gauges.ContentionGauges(host.metrics, service)
         self.reach = host.reach()
         self.holders: dict[str, tuple[configs.Address, float]] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -206,6 +210,7 @@
                 continue
             if isinstance(decision, slot_scheduler.Refuse):
                 want = decision.want
+                self.gauges.on_refused(want.workspace)
                 self.limits.withdraw(want.id, want.workspace)
         self.log_refusals(decisions)
 
@@ -243,6 +248,10 @@
                     "service": self.service,
                     "workspace": decision.want.workspace,
                     "queued": len(scheduler.queue),
+                    "queued_of_workspace": sum(
+                        queued.workspace == decision.want.workspace
+                        for queued in scheduler.queue
+                    ),
                     "leases": len(scheduler.leases),
                     "engines": len(scheduler.accounting.table.engines),
                     "open_slots": scheduler.accounting.table.open_slots(now),
@@ -359,6 +368,7 @@
         """
         self.reach = self.host.reach()
         self.limits.prune(now)
+        self.gauges.update(self.scheduler, now)
         for holder, (_, at) in list(self.holders.items()):
             if now - at > HOLDER_TIMEOUT_S:
                 self.drop(holder, now)
