Repeat a request for a slot that was refused by a share

Cause: after a loss of all hosts each grants a share of the slots until it knows who coordinates, and a new coordinator admits part of a limit.

Change: such a refusal is provisional; the host asks again every 40 ms as long as the objective leaves time to wait. Refusals by a coordinator that grants all slots stay final.

--- a/camphortray/errors.py
+++ b/camphortray/errors.py
@@ -135,11 +135,16 @@
 
     Attributes:
       retry_after_s: Seconds until there will be room, as expected.
+      provisional: Whether it was refused by a share, so that there may be
+        room elsewhere, or as soon as the coordinator knows of it.
     """
 
-    def __init__(self, message: str, retry_after_s: float) -> None:
+    def __init__(
+        self, message: str, retry_after_s: float, provisional: bool = False
+    ) -> None:
         super().__init__(message, step="place")
         self.retry_after_s = retry_after_s
+        self.provisional = provisional
 
 
 class RateExceeded(NoSlot):
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -54,6 +54,8 @@
 # Seconds that an online request waits for the coordinator's answer beyond its
 # maximum time in the queue.
 ANSWER_MARGIN_S = 0.1
+# Seconds after which a request refused by a share is repeated.
+REPEAT_S = 0.04
 # Number of coordinators, one after the other, that may be asked for a slot for
 # a request that counts against a limit.
 COUNTING_CANDIDATES = 2
@@ -367,7 +369,26 @@
     async def request_grant(
         self, service: str, request: slot_scheduler.SlotRequest
     ) -> lease_table.Granted:
-        """Request a slot and wait for its grant; raises as ``acquire``."""
+        """Request a slot and wait for its grant; raises as ``acquire``.
+
+        A refusal by a share is not final: while hosts come back there is a
+        coordinator that grants all slots within some tenths of a second.
+        """
+        wait_s = request.objective_s * slot_scheduler.MAX_WAIT_SHARE
+        last_at = request.asked_at + wait_s - REPEAT_S
+        while True:
+            try:
+                return await self.request_once(service, request)
+            except errors.NoSlot as error:
+                now = self.clock.monotonic()
+                if not error.provisional or now > last_at:
+                    raise
+            await asyncio.sleep(REPEAT_S)
+
+    async def request_once(
+        self, service: str, request: slot_scheduler.SlotRequest
+    ) -> lease_table.Granted:
+        """Request a slot and wait for the first answer."""
         loop = asyncio.get_running_loop()
         pending = lease_table.Pending(request, service, loop.create_future())
         self.pending[request.id] = pending
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -226,9 +226,17 @@
         if self.scheduler.accounting.orphaned and self.grants_all:
             self.poll_engines()
         for holder, of_holder in by_holder.items():
-            self.send(holder, SlotDecisions.of(self.service, of_holder))
+            self.send(holder, self.message(of_holder))
         self.reschedule()
 
+    def message(
+        self, decisions: list[slot_scheduler.Decision]
+    ) -> SlotDecisions:
+        """Return the message with decisions on the requests of a holder."""
+        return SlotDecisions.of(
+            self.service, decisions, by_share=not self.grants_all
+        )
+
     def log_refusals(self, decisions: list[slot_scheduler.Decision]) -> None:
         """Log each refusal with the state that led to it."""
         now = self.host.clock.monotonic()
@@ -482,7 +490,7 @@
             target.append(decision)
         coordinator.send_decisions(others)
         coordinator.on_refusals(replies)
-        return SlotDecisions.of(ask.service, replies)
+        return coordinator.message(replies)
 
     async def on_end(self, sender: peers.Sender, end: LeaseEnd) -> None:
         """Apply the end of a lease or of a waiting request."""
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -327,6 +327,7 @@
       revoked: Request ids of the leases that are revoked.
       over_limit: Request ids in ``refused`` whose workspace has reached its
         limit.
+      provisional: Request ids in ``refused`` that were refused by a share.
     """
 
     service: str
@@ -334,16 +335,27 @@
     refused: dict[str, float] = msgspec.field(default_factory=dict)
     revoked: tuple[str, ...] = ()
     over_limit: tuple[str, ...] = ()
+    provisional: tuple[str, ...] = ()
 
     @classmethod
     def of(
-        cls, service: str, decisions: Iterable[slot_scheduler.Decision]
+        cls,
+        service: str,
+        decisions: Iterable[slot_scheduler.Decision],
+        by_share: bool = False,
     ) -> "SlotDecisions":
-        """Return the message with decisions on the requests of a holder."""
+        """Return the message with decisions on the requests of a holder.
+
+        Args:
+          service: Service of the requests.
+          decisions: The decisions.
+          by_share: Whether the coordinator grants a share of the slots only.
+        """
         granted: dict[str, str] = {}
         refused: dict[str, float] = {}
         revoked: list[str] = []
         over_limit: list[str] = []
+        provisional: list[str] = []
         for decision in decisions:
             want_id = decision.want.id
             if isinstance(decision, slot_scheduler.Grant):
@@ -352,13 +364,18 @@
                 revoked.append(want_id)
             else:
                 refused[want_id] = decision.retry_after_s
-                if (
-                    isinstance(decision, slot_scheduler.Throttle)
-                    and decision.certain
-                ):
-                    over_limit.append(want_id)
+                if isinstance(decision, slot_scheduler.Throttle):
+                    ids = over_limit if decision.certain else provisional
+                    ids.append(want_id)
+                elif by_share:
+                    provisional.append(want_id)
         return cls(
-            service, granted, refused, tuple(revoked), tuple(over_limit)
+            service,
+            granted,
+            refused,
+            tuple(revoked),
+            tuple(over_limit),
+            tuple(provisional),
         )
 
     def refusal(self, request_id: str) -> errors.NoSlot:
@@ -369,4 +386,5 @@
                 "the workspace has reached its limit of requests",
                 retry_after_s,
             )
-        return errors.NoSlot("no room in time", retry_after_s)
+        provisional = request_id in self.provisional
+        return errors.NoSlot("no room in time", retry_after_s, provisional)
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -227,3 +227,58 @@
         ].expires_at = now
         part.served.expire_holders()
         assert not coordinator.scheduler.accounting.orphaned
+
+
+@pytest.mark.parametrize(
+    ("refusals", "provisional", "objective_s", "asked", "granted"),
+    [
+        (2, True, 9.0, 3, True),
+        (0, True, 9.0, 1, True),
+        (1, False, 9.0, 1, False),
+        (9, True, 0.05, 1, False),
+    ],
+)
+async def test_a_refusal_by_a_share_is_repeated_within_the_wait(
+    refusals, provisional, objective_s, asked, granted
+):
+    """Guards against 503 while engines are idle after a loss of all hosts."""
+    async with platformkit.Platform(hosts=1) as platform:
+        client = platform.hosts[0].part(slot_client.SlotClient)
+        calls = []
+
+        async def request_once(service, request):
+            calls.append(request.id)
+            if len(calls) <= refusals:
+                raise errors.NoSlot("no room", 0.3, provisional)
+            return request.id
+
+        client.request_once = request_once
+        want = slot_scheduler.SlotRequest(
+            "w",
+            client.own_name,
+            True,
+            asked_at=client.clock.monotonic(),
+            objective_s=objective_s,
+        )
+        answers = await asyncio.gather(
+            client.request_grant(SERVICE, want), return_exceptions=True
+        )
+    assert len(calls) == asked
+    assert (answers == ["w"]) == granted
+
+
+@pytest.mark.parametrize(
+    ("decision", "by_share", "provisional"),
+    [
+        (slot_scheduler.Refuse, True, True),
+        (slot_scheduler.Refuse, False, False),
+        (slot_scheduler.Throttle, True, False),
+    ],
+)
+def test_a_refusal_says_whether_it_is_final(decision, by_share, provisional):
+    """Guards against requests that wait for what is known not to come."""
+    want = slot_scheduler.SlotRequest("w", "h", True)
+    message = slot_messages.SlotDecisions.of(
+        SERVICE, [decision(want, 0.3)], by_share
+    )
+    assert message.refusal("w").provisional == provisional
