Weigh the order of addresses of the OpenAI front by size too

Cause: hosts of different size were weighed on the users' platform only.

Change: the rendezvous order of GET /v1/hosts is weighted by capacity; the weighted score is one function for engines and hosts; operators see the capacity of each host. Hosts of one size keep their order.

Measured: 2,000 callers before three hosts of 2.0 and six of 0.5 units go to the large ones first in two of three (tests/test_addresses.py).

--- a/camphortray/addresses.py
+++ b/camphortray/addresses.py
@@ -6,9 +6,11 @@
 from typing import ClassVar
 
 from camphortray import errors
+from camphortray import host_capacity
 from camphortray import kernel
 from camphortray import membership
 from camphortray import ring
+from camphortray import shards
 from camphortray import web
 
 # Addresses in an answer where the caller asks for no other number.
@@ -25,9 +27,9 @@
 ) -> list[membership.Member]:
     """Return the members a caller should try, in this order.
 
-    The order within a zone is a rendezvous hash of the caller, so that
-    the callers of a lost host move to all others alike, and the callers
-    of the others do not move at all.
+    The order within a zone is a rendezvous hash of the caller, weighted by
+    the size of the hosts, so that the callers of a lost host move to all
+    others alike, and the callers of the others do not move at all.
 
     Args:
       live: Members to choose from.
@@ -35,9 +37,12 @@
       caller: Anything that stays the same for a caller.
       limit: Most members to return.
     """
+    weights = host_capacity.weights_of(live)
     ranked = sorted(
         (m for m in live if m.http_address),
-        key=lambda m: ring.score(caller, m.name),
+        key=lambda m: shards.weighted_score(
+            ring.score(caller, m.name), weights[m.name]
+        ),
         reverse=True,
     )
     well = [m for m in ranked if m.status is membership.Status.ALIVE]
--- a/camphortray/ctl_hosts.py
+++ b/camphortray/ctl_hosts.py
@@ -27,7 +27,8 @@
     for member in fetch_members(entry):
         print(
             f"{member['name']:<28} {member['status']:<8}"
-            f" {member['availability_zone']:<20} {member['http_address']}"
+            f" {member['availability_zone']:<20} {member['http_address']:<21}"
+            f" {member.get('capacity') or ''}"
         )
     return 0
 
--- a/camphortray/engine_speeds.py
+++ b/camphortray/engine_speeds.py
@@ -3,7 +3,6 @@
 __all__ = ["EngineSpeeds", "pace_of"]
 
 from collections.abc import Collection
-import math
 
 import msgspec
 
@@ -137,16 +136,3 @@
     (0.2, 0.0)
     """
     return stream_s / (events - 1) if events > MIN_EVENTS else 0.0
-
-
-def weighted_rank(hashed: int, factor: float) -> float:
-    """Return the weighted rendezvous score of an engine, highest first.
-
-    An engine is chosen in proportion to its speed. With equal speeds the
-    order is that of the hashes.
-
-    Args:
-      hashed: 64-bit hash of the key and the engine.
-      factor: Pace of the engine over the usual one.
-    """
-    return math.log((hashed + 1) / 2**64) * factor
--- a/camphortray/host_capacity.py
+++ b/camphortray/host_capacity.py
@@ -4,7 +4,7 @@
 are then given all of them.
 """
 
-__all__ = ["capacity_of", "choose", "uneven"]
+__all__ = ["capacity_of", "choose", "uneven", "weights_of"]
 
 from collections.abc import Sequence
 import random
@@ -49,6 +49,15 @@
     return bool(known) and max(known) >= EVEN_FACTOR * min(known)
 
 
+def weights_of(hosts: Sequence[members.Member]) -> dict[str, float]:
+    """Return the weight of each host; one of unknown size is a mean one."""
+    if not uneven(hosts):
+        return dict.fromkeys((host.name for host in hosts), 1.0)
+    known = [host.capacity for host in hosts if host.capacity]
+    mean = sum(known) / len(known)
+    return {host.name: host.capacity or mean for host in hosts}
+
+
 def choose(
     hosts: Sequence[members.Member], zone: str, rng: random.Random
 ) -> list[members.Member]:
@@ -62,8 +71,7 @@
       zone: Availability zone of the caller.
       rng: Source of randomness.
     """
-    mean = sum(h.capacity for h in hosts if h.capacity) / max(1, len(hosts))
-    weights = {host.name: host.capacity or mean or 1.0 for host in hosts}
+    weights = weights_of(hosts)
     near = [host for host in hosts if host.availability_zone == zone]
     far = [host for host in hosts if host.availability_zone != zone]
     zones = {host.availability_zone for host in hosts}
--- a/camphortray/hostsapi.py
+++ b/camphortray/hostsapi.py
@@ -121,6 +121,7 @@
         "name": member.name,
         "status": str(member.status),
         "availability_zone": member.availability_zone,
+        "capacity": member.capacity,
         "http_address": member.http_address,
         "peer_address": member.peer_address,
         "incarnation": member.incarnation,
--- a/camphortray/shards.py
+++ b/camphortray/shards.py
@@ -1,8 +1,16 @@
 """Maps keys to shards, and ranks hosts by rendezvous hashing."""
 
-__all__ = ["preferred", "rank", "score", "shard_of", "stream_name"]
+__all__ = [
+    "preferred",
+    "rank",
+    "score",
+    "shard_of",
+    "stream_name",
+    "weighted_score",
+]
 
 from collections.abc import Iterable
+import math
 
 import xxhash
 
@@ -38,3 +46,17 @@
     """Return the first name in rendezvous order, or None without names."""
     best = max((score(key, name) for name in names), default=None)
     return best[1] if best else None
+
+
+def weighted_score(hashed: int, weight: float) -> float:
+    """Return the score of a name in weighted rendezvous hashing.
+
+    The highest comes first, so that a name is preferred for keys in
+    proportion to its weight. With equal weights the order is that of the
+    hashes.
+
+    Args:
+      hashed: 64-bit hash of the key and the name.
+      weight: Weight of the name, above 0.
+    """
+    return math.log((hashed + 1) / 2**64) / weight
--- a/camphortray/slottable.py
+++ b/camphortray/slottable.py
@@ -16,6 +16,7 @@
 from camphortray import config as configs
 from camphortray import engine_speeds
 from camphortray import enginehealth
+from camphortray import shards
 
 # Minimum number of engines that a small share uses: one may be ejected as
 # unhealthy, and a failed request is retried on another.
@@ -256,8 +257,8 @@
         if prefix:
             return max(
                 names,
-                key=lambda name: engine_speeds.weighted_rank(
-                    affinity(prefix, name), factor_of(name)
+                key=lambda name: shards.weighted_score(
+                    affinity(prefix, name), 1 / factor_of(name)
                 ),
             )
         sign = -1 if online else 1
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import msgspec
 import pytest
 
 from camphortray import addresses
@@ -56,6 +57,20 @@
     assert max(load.values()) < 3 * len(moved) / 9
 
 
+def test_large_hosts_come_first_for_more_callers():
+    """Guards against small hosts that carry as much as large ones."""
+    live = [
+        msgspec.structs.replace(member, capacity=2.0 if n < 3 else 0.5)
+        for n, member in enumerate(fleet(9, 1))
+    ]
+    firsts = collections.Counter(
+        addresses.choose(live, "z0", f"c{n}", 3)[0].capacity
+        for n in range(2000)
+    )
+    # Three of 2.0 beside six of 0.5.
+    assert firsts[2.0] / 2000 == pytest.approx(2 / 3, abs=0.05)
+
+
 def test_suspects_come_last_and_the_unready_not_at_all():
     live = fleet(4, 2, suspects=(0, 1))
     live.append(members.Member("new/entry", 1, "alive", "z0", "", ""))
