Soak: a slow engine, and hosts of which one of three is small

Cause: the soak did not know engines and hosts that differ.

Change: the last of several engines takes five times as long between events; every third host announces a fifth of the processor time.

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -12,6 +12,7 @@
 import time
 from typing import Any
 
+from camphortray_platform import settings
 import msgspec
 
 from bench.soak import checker
@@ -42,6 +43,10 @@
     return round(time.time() * 1000)
 
 
+# Sizes of hosts in turn: one of three is small.
+CPU_SHARES = (1.0, 1.0, 0.2)
+
+
 class Soak:
     """All parties of one run.
 
@@ -70,6 +75,9 @@
             name: standins.Engine(name, milliseconds())
             for name in self.site.engines
         }
+        if len(self.engines) > 1:
+            slow = self.site.engines[-1]
+            self.engines[slow].pace_s = standins.SLOW_PACE_S
         self.hosts: dict[str, hosts.HostProcess] = {}
         self.links: dict[str, proxy.Link] = {}
         self.seen = checker.Seen(self.site.hosts, bound_s=BOUND_S)
@@ -121,7 +129,11 @@
         seeds: list[str] = []
         for number, name in enumerate(self.site.hosts):
             node = platformkit.node_file(name, self.store, seeds)
-            node = msgspec.structs.replace(node, zone=f"z{number % 2 + 1}")
+            node = msgspec.structs.replace(
+                node,
+                zone=f"z{number % 2 + 1}",
+                limits=settings.Limits(CPU_SHARES[number % 3], 1.0),
+            )
             self.hosts[name] = hosts.HostProcess(node, self.folder)
             seeds.append(node.listen.control)
             address = configs.Address.from_text(node.listen.control)
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -19,6 +19,8 @@
 SLOW_S, LATE_S = 0.3, 1.5
 LOOK_S = 0.1
 PACE_S = 0.05
+# The same of the slow one of several engines.
+SLOW_PACE_S = 0.25
 HEARTBEAT_S = 1.0
 # So few that items wait, and give way to questions.
 SLOTS = 4
@@ -149,6 +151,7 @@
     Attributes:
       up: Whether it lives; one that crashed tells nobody.
       sequence: Number of its last entry.
+      pace_s: Seconds between two events.
       log: Attempt, position behind which it ran, and life, in order.
     """
 
@@ -157,6 +160,7 @@
         self.born = born
         self.up = True
         self.sequence = 0
+        self.pace_s = PACE_S
         self.log: list[tuple[str, int, str]] = []
 
     async def handle(self, request: Any, response: Any) -> None:
@@ -177,7 +181,7 @@
                 data = text_of(attempt, number)
                 response.write(f"id: {number}\ndata: {data}\n\n".encode())
                 await response.flush()
-                await asyncio.sleep(PACE_S)
+                await asyncio.sleep(self.pace_s)
         finally:
             self.running -= 1
         response.end()
