--- a/bench/request_limits.py
+++ b/bench/request_limits.py
@@ -190,7 +190,7 @@
         )
         counted.admit(request, LIMIT)
     spent_s = time.process_time() - begun
-    held = sum(len(log.admitted) for log in counted.logs.values())
+    held = sum(len(log.counts) for log in counted.logs.values())
     print(f"{spent_s / requests * 1e6:.1f} us a decision, {held} held")
 
 
