Do not echo counts against limits between coordinators

Cause: an update that a standby received was noted for its own standbys. Hosts that had each coordinated after a start sent each other the same changes; withdrawn requests were added and removed in turn, and the lists grew with each turn: 47,244 at one host within 0.2 s. Its loop stood still, others took over, and slots were granted twice for ten seconds.

Change: only what a host counts itself or learns from reports is a change; a leading host that learns something new sends its standbys the window.

--- a/camphortray/limit_standby.py
+++ b/camphortray/limit_standby.py
@@ -160,7 +160,9 @@
         now = self.host.clock.monotonic()
         limits = self.limits_of(update.service)
         changes = [wire.change(now) for wire in update.changes]
-        limits.apply(changes, now - update.since_ms / 1000, now)
+        if limits.apply(changes, now - update.since_ms / 1000, now):
+            # Own standbys are sent all anew.
+            self.informed.pop(update.service, None)
         limits.prune(now)
         if update.service not in self.timers:
             # Nobody is sent what only the coordinator has counted.
--- a/camphortray/request_limits.py
+++ b/camphortray/request_limits.py
@@ -261,46 +261,61 @@
 
     def withdraw(self, request_id: str, workspace: str) -> None:
         """Remove a request that did not run."""
-        self.remove(digest(request_id), workspace)
-
-    def remove(self, request_digest: int, workspace: str) -> None:
-        """Remove an admission, if it is known."""
-        log = self.logs.get(workspace)
-        count = log.pop(request_digest) if log is not None else None
+        count = self.remove(digest(request_id), workspace)
         if count is not None:
             self.note(Change(workspace, count, withdrawn=True))
 
+    def remove(self, request_digest: int, workspace: str) -> Count | None:
+        """Remove and return an admission, if it is known."""
+        log = self.logs.get(workspace)
+        return log.pop(request_digest) if log is not None else None
+
     def merge(self, requests: Iterable[Admission], now: float) -> None:
         """Add requests that other coordinators have admitted."""
         for request in requests:
             count = Count(digest(request.id), request.at)
-            self.merge_count(request.workspace, count, now)
+            if self.merge_count(request.workspace, count, now):
+                self.note(Change(request.workspace, count))
+
+    def merge_count(self, workspace: str, count: Count, now: float) -> bool:
+        """Add an admission unless it is known or has left the window.
 
-    def merge_count(self, workspace: str, count: Count, now: float) -> None:
-        """Add an admission unless it is known or has left the window."""
+        Returns:
+          Whether it was added.
+        """
         log = self.logs.setdefault(workspace, RequestLog())
         log.forget(now - self.window_s, now)
-        if count.at > now - self.window_s and count.digest not in log.known:
-            log.add(count)
-            self.note(Change(workspace, count))
+        if count.at <= now - self.window_s or count.digest in log.known:
+            return False
+        log.add(count)
+        return True
 
     def apply(
         self, changes: Iterable[Change], since: float, now: float
-    ) -> None:
-        """Apply the changes of a coordinator whose standby this host is.
+    ) -> bool:
+        """Apply the changes of another coordinator.
+
+        They are not noted: two hosts that both admit would send each other
+        the same changes again and again.
 
         Args:
           changes: Its changes since the last ones.
           since: When it began to count.
           now: Present time.
+
+        Returns:
+          Whether any was new.
         """
         self.updated_at = now
         self.since = min(self.since, since)
+        new = False
         for change in changes:
+            count, workspace = change.count, change.workspace
             if change.withdrawn:
-                self.remove(change.count.digest, change.workspace)
+                new |= self.remove(count.digest, workspace) is not None
             else:
-                self.merge_count(change.workspace, change.count, now)
+                new |= self.merge_count(workspace, count, now)
+        return new
 
     def take_changes(self) -> list[Change]:
         """Return what standbys have not been sent, and forget it."""
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -193,6 +193,22 @@
     assert len(standby.everything()) == 29
 
 
+def test_coordinators_do_not_echo_each_others_changes():
+    """Guards against changes that multiply between hosts that both admit."""
+    sides = [limits_since(), limits_since()]
+    for limits in sides:
+        limits.begin(-WINDOW_S)
+    for number in range(10):
+        at = 1.0 + number / 10
+        sides[0].admit(request_limits.Admission(f"r{number}", "w", at), LIMIT)
+        sides[0].withdraw(f"r{number - 1}", "w")
+        sent = [limits.take_changes() for limits in sides]
+        assert [len(changes) <= 2 for changes in sent] == [True, True]
+        sides[1].apply(sent[0], -WINDOW_S, at)
+        sides[0].apply(sides[1].everything() + sent[1], -WINDOW_S, at)
+    assert len(sides[1].everything()) == 1
+
+
 def test_a_share_is_not_used_up_by_what_others_admitted():
     """Guards against refusals by the next coordinator within the limit."""
     limits = limits_since()
