Keep the slow engines as a set

Cause: each decision on a slot went through the paces of all engines to find the slow ones, 600 of them at the target. Change: the set is kept as samples come.

--- a/camphortray/engine_speeds.py
+++ b/camphortray/engine_speeds.py
@@ -35,13 +35,11 @@
       pace_s: Seconds between two events.
       at: Time of the last sample.
       samples: Number of samples.
-      slow: Whether it is far slower than usual.
     """
 
     pace_s: float
     at: float
     samples: int = 1
-    slow: bool = False
 
 
 class EngineSpeeds:
@@ -49,17 +47,21 @@
 
     Attributes:
       by_engine: Engines with a recent sample.
+      slow_names: Engines that were far slower than usual at their last
+        sample. They are few, and each decision on a slot asks for them.
       usual_s: Usual seconds between two events; 0 if none is known.
     """
 
     def __init__(self) -> None:
         self.by_engine: dict[str, Speed] = {}
+        self.slow_names: set[str] = set()
         self.usual_s = 0.0
 
     def keep(self, names: Collection[str]) -> None:
         """Forget engines other than ``names``."""
         for name in self.by_engine.keys() - set(names):
             del self.by_engine[name]
+        self.slow_names &= self.by_engine.keys()
 
     def record(self, engine: str, pace_s: float, now: float) -> None:
         """Record the pace of a run.
@@ -71,24 +73,28 @@
         """
         if not pace_s:
             return
+        was_slow = engine in self.slow_names
         speed = self.by_engine.get(engine)
         if speed is None or now - speed.at > FORGET_S:
             speed = self.by_engine[engine] = Speed(pace_s, now)
         else:
-            weight = PROBE_WEIGHT if speed.slow else PACE_WEIGHT
+            weight = PROBE_WEIGHT if was_slow else PACE_WEIGHT
             speed.pace_s += weight * (pace_s - speed.pace_s)
             speed.samples += 1
             speed.at = now
         if not self.usual_s:
             self.usual_s = pace_s
-        elif not speed.slow:
+        elif not was_slow:
             # A single slow engine must not shift what is usual.
             sample_s = min(pace_s, SLOW_FACTOR * self.usual_s)
             self.usual_s += USUAL_WEIGHT * (sample_s - self.usual_s)
-        limit = RECOVERED_FACTOR if speed.slow else SLOW_FACTOR
-        known = speed.samples >= MIN_SAMPLES
-        speed.slow = known and speed.pace_s > limit * self.usual_s
-        if speed.slow:
+        limit = RECOVERED_FACTOR if was_slow else SLOW_FACTOR
+        self.slow_names.discard(engine)
+        if (
+            speed.samples >= MIN_SAMPLES
+            and speed.pace_s > limit * self.usual_s
+        ):
+            self.slow_names.add(engine)
             self.check_usual()
 
     def check_usual(self) -> None:
@@ -97,8 +103,11 @@
         median_s = paces[(len(paces) - 1) // 2]
         if median_s > SLOW_FACTOR * self.usual_s:
             self.usual_s = median_s
-            for speed in self.by_engine.values():
-                speed.slow = speed.pace_s > SLOW_FACTOR * median_s
+            self.slow_names = {
+                name
+                for name, speed in self.by_engine.items()
+                if speed.pace_s > SLOW_FACTOR * median_s
+            }
 
     def factor(self, engine: str) -> float:
         """Return the pace of an engine over the usual one, 1 if about equal.
@@ -116,8 +125,8 @@
         """Return the engines that are far slower than usual."""
         return {
             name
-            for name, speed in self.by_engine.items()
-            if speed.slow and now - speed.at <= FORGET_S
+            for name in self.slow_names
+            if now - self.by_engine[name].at <= FORGET_S
         }
 
     def probes(self, now: float) -> set[str]:
