Name the versions of engines where a stream goes on

What was missing: log lines name engines but not the version of their software, and nothing shows that a stream was taken up again, by whom, or whether its version is known, so that the hypotheses on streams of two versions cannot be told apart.

Each stream that goes on elsewhere is one line with the versions before and after and one count by who resumed it; the last line of a request has the versions of all its engines, lines on items that of the engine. No decision depends on a version yet.

--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -45,6 +45,7 @@
       slots: Declared number of concurrent requests.
       instance: Id that the engine uses for itself, if other than the name.
       max_idle: Largest number of idle connections from this host.
+      version: Version of its software; empty if not known.
     """
 
     name: str
@@ -55,6 +56,7 @@
     slots: int = 32
     instance: str = ""
     max_idle: int = 64
+    version: str = ""
 
 
 class EngineRequest(msgspec.Struct, frozen=True):
--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -38,6 +38,8 @@
       draining: Whether it has announced that it is shutting down.
       sequence: Increases with each entry of the same incarnation.
       born: Start time in Unix milliseconds, or 0 if not reported.
+      software: Version of its software; unset if not known, and then not
+        sent to other hosts.
     """
 
     id: str
@@ -48,6 +50,12 @@
     draining: bool = False
     sequence: int = 0
     born: int = UNKNOWN_START
+    software: str | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def version(self) -> str:
+        """Version of its software; empty if not known."""
+        return self.software or ""
 
     @property
     def name(self) -> str:
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -3,6 +3,7 @@
 __all__ = ["Forwarder", "ForwarderParts"]
 
 import asyncio
+from collections.abc import Callable
 from typing import NoReturn
 
 import msgspec
@@ -68,6 +69,7 @@
       begun_at: Start of the attempt, in monotonic seconds.
       status: Status of the engine's answer; 0 until there is one.
       first_at: Time of the first event; 0 until there is one.
+      on_stream: Called with the engine when it begins to send events.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         lease: lease_table.HeldLease,
         reader: eventstream.EventReader,
         route: routemap.Route,
+        on_stream: Callable[[engine.Upstream], None],
     ) -> None:
         client = parts.backends.engine(lease.upstream.plugin)
         super().__init__(lease.upstream, client)
@@ -87,6 +90,7 @@
         self.begun_at = now_of(parts)
         self.status = 0
         self.first_at = 0.0
+        self.on_stream = on_stream
 
     @property
     def received_events(self) -> bool:
@@ -95,6 +99,7 @@
 
     def first(self) -> None:
         self.first_at = now_of(self.parts)
+        self.on_stream(self.upstream)
 
     async def ended(self, error: BaseException | None) -> None:
         pace_s = 0.0
@@ -132,6 +137,7 @@
       coordinator: Name of the coordinator that granted the last slot.
       slot_s: Seconds spent waiting for the last slot.
       first_s: Seconds from the arrival to the first event.
+      versions: Software versions of the engines whose events were sent.
     """
 
     def __init__(
@@ -150,6 +156,7 @@
         self.coordinator = ""
         self.slot_s = 0.0
         self.first_s = 0.0
+        self.versions: list[str] = []
 
     async def run(self) -> None:
         try:
@@ -246,6 +253,9 @@
                 "first_ms": round(self.first_s * 1000, 1),
                 "events": self.reader.count,
                 "last_event": self.reader.last,
+                "resumes": self.request.resumes,
+                "resume_after": self.request.resume_after,
+                "versions": self.versions,
                 "left_ms": round((self.request.deadline_at - now) * 1000),
                 "cause": cause.value if cause else "",
                 "cut": cut,
@@ -307,7 +317,7 @@
         self.slot_s = now_of(self.parts) - now
         self.engine = lease.upstream.name
         self.coordinator = lease.coordinator
-        return SlotTry(self.parts, lease, self.reader, route)
+        return SlotTry(self.parts, lease, self.reader, route, self.on_stream)
 
     def request_for(self, attempt: proxy_exchange.Try) -> engine.EngineRequest:
         if not self.ran:
@@ -345,6 +355,41 @@
         """Return the seconds until the deadline."""
         return max(0.001, self.request.deadline_at - now_of(self.parts))
 
+    def on_stream(self, upstream: engine.Upstream) -> None:
+        """Record that an engine has begun to send events."""
+        if not self.reader.count:
+            self.versions = []
+        if self.versions or self.request.resume_after:
+            self.log_resumed(upstream)
+        self.versions.append(upstream.version)
+
+    def log_resumed(self, upstream: engine.Upstream) -> None:
+        """Log and count a stream that goes on at another engine."""
+        before = self.versions[-1] if self.versions else ""
+        by = "host" if self.versions else "caller"
+        if not before or not upstream.version:
+            version = "unknown"
+        else:
+            version = "same" if upstream.version == before else "other"
+        LOG.info(
+            "Stream {} goes on after event {} at engine {}.",
+            self.request.resumes or self.request.id,
+            self.reader.last or self.request.resume_after,
+            upstream.name,
+            fields={
+                "by": by,
+                "version": upstream.version,
+                "version_before": before,
+            },
+        )
+        self.parts.metrics.inc(
+            "camphortray_streams_resumed_total",
+            "Streams that went on at another engine, by who resumed them and"
+            " whether the engine's software version is that of the events"
+            " before.",
+            {"by": by, "version": version},
+        )
+
     def on_first(self) -> None:
         self.first_s = now_of(self.parts) - self.request.arrived_at
 
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -329,6 +329,7 @@
                     fields={
                         "age_s": round(self.deadline.age_s(), 2),
                         "cause": self.cancel_cause.value,
+                        "version": lease.upstream.version,
                     },
                 )
                 return None
@@ -342,7 +343,10 @@
                 lease.upstream.name,
                 self.reader.count,
                 self.number,
-                fields={"age_s": round(self.deadline.age_s(), 2)},
+                fields={
+                    "age_s": round(self.deadline.age_s(), 2),
+                    "version": lease.upstream.version,
+                },
             )
             return partition_records.Result(
                 self.index, partition_records.State.DONE, b"\n".join(self.text)
@@ -386,6 +390,7 @@
             fields={
                 "last_event": self.reader.last,
                 "run": self.number,
+                "version": lease.upstream.version,
                 **early_end.fields_of(error),
             },
         )
--- a/camphortray/opaque.py
+++ b/camphortray/opaque.py
@@ -25,6 +25,10 @@
       deadline_at: Deadline of the caller or the route, in monotonic seconds.
       prefix: Identifies the leading parts of the prompt; empty if unknown.
       key_hash: Hash of the caller's key; empty if it sent none.
+      resumes: Id of the attempt that brought the first event of the stream
+        that the caller takes up again; empty if it names none.
+      resume_after: Id of the last event that the caller has of that stream;
+        empty for a new stream.
     """
 
     id: str
@@ -37,6 +41,8 @@
     deadline_at: float
     prefix: str = ""
     key_hash: str = ""
+    resumes: str = ""
+    resume_after: str = ""
 
     @property
     def fingerprint(self) -> str:
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -461,6 +461,7 @@
             entry.slots,
             entry.id,
             max_idle,
+            entry.version,
         )
 
     async def ask(self, pending: lease_table.Pending) -> None:
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -262,6 +262,7 @@
       ran: Id, position and headers of what ran.
       running: Streams under way.
       foreign: Runs of hosts that are lost, as it reports them.
+      version: Version of its software.
     """
 
     def __init__(self, name, events=6):
@@ -276,6 +277,7 @@
         self.born = 0
         self.running = 0
         self.foreign = 0
+        self.version = "v1"
 
     def start_again(self, born):
         """Forget all of before, under the same id."""
@@ -339,6 +341,7 @@
             "service": SERVICE,
             "address": str(self.server.address),
             "zone": "z1",
+            "version": self.version,
             "slots": 8,
             "state": "ready",
             "sequence": 1,
--- a/tests/test_invalid_entries.py
+++ b/tests/test_invalid_entries.py
@@ -18,6 +18,7 @@
     "service": "s",
     "address": "10.0.0.1:80",
     "zone": "z",
+    "version": "v1",
     "slots": 8,
     "state": "ready",
     "sequence": 1,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -347,6 +347,7 @@
         "service": "s",
         "address": "10.0.0.1:80",
         "zone": "z1",
+        "version": "v1",
         "state": "draining",
         "sequence": 4,
         "slots": 8,
