Test: streams that hold events of two software versions

An engine that breaks off a stream is followed by one of another version within the answer; a stream that its caller takes up at another host goes to the version with most free slots; a stream of a version that has left goes on at another (200, where 503 is due).

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -4,8 +4,11 @@
 import contextlib
 
 import logbook
+import pytest
 
 from camphortray import active_config
+from camphortray import config as configs
+from camphortray import httpclient
 from tests import platformkit
 
 SERVICE = platformkit.SERVICE
@@ -37,6 +40,16 @@
     return tuple(entry.version for entry in entries)
 
 
+def ran_at(platform, attempt):
+    """Return engine and first event of each run of an attempt."""
+    return {
+        engine.name: after + 1
+        for engine in platform.engines.values()
+        for ran, after, _, _ in engine.ran
+        if ran == attempt
+    }
+
+
 async def take_up(host, attempt, resumes, after=1):
     """Take a stream up again as a caller; return the status."""
     headers = [
@@ -48,6 +61,87 @@
     return status
 
 
+async def begin(platform, host, attempt):
+    """Begin a stream that lasts; return its answer and engine."""
+    for engine in platform.engines.values():
+        engine.faults = ["wait"]
+    client = httpclient.HttpClient(max_idle=0)
+    response = await client.request(
+        configs.Address.from_text(host.node.listen.front),
+        "POST",
+        PATH,
+        [("host", platformkit.HOST_NAME), ("Attempt-Id", attempt)],
+        b"",
+    )
+    assert await response.read()
+    for engine in platform.engines.values():
+        engine.faults = []
+    (name,) = ran_at(platform, attempt)
+    return response, name
+
+
+async def break_off(platform, host, attempt):
+    """Begin a stream, and close its connection; return its engine."""
+    response, name = await begin(platform, host, attempt)
+    running = platform.engines[name].running
+    response.close()
+    await platform.until(lambda: platform.engines[name].running < running)
+    return name
+
+
+@pytest.mark.parametrize(
+    ("versions", "runs", "status"),
+    [
+        (("v1", "v2", "v1"), {"i-2": 1, "i-0": 3}, 200),
+        # No engine of its version is left.
+        (("v2", "v1"), {"i-1": 1}, 0),
+    ],
+)
+async def test_an_answer_does_not_go_on_at_another_version(
+    versions, runs, status
+):
+    # An engine breaks off a stream while other versions serve too.
+    async with platform_of(*versions) as platform:
+        (host,) = platform.hosts
+        platform.engines[max(platform.engines)].faults = ["cut"]
+        found = 0
+        with contextlib.suppress(platformkit.errors.UpstreamBroken):
+            found, _, _ = await host.call("POST", PATH, [("Attempt-Id", "a")])
+        assert (ran_at(platform, "a"), found) == (runs, status)
+
+
+@pytest.mark.parametrize("versions", [("v1", "v2"), ("v1", "v2", "v1", "v2")])
+async def test_a_caller_is_not_taken_to_another_version(versions):
+    # A caller's connection breaks, and it goes on at another host.
+    async with platform_of(*versions, hosts=2) as platform:
+        begun_at, other = platform.hosts
+        for number in range(4):
+            first = await break_off(platform, begun_at, f"a{number}")
+            # Engines of the other version have more free slots.
+            held, _ = await begin(platform, begun_at, f"h{number}")
+            assert await take_up(other, f"b{number}", f"a{number}") == 200
+            held.close()
+            (second,) = ran_at(platform, f"b{number}")
+            assert (
+                platform.engines[second].version
+                == platform.engines[first].version
+            )
+
+
+async def test_a_stream_of_a_version_that_has_left_is_refused():
+    # A caller goes on after the last engine of its version has left.
+    async with platform_of("v1", "v2", hosts=2) as platform:
+        begun_at, other = platform.hosts
+        name = await break_off(platform, begun_at, "a")
+        leaving = platform.engines[name]
+        await platform.register(leaving, sequence=3, state="draining")
+        await platform.until(
+            lambda: all(len(known(h)) == 1 for h in platform.hosts)
+        )
+        assert await take_up(other, "b", "a") == 503
+        assert not ran_at(platform, "b")
+
+
 async def test_a_log_line_names_both_versions():
     # The cause of a stream of two versions could not be read from the logs.
     async with platform_of("v1", "v1") as platform:
