Resume a stream within an answer at the version that began it

What callers saw: one answer with events of engines of two software versions, which do not fit together.

Cause: after a failed engine the forwarder asked for a slot anywhere but at the engines tried. No request for a slot, lease or engine held a version, and engines do not check it.

A request that has sent events names the version that it needs. The coordinator grants no slot of another, preempts no item there and refuses at once if none serves it; the holder checks the engine granted by its own registry, so that a coordinator of the release before, which ignores the field, leads no stream astray. Where engines tell versions and that of the stream is not known, it does not go on. An entry of the same incarnation passed on by a host of the release before does not erase the version.

--- a/camphortray/early_end.py
+++ b/camphortray/early_end.py
@@ -32,6 +32,7 @@
     TIME_OVER = "time_over"
     BARRED = "barred"
     OVER_LIMIT = "over_limit"
+    NO_VERSION = "no_version"
 
 
 def cause_of(error: errors.UpstreamError) -> Cause:
--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -80,6 +80,7 @@
             self.availability_zone,
             self.slots,
             self.draining,
+            self.version,
         )
 
     @property
@@ -130,9 +131,14 @@
         self.missing.pop(entry.id, None)
         self.removed.pop(entry.id, None)
         same_incarnation = held is not None and held.born == entry.born
-        if held is not None and same_incarnation and held.draining:
-            # Draining is final within an incarnation.
-            entry = msgspec.structs.replace(entry, draining=True)
+        if held is not None and same_incarnation:
+            # Draining is final within an incarnation, and hosts of earlier
+            # releases pass entries on without their versions.
+            entry = msgspec.structs.replace(
+                entry,
+                draining=entry.draining or held.draining,
+                software=entry.software or held.software,
+            )
         if not same_incarnation:
             # ``current`` relies on the order of arrival.
             self.entries.pop(entry.id, None)
@@ -293,6 +299,14 @@
             if entry.service == service and not entry.draining
         ]
 
+    def is_versioned(self, service: str) -> bool:
+        """Return whether the engines of a service tell their versions."""
+        return any(
+            entry.version
+            for entry in self.current().values()
+            if entry.service == service
+        )
+
     def find(self, name: str) -> EngineEntry | None:
         """Return the engine of that name if it takes new work."""
         entry = self.current().get(name)
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -291,6 +291,7 @@
             self.refuse(status, "quarantined", "it broke engines", None, cause)
         route = self.request.route
         now = now_of(self.parts)
+        service = route.service_of(self.request.id)
         want = slot_scheduler.SlotRequest(
             f"{self.request.id}.{self.tries}",
             self.parts.slots.own_name,
@@ -304,8 +305,8 @@
             workspace=self.caller.workspace,
             # Only the first attempt counts against the workspace's limit.
             counts=bool(self.caller.limit.per_s) and not self.tries,
+            version=self.version_needed(service),
         )
-        service = route.service_of(self.request.id)
         try:
             lease = await self.parts.slots.acquire(service, want)
         except errors.RateExceeded as error:
@@ -319,6 +320,27 @@
         self.coordinator = lease.coordinator
         return SlotTry(self.parts, lease, self.reader, route, self.on_stream)
 
+    def version_needed(self, service: str) -> str:
+        """Return the software version at which the stream has to go on.
+
+        The output of two versions does not fit together, and engines do not
+        check it.
+
+        Returns:
+          The version; empty if any will do.
+
+        Raises:
+          Refused: it is not known.
+        """
+        if not self.reader.count:
+            return ""
+        version = self.versions[-1]
+        engines = self.parts.active_config.engines
+        if not version and engines.is_versioned(service):
+            cause = early_end.Cause.NO_VERSION
+            self.refuse(502, "no_version", "version not known", None, cause)
+        return version
+
     def request_for(self, attempt: proxy_exchange.Try) -> engine.EngineRequest:
         if not self.ran:
             # The key may have been revoked, or moved to another workspace,
--- a/camphortray/lease_reporting.py
+++ b/camphortray/lease_reporting.py
@@ -167,6 +167,7 @@
                 for request in admitted
             ),
             tuple((w.id, w.workspace) for w in named if w.workspace),
+            slot_messages.versions_of(wants),
         )
 
     async def send(self, name: str, report: slot_messages.LeaseReport) -> bool:
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -293,13 +293,14 @@
                 )
                 continue
             entry = self.active_config.engines.find(granted.engine)
-            if entry is not None:
+            if entry is not None and request.version in ("", entry.version):
                 upstream = self.upstream(entry)
                 return self.add_lease(
                     service, request, upstream, granted, on_revoke
                 )
             # Either the coordinator does not know yet that the engine is
-            # leaving, or this host does not know yet that it has joined.
+            # leaving, or this host does not know yet that it has joined, or
+            # the coordinator's release takes no account of versions.
             self.send_ends(granted.coordinators, service, request.id)
             request = msgspec.structs.replace(
                 request,
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -137,7 +137,9 @@
         entries = self.host.active_config.engines.usable(self.service)
         self.scheduler.set_share(self.host.share_of(self.service))
         engines = [
-            slot_scheduler.EngineSlots(e.name, e.slots, e.availability_zone)
+            slot_scheduler.EngineSlots(
+                e.name, e.slots, e.availability_zone, e.version
+            )
             for e in entries
         ]
         self.send_decisions(self.scheduler.set_engines(engines, now))
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -12,6 +12,7 @@
     "WireAdmission",
     "WireLease",
     "WireRequest",
+    "versions_of",
 ]
 
 from collections.abc import Iterable
@@ -95,26 +96,37 @@
 def named_requests(
     wires: Iterable[WireRequest],
     owners: Iterable[tuple[str, str]],
+    versions: Iterable[tuple[str, str]],
     holder: str,
     now: float,
 ) -> list[slot_scheduler.SlotRequest]:
-    """Return the requests of a holder with their workspaces.
+    """Return the requests of a holder with their workspaces and versions.
 
     Args:
       wires: The requests as sent.
       owners: Ids of requests, each with its workspace.
+      versions: Ids of requests, each with the software version it needs.
       holder: Host that sent them.
       now: Present time.
     """
-    names = dict(owners)
+    workspace_of, version_of = dict(owners), dict(versions)
     return [
         msgspec.structs.replace(
-            wire.want(holder, now), workspace=names.get(wire.id, "")
+            wire.want(holder, now),
+            workspace=workspace_of.get(wire.id, ""),
+            version=version_of.get(wire.id, ""),
         )
         for wire in wires
     ]
 
 
+def versions_of(
+    wants: Iterable[slot_scheduler.SlotRequest],
+) -> tuple[tuple[str, str], ...]:
+    """Return the ids of requests that need a version, each with it."""
+    return tuple((want.id, want.version) for want in wants if want.version)
+
+
 class WireLease(NamedTuple):
     """A lease as sent, encoded as an array."""
 
@@ -156,6 +168,7 @@
         workspace, each with the workspace. One that is not in ``wants`` is
         only counted here.
       owners: Ids of the other requests, each with its workspace.
+      versions: Ids of requests, each with the software version it needs.
     """
 
     service: str
@@ -163,6 +176,7 @@
     wants: tuple[WireRequest, ...]
     workspaces: tuple[tuple[str, str], ...] = ()
     owners: tuple[tuple[str, str], ...] = ()
+    versions: tuple[tuple[str, str], ...] = ()
 
     @classmethod
     def of(
@@ -180,6 +194,7 @@
             (WireRequest.of(want, now),),
             named if want.counts else (),
             () if want.counts else named,
+            versions_of((want,)),
         )
 
     def requests(
@@ -190,7 +205,9 @@
         owners = (*self.owners, *self.workspaces)
         return [
             msgspec.structs.replace(request, counts=request.id in counted)
-            for request in named_requests(self.wants, owners, holder, now)
+            for request in named_requests(
+                self.wants, owners, self.versions, holder, now
+            )
         ]
 
     def counted_only(self, holder: str) -> list[slot_scheduler.SlotRequest]:
@@ -253,6 +270,8 @@
     Attributes:
       admitted: Recent requests counted by other coordinators.
       owners: Ids of leases and waiting requests, each with its workspace.
+      versions: Ids of waiting requests, each with the software version it
+        needs.
     """
 
     service: str
@@ -261,17 +280,20 @@
     wants: tuple[WireRequest, ...]
     admitted: tuple[WireAdmission, ...] = ()
     owners: tuple[tuple[str, str], ...] = ()
+    versions: tuple[tuple[str, str], ...] = ()
 
     def requests(
         self, holder: str, now: float
     ) -> list[slot_scheduler.SlotRequest]:
         """Return the waiting requests."""
-        return named_requests(self.wants, self.owners, holder, now)
+        return named_requests(
+            self.wants, self.owners, self.versions, holder, now
+        )
 
     def held(self, holder: str, now: float) -> list[slot_scheduler.Lease]:
         """Return the leases."""
         wires = [lease.want for lease in self.leases]
-        requests = named_requests(wires, self.owners, holder, now)
+        requests = named_requests(wires, self.owners, (), holder, now)
         return [
             slot_scheduler.Lease(
                 request, lease.engine, now - lease.age_ms / 1000
--- a/camphortray/slot_queue.py
+++ b/camphortray/slot_queue.py
@@ -44,6 +44,8 @@
       workspace: Workspace that it runs for, or empty.
       counts: Whether it is still to be counted against the limit of its
         workspace.
+      version: Software version of the engine that it needs, as it goes on
+        from the output of one; empty for any.
     """
 
     id: str
@@ -62,6 +64,7 @@
     start_s: float = 0.0
     workspace: str = ""
     counts: bool = False
+    version: str = ""
 
     @property
     def begin_by(self) -> float:
--- a/camphortray/slot_scheduler.py
+++ b/camphortray/slot_scheduler.py
@@ -192,7 +192,8 @@
             self.items.add(want)
             return self.decide(now)
         self.queue = [queued for queued in self.queue if queued.id != want.id]
-        if not self.accounting.table.engines:
+        table = self.accounting.table
+        if not table.engines or not table.serves(want.version):
             return [Refuse(want, self.retry_after_s(self.hold_s, want))]
         self.queue.append(want)
         self.sort_queue()
@@ -302,7 +303,11 @@
                 want.asked_at + want.objective_s * MAX_WAIT_SHARE - now
             )
             expected_s = wait_s if self.experiments.refuse_at_once else 0.0
-            if expected_s > max_wait_s or now >= want.asked_at + want.left_s:
+            if (
+                expected_s > max_wait_s
+                or now >= want.asked_at + want.left_s
+                or not self.accounting.table.serves(want.version)
+            ):
                 retry_after_s = self.retry_after_s(wait_s, want)
                 decisions.append(Refuse(want, retry_after_s))
             else:
@@ -421,15 +426,22 @@
     def free_engine(self, want: SlotRequest, now: float) -> str | None:
         """Return the best engine with a free slot for a request."""
         return self.accounting.table.best(
-            want.prefix, want.zone, want.avoid, now, want.online
+            want.prefix, want.zone, self.excluded(want), now, want.online
+        )
+
+    def excluded(self, want: SlotRequest) -> Set[str]:
+        """Return the engines that a request cannot use."""
+        return want.avoid | self.accounting.table.of_other_versions(
+            want.version
         )
 
     def victim(self, want: SlotRequest, now: float) -> Lease | None:
         """Return the lease of the batch item to preempt, if there is one."""
+        engines = self.excluded(want)
 
         def suits(excluded: Set[str], lease: Lease) -> bool:
             return (
-                lease.engine not in want.avoid
+                lease.engine not in engines
                 and lease.want.holder not in excluded
                 and self.accounting.table.room(lease.engine, now) > 0
             )
--- a/camphortray/slottable.py
+++ b/camphortray/slottable.py
@@ -24,11 +24,12 @@
 
 
 class EngineSlots(msgspec.Struct, frozen=True):
-    """An engine, how many requests it runs at once, and its zone."""
+    """An engine, how many requests it runs at once, zone and version."""
 
     name: str
     slots: int
     zone: str = ""
+    version: str = ""
 
 
 class SlotTable:
@@ -37,6 +38,7 @@
     Attributes:
       engines: Slots by engine.
       zones: Availability zone by engine.
+      versions: Version of the software by engine.
       health: Engines that are ejected or on trial with one request.
       speeds: How fast engines are.
       used: Slots in use, by engine; also of engines that are gone.
@@ -57,6 +59,7 @@
         self.single: frozenset[str] = frozenset()
         self.engines: dict[str, int] = {}
         self.zones: dict[str, str] = {}
+        self.versions: dict[str, str] = {}
         self.health = enginehealth.HealthTracker()
         self.speeds = engine_speeds.EngineSpeeds()
         self.used: dict[str, int] = {}
@@ -88,10 +91,21 @@
         listed = list(engines)
         self.engines = {engine.name: engine.slots for engine in listed}
         self.zones = {engine.name: engine.zone for engine in listed}
+        self.versions = {engine.name: engine.version for engine in listed}
         self.health.keep(self.engines)
         self.speeds.keep(self.engines)
         self.rebuild()
 
+    def serves(self, version: str) -> bool:
+        """Return whether any engine has a version; empty stands for any."""
+        return version in self.versions.values() if version else True
+
+    def of_other_versions(self, version: str) -> Set[str]:
+        """Return the engines that cannot go on with output of a version."""
+        if not version:
+            return frozenset()
+        return {n for n, held in self.versions.items() if held != version}
+
     def rebuild(self) -> None:
         """Recompute the counts of all engines."""
         self.single = self.choose_single()
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -5,6 +5,7 @@
 from camphortray import access
 from camphortray import config as configs
 from camphortray import engine
+from camphortray import engine_registry
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import item_retry
@@ -80,6 +81,7 @@
     """The active configuration, as plain attributes.
 
     Attributes:
+      engines: No engines.
       away: Whether the ledger does not answer.
       left: Names of upstreams noted as leaving.
     """
@@ -87,6 +89,7 @@
     def __init__(self, routes=(), revision=1):
         self.view = routemap.Configuration(revision, tuple(routes))
         self.routes = routemap.RouteMap(routes)
+        self.engines = engine_registry.EngineRegistry()
         self.away = False
         self.left = []
 
--- a/tests/test_slot_scheduler.py
+++ b/tests/test_slot_scheduler.py
@@ -23,6 +23,48 @@
     assert sorted(used) == ["e0", "e0", "e1", "e1", "e2", "e2"]
 
 
+@pytest.mark.parametrize(
+    ("version", "before", "decisions"),
+    [
+        ("v1", [], [("Grant", "e0")]),
+        ("v2", [], [("Grant", "e1")]),
+        (
+            "v2",
+            [slotkit.online("o0"), slotkit.online("o1")],
+            [("Refuse", None)],
+        ),
+        # An item on the other version is not worth preempting.
+        (
+            "v1",
+            [slotkit.item("i0"), slotkit.item("i1")],
+            [("Revoke", "e0"), ("Grant", "e0")],
+        ),
+        # The version has left.
+        ("v0", [], [("Refuse", None)]),
+    ],
+)
+def test_a_stream_gets_no_slot_of_another_version(version, before, decisions):
+    # A stream that goes on elsewhere held events of two versions.
+    scheduler = slotkit.scheduler_of()
+    engines = [
+        slot_scheduler.EngineSlots(f"e{n}", 1, "", f"v{n + 1}")
+        for n in range(2)
+    ]
+    scheduler.set_engines(engines, 0.0)
+    for want in before:
+        scheduler.ask(want, 0.0)
+    leases = dict(scheduler.leases)
+    found = scheduler.ask(slotkit.online("r", version=version), 0.1)
+    held = leases | scheduler.leases
+    assert [
+        (
+            type(d).__name__,
+            held[d.want.id].engine if d.want.id in held else None,
+        )
+        for d in found
+    ] == decisions
+
+
 def test_a_question_takes_the_slot_of_an_item_at_once():
     # Queued inside an engine, the online request would wait seconds behind
     # batch items. One of them is preempted instead.
