Separate sending updates to standbys from the counts of limits

No change of behaviour: what a coordinator sends to the hosts elected next, when, and to whom all is sent anew, no longer depends on the state sent. Tests of limits and of coordinators pass unchanged.

--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -20,6 +20,7 @@
 from camphortray import slot_messages
 from camphortray import slot_reconciler
 from camphortray import slot_scheduler
+from camphortray import standby_updates
 
 LOG = logs.logger("slots")
 SlotAsk = slot_messages.SlotAsk
@@ -34,7 +35,7 @@
 LEARNING_S = 0.25
 
 
-class CoordinatorHost(limit_standby.StandbyHost):
+class CoordinatorHost(standby_updates.StandbyHost):
     """What coordinators need of the host that they run on.
 
     Attributes:
