Take a stream up at the version that began it

What callers saw: after a broken connection their stream went on at an engine of another software version, by a host that was not the one before.

Cause: no host read the attempt that a caller names, and none kept at which version a stream began. A route split over services even chose the service anew by the id of the new attempt.

The coordinator of a service grants every slot and so knows the engine of each stream without a message. It keeps the version while the stream may be taken up. Only while engines of several versions serve, it sends them to the next four hosts in the order of election. A host that takes a stream up asks these five, and names the version in its request for a slot. If no one knows it, the stream goes on where a single version has served for as long as it may have lasted, and is refused as not run otherwise; so it is where two coordinators granted slots of different versions. The stream stays at its service while the route leads there.

Tests failed before (v1 after v2; 200 after the version had left). Further ones: coordinator and holder lost at once, all hosts lost, a stream taken up three times, weights of a split changed, a host cut off.

--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -307,6 +307,10 @@
             if entry.service == service
         )
 
+    def serves(self, service: str, version: str) -> bool:
+        """Return whether a usable engine of a service has a version."""
+        return any(e.version == version for e in self.usable(service))
+
     def find(self, name: str) -> EngineEntry | None:
         """Return the engine of that name if it takes new work."""
         entry = self.current().get(name)
--- a/camphortray/errors.py
+++ b/camphortray/errors.py
@@ -12,6 +12,7 @@
     "LogUnavailable",
     "MessageError",
     "NoSlot",
+    "NoVersion",
     "NotOwner",
     "PluginError",
     "RateExceeded",
@@ -151,6 +152,10 @@
     """The workspace has reached the limit on its online requests."""
 
 
+class NoVersion(CamphortrayError):
+    """It is not known at which software version a stream began."""
+
+
 class NotOwner(CamphortrayError):
     """This host does not own the shard."""
 
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -138,6 +138,9 @@
       slot_s: Seconds spent waiting for the last slot.
       first_s: Seconds from the arrival to the first event.
       versions: Software versions of the engines whose events were sent.
+      service: Service that the request goes to.
+      began_at: Software version at which the stream began that the caller
+        takes up; None for a new stream, and before it is looked up.
     """
 
     def __init__(
@@ -157,6 +160,8 @@
         self.slot_s = 0.0
         self.first_s = 0.0
         self.versions: list[str] = []
+        self.service = request.route.service_of(request.stream or request.id)
+        self.began_at: str | None = None
 
     async def run(self) -> None:
         try:
@@ -290,8 +295,8 @@
             cause = early_end.Cause.BARRED
             self.refuse(status, "quarantined", "it broke engines", None, cause)
         route = self.request.route
+        version = await self.version_needed()
         now = now_of(self.parts)
-        service = route.service_of(self.request.id)
         want = slot_scheduler.SlotRequest(
             f"{self.request.id}.{self.tries}",
             self.parts.slots.own_name,
@@ -305,10 +310,11 @@
             workspace=self.caller.workspace,
             # Only the first attempt counts against the workspace's limit.
             counts=bool(self.caller.limit.per_s) and not self.tries,
-            version=self.version_needed(service),
+            stream=self.request.stream,
+            version=version,
         )
         try:
-            lease = await self.parts.slots.acquire(service, want)
+            lease = await self.parts.slots.acquire(self.service, want)
         except errors.RateExceeded as error:
             cause = early_end.Cause.OVER_LIMIT
             wait_s = error.retry_after_s
@@ -320,7 +326,7 @@
         self.coordinator = lease.coordinator
         return SlotTry(self.parts, lease, self.reader, route, self.on_stream)
 
-    def version_needed(self, service: str) -> str:
+    async def version_needed(self) -> str:
         """Return the software version at which the stream has to go on.
 
         The output of two versions does not fit together, and engines do not
@@ -330,17 +336,59 @@
           The version; empty if any will do.
 
         Raises:
-          Refused: it is not known.
+          Refused: it is not known, or no engine has it.
         """
-        if not self.reader.count:
+        if self.reader.count:
+            version = self.versions[-1]
+        elif self.request.taken_up:
+            version = await self.version_taken_up()
+        else:
             return ""
-        version = self.versions[-1]
         engines = self.parts.active_config.engines
-        if not version and engines.is_versioned(service):
-            cause = early_end.Cause.NO_VERSION
-            self.refuse(502, "no_version", "version not known", None, cause)
+        if not engines.is_versioned(self.service):
+            return version
+        if not version:
+            self.refuse_version("the version of its engine is not known")
+        if not engines.serves(self.service, version):
+            self.refuse_version(f"no engine of version {version} serves")
         return version
 
+    async def version_taken_up(self) -> str:
+        """Return the version of the stream that the caller takes up.
+
+        Raises:
+          Refused: it is not known.
+        """
+        if self.began_at is None:
+            route, stream = self.request.route, self.request.stream
+            try:
+                (
+                    self.service,
+                    self.began_at,
+                ) = await self.parts.slots.streams.locate(
+                    route.services_of(stream), stream, route.timeout_s
+                )
+            except errors.NoVersion as error:
+                self.refuse_version(str(error))
+        return self.began_at
+
+    def refuse_version(self, why: str) -> NoReturn:
+        """Refuse to go on with a stream.
+
+        Raises:
+          Refused: always.
+        """
+        # 503 would say that the request has not run.
+        status = 502 if self.ran else 503
+        cause = early_end.Cause.NO_VERSION
+        self.parts.metrics.inc(
+            "camphortray_streams_not_resumed_total",
+            "Streams that did not go on for want of an engine of the software"
+            " version that began them, by who was to resume them.",
+            {"by": "host" if self.reader.count else "caller"},
+        )
+        self.refuse(status, "no_version", why, None, cause)
+
     def request_for(self, attempt: proxy_exchange.Try) -> engine.EngineRequest:
         if not self.ran:
             # The key may have been revoked, or moved to another workspace,
@@ -384,10 +432,17 @@
         if self.versions or self.request.resume_after:
             self.log_resumed(upstream)
         self.versions.append(upstream.version)
+        if self.request.stream:
+            self.parts.slots.streams.note(
+                self.service,
+                self.request.stream,
+                upstream.version,
+                self.left_s(),
+            )
 
     def log_resumed(self, upstream: engine.Upstream) -> None:
         """Log and count a stream that goes on at another engine."""
-        before = self.versions[-1] if self.versions else ""
+        before = self.versions[-1] if self.versions else self.began_at
         by = "host" if self.versions else "caller"
         if not before or not upstream.version:
             version = "unknown"
@@ -401,7 +456,7 @@
             fields={
                 "by": by,
                 "version": upstream.version,
-                "version_before": before,
+                "version_before": before or "",
             },
         )
         self.parts.metrics.inc(
--- a/camphortray/lease_reporting.py
+++ b/camphortray/lease_reporting.py
@@ -78,6 +78,7 @@
             await asyncio.sleep(REPORT_INTERVAL_S)
             holder.coordinators.readmit(holder.clock.monotonic())
             holder.served.expire_holders()
+            holder.streams.prune()
             for service in list(holder.coordinators.elected):
                 self.schedule(service)
 
@@ -103,11 +104,7 @@
             coordinator = holder.served.coordinator(service)
             coordinator.limits.merge(admitted, now)
             holder.admitted.on_reported(name, admitted)
-            coordinator.send_decisions(
-                coordinator.reconciler.on_holder_report(
-                    name, leases, wants, now
-                )
-            )
+            coordinator.on_holder_report(name, leases, wants, now)
         elif (
             held
             or waiting
@@ -168,6 +165,7 @@
             ),
             tuple((w.id, w.workspace) for w in named if w.workspace),
             slot_messages.versions_of(wants),
+            slot_messages.streams_of(named),
         )
 
     async def send(self, name: str, report: slot_messages.LeaseReport) -> bool:
--- a/camphortray/opaque.py
+++ b/camphortray/opaque.py
@@ -44,6 +44,20 @@
     resumes: str = ""
     resume_after: str = ""
 
+    @property
+    def taken_up(self) -> bool:
+        """Whether the caller takes up a stream that it names."""
+        return bool(
+            self.resumes and self.resume_after and self.route.resumable
+        )
+
+    @property
+    def stream(self) -> str:
+        """Id of the attempt that began the stream; empty if it is none."""
+        if not self.route.resumable:
+            return ""
+        return self.resumes if self.taken_up else self.id
+
     @property
     def fingerprint(self) -> str:
         """Digest of target and body, equal for repeats of a request."""
--- a/camphortray/routemap.py
+++ b/camphortray/routemap.py
@@ -97,6 +97,12 @@
                 return target.service
         return self.targets[-1].service
 
+    def services_of(self, request_id: str) -> list[str]:
+        """Return all services of the route, that for a request first."""
+        first = self.service_of(request_id)
+        others = (t.service for t in self.targets if t.weight > 0)
+        return list(dict.fromkeys([first, *others]))
+
 
 class EngineService(msgspec.Struct, frozen=True):
     """Configuration of a service that engines run.
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -35,6 +35,7 @@
 from camphortray import slot_coordinator
 from camphortray import slot_messages
 from camphortray import slot_scheduler
+from camphortray import stream_lookup
 from camphortray import tasks
 from camphortray import timers
 
@@ -73,6 +74,7 @@
     Attributes:
       coordinators: Elected coordinator of each service.
       served: Services whose slots this host coordinates.
+      streams: Versions at which streams began.
       reports: Sends reports of pending requests and held leases.
       checking: Coordinators that this host is checking for a response.
       published: When the exclusion that this host published expires, by
@@ -104,6 +106,7 @@
             functools.partial(self.members.live, "host"),
             functools.partial(self.members.possible, "host"),
         )
+        self.streams = stream_lookup.StreamLookup(self)
         self.checking: set[str] = set()
         self.published: dict[str, float] = {}
         self.served = slot_coordinator.SlotCoordinators(self)
@@ -121,11 +124,13 @@
 
     async def start(self) -> None:
         self.served.start()
+        self.streams.start()
         self.links.on(SlotDecisions, self.on_later_decisions)
         self.members.listen(self.on_member)
         self.members.on_fact(
             SILENT_COORDINATOR_FACT, self.on_silent_coordinator
         )
+        self.active_config.listen_engines(self.streams.update_engines)
         self.active_config.listen_engines(self.served.update_engines)
         self.active_config.peers_of = functools.partial(
             self.members.live_peers, "host"
@@ -137,6 +142,7 @@
         if self.task is not None:
             self.task.cancel()
         self.served.stop()
+        self.streams.stop()
 
     # Interface for `slot_coordinator` and `lease_reporting`.
 
@@ -246,6 +252,7 @@
     def on_elected(self, service: str) -> None:
         """Report to a new coordinator of a service."""
         self.served.standbys.on_elected(service)
+        self.streams.on_elected(service)
         self.reports.schedule(service)
 
     def on_member(self, member: membership.Member) -> None:
@@ -255,6 +262,7 @@
             self.started.pop(member.name)
             self.admitted.on_lost(member.name)
             self.served.standbys.on_lost(member.name)
+            self.streams.on_lost(member.name)
         if member.dead:
             self.served.drop(member.name)
         self.coordinators.on_member(member, self.clock.monotonic())
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -6,14 +6,12 @@
 import asyncio
 import collections
 
-from camphortray import active_config
 from camphortray import config as configs
 from camphortray import contention_gauges
 from camphortray import engine_registry
 from camphortray import errors
 from camphortray import limit_standby
 from camphortray import logs
-from camphortray import metrics as metric_registry
 from camphortray import orphaned_leases
 from camphortray import peers
 from camphortray import request_limits
@@ -21,6 +19,7 @@
 from camphortray import slot_reconciler
 from camphortray import slot_scheduler
 from camphortray import standby_updates
+from camphortray import stream_lookup
 
 LOG = logs.logger("slots")
 SlotAsk = slot_messages.SlotAsk
@@ -39,13 +38,11 @@
     """What coordinators need of the host that they run on.
 
     Attributes:
-      active_config: Configuration and engines as this host knows them.
-      metrics: Metrics of this host.
+      streams: Versions at which streams began.
       experiments: Mechanisms in use; ablation experiments disable some.
     """
 
-    active_config: active_config.ActiveConfig
-    metrics: metric_registry.Metrics
+    streams: stream_lookup.StreamLookup
     experiments: configs.ExperimentsConfig
 
     @abc.abstractmethod
@@ -206,9 +203,11 @@
             )
         self.slow = slow
 
-    def on_refusals(self, decisions: list[slot_scheduler.Decision]) -> None:
-        """Log refusals; do not count what was refused for want of a slot."""
+    def on_decisions(self, decisions: list[slot_scheduler.Decision]) -> None:
+        """Keep the versions of granted streams; log and uncount refusals."""
         for decision in decisions:
+            if isinstance(decision, slot_scheduler.Grant):
+                self.record_stream(decision.want, decision.engine)
             if isinstance(decision, slot_scheduler.Throttle):
                 continue
             if isinstance(decision, slot_scheduler.Refuse):
@@ -219,7 +218,7 @@
 
     def send_decisions(self, decisions: list[slot_scheduler.Decision]) -> None:
         """Send decisions to their holders."""
-        self.on_refusals(decisions)
+        self.on_decisions(decisions)
         self.log_unresponsive()
         by_holder: dict[str, list[slot_scheduler.Decision]] = (
             collections.defaultdict(list)
@@ -366,6 +365,33 @@
                 known,
             )
 
+    def record_stream(
+        self, want: slot_scheduler.SlotRequest, engine: str
+    ) -> None:
+        """Keep the version at which a stream that may resume is to run."""
+        if want.stream:
+            version = self.scheduler.accounting.table.versions.get(engine, "")
+            self.host.streams.record(
+                self.service, want.stream, version, want.left_s
+            )
+
+    def on_holder_report(
+        self,
+        holder: str,
+        leases: list[slot_scheduler.Lease],
+        wants: list[slot_scheduler.SlotRequest],
+        now: float,
+    ) -> None:
+        """Apply a report of a holder's leases and waiting requests."""
+        for lease in leases:
+            if lease.want.stream and not self.host.streams.knows(
+                self.service, lease.want.stream
+            ):
+                self.record_stream(lease.want, lease.engine)
+        self.send_decisions(
+            self.reconciler.on_holder_report(holder, leases, wants, now)
+        )
+
     def note_holder(self, holder: str, address: str, now: float) -> None:
         """Record the address of a holder and the time of its message."""
         if holder != self.host.own_name:
@@ -492,7 +518,7 @@
             target = replies if decision.want.id in asked else others
             target.append(decision)
         coordinator.send_decisions(others)
-        coordinator.on_refusals(replies)
+        coordinator.on_decisions(replies)
         return coordinator.message(replies)
 
     async def on_end(self, sender: peers.Sender, end: LeaseEnd) -> None:
@@ -514,6 +540,4 @@
         coordinator.limits.merge(
             (wire.admission(now) for wire in report.admitted), now
         )
-        coordinator.send_decisions(
-            coordinator.reconciler.on_holder_report(holder, leases, wants, now)
-        )
+        coordinator.on_holder_report(holder, leases, wants, now)
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -9,13 +9,18 @@
     "LimitUpdate",
     "SlotAsk",
     "SlotDecisions",
+    "StreamAnswer",
+    "StreamAsk",
+    "StreamUpdate",
     "WireAdmission",
     "WireLease",
     "WireRequest",
+    "streams_of",
     "versions_of",
 ]
 
 from collections.abc import Iterable
+import itertools
 import math
 from typing import NamedTuple
 
@@ -26,6 +31,7 @@
 from camphortray import messages
 from camphortray import request_limits
 from camphortray import slot_scheduler
+from camphortray import stream_versions
 
 # Sent instead of infinity for a request without a due time.
 NO_DUE_TIME_S = -1.0
@@ -97,15 +103,17 @@
     wires: Iterable[WireRequest],
     owners: Iterable[tuple[str, str]],
     versions: Iterable[tuple[str, str]],
+    streams: Iterable[str | None],
     holder: str,
     now: float,
 ) -> list[slot_scheduler.SlotRequest]:
-    """Return the requests of a holder with their workspaces and versions.
+    """Return the requests of a holder with all that is sent beside them.
 
     Args:
       wires: The requests as sent.
       owners: Ids of requests, each with its workspace.
       versions: Ids of requests, each with the software version it needs.
+      streams: See ``streams_of``.
       holder: Host that sent them.
       now: Present time.
     """
@@ -115,11 +123,38 @@
             wire.want(holder, now),
             workspace=workspace_of.get(wire.id, ""),
             version=version_of.get(wire.id, ""),
+            stream=attempt_of(wire.id) if stream == "" else stream or "",
         )
-        for wire in wires
+        for wire, stream in itertools.zip_longest(wires, streams)
     ]
 
 
+def attempt_of(want_id: str) -> str:
+    """Return the id of a caller's attempt, from that of a slot request.
+
+    >>> attempt_of("a.b.0-1")
+    'a.b'
+    """
+    return want_id.rpartition(".")[0]
+
+
+def streams_of(
+    wants: Iterable[slot_scheduler.SlotRequest],
+) -> tuple[str | None, ...]:
+    """Return the attempt that began the stream of each request, in order.
+
+    An empty text stands for the request's own attempt, None for a request
+    whose stream cannot be resumed; nothing is returned if none can.
+    """
+    found = tuple(
+        None
+        if not want.stream
+        else want.stream * (want.stream != attempt_of(want.id))
+        for want in wants
+    )
+    return found if any(stream is not None for stream in found) else ()
+
+
 def versions_of(
     wants: Iterable[slot_scheduler.SlotRequest],
 ) -> tuple[tuple[str, str], ...]:
@@ -169,6 +204,7 @@
         only counted here.
       owners: Ids of the other requests, each with its workspace.
       versions: Ids of requests, each with the software version it needs.
+      streams: See ``streams_of``; of ``wants``.
     """
 
     service: str
@@ -177,6 +213,7 @@
     workspaces: tuple[tuple[str, str], ...] = ()
     owners: tuple[tuple[str, str], ...] = ()
     versions: tuple[tuple[str, str], ...] = ()
+    streams: tuple[str | None, ...] = ()
 
     @classmethod
     def of(
@@ -195,6 +232,7 @@
             named if want.counts else (),
             () if want.counts else named,
             versions_of((want,)),
+            streams_of((want,)),
         )
 
     def requests(
@@ -206,7 +244,7 @@
         return [
             msgspec.structs.replace(request, counts=request.id in counted)
             for request in named_requests(
-                self.wants, owners, self.versions, holder, now
+                self.wants, owners, self.versions, self.streams, holder, now
             )
         ]
 
@@ -272,6 +310,7 @@
       owners: Ids of leases and waiting requests, each with its workspace.
       versions: Ids of waiting requests, each with the software version it
         needs.
+      streams: See ``streams_of``; of the leases, then the waiting requests.
     """
 
     service: str
@@ -281,19 +320,22 @@
     admitted: tuple[WireAdmission, ...] = ()
     owners: tuple[tuple[str, str], ...] = ()
     versions: tuple[tuple[str, str], ...] = ()
+    streams: tuple[str | None, ...] = ()
 
     def requests(
         self, holder: str, now: float
     ) -> list[slot_scheduler.SlotRequest]:
         """Return the waiting requests."""
+        streams = self.streams[len(self.leases) :]
         return named_requests(
-            self.wants, self.owners, self.versions, holder, now
+            self.wants, self.owners, self.versions, streams, holder, now
         )
 
     def held(self, holder: str, now: float) -> list[slot_scheduler.Lease]:
         """Return the leases."""
         wires = [lease.want for lease in self.leases]
-        requests = named_requests(wires, self.owners, (), holder, now)
+        streams = self.streams[: len(wires)]
+        requests = named_requests(wires, self.owners, (), streams, holder, now)
         return [
             slot_scheduler.Lease(
                 request, lease.engine, now - lease.age_ms / 1000
@@ -338,6 +380,82 @@
     changes: tuple[WireChange, ...] = ()
 
 
+@messages.message("stream.ask")
+class StreamAsk(msgspec.Struct, frozen=True):
+    """Asks at which software version a stream began.
+
+    Attributes:
+      service: Service of the stream.
+      digest: Digest of the id of the attempt that began it.
+      keep_ms: Longest time for which it may have lasted.
+    """
+
+    service: str
+    digest: int
+    keep_ms: int
+
+
+@messages.message("stream.answer")
+class StreamAnswer(msgspec.Struct, frozen=True):
+    """What a host knows of a stream.
+
+    Attributes:
+      version: Software version at which it began; empty if its engine told
+        none.
+      known: Whether the host knows the stream.
+      versions: Versions that served while it may have lasted.
+      ambiguous: Whether the host knows the stream, but not which of several
+        versions began it.
+    """
+
+    version: str = ""
+    known: bool = False
+    versions: tuple[str, ...] = ()
+    ambiguous: bool = False
+
+
+@messages.message("stream.update")
+class StreamUpdate(msgspec.Struct, frozen=True):
+    """Tells a standby at which versions streams began.
+
+    Attributes:
+      service: Service of the streams.
+      versions: Versions that ``streams`` refers to.
+      streams: Digest, index of the version, and milliseconds for which the
+        stream may still be taken up, of each.
+    """
+
+    service: str
+    versions: tuple[str, ...]
+    streams: tuple[tuple[int, int, int], ...]
+
+    @classmethod
+    def of(
+        cls,
+        service: str,
+        begun: Iterable[stream_versions.Begun],
+        now: float,
+    ) -> "StreamUpdate":
+        """Return the message about some streams."""
+        index: dict[str, int] = {}
+        streams = []
+        for stream in begun:
+            if stream.version is not None:
+                number = index.setdefault(stream.version, len(index))
+                left_ms = round((stream.until - now) * 1000)
+                streams.append((stream.digest, number, left_ms))
+        return cls(service, tuple(index), tuple(streams))
+
+    def begun(self, now: float, source: str) -> list[stream_versions.Begun]:
+        """Return the streams, recorded by a member."""
+        return [
+            stream_versions.Begun(
+                digest, self.versions[index], now + left_ms / 1000, source
+            )
+            for digest, index, left_ms in self.streams
+        ]
+
+
 @messages.message("place.word")
 class SlotDecisions(msgspec.Struct, frozen=True):
     """Decisions on the requests of a holder, as a reply or sent later.
--- a/camphortray/slot_queue.py
+++ b/camphortray/slot_queue.py
@@ -44,6 +44,8 @@
       workspace: Workspace that it runs for, or empty.
       counts: Whether it is still to be counted against the limit of its
         workspace.
+      stream: Id of the attempt that began its stream; empty if the stream
+        cannot be resumed.
       version: Software version of the engine that it needs, as it goes on
         from the output of one; empty for any.
     """
@@ -64,6 +66,7 @@
     start_s: float = 0.0
     workspace: str = ""
     counts: bool = False
+    stream: str = ""
     version: str = ""
 
     @property
--- a/camphortray/standby_updates.py
+++ b/camphortray/standby_updates.py
@@ -13,10 +13,12 @@
 from typing import Generic
 from typing import TypeVar
 
+from camphortray import active_config
 from camphortray import clock as clocks
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import logs
+from camphortray import metrics as metrics_module
 from camphortray import peers
 
 LOG = logs.logger("slots")
@@ -32,6 +34,8 @@
       clock: Source of time.
       own_name: Name of this host's member.
       links: Links to other hosts.
+      active_config: Configuration and engines as this host knows them.
+      metrics: Metrics of this host.
       limit_window_s: Window in which requests count against the limit of
         their workspace, in seconds.
     """
@@ -39,6 +43,8 @@
     clock: clocks.Clock
     own_name: str
     links: peers.Peers
+    active_config: active_config.ActiveConfig
+    metrics: metrics_module.Metrics
     limit_window_s: float
 
     @abc.abstractmethod
--- /dev/null
+++ b/camphortray/stream_lookup.py
@@ -0,0 +1,284 @@
+"""Finds the software version at which a stream began, at any host.
+
+The coordinator of a service knows the engine of each stream, as it grants the
+slot; it keeps the version for as long as callers may take the stream up. Only
+while engines of several versions serve, it also sends them to the hosts that
+would coordinate next. A host that is to take a stream up asks these hosts. If
+none of them knows the stream, it goes on only if a single version has served
+for as long as the stream may have lasted.
+"""
+
+__all__ = ["StreamLookup"]
+
+import asyncio
+from collections.abc import Sequence
+
+import msgspec
+
+from camphortray import errors
+from camphortray import logs
+from camphortray import peers
+from camphortray import slot_messages
+from camphortray import standby_updates
+from camphortray import stream_versions
+
+LOG = logs.logger("streams")
+StreamAsk = slot_messages.StreamAsk
+StreamAnswer = slot_messages.StreamAnswer
+StreamUpdate = slot_messages.StreamUpdate
+# Number of hosts that know a coordinator's streams, including itself.
+KEEPERS = 5
+# Timeout in seconds for the answer of a host that may know a stream.
+ASK_TIMEOUT_S = 0.12
+# How often a stream that nobody knows is asked for, and the seconds between:
+# the update that names it may still be on its way.
+LOOKUPS = 2
+LOOKUP_PAUSE_S = 0.1
+# Seconds for which a stream may be taken up after the time of its last
+# attempt is over.
+KEEP_MARGIN_S = 5.0
+# Streams in one message, well below the size limit of a link.
+MAX_STREAMS = 10_000
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """What this host and those that it asked know of a stream.
+
+    Attributes:
+      version: Software version at which it began, or None if not known.
+      versions: Versions that served while it may have lasted; none if
+        coordinators have granted it slots of several.
+      alone: Whether there were hosts to ask and none answered.
+    """
+
+    version: str | None
+    versions: frozenset[str] = frozenset()
+    alone: bool = False
+
+
+class StreamLookup(standby_updates.StandbyUpdates[stream_versions.Begun]):
+    """The streams that one host knows, and questions for others.
+
+    Attributes:
+      by_service: Streams by service.
+    """
+
+    interval_s = 0.05
+
+    def __init__(self, host: standby_updates.StandbyHost) -> None:
+        super().__init__(host)
+        self.by_service: dict[str, stream_versions.StreamVersions] = {}
+
+    def start(self) -> None:
+        """Register the handlers of messages from other hosts."""
+        self.host.links.on(StreamAsk, self.on_ask)
+        self.host.links.on(StreamUpdate, self.on_update)
+
+    def of(self, service: str) -> stream_versions.StreamVersions:
+        """Return the streams of a service, none on first use."""
+        streams = self.by_service.get(service)
+        if streams is None:
+            streams = stream_versions.StreamVersions()
+            self.by_service[service] = streams
+            self.update_engines()
+        return streams
+
+    def update_engines(self) -> None:
+        """Record the versions of the registered engines."""
+        now = self.host.clock.monotonic()
+        versions: dict[str, set[str]] = {s: set() for s in self.by_service}
+        for entry in self.host.active_config.engines.current().values():
+            versions.setdefault(entry.service, set()).add(entry.version)
+        for service, serving in versions.items():
+            streams = self.by_service.setdefault(
+                service, stream_versions.StreamVersions()
+            )
+            if streams.set_serving(serving, now):
+                LOG.notice(
+                    "Versions of service {}: {}.",
+                    service,
+                    ", ".join(sorted(serving)) or "none",
+                )
+            if len(serving) > 1:
+                self.schedule(service)
+
+    def prune(self) -> None:
+        """Drop the streams that cannot be taken up any more."""
+        now = self.host.clock.monotonic()
+        for streams in self.by_service.values():
+            streams.prune(now)
+
+    # Streams that begin.
+
+    def record(
+        self, service: str, attempt: str, version: str, left_s: float
+    ) -> None:
+        """Record a stream and keep it at the standbys.
+
+        Args:
+          service: Service of its engine.
+          attempt: Id of the attempt that began it.
+          version: Software version of its engine.
+          left_s: Time after which its present attempt has ended.
+        """
+        streams = self.of(service)
+        streams.record(self.begun(attempt, version, left_s))
+        if len(streams.serving) > 1:
+            self.schedule(service)
+
+    def knows(self, service: str, attempt: str) -> bool:
+        """Return whether this host knows a stream."""
+        digest = stream_versions.digest_of(attempt)
+        return digest in self.of(service).streams
+
+    def note(
+        self, service: str, attempt: str, version: str, left_s: float
+    ) -> None:
+        """Keep a stream at this host alone; see ``record``."""
+        self.of(service).note(self.begun(attempt, version, left_s))
+
+    def begun(
+        self, attempt: str, version: str, left_s: float
+    ) -> stream_versions.Begun:
+        """Return a stream that begins now."""
+        until = self.host.clock.monotonic() + left_s + KEEP_MARGIN_S
+        digest = stream_versions.digest_of(attempt)
+        return stream_versions.Begun(
+            digest, version, until, self.host.own_name
+        )
+
+    def targets(self, service: str) -> list[str]:
+        ranked = self.host.standbys(service, KEEPERS)
+        names = dict.fromkeys([self.host.elected(service), *ranked])
+        names.pop(self.host.own_name, None)
+        return list(names)[: KEEPERS - 1]
+
+    def take_changes(self, service: str) -> list[stream_versions.Begun]:
+        return self.of(service).take_changes()
+
+    def everything(self, service: str) -> list[stream_versions.Begun]:
+        return list(self.of(service).streams.values())
+
+    def messages(
+        self, service: str, changes: list[stream_versions.Begun]
+    ) -> list[StreamUpdate]:
+        now = self.host.clock.monotonic()
+        return [
+            StreamUpdate.of(service, changes[at : at + MAX_STREAMS], now)
+            for at in range(0, len(changes), MAX_STREAMS)
+        ]
+
+    def is_pending(self, service: str) -> bool:
+        return bool(self.of(service).changes)
+
+    async def on_update(
+        self, sender: peers.Sender, update: StreamUpdate
+    ) -> None:
+        """Apply an update of a coordinator."""
+        now = self.host.clock.monotonic()
+        self.of(update.service).merge(update.begun(now, str(sender)))
+
+    # Streams that are taken up.
+
+    async def locate(
+        self, services: Sequence[str], attempt: str, keep_s: float
+    ) -> tuple[str, str]:
+        """Return the service and software version of a stream.
+
+        Args:
+          services: Services that may have begun it, the likeliest first.
+          attempt: Id of the attempt that began it.
+          keep_s: Longest time for which it may have lasted.
+
+        Returns:
+          The service, and the version; empty if its engines tell none.
+
+        Raises:
+          NoVersion: it is not known.
+        """
+        digest = stream_versions.digest_of(attempt)
+        keep_ms = round((keep_s + KEEP_MARGIN_S) * 1000)
+        asks = [StreamAsk(service, digest, keep_ms) for service in services]
+        for lookup in range(LOOKUPS):
+            if lookup:
+                await asyncio.sleep(LOOKUP_PAUSE_S)
+            findings = [await self.find(ask) for ask in asks]
+            for ask, found in zip(asks, findings, strict=True):
+                if found.version is not None:
+                    self.count("known")
+                    return ask.service, found.version
+        version = self.only_version(findings[0])
+        self.count("unknown" if version is None else "only")
+        if version is None:
+            raise errors.NoVersion(
+                "the version of the stream is not known", step="look up"
+            )
+        return services[0], version
+
+    def count(self, outcome: str) -> None:
+        """Count a look-up by how the version was found."""
+        self.host.metrics.inc(
+            "camphortray_stream_lookups_total",
+            "Streams taken up by callers, by whether their version was known,"
+            " the only one that served, or unknown.",
+            {"version": outcome},
+        )
+
+    def only_version(self, found: Finding) -> str | None:
+        """Return the version if a single one has served.
+
+        Without an answer of another host, the registry alone tells what has
+        served, and only while it is in reach.
+        """
+        if len(found.versions) != 1:
+            return None
+        if found.alone and self.host.active_config.away:
+            return None
+        return next(iter(found.versions))
+
+    async def find(self, ask: StreamAsk) -> Finding:
+        """Ask the hosts that may know a stream.
+
+        All are waited for: a coordinator that stood still may have granted
+        the stream a slot that was not used, and the next one another.
+        """
+        names = self.targets(ask.service)
+        replies = await asyncio.gather(*(self.ask(n, ask) for n in names))
+        answers = [reply for reply in replies if reply is not None]
+        alone = bool(names) and not answers
+        answers.append(self.answer(ask))
+        begun = {answer.version for answer in answers if answer.known}
+        if len(begun) > 1 or any(answer.ambiguous for answer in answers):
+            return Finding(None)
+        if begun:
+            return Finding(begun.pop())
+        versions = {v for answer in answers for v in answer.versions}
+        return Finding(None, frozenset(versions), alone)
+
+    async def ask(self, name: str, ask: StreamAsk) -> StreamAnswer | None:
+        """Ask one host; return None if it does not answer."""
+        try:
+            address = self.host.peer_address(name)
+            reply = await self.host.links.ask(address, ask, ASK_TIMEOUT_S)
+        except errors.MessageError as error:
+            LOG.info("Host {} not asked for a stream: {}", name, error)
+            return None
+        return reply if isinstance(reply, StreamAnswer) else None
+
+    def answer(self, ask: StreamAsk) -> StreamAnswer:
+        """Return what this host knows of a stream."""
+        now = self.host.clock.monotonic()
+        streams = self.of(ask.service)
+        stream = streams.find(ask.digest, now)
+        if stream is None:
+            recent = streams.recent(ask.keep_ms / 1000, now)
+            return StreamAnswer(versions=tuple(sorted(recent)))
+        if stream.version is None:
+            return StreamAnswer(ambiguous=True)
+        return StreamAnswer(stream.version, True)
+
+    async def on_ask(
+        self, sender: peers.Sender, ask: StreamAsk
+    ) -> StreamAnswer:
+        """Answer a host that is to take a stream up."""
+        return self.answer(ask)
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -104,6 +104,16 @@
         return access.AccessControl(self.view).admit(route, key_hash)
 
 
+class Streams:
+    """Records the versions of streams that have begun."""
+
+    def __init__(self):
+        self.noted = []
+
+    def note(self, service, attempt, version, left_s):
+        self.noted.append((attempt, version))
+
+
 class Slots:
     """Grants a slot at the first engine that the request does not avoid.
 
@@ -112,6 +122,7 @@
       ends: Outcomes of released slots, in order.
       refusals: Number of further requests to refuse.
       revokes: Revocation callbacks of the granted slots.
+      streams: Streams that have begun.
     """
 
     own_name = "h/host"
@@ -122,6 +133,7 @@
         self.ends = []
         self.refusals = 0
         self.revokes = []
+        self.streams = Streams()
 
     async def acquire(self, service, want, on_revoke=None):
         self.wants.append(want)
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -263,6 +263,7 @@
       running: Streams under way.
       foreign: Runs of hosts that are lost, as it reports them.
       version: Version of its software.
+      service: Service that it belongs to.
     """
 
     def __init__(self, name, events=6):
@@ -278,6 +279,7 @@
         self.running = 0
         self.foreign = 0
         self.version = "v1"
+        self.service = SERVICE
 
     def start_again(self, born):
         """Forget all of before, under the same id."""
@@ -338,7 +340,7 @@
     def entry(self, **fields):
         """Return its entry in the registry."""
         return {
-            "service": SERVICE,
+            "service": self.service,
             "address": str(self.server.address),
             "zone": "z1",
             "version": self.version,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import types
 
 import logbook
 import pytest
@@ -9,7 +10,11 @@
 from camphortray import active_config
 from camphortray import config as configs
 from camphortray import httpclient
+from camphortray import slot_client
+from camphortray import stream_lookup
+from camphortray import stream_versions
 from tests import platformkit
+from tests import slotclientkit
 
 SERVICE = platformkit.SERVICE
 PATH = platformkit.STREAM_PREFIX + "q"
@@ -142,6 +147,156 @@
         assert not ran_at(platform, "b")
 
 
+def tables(platform):
+    """Return the streams that each host knows."""
+    return [h.part(slot_client.SlotClient).streams for h in platform.hosts]
+
+
+def forget(platform):
+    """Let all hosts forget all streams, as after a loss of all of them."""
+    for table in tables(platform):
+        table.of(SERVICE).streams.clear()
+
+
+@pytest.mark.parametrize(
+    ("versions", "status"), [(("v1", "v2"), 503), (("v1", "v1"), 200)]
+)
+async def test_a_stream_that_no_host_knows(versions, status):
+    # All hosts have been lost: it goes on only where one version serves.
+    async with platform_of(*versions, hosts=2) as platform:
+        await break_off(platform, platform.hosts[0], "a")
+        if len(set(versions)) > 1:
+            await platform.until(
+                lambda: all(t.knows(SERVICE, "a") for t in tables(platform))
+            )
+        else:
+            # No host sends what no host needs.
+            assert not any(t.informed for t in tables(platform))
+        forget(platform)
+        assert await take_up(platform.hosts[1], "b", "a") == status
+        assert bool(ran_at(platform, "b")) == (status == 200)
+
+
+async def test_a_stream_survives_its_host_and_its_coordinator():
+    # Both are lost at once, before the caller takes its stream up.
+    async with platform_of("v1", "v2", "v1", "v2", hosts=3) as platform:
+        coordinator, holder = slotclientkit.roles(platform)
+        (other,) = set(platform.hosts) - {coordinator, holder}
+        first = await break_off(platform, holder, "a")
+        table = other.part(slot_client.SlotClient).streams
+        await platform.until(lambda: table.knows(SERVICE, "a"))
+        for host in (coordinator, holder):
+            platform.hosts.remove(host)
+            await host.kernel.stop()
+        for number in range(3):
+            attempt = f"b{number}"
+            assert await take_up(other, attempt, "a", number + 1) == 200
+            (second,) = ran_at(platform, attempt)
+            assert (
+                platform.engines[second].version
+                == platform.engines[first].version
+            )
+
+
+@pytest.mark.parametrize(
+    ("slots", "version"),
+    [
+        ([("v1", "c1")], "v1"),
+        # The engine of the first refused it.
+        ([("v1", "c1"), ("v2", "c1")], "v2"),
+        ([("v1", "c1"), ("v1", "c2")], "v1"),
+        ([("v1", "c1"), ("v2", "c2")], None),
+        ([("v1", "c1"), ("v2", "c2"), ("v2", "c2")], None),
+    ],
+)
+def test_a_stream_that_two_coordinators_granted_slots(slots, version):
+    # One of them stood still, and its slot was not used.
+    streams = stream_versions.StreamVersions()
+    for found, source in slots:
+        streams.merge([stream_versions.Begun(7, found, 9.0, source)])
+    assert streams.find(7, 0.0).version == version
+
+
+async def test_hosts_that_know_different_versions_of_a_stream():
+    # As above, with one slot known to each host.
+    async with platform_of("v1", "v2", hosts=2) as platform:
+        for table, version in zip(tables(platform), ("v1", "v2"), strict=True):
+            table.note(SERVICE, "a", version, 5.0)
+        assert await take_up(platform.hosts[0], "b", "a") == 503
+
+
+@pytest.mark.parametrize(
+    ("versions", "alone", "away", "expected"),
+    [
+        ({"v1"}, False, True, "v1"),
+        ({"v1"}, True, False, "v1"),
+        # Engines of other versions may have come since.
+        ({"v1"}, True, True, None),
+        ({"v1", "v2"}, False, False, None),
+        (set(), False, False, None),
+        ({""}, False, False, ""),
+    ],
+)
+async def test_which_version_a_stream_has_that_no_host_knows(
+    versions, alone, away, expected
+):
+    # A host that is cut off takes its own version for the only one.
+    host = types.SimpleNamespace(
+        active_config=types.SimpleNamespace(away=away)
+    )
+    lookup = stream_lookup.StreamLookup(host)
+    found = stream_lookup.Finding(None, frozenset(versions), alone)
+    assert lookup.only_version(found) == expected
+
+
+async def test_a_split_that_changes_does_not_move_a_stream():
+    # The operator's new weights lead the caller to another service.
+    async with platform_of("v1", "v1", hosts=2) as platform:
+        platform.engines["i-0"].service = "other"
+        await platform.register(platform.engines["i-0"], sequence=3)
+        for weights in ((0, 1), (1, 1)):
+            split = [
+                {"service": s, "weight": w}
+                for s, w in zip(("other", SERVICE), weights, strict=True)
+            ]
+            route = platformkit.route(
+                "r-1",
+                platformkit.STREAM_PREFIX,
+                "streaming",
+                resumable=True,
+                split=split,
+            )
+            revision = 10 + sum(weights)
+            await platform.store.configure(revision, [route])
+            await platform.until(
+                lambda revision=revision: all(
+                    h.part(active_config.ActiveConfig).view.revision
+                    == revision
+                    for h in platform.hosts
+                )
+            )
+            if weights == (0, 1):
+                for number in range(4):
+                    attempt = f"a{number}"
+                    name = await break_off(
+                        platform, platform.hosts[0], attempt
+                    )
+                    assert name == "i-1"
+        for number in range(4):
+            host = platform.hosts[number % 2]
+            assert await take_up(host, f"b{number}", f"a{number}") == 200
+            assert set(ran_at(platform, f"b{number}")) == {"i-1"}
+
+
+def test_versions_that_left_are_remembered():
+    # A version that comes back after a roll-back, and one that has left.
+    streams = stream_versions.StreamVersions()
+    for at, serving in enumerate([("v1",), ("v1", "v2"), ("v2",), ("v1",)]):
+        streams.set_serving(serving, float(at))
+    assert streams.recent(2.5, 4.0) == {"v1", "v2"}
+    assert streams.recent(0.5, 4.0) == {"v1"}
+
+
 async def test_a_log_line_names_both_versions():
     # The cause of a stream of two versions could not be read from the logs.
     async with platform_of("v1", "v1") as platform:
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -39,6 +39,9 @@
     "engine-1", "lm", "127.0.0.1:9000", "z1", 8, True, 3, 1700
 )
 PLAIN = engine_registry.EngineEntry("engine-2", "lm", "127.0.0.1:9001")
+VERSIONED = engine_registry.EngineEntry(
+    "engine-1", "lm", "127.0.0.1:9000", software="v1"
+)
 MEMBER = members.Member(
     "host-1/host", 2, members.Status.ALIVE, "z1", "127.0.0.1:1", ""
 )
@@ -92,6 +95,9 @@
     ),
     12.0,
 )
+TAKEN_UP = slot_queue.SlotRequest(
+    "r2.0", "host-1", True, 1, 10.0, stream="r1", version="v1"
+)
 LEASE = slot_messages.WireLease(REQUEST, "engine-1", 40)
 
 # A message and its bytes in hexadecimal digits.
@@ -391,6 +397,43 @@
         "7530fb4053800000000000190fa061708168656e67696e652d32627a311905dc"
         "18fa",
     ),
+    (
+        slot_messages.SlotAsk.of("lm", "127.0.0.1:1", TAKEN_UP, 12.0),
+        "850169706c6163652e61736b05f5a56773657276696365626c6d676164647265"
+        "73736b3132372e302e302e313a316577616e7473818d6472322e30f5011907d0"
+        "1903e8197530fbbff00000000000000060806000006876657273696f6e738182"
+        "6472322e306276316773747265616d7381627231",
+    ),
+    (
+        slot_messages.StreamAsk("lm", 7, 9000),
+        "85016a73747265616d2e61736b05f5a36773657276696365626c6d6664696765"
+        "737407676b6565705f6d73192328",
+    ),
+    (
+        slot_messages.StreamAnswer("v1", True, ("v1", "v2")),
+        "85016d73747265616d2e616e7377657205f5a36776657273696f6e627631656b"
+        "6e6f776ef56876657273696f6e7382627631627632",
+    ),
+    (
+        slot_messages.StreamAnswer(),
+        "85016d73747265616d2e616e7377657205f5a0",
+    ),
+    (
+        slot_messages.StreamUpdate(
+            "lm", ("v1", "v2"), ((7, 0, 9000), (2**63, 1, 50))
+        ),
+        "85016d73747265616d2e75706461746505f5a36773657276696365626c6d6876"
+        "657273696f6e73826276316276326773747265616d7382830700192328831b80"
+        "00000000000000011832",
+    ),
+    (
+        active_config.ActiveConfigAnswer(engines=(VERSIONED,)),
+        "8501746163746976655f636f6e6669672e616e7377657205f5a167656e67696e"
+        "657381a962696468656e67696e652d316773657276696365626c6d6761646472"
+        "6573736e3132372e302e302e313a3930303071617661696c6162696c6974795f"
+        "7a6f6e656065736c6f74730168647261696e696e67f46873657175656e636500"
+        "64626f726e0068736f667477617265627631",
+    ),
     (
         slot_messages.LeaseEnd("lm", "r1", enginehealth.Outcome.GOOD),
         "850169706c6163652e656e6405f5a36773657276696365626c6d626964627231"
