Keep the text of an item to one software version

What callers saw: nothing yet; found by looking for the cause of streams of two versions elsewhere. An item that loses its slot or its engine resumes from its last event at any engine, and one whose partition changes hands from the output handed over. Its text then joins the output of engines of several versions, or of several services after the operator moved its route.

An item's output carries the service and version that made it, in the run and in the handover. What is stored are whole results, which need no origin.

The field is sent only if set, so that bytes without it stay. A test that compared a whole Progress now names the origin as well.

--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -65,18 +65,35 @@
     )
 
 
-class Progress(msgspec.Struct, frozen=True):
+class Origin(msgspec.Struct, frozen=True):
+    """What made the output of an item so far.
+
+    Attributes:
+      service: Service of its engines; empty if not known.
+      version: Version of their software; empty if they tell none.
+    """
+
+    service: str = ""
+    version: str = ""
+
+
+UNKNOWN_ORIGIN = Origin()
+
+
+class Progress(msgspec.Struct, frozen=True, omit_defaults=True):
     """The partial output of an item that is not done.
 
     Attributes:
       place: Index of the item in its job.
       last: Id of its last complete event.
       text: Data of its events, one entry each.
+      origin: What made it.
     """
 
     place: int
     last: str
     text: tuple[bytes, ...]
+    origin: Origin = UNKNOWN_ORIGIN
 
 
 class ItemWork:
@@ -93,6 +110,9 @@
       retries: Failed runs so far, and when and where the next may start.
       reader: Splits and checks the event stream, across engines.
       text: Data of the events so far.
+      origin: What made them.
+      any_version: Whether the next run may begin anew, as no engine of the
+        version of ``origin`` had a slot in time.
       number: Number of slot requests so far, and of the present run.
       run_task: Reads the stream of the present run.
       cancel_cause: Why the last cancelled run was cancelled.
@@ -120,6 +140,8 @@
         self.retries = item_retry.RetryState()
         self.reader = eventstream.EventReader()
         self.text: list[bytes] = []
+        self.origin = UNKNOWN_ORIGIN
+        self.any_version = False
         self.number = 0
         self.run_task: asyncio.Task[None] | None = None
         self.cancel_cause = early_end.Cause.REVOKED
@@ -143,6 +165,7 @@
                 async with asyncio.timeout(SLOT_TIMEOUT_S):
                     lease = await self.acquire_slot(route)
             except TimeoutError:
+                self.any_version = True
                 continue
             except errors.NoSlot as error:
                 LOG.debug("{}: {}", self.item.id, error)
@@ -254,6 +277,7 @@
         parts = self.parts
         now = parts.clock.monotonic()
         self.number += 1
+        service = route.service_of(self.item.id)
         avoid = {self.retries.avoid} - {""}
         request = slot_scheduler.SlotRequest(
             # The execution id keeps requests apart: a previous owner, or this
@@ -271,10 +295,10 @@
             start_s=parts.estimator.start_s(self.reader.count),
             avoid=frozenset(avoid),
             workspace=self.job.workspace,
+            version=self.version_needed(service),
         )
         # An engine is avoided for one request only: it may be the only one.
         self.retries.avoid = ""
-        service = route.service_of(self.item.id)
         return await parts.slots.acquire(service, request, self.revoke)
 
     @property
@@ -282,7 +306,9 @@
         """The partial output, or None if no run can resume from it."""
         if not self.reader.last:
             return None
-        return Progress(self.index, self.reader.last, tuple(self.text))
+        return Progress(
+            self.index, self.reader.last, tuple(self.text), self.origin
+        )
 
     def resume_from(self, progress: Progress) -> None:
         """Resume from the output of the previous owner if that is longer."""
@@ -290,6 +316,7 @@
             return
         self.reader.resume_after(progress.last, len(progress.text))
         self.text = list(progress.text)
+        self.origin = progress.origin
         # The present run has less output; the next one resumes after this.
         self.cancel_run(early_end.Cause.OVERTAKEN)
 
@@ -311,8 +338,9 @@
         events_before = self.reader.count
         self.first_event_at = self.last_event_at = 0.0
         task = asyncio.get_running_loop().create_task(
-            self.stream(route, lease.upstream)
+            self.stream(route, lease.upstream, lease.service)
         )
+        self.any_version = False
         self.run_task = task
         self.lease = lease
         try:
@@ -408,8 +436,61 @@
             return self.abandoned(str(error))
         return None
 
+    def version_needed(self, service: str) -> str:
+        """Return the version whose engines can resume; empty for any."""
+        version = self.origin.version
+        engines = self.parts.active_config.engines
+        if (
+            self.any_version
+            or not self.reader.last
+            or self.origin.service != service
+            or not engines.serves(service, version)
+        ):
+            return ""
+        return version
+
+    def resumes_at(self, origin: Origin) -> bool:
+        """Return whether a run fits to the output so far.
+
+        The output of two versions does not fit together, and engines do not
+        check it.
+        """
+        if self.reader.order_ambiguous or not self.reader.last:
+            return False
+        if self.parts.active_config.engines.is_versioned(origin.service):
+            return bool(origin.version) and origin == self.origin
+        # Hosts of earlier releases hand output over without its origin.
+        return self.origin in (UNKNOWN_ORIGIN, origin)
+
+    def begin_anew(self, origin: Origin) -> None:
+        """Drop the output so far, as the next run begins at the first event.
+
+        Without an event to resume after, the engine does so too; keeping the
+        earlier events would repeat them.
+        """
+        if self.reader.last and origin != self.origin:
+            self.parts.metrics.inc(
+                "camphortray_items_begun_anew_total",
+                "Items whose partial output was dropped, as no engine of the"
+                " software version that made it had a slot.",
+                {},
+            )
+            LOG.info(
+                "Item {} of job {} begins anew after event {!r}.",
+                self.item.id,
+                self.job.id,
+                self.reader.last,
+                fields={
+                    "service": origin.service,
+                    "version": origin.version,
+                    "service_before": self.origin.service,
+                    "version_before": self.origin.version,
+                },
+            )
+        self.reader, self.text = eventstream.EventReader(), []
+
     async def stream(
-        self, route: routemap.Route, upstream: engine.Upstream
+        self, route: routemap.Route, upstream: engine.Upstream, service: str
     ) -> None:
         """Read one event stream to its end.
 
@@ -417,10 +498,10 @@
           UpstreamError: the run failed, or its stream is incomplete.
         """
         plugin = self.parts.backends.engine(upstream.plugin)
-        if self.reader.order_ambiguous or not self.reader.last:
-            # There is no event to resume after: the engine starts at the
-            # first one, and keeping the earlier events would repeat them.
-            self.reader, self.text = eventstream.EventReader(), []
+        origin = Origin(service, upstream.version)
+        if not self.resumes_at(origin):
+            self.begin_anew(origin)
+        self.origin = origin
         self.reader.restart()
         left_s = self.deadline.run_limit_s(route)
         request = engine.EngineRequest(
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -123,6 +123,7 @@
       refusals: Number of further requests to refuse.
       revokes: Revocation callbacks of the granted slots.
       streams: Streams that have begun.
+      versions: Software versions of engines.
     """
 
     own_name = "h/host"
@@ -134,15 +135,25 @@
         self.refusals = 0
         self.revokes = []
         self.streams = Streams()
+        self.versions = {}
 
     async def acquire(self, service, want, on_revoke=None):
         self.wants.append(want)
         if self.refusals:
             self.refusals -= 1
             raise errors.NoSlot("no free slot", 0.25)
-        name = next(n for n in self.names if n not in want.avoid)
+        name = next(
+            n
+            for n in self.names
+            if n not in want.avoid
+            and want.version in ("", self.versions.get(n, ""))
+        )
         upstream = engine.Upstream(
-            name, configs.Address("127.0.0.1", 1), "z", "memory"
+            name,
+            configs.Address("127.0.0.1", 1),
+            "z",
+            "memory",
+            version=self.versions.get(name, ""),
         )
         self.revokes.append(on_revoke)
         return lease_table.HeldLease(want, service, upstream, 0.0, on_revoke)
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -6,6 +6,7 @@
 import pytest
 
 from camphortray import clock as clocks
+from camphortray import engine_registry
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import item_deadline
@@ -71,6 +72,92 @@
     assert names[0] != names[1]
 
 
+@pytest.mark.parametrize(
+    ("versions", "known", "resumed"),
+    [
+        # Another engine of its version serves.
+        (["v1", "v2", "v1"], "v1", "2"),
+        (["v1", "v2"], "v1", ""),
+        # An engine that tells no version, and engines that tell none.
+        (["v1", ""], "", ""),
+        (["", "v1"], "v1", ""),
+        (["", ""], "", "2"),
+    ],
+)
+async def test_the_text_of_an_item_is_of_one_version(versions, known, resumed):
+    # An engine breaks off while engines of other versions serve.
+    first = 3 if resumed else 1
+    work = work_of(
+        [
+            hostkit.Answer([*hostkit.events(1, 2), hostkit.BROKEN]),
+            hostkit.Answer(hostkit.events(first, 5)),
+        ]
+    )
+    parts = work.parts
+    parts.slots.versions = {f"e{n}": v for n, v in enumerate(versions)}
+    for name, version in parts.slots.versions.items():
+        entry = engine_registry.EngineEntry(
+            name,
+            "s",
+            f"127.0.0.1:{len(parts.active_config.engines.entries) + 1}",
+            software=version,
+        )
+        # The first engine has gone with its answer.
+        if name != "e0":
+            parts.active_config.engines.put(entry)
+    assert (await work.run()).text == text(5)
+    assert resume_points(work) == ["", resumed]
+
+
+@pytest.mark.parametrize(
+    ("origin", "resumed"),
+    [
+        (itemwork.Origin("s", "v1"), "2"),
+        (itemwork.Origin("s", "v2"), ""),
+        (itemwork.Origin("other", "v1"), ""),
+        # A host of the release before names no origin.
+        (itemwork.UNKNOWN_ORIGIN, ""),
+    ],
+)
+async def test_output_of_the_previous_owner_is_of_one_version(origin, resumed):
+    # A partition changes hands while engines of other versions serve.
+    first = 3 if resumed else 1
+    work = work_of([hostkit.Answer(hostkit.events(first, 5))])
+    work.parts.slots.versions = {"e0": "v1"}
+    work.parts.active_config.engines.put(
+        engine_registry.EngineEntry("e0", "s", "127.0.0.1:1", software="v1")
+    )
+    work.resume_from(itemwork.Progress(0, "2", (b"d1", b"d2"), origin))
+    assert (await work.run()).text == text(5)
+    assert resume_points(work) == [resumed]
+
+
+async def test_an_item_without_a_slot_of_its_version_begins_anew():
+    # Engines of its version are full, and it must not wait for ever.
+    work = work_of([hostkit.Answer(hostkit.events(1, 5))])
+    slots = work.parts.slots
+    slots.versions = {"e0": "v2"}
+    acquire = slots.acquire
+
+    async def acquire_at_v2(service, want, on_revoke=None):
+        if want.version:
+            await asyncio.sleep(3600)
+        return await acquire(service, want, on_revoke)
+
+    slots.acquire = acquire_at_v2
+    for name in ("v1", "v2"):
+        work.parts.active_config.engines.put(
+            engine_registry.EngineEntry(
+                name, "s", f"127.0.0.1:{name[1]}", software=name
+            )
+        )
+    origin = itemwork.Origin("s", "v1")
+    work.resume_from(itemwork.Progress(0, "2", (b"d1", b"d2"), origin))
+    async with asyncio.timeout(2 * itemwork.SLOT_TIMEOUT_S):
+        assert (await work.run()).text == text(5)
+    assert resume_points(work) == [""]
+
+
 async def test_a_stream_that_ends_in_the_middle_of_an_event_is_incomplete():
     torn = hostkit.event(3)[:6]
     work = work_of(
@@ -291,7 +378,10 @@
     task = asyncio.ensure_future(work.run())
     assert (await task).text == text(3)
     work.resume_from(itemwork.Progress(0, "2", (b"d1", b"d2")))
-    assert work.progress == itemwork.Progress(0, "3", (b"d1", b"d2", b"d3"))
+    whole = (b"d1", b"d2", b"d3")
+    assert work.progress == itemwork.Progress(
+        0, "3", whole, itemwork.Origin("s")
+    )
 
 
 @pytest.mark.parametrize(
