Resume a completion from text at its declared version

Found by looking for the cause of streams of two versions elsewhere: the OpenAI front resumes a broken completion, and an item of a job, from the text so far at any upstream of the service.

An upstream may declare the version of its software. A completion that has sent text goes on at upstreams that declare the same one, also where it runs isolated after a crash; an item whose next slot is at another begins anew. Upstreams that declare none are one version, as before.

--- a/camphortray/collector.py
+++ b/camphortray/collector.py
@@ -22,6 +22,7 @@
       tokens: Tokens in ``text``.
       complete: Whether the stream said that it is done.
       resumable: Whether ``text`` and ``tokens`` are all there is to it.
+      version: Software version of the upstream that made the text.
 
     >>> c = Collector()
     >>> c.feed(b'data: {"id":"x","choices":[{"index":0,"text":"a "')
@@ -39,6 +40,7 @@
         self.tokens = 0
         self.complete = False
         self.resumable = True
+        self.version = ""
 
     def restart(self) -> None:
         """Make ready for the stream that goes on behind this one."""
--- a/camphortray/completing.py
+++ b/camphortray/completing.py
@@ -45,6 +45,8 @@
       sent: The part of a streamed answer that was sent to the caller.
       position: Where the next attempt resumes the answer; None if it
         starts from the beginning.
+      version: Software version of the upstreams that can resume it; None if
+        it starts from the beginning.
       header_timeout_s: Time-out for the header of the current attempt's
         answer, in seconds.
     """
@@ -72,6 +74,7 @@
         self.deadline_at = deadline_at
         self.idempotent = idempotent
         self.position: resume.Position | None = None
+        self.version: str | None = None
         self.header_timeout_s = MIN_FIRST_S
 
     @functools.cached_property
@@ -145,7 +148,7 @@
             if self.verdict().standing is not poison.Standing.ISOLATED:
                 return None
             upstream = await suspects.acquire(
-                self.service, name, self.left_s()
+                self.service, name, self.left_s(), self.version
             )
             if upstream is None:
                 await asyncio.sleep(ISOLATION_PAUSE_S)
@@ -164,11 +167,12 @@
         Raises:
           Refused: no upstream is available.
         """
-        found = self.parts.upstreams.candidates(self.service, self.tried)
+        usable = self.parts.upstreams.candidates
+        found = usable(self.service, self.tried, self.version)
         if not found and self.tried:
             # All available upstreams have been tried. Trying one again on a
             # new connection is better than refusing the request.
-            found = self.parts.upstreams.candidates(self.service, frozenset())
+            found = usable(self.service, frozenset(), self.version)
         if not found:
             raise self.refusal(503, "no_upstream", "no upstream is left", 1)
         key = prefix.prefix_of(self.completion.model, self.text)
@@ -238,6 +242,8 @@
             self.sent.restart()
             return True
         self.position = position = self.sent.resume()
+        # The output of two versions does not fit together.
+        self.version = attempt.upstream.version
         if position.finished and (
             position.usage or not self.completion.wants_usage
         ):
--- a/camphortray/itemrun.py
+++ b/camphortray/itemrun.py
@@ -51,11 +51,21 @@
     fingerprint: Callable[[], str] = str
     crashed: bool = False
 
-    def request(self) -> engine.EngineRequest:
-        """Return a request that resumes the partial answer, if it can be."""
+    def request(self, version: str) -> engine.EngineRequest:
+        """Return a request that resumes the partial answer, if it can be.
+
+        Args:
+          version: Software version of the upstream, as declared. The output
+            of two versions does not fit together.
+        """
         partial = self.collector
-        if not partial.resumable or not partial.text:
+        if (
+            not partial.resumable
+            or not partial.text
+            or partial.version != version
+        ):
             partial = self.collector = collector.Collector()
+            partial.version = version
         partial.restart()
         data: dict[str, Any] = msgspec.json.decode(self.body)
         data["stream"] = True
@@ -175,7 +185,7 @@
         backend = self.backends.engine(upstream.plugin)
         clock = self.context.clock
         silence = service.get("limit.silence_s")
-        request = attempt.request()
+        request = attempt.request(upstream.version)
         partial = attempt.collector
         last_at = clock.monotonic()
         signal_token = self.signals.first_token
--- a/camphortray/settingkeys.py
+++ b/camphortray/settingkeys.py
@@ -54,6 +54,7 @@
     Key("upstream.*.availability_zone", str, "", "", "where it stands"),
     Key("upstream.*.plugin", str, "openai", "", "how to speak to it"),
     Key("upstream.*.slots", Count, 32, "requests", "run at once"),
+    Key("upstream.*.version", str, "", "", "of its software"),
     Key("upstream.*.checks_fencing", bool, False, "", "refuses old orders"),
     Key("upstream.*.role", str, "mixed", "", "role wanted"),
     Key("rollout.floor", Share, 0.75, "", "of upstreams that keep serving"),
--- a/camphortray/suspects.py
+++ b/camphortray/suspects.py
@@ -292,7 +292,11 @@
         return configs.Address.from_text(members[name].peer_address)
 
     async def acquire(
-        self, service: settings.Service, holder: str, seconds: float
+        self,
+        service: settings.Service,
+        holder: str,
+        seconds: float,
+        version: str | None = None,
     ) -> engine.Upstream | None:
         """Return an upstream with a permit for a suspect, or None.
 
@@ -300,8 +304,9 @@
           service: Service whose upstreams are asked for.
           holder: Unique name of the attempt.
           seconds: Longest time for which the permit is needed.
+          version: Software version that it needs, or None for any.
         """
-        found = self.upstreams.candidates(service, frozenset())
+        found = self.upstreams.candidates(service, frozenset(), version)
         found.sort(key=lambda candidate: candidate.wait_s)
         for candidate in found[:MAX_ASKED]:
             name = candidate.upstream.name
--- a/camphortray/upstreams.py
+++ b/camphortray/upstreams.py
@@ -159,12 +159,21 @@
         return found
 
     def candidates(
-        self, service: settings.Service, without: frozenset[str]
+        self,
+        service: settings.Service,
+        without: frozenset[str],
+        version: str | None = None,
     ) -> list[routing.Candidate]:
         """Return the upstreams of a service that may get new work.
 
         Those outside this host's subset are returned only if none inside
         it is usable.
+
+        Args:
+          service: The service.
+          without: Names of upstreams to leave out.
+          version: Software version that they need, as declared; None for
+            any.
         """
         inside = self.subset(service)
         usable = [
@@ -173,6 +182,7 @@
             if name not in self.leaving.marked
             and name not in self.down
             and name not in without
+            and version in (None, service.upstreams[name].version)
         ]
         names = [name for name in usable if name in inside] or usable
         now = self.clock.monotonic()
--- a/camphortray/view.py
+++ b/camphortray/view.py
@@ -299,4 +299,5 @@
         get("plugin"),
         get("checks_fencing"),
         get("slots"),
+        version=get("version"),
     )
--- a/tests/test_online_path.py
+++ b/tests/test_online_path.py
@@ -1,13 +1,16 @@
 """The online path over loopback, with upstreams that fail and misbehave."""
 
 import asyncio
+import contextlib
 
 import openai
 import pytest
 
 from camphortray import cluster as clusters
+from camphortray import collector
 from camphortray import errors
 from camphortray import httpclient
+from camphortray import itemrun
 from camphortray import membership
 from camphortray import poison
 from camphortray import signals
@@ -78,6 +81,48 @@
         assert sum(len(e.seen) for e in cluster.engines.values()) == 2
 
 
+@pytest.mark.parametrize("fault", ["crash", "stall"])
+@pytest.mark.parametrize(
+    ("versions", "elsewhere"),
+    [(("v1", "v2"), {0}), (("v1", "v1"), {0, 1}), (("", "v1"), {0})],
+)
+async def test_a_completion_goes_on_at_its_declared_version(
+    versions, elsewhere, fault
+):
+    # A stream held text of two versions after its upstream had failed.
+    declared = {
+        f"upstream.engine-{n}.version": v for n, v in enumerate(versions)
+    }
+    async with (
+        make_cluster(limit__silence_s=0.3, **declared) as cluster,
+        Streaming(cluster) as stream,
+    ):
+        stream.engine.faults.set(fault, True)
+        got = stream.first
+        # Where no other upstream may go on, the stream may be cut off.
+        with contextlib.suppress(errors.UpstreamBroken):
+            while data := await stream.response.read():
+                got += data
+        others = [
+            e for e in cluster.engines.values() if e is not stream.engine
+        ]
+        assert sum(len(e.seen) for e in others) in elsewhere
+        if elsewhere != {0}:
+            whole = online.expected(stream.question, 60)
+            assert online.text_of(got) == whole
+
+
+@pytest.mark.parametrize(
+    ("version", "resumed"), [("v1", "a b"), ("v2", ""), ("", "")]
+)
+def test_the_text_of_a_jobs_item_is_of_one_version(version, resumed):
+    # An item of a job resumes from text, on whichever slot it gets next.
+    partial = collector.Collector()
+    partial.text, partial.tokens, partial.version = "a b", 2, "v1"
+    attempt = itemrun.Try("i", "/v1/x", b"{}", partial)
+    assert attempt.request(version).resume_text == resumed
+
+
 async def test_what_cannot_be_resumed_ends_as_an_error():
     # The caller sees the stream cut off and the reason, never a clean end.
     # The engine crashes, and the caller forbade a second run.
