Soak: engines of two versions, and callers that take streams up

Half of the engines begin at each of two software versions, and one that starts again under its id draws its version anew. Callers break off a part of their resumable streams and take them up again, as those broken by faults, at any host with the attempt that began them. Each event ends with the version that made it; checked are streams over all attempts and the texts of items. Two planted breaches show that the checks see them.

--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -29,6 +29,8 @@
       last: Whether it was sent after all faults had ended.
       calm: Whether nothing went wrong but that one host was told to end.
       leaves: Whether that host is the one it was sent to.
+      stream: Attempt that began its stream; empty if it cannot be resumed.
+      versions: Software versions that made what came of it.
     """
 
     attempt: str
@@ -41,6 +43,8 @@
     last: bool = False
     calm: bool = False
     leaves: bool = False
+    stream: str = ""
+    versions: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass
@@ -53,6 +57,7 @@
       after: The position asked for.
       total: Number of items, as told.
       results: Id, state and text from that position on.
+      mixed: Items whose text several software versions made.
       last: Whether it was read after all faults had ended.
     """
 
@@ -62,6 +67,7 @@
     total: int = 0
     results: tuple[tuple[str, str, str], ...] = ()
     last: bool = False
+    mixed: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass
@@ -136,6 +142,7 @@
         runs[attempt].append((after, life))
     for question in seen.questions:
         check_question(question, runs[question.attempt], seen.most, verdict)
+    check_streams(seen.questions, verdict)
     for job in seen.jobs:
         check_job(job, verdict)
         if job.accepted:
@@ -199,6 +206,20 @@
     verdict.expect("an answer is the caller's own", begins, told)
 
 
+def check_streams(questions: list[Question], verdict: Verdict) -> None:
+    """Check that a stream holds events of one software version."""
+    versions: dict[str, set[str]] = collections.defaultdict(set)
+    for question in questions:
+        if question.stream:
+            versions[question.stream] |= question.versions
+    for stream, found in versions.items():
+        verdict.expect(
+            "a stream is of one version",
+            len(found) <= 1,
+            f"{stream}: {sorted(found)}",
+        )
+
+
 def check_job(job: Job, verdict: Verdict) -> None:
     """Check all that was read of one job, in any order of positions."""
     held: dict[int, tuple[str, str, str]] = {}
@@ -223,6 +244,11 @@
             look.total == len(job.expected),
             f"{job.id} at {look.host}: {look.total}",
         )
+        verdict.expect(
+            "an item is of one version",
+            not look.mixed,
+            f"{job.id} at {look.host}: {look.mixed}",
+        )
         for place, result in enumerate(look.results, look.after):
             first = held.setdefault(place, result)
             verdict.expect(
--- a/bench/soak/load.py
+++ b/bench/soak/load.py
@@ -24,11 +24,22 @@
 LOOK_S = 0.5
 DEADLINE_S = 5.0
 TIMEOUTS = httpclient.Timeouts(1.0, DEADLINE_S + 1.5, DEADLINE_S + 1.5)
+# Share of the streams that their caller breaks off, and times that it takes
+# one up again after each break.
+LEAVE_SHARE, TAKE_UPS, TAKE_UP_PAUSE_S = 0.15, 2, 0.05
 # Times that a caller sends a job before it gives up, and tries in between.
 SENDS, AGAIN_S = 8, 0.4
 BODY = b"soak"
 
 
+def expected_of(stream: str, after: int) -> str:
+    """Return what a stream holds after an event."""
+    return "".join(
+        f"id: {n}\ndata: {standins.text_of(stream, n)}\n\n"
+        for n in range(after + 1, standins.events_of(stream) + 1)
+    )
+
+
 class Load:
     """Callers of all hosts.
 
@@ -83,7 +94,7 @@
         return f"{kind}{self.count}"
 
     async def ask(self, host: str) -> checker.Question:
-        """Send one question and read its answer."""
+        """Send one question, and take its stream up again if it breaks."""
         paths = (
             platformkit.STREAM_PREFIX,
             standins.ONCE_PREFIX,
@@ -91,35 +102,73 @@
         )
         kind = self.rng.randrange(len(paths))
         attempt = self.next_id("q")
-        count = standins.events_of(attempt)
-        expected = "".join(
-            f"id: {n}\ndata: {standins.text_of(attempt, n)}\n\n"
-            for n in range(1, count + 1)
+        question = checker.Question(
+            attempt, kind > 0, host, expected_of(attempt, 0)
         )
-        question = checker.Question(attempt, kind > 0, host, expected)
         question.last, question.calm = self.last, self.calm
         question.leaves = host == self.leaves
-        self.seen.questions.append(question)
+        question.stream = "" if kind else attempt
         client = self.rng.choice((self.kept, self.fresh))
+        leaves = not kind and self.rng.random() < LEAVE_SHARE
+        leaves = leaves and not self.last
+        await self.send(question, client, paths[kind], [], leaves)
+        if not kind:
+            await self.take_up(question)
+        return question
+
+    async def send(
+        self,
+        question: checker.Question,
+        client: httpclient.HttpClient,
+        path: str,
+        more: list[tuple[str, str]],
+        leaves: bool = False,
+    ) -> None:
+        """Send a question and read its answer, or its beginning."""
+        self.seen.questions.append(question)
         headers = [
             ("host", platformkit.HOST_NAME),
-            (names.ATTEMPT, attempt),
+            (names.ATTEMPT, question.attempt),
             (names.DEADLINE, str(round(DEADLINE_S * 1000))),
+            *more,
         ]
+        text = ""
         try:
             response = await client.request(
-                self.ways[host], "POST", paths[kind] + "x", headers, BODY
+                self.ways[question.host], "POST", path + "x", headers, BODY
             )
             question.status = response.status
             try:
                 while data := await response.read():
-                    question.text += data.decode()
+                    text += data.decode()
+                    if leaves:
+                        return
                 question.whole = True
             finally:
                 response.close()
         except errors.UpstreamError:
             pass
-        return question
+        finally:
+            question.text, question.versions = standins.split(text)
+
+    async def take_up(self, broken: checker.Question) -> None:
+        """Take up a stream that has broken, at any host."""
+        stream, after = broken.stream, 0
+        for _ in range(TAKE_UPS):
+            after += broken.text.count("\n\n")
+            if broken.status != 200 or broken.whole or not after:
+                return
+            await asyncio.sleep(TAKE_UP_PAUSE_S)
+            host = self.rng.choice(list(self.ways))
+            again = checker.Question(
+                self.next_id("q"), False, host, expected_of(stream, after)
+            )
+            again.stream = stream
+            resumed = [(names.RESUMES, stream), (names.LAST_EVENT, str(after))]
+            await self.send(
+                again, self.fresh, platformkit.STREAM_PREFIX, resumed
+            )
+            broken = again
 
     async def call(
         self,
@@ -212,8 +261,15 @@
         if status == 200:
             told = json.loads(content)
             look.total = told["total"]
+            texts = [standins.split(r["text"]) for r in told["results"]]
             look.results = tuple(
-                (r["id"], r["state"], r["text"]) for r in told["results"]
+                (r["id"], r["state"], text)
+                for r, (text, _) in zip(told["results"], texts, strict=True)
+            )
+            look.mixed = tuple(
+                r["id"]
+                for r, (_, found) in zip(told["results"], texts, strict=True)
+                if len(found) > 1
             )
         job.looks.append(look)
         return look
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -8,6 +8,7 @@
 import dataclasses
 import json
 import pathlib
+import random
 import signal
 import time
 from typing import Any
@@ -75,6 +76,9 @@
             name: standins.Engine(name, milliseconds())
             for name in self.site.engines
         }
+        self.versions = random.Random(f"versions/{seed}")
+        for number, engine in enumerate(self.engines.values()):
+            engine.version = standins.VERSIONS[number % len(standins.VERSIONS)]
         if len(self.engines) > 1:
             slow = self.site.engines[-1]
             self.engines[slow].pace_s = standins.SLOW_PACE_S
@@ -286,6 +290,7 @@
         if engine.up:
             return
         engine.born, engine.sequence = milliseconds(), 0
+        engine.version = self.versions.choice(standins.VERSIONS)
         (link, *_) = links = self.links_to(engine.name)
         address = configs.Address(cluster.LOOPBACK, link.target)
         await engine.server.start(address)
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -1,15 +1,17 @@
 """The store and the engines of a soak, with faults."""
 
-__all__ = ["Engine", "Store", "events_of", "text_of"]
+__all__ = ["Engine", "Store", "VERSIONS", "events_of", "split", "text_of"]
 
 import asyncio
 import itertools
 import json
+import re
 import time
 from typing import Any
 import zlib
 
 from camphortray_platform import config_decoder
+from camphortray_platform import names
 
 from camphortray import errors
 from camphortray import ledger
@@ -30,6 +32,10 @@
 PLAIN_PREFIX = "/gahu118/"
 ONCE_PREFIX = "/beso407/"
 KEEP_S = 600
+# Software versions of engines. Each event of an engine ends with its version,
+# so that callers see which made it.
+VERSIONS = ("v1", "v2")
+MARK = re.compile(r"@(v[0-9]+)")
 (ONCE_KIND,) = (
     name
     for name, kind in config_decoder.KINDS.items()
@@ -58,6 +64,15 @@
     return f"{attempt}.{number}"
 
 
+def split(text: str) -> tuple[str, set[str]]:
+    """Return a text without the versions in it, and these.
+
+    >>> split("q1.1@v1")
+    ('q1.1', {'v1'})
+    """
+    return MARK.sub("", text), set(MARK.findall(text))
+
+
 class Store(platformkit.StoreStandin):
     """The store; members are gone when their time is over.
 
@@ -172,14 +187,16 @@
     async def stream(
         self, response: Any, base: Any, after: int, fault: str
     ) -> None:
-        attempt = self.ran[-1][0]
+        attempt, _, headers, _ = self.ran[-1]
+        # What a stream holds is the same at whichever attempt it goes on.
+        begun_by = headers.get(names.RESUMES, attempt)
         self.log.append((attempt, after, f"{self.name}~{self.born}"))
         self.ran.clear()
         response.start(200, [*base, ("Content-Type", "text/event-stream")])
         self.running += 1
         try:
-            for number in range(after + 1, events_of(attempt) + 1):
-                data = text_of(attempt, number)
+            for number in range(after + 1, events_of(begun_by) + 1):
+                data = f"{text_of(begun_by, number)}@{self.version}"
                 response.write(f"id: {number}\ndata: {data}\n\n".encode())
                 await response.flush()
                 await asyncio.sleep(self.pace_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,10 +36,10 @@
     assert all(0 <= a.length_s <= 5.0 for a in drawn)
 
 
-def look(host="h1", results=(), after=0, status=200, last=False):
+def look(host="h1", results=(), after=0, status=200, last=False, mixed=()):
     """Return an answer to a reader; results are items of job ``j``."""
     rows = tuple((item, "completed", f"text {item}") for item in results)
-    return checker.Look(host, status, after, 2, rows, last)
+    return checker.Look(host, status, after, 2, rows, last, mixed)
 
 
 def seen():
@@ -72,9 +72,17 @@
             checker.Question(
                 "q8", True, "h2", "t", 200, True, "t", False, True
             ),
+            checker.Question(
+                "q9", False, "h1", "t", stream="q9", versions={"v1"}
+            ),
+            checker.Question(
+                "q10", False, "h2", "t", stream="q9", versions={"v1"}
+            ),
         ],
         [job, refused],
         [
+            ("q9", 0, "i-1~1"),
+            ("q10", 1, "i-2~1"),
             ("q1", 0, "i-1~1"),
             ("q2", 0, "i-1~1"),
             ("q2", 2, "i-2~1"),
@@ -183,6 +191,8 @@
     ("an item has its whole text", give_up),
     ("an accepted job is read whole", drop_last),
     ("an accepted job is read whole", set_job(0, looks=[])),
+    ("a stream is of one version", edit(9, versions={"v2"})),
+    ("an item is of one version", add_look("h1", ["b"], mixed=("b",))),
     ("a body is the one sent", set_job(0, bodies=[("a", 200, False)])),
     ("host serves after faults", edit(5, status=503)),
     ("a drain cuts off nothing", edit(6, whole=False)),
