--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -208,4 +208,19 @@
     )
 
 
+def serve(active_config, slots, versions, service="s"):
+    """Let engines of some versions serve, the first of which has gone.
+
+    Slots are granted in the order of the engines.
+    """
+    for number, version in enumerate(versions):
+        name = f"e{number}"
+        slots.versions[name] = version
+        entry = engine_registry.EngineEntry(
+            name, service, f"127.0.0.1:{number + 1}", software=version
+        )
+        if number:
+            active_config.engines.put(entry)
+
+
 GOOD = enginehealth.Outcome.GOOD
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -141,6 +141,33 @@
     assert len(forwarding.parts.backends.party.seen) == sent
 
 
+@pytest.mark.parametrize(
+    ("versions", "first", "engines", "status"),
+    [
+        (["v1", "v2", "v1"], TWO, ["e0", "e2"], 200),
+        (["v1", "v2"], TWO, ["e0"], 0),
+        # No event has been sent, so that any version will do.
+        (["v1", "v2"], [], ["e0", "e1"], 200),
+        # An engine that tells no version, and engines that tell none.
+        (["", "v1"], TWO, ["e0"], 0),
+        (["", ""], TWO, ["e0", "e1"], 200),
+    ],
+)
+async def test_an_answer_is_of_one_version(versions, first, engines, status):
+    # An engine breaks off a stream while engines of other versions serve.
+    rest = hostkit.events(len(first) + 1, 4)
+    forwarding = forwarder_of(
+        [hostkit.Answer([*first, hostkit.BROKEN]), hostkit.Answer(rest)],
+        hostkit.RESUMABLE,
+    )
+    parts = forwarding.parts
+    hostkit.serve(parts.active_config, parts.slots, versions)
+    assert await outcome(forwarding) == status
+    assert [name for name, _ in parts.backends.party.seen] == engines
+    if status == 200:
+        assert forwarding.response.data == ALL
+
+
 @pytest.mark.parametrize("fault", [hostkit.BROKEN, hostkit.SILENT])
 async def test_a_resumable_stream_goes_on_in_the_same_answer(fault):
     # The engine fails in the middle of event 3. The caller sees one answer,
--- a/tests/test_invalid_entries.py
+++ b/tests/test_invalid_entries.py
@@ -44,6 +44,12 @@
     assert DIALECT.engine("i-1", raw(born=MISSING)).name == "i-1"
 
 
+@pytest.mark.parametrize("version", ["", "v1.1"])
+def test_an_entry_may_tell_no_version(version):
+    entry = DIALECT.engine("i-1", raw(version=version))
+    assert entry.version == version
+
+
 BAD_FIELDS = [
     *({name: MISSING} for name in VALID if name != "born"),
     *({name: None} for name in VALID),
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -93,18 +93,7 @@
             hostkit.Answer(hostkit.events(first, 5)),
         ]
     )
-    parts = work.parts
-    parts.slots.versions = {f"e{n}": v for n, v in enumerate(versions)}
-    for name, version in parts.slots.versions.items():
-        entry = engine_registry.EngineEntry(
-            name,
-            "s",
-            f"127.0.0.1:{len(parts.active_config.engines.entries) + 1}",
-            software=version,
-        )
-        # The first engine has gone with its answer.
-        if name != "e0":
-            parts.active_config.engines.put(entry)
+    hostkit.serve(work.parts.active_config, work.parts.slots, versions)
     assert (await work.run()).text == text(5)
     assert resume_points(work) == ["", resumed]
 
