--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -369,5 +369,5 @@
             "events": self.events,
             "seen": dataclasses.asdict(self.seen),
         }
-        text = json.dumps(told, indent=1)
+        text = json.dumps(told, indent=1, default=sorted)
         (self.folder / "run.json").write_text(text)
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -190,13 +190,15 @@
         attempt, _, headers, _ = self.ran[-1]
         # What a stream holds is the same at whichever attempt it goes on.
         begun_by = headers.get(names.RESUMES, attempt)
+        # That of this life; the next may begin before this stream has ended.
+        version = self.version
         self.log.append((attempt, after, f"{self.name}~{self.born}"))
         self.ran.clear()
         response.start(200, [*base, ("Content-Type", "text/event-stream")])
         self.running += 1
         try:
             for number in range(after + 1, events_of(begun_by) + 1):
-                data = f"{text_of(begun_by, number)}@{self.version}"
+                data = f"{text_of(begun_by, number)}@{version}"
                 response.write(f"id: {number}\ndata: {data}\n\n".encode())
                 await response.flush()
                 await asyncio.sleep(self.pace_s)
