Check that a connection leads to the incarnation that is meant

What callers would see: streams and items of two versions though versions are compared.

Cause: an engine that starts again under its id answers to that id. Until its new entry is read, within a second or, while the store is away, later, hosts take it for the incarnation before, with that one's version.

While engines of several versions serve, the first request on a new connection that resumes a run or may be resumed asks the engine for the start of its incarnation and is sent only if it is the one meant. A connection leads to one incarnation, so once is enough. Otherwise the engine counts as leaving, and another is tried. Services of one version ask nothing, nor do engines without a start, which have a new id each time. The unused attribute of an answer on a new connection is gone.

Test failed before: 200, run at the engine of the other version.

--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -46,6 +46,8 @@
       instance: Id that the engine uses for itself, if other than the name.
       max_idle: Largest number of idle connections from this host.
       version: Version of its software; empty if not known.
+      born: Start of its incarnation in Unix milliseconds if connections are
+        to be checked to lead to it; else 0.
     """
 
     name: str
@@ -57,6 +59,7 @@
     instance: str = ""
     max_idle: int = 64
     version: str = ""
+    born: int = 0
 
 
 class EngineRequest(msgspec.Struct, frozen=True):
@@ -82,6 +85,7 @@
         with the next one. Empty to start from the beginning.
       repeatable: Whether it may run more than once.
       workspace: Workspace on whose behalf it runs, or empty.
+      resumable: Whether it resumes a run, or may be resumed.
     """
 
     id: str
@@ -98,6 +102,7 @@
     resume_after: str = ""
     repeatable: bool = True
     workspace: str = ""
+    resumable: bool = False
 
 
 class LoadReport(msgspec.Struct, frozen=True):
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -5,11 +5,13 @@
     "ClientResponse",
     "Headers",
     "HttpClient",
+    "PeerCheck",
     "Sink",
     "Timeouts",
 ]
 
 import asyncio
+from collections.abc import Callable
 import ssl
 
 import msgspec
@@ -54,7 +56,6 @@
     Attributes:
       status: HTTP status.
       headers: Lower-case names.
-      new: Whether it came on a connection made for it.
     """
 
     def __init__(
@@ -68,7 +69,6 @@
         self.address = address
         self.connection = connection
         self.timeouts = timeouts
-        self.new = connection.uses == 1
         head = connection.head
         assert head is not None
         self.status = head.status_code
@@ -151,6 +151,19 @@
         self.client.release(self.address, self.connection, keep_alive)
 
 
+class PeerCheck(msgspec.Struct, frozen=True):
+    """A question that a server answers first on a connection.
+
+    Attributes:
+      target: Path and query of the question.
+      verify: Called with status and body of the answer; raises if the server
+        is not the one that requests are for.
+    """
+
+    target: str
+    verify: Callable[[int, bytes], None]
+
+
 class HttpClient:
     """Sends requests over kept connections.
 
@@ -188,6 +201,7 @@
         timeouts: Timeouts | None = None,
         fresh: bool = False,
         prove: bool = False,
+        check: PeerCheck | None = None,
     ) -> ClientResponse:
         """Send a request and return once the head of the answer is here.
 
@@ -201,17 +215,17 @@
           fresh: Whether to insist on a new connection.
           prove: Whether to hold the body back on a kept connection until
             its head is acknowledged; if it is not, a new one is made.
+          check: Question that the connection has to have answered before.
 
         Raises:
           UpstreamBroken: with ``ran`` False if no byte had left.
           UpstreamTimeout: no answer in time.
         """
         limits = timeouts or self.timeouts
-        connection = await self.connect(address, limits, fresh)
-        self.busy.add(connection)
+        connection, kept = await self.acquire(address, limits, fresh, check)
+        seconds = limits.head_s
         try:
             framed = framing(address, headers, body)
-            kept = connection.uses > 0
             prove_s = keepalive.ACKNOWLEDGED_S if prove and kept else 0.0
             try:
                 await connection.send_request(
@@ -220,7 +234,10 @@
             except errors.UpstreamBroken as error:
                 if not kept or error.ran:
                     raise
-                connection = await self.instead(connection, address, limits)
+                connection = await self.instead(
+                    connection, address, limits, check
+                )
+                kept = False
                 await connection.send_request(method, target, framed, body)
             else:
                 if prove_s:
@@ -230,7 +247,7 @@
                 if connection.lost:
                     raise connection.broken("head")
                 seconds = limits.head_s
-                if connection.uses > 1 and limits.kept_head_s:
+                if kept and limits.kept_head_s:
                     seconds = min(seconds, limits.kept_head_s)
                 await connection.wait(seconds, "head")
         except BaseException as error:
@@ -267,19 +284,79 @@
             response.close()
         return response.status, response.headers, content
 
+    async def acquire(
+        self,
+        address: configs.Address,
+        limits: Timeouts,
+        fresh: bool,
+        check: PeerCheck | None,
+    ) -> tuple[ClientConnection, bool]:
+        """Return a connection for a request, and whether it was kept.
+
+        Raises:
+          UpstreamError: with ``ran`` False; there is none.
+        """
+        connection = await self.connect(address, limits, fresh)
+        if check is not None and connection.uses and not connection.checked:
+            # It was made before its server had to be checked.
+            connection.abort()
+            connection = await self.connect(address, limits, True)
+        self.busy.add(connection)
+        kept = connection.uses > 0
+        if check is not None and not kept:
+            connection = await self.checked(connection, address, limits, check)
+        return connection, kept
+
+    async def checked(
+        self,
+        connection: ClientConnection,
+        address: configs.Address,
+        limits: Timeouts,
+        check: PeerCheck,
+    ) -> ClientConnection:
+        """Return a connection whose server has passed a check.
+
+        Raises:
+          UpstreamError: with ``ran`` False; it has not.
+        """
+        try:
+            await connection.send_request(
+                "GET", check.target, framing(address, (), b""), b""
+            )
+            while not connection.complete:
+                if connection.lost:
+                    raise connection.broken("check")
+                await connection.wait(limits.connect_s, "check")
+            assert connection.head is not None
+            check.verify(connection.head.status_code, connection.take())
+        except BaseException as error:
+            self.discard(connection)
+            if isinstance(error, errors.UpstreamError):
+                # Nothing but the question has been sent.
+                error.ran = False
+            raise
+        if connection.reusable():
+            connection.h11.start_next_cycle()
+        else:
+            self.discard(connection)
+            connection = await self.connect(address, limits, True)
+            self.busy.add(connection)
+        connection.checked = True
+        return connection
+
     async def instead(
         self,
         connection: ClientConnection,
         address: configs.Address,
         limits: Timeouts,
+        check: PeerCheck | None,
     ) -> ClientConnection:
         """Return a new connection for a kept one that is of no use."""
         was_lost = connection.lost
         self.discard(connection)
         # Others kept as long may be of as little use.
         self.distrust(address, keepalive.ACKNOWLEDGED_S)
-        fresh = await self.connect(address, limits, True)
-        self.busy.add(fresh)
+        fresh, _ = await self.acquire(address, limits, True, check)
         if not was_lost:
             self.proofs.note(address, False, fresh.loop.time())
         return fresh
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -515,6 +515,7 @@
             headers=(("host", self.job.host_name), *self.item.headers),
             resume_after=self.reader.last,
             workspace=self.job.workspace,
+            resumable=True,
         )
         started_at, made = self.parts.clock.monotonic(), self.reader.count
         # After a run without an event no pooled connection is used.
--- a/camphortray/opaque.py
+++ b/camphortray/opaque.py
@@ -88,4 +88,5 @@
             resume_after=resume_after,
             repeatable=self.route.repeatable,
             workspace=workspace,
+            resumable=bool(self.stream),
         )
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -471,6 +471,7 @@
             entry.id,
             max_idle,
             entry.version,
+            entry.born if self.streams.several(entry.service) else 0,
         )
 
     async def ask(self, pending: lease_table.Pending) -> None:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -18,6 +18,14 @@
 
 SERVICE = platformkit.SERVICE
 PATH = platformkit.STREAM_PREFIX + "q"
+BORN = 1_700_000_000_000
+
+
+@pytest.fixture(autouse=True)
+def patient(monkeypatch):
+    """Let hosts wait for each other's answers on a busy machine."""
+    monkeypatch.setattr(stream_lookup, "ASK_TIMEOUT_S", 10.0)
+    monkeypatch.setattr(slot_client, "ASK_TIMEOUT_S", 10.0)
 
 
 @contextlib.asynccontextmanager
@@ -147,6 +155,36 @@
         assert not ran_at(platform, "b")
 
 
+async def test_an_engine_of_another_version_under_the_same_id():
+    # It has started again, and no host has read its new entry yet.
+    async with platform_of("v1", "v2", hosts=2) as platform:
+        begun_at, other = platform.hosts
+        for engine in platform.engines.values():
+            engine.born = BORN
+            await platform.register(engine, sequence=3)
+        await platform.until(
+            lambda: all(
+                entry.born
+                for host in platform.hosts
+                for entry in host.part(
+                    active_config.ActiveConfig
+                ).engines.usable(SERVICE)
+            )
+        )
+        engine = platform.engines[await break_off(platform, begun_at, "a")]
+        address = engine.server.address
+        await engine.server.stop()
+        engine.start_again(BORN + 1)
+        engine.version = "v1"
+        await engine.server.start(address)
+        assert await take_up(other, "b", "a") == 503
+        assert not ran_at(platform, "b")
+        # Nothing begins at what counts as the incarnation before.
+        status, _, _ = await other.call("POST", PATH, [("Attempt-Id", "c")])
+        assert status == 200
+        assert set(ran_at(platform, "c")) == {"i-0"}
+
+
 def tables(platform):
     """Return the streams that each host knows."""
     return [h.part(slot_client.SlotClient).streams for h in platform.hosts]
