--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -48,10 +48,12 @@
     """Tell how one seed went."""
     seen = soak.seen
     by_status = collections.Counter(q.status for q in seen.questions)
+    taken_up = [q for q in seen.questions if q.stream not in ("", q.attempt)]
     accepted = sum(job.accepted for job in seen.jobs)
     LOG.notice(
         "Seed {}: {} checks, {} breaches; questions {}; {} of {} jobs"
-        " accepted, {} runs; faults {}; recovered in {} s.",
+        " accepted, {} runs; {} of {} streams taken up went on; faults {};"
+        " recovered in {} s.",
         soak.seed,
         verdict.counts.total(),
         len(verdict.breaches),
@@ -59,6 +61,8 @@
         accepted,
         len(seen.jobs),
         len(seen.runs),
+        sum(q.status == 200 for q in taken_up),
+        len(taken_up),
         soak.done,
         seen.recovered_s and round(seen.recovered_s, 1),
     )
