Keep versions of streams at engines that leave, ask all that may know

A coordinator that learns of a stream from its holder took the version from the engines that may get new work: of one that leaves it kept 'not known', and the caller's take-up was refused while engines of its version serve. A host that is not among the five that know asked four of them. A stream that no host knows of a service with one version waited 0.1 s for a second look that could tell nothing more.

Tested: the version of a stream reported at a leaving engine.

--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -369,10 +369,11 @@
         self, want: slot_scheduler.SlotRequest, engine: str
     ) -> None:
         """Keep the version at which a stream that may resume is to run."""
-        if want.stream:
-            version = self.scheduler.accounting.table.versions.get(engine, "")
+        # Engines that leave still run streams.
+        entry = self.host.active_config.engines.current().get(engine)
+        if want.stream and entry is not None:
             self.host.streams.record(
-                self.service, want.stream, version, want.left_s
+                self.service, want.stream, entry.version, want.left_s
             )
 
     def on_holder_report(
--- a/camphortray/stream_lookup.py
+++ b/camphortray/stream_lookup.py
@@ -156,10 +156,12 @@
         )
 
     def targets(self, service: str) -> list[str]:
+        elected = self.host.elected(service)
         ranked = self.host.standbys(service, KEEPERS)
-        names = dict.fromkeys([self.host.elected(service), *ranked])
-        names.pop(self.host.own_name, None)
-        return list(names)[: KEEPERS - 1]
+        names = [name for name in ranked if name != elected]
+        if elected != self.host.own_name:
+            return [elected, *names[: KEEPERS - 1]]
+        return names[: KEEPERS - 1]
 
     def take_changes(self, service: str) -> list[stream_versions.Begun]:
         return self.of(service).take_changes()
@@ -215,7 +217,9 @@
                 if found.version is not None:
                     self.count("known")
                     return ask.service, found.version
-        version = self.only_version(findings[0])
+            version = self.only_version(findings[0])
+            if version is not None:
+                break
         self.count("unknown" if version is None else "only")
         if version is None:
             raise errors.NoVersion(
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -11,6 +11,7 @@
 from camphortray import config as configs
 from camphortray import httpclient
 from camphortray import slot_client
+from camphortray import slot_queue
 from camphortray import stream_lookup
 from camphortray import stream_versions
 from tests import platformkit
@@ -185,6 +186,26 @@
         assert set(ran_at(platform, "c")) == {"i-0"}
 
 
+async def test_the_version_of_a_stream_at_an_engine_that_leaves():
+    # A coordinator that is elected anew hears of it from its holder.
+    async with platform_of("v1", "v2", hosts=2) as platform:
+        (host, _) = platform.hosts
+        await platform.register(
+            platform.engines["i-0"], sequence=3, state="draining"
+        )
+        await platform.until(lambda: known(host) == ("v2",))
+        coordinator = host.part(slot_client.SlotClient).served.coordinator(
+            SERVICE
+        )
+        want = slot_queue.SlotRequest("a.0", "h", True, stream="a")
+        lease = slot_queue.Lease(want, "i-0", 0.0)
+        coordinator.on_holder_report("h", [lease], [], 0.0)
+        assert await take_up(host, "b", "a") == 503
+        table, _ = tables(platform)
+        digest = stream_versions.digest_of("a")
+        assert table.of(SERVICE).streams[digest].version == "v1"
+
+
 def tables(platform):
     """Return the streams that each host knows."""
     return [h.part(slot_client.SlotClient).streams for h in platform.hosts]
