Believe the host that has received events of a stream

Cause: with hosts frozen and coordinators changing, two coordinators had granted the stream slots of different versions, and what they say then counts for nothing. The host that has received events knows which slot was used; its word now goes before theirs, and updates do not replace it.

Tested: three cases of what two hosts say, and that a coordinator's update does not replace what was received.

--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -406,12 +406,14 @@
       versions: Versions that served while it may have lasted.
       ambiguous: Whether the host knows the stream, but not which of several
         versions began it.
+      seen: Whether the host has received events of the stream.
     """
 
     version: str = ""
     known: bool = False
     versions: tuple[str, ...] = ()
     ambiguous: bool = False
+    seen: bool = False
 
 
 @messages.message("stream.update")
--- a/camphortray/stream_lookup.py
+++ b/camphortray/stream_lookup.py
@@ -259,8 +259,10 @@
         answers = [reply for reply in replies if reply is not None]
         alone = bool(names) and not answers
         answers.append(self.answer(ask))
-        begun = {answer.version for answer in answers if answer.known}
-        if len(begun) > 1 or any(answer.ambiguous for answer in answers):
+        seen = [answer for answer in answers if answer.seen]
+        begun = {a.version for a in seen or answers if a.known}
+        ambiguous = not seen and any(a.ambiguous for a in answers)
+        if len(begun) > 1 or ambiguous:
             return Finding(None)
         if begun:
             return Finding(begun.pop())
@@ -287,7 +289,7 @@
             return StreamAnswer(versions=tuple(sorted(recent)))
         if stream.version is None:
             return StreamAnswer(ambiguous=True)
-        return StreamAnswer(stream.version, True)
+        return StreamAnswer(stream.version, True, seen=stream.seen)
 
     async def on_ask(
         self, sender: peers.Sender, ask: StreamAsk
--- a/camphortray/stream_versions.py
+++ b/camphortray/stream_versions.py
@@ -17,12 +17,14 @@
         none, None if coordinators have granted it slots of several.
       until: Time until which it may be taken up, in monotonic seconds.
       source: Member that recorded it.
+      seen: Whether this host has received events of it.
     """
 
     digest: int
     version: str | None
     until: float
     source: str
+    seen: bool = False
 
 
 class StreamVersions:
@@ -55,7 +57,9 @@
         """
         for stream in streams:
             held = self.streams.get(stream.digest, stream)
-            if held.version is None or (
+            if held.seen:
+                stream = msgspec.structs.replace(held, until=stream.until)
+            elif held.version is None or (
                 held.version != stream.version and held.source != stream.source
             ):
                 stream = msgspec.structs.replace(stream, version=None)
@@ -63,7 +67,9 @@
 
     def note(self, stream: Begun) -> None:
         """Add a stream that this host has received events of."""
-        self.streams[stream.digest] = stream
+        self.streams[stream.digest] = msgspec.structs.replace(
+            stream, seen=True
+        )
 
     def find(self, digest: int, now: float) -> Begun | None:
         """Return a stream, or None if it is not known."""
