--- a/tests/test_keepalive.py
+++ b/tests/test_keepalive.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from camphortray_platform import engines
+import msgspec
 import pytest
 
 from camphortray import clientconnection
@@ -356,3 +357,72 @@
         assert server.bodies == [b"q"]
         assert not party.client.busy
         await party.close()
+
+
+class Reporting(Server):
+    """A server that tells when it started, and notes each question.
+
+    Attributes:
+      born: What it tells; None to close the connection instead.
+    """
+
+    born: int | None = 1
+
+    async def serve(self, reader, writer):
+        seen = []
+        self.seen.append(seen)
+        self.writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                seen.append(head.split()[1])
+                if seen[-1] != "/report":
+                    await reader.readexactly(1)
+                    answer = ANSWER.format("a", self.told)
+                elif self.born is None:
+                    writer.close()
+                    return
+                else:
+                    report = f'{{"born":{self.born}}}'
+                    answer = (
+                        f"HTTP/1.1 200 OK\r\ncontent-length: {len(report)}\r\n"
+                        f"{self.told}\r\n{report}"
+                    )
+                writer.write(answer.encode())
+
+
+@pytest.mark.parametrize(
+    ("born", "told", "seen"),
+    [
+        # Asked once for each connection.
+        (1, "", [["/report", "/q", "/q"]]),
+        # Engines of some deployments tell no start.
+        (0, "", [["/report", "/q", "/q"]]),
+        # Another incarnation, or one that ends: not sent.
+        (2, "", [["/report"], ["/report"]]),
+        (None, "", [["/report"], ["/report"]]),
+        # It closes the connection behind its report.
+        (
+            1,
+            "connection: close\r\n",
+            [["/report"], ["/q"], ["/report"], ["/q"]],
+        ),
+    ],
+)
+async def test_a_connection_is_asked_for_its_incarnation(born, told, seen):
+    # An engine that started again took requests for the one before.
+    async with Reporting(told) as server:
+        server.born = born
+        held = msgspec.structs.replace(upstream(server), born=1)
+        request = engine.EngineRequest(
+            "a", "/q", b"q", False, resumable=True, deadline_s=5.0
+        )
+        party = engines.PlatformEngine()
+        for _ in range(2):
+            try:
+                stream = await party.open(held, request)
+                assert await engine.read_all(stream, 1.0) == b"ok"
+            except errors.UpstreamError as error:
+                assert not error.ran
+        assert server.seen == seen
+        await party.close()
