Tests of switches: a slot client that knows of one version

Red since connections are checked (14 cases, AttributeError in the partial slot client that the tests make): it asks whether several versions serve.

--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -141,6 +141,7 @@
 
 def kept_connections(switches):
     part = slot_client.SlotClient.__new__(slot_client.SlotClient)
+    part.streams = types.SimpleNamespace(several=lambda service: False)
     part.experiments = switches
     part.active_config = types.SimpleNamespace(
         view=routemap.EMPTY_CONFIGURATION,
