Log crashes of engines and the prompt segments in flight

Requests of which no two are alike crashed engine after engine, and no log line told a crash from a broken connection or what the requests had in common, so that three hypotheses could not be told apart (see docs/incidents/requests-that-share-a-part.md).

Each host now probes an engine over a new connection when an attempt breaks there before its answer: a refused connection or another incarnation is a crash; silence, a reset or the same incarnation is not. The line of a crash names the prompt segments that each attempt shares with other requests, as do the lines of failed attempts and runs, and a counter counts crashes by service. No decision is changed by it.

A probe costs one connection for each engine and host, and only after an attempt that broke without an answer.

--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -19,6 +19,7 @@
 import abc
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
 from typing import Any
 from typing import Literal
@@ -260,6 +261,20 @@
           UpstreamTimeout: no response in time.
         """
 
+    def prompt_segments(
+        self, headers: Sequence[tuple[str, str]]
+    ) -> tuple[str, ...]:
+        """Return the prompt segments that a request shares with others.
+
+        Args:
+          headers: Headers of the request.
+
+        Returns:
+          Their identifiers in order, without the segment that belongs to the
+          request or its session alone; empty if not known.
+        """
+        return ()
+
     @abc.abstractmethod
     async def cancel(self, upstream: Upstream, request_id: str) -> None:
         """Cancel a request over a separate connection."""
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -15,6 +15,7 @@
 from camphortray import crash_reports
 from camphortray import early_end
 from camphortray import engine
+from camphortray import engine_crashes
 from camphortray import engine_speeds
 from camphortray import enginehealth
 from camphortray import errors
@@ -58,6 +59,7 @@
     slots: slot_client.SlotClient
     crashes: crash_reports.CrashReports
     metrics: metrics_module.Metrics
+    engine_crashes: engine_crashes.EngineCrashes
 
 
 class SlotTry(proxy_exchange.Try):
@@ -77,7 +79,7 @@
         parts: ForwarderParts,
         lease: lease_table.HeldLease,
         reader: eventstream.EventReader,
-        route: routemap.Route,
+        request: opaque.OpaqueRequest,
         on_stream: Callable[[engine.Upstream], None],
     ) -> None:
         client = parts.backends.engine(lease.upstream.plugin)
@@ -85,7 +87,7 @@
         self.parts = parts
         self.lease = lease
         self.reader = reader
-        self.route = route
+        self.request = request
         self.events_before = reader.count
         self.begun_at = now_of(parts)
         self.status = 0
@@ -109,6 +111,14 @@
                 now_of(self.parts) - self.first_at,
             )
         self.parts.slots.release(self.lease, self.outcome(error), pace_s)
+        self.parts.engine_crashes.on_end(
+            self.upstream,
+            self.lease.service,
+            self.request.segments,
+            lambda: self.request.fingerprint,
+            self.reader.count - self.events_before,
+            error,
+        )
 
     def outcome(self, error: BaseException | None) -> enginehealth.Outcome:
         """Return what the end of the attempt shows about the engine."""
@@ -121,7 +131,7 @@
         silent_s = (
             0.0 if self.received_events else now_of(self.parts) - self.begun_at
         )
-        if silent_s > first_event_limit_s(self.route):
+        if silent_s > first_event_limit_s(self.request.route):
             return enginehealth.Outcome.BROKEN
         return enginehealth.Outcome.NOTHING
 
@@ -324,7 +334,9 @@
         self.slot_s = now_of(self.parts) - now
         self.engine = lease.upstream.name
         self.coordinator = lease.coordinator
-        return SlotTry(self.parts, lease, self.reader, route, self.on_stream)
+        return SlotTry(
+            self.parts, lease, self.reader, self.request, self.on_stream
+        )
 
     async def version_needed(self) -> str:
         """Return the software version at which the stream has to go on.
@@ -495,6 +507,7 @@
             fields={
                 **early_end.fields_of(error),
                 "events": self.reader.count,
+                "prompt_segments": list(self.request.segments),
             },
         )
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -11,6 +11,7 @@
 from camphortray import clock as clocks
 from camphortray import early_end
 from camphortray import engine
+from camphortray import engine_crashes
 from camphortray import engine_speeds
 from camphortray import enginehealth
 from camphortray import errors
@@ -21,6 +22,7 @@
 from camphortray import lease_table
 from camphortray import logs
 from camphortray import metrics as metrics_module
+from camphortray import opaque
 from camphortray import partition_records
 from camphortray import partition_state
 from camphortray import routemap
@@ -60,6 +62,7 @@
     active_config: active_config.ActiveConfig
     slots: slot_client.SlotClient
     estimator: item_retry.DurationEstimator
+    engine_crashes: engine_crashes.EngineCrashes
     metrics: metrics_module.Metrics = msgspec.field(
         default_factory=metrics_module.Metrics
     )
@@ -104,6 +107,7 @@
     Attributes:
       index: Position of the item in its job.
       execution_id: Unique among all owners and tasks that run this item.
+      segments: Prompt segments that it shares with others, in order.
       deadline: Time limits of the item.
       stage: What the item waits for.
       stage_at: When it entered that stage.
@@ -135,6 +139,7 @@
         item = job.items[index]
         assert item is not None
         self.item = item
+        self.segments = parts.engine_crashes.segments_of(item.headers)
         self.deadline = item_deadline.ItemDeadline(parts.clock, job.taken_at)
         self.stage, self.stage_at = Stage.ROUTE, parts.clock.monotonic()
         self.retries = item_retry.RetryState()
@@ -408,6 +413,14 @@
     ) -> partition_records.Result | None:
         """Record a failed run; return a result if it was the last."""
         name = lease.upstream.name
+        self.parts.engine_crashes.on_end(
+            lease.upstream,
+            lease.service,
+            self.segments,
+            self.fingerprint,
+            new_events,
+            error,
+        )
         early_end.count(self.parts.metrics, "item", early_end.cause_of(error))
         LOG.info(
             "Item {} of job {} failed at engine {}: {}",
@@ -419,6 +432,7 @@
                 "last_event": self.reader.last,
                 "run": self.number,
                 "version": lease.upstream.version,
+                "prompt_segments": list(self.segments),
                 **early_end.fields_of(error),
             },
         )
@@ -436,6 +450,10 @@
             return self.abandoned(str(error))
         return None
 
+    def fingerprint(self) -> str:
+        """Return a digest that is equal for repeats of the item."""
+        return opaque.fingerprint_of(self.item.target, self.item.body)
+
     def version_needed(self, service: str) -> str:
         """Return the version whose engines can resume; empty for any."""
         version = self.origin.version
--- a/camphortray/job_router.py
+++ b/camphortray/job_router.py
@@ -49,6 +49,7 @@
     name: ClassVar[str] = "job_router"
     requires: ClassVar[tuple[str, ...]] = (
         "backends",
+        "engine_crashes",
         "membership",
         "settings",
         "slot_client",
--- a/camphortray/opaque.py
+++ b/camphortray/opaque.py
@@ -1,6 +1,6 @@
 """Requests that are forwarded to an engine without parsing their body."""
 
-__all__ = ["OpaqueRequest"]
+__all__ = ["OpaqueRequest", "fingerprint_of"]
 
 
 import msgspec
@@ -29,6 +29,7 @@
         that the caller takes up again; empty if it names none.
       resume_after: Id of the last event that the caller has of that stream;
         empty for a new stream.
+      segments: Prompt segments that it shares with others, in order.
     """
 
     id: str
@@ -43,6 +44,7 @@
     key_hash: str = ""
     resumes: str = ""
     resume_after: str = ""
+    segments: tuple[str, ...] = ()
 
     @property
     def taken_up(self) -> bool:
@@ -61,9 +63,7 @@
     @property
     def fingerprint(self) -> str:
         """Digest of target and body, equal for repeats of a request."""
-        digest = xxhash.xxh3_128(self.target.encode())
-        digest.update(self.body)
-        return digest.hexdigest()
+        return fingerprint_of(self.target, self.body)
 
     def for_engine(
         self, now: float, resume_after: str, silence_s: float, workspace: str
@@ -90,3 +90,10 @@
             workspace=workspace,
             resumable=bool(self.stream),
         )
+
+
+def fingerprint_of(target: str, body: bytes) -> str:
+    """Return a digest of target and body, equal for repeats of a request."""
+    digest = xxhash.xxh3_128(target.encode())
+    digest.update(body)
+    return digest.hexdigest()
--- a/camphortray/partition_manager.py
+++ b/camphortray/partition_manager.py
@@ -8,6 +8,7 @@
 from camphortray import active_config
 from camphortray import backends
 from camphortray import backlog_reporting
+from camphortray import engine_crashes
 from camphortray import errors
 from camphortray import handover
 from camphortray import item_gauges
@@ -79,6 +80,7 @@
             context.part(active_config.ActiveConfig),
             context.part(slot_client.SlotClient),
             item_retry.DurationEstimator(),
+            context.part(engine_crashes.EngineCrashes),
             context.metrics,
         )
         self.member = f"{context.config.host.name}.{context.incarnation}"
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -176,6 +176,19 @@
         return self.barring
 
 
+class EngineCrashes:
+    """Records attempts that broke; finds no prompt segments."""
+
+    def __init__(self):
+        self.ended = []
+
+    def segments_of(self, headers):
+        return ()
+
+    def on_end(self, upstream, service, segments, request, events, error):
+        self.ended.append((upstream.name, events, error))
+
+
 STREAM_ROUTE = routemap.Route(
     "r",
     "h",
@@ -205,6 +218,7 @@
         ActiveConfig(routes),
         Slots(),
         item_retry.DurationEstimator(),
+        EngineCrashes(),
     )
 
 
--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -146,6 +146,7 @@
         active_config,
         slots,
         RigEstimator(broken),
+        hostkit.EngineCrashes(),
     )
 
 
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -259,6 +259,7 @@
             DaySlots(self.rng),
             hostkit.CrashReports(),
             metrics.Metrics(),
+            hostkit.EngineCrashes(),
         )
         (route,) = self.config.view.routes
         sent = {"host": "h", "key": key, "tenant": "forged", "Tenant": "too"}
--- a/tests/test_answer_cut.py
+++ b/tests/test_answer_cut.py
@@ -54,6 +54,7 @@
         Slots(len(loop_engines)),
         hostkit.CrashReports(),
         metrics.Metrics(),
+        hostkit.EngineCrashes(),
     )
     request = opaque.OpaqueRequest(
         "r1", route, "POST", "/p/1", (("host", "h"),), b"q", 0.0, 5.0
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -63,6 +63,7 @@
         slots,
         hostkit.CrashReports(),
         metrics.Metrics(),
+        hostkit.EngineCrashes(),
     )
     now = clock.monotonic()
     request = opaque.OpaqueRequest(
