--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -264,8 +264,14 @@
       foreign: Runs of hosts that are lost, as it reports them.
       version: Version of its software.
       service: Service that it belongs to.
+      deadly: Prompt segments that crash it once it begins to write.
+      writes: Events that it writes before such a crash.
+      on_crash: Called with it as it crashes.
     """
 
+    deadly = frozenset()
+    writes = 0
+
     def __init__(self, name, events=6):
         self.name = name
         self.events = events
@@ -280,6 +286,7 @@
         self.foreign = 0
         self.version = "v1"
         self.service = SERVICE
+        self.on_crash = Platform.no_crash
 
     def start_again(self, born):
         """Forget all of before, under the same id."""
@@ -300,6 +307,10 @@
             response.send(421, b"", [("Instance-Id", self.name)])
             return
         fault = self.faults.pop(0) if self.faults else self.always
+        prompt = headers.get("prompt-prefix", "").lower()
+        segments = {entry.split(":")[0] for entry in prompt.split(",")}
+        if self.deadly & segments:
+            fault = "crash"
         if fault == "full":
             response.send(503, b"", [("Not-Executed", "1")])
             return
@@ -320,6 +331,9 @@
         self.running += 1
         try:
             for number in range(after + 1, self.events + 1):
+                if fault == "crash" and number == after + 1 + self.writes:
+                    self.on_crash(self)
+                    return
                 if fault == "cut" and number == after + 3:
                     response.write(b"id: %d\nda" % number)
                     await response.flush()
@@ -406,8 +420,13 @@
       store: The store.
       engines: By name.
       hosts: In order.
+      crashes: Engines that have crashed.
+      restarts: Engines that are about to start again.
+      down_s: Time from a crash to the next start.
     """
 
+    down_s = 0.2
+
     def __init__(self, hosts=1, engines=2, parts=2, job_topics=1):
         self.store = StoreStandin(parts, job_topics)
         self.engines = {
@@ -415,6 +434,10 @@
         }
         self.count = hosts
         self.hosts = []
+        self.crashes = 0
+        self.restarts = set()
+        for engine in self.engines.values():
+            engine.on_crash = self.crash
 
     async def __aenter__(self):
         await self.store.server.start(ANY_PORT)
@@ -467,6 +490,31 @@
             and all(set(d.owners.known) >= owned for d in routers)
         )
 
+    @staticmethod
+    def no_crash(engine):
+        """Refuse to crash an engine of no platform."""
+        raise AssertionError(f"{engine.name} cannot crash")
+
+    def crash(self, engine):
+        """End an engine, which starts again as another incarnation."""
+        self.crashes += 1
+        engine.server.server.close()
+        for connection in list(engine.server.connections):
+            connection.abort()
+        task = asyncio.get_running_loop().create_task(self.restart(engine))
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
+
+    async def restart(self, engine):
+        """Start a crashed engine at its address."""
+        await asyncio.sleep(self.down_s)
+        del self.engines[engine.name]
+        await self.store.write(ledger.Topic.ENGINES, engine.name, None)
+        engine.name = f"{engine.name.partition('.')[0]}.{self.crashes}"
+        self.engines[engine.name] = engine
+        await engine.server.start(engine.server.address)
+        await self.register(engine)
+
     async def until(self, what):
         """Wait until something holds."""
         async with asyncio.timeout(READY_S):
@@ -476,6 +524,8 @@
     async def __aexit__(self, *exc):
         for host in self.hosts:
             await host.kernel.stop()
+        for task in self.restarts:
+            task.cancel()
         for engine in self.engines.values():
             await engine.server.stop()
         await self.store.server.stop()
