Refuse prompts with a segment that crashes engines

Cause: a request that crashes engines was known by its target and body. Nothing that requests have in common was ever counted, so that each counted once. The lines logged before show it: a request without an event at every crash, never the same one twice, and no refusal.

Each host now reports the segments of its requests that had no answer at a crash, and answers that clear them, to all hosts. A segment that is left after three crashes under two requests, a second after the last of them, is refused by all hosts with 503 before a slot is asked for, after the wait for one, and between attempts. The quarantine lasts an hour, is kept in the store by one host, or another if it does not, and is read at a start and when a host sees a crash. Deleting its record lifts it.

--- a/camphortray/engine_crashes.py
+++ b/camphortray/engine_crashes.py
@@ -65,6 +65,8 @@
     Attributes:
       broken: Attempts that broke, by engine whose probe is under way.
       listeners: Called with each crash.
+      answer_listeners: Called with service, segments and begin of each answer
+        that is past the point of a crash, in wall-clock seconds.
     """
 
     name: ClassVar[str] = "engine_crashes"
@@ -78,6 +80,9 @@
         self.links = context.part(peers.Peers)
         self.broken: dict[str, list[Attempt]] = {}
         self.listeners: list[Callable[[Crash], None]] = []
+        self.answer_listeners: list[
+            Callable[[str, tuple[str, ...], float], None]
+        ] = []
 
     @classmethod
     def from_config(cls, context: kernel.Context) -> "EngineCrashes":
@@ -87,6 +92,12 @@
         """Call ``listener`` with each crash that this host sees."""
         self.listeners.append(listener)
 
+    def listen_answers(
+        self, listener: Callable[[str, tuple[str, ...], float], None]
+    ) -> None:
+        """Call ``listener`` with each answer past the point of a crash."""
+        self.answer_listeners.append(listener)
+
     def segments_of(
         self, headers: Sequence[tuple[str, str]]
     ) -> tuple[str, ...]:
@@ -101,9 +112,10 @@
         segments: tuple[str, ...],
         request: Callable[[], str],
         events: int,
+        began_s: float,
         error: BaseException | None,
     ) -> None:
-        """Check an attempt that broke before its answer.
+        """Take note of an answer, or check whether an engine crashed.
 
         Args:
           upstream: Engine of the attempt.
@@ -111,9 +123,16 @@
           segments: Prompt segments that the request shares with others.
           request: Returns the digest of the request.
           events: Events received in the attempt.
+          began_s: Seconds since the first of them.
           error: What ended it; None for a complete answer.
         """
-        if segments and events < PAST_EVENTS and breaks(error):
+        if not segments:
+            return
+        if events >= PAST_EVENTS:
+            at = self.clock.wall() - began_s
+            for listener in self.answer_listeners:
+                listener(service, segments, at)
+        elif breaks(error):
             attempt = Attempt(service, request(), segments)
             self.on_broken(upstream, attempt)
 
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -28,6 +28,7 @@
 from camphortray import proxy_exchange
 from camphortray import retry
 from camphortray import routemap
+from camphortray import segment_quarantine
 from camphortray import slot_client
 from camphortray import slot_scheduler
 
@@ -60,6 +61,7 @@
     crashes: crash_reports.CrashReports
     metrics: metrics_module.Metrics
     engine_crashes: engine_crashes.EngineCrashes
+    quarantine: segment_quarantine.SegmentQuarantine
 
 
 class SlotTry(proxy_exchange.Try):
@@ -111,12 +113,22 @@
                 now_of(self.parts) - self.first_at,
             )
         self.parts.slots.release(self.lease, self.outcome(error), pace_s)
+        self.report_end(error)
+
+    def report_end(self, error: BaseException | None) -> None:
+        """Report what the end of the attempt shows about crashes."""
+        events = self.reader.count - self.events_before
+        if error is None and self.status // 100 == 2:
+            # A whole body, which is no stream.
+            events = engine_crashes.PAST_EVENTS
+        began_s = now_of(self.parts) - self.first_at if self.first_at else 0.0
         self.parts.engine_crashes.on_end(
             self.upstream,
             self.lease.service,
             self.request.segments,
             lambda: self.request.fingerprint,
-            self.reader.count - self.events_before,
+            events,
+            began_s,
             error,
         )
 
@@ -304,6 +316,7 @@
             status = 502 if self.ran else 503
             cause = early_end.Cause.BARRED
             self.refuse(status, "quarantined", "it broke engines", None, cause)
+        self.check_segments()
         route = self.request.route
         version = await self.version_needed()
         now = now_of(self.parts)
@@ -338,6 +351,27 @@
             self.parts, lease, self.reader, self.request, self.on_stream
         )
 
+    def check_segments(self) -> None:
+        """Check that no segment of the prompt is quarantined.
+
+        Raises:
+          Refused: one is.
+        """
+        quarantine = self.parts.quarantine
+        found = quarantine.find(self.service, self.request.segments)
+        if found is None:
+            return
+        self.parts.metrics.inc(
+            "camphortray_requests_quarantined_total",
+            "Requests refused for a prompt segment that crashes engines.",
+            {"service": self.service},
+        )
+        # 503 would say that the request has not run.
+        status = 502 if self.ran else 503
+        wait_s = None if self.ran else quarantine.left_s(found)
+        cause = early_end.Cause.BARRED
+        self.refuse(status, "quarantined", str(found), wait_s, cause)
+
     async def version_needed(self) -> str:
         """Return the software version at which the stream has to go on.
 
@@ -402,6 +436,8 @@
         self.refuse(status, "no_version", why, None, cause)
 
     def request_for(self, attempt: proxy_exchange.Try) -> engine.EngineRequest:
+        # Engines may have crashed during the wait for a slot.
+        self.check_segments()
         if not self.ran:
             # The key may have been revoked, or moved to another workspace,
             # during the wait. A request that may have run already goes on
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -341,6 +341,7 @@
         """Run the item once; return its result if that ended it."""
         outcome = enginehealth.Outcome.NOTHING
         events_before = self.reader.count
+        failure: errors.UpstreamError | None = None
         self.first_event_at = self.last_event_at = 0.0
         task = asyncio.get_running_loop().create_task(
             self.stream(route, lease.upstream, lease.service)
@@ -392,6 +393,7 @@
             if not self.deadline.run_limit_reached(route):
                 outcome = enginehealth.outcome_of(error)
             new_events = self.reader.count - events_before
+            failure = error
             return self.failed(route, lease, error, new_events)
         finally:
             task.cancel()
@@ -403,6 +405,16 @@
             self.parts.estimator.ran(new_events, stream_s)
             if new_events > 0:
                 self.retries.failures_since_event = 0
+            now = self.parts.clock.monotonic()
+            self.parts.engine_crashes.on_end(
+                lease.upstream,
+                lease.service,
+                self.segments,
+                self.fingerprint,
+                new_events,
+                now - self.first_event_at if self.first_event_at else 0.0,
+                failure,
+            )
 
     def failed(
         self,
@@ -413,14 +425,6 @@
     ) -> partition_records.Result | None:
         """Record a failed run; return a result if it was the last."""
         name = lease.upstream.name
-        self.parts.engine_crashes.on_end(
-            lease.upstream,
-            lease.service,
-            self.segments,
-            self.fingerprint,
-            new_events,
-            error,
-        )
         early_end.count(self.parts.metrics, "item", early_end.cause_of(error))
         LOG.info(
             "Item {} of job {} failed at engine {}: {}",
--- a/camphortray/ledger.py
+++ b/camphortray/ledger.py
@@ -53,6 +53,7 @@
     ENGINES = "engines"
     HOSTS = "hosts"
     JOBS = "jobs"
+    QUARANTINES = "quarantines"
 
 
 class LedgerRecord(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/camphortray/segment_quarantine.py
@@ -0,0 +1,514 @@
+"""Refuses requests whose prompts have a segment that crashes engines.
+
+Each host reports the crashes that it sees, and the answers that clear what
+they blame, to all hosts (`crash_attribution` decides). A quarantine is kept in
+the store as well, where it outlives the loss of all hosts.
+"""
+
+__all__ = ["Quarantine", "SegmentQuarantine"]
+
+import asyncio
+import collections
+from typing import ClassVar
+from typing import TypeVar
+
+import msgspec
+import xxhash
+
+from camphortray import backends
+from camphortray import crash_attribution
+from camphortray import engine_crashes
+from camphortray import errors
+from camphortray import kernel
+from camphortray import ledger as ledgers
+from camphortray import logs
+from camphortray import membership
+from camphortray import metrics as metrics_module
+from camphortray import peers
+from camphortray import shards
+from camphortray import tasks
+
+LOG = logs.logger("quarantine")
+TOPIC = ledgers.Topic.QUARANTINES
+# Kinds of the facts about crashes, answers that clear segments of a crash, and
+# quarantines.
+CRASH_FACT = "segment-crash"
+ANSWER_FACT = "segment-answered"
+QUARANTINE_FACT = "segment-quarantine"
+# Seconds for which a quarantine lasts.
+QUARANTINE_S = 3600.0
+# Seconds from one look at the reports to the next.
+TICK_S = 0.1
+# Longest delay, in seconds, before a host reports that it has answers on what
+# a crash blames; others may have reported them meanwhile.
+ANSWER_JITTER_S = 0.15
+# Crashes that a host reports within a window, and the window in seconds.
+MAX_REPORTS = 32
+REPORT_WINDOW_S = 10.0
+# Requests and segments of one report.
+MAX_ATTEMPTS = 16
+MAX_SEGMENTS = 48
+# Characters of the digest of a request in a report.
+DIGEST_LENGTH = 8
+# Segments whose last answer is remembered.
+MAX_ANSWERED = 10_000
+# Seconds after which another host stores a quarantine that the first has not,
+# and the random part of it.
+STORE_DELAY_S = 1.0
+STORE_JITTER_S = 2.0
+# Pause in seconds after a failed read or write of the store.
+PAUSE_S = 0.5
+# Seconds from one read of the store to the next, and the least number.
+REFRESH_S = 60.0
+MIN_REFRESH_S = 2.0
+# Longest time after a start, in seconds, for which a host waits for the store
+# before it is ready.
+LOADED_S = 1.0
+# Quarantines in force at once; the oldest end first.
+MAX_QUARANTINES = 1_000
+
+T = TypeVar("T")
+
+
+class SegmentAnswer(msgspec.Struct, frozen=True):
+    """An answer on a segment that a crash blames; the value of a fact.
+
+    Attributes:
+      service: Service of the engine.
+      segment: Prompt segment of the request.
+      at: When the answer began, in wall-clock seconds.
+    """
+
+    service: str
+    segment: str
+    at: float
+
+
+class Quarantine(msgspec.Struct, frozen=True):
+    """Segments that no request may have until a time.
+
+    Attributes:
+      service: Service whose engines they crash.
+      segments: Refused where all of them are in one prompt.
+      at: Time of the last crash that showed it, in wall-clock seconds.
+      until: When it ends, in wall-clock seconds.
+      crashes: Number of crashes that showed it.
+      stored: Whether the store has it.
+    """
+
+    service: str
+    segments: tuple[str, ...]
+    at: float
+    until: float
+    crashes: int
+    stored: bool = False
+
+    @property
+    def key(self) -> str:
+        """Service and segments as one text."""
+        return f"{self.service}/{'+'.join(self.segments)}"
+
+    @property
+    def record_key(self) -> str:
+        """Key of its record in the store."""
+        if len(self.key.encode()) <= ledgers.KEY_BYTES:
+            return self.key
+        return xxhash.xxh3_128_hexdigest(self.key.encode())
+
+    def __str__(self) -> str:
+        return (
+            f"prompt segment {' with '.join(self.segments)} crashed"
+            f" {self.crashes} engines of {self.service}"
+        )
+
+
+@kernel.PARTS.register("host")
+class SegmentQuarantine(kernel.Part):
+    """Quarantines in force, shared by all hosts.
+
+    Attributes:
+      attribution: Crashes and answers known to this host.
+      in_force: Quarantines by key.
+      by_segment: The same by service and first segment.
+      answered: When a segment was last answered here, by service and segment,
+        in wall-clock seconds; the least recent first.
+      weigh_at: When reported crashes are to be weighed, in monotonic seconds.
+      reported: Times of the last reports of crashes.
+      store_at: When to store a quarantine that is not yet stored, by key, in
+        monotonic seconds.
+      lifted: End of the last quarantine that an operator lifted, by key.
+      loaded: Whether the store has been read.
+    """
+
+    name: ClassVar[str] = "segment_quarantine"
+    requires: ClassVar[tuple[str, ...]] = (
+        "backends",
+        "engine_crashes",
+        "membership",
+        "peers",
+    )
+
+    def __init__(self, context: kernel.Context) -> None:
+        self.clock = context.clock
+        self.rng = context.rng
+        self.metrics: metrics_module.Metrics = context.metrics
+        self.ledger = context.part(backends.LedgerBackends).ledger
+        self.members = context.part(membership.Membership)
+        self.links = context.part(peers.Peers)
+        self.crashes = context.part(engine_crashes.EngineCrashes)
+        self.attribution = crash_attribution.CrashAttribution()
+        self.in_force: dict[str, Quarantine] = {}
+        self.by_segment: dict[tuple[str, str], list[Quarantine]] = {}
+        self.answered: collections.OrderedDict[tuple[str, str], float] = (
+            collections.OrderedDict()
+        )
+        self.weigh_at: collections.deque[float] = collections.deque()
+        self.reported: collections.deque[float] = collections.deque()
+        self.store_at: dict[str, float] = {}
+        self.lifted: dict[str, float] = {}
+        self.loaded = False
+        self.started_at = self.clock.monotonic()
+        self.refresh_at = self.refreshed_at = -MIN_REFRESH_S
+        self.refreshing = False
+        self.task: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_config(cls, context: kernel.Context) -> "SegmentQuarantine":
+        return cls(context)
+
+    async def start(self) -> None:
+        self.members.on_fact(CRASH_FACT, self.on_crash_fact)
+        self.members.on_fact(ANSWER_FACT, self.on_answer_fact)
+        self.members.on_fact(QUARANTINE_FACT, self.on_quarantine_fact)
+        self.crashes.listen(self.on_crash)
+        self.crashes.listen_answers(self.on_answer)
+        work = tasks.forever("quarantine of prompt segments", self.run)
+        self.task = asyncio.get_running_loop().create_task(work)
+
+    async def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+    def ready(self) -> str:
+        waited_s = self.clock.monotonic() - self.started_at
+        if self.loaded or waited_s > LOADED_S:
+            return ""
+        return "quarantines not read yet"
+
+    # Interface to requests and items.
+
+    def find(
+        self, service: str, segments: tuple[str, ...]
+    ) -> Quarantine | None:
+        """Return the quarantine that a request falls under, or None."""
+        if not self.by_segment:
+            return None
+        for segment in segments:
+            for found in self.by_segment.get((service, segment), ()):
+                if set(found.segments) <= set(segments):
+                    return found
+        return None
+
+    def left_s(self, quarantine: Quarantine) -> float:
+        """Return the seconds until a quarantine ends."""
+        return max(0.0, quarantine.until - self.clock.wall())
+
+    # What this host sees.
+
+    def on_crash(self, crash: engine_crashes.Crash) -> None:
+        """Report a crash to all hosts."""
+        now = self.clock.monotonic()
+        while self.reported and now - self.reported[0] > REPORT_WINDOW_S:
+            self.reported.popleft()
+        if len(self.reported) >= MAX_REPORTS:
+            LOG.warning("Crash of {} is not reported.", crash.engine)
+            return
+        self.reported.append(now)
+        report = report_of(crash)
+        key = f"{crash.engine}/{self.members.own_name}/{crash.at:.3f}"
+        self.members.publish(
+            CRASH_FACT,
+            key,
+            msgspec.to_builtins(report),
+            crash_attribution.CRASH_TTL_S,
+        )
+        # A host that is cut off from others learns of quarantines here.
+        self.refresh_at = min(self.refresh_at, self.refreshed_at)
+
+    def on_answer(
+        self, service: str, segments: tuple[str, ...], at: float
+    ) -> None:
+        """Remember an answer; report it if that clears a segment."""
+        for segment in segments:
+            self.answered[service, segment] = at
+            self.answered.move_to_end((service, segment))
+            if self.attribution.crashes:
+                self.report_answer(service, segment)
+        while len(self.answered) > MAX_ANSWERED:
+            self.answered.popitem(last=False)
+
+    def report_answer(self, service: str, segment: str) -> None:
+        """Report this host's last answer on a segment if that clears it."""
+        at = self.answered.get((service, segment))
+        if at is None or not self.attribution.would_clear(
+            service, segment, at
+        ):
+            return
+        self.members.publish(
+            ANSWER_FACT,
+            f"{service}/{segment}",
+            msgspec.to_builtins(SegmentAnswer(service, segment, at)),
+            crash_attribution.CRASH_TTL_S,
+        )
+
+    # What hosts report.
+
+    def on_crash_fact(self, fact: membership.Fact) -> None:
+        """Record a host's report of a crash."""
+        report = self.read(fact, crash_attribution.CrashReport)
+        if report is None:
+            return
+        # Clocks differ; a crash cannot lie ahead.
+        at = min(report.at, self.clock.wall())
+        report = msgspec.structs.replace(report, at=at)
+        self.attribution.record_crash(report)
+        settled_at = self.clock.monotonic() + crash_attribution.SETTLE_S
+        self.weigh_at.append(settled_at)
+        self.links.spawn(self.report_answers(report))
+
+    async def report_answers(
+        self, report: crash_attribution.CrashReport
+    ) -> None:
+        """Report answers of this host that clear segments of a crash."""
+        await asyncio.sleep(self.rng.uniform(0.0, ANSWER_JITTER_S))
+        segments = {s for _, held in report.attempts for s in held}
+        for segment in sorted(segments):
+            self.report_answer(report.service, segment)
+
+    def on_answer_fact(self, fact: membership.Fact) -> None:
+        """Record a host's report of an answer."""
+        answer = self.read(fact, SegmentAnswer)
+        if answer is None:
+            return
+        self.attribution.record_answer(
+            answer.service, answer.segment, answer.at
+        )
+        for quarantine in list(self.in_force.values()):
+            if (
+                quarantine.service == answer.service
+                and quarantine.segments == (answer.segment,)
+                and quarantine.at < answer.at
+            ):
+                self.end(quarantine, "it was answered since")
+                self.links.spawn(self.drop_record(quarantine))
+
+    def on_quarantine_fact(self, fact: membership.Fact) -> None:
+        """Take over a quarantine that a host has found."""
+        quarantine = self.read(fact, Quarantine)
+        if quarantine is not None:
+            self.put(quarantine)
+
+    def read(self, fact: membership.Fact, cls: type[T]) -> T | None:
+        """Return the value of a fact, or None if it cannot be read."""
+        try:
+            return msgspec.convert(fact.value, cls)
+        except msgspec.ValidationError as error:
+            LOG.error("Invalid fact {}: {}", fact.name, error)
+            return None
+
+    # Quarantines.
+
+    async def run(self) -> None:
+        """Weigh what is reported, and keep the store up to date."""
+        while True:
+            self.decide()
+            self.store_due()
+            now = self.clock.monotonic()
+            if now >= self.refresh_at + MIN_REFRESH_S and not self.refreshing:
+                self.refreshing = True
+                self.links.spawn(self.refresh())
+            await asyncio.sleep(TICK_S)
+
+    def decide(self) -> None:
+        """Begin and end quarantines that are due."""
+        now = self.clock.wall()
+        for quarantine in list(self.in_force.values()):
+            if quarantine.until <= now:
+                self.end(quarantine, "its time is over")
+                if self.is_first(quarantine.key):
+                    self.links.spawn(self.drop_record(quarantine))
+        if not self.weigh_at or self.weigh_at[0] > self.clock.monotonic():
+            return
+        while self.weigh_at and self.weigh_at[0] <= self.clock.monotonic():
+            self.weigh_at.popleft()
+        self.attribution.prune(now)
+        for culprit in self.attribution.culprits(now):
+            if culprit.key not in self.in_force:
+                self.begin(culprit, now)
+
+    def begin(self, culprit: crash_attribution.Culprit, now: float) -> None:
+        """Begin a quarantine and publish it."""
+        quarantine = Quarantine(
+            culprit.service,
+            tuple(sorted(culprit.segments)),
+            culprit.at,
+            now + QUARANTINE_S,
+            culprit.crashes,
+        )
+        self.put(quarantine)
+        if self.is_first(culprit.key):
+            self.publish(quarantine)
+
+    def publish(self, quarantine: Quarantine) -> None:
+        """Publish a quarantine, also for hosts that join later."""
+        self.members.publish(
+            QUARANTINE_FACT,
+            quarantine.key,
+            msgspec.to_builtins(quarantine),
+            self.left_s(quarantine),
+        )
+
+    def is_first(self, key: str) -> bool:
+        """Return whether this host is to act on a quarantine before others."""
+        names = [member.name for member in self.members.live("host")]
+        return shards.preferred(key, names) in (None, self.members.own_name)
+
+    def put(self, quarantine: Quarantine) -> None:
+        """Put a quarantine in force, or take note that it is stored."""
+        key = quarantine.key
+        held = self.in_force.get(key)
+        if quarantine.until <= max(
+            self.clock.wall(), self.lifted.get(key, 0.0)
+        ):
+            return
+        if held is not None and (held.stored or not quarantine.stored):
+            return
+        self.in_force[key] = quarantine
+        if quarantine.stored:
+            self.store_at.pop(key, None)
+        else:
+            delay_s = 0.0
+            if not self.is_first(key):
+                delay_s = STORE_DELAY_S + STORE_JITTER_S * self.rng.random()
+            self.store_at[key] = self.clock.monotonic() + delay_s
+        if held is None:
+            LOG.warning(
+                "Requests are refused for {:.0f} s: {}.",
+                self.left_s(quarantine),
+                quarantine,
+                fields={
+                    "service": quarantine.service,
+                    "prompt_segments": list(quarantine.segments),
+                    "crashes": quarantine.crashes,
+                    "stored": quarantine.stored,
+                },
+            )
+        while len(self.in_force) > MAX_QUARANTINES:
+            self.end(next(iter(self.in_force.values())), "there are too many")
+        self.index()
+
+    def end(self, quarantine: Quarantine, why: str) -> None:
+        """End a quarantine on this host."""
+        del self.in_force[quarantine.key]
+        self.store_at.pop(quarantine.key, None)
+        self.attribution.forget(
+            crash_attribution.Culprit(
+                quarantine.service,
+                frozenset(quarantine.segments),
+                quarantine.at,
+                quarantine.crashes,
+            )
+        )
+        self.index()
+        LOG.notice("Requests are no longer refused, {}: {}.", why, quarantine)
+
+    def index(self) -> None:
+        """Renew what requests look quarantines up by."""
+        self.by_segment = {}
+        for quarantine in self.in_force.values():
+            key = quarantine.service, quarantine.segments[0]
+            self.by_segment.setdefault(key, []).append(quarantine)
+        self.metrics.set(
+            "camphortray_segment_quarantines",
+            "Quarantines of prompt segments in force on this host.",
+            {},
+            len(self.in_force),
+        )
+
+    # The store.
+
+    def store_due(self) -> None:
+        """Store the quarantines that no other host has stored in time."""
+        now = self.clock.monotonic()
+        for key, at in list(self.store_at.items()):
+            if now >= at:
+                self.store_at[key] = now + STORE_DELAY_S + PAUSE_S
+                self.links.spawn(self.store(self.in_force[key]))
+
+    async def store(self, quarantine: Quarantine) -> None:
+        """Store a quarantine and tell the others so."""
+        kept = msgspec.structs.replace(quarantine, stored=True)
+        if await self.write(kept, msgspec.json.encode(kept)):
+            self.put(kept)
+            self.publish(kept)
+
+    async def drop_record(self, quarantine: Quarantine) -> None:
+        """Drop the record of a quarantine that has ended."""
+        await self.write(quarantine, b"")
+
+    async def write(self, quarantine: Quarantine, value: bytes) -> bool:
+        """Write a record; return whether the store has certainly done so."""
+        record = ledgers.LedgerRecord(quarantine.record_key, value)
+        try:
+            await self.ledger.append(TOPIC, 0, [record])
+        except errors.LogError as error:
+            LOG.info("Record of {} not written: {}", quarantine.key, error)
+            return False
+        return True
+
+    async def refresh(self) -> None:
+        """Read the quarantines in the store."""
+        begun_at = self.clock.monotonic()
+        stored = {key for key, q in self.in_force.items() if q.stored}
+        try:
+            page = await self.ledger.newest(TOPIC)
+        except errors.LogError as error:
+            LOG.info("Quarantines not read: {}", error)
+            self.refresh_at = begun_at + PAUSE_S - MIN_REFRESH_S
+            return
+        finally:
+            self.refreshing = False
+        self.loaded = True
+        self.refreshed_at = begun_at
+        self.refresh_at = begun_at + REFRESH_S - MIN_REFRESH_S
+        found = [decode(record) for record in page.records]
+        for quarantine in found:
+            if quarantine is not None:
+                self.put(quarantine)
+        for key in stored - {q.key for q in found if q is not None}:
+            quarantine = self.in_force.get(key)
+            if quarantine is not None:
+                self.lifted[key] = quarantine.until
+                self.end(quarantine, "its record has been deleted")
+
+
+def report_of(crash: engine_crashes.Crash) -> crash_attribution.CrashReport:
+    """Return the report of a crash, as large as a fact may be."""
+    attempts = []
+    left = MAX_SEGMENTS
+    for attempt in crash.attempts[:MAX_ATTEMPTS]:
+        segments = attempt.segments[:left]
+        left -= len(segments)
+        attempts.append((attempt.request[:DIGEST_LENGTH], segments))
+    return crash_attribution.CrashReport(
+        crash.service, crash.engine, crash.at, tuple(attempts)
+    )
+
+
+def decode(record: ledgers.LedgerRecord) -> Quarantine | None:
+    """Return the quarantine of a record, or None if it cannot be read."""
+    try:
+        return msgspec.json.decode(record.value, type=Quarantine)
+    except msgspec.DecodeError as error:
+        LOG.error("Invalid record {}: {}", record.key, error)
+        return None
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -185,10 +185,25 @@
     def segments_of(self, headers):
         return ()
 
-    def on_end(self, upstream, service, segments, request, events, error):
+    def on_end(
+        self, upstream, service, segments, request, events, began_s, error
+    ):
         self.ended.append((upstream.name, events, error))
 
 
+class Quarantine:
+    """Quarantines everything if ``found`` is set."""
+
+    def __init__(self):
+        self.found = None
+
+    def find(self, service, segments):
+        return self.found
+
+    def left_s(self, quarantine):
+        return 60.0
+
+
 STREAM_ROUTE = routemap.Route(
     "r",
     "h",
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -260,6 +260,7 @@
             hostkit.CrashReports(),
             metrics.Metrics(),
             hostkit.EngineCrashes(),
+            hostkit.Quarantine(),
         )
         (route,) = self.config.view.routes
         sent = {"host": "h", "key": key, "tenant": "forged", "Tenant": "too"}
--- a/tests/test_answer_cut.py
+++ b/tests/test_answer_cut.py
@@ -55,6 +55,7 @@
         hostkit.CrashReports(),
         metrics.Metrics(),
         hostkit.EngineCrashes(),
+        hostkit.Quarantine(),
     )
     request = opaque.OpaqueRequest(
         "r1", route, "POST", "/p/1", (("host", "h"),), b"q", 0.0, 5.0
--- a/tests/test_engine_crashes.py
+++ b/tests/test_engine_crashes.py
@@ -85,7 +85,7 @@
     upstream = engine.Upstream(
         f"i-0~{BORN}", UPSTREAM.address, UPSTREAM.availability_zone
     )
-    part.on_end(upstream, "s", ("a", "b"), lambda: request, events, error)
+    part.on_end(upstream, "s", ("a", "b"), lambda: request, events, 0.0, error)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -64,6 +64,7 @@
         hostkit.CrashReports(),
         metrics.Metrics(),
         hostkit.EngineCrashes(),
+        hostkit.Quarantine(),
     )
     now = clock.monotonic()
     request = opaque.OpaqueRequest(
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -25,6 +25,7 @@
     "concurrency_limit",
     "coordinator",
     "coordinator_election",
+    "crash_attribution",
     "crash_counter",
     "deadline",
     "declaration",
