Hold items back whose prompts have a segment that crashes engines

An item asks for the quarantine before it asks for a slot, and again once it has one. It is not abandoned for it: that would be a result of an item that no engine has refused, and a quarantine may be lifted. It waits, and ends as abandoned when its retention is over. Runs of items report crashes and answers as requests do.

--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -26,6 +26,7 @@
 from camphortray import partition_records
 from camphortray import partition_state
 from camphortray import routemap
+from camphortray import segment_quarantine
 from camphortray import slot_client
 from camphortray import slot_scheduler
 
@@ -40,6 +41,8 @@
 # Seconds for which a route must be missing from an up-to-date configuration
 # before its items are abandoned.
 ROUTE_GONE_AFTER_S = 5.0
+# Seconds between lookups of the quarantine that an item waits for.
+QUARANTINE_POLL_INTERVAL_S = 1.0
 # Seconds to wait for a slot before the route is looked up again: the route
 # may have moved, and its former service may never have a free slot.
 SLOT_TIMEOUT_S = 3.0
@@ -63,6 +66,7 @@
     slots: slot_client.SlotClient
     estimator: item_retry.DurationEstimator
     engine_crashes: engine_crashes.EngineCrashes
+    quarantine: segment_quarantine.SegmentQuarantine
     metrics: metrics_module.Metrics = msgspec.field(
         default_factory=metrics_module.Metrics
     )
@@ -117,6 +121,7 @@
       origin: What made them.
       any_version: Whether the next run may begin anew, as no engine of the
         version of ``origin`` had a slot in time.
+      held_by: Quarantine that the item waits for, or empty.
       number: Number of slot requests so far, and of the present run.
       run_task: Reads the stream of the present run.
       cancel_cause: Why the last cancelled run was cancelled.
@@ -147,6 +152,7 @@
         self.text: list[bytes] = []
         self.origin = UNKNOWN_ORIGIN
         self.any_version = False
+        self.held_by = ""
         self.number = 0
         self.run_task: asyncio.Task[None] | None = None
         self.cancel_cause = early_end.Cause.REVOKED
@@ -165,6 +171,8 @@
             self.enter(Stage.PAUSE)
             now = self.parts.clock.monotonic()
             await asyncio.sleep(max(0.0, self.retries.not_before - now))
+            if self.is_quarantined(route):
+                continue
             self.enter(Stage.SLOT)
             try:
                 async with asyncio.timeout(SLOT_TIMEOUT_S):
@@ -181,11 +189,40 @@
                 outcome = enginehealth.Outcome.NOTHING
                 self.parts.slots.release(lease, outcome)
                 continue
+            if self.is_quarantined(route):
+                # Engines crashed while the item waited.
+                outcome = enginehealth.Outcome.NOTHING
+                self.parts.slots.release(lease, outcome)
+                continue
             self.enter(Stage.RUN)
             result = await self.attempt(route, lease)
             if result is not None:
                 return result
 
+    def is_quarantined(self, route: routemap.Route) -> bool:
+        """Return whether a prompt segment is quarantined; if so, pause.
+
+        The item is not abandoned before its retention is over: a quarantine
+        may be lifted.
+        """
+        service = route.service_of(self.item.id)
+        found = self.parts.quarantine.find(service, self.segments)
+        if found is None:
+            self.held_by = ""
+            return False
+        self.retries.not_before = (
+            self.parts.clock.monotonic() + QUARANTINE_POLL_INTERVAL_S
+        )
+        if self.held_by != found.key:
+            self.held_by = found.key
+            LOG.notice(
+                "Item {} of job {} waits: {}.",
+                self.item.id,
+                self.job.id,
+                found,
+            )
+        return True
+
     def enter(self, stage: Stage) -> None:
         """Record the stage that the item enters."""
         self.stage, self.stage_at = stage, self.parts.clock.monotonic()
--- a/camphortray/job_router.py
+++ b/camphortray/job_router.py
@@ -51,6 +51,7 @@
         "backends",
         "engine_crashes",
         "membership",
+        "segment_quarantine",
         "settings",
         "slot_client",
     )
--- a/camphortray/partition_manager.py
+++ b/camphortray/partition_manager.py
@@ -20,6 +20,7 @@
 from camphortray import owner_cache
 from camphortray import owner_candidates
 from camphortray import partition_owner
+from camphortray import segment_quarantine
 from camphortray import slot_client
 from camphortray import tasks
 
@@ -81,6 +82,7 @@
             context.part(slot_client.SlotClient),
             item_retry.DurationEstimator(),
             context.part(engine_crashes.EngineCrashes),
+            context.part(segment_quarantine.SegmentQuarantine),
             context.metrics,
         )
         self.member = f"{context.config.host.name}.{context.incarnation}"
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -234,6 +234,7 @@
         Slots(),
         item_retry.DurationEstimator(),
         EngineCrashes(),
+        Quarantine(),
     )
 
 
--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -147,6 +147,7 @@
         slots,
         RigEstimator(broken),
         hostkit.EngineCrashes(),
+        hostkit.Quarantine(),
     )
 
 
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -506,13 +506,13 @@
         task.add_done_callback(self.restarts.discard)
 
     async def restart(self, engine):
-        """Start a crashed engine at its address."""
+        """Start a crashed engine at another address."""
         await asyncio.sleep(self.down_s)
         del self.engines[engine.name]
         await self.store.write(ledger.Topic.ENGINES, engine.name, None)
         engine.name = f"{engine.name.partition('.')[0]}.{self.crashes}"
         self.engines[engine.name] = engine
-        await engine.server.start(engine.server.address)
+        await engine.server.start(ANY_PORT)
         await self.register(engine)
 
     async def until(self, what):
--- a/tests/test_segment_quarantine.py
+++ b/tests/test_segment_quarantine.py
@@ -1,11 +1,15 @@
 """Prompts that share a segment which crashes engines, on whole hosts."""
 
 import asyncio
+import base64
 import contextlib
+import json
 
 import pytest
 
+from camphortray import segment_quarantine
 from tests import platformkit
+from tests import test_platform_jobs
 
 PATH = platformkit.STREAM_PREFIX + "q"
 SHARED, DEADLY = "5c1e07a2", "91bd3f06"
@@ -81,6 +85,17 @@
     )
 
 
+def quarantines(host):
+    """Return the quarantines in force on a host."""
+    return host.part(segment_quarantine.SegmentQuarantine).in_force
+
+
+def quarantined(host):
+    """Return whether the deadly segment is quarantined on a host."""
+    key = f"{platformkit.SERVICE}/{DEADLY}"
+    return key in quarantines(host)
+
+
 @pytest.mark.parametrize("writes", [0, 1])
 async def test_a_segment_that_crashed_five_engines_reaches_no_more(writes):
     # Hosts tell requests apart by their whole bytes, of which no two agree.
@@ -97,3 +112,45 @@
         assert reached(platform) - before <= MAX_LATER
         assert bad.count(503) >= len(bad) - MAX_LATER
         assert sound.count(200) >= len(sound) / 2
+
+
+def job_of(*prompts):
+    """Return the body of a job with an item for each prompt."""
+    items = [
+        {
+            "id": f"it{number}",
+            "path": platformkit.BATCH_PREFIX + "9/x",
+            "headers": dict([prompt(number, *segments)]),
+            "body": base64.b64encode(b"b%d" % number).decode(),
+            "tokens": 10,
+        }
+        for number, segments in enumerate(prompts)
+    ]
+    return json.dumps({"items": items}).encode()
+
+
+async def submit(host, job, *prompts):
+    """Submit a job."""
+    path = platformkit.BATCH_PREFIX + job
+    body = job_of(*prompts)
+    status, _, _ = await host.call("POST", path, [("Attempt-Id", job)], body)
+    assert status == 202
+
+
+async def test_items_with_a_segment_that_crashes_engines_are_held_back():
+    # Runs of items crash engines as requests do, and come again by themselves.
+    async with platform_of(hosts=2) as platform:
+        callers = Callers(platform)
+        assert await callers.call(SHARED) == 200
+        bad, sound = (SHARED, DEADLY), (SHARED,)
+        await submit(platform.hosts[0], "j1", bad, sound, bad, bad, sound)
+        await platform.until(lambda: all(map(quarantined, platform.hosts)))
+        before = reached(platform)
+        assert before <= MAX_CRASHES + MAX_LATER
+        found = await test_platform_jobs.results_of(platform.hosts[1], "j1", 2)
+        assert {r["id"] for r in found} == {"it1", "it4"}
+        assert {r["state"] for r in found} == {"completed"}
+        await submit(platform.hosts[1], "j2", bad, sound)
+        await test_platform_jobs.results_of(platform.hosts[0], "j2", 1)
+        await callers.for_window()
+        assert reached(platform) == before
