--- a/camphortray/crash_attribution.py
+++ b/camphortray/crash_attribution.py
@@ -32,7 +32,7 @@
 MIN_COMMON_CAUSE = 4
 MIN_SHARE = 1 / 3
 # Seconds for which a crash is remembered, and the most crashes of a service.
-CRASH_TTL_S = 600.0
+CRASH_TTL_S = 3600.0
 MAX_CRASHES = 256
 # Segments of one report that are read.
 MAX_SEGMENTS = 256
--- a/camphortray/segment_quarantine.py
+++ b/camphortray/segment_quarantine.py
@@ -57,7 +57,7 @@
 STORE_DELAY_S = 1.0
 STORE_JITTER_S = 2.0
 # Pause in seconds after a failed read or write of the store.
-PAUSE_S = 0.5
+PAUSE_S = 1.0
 # Seconds from one read of the store to the next, and the least number.
 REFRESH_S = 60.0
 MIN_REFRESH_S = 2.0
@@ -466,6 +466,10 @@
             return False
         return True
 
+    def jitter(self, seconds: float) -> float:
+        """Return a time that differs from host to host."""
+        return seconds * self.rng.uniform(0.5, 1.5)
+
     async def refresh(self) -> None:
         """Read the quarantines in the store."""
         begun_at = self.clock.monotonic()
@@ -474,13 +478,13 @@
             page = await self.ledger.newest(TOPIC)
         except errors.LogError as error:
             LOG.info("Quarantines not read: {}", error)
-            self.refresh_at = begun_at + PAUSE_S - MIN_REFRESH_S
+            self.refresh_at = begun_at + self.jitter(PAUSE_S) - MIN_REFRESH_S
             return
         finally:
             self.refreshing = False
         self.loaded = True
         self.refreshed_at = begun_at
-        self.refresh_at = begun_at + REFRESH_S - MIN_REFRESH_S
+        self.refresh_at = begun_at + self.jitter(REFRESH_S) - MIN_REFRESH_S
         found = [decode(record) for record in page.records]
         for quarantine in found:
             if quarantine is not None:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -429,3 +429,37 @@
     assert forwarding.response.data == ALL
     assert timeouts[0] == pytest.approx(first_s)
     assert timeouts[-1] == pytest.approx(later_s)
+
+
+@pytest.mark.parametrize(
+    ("script", "begins", "status", "wants", "sent"),
+    [
+        # Refused at once, before a slot is asked for.
+        ([], 0, 503, 0, 0),
+        # Engines crash under the segment while the request waits for a slot.
+        ([], 1, 503, 1, 0),
+        # Between two attempts; 503 would say that it has not run.
+        ([hostkit.BROKEN], 2, 502, 2, 1),
+        ([hostkit.FULL], 2, 503, 2, 1),
+    ],
+)
+async def test_a_quarantine_stops_a_request_wherever_it_is(
+    script, begins, status, wants, sent
+):
+    forwarding = forwarder_of(script, REPEATABLE)
+    parts = forwarding.parts
+    acquire = parts.slots.acquire
+
+    async def acquire_later(*args):
+        lease = await acquire(*args)
+        if len(parts.slots.wants) == begins:
+            parts.quarantine.found = "segment a"
+        return lease
+
+    parts.slots.acquire = acquire_later
+    if not begins:
+        parts.quarantine.found = "segment a"
+    assert await outcome(forwarding) == status
+    assert len(parts.slots.wants) == wants
+    assert len(parts.backends.party.seen) == sent
+    assert len(parts.slots.ends) == wants
