--- a/camphortray/segment_quarantine.py
+++ b/camphortray/segment_quarantine.py
@@ -1,8 +1,7 @@
 """Refuses requests whose prompts have a segment that crashes engines.
 
 Each host reports the crashes that it sees, and the answers that clear what
-they blame, to all hosts (`crash_attribution` decides). A quarantine is kept in
-the store as well, where it outlives the loss of all hosts.
+they blame, to all hosts; `crash_attribution` decides.
 """
 
 __all__ = ["Quarantine", "SegmentQuarantine"]
@@ -13,14 +12,10 @@
 from typing import TypeVar
 
 import msgspec
-import xxhash
 
-from camphortray import backends
 from camphortray import crash_attribution
 from camphortray import engine_crashes
-from camphortray import errors
 from camphortray import kernel
-from camphortray import ledger as ledgers
 from camphortray import logs
 from camphortray import membership
 from camphortray import metrics as metrics_module
@@ -29,7 +24,6 @@
 from camphortray import tasks
 
 LOG = logs.logger("quarantine")
-TOPIC = ledgers.Topic.QUARANTINES
 # Kinds of the facts about crashes, answers that clear segments of a crash, and
 # quarantines.
 CRASH_FACT = "segment-crash"
@@ -52,18 +46,6 @@
 DIGEST_LENGTH = 8
 # Segments whose last answer is remembered.
 MAX_ANSWERED = 10_000
-# Seconds after which another host stores a quarantine that the first has not,
-# and the random part of it.
-STORE_DELAY_S = 1.0
-STORE_JITTER_S = 2.0
-# Pause in seconds after a failed read or write of the store.
-PAUSE_S = 1.0
-# Seconds from one read of the store to the next, and the least number.
-REFRESH_S = 60.0
-MIN_REFRESH_S = 2.0
-# Longest time after a start, in seconds, for which a host waits for the store
-# before it is ready.
-LOADED_S = 1.0
 # Quarantines in force at once; the oldest end first.
 MAX_QUARANTINES = 1_000
 
@@ -108,13 +90,6 @@
         """Service and segments as one text."""
         return f"{self.service}/{'+'.join(self.segments)}"
 
-    @property
-    def record_key(self) -> str:
-        """Key of its record in the store."""
-        if len(self.key.encode()) <= ledgers.KEY_BYTES:
-            return self.key
-        return xxhash.xxh3_128_hexdigest(self.key.encode())
-
     def __str__(self) -> str:
         return (
             f"prompt segment {' with '.join(self.segments)} crashed"
@@ -122,10 +97,12 @@
         )
 
 
-@kernel.PARTS.register("host")
+@kernel.PARTS.register("entry", "batch")
 class SegmentQuarantine(kernel.Part):
     """Quarantines in force, shared by all hosts.
 
+    They last as long as one host that knows of them.
+
     Attributes:
       attribution: Crashes and answers known to this host.
       in_force: Quarantines by key.
@@ -134,28 +111,17 @@
         in wall-clock seconds; the least recent first.
       weigh_at: When reported crashes are to be weighed, in monotonic seconds.
       reported: Times of the last reports of crashes.
-      store_at: When to store a quarantine that is not yet stored, by key, in
-        monotonic seconds.
-      lifted: End of the last quarantine that an operator lifted, by key.
-      loaded: Whether the store has been read.
     """
 
     name: ClassVar[str] = "segment_quarantine"
-    requires: ClassVar[tuple[str, ...]] = (
-        "backends",
-        "engine_crashes",
-        "membership",
-        "peers",
-    )
+    requires: ClassVar[tuple[str, ...]] = ("membership", "peers")
 
     def __init__(self, context: kernel.Context) -> None:
         self.clock = context.clock
         self.rng = context.rng
         self.metrics: metrics_module.Metrics = context.metrics
-        self.ledger = context.part(backends.LedgerBackends).ledger
         self.members = context.part(membership.Membership)
         self.links = context.part(peers.Peers)
-        self.crashes = context.part(engine_crashes.EngineCrashes)
         self.attribution = crash_attribution.CrashAttribution()
         self.in_force: dict[str, Quarantine] = {}
         self.by_segment: dict[tuple[str, str], list[Quarantine]] = {}
@@ -164,12 +130,6 @@
         )
         self.weigh_at: collections.deque[float] = collections.deque()
         self.reported: collections.deque[float] = collections.deque()
-        self.store_at: dict[str, float] = {}
-        self.lifted: dict[str, float] = {}
-        self.loaded = False
-        self.started_at = self.clock.monotonic()
-        self.refresh_at = self.refreshed_at = -MIN_REFRESH_S
-        self.refreshing = False
         self.task: asyncio.Task[None] | None = None
 
     @classmethod
@@ -180,8 +140,6 @@
         self.members.on_fact(CRASH_FACT, self.on_crash_fact)
         self.members.on_fact(ANSWER_FACT, self.on_answer_fact)
         self.members.on_fact(QUARANTINE_FACT, self.on_quarantine_fact)
-        self.crashes.listen(self.on_crash)
-        self.crashes.listen_answers(self.on_answer)
         work = tasks.forever("quarantine of prompt segments", self.run)
         self.task = asyncio.get_running_loop().create_task(work)
 
@@ -189,12 +147,6 @@
         if self.task is not None:
             self.task.cancel()
 
-    def ready(self) -> str:
-        waited_s = self.clock.monotonic() - self.started_at
-        if self.loaded or waited_s > LOADED_S:
-            return ""
-        return "quarantines not read yet"
-
     # Interface to requests and items.
 
     def find(
@@ -232,8 +184,6 @@
             msgspec.to_builtins(report),
             crash_attribution.CRASH_TTL_S,
         )
-        # A host that is cut off from others learns of quarantines here.
-        self.refresh_at = min(self.refresh_at, self.refreshed_at)
 
     def on_answer(
         self, service: str, segments: tuple[str, ...], at: float
@@ -300,7 +250,7 @@
                 and quarantine.at < answer.at
             ):
                 self.end(quarantine, "it was answered since")
-                self.links.spawn(self.drop_record(quarantine))
+                self.on_refuted(quarantine)
 
     def on_quarantine_fact(self, fact: membership.Fact) -> None:
         """Take over a quarantine that a host has found."""
@@ -321,14 +271,13 @@
     async def run(self) -> None:
         """Weigh what is reported, and keep the store up to date."""
         while True:
-            self.decide()
-            self.store_due()
-            now = self.clock.monotonic()
-            if now >= self.refresh_at + MIN_REFRESH_S and not self.refreshing:
-                self.refreshing = True
-                self.links.spawn(self.refresh())
+            self.tick()
             await asyncio.sleep(TICK_S)
 
+    def tick(self) -> None:
+        """Do what is due; called about ten times a second."""
+        self.decide()
+
     def decide(self) -> None:
         """Begin and end quarantines that are due."""
         now = self.clock.wall()
@@ -336,7 +285,7 @@
             if quarantine.until <= now:
                 self.end(quarantine, "its time is over")
                 if self.is_first(quarantine.key):
-                    self.links.spawn(self.drop_record(quarantine))
+                    self.on_refuted(quarantine)
         if not self.weigh_at or self.weigh_at[0] > self.clock.monotonic():
             return
         while self.weigh_at and self.weigh_at[0] <= self.clock.monotonic():
@@ -374,23 +323,13 @@
         return shards.preferred(key, names) in (None, self.members.own_name)
 
     def put(self, quarantine: Quarantine) -> None:
-        """Put a quarantine in force, or take note that it is stored."""
-        key = quarantine.key
-        held = self.in_force.get(key)
-        if quarantine.until <= max(
-            self.clock.wall(), self.lifted.get(key, 0.0)
-        ):
+        """Put a quarantine in force unless it is already."""
+        if quarantine.until <= self.clock.wall():
             return
+        held = self.in_force.get(quarantine.key)
         if held is not None and (held.stored or not quarantine.stored):
             return
-        self.in_force[key] = quarantine
-        if quarantine.stored:
-            self.store_at.pop(key, None)
-        else:
-            delay_s = 0.0
-            if not self.is_first(key):
-                delay_s = STORE_DELAY_S + STORE_JITTER_S * self.rng.random()
-            self.store_at[key] = self.clock.monotonic() + delay_s
+        self.in_force[quarantine.key] = quarantine
         if held is None:
             LOG.warning(
                 "Requests are refused for {:.0f} s: {}.",
@@ -410,7 +349,6 @@
     def end(self, quarantine: Quarantine, why: str) -> None:
         """End a quarantine on this host."""
         del self.in_force[quarantine.key]
-        self.store_at.pop(quarantine.key, None)
         self.attribution.forget(
             crash_attribution.Culprit(
                 quarantine.service,
@@ -422,6 +360,9 @@
         self.index()
         LOG.notice("Requests are no longer refused, {}: {}.", why, quarantine)
 
+    def on_refuted(self, quarantine: Quarantine) -> None:
+        """Called where a quarantine has ended for good."""
+
     def index(self) -> None:
         """Renew what requests look quarantines up by."""
         self.by_segment = {}
@@ -435,66 +376,6 @@
             len(self.in_force),
         )
 
-    # The store.
-
-    def store_due(self) -> None:
-        """Store the quarantines that no other host has stored in time."""
-        now = self.clock.monotonic()
-        for key, at in list(self.store_at.items()):
-            if now >= at:
-                self.store_at[key] = now + STORE_DELAY_S + PAUSE_S
-                self.links.spawn(self.store(self.in_force[key]))
-
-    async def store(self, quarantine: Quarantine) -> None:
-        """Store a quarantine and tell the others so."""
-        kept = msgspec.structs.replace(quarantine, stored=True)
-        if await self.write(kept, msgspec.json.encode(kept)):
-            self.put(kept)
-            self.publish(kept)
-
-    async def drop_record(self, quarantine: Quarantine) -> None:
-        """Drop the record of a quarantine that has ended."""
-        await self.write(quarantine, b"")
-
-    async def write(self, quarantine: Quarantine, value: bytes) -> bool:
-        """Write a record; return whether the store has certainly done so."""
-        record = ledgers.LedgerRecord(quarantine.record_key, value)
-        try:
-            await self.ledger.append(TOPIC, 0, [record])
-        except errors.LogError as error:
-            LOG.info("Record of {} not written: {}", quarantine.key, error)
-            return False
-        return True
-
-    def jitter(self, seconds: float) -> float:
-        """Return a time that differs from host to host."""
-        return seconds * self.rng.uniform(0.5, 1.5)
-
-    async def refresh(self) -> None:
-        """Read the quarantines in the store."""
-        begun_at = self.clock.monotonic()
-        stored = {key for key, q in self.in_force.items() if q.stored}
-        try:
-            page = await self.ledger.newest(TOPIC)
-        except errors.LogError as error:
-            LOG.info("Quarantines not read: {}", error)
-            self.refresh_at = begun_at + self.jitter(PAUSE_S) - MIN_REFRESH_S
-            return
-        finally:
-            self.refreshing = False
-        self.loaded = True
-        self.refreshed_at = begun_at
-        self.refresh_at = begun_at + self.jitter(REFRESH_S) - MIN_REFRESH_S
-        found = [decode(record) for record in page.records]
-        for quarantine in found:
-            if quarantine is not None:
-                self.put(quarantine)
-        for key in stored - {q.key for q in found if q is not None}:
-            quarantine = self.in_force.get(key)
-            if quarantine is not None:
-                self.lifted[key] = quarantine.until
-                self.end(quarantine, "its record has been deleted")
-
 
 def report_of(crash: engine_crashes.Crash) -> crash_attribution.CrashReport:
     """Return the report of a crash, as large as a fact may be."""
@@ -507,12 +388,3 @@
     return crash_attribution.CrashReport(
         crash.service, crash.engine, crash.at, tuple(attempts)
     )
-
-
-def decode(record: ledgers.LedgerRecord) -> Quarantine | None:
-    """Return the quarantine of a record, or None if it cannot be read."""
-    try:
-        return msgspec.json.decode(record.value, type=Quarantine)
-    except msgspec.DecodeError as error:
-        LOG.error("Invalid record {}: {}", record.key, error)
-        return None
--- a/tests/test_segment_quarantine.py
+++ b/tests/test_segment_quarantine.py
@@ -10,6 +10,7 @@
 from camphortray import crash_attribution
 from camphortray import ledger
 from camphortray import segment_quarantine
+from camphortray import stored_quarantine
 from tests import platformkit
 from tests import test_platform_jobs
 
@@ -217,8 +218,8 @@
         await platform.until(lambda: stored(platform))
         for engine in platform.engines.values():
             engine.deadly = frozenset()
-        monkeypatch.setattr(segment_quarantine, "REFRESH_S", 0.1)
-        monkeypatch.setattr(segment_quarantine, "MIN_REFRESH_S", 0.05)
+        monkeypatch.setattr(stored_quarantine, "REFRESH_S", 0.1)
+        monkeypatch.setattr(stored_quarantine, "MIN_REFRESH_S", 0.05)
         for host in platform.hosts:
             host.part(segment_quarantine.SegmentQuarantine).refresh_at = 0.0
         (key,) = stored(platform)
