Soak: engines that crash under a segment, requests with it at all hosts

Odd seeds send requests that crash engines, no two alike, beside sound ones that share their first segment. Two checks: of them no more than three reach engines through hosts in touch later than 3 s after the fifth crash, and half of the sound ones or more are answered after that. A host is in touch if no fault of its own, of its links or of the store has met it for 3 s, as the target has it.

--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -12,6 +12,11 @@
 FAULT = frozenset({502, 504})
 UNSURE = FAULT | {0, 500, 503}
 DONE = "completed"
+# Crashes under a segment after which it has to be known, the seconds by which
+# hosts in touch know it, and the requests with it that may reach engines then.
+MAX_CRASHES, WINDOW_S, MAX_LATER = 5, 3.0, 3
+# Sound requests from which their share of answers is told.
+MIN_SOUND = 20
 
 
 @dataclasses.dataclass
@@ -31,6 +36,7 @@
       leaves: Whether that host is the one it was sent to.
       stream: Attempt that began its stream; empty if it cannot be resumed.
       versions: Software versions that made what came of it.
+      sent_at: When it was sent, in monotonic seconds.
     """
 
     attempt: str
@@ -45,6 +51,7 @@
     leaves: bool = False
     stream: str = ""
     versions: set[str] = dataclasses.field(default_factory=set)
+    sent_at: float = 0.0
 
 
 @dataclasses.dataclass
@@ -108,6 +115,10 @@
       bound_s: Longest that may take.
       graceful: Whether the host told to end did so in its grace.
       most: Engines to which one request may be sent.
+      deadly: Requests that crash engines, as they reached one.
+      deadly_hosts: Host that each was sent to, by attempt.
+      disturbed: Host, begin and end of each fault; an empty name stands for
+        all hosts.
     """
 
     hosts: tuple[str, ...] = ()
@@ -118,6 +129,20 @@
     bound_s: float = 60.0
     graceful: bool = True
     most: int = 2
+    deadly: list[tuple[str, float, bool]] = dataclasses.field(
+        default_factory=list
+    )
+    deadly_hosts: dict[str, str] = dataclasses.field(default_factory=dict)
+    disturbed: list[tuple[str, float, float]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def in_touch(self, host: str, at: float) -> bool:
+        """Return whether a host has been without a fault for the window."""
+        return not any(
+            name in ("", host) and begin <= at and end >= at - WINDOW_S
+            for name, begin, end in self.disturbed
+        )
 
 
 class Verdict:
@@ -143,6 +168,7 @@
     for question in seen.questions:
         check_question(question, runs[question.attempt], seen.most, verdict)
     check_streams(seen.questions, verdict)
+    check_deadly(seen, verdict)
     for job in seen.jobs:
         check_job(job, verdict)
         if job.accepted:
@@ -220,6 +246,38 @@
         )
 
 
+def check_deadly(seen: Seen, verdict: Verdict) -> None:
+    """Check that a segment that crashes engines is held back, and it alone."""
+    crashed = sorted(at for _, at, crashes in seen.deadly if crashes)
+    if not crashed:
+        return
+    known_at = crashed[:MAX_CRASHES][-1] + WINDOW_S
+    later = [
+        (attempt, host, round(at - known_at, 2))
+        for attempt, at, _ in seen.deadly
+        for host in [seen.deadly_hosts[attempt]]
+        if at > known_at and seen.in_touch(host, at)
+        if len(crashed) >= MAX_CRASHES
+    ]
+    verdict.expect(
+        "a deadly segment is held back", len(later) <= MAX_LATER, later
+    )
+    sound = [
+        question.status == 200
+        for question in seen.questions
+        if question.sent_at > known_at + WINDOW_S
+        and question.attempt not in seen.deadly_hosts
+        and not question.last
+        and seen.in_touch(question.host, question.sent_at)
+    ]
+    if len(sound) >= MIN_SOUND:
+        verdict.expect(
+            "sound requests with a shared segment are served",
+            2 * sum(sound) >= len(sound),
+            f"{sum(sound)} of {len(sound)}",
+        )
+
+
 def check_job(job: Job, verdict: Verdict) -> None:
     """Check all that was read of one job, in any order of positions."""
     held: dict[int, tuple[str, str, str]] = {}
--- a/bench/soak/load.py
+++ b/bench/soak/load.py
@@ -21,6 +21,8 @@
 
 QUESTION_S = 0.1
 JOB_S = 0.6
+# Mean time from one request that crashes engines to the next.
+DEADLY_S = 0.7
 LOOK_S = 0.5
 DEADLINE_S = 5.0
 TIMEOUTS = httpclient.Timeouts(1.0, DEADLINE_S + 1.5, DEADLINE_S + 1.5)
@@ -49,6 +51,7 @@
       last: Whether all faults have ended.
       calm: Whether nothing goes wrong but that one host leaves.
       leaves: Its name, or "".
+      deadly: Whether requests come that crash engines.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         self.ways = ways
         self.seen = seen
         self.last = self.calm = False
+        self.deadly = seed % 2 == 1
         self.leaves = ""
         self.count = 0
         self.kept = httpclient.HttpClient(TIMEOUTS)
@@ -75,6 +79,8 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.send_questions())
             group.create_task(self.send_jobs())
+            if self.deadly:
+                group.create_task(self.send_deadly())
 
     async def send_questions(self) -> None:
         """Send questions at random times."""
@@ -88,6 +94,22 @@
             await asyncio.sleep(self.rng.expovariate(1 / JOB_S))
             self.spawn(self.bring())
 
+    async def send_deadly(self) -> None:
+        """Send requests that crash engines, no two alike, to all hosts."""
+        while True:
+            await asyncio.sleep(self.rng.expovariate(1 / DEADLY_S))
+            attempt = self.next_id("d")
+            host = self.rng.choice(list(self.ways))
+            self.seen.deadly_hosts[attempt] = host
+            question = checker.Question(attempt, False, host, "")
+            prompt = standins.prompt_of(
+                attempt, standins.SHARED, standins.DEADLY
+            )
+            path = platformkit.STREAM_PREFIX
+            self.spawn(
+                self.send(question, self.fresh, path, [(names.PREFIX, prompt)])
+            )
+
     def next_id(self, kind: str) -> str:
         """Return an id that was not used before."""
         self.count += 1
@@ -126,16 +148,23 @@
     ) -> None:
         """Send a question and read its answer, or its beginning."""
         self.seen.questions.append(question)
-        headers = [
-            ("host", platformkit.HOST_NAME),
-            (names.ATTEMPT, question.attempt),
-            (names.DEADLINE, str(round(DEADLINE_S * 1000))),
-            *more,
-        ]
+        question.sent_at = time.monotonic()
+        shared = standins.prompt_of(question.attempt, standins.SHARED)
+        headers = {
+            "host": platformkit.HOST_NAME,
+            names.ATTEMPT: question.attempt,
+            names.DEADLINE: str(round(DEADLINE_S * 1000)),
+            names.PREFIX: shared,
+            **dict(more),
+        }
         text = ""
         try:
             response = await client.request(
-                self.ways[question.host], "POST", path + "x", headers, BODY
+                self.ways[question.host],
+                "POST",
+                path + "x",
+                tuple(headers.items()),
+                BODY + question.attempt.encode(),
             )
             question.status = response.status
             try:
@@ -206,7 +235,10 @@
             {
                 "id": item,
                 "path": path,
-                "headers": {"Model": "m"},
+                "headers": {
+                    "Model": "m",
+                    names.PREFIX: standins.prompt_of(item, standins.SHARED),
+                },
                 "body": base64.b64encode(item.encode()).decode(),
                 "tokens": 10,
             }
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import json
+import math
 import pathlib
 import random
 import signal
@@ -37,6 +38,8 @@
 BOUND_S = 60.0
 # Without faults, before and after one host is told to end.
 CALM_S = 1.0
+# Time from a crash of an engine under a request to its next start.
+DOWN_S = (1.0, 3.0)
 
 
 def milliseconds() -> int:
@@ -78,6 +81,7 @@
         }
         self.versions = random.Random(f"versions/{seed}")
         for number, engine in enumerate(self.engines.values()):
+            engine.on_crash = self.on_crash
             engine.version = standins.VERSIONS[number % len(standins.VERSIONS)]
         if len(self.engines) > 1:
             slow = self.site.engines[-1]
@@ -206,6 +210,7 @@
             await callers.stop()
         for engine in self.engines.values():
             self.seen.runs += engine.log
+            self.seen.deadly += engine.deadly_log
 
     async def drain(self, callers: load.Load) -> None:
         """Tell one host to end while nothing else goes wrong."""
@@ -236,6 +241,8 @@
             host.busy = True
         self.note(f"begins: {action}")
         self.done[action.kind] = self.done.get(action.kind, 0) + 1
+        begun_at = time.monotonic()
+        self.disturb(action, begun_at, math.inf)
         if host is not None and action.kind != "refuse-one":
             await self.hit(host, action)
             host.busy = False
@@ -251,6 +258,21 @@
         else:
             await self.hit_store(action)
         self.note(f"ends: {action}")
+        self.disturb(action, begun_at, time.monotonic())
+
+    def disturb(
+        self, action: schedule.Action, begun_at: float, ended_at: float
+    ) -> None:
+        """Keep which hosts a fault disturbs, and when."""
+        hosts_hit = {action.target, *action.target.split(">")}
+        hosts_hit &= set(self.site.hosts)
+        if schedule.STORE == action.target:
+            hosts_hit = {""}
+        for host in hosts_hit:
+            begun = (host, begun_at, math.inf)
+            if begun in self.seen.disturbed:
+                self.seen.disturbed.remove(begun)
+            self.seen.disturbed.append((host, begun_at, ended_at))
 
     async def hit(
         self, host: hosts.HostProcess, action: schedule.Action
@@ -278,6 +300,13 @@
         await asyncio.sleep(action.length_s)
         await self.begin_engine(engine)
 
+    def on_crash(self, engine: platformkit.EngineStandin) -> None:
+        """End an engine under a request, and start it again."""
+        length_s = self.versions.uniform(*DOWN_S)
+        action = schedule.Action(0.0, "crash", engine.name, "", length_s)
+        self.note(f"{engine.name} crashes under a request")
+        self.spawn(self.crash(action))
+
     async def end_engine(self, engine: standins.Engine) -> None:
         """End an engine without a word."""
         engine.up = False
--- a/bench/soak/standins.py
+++ b/bench/soak/standins.py
@@ -1,6 +1,16 @@
 """The store and the engines of a soak, with faults."""
 
-__all__ = ["Engine", "Store", "VERSIONS", "events_of", "split", "text_of"]
+__all__ = [
+    "DEADLY",
+    "Engine",
+    "SHARED",
+    "Store",
+    "VERSIONS",
+    "events_of",
+    "prompt_of",
+    "split",
+    "text_of",
+]
 
 import asyncio
 import itertools
@@ -35,6 +45,8 @@
 # Software versions of engines. Each event of an engine ends with its version,
 # so that callers see which made it.
 VERSIONS = ("v1", "v2")
+# Prompt segments: one that all requests share, and one that crashes engines.
+SHARED, DEADLY = "5c1e07a2", "91bd3f06"
 MARK = re.compile(r"@(v[0-9]+)")
 (ONCE_KIND,) = (
     name
@@ -64,6 +76,12 @@
     return f"{attempt}.{number}"
 
 
+def prompt_of(attempt: str, *segments: str) -> str:
+    """Return the header that lists the segments of a prompt."""
+    own = zlib.crc32(attempt.encode())
+    return ",".join(f"{each}:100" for each in (*segments, f"{own:08x}"))
+
+
 def split(text: str) -> tuple[str, set[str]]:
     """Return a text without the versions in it, and these.
 
@@ -169,8 +187,12 @@
       sequence: Number of its last entry.
       pace_s: Seconds between two events.
       log: Attempt, position behind which it ran, and life, in order.
+      deadly_log: Attempt and time of each request that crashes it, and
+        whether it did, as the first in its life.
     """
 
+    deadly = frozenset({DEADLY})
+
     def __init__(self, name: str, born: int) -> None:
         super().__init__(name)
         self.born = born
@@ -178,6 +200,7 @@
         self.sequence = 0
         self.pace_s = PACE_S
         self.log: list[tuple[str, int, str]] = []
+        self.deadly_log: list[tuple[str, float, bool]] = []
 
     async def handle(self, request: Any, response: Any) -> None:
         if self.running >= SLOTS + QUEUE:
@@ -194,6 +217,11 @@
         version = self.version
         self.log.append((attempt, after, f"{self.name}~{self.born}"))
         self.ran.clear()
+        if fault == "crash":
+            self.deadly_log.append((attempt, time.monotonic(), self.up))
+            self.on_crash(self)
+            # Its connections are closed as it ends.
+            await asyncio.Event().wait()
         response.start(200, [*base, ("Content-Type", "text/event-stream")])
         self.running += 1
         try:
