Do not take an empty answer for the rest of a stream

What callers would see: a stream or the text of an item that ends early and looks complete. An answer without a length or chunks ends with its connection, as it also does when its engine crashes. If that came when another engine went on with a broken stream, before its first event, the events of the engine before made the answer count as whole.

An answer whose end is not marked and that brings nothing is broken now. One whose end is marked still is the rest of a stream of which only the end was missing.

Both tests failed before: 200 in place of an answer cut off, and an item done with two of its five events.

--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -202,8 +202,11 @@
       status: HTTP status.
       content_type: Media type.
       headers: End-to-end headers, without those of the connection.
+      end_marked: Whether a length or chunks show where it ends; else it ends
+        with its connection, as it also does when the engine crashes.
     """
 
+    end_marked: bool = True
     status: int = 200
     content_type: str = "application/json"
     headers: tuple[tuple[str, str], ...] = ()
--- a/camphortray/httpstream.py
+++ b/camphortray/httpstream.py
@@ -18,6 +18,10 @@
         self.status = response.status
         self.content_type = response.headers.get("content-type", "")
         self.headers = headers
+        coding = response.headers.get("transfer-encoding", "")
+        self.end_marked = (
+            "content-length" in response.headers or "chunked" in coding.lower()
+        )
 
     async def read(self, timeout_s: float) -> bytes:
         return await self.response.read(timeout_s)
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -598,7 +598,9 @@
                 limit_s = EVENT_TIMEOUT_S
         finally:
             stream.close()
-        if self.reader.tail or not self.reader.count:
+        # Events of earlier runs do not make an empty answer whole.
+        empty = self.reader.count == made and not stream.end_marked
+        if empty or self.reader.tail or not self.reader.count:
             raise errors.UpstreamBroken(
                 "stream ended before or within an event",
                 ran=True,
--- a/camphortray/proxy_exchange.py
+++ b/camphortray/proxy_exchange.py
@@ -249,7 +249,9 @@
             limit_s = self.silence_limit_s()
             while not await stream.pipe(sink, limit_s):
                 await response.flush()
-        if not framing.whole:
+        # Events of the engines before do not make an empty answer whole.
+        empty = not first and not stream.end_marked
+        if empty or not framing.whole:
             raise errors.UpstreamBroken(
                 "the stream ended early",
                 ran=True,
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -36,8 +36,9 @@
 class Answer(engine.MemoryStream):
     """A stream of given chunks and errors."""
 
-    def __init__(self, chunks, status=200, headers=STAMP):
+    def __init__(self, chunks, status=200, headers=STAMP, end_marked=True):
         super().__init__(list(chunks))
+        self.end_marked = end_marked
         self.status = status
         self.headers = headers
         self.content_type = dict(headers).get("content-type", "")
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -463,3 +463,23 @@
     assert len(parts.slots.wants) == wants
     assert len(parts.backends.party.seen) == sent
     assert len(parts.slots.ends) == wants
+
+
+@pytest.mark.parametrize(
+    ("chunks", "end_marked", "status"),
+    [
+        # The engine crashes as it goes on, before its first event.
+        ([], False, 0),
+        ([b"id: 3\nda"], False, 0),
+        # The caller had all events but the end.
+        ([], True, 200),
+        (hostkit.events(3, 4), False, 200),
+    ],
+)
+async def test_a_stream_that_goes_on_with_nothing_is_not_whole(
+    chunks, end_marked, status
+):
+    resumed = hostkit.Answer(chunks, end_marked=end_marked)
+    script = [answer(*TWO, hostkit.BROKEN), resumed]
+    forwarding = forwarder_of(script, hostkit.RESUMABLE)
+    assert await outcome(forwarding) == status
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -397,3 +397,17 @@
     )
     await work.run()
     assert work.parts.slots.ends[0] is outcome
+
+
+async def test_an_item_that_goes_on_with_nothing_is_not_done():
+    # The engine crashes before its first event; its answer has no length.
+    nothing = hostkit.Answer([], end_marked=False)
+    work = work_of(
+        [
+            hostkit.Answer([*hostkit.events(1, 2), hostkit.BROKEN]),
+            nothing,
+            hostkit.Answer(hostkit.events(3, 5), end_marked=False),
+        ]
+    )
+    assert (await work.run()).text == text(5)
+    assert resume_points(work) == ["", "2", "2"]
