Blame the segment further back, and take facts in any order

A host that joins receives the reports of answers before or after those of crashes; it dropped answers that no crash known to it blamed, and would have quarantined the segment that all requests share, for all hosts. Answers are kept for as long as crashes now, and of several reported at once the last one wins. A quarantine that an answer has refuted is not taken over again.

Where nothing had been answered on the first segment yet, as on a new route, it had all crashes of the bad ones behind it and was quarantined in their place; with its own requests refused no answer could have cleared it. A segment now needs two crashes that none further back explains.

--- a/camphortray/crash_attribution.py
+++ b/camphortray/crash_attribution.py
@@ -16,6 +16,8 @@
 # explain.
 MIN_CRASHES = 3
 MIN_REQUESTS = 2
+# Crashes of a segment that none further back in the prompts explains.
+MIN_UNEXPLAINED = 2
 # Seconds after a crash until answers that clear its segments are known.
 SETTLE_S = 1.0
 # Difference between the clocks by which that is measured, in seconds.
@@ -94,21 +96,25 @@
 
     Attributes:
       requests: Digests of the requests without an answer, by segment.
+      positions: Foremost position of each segment in their prompts.
     """
 
     def __init__(self, engine: str, at: float) -> None:
         self.engine = engine
         self.at = at
         self.requests: dict[str, set[str]] = {}
+        self.positions: dict[str, int] = {}
 
     def add(self, report: CrashReport) -> None:
         """Add what another host reports of it."""
         for attempt in report.attempts:
-            for segment in attempt.segments:
+            for position, segment in enumerate(attempt.segments):
                 if len(self.requests) < MAX_SEGMENTS:
                     self.requests.setdefault(segment, set())
                 if segment in self.requests:
                     self.requests[segment].add(attempt.request)
+                    held = self.positions.get(segment, position)
+                    self.positions[segment] = min(held, position)
 
 
 class CrashAttribution:
@@ -117,7 +123,8 @@
     Attributes:
       crashes: Crashes by service, in the order in which they were reported.
       answered_at: When a segment was last known to be answered, by service and
-        segment, in wall-clock seconds; only of segments that a crash blames.
+        segment, in wall-clock seconds; only of segments that a crash blames
+        somewhere.
     """
 
     def __init__(self) -> None:
@@ -147,8 +154,6 @@
           segment: Prompt segment of the request.
           at: When the answer began, in wall-clock seconds.
         """
-        if not any(segment in crash.requests for crash in self.of(service)):
-            return
         key = service, segment
         self.answered_at[key] = max(at, self.answered_at.get(key, at))
 
@@ -175,9 +180,9 @@
                 self.crashes[service] = kept
             else:
                 del self.crashes[service]
-        for service, segment in list(self.answered_at):
-            if not any(segment in c.requests for c in self.of(service)):
-                del self.answered_at[service, segment]
+        for key, at in list(self.answered_at.items()):
+            if now - at >= CRASH_TTL_S:
+                del self.answered_at[key]
 
     def forget(self, culprit: Culprit) -> None:
         """Forget what has been held against segments."""
@@ -201,30 +206,56 @@
         """Return the segments that crash engines of a service."""
         held = self.implicated(service, now)
         answered = {s for s in held if (service, s) in self.answered_at}
-        unanswered = held.keys() - answered
-        found = groups({segment: held[segment] for segment in unanswered})
+        unanswered = groups(
+            {s: numbers for s, numbers in held.items() if s not in answered}
+        )
+        found = [
+            group
+            for group in unanswered
+            if len(group.crashes - self.explained(service, group, unanswered))
+            >= MIN_UNEXPLAINED
+        ]
         # A segment that has been answered is at fault only for crashes that
         # none of the others explains.
-        left = {
-            segment: held[segment]
-            for segment in answered
-            if all(
-                len(held[segment] - held[other]) >= MIN_CRASHES
-                for other in unanswered
-            )
-        }
-        found += groups(left)
+        explained = union(unanswered)
+        found += [
+            group
+            for group in groups({s: held[s] for s in answered})
+            if len(group.crashes - explained) >= MIN_CRASHES
+        ]
         crashes = self.of(service)
         return [
             Culprit(
                 service,
-                frozenset(segments),
-                max(crashes[number].at for number in numbers),
-                len(numbers),
+                group.segments,
+                max(crashes[number].at for number in group.crashes),
+                len(group.crashes),
             )
-            for segments, numbers in found
+            for group in found
         ]
 
+    def explained(
+        self, service: str, group: "Group", groups: Iterable["Group"]
+    ) -> frozenset[int]:
+        """Return the crashes that segments further back in prompts explain.
+
+        Requests share more the further in front a segment stands, so that one
+        in front has the crashes of all bad ones behind it.
+        """
+        depth = self.depth(service, group)
+        return union(
+            other for other in groups if self.depth(service, other) > depth
+        )
+
+    def depth(self, service: str, group: "Group") -> int:
+        """Return the foremost position of segments in prompts."""
+        return min(
+            crash.positions[segment]
+            for crash in self.of(service)
+            for segment in group.segments
+            if segment in crash.positions
+        )
+
     def implicated(
         self, service: str, now: float
     ) -> dict[str, frozenset[int]]:
@@ -268,19 +299,21 @@
                 yield segment
 
 
-def groups(
-    held: dict[str, frozenset[int]],
-) -> list[tuple[set[str], frozenset[int]]]:
-    """Return the segments that explain most, with their crashes.
+class Group(msgspec.Struct, frozen=True):
+    """Segments with the same crashes, by their indices."""
+
+    segments: frozenset[str]
+    crashes: frozenset[int]
 
-    Segments with the same crashes stand together. One whose crashes are all
-    explained by another that explains more is left out.
 
-    >>> groups({"a": frozenset({1}), "b": frozenset({1, 2})})
-    [({'b'}, frozenset({1, 2}))]
-    """
+def groups(held: dict[str, frozenset[int]]) -> list[Group]:
+    """Return the segments that no crash tells apart, with their crashes."""
     found: dict[frozenset[int], set[str]] = {}
     for segment, numbers in sorted(held.items()):
-        if not any(numbers < other for other in held.values()):
-            found.setdefault(numbers, set()).add(segment)
-    return [(segments, numbers) for numbers, segments in found.items()]
+        found.setdefault(numbers, set()).add(segment)
+    return [Group(frozenset(s), numbers) for numbers, s in found.items()]
+
+
+def union(found: Iterable[Group]) -> frozenset[int]:
+    """Return the crashes of all groups."""
+    return frozenset().union(*(group.crashes for group in found))
--- a/camphortray/segment_quarantine.py
+++ b/camphortray/segment_quarantine.py
@@ -44,7 +44,7 @@
 # Characters of the digest of a request in a report.
 DIGEST_LENGTH = 8
 # Segments whose last answer is remembered.
-MAX_ANSWERED = 10_000
+MAX_ANSWERED = 2_000
 # Quarantines in force at once; the oldest end first.
 MAX_QUARANTINES = 1_000
 
@@ -118,6 +118,7 @@
     def __init__(self, context: kernel.Context) -> None:
         self.clock = context.clock
         self.rng = context.rng
+        self.program = context.program
         self.metrics: metrics_module.Metrics = context.metrics
         self.members = context.part(membership.Membership)
         self.links = context.part(peers.Peers)
@@ -208,11 +209,15 @@
             service, segment, at
         ):
             return
-        self.members.publish(
-            ANSWER_FACT,
-            f"{service}/{segment}",
-            msgspec.to_builtins(SegmentAnswer(service, segment, at)),
-            crash_attribution.CRASH_TTL_S,
+        # The last answer is to win, whichever host reports it first.
+        self.members.offer(
+            membership.Fact(
+                ANSWER_FACT,
+                f"{service}/{segment}",
+                round(at * 1000),
+                msgspec.to_builtins(SegmentAnswer(service, segment, at)),
+                crash_attribution.CRASH_TTL_S,
+            )
         )
 
     # What hosts report.
@@ -248,13 +253,18 @@
             answer.service, answer.segment, answer.at
         )
         for quarantine in list(self.in_force.values()):
-            if (
-                quarantine.service == answer.service
-                and quarantine.segments == (answer.segment,)
-                and quarantine.at < answer.at
-            ):
+            if self.is_refuted(quarantine):
                 self.end(quarantine, "it was answered since")
-                self.on_refuted(quarantine)
+                if self.is_first(quarantine.key):
+                    self.on_refuted(quarantine)
+
+    def is_refuted(self, quarantine: Quarantine) -> bool:
+        """Return whether an answer began after the last crash."""
+        if len(quarantine.segments) > 1:
+            return False
+        key = quarantine.service, quarantine.segments[0]
+        at = self.attribution.answered_at.get(key)
+        return at is not None and at > quarantine.at
 
     def on_quarantine_fact(self, fact: membership.Fact) -> None:
         """Take over a quarantine that a host has found."""
@@ -323,12 +333,14 @@
 
     def is_first(self, key: str) -> bool:
         """Return whether this host is to act on a quarantine before others."""
-        names = [member.name for member in self.members.live("host")]
+        names = [member.name for member in self.members.live(self.program)]
         return shards.preferred(key, names) in (None, self.members.own_name)
 
     def put(self, quarantine: Quarantine) -> None:
         """Put a quarantine in force unless it is already."""
-        if quarantine.until <= self.clock.wall():
+        if quarantine.until <= self.clock.wall() or self.is_refuted(
+            quarantine
+        ):
             return
         held = self.in_force.get(quarantine.key)
         if held is not None and (held.stored or not quarantine.stored):
--- a/camphortray/stored_quarantine.py
+++ b/camphortray/stored_quarantine.py
@@ -157,6 +157,8 @@
         finally:
             self.refreshing = False
         self.loaded = True
+        now = self.clock.wall()
+        self.lifted = {k: at for k, at in self.lifted.items() if at > now}
         self.refreshed_at = begun_at
         self.refresh_at = begun_at + self.jitter(REFRESH_S) - MIN_REFRESH_S
         found = [decode(record) for record in page.records]
