--- a/camphortray/engine_crashes.py
+++ b/camphortray/engine_crashes.py
@@ -1,6 +1,6 @@
 """Tells crashes of engines from connections that broke, and logs them."""
 
-__all__ = ["EngineCrashes"]
+__all__ = ["EngineCrashes", "logged"]
 
 import asyncio
 from collections.abc import Callable
@@ -26,6 +26,8 @@
 PROBE_TIMEOUT_S = 1.0
 # Attempts of one crash that are logged and reported.
 MAX_ATTEMPTS = 16
+# Prompt segments of one attempt that a log line names.
+MAX_LOGGED_SEGMENTS = 16
 
 
 @kernel.PARTS.register("host")
@@ -138,7 +140,9 @@
             len(attempts),
             fields={
                 "service": crash.service,
-                "prompt_segments": [list(each.segments) for each in attempts],
+                "prompt_segments": [
+                    logged(each.segments) for each in attempts
+                ],
             },
         )
         self.metrics.inc(
@@ -175,6 +179,11 @@
         return bool(born and state.incarnation not in (0, born))
 
 
+def logged(segments: tuple[str, ...]) -> list[str]:
+    """Return the prompt segments that a log line names."""
+    return list(segments[:MAX_LOGGED_SEGMENTS])
+
+
 def breaks(error: BaseException | None) -> bool:
     """Return whether an attempt ended as it would in a crash of its engine.
 
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -543,7 +543,9 @@
             fields={
                 **early_end.fields_of(error),
                 "events": self.reader.count,
-                "prompt_segments": list(self.request.segments),
+                "prompt_segments": engine_crashes.logged(
+                    self.request.segments
+                ),
             },
         )
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -473,7 +473,7 @@
                 "last_event": self.reader.last,
                 "run": self.number,
                 "version": lease.upstream.version,
-                "prompt_segments": list(self.segments),
+                "prompt_segments": engine_crashes.logged(self.segments),
                 **early_end.fields_of(error),
             },
         )
