Soak: signal hosts without reaping them

Popen.send_signal polls its process first and reaps one that has just ended, here by SIGKILL; the watcher of the loop then finds none and makes up the code 255, which counts as an end that nobody asked for. The host's log has no end of its own. Signals are sent by pid now.

--- a/bench/soak/hosts.py
+++ b/bench/soak/hosts.py
@@ -3,6 +3,7 @@
 __all__ = ["HostProcess"]
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -84,7 +85,10 @@
     def signal(self, number: int) -> None:
         """Send it a signal, if it still runs."""
         if self.process is not None and self.running:
-            self.process.send_signal(number)
+            # ``send_signal`` may reap a process that has just ended, whose
+            # exit code is then lost to the watcher of the loop.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def kill(self) -> None:
         """End it by force."""
