--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bench import crash_attribution as bench
 from camphortray import crash_attribution
 
 S = "s"
@@ -172,3 +173,9 @@
     found.prune(NOW + 2 * crash_attribution.CRASH_TTL_S)
     assert not found.crashes
     assert not found.answered_at
+
+
+def test_its_bench_runs(capsys):
+    # Pages name it, and nothing else starts it.
+    bench.main()
+    assert "a request without a crash" in capsys.readouterr().out
