--- a/tests/test_segment_quarantine.py
+++ b/tests/test_segment_quarantine.py
@@ -57,6 +57,12 @@
             if await self.call(*segments) == 503:
                 await self.call(SHARED)
 
+    async def until_answered(self, *segments):
+        """Send requests until one is answered; engines may not be up yet."""
+        async with asyncio.timeout(platformkit.READY_S):
+            while await self.call(*segments) != 200:
+                await asyncio.sleep(0.05)
+
     async def for_window(self):
         """Send sound requests while hosts learn; return their statuses."""
         loop = asyncio.get_running_loop()
@@ -260,3 +266,33 @@
         await callers.for_window()
         assert await callers.call(SHARED, DEADLY) == 200
         assert not any(map(quarantines, platform.hosts))
+
+
+async def test_the_segment_that_all_share_is_never_blamed():
+    # Engines are lost together, again and again, under requests that have no
+    # answer yet, beside the segment that crashes them.
+    async with platform_of(hosts=3) as platform:
+        callers = Callers(platform)
+        engines = platform.engines
+        for _ in range(4):
+            await callers.until_answered(SHARED)
+            for engine in engines.values():
+                engine.always = "wait"
+            cut_off = [
+                asyncio.ensure_future(callers.call(SHARED)) for _ in range(12)
+            ]
+            await platform.until(
+                lambda: sum(e.running for e in engines.values()) > 2
+            )
+            for engine in list(engines.values()):
+                engine.always = ""
+                if engine.running:
+                    platform.crash(engine)
+            await asyncio.gather(*cut_off)
+            await platform.until(lambda: not platform.restarts)
+            if not quarantined(platform.hosts[0]):
+                await callers.until_crashes(1, SHARED, DEADLY)
+        await platform.until(lambda: all(map(quarantined, platform.hosts)))
+        await callers.until_answered(SHARED)
+        key = f"{platformkit.SERVICE}/{DEADLY}"
+        assert {k for h in platform.hosts for k in quarantines(h)} == {key}
