--- a/camphortray/segment_quarantine.py
+++ b/camphortray/segment_quarantine.py
@@ -256,7 +256,7 @@
             if self.is_refuted(quarantine):
                 self.end(quarantine, "it was answered since")
                 if self.is_first(quarantine.key):
-                    self.on_refuted(quarantine)
+                    self.on_ended(quarantine)
 
     def is_refuted(self, quarantine: Quarantine) -> bool:
         """Return whether an answer began after the last crash."""
@@ -299,7 +299,7 @@
             if quarantine.until <= now:
                 self.end(quarantine, "its time is over")
                 if self.is_first(quarantine.key):
-                    self.on_refuted(quarantine)
+                    self.on_ended(quarantine)
         if not self.weigh_at or self.weigh_at[0] > self.clock.monotonic():
             return
         while self.weigh_at and self.weigh_at[0] <= self.clock.monotonic():
@@ -376,8 +376,8 @@
         self.index()
         LOG.notice("Requests are no longer refused, {}: {}.", why, quarantine)
 
-    def on_refuted(self, quarantine: Quarantine) -> None:
-        """Called where a quarantine has ended for good."""
+    def on_ended(self, quarantine: Quarantine) -> None:
+        """Called on one host when a quarantine has ended for all."""
 
     def index(self) -> None:
         """Renew what requests look quarantines up by."""
--- a/camphortray/stored_quarantine.py
+++ b/camphortray/stored_quarantine.py
@@ -46,6 +46,10 @@
         monotonic seconds.
       lifted: End of the last quarantine that an operator lifted, by key.
       loaded: Whether the store has been read.
+      refresh_at: When to read it again, in monotonic seconds, but for
+        ``MIN_REFRESH_S``.
+      refreshed_at: When the last read began.
+      refreshing: Whether a read is under way.
     """
 
     requires: ClassVar[tuple[str, ...]] = (
@@ -112,7 +116,7 @@
         super().end(quarantine, why)
         self.store_at.pop(quarantine.key, None)
 
-    def on_refuted(self, quarantine: Quarantine) -> None:
+    def on_ended(self, quarantine: Quarantine) -> None:
         self.links.spawn(self.write(quarantine, b""))
 
     def store_due(self) -> None:
