Review: owners that decide alone accept more than a route's cap

Cause: an owner that reaches neither quota host takes the share of its partitions for its limit, and does not count what waits at others.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -134,6 +134,8 @@
         self.control = f"{self.ip}:{rig.ports['control']}"
         self.file = rig.folder / f"host-{number}.toml"
         self.process: asyncio.subprocess.Process | None = None
+        # Where it reaches the store, if not at the store's own address.
+        self.store = ""
 
     async def start(self) -> None:
         """Start it as the deploy file says."""
@@ -142,7 +144,7 @@
             number=self.number,
             ip=self.ip,
             seeds="[" + ",".join(f'"{seed}"' for seed in seeds) + "]",
-            store_address=self.rig.store.address,
+            store_address=self.store or self.rig.store.address,
             **self.rig.ports,
         )
         self.file.write_text(text, encoding="utf-8")
--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -182,6 +182,10 @@
     def write(self, topic: str, key: str, data: Any) -> None:
         """Write a keyed record, as the operator or an engine."""
         value = json.dumps(data).encode() if data is not None else b""
+        self.write_raw(topic, key, value)
+
+    def write_raw(self, topic: str, key: str, value: bytes) -> None:
+        """Write a keyed record whose value is already encoded."""
         name = key.encode()
         part = self.held[topic, 0]
         part.add(bytes([len(name)]) + name + value, True)
