Review: a tenant gets more than its limit as the hosts that count are lost

Cause: a coordinator that knows no counts admits the whole burst of a tenant, which may have used it up within the window.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -82,6 +82,8 @@
 cancelMs = 3000
 settleMs = 1000
 quotaExcess = 0.1
+quotaWindowS = 5
+quotaSlack = 20
 ttl_max_s = 5
 [platform]
 address = "{store_address}"
@@ -221,7 +223,10 @@
         )
 
     def configure(
-        self, routes: list[dict[str, Any]], services: list[dict[str, Any]]
+        self,
+        routes: list[dict[str, Any]],
+        services: list[dict[str, Any]],
+        **more: Any,
     ) -> None:
         """Write a configuration."""
         self.version = getattr(self, "version", 0) + 3
@@ -235,6 +240,7 @@
                 "headerTimeoutMs": 3000,
                 "idleTimeoutMs": 15000,
             },
+            **more,
         }
         self.store.write("keyed.op", "config", told)
         self.note(f"configuration {self.version} is acknowledged")
