HTTP client: answers to other requests are skipped

Cause: an engine that refuses keeps its connection. A late copy of the refusal comes there where the next answer is expected. check() of the platform's plug-in took Not-Executed and 421 for the word on the present request before it looked at the id, and the client gave the connection up at the first answer that was not its own.

Change: request_echo tells from the ids to which request an answer belongs. The client skips those of others on a kept connection, in the time for the head, 8 answers and 16 MB at most. "Not run" counts only in an answer that names the request, or names none and is the first on its connection. The same for the OpenAI plug-in, plain services, the check of an incarnation and reports; a request is not repeated on the connection that carried it last. The time for a head is one time: each piece of it began it anew.

Why it works: the id is the one thing that tells a copy from the answer, and it is now read before anything else in the answer.

Tests changed: the stand-ins of tests/test_keepalive.py answered every request as "a", and tests sent the same id again and again; engines repeat the id that they got, and each attempt has its own. The refusals of tests/platformkit.py repeat it now too. No assert was changed.

--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -50,6 +50,9 @@
         self.failure = ""
         self.malformed = False
         self.uses = 0
+        self.last_id = ""
+        self.method = ""
+        self.ended = False
         self.checked = False
         self.forgotten = False
         self.idle_limit_s = 0.0
@@ -80,6 +83,7 @@
         # Only the server's own end of the stream may end an answer that
         # has no length. Reset on the way, or dropped by ourselves, it is
         # cut off, however much of it has come.
+        self.ended = True
         if not self.complete:
             self.on_eof()
         return False
@@ -95,14 +99,18 @@
             self.h11.receive_data(data)
             self.pump(len(data))
         except h11.RemoteProtocolError as error:
-            self.failure = f"malformed answer: {error}"
-            self.malformed = True
-            self.abort()
+            self.fail(f"malformed answer: {error}")
         if self.sink is None or self.complete or self.lost:
             self.wake()
         elif self.chunks:
             self.feed_sink(self.sink)
 
+    def fail(self, why: str) -> None:
+        """Drop the connection, as what comes on it cannot be read."""
+        self.failure = why
+        self.malformed = True
+        self.abort()
+
     def feed_sink(self, sink: Sink) -> None:
         """Give the body to the sink, without a turn of the loop."""
         try:
@@ -150,6 +158,29 @@
             self.reading_paused = True
             self.transport.pause_reading()
 
+    def expect_another(self) -> None:
+        """Go on to the answer that follows the present one.
+
+        Whether there is one shows as with the first: ``head`` is set, or the
+        connection is lost.
+        """
+        self.head = None
+        self.complete = False
+        try:
+            self.h11.start_next_cycle()
+            # How an answer is framed depends on the method of its request.
+            host = ("host", "unused")
+            self.h11.send(
+                h11.Request(method=self.method, target="/", headers=[host])
+            )
+            self.h11.send(h11.EndOfMessage())
+            self.pump()
+        except (h11.LocalProtocolError, h11.RemoteProtocolError) as error:
+            self.fail(f"no answer can follow: {error}")
+            return
+        if self.ended:
+            self.on_eof()
+
     def wake(self) -> None:
         """Wake whoever waits for the answer."""
         if self.waiter is not None and not self.waiter.done():
@@ -237,6 +268,7 @@
             no server takes such a head.
         """
         self.uses += 1
+        self.method = method
         self.head = None
         self.complete = False
         head = self.head_of(method, target, headers)
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -20,12 +20,20 @@
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import keepalive
+from camphortray import logs
+from camphortray import request_echo
 from camphortray import timers
 
 # Idle connections kept for one address.
 MAX_IDLE = 64
 # Longest that a connection is kept whose server states a longer limit.
 MAX_IDLE_S = 60.0
+# Answers to other requests that are skipped before the answer to a request,
+# and bytes of their bodies.
+MAX_EXTRA_ANSWERS = 8
+MAX_EXTRA_BYTES = 16 * 1024 * 1024
+
+LOG = logs.logger("httpclient")
 
 Body = clientconnection.Body
 ClientConnection = clientconnection.ClientConnection
@@ -57,6 +65,8 @@
       status: HTTP status.
       headers: Lower-case names.
       closed: Whether its connection has been given back or dropped.
+      owner: The request that it names; None if that was not asked for.
+      is_first: Whether no request was sent on its connection before.
     """
 
     def __init__(
@@ -65,6 +75,7 @@
         address: configs.Address,
         connection: ClientConnection,
         timeouts: Timeouts,
+        echo: request_echo.RequestEcho | None = None,
     ) -> None:
         self.client = client
         self.address = address
@@ -78,6 +89,19 @@
             name.decode("ascii"): value.decode("latin1")
             for name, value in head.headers
         }
+        self.owner = echo.owner_of(head.headers) if echo else None
+        self.is_first = connection.uses == 1
+
+    @property
+    def is_own(self) -> bool:
+        """Whether it is certain to answer the request.
+
+        One that names no request may be a late copy of an earlier answer on
+        its connection.
+        """
+        if self.owner is request_echo.Owner.UNNAMED:
+            return self.is_first
+        return self.owner is request_echo.Owner.OWN
 
     async def read(self, timeout_s: float = 0.0) -> bytes:
         """Return all bytes that have come, or ``b""`` at a clean end.
@@ -162,11 +186,13 @@
 
     Attributes:
       target: Path and query of the question.
+      echo: Header by which answers name the request that they belong to.
       verify: Called with status and body of the answer; raises if the server
         is not the one that requests are for.
     """
 
     target: str
+    echo: request_echo.RequestEcho
     verify: Callable[[int, bytes], None]
 
 
@@ -208,6 +234,7 @@
         fresh: bool = False,
         prove: bool = False,
         check: PeerCheck | None = None,
+        echo: request_echo.RequestEcho | None = None,
     ) -> ClientResponse:
         """Send a request and return once the head of the answer is here.
 
@@ -222,13 +249,17 @@
           prove: Whether to hold the body back on a kept connection until
             its head is acknowledged; if it is not, a new one is made.
           check: Question that the connection has to have answered before.
+          echo: Id that the answer repeats. An answer that comes first on a
+            kept connection and names another request is skipped.
 
         Raises:
           UpstreamBroken: with ``ran`` False if no byte had left.
           UpstreamTimeout: no answer in time.
         """
         limits = timeouts or self.timeouts
-        connection, kept = await self.acquire(address, limits, fresh, check)
+        connection, kept = await self.acquire(
+            address, limits, fresh, check, echo
+        )
         seconds = limits.head_s
         try:
             framed = framing(address, headers, body)
@@ -249,19 +280,78 @@
                 if prove_s:
                     now = connection.loop.time()
                     self.proofs.note(address, True, now)
-            while connection.head is None:
-                if connection.lost:
-                    raise connection.broken("head")
-                seconds = limits.head_s
-                if kept and limits.kept_head_s:
-                    seconds = min(seconds, limits.kept_head_s)
-                await connection.wait(seconds, "head")
+            if kept and limits.kept_head_s:
+                seconds = min(seconds, limits.kept_head_s)
+            await self.receive_head(connection, seconds, echo)
         except BaseException as error:
             self.discard(connection)
             if isinstance(error, errors.UpstreamTimeout) and error.ran:
                 self.distrust(address, seconds)
             raise
-        return ClientResponse(self, address, connection, limits)
+        return ClientResponse(self, address, connection, limits, echo)
+
+    async def receive_head(
+        self,
+        connection: ClientConnection,
+        seconds: float,
+        echo: request_echo.RequestEcho | None,
+    ) -> None:
+        """Wait for the head of the answer to the request just sent.
+
+        Args:
+          connection: Where the request was sent.
+          seconds: Longest wait, for all that comes before it too.
+          echo: Id that the answer repeats, or None to take the first.
+
+        Raises:
+          UpstreamBroken: there is none.
+          UpstreamTimeout: it did not come in time.
+        """
+        if echo is not None:
+            connection.last_id = echo.id
+        skipped = 0
+        with timers.Deadline(seconds) as until:
+            while True:
+                while connection.head is None:
+                    if connection.lost:
+                        raise connection.broken("head")
+                    await connection.wait(until.left(), "head")
+                if echo is None or connection.uses == 1:
+                    return
+                owner = echo.owner_of(connection.head.headers)
+                if owner is not request_echo.Owner.OTHER:
+                    return
+                skipped += 1
+                if skipped > MAX_EXTRA_ANSWERS:
+                    connection.fail("too many answers to other requests")
+                    raise connection.broken("skip")
+                await self.skip_answer(connection, until, echo)
+
+    async def skip_answer(
+        self,
+        connection: ClientConnection,
+        until: timers.Deadline,
+        echo: request_echo.RequestEcho,
+    ) -> None:
+        """Skip an answer to another request; errors as ``receive_head``."""
+        assert connection.head is not None
+        status, size = connection.head.status_code, 0
+        while True:
+            size += len(connection.take())
+            if size > MAX_EXTRA_BYTES:
+                connection.fail("an answer to another request without end")
+                raise connection.broken("skip")
+            if connection.complete:
+                break
+            if connection.lost:
+                raise connection.broken("skip")
+            await connection.wait(until.left(), "skip")
+        LOG.info(
+            "Skipped an answer of {} that names another request.",
+            connection.peer,
+            fields={"status": status, "bytes": size, "request": echo.id},
+        )
+        connection.expect_another()
 
     async def call(
         self,
@@ -273,6 +363,7 @@
         *,
         timeouts: Timeouts | None = None,
         fresh: bool = False,
+        echo: request_echo.RequestEcho | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
         """Send a request; return status, headers and whole body."""
         response = await self.request(
@@ -283,6 +374,7 @@
             body,
             timeouts=timeouts,
             fresh=fresh,
+            echo=echo,
         )
         try:
             content = await response.body()
@@ -296,6 +388,7 @@
         limits: Timeouts,
         fresh: bool,
         check: PeerCheck | None,
+        echo: request_echo.RequestEcho | None = None,
     ) -> tuple[ClientConnection, bool]:
         """Return a connection for a request, and whether it was kept.
 
@@ -303,13 +396,18 @@
           UpstreamError: with ``ran`` False; there is none.
         """
         connection = await self.connect(address, limits, fresh)
+        if echo is not None and echo.id and connection.last_id == echo.id:
+            # A late copy of its last answer would pass for that to a repeat.
+            connection.abort()
+            connection = await self.connect(address, limits, True)
         self.busy.add(connection)
         kept = connection.uses > 0
         if check is None or connection.checked:
             return connection, kept
         try:
             connection = await self.checked(connection, address, limits, check)
-        except errors.UpstreamBroken:
+        except errors.UpstreamError:
+            # An answer on a kept connection may be a late copy of another.
             if not kept:
                 raise
             # It may have gone silent, and so may others kept as long.
@@ -341,6 +439,7 @@
             await connection.send_request(
                 "GET", check.target, framed, b"", prove_s
             )
+            await self.receive_head(connection, seconds, check.echo)
             while not connection.complete:
                 if connection.lost:
                     raise connection.broken("check")
--- a/camphortray/plugins/http_service.py
+++ b/camphortray/plugins/http_service.py
@@ -5,6 +5,7 @@
 from camphortray import engine
 from camphortray import errors
 from camphortray import httpclient
+from camphortray import request_echo
 from camphortray import service
 
 REQUEST_ID = "x-request-id"
@@ -35,7 +36,7 @@
         headers = [*call.headers, (REQUEST_ID, call.id)]
         if call.deadline_s is not None:
             headers.append((DEADLINE, f"{call.deadline_s:.3f}"))
-        status, answered, body = await self.client.call(
+        response = await self.client.request(
             upstream.address,
             call.method,
             call.target,
@@ -43,9 +44,15 @@
             call.body,
             timeouts=httpclient.Timeouts(1.0, limit, limit),
             fresh=fresh,
+            echo=request_echo.RequestEcho(REQUEST_ID, call.id),
         )
-        check_echo(answered, call.id, upstream)
-        if status == 503 and NOT_RUN in answered:
+        try:
+            check_owner(response, upstream)
+            body = await response.body()
+        finally:
+            response.close()
+        status, answered = response.status, response.headers
+        if status == 503 and response.is_own and NOT_RUN in answered:
             raise errors.UpstreamRefused(
                 "draining" if "x-leaving" in answered else "busy",
                 status=status,
@@ -60,18 +67,18 @@
         await self.client.close()
 
 
-def check_echo(
-    headers: dict[str, str], request_id: str, upstream: engine.Upstream
+def check_owner(
+    response: httpclient.ClientResponse, upstream: engine.Upstream
 ) -> None:
     """Refuse an answer that belongs to another request.
 
     Raises:
-      UpstreamBroken: the id echoed is not ours.
+      UpstreamBroken: it names another request.
     """
-    echoed = headers.get(REQUEST_ID, request_id)
-    if echoed != request_id:
+    owner = request_echo.Owner
+    if response.owner in (owner.OTHER, owner.AMBIGUOUS):
         raise errors.UpstreamBroken(
-            f"answer of request {echoed}",
+            "answer to another request",
             ran=True,
             step="echo",
             peer=upstream.name,
--- a/camphortray/plugins/openai_engine.py
+++ b/camphortray/plugins/openai_engine.py
@@ -10,6 +10,7 @@
 from camphortray import errors
 from camphortray import httpclient
 from camphortray import httpstream
+from camphortray import request_echo
 from camphortray.plugins import http_service
 
 DEADLINE = http_service.DEADLINE
@@ -48,9 +49,10 @@
             request_body(request),
             timeouts=timeouts_of(request),
             fresh=fresh,
+            echo=request_echo.RequestEcho(REQUEST_ID, request.id),
         )
         try:
-            http_service.check_echo(response.headers, request.id, upstream)
+            http_service.check_owner(response, upstream)
             if response.status != 200:
                 await refuse(response, upstream)
         except BaseException:
@@ -174,7 +176,7 @@
 ) -> None:
     """Raise the refusal that an answer stands for."""
     body = await response.body()
-    not_run = NOT_RUN in response.headers
+    not_run = response.is_own and NOT_RUN in response.headers
     raise errors.UpstreamRefused(
         message_of(body),
         status=response.status,
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -306,7 +306,7 @@
             return
         body = await request.body()
         if headers.get("expect-instance", self.name) != self.name:
-            response.send(421, b"", [("Instance-Id", self.name)])
+            response.send(421, b"", [*base, ("Instance-Id", self.name)])
             return
         fault = self.faults.pop(0) if self.faults else self.always
         prompt = headers.get("prompt-prefix", "").lower()
@@ -314,7 +314,7 @@
         if self.deadly & segments:
             fault = "crash"
         if fault == "full":
-            response.send(503, b"", [("Not-Executed", "1")])
+            response.send(503, b"", [*base, ("Not-Executed", "1")])
             return
         after = int(headers.get("last-event-id", 0))
         self.ran.append((attempt, after, dict(headers), body))
--- /dev/null
+++ b/tests/test_extra_answers.py
@@ -0,0 +1,263 @@
+"""Tests of answers to earlier requests that come once more, late."""
+
+import asyncio
+import contextlib
+
+from camphortray_platform import engines
+import msgspec
+import pytest
+
+from camphortray import config as configs
+from camphortray import engine
+from camphortray import errors
+from camphortray import httpclient
+from camphortray import service
+from camphortray.plugins import http_service
+from camphortray.plugins import openai_engine
+
+STAMP = "server-stamp: s\r\n"
+PLATFORM = "attempt-id"
+OPENAI = "x-request-id"
+REPORT = "report"
+REFUSALS = {PLATFORM: "not-executed: 1\r\n", OPENAI: "x-not-run: 1\r\n"}
+
+
+def answer(header, names, status=200, body=b"ok", more=""):
+    """Return the bytes of an answer that names these requests."""
+    named = "".join(f"{header}: {name}\r\n" for name in names)
+    return (
+        f"HTTP/1.1 {status} X\r\n{named}{STAMP}{more}"
+        f"content-length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+class Server:
+    """A server that sends bytes of a test before an answer.
+
+    Attributes:
+      header: Header of the ids of requests.
+      extra: Bytes that come right before the answer to a request, by its id.
+      own: Answers that differ from the usual one, by the id of the request.
+      ran: Ids of the requests that came whole, by connection.
+    """
+
+    def __init__(self, header):
+        self.header = header
+        self.extra = {}
+        self.own = {}
+        self.ran = []
+        self.writers = []
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        ip, port = self.server.sockets[0].getsockname()
+        self.upstream = engine.Upstream("u", configs.Address(ip, port), "z")
+        return self
+
+    async def __aexit__(self, *exc):
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def serve(self, reader, writer):
+        ran = []
+        self.ran.append(ran)
+        self.writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = dict(
+                    line.split(": ", 1) for line in head.splitlines()[1:-1]
+                )
+                await reader.readexactly(int(fields["content-length"]))
+                name = fields.get(self.header, REPORT)
+                ran.append(name)
+                usual = answer(self.header, [name])
+                if name == REPORT:
+                    usual = answer(self.header, [], body=b'{"born":1}')
+                writer.write(self.extra.get(name, b""))
+                writer.write(self.own.get(name, usual))
+
+
+class Caller:
+    """Sends requests by one plug-in."""
+
+    def __init__(self, header, server):
+        self.upstream = server.upstream
+        self.plugin = {
+            PLATFORM: engines.PlatformEngine,
+            OPENAI: openai_engine.OpenAiEngine,
+        }[header].from_config()
+
+    async def ask(self, name, limit_s=2.0, resumable=False):
+        """Return status and body of the answer to a request."""
+        request = engine.EngineRequest(
+            name,
+            "/q",
+            b"{}",
+            True,
+            limit_s,
+            repeatable=False,
+            resumable=resumable,
+        )
+        stream = await self.plugin.open(self.upstream, request)
+        try:
+            return stream.status, await engine.read_all(stream, limit_s)
+        finally:
+            stream.close()
+
+
+class ServiceCaller:
+    """Calls a plain service."""
+
+    def __init__(self, server):
+        self.upstream = server.upstream
+        self.plugin = http_service.HttpService.from_config()
+
+    async def ask(self, name):
+        call = service.ServiceCall(name, "POST", "/q", (), b"q", 2.0)
+        got = await self.plugin.call(self.upstream, call)
+        return got.status, got.body
+
+
+@contextlib.asynccontextmanager
+async def connected(header, plain=False):
+    """Yield a server and a caller with one kept connection to it."""
+    async with Server(header) as server:
+        caller = ServiceCaller(server) if plain else Caller(header, server)
+        server.own["first"] = answer(header, ["first"])
+        await caller.ask("first")
+        yield server, caller
+        await caller.plugin.close()
+
+
+KINDS = [(PLATFORM, False), (OPENAI, False), (OPENAI, True)]
+COPIES = {
+    "refusal": (503, b"", 1),
+    "other server": (421, b"", 1),
+    "answer": (200, b"ok", 1),
+    "failure": (500, b"no", 1),
+    "three copies": (503, b"", 3),
+    "long": (200, b"x" * 1_000_000, 1),
+}
+
+
+@pytest.mark.parametrize(("header", "plain"), KINDS)
+@pytest.mark.parametrize("copy", COPIES)
+async def test_a_late_copy_is_not_taken_for_the_answer(header, plain, copy):
+    """A late copy of a refusal had a request run by a second engine."""
+    status, body, count = COPIES[copy]
+    more = REFUSALS[header] if status in (503, 421) else ""
+    async with connected(header, plain) as (server, caller):
+        late = answer(header, ["first"], status, body, more)
+        server.extra["second"] = late * count
+        assert await caller.ask("second") == (200, b"ok")
+        assert await caller.ask("third") == (200, b"ok")
+        assert server.ran == [["first", "second", "third"]]
+
+
+@pytest.mark.parametrize(("header", "plain"), KINDS)
+@pytest.mark.parametrize("names", [[], ["other", "second"], ["second", "o"]])
+async def test_a_refusal_without_its_id_does_not_say_not_run(
+    header, plain, names
+):
+    """A refusal that might be another's had a request run twice."""
+    async with connected(header, plain) as (server, caller):
+        more = REFUSALS[header]
+        server.own["second"] = answer(header, names, 503, b"", more)
+        got = caller.ask("second")
+        if plain and not names:
+            # Services need not repeat ids: passed on, as an answer that ran.
+            assert await got == (503, b"")
+            return
+        with pytest.raises(errors.UpstreamError) as caught:
+            await got
+        assert caught.value.ran
+
+
+@pytest.mark.parametrize(("header", "plain"), KINDS)
+@pytest.mark.parametrize("names", [["first"], []])
+async def test_a_refusal_says_not_run(header, plain, names):
+    """Requests that no engine has run were no longer tried elsewhere."""
+    async with Server(header) as server:
+        caller = ServiceCaller(server) if plain else Caller(header, server)
+        more = REFUSALS[header]
+        server.own["first"] = answer(header, names, 503, b"", more)
+        with pytest.raises(errors.UpstreamRefused) as caught:
+            await caller.ask("first")
+        assert not caught.value.ran
+        await caller.plugin.close()
+
+
+@pytest.mark.parametrize("header", [PLATFORM, OPENAI])
+@pytest.mark.parametrize(
+    "extra",
+    [
+        answer(PLATFORM, ["x"]) * (httpclient.MAX_EXTRA_ANSWERS + 1),
+        answer(PLATFORM, ["x"], more="connection: close\r\n"),
+        answer(PLATFORM, ["x"])[:-1] + b"HTTP/1.1 ",
+        b"no answer\r\n\r\n",
+    ],
+)
+async def test_what_follows_a_spoiled_copy_may_have_run(header, extra):
+    """A request behind bytes that belong to none passed for not run."""
+    extra = extra.replace(PLATFORM.encode(), header.encode())
+    async with connected(header) as (server, caller):
+        server.extra["second"] = extra
+        with pytest.raises(errors.UpstreamError) as caught:
+            await caller.ask("second")
+        assert caught.value.ran
+
+
+async def test_an_answer_without_length_follows_a_late_copy():
+    """An answer that ends with its connection was lost behind a copy."""
+    async with connected(PLATFORM) as (server, caller):
+        server.extra["second"] = answer(PLATFORM, ["first"])
+        head = f"HTTP/1.1 200 X\r\n{PLATFORM}: second\r\n{STAMP}\r\n"
+        server.own["second"] = head.encode() + b"rest"
+        asked = asyncio.ensure_future(caller.ask("second"))
+        while server.ran != [["first", "second"]]:
+            await asyncio.sleep(0)
+        server.writers[0].close()
+        assert await asked == (200, b"rest")
+
+
+@pytest.mark.parametrize("extra", ["copy", "part of a copy"])
+async def test_copies_use_up_the_time_for_the_answer(extra):
+    """A caller waited for as long as copies came."""
+    async with connected(PLATFORM) as (server, caller):
+        late = answer(PLATFORM, ["first"])
+        server.extra["second"] = late if extra == "copy" else late[:-1]
+        server.own["second"] = b""
+        with pytest.raises(errors.UpstreamTimeout) as caught:
+            await caller.ask("second", 0.1)
+        assert caught.value.ran
+
+
+async def test_a_repeat_does_not_wait_behind_its_last_answer():
+    """A late copy of an answer passed for that to a repeat of its request."""
+    async with connected(PLATFORM) as (server, caller):
+        await caller.ask("first")
+        assert server.ran == [["first"], ["first"]]
+
+
+async def test_a_copy_in_place_of_a_report_is_not_taken_for_it():
+    """A copy of a refusal had an engine pass for one that refuses."""
+    async with connected(PLATFORM) as (server, caller):
+        refusal = answer(PLATFORM, ["first"], 503, b"", REFUSALS[PLATFORM])
+        server.extra[REPORT] = refusal
+        caller.upstream = msgspec.structs.replace(caller.upstream, born=1)
+        assert await caller.ask("second", resumable=True) == (200, b"ok")
+        assert server.ran == [["first", REPORT, "second"]]
+
+
+@pytest.mark.parametrize(("header", "plain"), KINDS)
+async def test_a_copy_on_an_idle_connection_ends_it(header, plain):
+    """A copy that came early was read as the answer to the next request."""
+    async with connected(header, plain) as (server, caller):
+        server.writers[0].write(answer(header, ["first"]))
+        (kept,) = caller.plugin.client.idle[server.upstream.address]
+        while not kept.lost:
+            await asyncio.sleep(0)
+        assert await caller.ask("second") == (200, b"ok")
+        assert server.ran == [["first"], ["second"]]
--- a/tests/test_keepalive.py
+++ b/tests/test_keepalive.py
@@ -404,7 +404,10 @@
                 seen.append(head.split()[1])
                 if seen[-1] != "/report":
                     await reader.readexactly(1)
-                    answer = ANSWER.format("a", self.told)
+                    fields = dict(
+                        line.split(": ", 1) for line in head.splitlines()[1:-1]
+                    )
+                    answer = ANSWER.format(fields["attempt-id"], self.told)
                 elif self.unanswered:
                     self.unanswered -= 1
                     if self.mute:
@@ -450,7 +453,8 @@
             "a", "/q", b"q", False, resumable=True, deadline_s=5.0
         )
         party = engines.PlatformEngine()
-        for _ in range(2):
+        for name in "ab":
+            request = msgspec.structs.replace(request, id=name)
             try:
                 stream = await party.open(held, request)
                 assert await engine.read_all(stream, 1.0) == b"ok"
@@ -466,9 +470,9 @@
     async with Reporting() as server:
         held = msgspec.structs.replace(upstream(server), born=1)
         party = engines.PlatformEngine()
-        for resumable in (False, True, True):
+        for name, resumable in (("a", False), ("b", True), ("c", True)):
             request = engine.EngineRequest(
-                "a", "/q", b"q", False, resumable=resumable, deadline_s=5.0
+                name, "/q", b"q", False, resumable=resumable, deadline_s=5.0
             )
             stream = await party.open(held, request)
             assert await engine.read_all(stream, 1.0) == b"ok"
@@ -482,9 +486,9 @@
     async with Reporting() as server:
         held = msgspec.structs.replace(upstream(server), born=1)
         party = engines.PlatformEngine()
-        for resumable in (False, True):
+        for name, resumable in (("a", False), ("b", True)):
             request = engine.EngineRequest(
-                "a", "/q", b"q", False, resumable=resumable, deadline_s=5.0
+                name, "/q", b"q", False, resumable=resumable, deadline_s=5.0
             )
             stream = await party.open(held, request)
             assert await engine.read_all(stream, 1.0) == b"ok"
@@ -537,7 +541,9 @@
         )
         monkeypatch.setattr(lost.transport, "write", lambda data: None)
         async with asyncio.timeout(request.deadline_s):
-            resumable = msgspec.structs.replace(request, resumable=True)
+            resumable = msgspec.structs.replace(
+                request, id="b", resumable=True
+            )
             await ask(party, held, resumable)
         assert server.seen[1:] == [["/report", "/q"]]
         assert lost.lost
@@ -558,10 +564,12 @@
         )
         last = await party.open(former, request)
         server.born = 2
-        stream = await party.open(following, request)
+        again = msgspec.structs.replace(request, id="b")
+        stream = await party.open(following, again)
         assert await engine.read_all(stream, 1.0) == b"ok"
         assert await engine.read_all(last, 1.0) == b"ok"
-        stream = await party.open(following, request)
+        again = msgspec.structs.replace(request, id="c")
+        stream = await party.open(following, again)
         assert await engine.read_all(stream, 1.0) == b"ok"
         assert server.seen == [["/report", "/q"], ["/report", "/q", "/q"]]
         await party.close()
