Drain: a late request is accepted only if it ends before the host

Cause: the front took every request until 0.4 of the grace, whatever its time limit, and asked once, at its head. A limit of 15 s, a body that came slowly or a wait for a slot led beyond the end. The share grows with the grace, the time for which callers hold an old address does not.

Change: drain_admission accepts every request for 2.8 s (0.4 of the grace at most), then those whose own limit ends before answers are cut off, until 0.7. It is asked as a request is about to be sent to an engine, and not once it may have run. Others get 503 draining, not run. The own interface asks the same, with drain_s for the grace: it took requests until the very end.

Why it works: a request's own limit is the only bound on how long it may take, so what is started late ends by it, as an answer or as 504, before the stop; the rest has not been sent to any engine.

2.8 s: callers hold an address for three times the second that it is kept, and a margin of 0.2 s covers the time until the signal is noticed.

Tests changed: tests/test_front_drain.py takes the shares from their new module and gives its context a clock; no assert was changed.

--- a/camphortray/completing.py
+++ b/camphortray/completing.py
@@ -233,6 +233,9 @@
         if not self.ran:
             # The caller's key may have been revoked while it was queued.
             self.call.check()
+            # The host may have begun to shut down.
+            now = self.parts.clock.monotonic()
+            self.parts.admission.check(now, self.deadline_at)
         position = self.sent.position() if self.sent.started else None
         assert isinstance(attempt, routedtry.RoutedTry)
         return engine.EngineRequest(
--- a/camphortray/early_end.py
+++ b/camphortray/early_end.py
@@ -16,7 +16,9 @@
     (its slot goes to an online request), ``OVERTAKEN`` (the previous owner
     of its partition has more of its output), ``STALLED`` (its task hung) and
     ``OWNER_STOPPED`` (its job has ended or its partition has moved). A request
-    is ``CANCELLED`` if its host stops while its caller is there.
+    is ``CANCELLED`` if its host stops while its caller is there, and
+    ``DRAINING``
+    if it could not end before its host does and was not sent to an engine.
     """
 
     SILENCE = "silence"
@@ -36,6 +38,7 @@
     NO_VERSION = "no_version"
     CALLER_GONE = "caller_gone"
     CANCELLED = "cancelled"
+    DRAINING = "draining"
 
 
 def cause_of(error: errors.UpstreamError) -> Cause:
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -13,6 +13,7 @@
 from camphortray import backends
 from camphortray import clock as clocks
 from camphortray import crash_reports
+from camphortray import drain_admission
 from camphortray import early_end
 from camphortray import engine
 from camphortray import engine_crashes
@@ -67,6 +68,9 @@
     metrics: metrics_module.Metrics
     engine_crashes: engine_crashes.EngineCrashes
     quarantine: segment_quarantine.SegmentQuarantine
+    admission: drain_admission.DrainAdmission = msgspec.field(
+        default_factory=drain_admission.DrainAdmission
+    )
 
 
 class Declined(errors.Refused):
@@ -240,6 +244,7 @@
         Raises:
           Refused: no complete answer was sent; part of one may have been.
         """
+        self.check_drain()
         self.admit()
         try:
             async with asyncio.timeout(self.left_s()):
@@ -442,6 +447,18 @@
             self.parts, lease, self.reader, self.request, self.on_stream
         )
 
+    def check_drain(self) -> None:
+        """Check that the answer ends before this host does.
+
+        Raises:
+          Refused: it may not.
+        """
+        limit_at = self.request.deadline_at
+        if not self.parts.admission.accepts(now_of(self.parts), limit_at):
+            wait_s = drain_admission.RETRY_AFTER_S
+            cause = early_end.Cause.DRAINING
+            self.refuse(503, "draining", "host leaves", wait_s, cause)
+
     def check_segments(self) -> None:
         """Check that no segment of the prompt is quarantined.
 
@@ -521,6 +538,8 @@
         # Engines may have crashed during the wait for a slot.
         self.check_segments()
         if not self.ran:
+            # The host may have begun to shut down.
+            self.check_drain()
             # The key may have been revoked, or moved to another workspace,
             # during the wait. A request that may have run already goes on
             # for the workspace of its first run.
--- a/camphortray/kernel.py
+++ b/camphortray/kernel.py
@@ -23,6 +23,7 @@
 
 from camphortray import clock as clocks
 from camphortray import config as configs
+from camphortray import drain_admission
 from camphortray import errors
 from camphortray import logs
 from camphortray import metrics as metrics_module
@@ -61,6 +62,7 @@
       request_drain: Drains the program, as SIGTERM does.
       end_at: When all parts have to have stopped, in the loop's time, set by
         a part that knows when the process is killed; None before.
+      admission: Which requests are accepted while the program drains.
     """
 
     config: configs.Config
@@ -73,6 +75,9 @@
     not_ready: Callable[[], list[str]] = list
     request_drain: Callable[[], None] = do_nothing
     end_at: float | None = None
+    admission: drain_admission.DrainAdmission = msgspec.field(
+        default_factory=drain_admission.DrainAdmission
+    )
 
     @classmethod
     def from_config(
--- a/camphortray/relay.py
+++ b/camphortray/relay.py
@@ -66,6 +66,7 @@
             context.part(suspects.Suspects),
             routing.Router(context.rng, zone),
             context.metrics,
+            context.admission,
         )
         self.at_most_once = context.part(at_most_once.AtMostOnce)
         self.request_count = 0
--- a/camphortray/routedtry.py
+++ b/camphortray/routedtry.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from camphortray import clock as clocks
+from camphortray import drain_admission
 from camphortray import engine
 from camphortray import errors
 from camphortray import log_backends
@@ -36,6 +37,9 @@
     suspects: suspects.Suspects
     router: routing.Router
     metrics: metrics_module.Metrics
+    admission: drain_admission.DrainAdmission = dataclasses.field(
+        default_factory=drain_admission.DrainAdmission
+    )
 
 
 class RoutedTry(proxy_exchange.Try):
--- a/camphortray/services.py
+++ b/camphortray/services.py
@@ -170,6 +170,9 @@
             left = deadline_at - self.context.clock.monotonic()
             if left <= 0:
                 raise deadline.passed("unknown" if maybe_ran else "no")
+            if not maybe_ran:
+                now = self.context.clock.monotonic()
+                self.context.admission.check(now, deadline_at)
             passed = plain.ServiceCall(
                 call.request.id,
                 call.request.method,
--- a/camphortray/web.py
+++ b/camphortray/web.py
@@ -287,6 +287,11 @@
         in flight is waited for.
         """
         self.members.leave()
+        self.context.admission.begin(
+            self.context.clock.monotonic(),
+            self.settings.drain_s,
+            self.serve_on_s,
+        )
         try:
             async with asyncio.timeout(self.settings.drain_s):
                 await self.server.drain(self.serve_on_s)
--- a/tests/test_front_drain.py
+++ b/tests/test_front_drain.py
@@ -7,6 +7,7 @@
 import pytest
 
 from camphortray import config as configs
+from camphortray import drain_admission
 from camphortray import httpserver
 from tests import test_connection_ends as ends
 
@@ -18,6 +19,8 @@
     """Return a front with a caller's connection, whose parts drain."""
     context = mock.MagicMock()
     context.config.front = configs.FrontConfig(grace_s=GRACE_S)
+    context.clock.monotonic = asyncio.get_running_loop().time
+    context.admission = drain_admission.DrainAdmission()
     context.part.return_value.drain = mock.AsyncMock()
     leaving = front.Front.from_config(context)
     leaving.front = caller.server
@@ -45,7 +48,7 @@
     leaving = leaving_front(caller)
     begun_at = loop.time()
     drained = loop.create_task(leaving.drain())
-    await asyncio.sleep(GRACE_S * front.SERVE_SHARE - 0.1)
+    await asyncio.sleep(GRACE_S * drain_admission.OPEN_SHARE - 0.1)
     got = await caller.send()
     await drained
     assert loop.time() - begun_at < GRACE_S
@@ -60,7 +63,7 @@
     leaving = leaving_front(caller)
     drained = asyncio.get_running_loop().create_task(leaving.drain())
     await caller.send()
-    await asyncio.sleep(GRACE_S * front.REFUSE_SHARE + 1.0)
+    await asyncio.sleep(GRACE_S * drain_admission.ACCEPT_SHARE + 1.0)
     caller.script.gate.set()
     await drained
     assert (await caller.read()).startswith(b"HTTP/1.1 200 ")
@@ -91,7 +94,7 @@
     leaving = leaving_front(caller)
     begun_at = loop.time()
     drained = loop.create_task(leaving.drain())
-    await asyncio.sleep(GRACE_S * front.SERVE_SHARE - 0.1)
+    await asyncio.sleep(GRACE_S * drain_admission.OPEN_SHARE - 0.1)
     await caller.send()
     await drained
     assert loop.time() < leaving.context.end_at < begun_at + GRACE_S
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -121,6 +121,13 @@
     return setup
 
 
+def drain_host(cluster, patch):
+    """Let a host have begun to drain some time ago."""
+    (host,) = cluster.hosts.values()
+    context = host.kernels["entry"].context
+    context.admission.begin(context.clock.monotonic() - 8.0, 10.0)
+
+
 def engines_do(name, value):
     """Inject a fault into all engines."""
 
@@ -359,6 +366,7 @@
     "deadline unknown": chat(
         engines_do("open_delay_s", 1.0), headers=with_deadline("0.1")
     ),
+    "draining no": chat(drain_host),
     "no_upstream no": chat(drain_all_engines),
     "no_upstream unknown": chat(drain_after_first_try),
     "upstream_refused no": chat(engines_refuse(503, NOT_RUN)),
