Items: crashes hold a sound item back for as long as they go on

Callers: an item under which engines crashed three times in a row waited for 15 s however calm it was by then, and for 15 s more with each single crash after that, as long as it made no event in a run that failed.

Cause: item_retry took the third crash in a row for the item's fault. Items are owed, and bursts of crashes meet sound ones. The count was reset only by a failed run with events, not by one that gave its slot up.

Change: the delay is 1 s after the third crash in a row and doubles with each further one, up to 15 s; a run with events resets the count however it ends.

Why it works: the delay follows how long the crashes go on, five at 0.4 s cost 4 s.

--- a/camphortray/item_retry.py
+++ b/camphortray/item_retry.py
@@ -12,10 +12,12 @@
 PERMANENT_STATUSES = frozenset({422})
 # Statuses that mean that the engine failed at the item.
 ENGINE_FAILURE_STATUSES = frozenset({500})
-# Consecutive crashes after which the item is taken to be their cause, and the
-# delay before each further retry, in seconds.
+# Consecutive crashes after which the item may be their cause, the delay before
+# the next retry, which doubles with each further one, and its maximum, in
+# seconds.
 MAX_CRASHES = 3
-CRASH_DELAY_S = 15.0
+CRASH_DELAY_S = 1.0
+MAX_CRASH_DELAY_S = 15.0
 # Pause after a failed try, in seconds; doubled with each up to the maximum.
 PAUSE_S = 0.05
 MAX_PAUSE_S = 1.0
@@ -96,10 +98,20 @@
         # A timeout may be due to this host, if it was suspended or is slow.
         state.crashes += 1
         if state.crashes >= MAX_CRASHES:
-            state.not_before = now + CRASH_DELAY_S
+            state.not_before = now + crash_delay_s(state.crashes)
     return RetryDecision.RETRY
 
 
+def crash_delay_s(crashes: int) -> float:
+    """Return the seconds before an item is retried after crashes in a row.
+
+    >>> [crash_delay_s(crashes) for crashes in (3, 4, 7, 2_000)]
+    [1.0, 2.0, 15.0, 15.0]
+    """
+    doublings = min(crashes - MAX_CRASHES, 16)
+    return min(MAX_CRASH_DELAY_S, CRASH_DELAY_S * 2.0**doublings)
+
+
 class Rate(msgspec.Struct):
     """Mean seconds per event over recent measurements.
 
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -471,6 +471,7 @@
             self.parts.estimator.ran(new_events, stream_s)
             if new_events > 0:
                 self.retries.failures_since_event = 0
+                self.retries.crashes = 0
             now = self.parts.clock.monotonic()
             self.parts.engine_crashes.on_end(
                 lease.upstream,
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -10,6 +10,7 @@
 from camphortray import enginehealth
 from camphortray import errors
 from camphortray import item_deadline
+from camphortray import item_retry
 from camphortray import itemwork
 from camphortray import partition_records
 from camphortray import partition_state
@@ -533,3 +534,25 @@
     assert task.done()
     assert task.cancelled() or task.result().text == text(5)
     assert not held
+
+
+async def test_crashes_before_a_revoked_run_with_events_do_not_count():
+    """A crash after a run that gave its slot up counted as the third."""
+    gone = [hostkit.Answer([hostkit.BROKEN], status=200) for _ in range(4)]
+    begun = hostkit.Answer(hostkit.events(1, 2))
+    rest = hostkit.Answer(hostkit.events(3, 5))
+    work = work_of([*gone[:2], begun, *gone[2:], rest])
+    usual = begun.read
+
+    async def read(timeout_s):
+        if not begun.chunks:
+            work.revoke()
+            await asyncio.sleep(timeout_s)
+        return await usual(timeout_s)
+
+    begun.read = read
+    loop = asyncio.get_running_loop()
+    begun_at = loop.time()
+    assert (await work.run()).text == text(5)
+    assert resume_points(work) == ["", "", "", "2", "2", "2"]
+    assert loop.time() - begun_at < item_retry.CRASH_DELAY_S
