HTTP client: the wait for a head has no timer of its own

Change: the time left for a head is worked out at each wait, with the pauses that the connection's own timer has noticed. That is one timer less for each request on the hot path, and the order of events is what it was.

--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -196,6 +196,32 @@
     verify: Callable[[int, bytes], None]
 
 
+class HeadWait:
+    """The wait for the head of an answer, whatever comes before it.
+
+    Attributes:
+      seconds: Its limit, which pauses of this process do not use up.
+      paused_s: Length of these pauses, as far as they were noticed.
+    """
+
+    def __init__(self, connection: ClientConnection, seconds: float) -> None:
+        self.connection = connection
+        self.seconds = seconds
+        self.begun_at = connection.loop.time()
+        self.paused_s = 0.0
+
+    async def wait(self, step: str) -> None:
+        """Wait until something happens.
+
+        Raises:
+          UpstreamTimeout: the limit is over.
+        """
+        waited_s = self.connection.loop.time() - self.begun_at
+        left_s = self.seconds + self.paused_s - waited_s
+        await self.connection.wait(max(0.0, left_s), step)
+        self.paused_s += self.connection.timer.paused_s
+
+
 class HttpClient:
     """Sends requests over kept connections.
 
@@ -310,27 +336,27 @@
         if echo is not None:
             connection.last_id = echo.id
         skipped = 0
-        with timers.Deadline(seconds) as until:
-            while True:
-                while connection.head is None:
-                    if connection.lost:
-                        raise connection.broken("head")
-                    await connection.wait(until.left(), "head")
-                if echo is None or connection.uses == 1:
-                    return
-                owner = echo.owner_of(connection.head.headers)
-                if owner is not request_echo.Owner.OTHER:
-                    return
-                skipped += 1
-                if skipped > MAX_EXTRA_ANSWERS:
-                    connection.fail("too many answers to other requests")
-                    raise connection.broken("skip")
-                await self.skip_answer(connection, until, echo)
+        wait = HeadWait(connection, seconds)
+        while True:
+            while connection.head is None:
+                if connection.lost:
+                    raise connection.broken("head")
+                await wait.wait("head")
+            if echo is None or connection.uses == 1:
+                return
+            owner = echo.owner_of(connection.head.headers)
+            if owner is not request_echo.Owner.OTHER:
+                return
+            skipped += 1
+            if skipped > MAX_EXTRA_ANSWERS:
+                connection.fail("too many answers to other requests")
+                raise connection.broken("skip")
+            await self.skip_answer(connection, wait, echo)
 
     async def skip_answer(
         self,
         connection: ClientConnection,
-        until: timers.Deadline,
+        wait: "HeadWait",
         echo: request_echo.RequestEcho,
     ) -> None:
         """Skip an answer to another request; errors as ``receive_head``."""
@@ -345,7 +371,7 @@
                 break
             if connection.lost:
                 raise connection.broken("skip")
-            await connection.wait(until.left(), "skip")
+            await wait.wait("skip")
         LOG.info(
             "Skipped an answer of {} that names another request.",
             connection.peer,
