Quarantine: items test whether it is right

Reported: engines died under the same sound item again and again; once all was calm it was never placed again. It can happen here.

Cause: three crashes under two items blame the prompt segment that they share if no answer on it began meanwhile. It is quarantined for an hour, items with it wait, and nothing clears it, as no request with it runs. A quarantine of several segments was not ended by any answer.

A quarantine ends once all its segments have been answered. quarantine_probe decides; a probe is a fact of 3 s.

Why it works: an item is owed and does not crash engines by itself, so that its answer is the proof that was missing.

--- a/camphortray/crash_attribution.py
+++ b/camphortray/crash_attribution.py
@@ -161,6 +161,13 @@
         """Return the crashes of a service."""
         return self.crashes.get(service, [])
 
+    def crashes_under(
+        self, service: str, segments: Iterable[str]
+    ) -> list[float]:
+        """Return when engines crashed under requests with all segments."""
+        wanted = set(segments)
+        return [c.at for c in self.of(service) if wanted <= set(c.requests)]
+
     def would_clear(self, service: str, segment: str, at: float) -> bool:
         """Return whether an answer at that time would clear a segment."""
         known_at = self.answered_at.get((service, segment))
--- a/camphortray/engine_crashes.py
+++ b/camphortray/engine_crashes.py
@@ -101,12 +101,24 @@
         if not segments:
             return
         if events >= PAST_EVENTS:
-            at = self.clock.wall() - began_s
-            for listener in self.answer_listeners:
-                listener(service, segments, at)
+            self.on_answer(service, segments, began_s)
         elif breaks(error):
             self.on_broken(upstream, service, Attempt(request(), segments))
 
+    def on_answer(
+        self, service: str, segments: tuple[str, ...], began_s: float
+    ) -> None:
+        """Take note of an answer that is past the point of a crash.
+
+        Args:
+          service: Service of the engine.
+          segments: Prompt segments that the request shares with others.
+          began_s: Seconds since the first event.
+        """
+        at = self.clock.wall() - began_s
+        for listener in self.answer_listeners:
+            listener(service, segments, at)
+
     def on_broken(
         self, upstream: engine.Upstream, service: str, attempt: Attempt
     ) -> None:
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -124,9 +124,11 @@
       reader: Splits and checks the event stream, across engines.
       text: Data of the events so far.
       origin: What made them.
+      made: Number of events of earlier runs that the present one follows.
       any_version: Whether the next run may begin anew, as no engine of the
         version of ``origin`` had a slot in time.
       held_by: Quarantine that the item waits for, or empty.
+      probes: Quarantine that the item tests, or empty.
       number: Number of slot requests so far.
       run_task: Reads the stream of the present run.
       cancel_cause: Why the last cancelled run was cancelled.
@@ -158,8 +160,10 @@
         self.reader = eventstream.EventReader()
         self.text: list[bytes] = []
         self.origin = UNKNOWN_ORIGIN
+        self.made = 0
         self.any_version = False
         self.held_by = ""
+        self.probes = ""
         self.number = 0
         self.run_task: asyncio.Task[None] | None = None
         self.cancel_cause = early_end.Cause.REVOKED
@@ -197,8 +201,10 @@
                         lease = await self.acquire_slot(route)
                 except TimeoutError:
                     self.any_version = True
+                    self.probes = ""
                     continue
                 except errors.NoSlot as error:
+                    self.probes = ""
                     LOG.debug("{}: {}", self.item.id, error)
                     await asyncio.sleep(item_retry.PAUSE_S)
                     continue
@@ -221,12 +227,17 @@
         """Return whether a prompt segment is quarantined; if so, pause.
 
         The item is not abandoned before its retention is over: a quarantine
-        may be lifted.
+        may be lifted, and is tested by one item at a time.
         """
         service = route.service_of(self.item.id)
         found = self.parts.quarantine.find(service, self.segments)
         if found is None:
-            self.held_by = ""
+            self.held_by = self.probes = ""
+            return False
+        if self.probes == found.key:
+            return False
+        if self.parts.quarantine.may_probe(found):
+            self.probes = found.key
             return False
         self.retries.not_before = (
             self.parts.clock.monotonic() + QUARANTINE_POLL_INTERVAL_S
@@ -464,6 +475,7 @@
             task.cancel()
             self.end_search()
             self.run_task = self.lease = None
+            self.probes = ""
             new_events = self.reader.count - events_before
             stream_s = self.last_event_at - self.first_event_at
             pace_s = engine_speeds.pace_of(new_events, stream_s)
@@ -606,7 +618,8 @@
             workspace=self.job.workspace,
             resumable=True,
         )
-        started_at, made = self.parts.clock.monotonic(), self.reader.count
+        started_at = self.parts.clock.monotonic()
+        made = self.made = self.reader.count
         # After a run without an event no pooled connection is used.
         fresh = self.retries.failures_since_event > 0
         stream = await plugin.open(upstream, request, fresh)
@@ -690,3 +703,17 @@
             self.last_event_at = self.parts.clock.monotonic()
             self.first_event_at = self.first_event_at or self.last_event_at
             self.text += [e.data for e in eventstream.events_of(complete)]
+            if self.probes:
+                self.end_probe()
+
+    def end_probe(self) -> None:
+        """Report that a run tests a quarantine and crashes no engine."""
+        if (
+            self.lease is not None
+            and self.reader.count - self.made >= engine_crashes.PAST_EVENTS
+        ):
+            began_s = self.last_event_at - self.first_event_at
+            self.parts.engine_crashes.on_answer(
+                self.lease.service, self.segments, began_s
+            )
+            self.probes = ""
--- a/camphortray/segment_quarantine.py
+++ b/camphortray/segment_quarantine.py
@@ -19,15 +19,17 @@
 from camphortray import membership
 from camphortray import metrics as metrics_module
 from camphortray import peers
+from camphortray import quarantine_probe
 from camphortray import shards
 from camphortray import tasks
 
 LOG = logs.logger("quarantine")
-# Kinds of the facts about crashes, answers that clear segments of a crash, and
-# quarantines.
+# Kinds of the facts about crashes, answers that clear segments of a crash,
+# quarantines, and probes of quarantines.
 CRASH_FACT = "segment-crash"
 ANSWER_FACT = "segment-answered"
 QUARANTINE_FACT = "segment-quarantine"
+PROBE_FACT = "segment-probe"
 # Seconds for which a quarantine lasts.
 QUARANTINE_S = 3600.0
 # Seconds from one look at the reports to the next.
@@ -65,6 +67,18 @@
     at: float
 
 
+class Probe(msgspec.Struct, frozen=True):
+    """An item runs in spite of a quarantine; the value of a fact.
+
+    Attributes:
+      key: The quarantine.
+      at: When, in wall-clock seconds.
+    """
+
+    key: str
+    at: float
+
+
 class Quarantine(msgspec.Struct, frozen=True):
     """Segments that no request may have until a time.
 
@@ -108,6 +122,7 @@
       by_segment: The same by service and first segment.
       answered: When a segment was last answered here, by service and segment,
         in wall-clock seconds; the least recent first.
+      probes: Probes by the key of a quarantine in force.
       weigh_at: When reported crashes are to be weighed, in monotonic seconds.
       reported: Times of the last reports of crashes.
     """
@@ -128,6 +143,7 @@
         self.answered: collections.OrderedDict[tuple[str, str], float] = (
             collections.OrderedDict()
         )
+        self.probes: dict[str, quarantine_probe.ProbeSchedule] = {}
         self.weigh_at: collections.deque[float] = collections.deque()
         self.reported: collections.deque[float] = collections.deque()
         self.task: asyncio.Task[None] | None = None
@@ -140,6 +156,7 @@
         self.members.on_fact(CRASH_FACT, self.on_crash_fact)
         self.members.on_fact(ANSWER_FACT, self.on_answer_fact)
         self.members.on_fact(QUARANTINE_FACT, self.on_quarantine_fact)
+        self.members.on_fact(PROBE_FACT, self.on_probe_fact)
         work = tasks.forever("quarantine of prompt segments", self.run)
         self.task = asyncio.get_running_loop().create_task(work)
 
@@ -166,6 +183,36 @@
                     return found
         return None
 
+    def may_probe(self, quarantine: Quarantine) -> bool:
+        """Return whether an item may run in spite of a quarantine.
+
+        If so, no other one may on any host until it shows something.
+        """
+        schedule = self.probes.get(quarantine.key)
+        now = self.clock.wall()
+        if schedule is None or not schedule.looks(now):
+            return False
+        crashes = self.attribution.crashes_under(
+            quarantine.service, quarantine.segments
+        )
+        delay_s = 0.0 if self.is_first(quarantine.key) else schedule.delay_s
+        if not schedule.is_due(crashes, now - delay_s):
+            return False
+        schedule.record(now)
+        self.members.publish(
+            PROBE_FACT,
+            quarantine.key,
+            msgspec.to_builtins(Probe(quarantine.key, now)),
+            quarantine_probe.PROBE_S,
+        )
+        LOG.notice("An item tests a quarantine: {}.", quarantine)
+        self.metrics.inc(
+            "camphortray_quarantine_probes_total",
+            "Items run in spite of a quarantine, to test it.",
+            {"service": quarantine.service},
+        )
+        return True
+
     def left_s(self, quarantine: Quarantine) -> float:
         """Return the seconds until a quarantine ends."""
         return max(0.0, quarantine.until - self.clock.wall())
@@ -197,7 +244,7 @@
         for segment in segments:
             self.answered[service, segment] = at
             self.answered.move_to_end((service, segment))
-            if self.weighing:
+            if self.weighing or self.in_force:
                 self.report_answer(service, segment)
         while len(self.answered) > MAX_ANSWERED:
             self.answered.popitem(last=False)
@@ -205,9 +252,7 @@
     def report_answer(self, service: str, segment: str) -> None:
         """Report this host's last answer on a segment if that clears it."""
         at = self.answered.get((service, segment))
-        if at is None or not self.attribution.would_clear(
-            service, segment, at
-        ):
+        if at is None or not self.clears(service, segment, at):
             return
         # The last answer is to win, whichever host reports it first.
         self.members.offer(
@@ -220,6 +265,18 @@
             )
         )
 
+    def clears(self, service: str, segment: str, at: float) -> bool:
+        """Return whether an answer tells hosts something of a segment."""
+        if self.attribution.would_clear(service, segment, at):
+            return True
+        known_at = self.attribution.answered_at.get((service, segment), 0.0)
+        return any(
+            quarantine.service == service
+            and segment in quarantine.segments
+            and known_at <= quarantine.at < at
+            for quarantine in self.in_force.values()
+        )
+
     # What hosts report.
 
     def on_crash_fact(self, fact: membership.Fact) -> None:
@@ -259,12 +316,12 @@
                     self.on_ended(quarantine)
 
     def is_refuted(self, quarantine: Quarantine) -> bool:
-        """Return whether an answer began after the last crash."""
-        if len(quarantine.segments) > 1:
-            return False
-        key = quarantine.service, quarantine.segments[0]
-        at = self.attribution.answered_at.get(key)
-        return at is not None and at > quarantine.at
+        """Return whether all segments were answered after the last crash."""
+        answered_at = self.attribution.answered_at
+        return all(
+            answered_at.get((quarantine.service, segment), 0.0) > quarantine.at
+            for segment in quarantine.segments
+        )
 
     def on_quarantine_fact(self, fact: membership.Fact) -> None:
         """Take over a quarantine that a host has found."""
@@ -272,6 +329,14 @@
         if quarantine is not None:
             self.put(quarantine)
 
+    def on_probe_fact(self, fact: membership.Fact) -> None:
+        """Take note of a probe by any host."""
+        probe = self.read(fact, Probe)
+        schedule = self.probes.get(probe.key) if probe is not None else None
+        if probe is not None and schedule is not None:
+            # Clocks differ; a probe cannot lie ahead.
+            schedule.record(min(probe.at, self.clock.wall()))
+
     def read(self, fact: membership.Fact, cls: type[T]) -> T | None:
         """Return the value of a fact, or None if it cannot be read."""
         try:
@@ -346,6 +411,10 @@
         if held is not None and (held.stored or not quarantine.stored):
             return
         self.in_force[quarantine.key] = quarantine
+        if quarantine.key not in self.probes:
+            self.probes[quarantine.key] = quarantine_probe.ProbeSchedule(
+                quarantine.at, self.rng.uniform(*quarantine_probe.DELAY_S)
+            )
         if held is None:
             LOG.warning(
                 "Requests are refused for {:.0f} s: {}.",
@@ -365,6 +434,7 @@
     def end(self, quarantine: Quarantine, why: str) -> None:
         """End a quarantine on this host."""
         del self.in_force[quarantine.key]
+        del self.probes[quarantine.key]
         self.attribution.forget(
             crash_attribution.Culprit(
                 quarantine.service,
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -201,6 +201,9 @@
     def find(self, service, segments):
         return self.found
 
+    def may_probe(self, quarantine):
+        return False
+
     def left_s(self, quarantine):
         return 60.0
 
