Engines: bytes without end are bounded

Callers: one engine that sends an answer in one piece without end could fill the memory of a host (600 MB in 5 s of 1,000 Mbit/s, where it has 256 to 340) and end all requests there. An item kept its slot for as long as bytes came.

Cause: answers in one piece, outputs of items, refusals and bytes behind a whole answer had no bound in size; reports and bodies of services none in time, as each byte began it anew; any byte counted as a sign of life; all pieces of a read were worked through at once.

Change: body_budget holds 32 MB an answer and 64 MB in all, and drops the largest. 16 interim answers, 1 MB read ahead, 256 KB behind an answer, 256 pieces a turn of the loop. An item needs events to keep its engine, and its output begins anew beyond what a result holds. A stream needs complete events to count as speaking. A refusal's word is taken from its head.

Why it works: each place that gathers bytes has a bound of its own, and what is gathered by many has one together, which the engine that sends most pays.

64 MB: a quarter of the 256 MB that a host has for control at the target.

--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -21,6 +21,10 @@
 # Unread bytes at which the shell stops reading the socket.
 HIGH_WATER = 262_144
 MAX_HEAD_BYTES = 32_768
+# Interim answers (100 and the like) that may come before an answer.
+MAX_INTERIM_ANSWERS = 16
+# Pieces of an answer that are worked through before other work has its turn.
+MAX_EVENTS_PER_TURN = 256
 # Seconds from one look at what is acknowledged to the next; the way to a
 # server near by and back takes about one.
 LOOK_S = 0.001
@@ -62,6 +66,8 @@
         self.heard_at = self.loop.time()
         self.waiter: asyncio.Future[bool] | None = None
         self.reading_paused = False
+        self.interim = 0
+        self.turn: asyncio.Handle | None = None
         self.sink: Sink | None = None
         self.sink_s = 0.0
         self.sink_error: Exception | None = None
@@ -95,8 +101,13 @@
             # answer; dropping the connection is enough, as it is idle.
             self.abort()
             return
+        self.work_through(data)
+
+    def work_through(self, data: bytes = b"") -> None:
+        """Work through what has been received, and give it on."""
         try:
-            self.h11.receive_data(data)
+            if data:
+                self.h11.receive_data(data)
             self.pump(len(data))
         except h11.RemoteProtocolError as error:
             self.fail(f"malformed answer: {error}")
@@ -139,25 +150,71 @@
             came back as one piece of body, there is nothing more to ask
             for, which halves the events of a streamed token.
         """
+        events = 0
         while not self.complete:
+            events += 1
+            if events > MAX_EVENTS_PER_TURN and not self.ended:
+                self.go_on_later()
+                break
             event = self.h11.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+                break
             if isinstance(event, h11.Data):
                 self.chunks.append(bytes(event.data))
                 self.buffered += len(event.data)
                 if event.chunk_end and received == framed(event.data):
                     break
-            elif isinstance(event, h11.Response):
-                self.head = event
-            elif isinstance(event, h11.EndOfMessage):
-                self.complete = True
             elif isinstance(event, h11.ConnectionClosed):
                 return
-        if self.buffered > HIGH_WATER and not self.reading_paused:
+            else:
+                self.take_frame(event)
+        self.limit_reading()
+
+    def take_frame(self, event: Any) -> None:
+        """Take the head or the end of an answer."""
+        if isinstance(event, h11.Response):
+            self.head = event
+            self.interim = 0
+        elif isinstance(event, h11.EndOfMessage):
+            self.complete = True
+        elif isinstance(event, h11.InformationalResponse):
+            self.interim += 1
+            if self.interim > MAX_INTERIM_ANSWERS:
+                raise h11.RemoteProtocolError("interim answers without end")
+
+    def limit_reading(self) -> None:
+        """Read nothing more for now if much is unread, or follows the end."""
+        unread = self.buffered
+        if self.complete:
+            unread += len(self.h11.trailing_data[0])
+        if unread > HIGH_WATER or self.turn is not None:
+            self.pause_reading()
+        else:
+            self.resume_reading()
+
+    def pause_reading(self) -> None:
+        """Let the peer wait."""
+        if not self.reading_paused and not self.lost:
             self.reading_paused = True
             self.transport.pause_reading()
 
+    def resume_reading(self) -> None:
+        """Let the peer go on."""
+        if self.reading_paused and not self.lost:
+            self.reading_paused = False
+            self.transport.resume_reading()
+
+    def go_on_later(self) -> None:
+        """Let other work have its turn before the rest is worked through."""
+        if self.turn is None:
+            self.turn = self.loop.call_soon(self.take_turn)
+
+    def take_turn(self) -> None:
+        """Work through more of what has been received."""
+        self.turn = None
+        if not self.lost:
+            self.work_through()
+
     def expect_another(self) -> None:
         """Go on to the answer that follows the present one.
 
@@ -200,8 +257,7 @@
         self.chunks.clear()
         self.buffered = 0
         if self.reading_paused:
-            self.reading_paused = False
-            self.transport.resume_reading()
+            self.limit_reading()
         return data
 
     async def wait(self, seconds: float, step: str) -> None:
--- a/camphortray/completing.py
+++ b/camphortray/completing.py
@@ -264,13 +264,13 @@
         self, stream: engine.EngineStream, attempt: proxy_exchange.Try
     ) -> None:
         limit_s = ALIVE_FACTOR * self.header_limit_for(attempt.upstream)
-        parts = []
         self.failover.watch(limit_s)
-        async for part in engine.iterate(stream, self.first_limit_s()):
-            self.failover.watch(limit_s)
-            parts.append(part)
+        body = await engine.read_all(
+            stream,
+            self.first_limit_s(),
+            lambda: self.failover.watch(limit_s),
+        )
         self.failover.pause()
-        body = b"".join(parts)
         self.check_body(body, attempt)
         headers = [("content-type", stream.content_type)]
         self.response.send(stream.status, body, headers)
--- a/camphortray/engine.py
+++ b/camphortray/engine.py
@@ -26,6 +26,7 @@
 
 import msgspec
 
+from camphortray import body_budget
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import registry
@@ -401,10 +402,28 @@
     return [json.dumps({"choices": [{"text": text}]}).encode()]
 
 
-async def read_all(stream: EngineStream, timeout_s: float) -> bytes:
-    """Return the whole body of a response."""
-    parts = [part async for part in iterate(stream, timeout_s)]
-    return b"".join(parts)
+async def read_all(
+    stream: EngineStream,
+    timeout_s: float,
+    on_part: Callable[[], None] | None = None,
+) -> bytes:
+    """Return the whole body of a response.
+
+    Args:
+      stream: The response.
+      timeout_s: Longest wait for each part, in seconds.
+      on_part: Called with each part, if not None.
+
+    Raises:
+      UpstreamBroken: it was truncated, or is too large.
+      UpstreamTimeout: nothing was received for ``timeout_s``.
+    """
+    with body_budget.ANSWERS.hold(stream.close) as body:
+        async for part in iterate(stream, timeout_s):
+            body.add(part)
+            if on_part is not None:
+                on_part()
+        return body.whole()
 
 
 async def iterate(
--- a/camphortray/engine_failover.py
+++ b/camphortray/engine_failover.py
@@ -63,6 +63,10 @@
     )
 
 
+# Bytes of an answer in one piece that are read before it is to be sent.
+MAX_AHEAD_BYTES = 1024 * 1024
+
+
 class Opened:
     """An answer that has begun.
 
@@ -101,8 +105,13 @@
     async def fill(self, timeout_s: float) -> None:
         """Read to the end; see ``read`` for what is raised."""
         async with self.lock:
+            size = 0
             while data := await self.stream.read(timeout_s):
                 self.parts.append(data)
+                size += len(data)
+                if size > MAX_AHEAD_BYTES:
+                    # The rest is read once it is to be sent.
+                    return
             self.ended = True
 
     async def read(self, timeout_s: float) -> bytes:
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from camphortray import body_budget
 from camphortray import clientconnection
 from camphortray import config as configs
 from camphortray import errors
@@ -164,12 +165,35 @@
             self.client.distrust(self.address, seconds)
             raise
 
-    async def body(self) -> bytes:
-        """Return the whole body."""
-        parts = []
-        while data := await self.read():
-            parts.append(data)
-        return b"".join(parts)
+    async def body(self, limit_s: float | None = None) -> bytes:
+        """Return the whole body.
+
+        Args:
+          limit_s: Longest time for all of it; None for no such limit.
+
+        Raises:
+          UpstreamBroken: the answer was cut off, or is too large.
+          UpstreamTimeout: nothing, or not all, came in time.
+        """
+        if limit_s is None:
+            return await self.whole_body()
+        try:
+            async with timers.limit(limit_s):
+                return await self.whole_body()
+        except TimeoutError as error:
+            raise errors.UpstreamTimeout(
+                f"not whole in {limit_s:.3g} s",
+                ran=True,
+                step="read",
+                peer=str(self.address),
+            ) from error
+
+    async def whole_body(self) -> bytes:
+        """Return the whole body, however long it takes."""
+        with body_budget.ANSWERS.hold(self.close) as held:
+            while data := await self.read():
+                held.add(data)
+            return held.whole()
 
     def close(self) -> None:
         """Give the connection back, or drop it if not fully read."""
@@ -308,7 +332,8 @@
                     self.proofs.note(address, True, now)
             if kept and limits.kept_head_s:
                 seconds = min(seconds, limits.kept_head_s)
-            await self.receive_head(connection, seconds, echo)
+            wait = HeadWait(connection, seconds)
+            await self.receive_head(connection, wait, echo)
         except BaseException as error:
             self.discard(connection)
             if isinstance(error, errors.UpstreamTimeout) and error.ran:
@@ -319,14 +344,14 @@
     async def receive_head(
         self,
         connection: ClientConnection,
-        seconds: float,
+        wait: HeadWait,
         echo: request_echo.RequestEcho | None,
     ) -> None:
         """Wait for the head of the answer to the request just sent.
 
         Args:
           connection: Where the request was sent.
-          seconds: Longest wait, for all that comes before it too.
+          wait: Limit of the wait, for all that comes before it too.
           echo: Id that the answer repeats, or None to take the first.
 
         Raises:
@@ -336,7 +361,6 @@
         if echo is not None:
             connection.last_id = echo.id
         skipped = 0
-        wait = HeadWait(connection, seconds)
         while True:
             while connection.head is None:
                 if connection.lost:
@@ -356,7 +380,7 @@
     async def skip_answer(
         self,
         connection: ClientConnection,
-        wait: "HeadWait",
+        wait: HeadWait,
         echo: request_echo.RequestEcho,
     ) -> None:
         """Skip an answer to another request; errors as ``receive_head``."""
@@ -390,8 +414,13 @@
         timeouts: Timeouts | None = None,
         fresh: bool = False,
         echo: request_echo.RequestEcho | None = None,
+        body_s: float | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
-        """Send a request; return status, headers and whole body."""
+        """Send a request; return status, headers and whole body.
+
+        Args as ``request``, and:
+          body_s: Longest time for the body; None for no such limit.
+        """
         response = await self.request(
             address,
             method,
@@ -403,7 +432,7 @@
             echo=echo,
         )
         try:
-            content = await response.body()
+            content = await response.body(body_s)
         finally:
             response.close()
         return response.status, response.headers, content
@@ -465,11 +494,12 @@
             await connection.send_request(
                 "GET", check.target, framed, b"", prove_s
             )
-            await self.receive_head(connection, seconds, check.echo)
+            wait = HeadWait(connection, seconds)
+            await self.receive_head(connection, wait, check.echo)
             while not connection.complete:
                 if connection.lost:
                     raise connection.broken("check")
-                await connection.wait(seconds, "check")
+                await wait.wait("check")
             assert connection.head is not None
             check.verify(connection.head.status_code, connection.take())
         except BaseException as error:
--- a/camphortray/itemrun.py
+++ b/camphortray/itemrun.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from camphortray import body_budget
 from camphortray import collector
 from camphortray import engine
 from camphortray import errors
@@ -200,7 +201,11 @@
             async with asyncio.timeout(service.get("limit.deadline_s")):
                 stream = await backend.open(upstream, request, fresh)
             try:
+                size = 0
                 while data := await stream.read(limit_s):
+                    size += len(data)
+                    if size > body_budget.MAX_BODY_BYTES:
+                        raise body_budget.too_large()
                     partial.feed(data)
                     now = clock.monotonic()
                     signal_token(
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -123,6 +123,7 @@
       retries: Failed runs so far, and when and where the next may start.
       reader: Splits and checks the event stream, across engines.
       text: Data of the events so far.
+      text_bytes: Size of their text, with a line feed behind each.
       origin: What made them.
       made: Number of events of earlier runs that the present one follows.
       any_version: Whether the next run may begin anew, as no engine of the
@@ -159,6 +160,7 @@
         self.retries = item_retry.RetryState()
         self.reader = eventstream.EventReader()
         self.text: list[bytes] = []
+        self.text_bytes = 0
         self.origin = UNKNOWN_ORIGIN
         self.made = 0
         self.any_version = False
@@ -285,8 +287,7 @@
         Args:
           delay_s: Time before the next run, in seconds.
         """
-        self.reader = eventstream.EventReader()
-        self.text = []
+        self.drop_output()
         self.retries.not_before = self.parts.clock.monotonic() + delay_s
 
     def abort(self) -> None:
@@ -392,6 +393,7 @@
             return
         self.reader.resume_after(progress.last, len(progress.text))
         self.text = list(progress.text)
+        self.text_bytes = sum(len(part) + 1 for part in self.text)
         self.origin = progress.origin
         # The present run has less output; the next one resumes after this.
         self.cancel_run(early_end.Cause.OVERTAKEN)
@@ -588,7 +590,7 @@
                     "version_before": self.origin.version,
                 },
             )
-        self.reader, self.text = eventstream.EventReader(), []
+        self.drop_output()
 
     async def stream(
         self, route: routemap.Route, upstream: engine.Upstream, service: str
@@ -636,11 +638,22 @@
                     peer=upstream.name,
                 )
             limit_s = FIRST_EVENT_TIMEOUT_S
+            event_at = started_at
             while data := await stream.read(limit_s):
+                now = self.parts.clock.monotonic()
+                if not self.feed(data):
+                    # Bytes that complete no event are no better than silence.
+                    if now - event_at > limit_s:
+                        raise errors.UpstreamTimeout(
+                            f"no event in {limit_s:.3g} s",
+                            ran=True,
+                            step="stream",
+                            peer=upstream.name,
+                        )
+                    continue
                 if limit_s == FIRST_EVENT_TIMEOUT_S:
-                    waited_s = self.parts.clock.monotonic() - started_at
-                    self.parts.estimator.started(made, waited_s)
-                self.feed(data)
+                    self.parts.estimator.started(made, now - started_at)
+                event_at = now
                 limit_s = EVENT_TIMEOUT_S
                 self.end_search()
                 silence.set(SEARCH_AFTER_S)
@@ -696,15 +709,34 @@
         if lease is not None:
             self.parts.slots.release(lease, enginehealth.Outcome.NOTHING)
 
-    def feed(self, data: bytes) -> None:
-        """Store the data of complete events."""
+    def feed(self, data: bytes) -> bool:
+        """Store the data of complete events; return whether there are any.
+
+        Raises:
+          UpstreamBroken: the bytes are no stream, or the output is too large.
+        """
+        before = self.reader.count
         complete = self.reader.feed(data)
-        if complete:
-            self.last_event_at = self.parts.clock.monotonic()
-            self.first_event_at = self.first_event_at or self.last_event_at
-            self.text += [e.data for e in eventstream.events_of(complete)]
-            if self.probes:
-                self.end_probe()
+        if self.reader.count == before:
+            return False
+        self.last_event_at = self.parts.clock.monotonic()
+        self.first_event_at = self.first_event_at or self.last_event_at
+        events = eventstream.events_of(complete)
+        self.text += [event.data for event in events]
+        self.text_bytes += sum(len(event.data) + 1 for event in events)
+        if self.text_bytes > partition_records.MAX_TEXT_BYTES + 1:
+            self.drop_output()
+            raise errors.UpstreamGarbled(
+                "the output is too large", ran=True, step="stream"
+            )
+        if self.probes:
+            self.end_probe()
+        return True
+
+    def drop_output(self) -> None:
+        """Drop the output so far; the next run begins at the first event."""
+        self.reader, self.text = eventstream.EventReader(), []
+        self.text_bytes = 0
 
     def end_probe(self) -> None:
         """Report that a run tests a quarantine and crashes no engine."""
--- a/camphortray/plugins/http_service.py
+++ b/camphortray/plugins/http_service.py
@@ -48,20 +48,13 @@
         )
         try:
             check_owner(response, upstream)
-            body = await response.body()
+            check_ran(response, upstream)
+            body = await response.body(limit)
         finally:
             response.close()
-        status, answered = response.status, response.headers
-        if status == 503 and response.is_own and NOT_RUN in answered:
-            raise errors.UpstreamRefused(
-                "draining" if "x-leaving" in answered else "busy",
-                status=status,
-                ran=False,
-                leaving="x-leaving" in answered,
-                step="call",
-                peer=upstream.name,
-            )
-        return service.ServiceAnswer(status, tuple(answered.items()), body)
+        return service.ServiceAnswer(
+            response.status, tuple(response.headers.items()), body
+        )
 
     async def close(self) -> None:
         await self.client.close()
@@ -83,3 +76,23 @@
             step="echo",
             peer=upstream.name,
         )
+
+
+def check_ran(
+    response: httpclient.ClientResponse, upstream: engine.Upstream
+) -> None:
+    """Check that an answer does not say that nothing ran.
+
+    Raises:
+      UpstreamRefused: it does.
+    """
+    told = response.headers
+    if response.status == 503 and response.is_own and NOT_RUN in told:
+        raise errors.UpstreamRefused(
+            "draining" if "x-leaving" in told else "busy",
+            status=response.status,
+            ran=False,
+            leaving="x-leaving" in told,
+            step="call",
+            peer=upstream.name,
+        )
--- a/camphortray/plugins/openai_engine.py
+++ b/camphortray/plugins/openai_engine.py
@@ -22,6 +22,8 @@
 DEADLINE_MARGIN_S = 1.0
 CONNECT_S = 1.0
 CONTROL = httpclient.Timeouts(1.0, 2.0, 2.0)
+# Longest time for the body of a refusal or of an answer to a short call.
+CONTROL_BODY_S = 2.0
 
 
 @engine.ENGINES.register("openai")
@@ -116,6 +118,7 @@
             body,
             timeouts=CONTROL,
             fresh=fresh,
+            body_s=CONTROL_BODY_S,
         )
         if status != 200:
             raise errors.UpstreamRefused(
@@ -175,7 +178,11 @@
     response: httpclient.ClientResponse, upstream: engine.Upstream
 ) -> None:
     """Raise the refusal that an answer stands for."""
-    body = await response.body()
+    try:
+        body = await response.body(CONTROL_BODY_S)
+    except errors.UpstreamError:
+        # What it says stands in its head.
+        body = b""
     not_run = response.is_own and NOT_RUN in response.headers
     raise errors.UpstreamRefused(
         message_of(body),
--- a/camphortray/proxy_exchange.py
+++ b/camphortray/proxy_exchange.py
@@ -361,7 +361,8 @@
             return
         opened.stream = ahead = engine_failover.ReadAhead(opened.stream)
         await ahead.fill(self.first_limit_s())
-        self.check_body(b"".join(ahead.parts), attempt)
+        if ahead.ended:
+            self.check_body(b"".join(ahead.parts), attempt)
 
     def check_body(self, body: bytes, attempt: Try) -> None:
         """Check that an answer in one piece is complete.
@@ -443,11 +444,12 @@
         if self.failover.successor is not None:
             # It goes on behind what has been sent by now.
             return True
-        if self.seek_s:
-            self.failover.watch(self.seek_s)
         response = self.response
         whole = self.framing.feed(data)
         if whole:
+            # Bytes that complete no event are no better than silence.
+            if self.seek_s:
+                self.failover.watch(self.seek_s)
             if not response.status:
                 self.on_first()
                 response.start(stream.status, self.head_of(stream))
