HTTP client: a closed answer reads nothing more

Change: an answer that was closed before its end raises as it is read; one that was read to its end stays ended.

Evidence: test_a_dropped_answer_takes_no_bytes_of_the_next.

--- a/camphortray/early_end.py
+++ b/camphortray/early_end.py
@@ -17,8 +17,8 @@
     of its partition has more of its output), ``STALLED`` (its task hung) and
     ``OWNER_STOPPED`` (its job has ended or its partition has moved). A request
     is ``CANCELLED`` if its host stops while its caller is there, and
-    ``DRAINING``
-    if it could not end before its host does and was not sent to an engine.
+    ``DRAINING`` if it could not end before its host does and was not sent to
+    an engine.
     """
 
     SILENCE = "silence"
--- a/camphortray/httpclient.py
+++ b/camphortray/httpclient.py
@@ -66,6 +66,7 @@
       status: HTTP status.
       headers: Lower-case names.
       closed: Whether its connection has been given back or dropped.
+      ended: Whether its body has been read to the end.
       owner: The request that it names; None if that was not asked for.
       is_first: Whether no request was sent on its connection before.
     """
@@ -83,6 +84,7 @@
         self.connection = connection
         self.timeouts = timeouts
         self.closed = False
+        self.ended = False
         head = connection.head
         assert head is not None
         self.status = head.status_code
@@ -115,8 +117,16 @@
           UpstreamTimeout: nothing came in time.
         """
         connection = self.connection
-        while not connection.chunks:
+        while self.closed or not connection.chunks:
+            if self.ended:
+                return b""
+            if self.closed:
+                # By now its connection may carry another answer.
+                raise errors.UpstreamBroken(
+                    "closed", ran=True, step="read", peer=str(self.address)
+                )
             if connection.complete:
+                self.ended = True
                 self.close()
                 return b""
             if connection.lost:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -199,6 +199,23 @@
         await server.ended.wait()
 
 
+async def test_a_dropped_answer_takes_no_bytes_of_the_next():
+    """An answer dropped as it ended read on in the next one."""
+    async with extra.Server(extra.PLATFORM) as server:
+        client = httpclient.HttpClient()
+        address = server.upstream.address
+        asked = [("GET", "/", [(extra.PLATFORM, name)]) for name in ("a", "b")]
+        server.own["a"] = extra.answer(extra.PLATFORM, ["a"], body=b"")
+        first = await client.request(address, *asked[0])
+        first.close()
+        second = await client.request(address, *asked[1])
+        assert second.connection is first.connection
+        with pytest.raises(errors.UpstreamBroken):
+            await first.read()
+        assert await second.body() == b"ok"
+        await client.close()
+
+
 async def test_other_work_has_its_turn_beside_many_small_chunks():
     """A host stood still while it worked through chunks of one byte."""
     connection = clientconnection.ClientConnection("peer")
