Items: an output that is too large is rarely run again

Cause: the bound on the output of an item ends a run by itself, as a broken one that is retried after 1, 2, 4 s; before, the whole output came to the store's bound, after which 30 s follow.

Change: the second such run in a row is followed by 30 s, from one constant for both places. After the first the item is run again soon, as its engine may have been at fault.

Evidence: the test, unchanged, fails before and passes now, as do tests/test_endless_bytes.py and tests/test_itemwork.py.

--- a/camphortray/errors.py
+++ b/camphortray/errors.py
@@ -14,6 +14,7 @@
     "NoSlot",
     "NoVersion",
     "NotOwner",
+    "OutputTooLarge",
     "PluginError",
     "RateExceeded",
     "RecordError",
@@ -220,6 +221,10 @@
     """What the upstream sent is no answer, or not one to the request."""
 
 
+class OutputTooLarge(UpstreamGarbled):
+    """The output of an item is larger than a result may be."""
+
+
 class UpstreamUnsendable(UpstreamBroken):
     """A request has a head that cannot be sent; no upstream is to blame."""
 
--- a/camphortray/item_reconciler.py
+++ b/camphortray/item_reconciler.py
@@ -20,6 +20,7 @@
 import traceback
 
 from camphortray import errors
+from camphortray import item_retry
 from camphortray import item_stall_detector
 from camphortray import itemwork
 from camphortray import logs
@@ -41,8 +42,6 @@
 # once.
 FIRST_ERROR_DELAY_S = 0.2
 MAX_ERROR_DELAY_S = 5.0
-# The same for an item whose result is too large to be stored.
-OVERSIZED_RESULT_DELAY_S = 30.0
 
 
 class ItemReconciler:
@@ -189,7 +188,7 @@
                 # Storing this result would fail again, but another engine
                 # may return a smaller one.
                 self.log_failure(work, error)
-                delay_s = OVERSIZED_RESULT_DELAY_S
+                delay_s = item_retry.OVERSIZED_DELAY_S
             except Exception as error:
                 self.log_failure(work, error)
             work.discard_output(delay_s)
--- a/camphortray/item_retry.py
+++ b/camphortray/item_retry.py
@@ -18,6 +18,8 @@
 MAX_CRASHES = 3
 CRASH_DELAY_S = 1.0
 MAX_CRASH_DELAY_S = 15.0
+# Delay before an item is run again whose output was too large, in seconds.
+OVERSIZED_DELAY_S = 30.0
 # Pause after a failed try, in seconds; doubled with each up to the maximum.
 PAUSE_S = 0.05
 MAX_PAUSE_S = 1.0
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -124,6 +124,7 @@
       reader: Splits and checks the event stream, across engines.
       text: Data of the events so far.
       text_bytes: Size of their text, with a line feed behind each.
+      oversized: Number of runs whose output was too large.
       origin: What made them.
       made: Number of events of earlier runs that the present one follows.
       any_version: Whether the next run may begin anew, as no engine of the
@@ -161,6 +162,7 @@
         self.reader = eventstream.EventReader()
         self.text: list[bytes] = []
         self.text_bytes = 0
+        self.oversized = 0
         self.origin = UNKNOWN_ORIGIN
         self.made = 0
         self.any_version = False
@@ -523,14 +525,16 @@
         )
         if isinstance(error, errors.UpstreamRefused) and error.leaving:
             self.parts.active_config.note_leaving(name)
+        now = self.parts.clock.monotonic()
         decision = item_retry.decide(
-            self.retries,
-            error,
-            name,
-            self.parts.clock.monotonic(),
-            route.max_attempts,
-            new_events,
+            self.retries, error, name, now, route.max_attempts, new_events
         )
+        if isinstance(error, errors.OutputTooLarge):
+            self.oversized += 1
+            if self.oversized > 1:
+                # The item itself may have such an output.
+                delay_s = item_retry.OVERSIZED_DELAY_S
+                self.retries.not_before = now + delay_s
         if decision is item_retry.RetryDecision.ABANDON:
             return self.abandoned(str(error))
         return None
@@ -726,7 +730,7 @@
         self.text_bytes += sum(len(event.data) + 1 for event in events)
         if self.text_bytes > partition_records.MAX_TEXT_BYTES + 1:
             self.drop_output()
-            raise errors.UpstreamGarbled(
+            raise errors.OutputTooLarge(
                 "the output is too large", ran=True, step="stream"
             )
         if self.probes:
