--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,11 +1,10 @@
-"""Jobs beyond the cap of a route are accepted after a store outage."""
+"""A tenant gets its burst twice when one process is killed."""
 
 import asyncio
-import base64
-import json
 import os
 import pathlib
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "rig-2"))
@@ -16,93 +15,92 @@
 import store as stores  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PREFIX = "/pule252/"
-JOBS = 50
-JOB_ITEMS = 10
-ITEM_TOKENS = 587
-JOB_TOKENS = JOB_ITEMS * ITEM_TOKENS
-CAP = 20 * JOB_TOKENS
-EXCESS = 0.1
-# As the sheets have it: a job is 237 events, and its clients come again once.
-EVENTS = 237
-RETRIES = 1
-# Jobs come over this time, from the begin of the outage on.
-SPREAD_S = 1.8
-DOWN_S = 1.9
-
-
-class Clients:
-    """Clients of the batch route."""
-
-    def __init__(self, hosts, engines, record):
+# The host that is killed; it coordinates the service. KILL=all kills all.
+KILL = os.environ.get("KILL", "1")
+PREFIX = "/lohu930/"
+KEY = "k-7f3a91c2"
+WINDOW_S = 5.0
+RATE, BURST = 10.0, 100.0
+EXCESS, SLACK = 0.1, 20
+LIMIT = (RATE * WINDOW_S + BURST) * (1 + EXCESS) + SLACK
+# What the tenant asks for: many times its limit.
+ASKED_PER_S = 120.0
+BEFORE_S, AFTER_S = 1.6, 6.0
+# From the kill to the start of a process.
+RESTART_S = float(os.environ.get("RESTART", "0.3"))
+
+
+class Callers:
+    """One tenant's callers."""
+
+    def __init__(self, hosts, record):
         self.hosts = hosts
-        self.engines = engines
         self.record = record
-        self.accepted = {}
-        self.broken = False
-        self.most = 0
-
-    def waiting(self):
-        """Return the tokens accepted that no engine has finished."""
-        done = set().union(*(each.finished for each in self.engines))
-        return sum(
-            ITEM_TOKENS
-            for items in self.accepted.values()
-            for item in items
-            if item not in done
-        )
+        self.sent = {}
+        self.counts = {}
+        self.number = 0
 
-    async def submit(self, number, at_s):
-        """Send one job, and again after a refusal."""
-        await asyncio.sleep(at_s)
-        job = f"{number:04x}c41e09b52d"
-        items = [f"{job}{index:02x}" for index in range(JOB_ITEMS)]
-        body = json.dumps({"items": [item_of(item) for item in items]})
-        headers = [
-            ("Host", fleet.HOST_NAME),
-            ("Attempt-Id", job),
-            ("Content-Type", "application/json"),
-        ]
-        for attempt in range(1 + RETRIES):
+    async def ask(self, number):
+        """Send one request, and again after a refusal, like a caller."""
+        for attempt in range(2):
             host = self.hosts[(number + attempt) % len(self.hosts)]
+            name = f"9c41d0{number:06x}{attempt:04x}"
+            self.sent[name] = time.monotonic()
             answer = await call(
                 host.front,
                 "POST",
-                f"{PREFIX}{job[:6]}",
-                headers,
-                body.encode(),
-                timeout_s=4.0,
+                f"{PREFIX}2f",
+                [
+                    ("Host", fleet.HOST_NAME),
+                    ("Attempt-Id", name),
+                    ("Key", KEY),
+                    ("Deadline-Ms", "5000"),
+                    ("Model", "m"),
+                    ("Token-Counts", "450,34"),
+                    ("Prompt-Prefix", f"5c1e07a2:200,{number:08x}:250"),
+                ],
+                b"prompt",
             )
-            self.record(f"job {job} at {host.name}: {answer.status}")
-            if answer.status == 202:
-                self.accepted[job] = items
-                self.check()
+            self.record(f"{name} at {host.name}: {answer.status}")
+            self.counts[answer.status] = self.counts.get(answer.status, 0) + 1
+            if answer.status == 200:
                 return
-            wait_s = float(answer.headers.get("retry-after", 0.5))
-            await asyncio.sleep(wait_s)
-
-    def check(self):
-        """Check the rule at a 202."""
-        tokens = self.waiting()
-        self.most = max(self.most, tokens)
-        if tokens > CAP * (1 + EXCESS):
-            self.broken = True
-            self.record(f"QUOTA: {tokens} tokens wait, cap {CAP}")
-
-
-def item_of(item):
-    """Return an item of a job."""
-    return {
-        "id": item,
-        "path": f"{PREFIX}3/{item[-4:]}",
-        "headers": {
-            "Model": "m",
-            "Token-Counts": "350,237",
-            "Prompt-Prefix": f"9c2e41:100,{item}:250",
-        },
-        "body": base64.b64encode(b"prompt").decode(),
-        "tokens": ITEM_TOKENS,
-    }
+            await asyncio.sleep(0.3)
+
+    async def press(self, seconds, asking):
+        """Send requests evenly for a time."""
+        begun_at = time.monotonic()
+        first = self.number
+        while (spent := time.monotonic() - begun_at) < seconds:
+            while self.number - first < spent * ASKED_PER_S:
+                asking.append(asyncio.create_task(self.ask(self.number)))
+                self.number += 1
+            await asyncio.sleep(0.01)
+
+
+def most_in_window(engines, sent, record):
+    """Return the most requests sent and run within one window."""
+    runs = sorted(
+        (sent[run[1]], run[0])
+        for engine in engines
+        for run in engine.ran
+        if run[1] in sent
+    )
+    most = 0
+    for first, _ in runs:
+        inside = [
+            run for at, run in runs if at >= first and run <= first + WINDOW_S
+        ]
+        if len(inside) > most:
+            most = len(inside)
+            span = record.at(first), record.at(max(inside))
+    bins = {}
+    for _, run in runs:
+        at = round(record.at(run) * 5) / 5
+        bins[at] = bins.get(at, 0) + 1
+    record(f"runs by time: {bins}")
+    record(f"{len(runs)} ran; at most {most} in {span}, limit {LIMIT:.0f}")
+    return most
 
 
 async def play(folder, record):
@@ -111,45 +109,49 @@
     await store.start("127.0.0.1")
     engines = [
         engines_module.Engine(store, f"i-{n}", fleet.SERVICE, f"z{1 + n % 2}")
-        for n in range(4)
+        for n in range(6)
     ]
     for engine in engines:
-        engine.events = EVENTS
-        engine.pace_s = 0.015
+        engine.events = 34
+        engine.pace_s = 0.004
         await engine.begin()
-    batch = fleet.route(
-        "r-2",
-        PREFIX,
-        "batch",
-        goalMs=400,
-        dueMs=18000,
-        retentionS=60,
-        maxAttempts=3,
-        cap=CAP,
-    )
-    store.put("keyed.op", "config", fleet.configuration(1, [batch]))
+    tenants = [
+        {
+            "name": "tenant-1",
+            "apiKeys": [KEY],
+            "ratePerS": RATE,
+            "burst": BURST,
+        }
+    ]
+    routes = [
+        fleet.route("r-1", PREFIX, "streaming", resumable=True, maxAttempts=1)
+    ]
+    told = fleet.configuration(1, routes, tenants)
+    store.put("keyed.op", "config", told)
     hosts = fleet.Fleet(folder, store, 3)
     try:
         await hosts.start()
-        # Traffic starts 12 s after the machines do.
         await asyncio.sleep(12.0)
-        clients = Clients(hosts.hosts, engines, record)
-        sending = [
-            asyncio.create_task(clients.submit(n, 0.1 + SPREAD_S * n / JOBS))
-            for n in range(JOBS)
-        ]
-        if TROUBLE:
-            record("the store is down (503)")
-            store.fail("busy")
-            await asyncio.sleep(DOWN_S)
-            store.recover()
-            record("the store is back")
-        await asyncio.gather(*sending)
-        record(
-            f"accepted {len(clients.accepted)} of {JOBS}; at most"
-            f" {clients.most} tokens waited at a 202, cap {CAP}"
+        callers = Callers(hosts.hosts, record)
+        asking = []
+        pressing = asyncio.create_task(
+            callers.press(BEFORE_S + AFTER_S, asking)
         )
-        return 1 if clients.broken else 0
+        await asyncio.sleep(BEFORE_S)
+        if TROUBLE:
+            chosen = hosts.hosts if KILL == "all" else [hosts.hosts[int(KILL)]]
+            await asyncio.gather(*(host.kill() for host in chosen))
+            record(f"{len(chosen)} processes are killed")
+            await asyncio.sleep(RESTART_S)
+            for host in chosen:
+                await host.start()
+            await hosts.wait_ready()
+            record("all are ready again")
+        await pressing
+        await asyncio.gather(*asking)
+        record(f"answers by status: {callers.counts}")
+        most = most_in_window(engines, callers.sent, record)
+        return 1 if most > LIMIT else 0
     finally:
         await hosts.stop()
         for engine in engines:
