--- a/review/10/case.py
+++ b/review/10/case.py
@@ -17,25 +17,37 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PREFIX = "/pule252/"
-JOBS = 50
+# A burst of six times 0.344 jobs a second.
+JOBS, JOBS_PER_S = 4, 2.0
 JOB_ITEMS = 10
 ITEM_TOKENS = 587
 JOB_TOKENS = JOB_ITEMS * ITEM_TOKENS
-CAP = 20 * JOB_TOKENS
+CAP = 2 * JOB_TOKENS
+# Ids of jobs, one for each partition of the store in which the system keeps
+# jobs, in their order. Each is sent to the host that owns its partition.
+IDS = (
+    "7c41e09b52d601",
+    "7c41e09b52d605",
+    "7c41e09b52d612",
+    "7c41e09b52d608",
+    "7c41e09b52d602",
+    "7c41e09b52d600",
+    "7c41e09b52d604",
+    "7c41e09b52d60c",
+)
 EXCESS = 0.1
 # As the sheets have it: a job is 237 events, and its clients come again once.
 EVENTS = 237
 RETRIES = 1
-# Jobs come over this time, from the begin of the outage on.
-SPREAD_S = 1.8
 DOWN_S = 1.9
 
 
 class Clients:
     """Clients of the batch route."""
 
-    def __init__(self, hosts, engines, record):
+    def __init__(self, hosts, engines, record, owners):
         self.hosts = hosts
+        self.owners = owners
         self.engines = engines
         self.record = record
         self.accepted = {}
@@ -55,7 +67,8 @@
     async def submit(self, number, at_s):
         """Send one job, and again after a refusal."""
         await asyncio.sleep(at_s)
-        job = f"{number:04x}c41e09b52d"
+        job = IDS[number]
+        first = self.owners[number]
         items = [f"{job}{index:02x}" for index in range(JOB_ITEMS)]
         body = json.dumps({"items": [item_of(item) for item in items]})
         headers = [
@@ -64,7 +77,7 @@
             ("Content-Type", "application/json"),
         ]
         for attempt in range(1 + RETRIES):
-            host = self.hosts[(number + attempt) % len(self.hosts)]
+            host = self.hosts[(first + attempt) % len(self.hosts)]
             answer = await call(
                 host.front,
                 "POST",
@@ -133,9 +146,15 @@
         await hosts.start()
         # Traffic starts 12 s after the machines do.
         await asyncio.sleep(12.0)
-        clients = Clients(hosts.hosts, engines, record)
+        (group,) = store.groups.values()
+        holder = {part: name for (_, part), name in group.holder.items()}
+        names = [host.name for host in hosts.hosts]
+        owners = [
+            names.index(holder[part].partition(".")[0]) for part in range(8)
+        ]
+        clients = Clients(hosts.hosts, engines, record, owners)
         sending = [
-            asyncio.create_task(clients.submit(n, 0.1 + SPREAD_S * n / JOBS))
+            asyncio.create_task(clients.submit(n, 0.1 + n / JOBS_PER_S))
             for n in range(JOBS)
         ]
         if TROUBLE:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -22,8 +22,8 @@
 JOBS = 4
 JOB_ITEMS = 10
 EVENTS = 20
-# Beyond configApplyMs and settleMs.
-APPLY_S = 4.0
+# Beyond configApplyMs, settleMs and finishS.
+APPLY_S = 20.0
 READS = 5
 
 
