Jobs: no route takes the calls on accepted jobs

Cause: Front.answer looked for a route first and asked whether the request was a call on a job only where none matched. A batch route with the prefix "/" hid its own jobs as well: it takes only POST, and passed the reads on.

--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -35,6 +35,14 @@
     return json.dumps({"items": items}).encode()
 
 
+async def submit(host, job):
+    """Have a job of three items accepted."""
+    path = platformkit.BATCH_PREFIX + job
+    send = [("Attempt-Id", job)]
+    status, _, _ = await host.call("POST", path, send, job_body())
+    assert status == 202
+
+
 async def results_of(host, job, total, headers=()):
     """Read the results of a job until there are so many."""
     found = []
@@ -120,6 +128,41 @@
             assert json.loads(told)["error"]["param"] == "items"
 
 
+@pytest.mark.parametrize(
+    "added",
+    [
+        platformkit.route("n", "/", "streaming"),
+        platformkit.route("n", "/lots/", "idempotent"),
+        platformkit.route("n", "/items/", "streaming"),
+        platformkit.batch_route("n", "/", 60),
+    ],
+    ids=lambda route: f"{route['kind']} {route['pathPrefix']}",
+)
+async def test_no_route_takes_the_calls_on_jobs(added):
+    """Guards against accepted jobs hidden by a route that covers the calls."""
+    batch = platformkit.batch_route("r-2", platformkit.BATCH_PREFIX, 60)
+    async with platformkit.Platform(engines=1) as platform:
+        (host,) = platform.hosts
+        (engine,) = platform.engines.values()
+        await submit(host, "done")
+        listed = await results_of(host, "done", 3)
+        engine.always = "wait"
+        await submit(host, "open")
+        await platform.until(lambda: len(engine.ran) == 6)
+        config = host.part(slot_client.SlotClient).active_config
+        await platform.store.configure(4, [batch, added])
+        await platform.until(lambda: config.view.revision == 4)
+        status, _, body = await host.call("GET", "/lots/done?after=0")
+        assert (status, json.loads(body)["results"]) == (200, listed)
+        status, _, body = await host.call("GET", "/items/open?id=it1")
+        assert (status, body) == (200, b"b1")
+        status, _, _ = await host.call("DELETE", "/lots/open")
+        assert status == 200
+        status, _, _ = await host.call("GET", "/lots/none")
+        assert status == 404
+        assert len(engine.ran) == 6
+
+
 async def test_an_ended_job_runs_nothing_more():
     async with platformkit.Platform(engines=1) as platform:
         (host,) = platform.hosts
