Front: no request runs under an id that its client did not send

A request without an Attempt-Id was passed on under the id that the HTTP server gives each request for its log lines; one with two was passed on under both, joined by a comma. The client cannot match the engine's answer to it, nor see that it ran twice when it comes again.

Cause: `headers.get(ATTEMPT, "") or request.id` in Front.pass_on. The only other place where a client names its work, the submission of a job, refused a missing id already. Looked at and sound: items (ids of the submission), copies at a further engine and retries (the client's id), health checks and reports (no id).

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -111,6 +111,25 @@
         assert active_config.view.revision == 9
 
 
+@pytest.mark.parametrize("kind", ["idempotent", "streaming", "batch"])
+@pytest.mark.parametrize(
+    "ids", [[], [""], ["a1", "a2"]], ids=["none", "empty", "two"]
+)
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_a_request_without_an_id_is_not_run(method, ids, kind):
+    """Guards against requests run under an id that no client sent."""
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        added = platformkit.route("n", "/", kind)
+        await platform.store.configure(9, [added])
+        config = host.part(slot_client.SlotClient).active_config
+        await platform.until(lambda: config.view.revision == 9)
+        headers = [("Model", "m"), *(("Attempt-Id", name) for name in ids)]
+        status, _, _ = await host.call(method, "/q", headers)
+        assert status == 400
+        assert not [r for e in platform.engines.values() for r in e.ran]
+
+
 async def test_a_draining_engine_gets_nothing_new():
     async with platformkit.Platform() as platform:
         (host,) = platform.hosts
