Items: batch routes alone decide where jobs and items belong

A streaming route whose prefix begins the items' paths took the items of accepted jobs: one below their batch route at once, one with the prefix "/" once the batch route had been removed, where the items are to be abandoned. The waiting tokens of such jobs no longer counted against the limit of their route either.

Items and jobs were looked up like requests, by the longest prefix of any kind. RouteMap.find_batch leaves other kinds out; items, their look after a slot is granted, and the count and the check of the limit use it.

The rig of the items overrides the method that is called now, so its steps break where they did.

--- a/camphortray/backlog_reporting.py
+++ b/camphortray/backlog_reporting.py
@@ -248,7 +248,9 @@
         """Return the waiting tokens of a partition, by ``backlog_key``."""
         counts: dict[str, int] = {}
         for job in owner.state.jobs.values():
-            route = self.active_config.routes.find(job.host_name, job.target)
+            route = self.active_config.routes.find_batch(
+                job.host_name, job.target
+            )
             tokens = job.waiting_tokens
             if route is not None and tokens:
                 key = jobquota.backlog_key(route.name, job.workspace)
@@ -360,7 +362,9 @@
 
         A job without a route, or on a route without a limit, always fits.
         """
-        route = self.active_config.routes.find(part.host_name, part.target)
+        route = self.active_config.routes.find_batch(
+            part.host_name, part.target
+        )
         if route is None or not route.waiting_limit:
             return True
         tokens = sum(item.tokens for item in part.items)
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -310,7 +310,9 @@
         missing_since: float | None = None
         while True:
             config = self.parts.active_config
-            route = config.routes.find(self.job.host_name, self.item.target)
+            route = config.routes.find_batch(
+                self.job.host_name, self.item.target
+            )
             if route is not None:
                 return route
             now = self.parts.clock.monotonic()
@@ -324,7 +326,7 @@
 
     def route_matches(self, lease: lease_table.HeldLease) -> bool:
         """Return whether the route still leads to the service of a slot."""
-        route = self.parts.active_config.routes.find(
+        route = self.parts.active_config.routes.find_batch(
             self.job.host_name, self.item.target
         )
         return route is not None and (
--- a/camphortray/routemap.py
+++ b/camphortray/routemap.py
@@ -220,3 +220,14 @@
             if path.startswith(route.prefix):
                 return route
         return None
+
+    def find_batch(self, host_name: str, path: str) -> Route | None:
+        """Return the batch route with the longest prefix of a path, if any.
+
+        Jobs and items belong to batch routes, also where a route of another
+        kind has a longer prefix.
+        """
+        for route in self.by_host.get(host_name, ()):
+            if route.kind is Kind.BATCH and path.startswith(route.prefix):
+                return route
+        return None
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -120,6 +120,7 @@
 
     Attributes:
       wants: All slot requests.
+      services: The services whose slots they asked for.
       ends: Outcomes of released slots, in order.
       refusals: Number of further requests to refuse.
       revokes: Revocation callbacks of the granted slots.
@@ -132,6 +133,7 @@
     def __init__(self, engines=8):
         self.names = [f"e{n}" for n in range(engines)]
         self.wants = []
+        self.services = []
         self.ends = []
         self.refusals = 0
         self.revokes = []
@@ -140,6 +142,7 @@
 
     async def acquire(self, service, want, on_revoke=None):
         self.wants.append(want)
+        self.services.append(service)
         if self.refusals:
             self.refusals -= 1
             raise errors.NoSlot("no free slot", 0.25)
--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -103,12 +103,12 @@
         self.broken = broken
         self.slots = slots
 
-    def find(self, host_name, target):
+    def find_batch(self, host_name, target):
         item = target.rpartition("/")[2]
         granted = item in self.slots.granted
         self.slots.granted.discard(item)
         self.broken.now("still_leads" if granted else "route", item)
-        return super().find(host_name, target)
+        return super().find_batch(host_name, target)
 
 
 class RigEstimator(item_retry.DurationEstimator):
--- a/tests/test_itemwork.py
+++ b/tests/test_itemwork.py
@@ -336,6 +336,22 @@
     assert len(work.parts.backends.party.seen) == 1
 
 
+@pytest.mark.parametrize("prefix", ["/p/", "/p/1", "/"])
+@pytest.mark.parametrize("removed", [False, True])
+async def test_no_item_runs_at_the_service_of_a_streaming_route(
+    prefix, removed
+):
+    """Guards against items taken by a route whose prefix covers their path."""
+    other = msgspec.structs.replace(
+        hostkit.STREAM_ROUTE, prefix=prefix, targets=(routemap.Target("s2"),)
+    )
+    routes = [other] if removed else [other, hostkit.BATCH_ROUTE]
+    work = work_of([hostkit.Answer(hostkit.events(1, 1))], routes)
+    result = await work.run()
+    assert result.state is (ABANDONED if removed else DONE)
+    assert work.parts.slots.services == ([] if removed else ["s"])
+
+
 async def test_an_item_does_not_wait_forever_for_a_former_service():
     # The old service has no engine any more, so no slot is granted.
     work = work_of([hostkit.Answer(hostkit.events(1, 1))])
