Jobs: what may be stored counts against its route's limit

Cause: a job's tokens were reserved for 1.0 s at the route's quota host, and counted by its owner only once it was stored, for which a job may wait 3.5 s. In between nothing counted it.

An owner counts a job now from its admission until the outcome of its write is known, whatever its caller was told by then. A reservation ends with the count that contains its job: each request for quota has a number, each count the number up to which requests are answered. No clock is involved, so neither a store that is away for long nor a paused owner ends it early, and an unused one ends with the next report (0.25 s). The quota host sends its grant to the route's other one. A repeat of a job whose write is open waits for that write; before, it was appended twice.

Messages grow by three small fields a job and one a partition's count; hosts of the release before ignore them, and get reservations of 1.0 s as before.

The lines `No room for job` tell by which figures a job was refused.

Tests of the reporter admit through an owner's double that keeps what it admits; that of bounded memory holds the share's reservations no more, as there are none, and requests and admitted jobs in their place.

--- a/camphortray/backlog_reporting.py
+++ b/camphortray/backlog_reporting.py
@@ -7,6 +7,8 @@
 __all__ = ["BacklogReporter"]
 
 import asyncio
+import collections
+from collections.abc import Iterator
 import contextlib
 
 import msgspec
@@ -37,15 +39,17 @@
 # and for so long after its last change, in seconds.
 REPEAT_INTERVAL_S = 1.0
 REPEAT_S = 30.0
-# Lifetime of a reported count, in seconds. An owner may be cut off from this
-# host for long and go on accepting jobs; the next owner's count replaces it.
+# Lifetime of a reported count, and of a reservation that no count contains
+# yet, in seconds. An owner may be cut off from this host for long and go on
+# accepting jobs; the next owner's count replaces both.
 COUNT_TTL_S = 600.0
 # Longest time after a start in which a quota host waits for the counts of all
 # partitions, in seconds.
 MAX_LEARNING_S = 5.0
 # Time for the news of a new quota host to reach all owners, in seconds.
 NEWS_S = 0.25
-# Lifetime of a reservation beyond the interval between reports, in seconds.
+# Lifetime of a reservation for an owner of an earlier release, beyond the
+# interval between reports, in seconds.
 RESERVATION_MARGIN_S = 0.75
 # Time limit for the reply of one host to a quota request, in seconds.
 QUOTA_TIMEOUT_S = 0.3
@@ -99,6 +103,35 @@
         return due
 
 
+class QuotaRequests:
+    """Numbers of the quota requests for a partition.
+
+    Attributes:
+      last: Number of the last request.
+      open: Numbers of those that have no answer yet.
+    """
+
+    def __init__(self) -> None:
+        self.last = 0
+        self.open: set[int] = set()
+
+    @property
+    def answered(self) -> int:
+        """The number up to which all requests have an answer, or none."""
+        return min(self.open) - 1 if self.open else self.last
+
+    @contextlib.contextmanager
+    def request(self) -> Iterator[int]:
+        """Number a request, which ends with the context."""
+        self.last += 1
+        number = self.last
+        self.open.add(number)
+        try:
+            yield number
+        finally:
+            self.open.discard(number)
+
+
 class BacklogReporter:
     """Waiting tokens by workspace and route, over all partitions.
 
@@ -107,7 +140,7 @@
       parts: Number of all partitions.
       interval_s: Seconds between reports.
       quota: Counts reported to this host, and reservations kept here.
-      alone: Reservations made while no quota host answers.
+      requests: Quota requests of the owners here, by partition.
       quota_hosts: Members that receive the counts of a route, by route.
       known: Incarnation of each quota host of a route, and since when it is
         one.
@@ -131,7 +164,9 @@
         self.interval_s = max(REPORT_INTERVAL_S, parts / MAX_REPORTS_PER_S)
         reservation_s = self.interval_s + RESERVATION_MARGIN_S
         self.quota = jobquota.QuotaTracker(reservation_s)
-        self.alone = jobquota.QuotaTracker(reservation_s)
+        self.requests: dict[int, QuotaRequests] = collections.defaultdict(
+            QuotaRequests
+        )
         self.started_at = self.clock.monotonic()
         self.quota_hosts: dict[str, list[str]] = {}
         self.known: dict[str, dict[str, tuple[int, float]]] = {}
@@ -143,6 +178,7 @@
     def start(self) -> None:
         """Start reporting counts and answering quota requests."""
         self.links.on(jobmessages.QuotaAsk, self.on_quota)
+        self.links.on(jobmessages.QuotaGranted, self.on_granted)
         self.links.on(jobmessages.BacklogReport, self.on_report)
         self.members.on_fact(WAITING_FACT, self.on_waiting)
         self.members.listen(self.on_member)
@@ -225,7 +261,7 @@
                     if jobquota.route_of(key) in limited
                 }
                 wanted[name][part] = jobmessages.PartitionBacklog(
-                    part, owner.epoch, kept
+                    part, owner.epoch, kept, self.requests[part].answered
                 )
         return wanted
 
@@ -247,7 +283,7 @@
     def count(self, owner: partition_owner.PartitionOwner) -> dict[str, int]:
         """Return the waiting tokens of a partition, by ``backlog_key``."""
         counts: dict[str, int] = {}
-        for job in owner.state.jobs.values():
+        for job in owner.waiting_jobs:
             route = self.active_config.routes.find_batch(
                 job.host_name, job.target
             )
@@ -307,7 +343,9 @@
         """Record the counts reported by an owner of partitions."""
         until = self.clock.monotonic() + COUNT_TTL_S
         for row in report.rows:
-            self.quota.update_counts(row.part, row.epoch, row.counts, until)
+            self.quota.update_counts(
+                row.part, row.epoch, row.counts, until, row.answered
+            )
 
     def on_waiting(self, fact: membership.Fact) -> None:
         """Record the counts published by an owner of an earlier release."""
@@ -331,45 +369,109 @@
             return peers.PeerFault("the counts are not complete yet")
         return jobmessages.QuotaReply(self.reserve(ask))
 
+    async def on_granted(
+        self, sender: peers.Sender, granted: jobmessages.QuotaGranted
+    ) -> None:
+        """Hold what the other quota host has reserved, to take over from it.
+
+        Without it, what has been granted since the last report could be
+        granted again here once that host is lost.
+        """
+        ask = granted.ask
+        until = self.clock.monotonic() + COUNT_TTL_S
+        self.quota.hold(
+            ask.route, ask.job, ask.tokens, quota_request(ask), until
+        )
+
     def reserve(self, ask: jobmessages.QuotaAsk) -> bool:
         """Reserve waiting tokens for a job; return whether they fit."""
         for part, owner in self.owners.items():
             if owner.ready.is_set():
-                self.quota.update_counts(part, owner.epoch, self.count(owner))
+                self.quota.update_counts(
+                    part,
+                    owner.epoch,
+                    self.count(owner),
+                    answered=self.requests[part].answered,
+                )
         now = self.clock.monotonic()
-        return self.quota.reserve(
-            ask.route, ask.job, ask.tokens, ask.limit, now
+        known = ask.part >= 0
+        granted = self.quota.reserve(
+            ask.route,
+            ask.job,
+            ask.tokens,
+            ask.limit,
+            now,
+            quota_request(ask) if known else None,
+            now + COUNT_TTL_S,
         )
+        if not granted:
+            log_full(ask, self.quota.waiting(ask.route, now), ask.limit)
+        elif known:
+            self.notify_granted(ask)
+        return granted
+
+    def notify_granted(self, ask: jobmessages.QuotaAsk) -> None:
+        """Send a reservation to the other quota host of its route."""
+        for name in self.hosts_of(jobquota.route_of(ask.route)):
+            member = self.members.member(name)
+            if member is not None and name != self.members.own_name:
+                address = configs.Address.from_text(member.peer_address)
+                self.links.notify(address, jobmessages.QuotaGranted(ask))
 
-    def reserve_alone(self, ask: jobmessages.QuotaAsk) -> bool:
+    def fits_share(self, ask: jobmessages.QuotaAsk) -> bool:
         """Decide without a quota host, by the share of the partitions here.
 
         Each owner that decided by the whole limit would accept as much.
         """
-        self.alone.counts.clear()
-        for part, owner in self.owners.items():
-            if owner.ready.is_set():
-                self.alone.update_counts(part, owner.epoch, self.count(owner))
-        share = ask.limit * len(self.alone.counts) // self.parts
-        now = self.clock.monotonic()
-        # A limit of 0 would be none.
-        return share > 0 and self.alone.reserve(
-            ask.route, ask.job, ask.tokens, share, now
-        )
-
-    async def has_room(self, part: partition_records.JobPart) -> bool:
-        """Reserve tokens for a job; return whether its workspace has room.
+        owners = [o for o in self.owners.values() if o.ready.is_set()]
+        waiting = sum(self.count(o).get(ask.route, 0) for o in owners)
+        share = ask.limit * len(owners) // self.parts
+        fits = waiting + ask.tokens <= share
+        if not fits:
+            log_full(ask, waiting, share)
+        return fits
+
+    async def admit(
+        self,
+        owner: partition_owner.PartitionOwner,
+        part: partition_records.JobPart,
+    ) -> bool:
+        """Have an owner count a job if its workspace has room for it.
 
         A job without a route, or on a route without a limit, always fits.
+
+        Returns:
+          Whether it fits.
         """
         route = self.active_config.routes.find_batch(
             part.host_name, part.target
         )
         if route is None or not route.waiting_limit:
             return True
-        tokens = sum(item.tokens for item in part.items)
-        key = jobquota.backlog_key(route.name, part.workspace)
-        ask = jobmessages.QuotaAsk(key, part.job, tokens, route.waiting_limit)
+        try:
+            with self.requests[owner.part].request() as number:
+                ask = jobmessages.QuotaAsk(
+                    jobquota.backlog_key(route.name, part.workspace),
+                    part.job,
+                    sum(item.tokens for item in part.items),
+                    route.waiting_limit,
+                    owner.part,
+                    owner.epoch,
+                    number,
+                )
+                granted = await self.ask(route, ask)
+                if granted:
+                    # In the count before the request counts as answered.
+                    owner.admit(part)
+        finally:
+            # The next report ends reservations that are not used.
+            self.changed.set()
+        return granted
+
+    async def ask(
+        self, route: routemap.Route, ask: jobmessages.QuotaAsk
+    ) -> bool:
+        """Ask the quota hosts of a route in turn; return whether it fits."""
         for name in self.hosts_to_ask(route.name):
             if name == self.members.own_name:
                 if not self.learning:
@@ -385,4 +487,24 @@
                 LOG.info("Quota request to {} failed: {}", name, error)
             else:
                 return bool(reply.granted)
-        return self.reserve_alone(ask)
+        return self.fits_share(ask)
+
+
+def log_full(ask: jobmessages.QuotaAsk, waiting: int, limit: int) -> None:
+    """Log that a job does not fit, and by which figures."""
+    LOG.info(
+        "No room for job {}: {} tokens wait or may be stored.",
+        ask.job,
+        waiting,
+        fields={
+            "key": ask.route,
+            "tokens": ask.tokens,
+            "limit": limit,
+            "partition": ask.part,
+        },
+    )
+
+
+def quota_request(ask: jobmessages.QuotaAsk) -> jobquota.QuotaRequest:
+    """Return what identifies a request for quota."""
+    return jobquota.QuotaRequest(ask.part, ask.epoch, ask.number)
--- a/camphortray/job_router.py
+++ b/camphortray/job_router.py
@@ -283,8 +283,7 @@
         self, owner: partition_owner.PartitionOwner, ask: jobmessages.SubmitAsk
     ) -> jobmessages.Taken:
         """Accept a job."""
-        known = ask.job.job in owner.state.jobs
-        if not known and not await self.owners.backlog.has_room(ask.job):
+        if not await self.admit(owner, ask.job):
             LOG.info(
                 "Job {} refused: quota of its route exceeded, {} items.",
                 ask.job.job,
@@ -317,6 +316,18 @@
         )
         return jobmessages.Taken()
 
+    async def admit(
+        self,
+        owner: partition_owner.PartitionOwner,
+        job: partition_records.JobPart,
+    ) -> bool:
+        """Return whether a job is to be stored: it fits, or is a repeat."""
+        if owner.knows(job.job):
+            return True
+        fits = await self.owners.backlog.admit(owner, job)
+        # Another call may have had the same job admitted meanwhile.
+        return fits or owner.knows(job.job)
+
     async def on_page(
         self, owner: partition_owner.PartitionOwner, ask: jobmessages.PageAsk
     ) -> jobmessages.PageReply:
--- a/camphortray/jobmessages.py
+++ b/camphortray/jobmessages.py
@@ -11,6 +11,7 @@
     "PartitionBacklog",
     "ProgressUpdate",
     "QuotaAsk",
+    "QuotaGranted",
     "QuotaReply",
     "SubmitAsk",
     "Taken",
@@ -160,12 +161,18 @@
       job: Id of the job.
       tokens: Tokens of all items of the job.
       limit: Limit on the tokens of a workspace that wait on the route.
+      part: Partition of the job; -1 from an earlier release.
+      epoch: Epoch of the partition's owner, which asks.
+      number: Number of the request among those for the partition, rising.
     """
 
     route: str
     job: str
     tokens: int
     limit: int
+    part: int = -1
+    epoch: int = 0
+    number: int = 0
 
 
 @messages.message("job.quota-reply")
@@ -175,6 +182,13 @@
     granted: bool
 
 
+@messages.message("job.quota-granted")
+class QuotaGranted(msgspec.Struct, frozen=True):
+    """Tells the other quota host of a route which request was granted."""
+
+    ask: QuotaAsk
+
+
 class PartitionBacklog(msgspec.Struct, frozen=True):
     """Waiting tokens of a partition.
 
@@ -183,11 +197,15 @@
       epoch: Epoch of its owner.
       counts: Waiting tokens by ``jobquota.backlog_key``, of the routes whose
         quota the receiver keeps.
+      answered: Quota requests for the partition up to this number have been
+        answered; jobs that were granted by them are in the counts while they
+        wait or may yet be stored.
     """
 
     part: int
     epoch: int
     counts: dict[str, int]
+    answered: int = 0
 
 
 @messages.message("job.backlog")
--- a/camphortray/partition_owner.py
+++ b/camphortray/partition_owner.py
@@ -1,13 +1,16 @@
 """Owns one partition of jobs for one epoch: stores jobs, runs their items."""
 
-__all__ = ["PartitionOwner"]
+__all__ = ["PartitionOwner", "PendingJob"]
 
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import traceback
 
+import msgspec
+
 from camphortray import errors
 from camphortray import item_reconciler
 from camphortray import itemwork
@@ -43,6 +46,30 @@
 MAX_UNREADABLE_TAKEOVERS = 5
 
 
+class PendingJob(msgspec.Struct):
+    """A job that is not stored, but may yet be.
+
+    Attributes:
+      host_name: As of the job.
+      target: As of the job.
+      workspace: As of the job.
+      waiting_tokens: Tokens of all its items.
+      write: The write that is to store it, once there is one. Its outcome
+        may be known long after the caller's answer.
+    """
+
+    host_name: str
+    target: str
+    workspace: str
+    waiting_tokens: int
+    write: partwriter.Write | None = None
+
+    @classmethod
+    def from_part(cls, part: partition_records.JobPart) -> "PendingJob":
+        tokens = sum(item.tokens for item in part.items)
+        return cls(part.host_name, part.target, part.workspace, tokens)
+
+
 class PartitionOwner:
     """A partition while this host owns it.
 
@@ -54,6 +81,7 @@
       begun_at: Monotonic time at which the takeover began.
       lost: Whether ownership has ended: another host has taken over, or
         this owner was stopped.
+      pending: Jobs that are admitted and not stored, by id.
       ending: Number of calls to end a job that are pending or may have been
         stored, by job id; items of these jobs are not run.
     """
@@ -93,6 +121,7 @@
         self.items = item_reconciler.ItemReconciler(
             parts, epoch, self.store_result, self.ending
         )
+        self.pending: dict[str, PendingJob] = {}
         self.submits: dict[str, asyncio.Task[None]] = {}
         self.job_events: dict[str, asyncio.Event] = {}
         self.task: asyncio.Task[None] | None = None
@@ -333,6 +362,28 @@
 
     # Calls.
 
+    def knows(self, name: str) -> bool:
+        """Return whether a job is stored or may yet be."""
+        return name in self.state.jobs or name in self.pending
+
+    @property
+    def waiting_jobs(self) -> Iterator[partition_state.Job | PendingJob]:
+        """Jobs whose tokens wait, with those that may yet be stored."""
+        yield from self.state.jobs.values()
+        for name, pending in self.pending.items():
+            if name not in self.state.jobs:
+                yield pending
+
+    def admit(self, part: partition_records.JobPart) -> None:
+        """Count a job as waiting until it is certain not to be stored.
+
+        The store may be away for longer than any limit on the wait for it, and
+        what it has not answered may be stored later.
+        """
+        if not self.knows(part.job):
+            self.pending[part.job] = PendingJob.from_part(part)
+            self.notify_change()
+
     async def submit(self, part: partition_records.JobPart) -> None:
         """Accept a job; a known id is taken for a repeat of the same job.
 
@@ -343,6 +394,7 @@
         """
         if part.job in self.state.jobs:
             return
+        self.admit(part)
         task = self.submits.get(part.job)
         if task is None:
             task = asyncio.get_running_loop().create_task(self.accept(part))
@@ -364,15 +416,31 @@
     def on_submit_done(self, name: str, task: "asyncio.Task[None]") -> None:
         """Remove a finished submit task; its error goes to the callers."""
         self.submits.pop(name, None)
+        self.drop_settled(name)
         if not task.cancelled():
             task.exception()
 
+    def drop_settled(self, name: str) -> None:
+        """Stop counting a job as pending once no write may store it."""
+        pending = self.pending.get(name)
+        if pending is None or name in self.submits:
+            return
+        if pending.write is None or pending.write.done.done():
+            del self.pending[name]
+            self.notify_change()
+
     async def accept(self, part: partition_records.JobPart) -> None:
-        """Store a job."""
-        records = partition_records.accept_records(
-            part, self.ledger.record_bytes
-        )
-        await self.writer.write(records, WRITE_TIMEOUT_S)
+        """Store a job, or wait on for a write of it that may store it."""
+        pending = self.pending[part.job]
+        if pending.write is None or pending.write.done.done():
+            records = partition_records.accept_records(
+                part, self.ledger.record_bytes
+            )
+            pending.write = self.writer.put_records(records, WRITE_TIMEOUT_S)
+            pending.write.done.add_done_callback(
+                lambda _: self.drop_settled(part.job)
+            )
+        await self.writer.wait_for_outcome(pending.write, WRITE_TIMEOUT_S)
 
     async def page(
         self, name: str, after: int, wait_s: float
--- a/camphortray/partwriter.py
+++ b/camphortray/partwriter.py
@@ -126,10 +126,7 @@
           LogUnavailable: the records may be stored, now or later.
           RecordError: a record is larger than the store accepts.
         """
-        for record in records:
-            self.check_size(record)
-        size = sum(len(r.key) + len(r.value) + 8 for r in records)
-        write = self.put(lambda before: records, size, timeout_s)
+        write = self.put_records(records, timeout_s)
         await self.wait_for_outcome(write, timeout_s)
 
     def check_size(self, record: ledgers.LedgerRecord) -> None:
@@ -151,6 +148,17 @@
                 peer="ledger",
             )
 
+    def put_records(self, records: Records, timeout_s: float) -> Write:
+        """Queue records; arguments as ``put``.
+
+        Raises:
+          RecordError: a record is larger than the store accepts.
+        """
+        for record in records:
+            self.check_size(record)
+        size = sum(len(r.key) + len(r.value) + 8 for r in records)
+        return self.put(lambda before: records, size, timeout_s)
+
     def put(self, make: RecordFactory, size: int, timeout_s: float) -> Write:
         """Queue a write.
 
--- a/tests/platformkit.py
+++ b/tests/platformkit.py
@@ -113,6 +113,12 @@
         self.calls = {}
         self.bodies = []
 
+    def break_off(self, how):
+        """Begin an outage, or end it if ``how`` is empty."""
+        self.refuse = 503 if how == "busy" else 0
+        self.silent = how == "silent"
+        self.lose = 10**9 if how == "answers lost" else 0
+
     async def handle(self, request, response):
         path = request.path
         self.calls[path] = self.calls.get(path, 0) + 1
--- a/tests/test_backlog_reporting.py
+++ b/tests/test_backlog_reporting.py
@@ -1,6 +1,7 @@
 """Counts of waiting tokens: who receives them, and who enforces a limit."""
 
 import asyncio
+import contextlib
 import types
 
 import msgspec
@@ -13,6 +14,7 @@
 from camphortray import jobmessages
 from camphortray import membership
 from camphortray import messages
+from camphortray import partition_owner
 from camphortray import peers
 from camphortray import routemap
 from tests import hostkit
@@ -124,22 +126,28 @@
         }
 
 
-def owner_of(part, tokens, workspace=""):
-    """Return an owner of a partition with so many tokens waiting."""
-    job = types.SimpleNamespace(
-        host_name=LIMITED.host_name,
-        target=LIMITED.prefix,
-        waiting_tokens=tokens,
-        workspace=workspace,
-    )
-    ready = asyncio.Event()
-    ready.set()
-    return types.SimpleNamespace(
-        part=part,
-        epoch=3,
-        ready=ready,
-        state=types.SimpleNamespace(jobs={"j": job}),
-    )
+class Owner:
+    """An owner of a partition with so many tokens waiting."""
+
+    epoch = 3
+
+    def __init__(self, part, tokens, workspace=""):
+        self.part = part
+        self.ready = asyncio.Event()
+        self.ready.set()
+        self.waiting_jobs = []
+        self.admit(job_of(tokens, workspace=workspace))
+
+    def admit(self, job):
+        self.waiting_jobs.append(partition_owner.PendingJob.from_part(job))
+
+
+owner_of = Owner
+
+
+async def admits(reporter, job):
+    """Return whether the first owner of a reporter admits a job."""
+    return await reporter.admit(reporter.owners[min(reporter.owners)], job)
 
 
 def reporter_of(routes=(LIMITED,)):
@@ -314,7 +322,7 @@
     hosts = reporter.hosts_of(LIMITED.name)
     reporter.links.silent = {hosts[number] for number in silent}
     reporter.links.granted = dict(zip(hosts, granted, strict=True))
-    assert await reporter.has_room(job_of(10)) == expected
+    assert await admits(reporter, job_of(10)) == expected
 
 
 @pytest.mark.parametrize(
@@ -342,9 +350,9 @@
         keepers[name].owners.clear()
         await keepers[name].on_report(None, message)
     reporter.links.hosts = keepers
-    assert await reporter.has_room(job_of(tokens, "k", workspace)) == fits
+    assert await admits(reporter, job_of(tokens, "k", workspace)) == fits
     # A job of another workspace has no part in it.
-    assert await reporter.has_room(job_of(700, "l", "d"))
+    assert await admits(reporter, job_of(700, "l", "d"))
 
 
 def silent_reporter():
@@ -360,14 +368,14 @@
 async def test_without_a_quota_host_an_owner_keeps_to_its_share(tokens, fits):
     """Guards against owners that each accept as much as the whole limit."""
     # Half of 1000 is its share, of which 100 wait.
-    assert await silent_reporter().has_room(job_of(tokens)) == fits
+    assert await admits(silent_reporter(), job_of(tokens)) == fits
 
 
 async def test_jobs_accepted_without_a_quota_host_count_at_once():
     """Guards against a share that each of several jobs uses up alone."""
     reporter = silent_reporter()
-    assert await reporter.has_room(job_of(300))
-    assert not await reporter.has_room(job_of(300, "l"))
+    assert await admits(reporter, job_of(300))
+    assert not await admits(reporter, job_of(300, "l"))
 
 
 async def test_a_share_does_not_depend_on_counts_of_long_ago():
@@ -375,7 +383,7 @@
     reporter = silent_reporter()
     row = jobmessages.PartitionBacklog(1, 1, {"r": 900})
     await reporter.on_report(None, jobmessages.BacklogReport((row,)))
-    assert await reporter.has_room(job_of(200))
+    assert await admits(reporter, job_of(200))
 
 
 @pytest.mark.parametrize("change", ["started again", "just become first"])
@@ -395,10 +403,10 @@
         asking.members.replace(name, started=2)
     # The first, which holds no counts, would grant it.
     assert first.reserve(jobmessages.QuotaAsk("r", "k", 800, 1000))
-    assert not await asking.has_room(job_of(800))
+    assert not await admits(asking, job_of(800))
     for reporter in (asking, first):
         reporter.clock.now += backlog_reporting.MAX_LEARNING_S
-    assert await asking.has_room(job_of(800))
+    assert await admits(asking, job_of(800))
 
 
 async def test_a_quota_host_that_was_held_for_dead_is_new_on_its_return():
@@ -417,7 +425,7 @@
         reporter.clock.now += LONG_S
     asking.members.members[name] = member
     asking.on_member(member)
-    assert not await asking.has_room(job_of(800))
+    assert not await admits(asking, job_of(800))
 
 
 async def test_a_quota_host_of_one_route_is_new_to_another():
@@ -458,7 +466,7 @@
         reporter.clock.now += 2.0
     row = jobmessages.PartitionBacklog(0, 3, {"r": 100})
     await first.on_report(None, jobmessages.BacklogReport((row,)))
-    assert not await asking.has_room(job_of(500))
+    assert not await admits(asking, job_of(500))
 
 
 async def test_a_partition_that_is_not_read_yet_gives_no_share():
@@ -466,7 +474,7 @@
     reporter = silent_reporter()
     reporter.owners[1] = owner_of(1, 900)
     reporter.owners[1].ready = asyncio.Event()
-    assert not await reporter.has_room(job_of(500))
+    assert not await admits(reporter, job_of(500))
 
 
 async def test_two_hosts_that_start_accept_what_fits():
@@ -485,27 +493,129 @@
         reporter.report()
         for name, message in reporter.links.sent:
             await hosts[name].on_report(None, message)
-    assert await hosts[OWN].has_room(job_of(600))
+    assert await admits(hosts[OWN], job_of(600))
 
 
 async def test_what_a_reporter_holds_is_bounded():
     """Guards against memory that grows with each job and change of owner."""
     reporter = reporter_of()
+    reporter.links.silent = set(reporter.members.members)
     for number in range(2000):
         reporter.clock.now += 0.1
         ask = jobmessages.QuotaAsk("r", f"k{number}", 0, 1000)
         reporter.reserve(ask)
-        reporter.reserve_alone(ask)
+        reporter.owners[0].waiting_jobs.clear()
+        assert await admits(reporter, job_of(1, f"l{number}"))
+        asked = jobmessages.QuotaAsk(
+            "r", f"m{number}", 1, 0, number % 2, number
+        )
+        reporter.reserve(asked)
         row = jobmessages.PartitionBacklog(number % 2, number, {"r": 1})
         await reporter.on_report(None, jobmessages.BacklogReport((row,)))
         reporter.report()
-    held = (reporter.quota.reserved["r"], reporter.alone.reserved["r"])
-    assert all(len(each) <= 11 for each in held)
+    assert len(reporter.quota.reserved["r"]) <= 11
+    assert not any(each.open for each in reporter.requests.values())
     assert len(reporter.quota.counts) == 2
     assert all(len(host.sent) <= 2 for host in reporter.reported.values())
     assert [len(hosts) for hosts in reporter.known.values()] == [2]
 
 
+def fleet_of(*names):
+    """Return reporters of a route's quota hosts and of an owner, by name."""
+    first, second = reporter_of().hosts_of(LIMITED.name)
+    roles = {"first": first, "second": second, "owner": "none/host"}
+    fleet = {}
+    for role in names:
+        fleet[role] = reporter = reporter_of()
+        reporter.members.own_name = roles[role]
+        reporter.owners.clear()
+        if role == "owner":
+            reporter.owners[0] = owner_of(0, 0)
+    hosts = {roles[role]: reporter for role, reporter in fleet.items()}
+    for reporter in fleet.values():
+        reporter.links.hosts = hosts
+    return fleet
+
+
+async def deliver(fleet):
+    """Deliver what has been sent to the quota hosts."""
+    for reporter in fleet.values():
+        sent, reporter.links.sent = reporter.links.sent, []
+        for name, message in sent:
+            host = reporter.links.hosts.get(name)
+            if isinstance(message, jobmessages.QuotaGranted):
+                await host.on_granted(None, message)
+            elif host is not None:
+                await host.on_report(None, message)
+
+
+@pytest.mark.parametrize("after_s", [0.5, 2.0, 500.0])
+@pytest.mark.parametrize("reported", [False, True])
+async def test_quota_of_a_job_that_may_be_stored_is_not_granted_again(
+    after_s, reported
+):
+    """Guards against jobs beyond a limit while the store is away."""
+    fleet = fleet_of("first", "second", "owner")
+    owner = fleet["owner"]
+    assert await admits(owner, job_of(600))
+    if reported:
+        owner.report()
+        await deliver(fleet)
+    for reporter in fleet.values():
+        reporter.clock.now += after_s
+    other = jobmessages.QuotaAsk("r", "other", 600, 1000, 1, 1, 1)
+    assert not fleet["first"].reserve(other)
+    fits = msgspec.structs.replace(other, tokens=400)
+    assert fleet["first"].reserve(fits)
+
+
+@pytest.mark.parametrize("reported", [False, True])
+async def test_the_next_quota_host_knows_what_has_been_granted(reported):
+    """Guards against quota granted twice as its quota host is lost."""
+    fleet = fleet_of("first", "second", "owner")
+    owner = fleet["owner"]
+    assert await admits(owner, job_of(600))
+    if reported:
+        owner.report()
+    await deliver(fleet)
+    owner.links.silent = {fleet["first"].members.own_name}
+    assert not await admits(owner, job_of(600, "other"))
+    assert await admits(owner, job_of(400, "other"))
+
+
+@pytest.mark.parametrize(
+    "end", ["not stored", "request lost", "request cancelled", "owner lost"]
+)
+async def test_quota_that_is_not_used_is_free_with_the_next_report(end):
+    """Guards against jobs refused for a job that is never stored."""
+    fleet = fleet_of("first", "second", "owner")
+    owner, first = fleet["owner"], fleet["first"]
+    ask = first.on_quota
+
+    async def answer(sender, message):
+        await ask(sender, message)
+        if end == "request cancelled":
+            raise asyncio.CancelledError
+        raise errors.MessageError("the answer is lost")
+
+    if end.startswith("request"):
+        first.on_quota = answer
+        owner.links.silent = {fleet["second"].members.own_name}
+        with contextlib.suppress(asyncio.CancelledError):
+            assert not await admits(owner, job_of(600, "k", "w"))
+    else:
+        assert await admits(owner, job_of(600, "k", "w"))
+    assert first.quota.waiting("r\0w", first.clock.now) == 600
+    assert owner.changed.is_set()
+    del owner.owners[0].waiting_jobs[1:]
+    if end == "owner lost":
+        owner.owners[0].epoch += 1
+        owner.requests.clear()
+    owner.report()
+    await deliver(fleet)
+    assert [h.quota.waiting("r\0w", 0.0) for h in fleet.values()] == [0] * 3
+
+
 async def test_the_quota_hosts_of_a_route_stand_in_different_zones():
     """Guards against a limit that nobody keeps once a zone is lost."""
     reporter = reporter_of()
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -35,6 +35,16 @@
     return json.dumps({"items": items}).encode()
 
 
+def owner_of(platform, job):
+    """Return the host that owns the partition of a job."""
+    routers = {h: h.part(job_router.JobRouter) for h in platform.hosts}
+    return next(
+        host
+        for host, router in routers.items()
+        if router.part_of(job) in router.owners.held
+    )
+
+
 async def submit(host, job):
     """Have a job of three items accepted."""
     path = platformkit.BATCH_PREFIX + job
@@ -163,6 +173,52 @@
         assert len(engine.ran) == 6
 
 
+@pytest.mark.parametrize("down_s", [0.5, 1.9, 3.0, 4.5])
+@pytest.mark.parametrize("outage", ["busy", "silent", "answers lost"])
+async def test_a_limit_of_waiting_tokens_holds_over_an_outage(outage, down_s):
+    """Guards against jobs beyond a limit that wait for the store together."""
+    batch = platformkit.route(
+        "r-2", platformkit.BATCH_PREFIX, "batch", retentionS=60, cap=90
+    )
+    async with platformkit.Platform(hosts=2, parts=8) as platform:
+        for engine in platform.engines.values():
+            engine.always = "wait"
+        await platform.store.configure(2, [batch])
+        for host in platform.hosts:
+            config = host.part(slot_client.SlotClient).active_config
+            await platform.until(lambda c=config: c.view.revision == 2)
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + down_s + 4.0
+        accepted = set()
+
+        async def send(number):
+            job = f"j{number}"
+            path = platformkit.BATCH_PREFIX + job
+            owner = owner_of(platform, job)
+            # Half of the jobs go to their owners, half by way of others.
+            (host,) = (
+                host
+                for host in platform.hosts
+                if (host is owner) == (number % 2 == 0)
+            )
+            await asyncio.sleep(0.1 * number)
+            while loop.time() < ends_at and job not in accepted:
+                status, _, _ = await host.call(
+                    "POST", path, [("Attempt-Id", job)], job_body()
+                )
+                if status == 202:
+                    accepted.add(job)
+                await asyncio.sleep(0.3)
+
+        sending = [loop.create_task(send(number)) for number in range(8)]
+        platform.store.break_off(outage)
+        await asyncio.sleep(down_s)
+        platform.store.break_off("")
+        await asyncio.gather(*sending)
+        # A job of three items has 30 tokens.
+        assert len(accepted) == 3
+
+
 async def test_an_ended_job_runs_nothing_more():
     async with platformkit.Platform(engines=1) as platform:
         (host,) = platform.hosts
