HTTP client: an end in mid-upload does not end an answer without a length

An engine answers a long upload at once with a 200 that has no length, sends a part of its body, and ends the connection while the upload is being written.

Cause: an answer with neither length nor chunks ends with its connection, and the end of the stream counted as that whatever had become of the request. A reset was an error already; an end of the engine's side, with a reset behind it or without, was not.

The end counts now only if the request has left and the server's machine has acknowledged all of it: the end carries that acknowledgement, so it is there if the server has read the request. With a body the answer ends 10 ms later, if no reset has come, as a server that closes with a part unread resets the connection. All readers of answers share this client: requests, items, checks, plain services, the store.

Beside it, a status above 599 is a malformed answer, as one below 100 was; the platform's plug-in and plain services passed 600 and 999 on.

--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import fcntl
+import socket
 import struct
 import termios
 from typing import Any
@@ -32,6 +33,13 @@
 MAX_IDS = 256
 # End of the head of a request; without it, no server begins.
 HEAD_END = b"\r\n"
+# Headers that say where an answer ends; without them its connection does.
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+# Time after the end of an answer that ends with its connection in which a
+# reset shows that it was cut off, in seconds.
+RESET_WAIT_S = 0.01
+# Largest status that an answer may have.
+MAX_STATUS = 599
 # Seconds from one look at what is acknowledged to the next; the way to a
 # server near by and back takes about one.
 LOOK_S = 0.001
@@ -48,6 +56,9 @@
     Attributes:
       ids: Digests of the ids of the requests that it has carried. Two ids
         with the same digest cost a request another connection, no more.
+      uploads: Whether its present request has a body.
+      ended: Whether the server has ended its side.
+      ended_early: Whether it did so before it had all of the request.
     """
 
     def __init__(self, peer: str) -> None:
@@ -68,7 +79,9 @@
         self.uses = 0
         self.ids = array.array("I")
         self.method = ""
+        self.uploads = False
         self.ended = False
+        self.ended_early = False
         self.checked = False
         self.forgotten = False
         self.idle_limit_s = 0.0
@@ -101,7 +114,13 @@
         # has no length. Reset on the way, or dropped by ourselves, it is
         # cut off, however much of it has come.
         self.ended = True
-        if not self.complete:
+        self.ended_early = self.unsent()
+        if self.turn is not None:
+            self.work_through()
+        if not self.complete and not self.lost:
+            if self.may_be_reset():
+                self.loop.call_later(RESET_WAIT_S, self.end_unless_reset)
+                return True
             self.on_eof()
         self.withdraw()
         # A close would wait until the rest of a request has left, which the
@@ -158,8 +177,53 @@
         self.sink = None
         self.wake()
 
+    def unsent(self) -> bool:
+        """Return whether the server's machine lacks a part of the request."""
+        unended = self.h11.our_state is h11.SEND_BODY
+        return unended or self.unacknowledged() > 0
+
+    @property
+    def is_unframed(self) -> bool:
+        """Whether the answer ends with its connection."""
+        return (
+            self.head is not None
+            and self.h11.their_state is h11.SEND_BODY
+            and not any(
+                name in FRAMING_HEADERS for name, _ in self.head.headers
+            )
+        )
+
+    def may_be_reset(self) -> bool:
+        """Return whether a reset may follow the end of the stream.
+
+        A server that ends its side and closes with a part of the request
+        unread resets the connection behind an answer that is cut off.
+        """
+        tls = self.transport.get_extra_info("ssl_object")
+        return (
+            self.uploads
+            and self.is_unframed
+            and not self.ended_early
+            and tls is None
+        )
+
+    def end_unless_reset(self) -> None:
+        """End an answer without a length if no reset has followed it."""
+        if self.lost:
+            return
+        wire = self.transport.get_extra_info("socket")
+        if wire is not None:
+            code = wire.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            self.ended_early = code != 0
+        self.on_eof()
+        self.abort()
+
     def on_eof(self) -> None:
         """Let h11 judge whether the end of the stream ends the body."""
+        if self.ended_early and self.is_unframed:
+            # No server ends a whole answer so before it has read the request.
+            self.failure = self.failure or "answer was cut off"
+            return
         try:
             self.h11.receive_data(b"")
             self.pump()
@@ -197,6 +261,10 @@
     def take_frame(self, event: Any) -> None:
         """Take the head or the end of an answer."""
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                raise h11.RemoteProtocolError(
+                    f"status {event.status_code} is none"
+                )
             self.head = event
             self.interim = 0
         elif isinstance(event, h11.EndOfMessage):
@@ -360,6 +428,7 @@
         """
         self.uses += 1
         self.method = method
+        self.uploads = body != b""
         self.head = None
         self.complete = False
         head = self.head_of(method, target, headers)
@@ -432,10 +501,10 @@
     def unacknowledged(self) -> int:
         """Return the bytes sent that the peer's machine has not got."""
         held: int = self.transport.get_write_buffer_size()
-        socket = self.transport.get_extra_info("socket")
-        if self.lost or socket is None or socket.fileno() < 0:
+        wire = self.transport.get_extra_info("socket")
+        if self.lost or wire is None or wire.fileno() < 0:
             return held
-        told = fcntl.ioctl(socket.fileno(), termios.TIOCOUTQ, bytes(4))
+        told = fcntl.ioctl(wire.fileno(), termios.TIOCOUTQ, bytes(4))
         return held + int(struct.unpack("i", told)[0])
 
     def note_id(self, request_id: str) -> None:
--- a/tests/test_head_cut_off.py
+++ b/tests/test_head_cut_off.py
@@ -272,6 +272,68 @@
     server.close()
 
 
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nok"
+
+
+@pytest.mark.parametrize("streamed", [False, True])
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize(
+    ("size", "read"),
+    [(16_000_000, 0), (16_000_000, 65_536), (16_000_000, None)]
+    + [(1000, 0), (1000, None)],
+)
+async def test_an_answer_that_ends_with_an_upload_unread_is_cut_off(
+    size, read, reset, streamed
+):
+    """Guards against a part of an unframed answer taken for the whole."""
+    held = []
+
+    async def serve(reader, writer):
+        held.append(writer.transport)
+        await reader.readuntil(b"\r\n\r\n")
+        if read is None:
+            end_of_body = b"0\r\n\r\n" if streamed else b"x" * 1000 + b"z"
+            while not (await reader.read(size)).endswith(end_of_body[-4:]):
+                pass
+        else:
+            await reader.readexactly(read)
+            writer.transport.pause_reading()
+        writer.write(UNFRAMED)
+        writer.write_eof()
+        if reset:
+            end(writer.transport, True)
+
+    async def chunks():
+        for _ in range(100):
+            yield b"x" * (size // 100)
+
+    server = await asyncio.start_server(serve, platformkit.LOOPBACK, 0)
+    address = configs.Address(*server.sockets[0].getsockname())
+    client = httpclient.HttpClient()
+    sent = chunks() if streamed else b"x" * (size - 1) + b"z"
+    got = None
+    async with asyncio.timeout(20):
+        with contextlib.suppress(errors.UpstreamBroken):
+            _, _, got = await client.call(address, "POST", "/", (), sent)
+    in_flight = read is not None and size > 1000
+    assert got == (None if reset or in_flight else b"ok")
+    await client.close()
+    for transport in held:
+        transport.abort()
+    server.close()
+
+
+@pytest.mark.parametrize(("header", "plain"), extra.KINDS)
+@pytest.mark.parametrize("status", [0, 1, 99, 600, 999])
+async def test_an_answer_with_no_status_is_none(status, header, plain):
+    """Guards against an answer passed on whose status is outside 100 to 599."""
+    async with extra.connected(header, plain) as (server, caller):
+        odd = extra.answer(header, ["odd"], f"{status:03}")
+        server.own["odd"] = odd
+        with pytest.raises(errors.UpstreamError):
+            await caller.ask("odd")
+
+
 @pytest.mark.parametrize(("header", "plain"), extra.KINDS)
 @pytest.mark.parametrize("unasked", [b"", b"x"])
 async def test_no_request_leaves_behind_the_end_of_a_kept_connection(
