--- a/camphortray/jobmessages.py
+++ b/camphortray/jobmessages.py
@@ -189,7 +189,7 @@
     ask: QuotaAsk
 
 
-class PartitionBacklog(msgspec.Struct, frozen=True):
+class PartitionBacklog(msgspec.Struct, frozen=True, omit_defaults=True):
     """Waiting tokens of a partition.
 
     Attributes:
--- a/tests/test_head_cut_off.py
+++ b/tests/test_head_cut_off.py
@@ -326,7 +326,7 @@
 @pytest.mark.parametrize(("header", "plain"), extra.KINDS)
 @pytest.mark.parametrize("status", [0, 1, 99, 600, 999])
 async def test_an_answer_with_no_status_is_none(status, header, plain):
-    """Guards against an answer passed on whose status is outside 100 to 599."""
+    """Guards against an answer passed on whose status is no status."""
     async with extra.connected(header, plain) as (server, caller):
         odd = extra.answer(header, ["odd"], f"{status:03}")
         server.own["odd"] = odd
