Crash reports: an engine counts once for each of its starts

Cause: a request is barred once it was in flight at three crashes, which are seen as answers that break before their first event. Each break was counted, also three at one engine that never crashed.

A report names the engine's incarnation now in place of the attempt, so that it counts once, from whichever host. An engine that crashes starts as another incarnation and counts again, so that what crashes engines is barred as soon as before.

Evidence: both rows of test_one_engine_that_breaks_requests_has_none_of_them_refused failed before (502, barred between its engines) and pass now. test_a_request_that_crashes_three_engines_is_refused holds before and after.

--- a/camphortray/crash_reports.py
+++ b/camphortray/crash_reports.py
@@ -35,12 +35,17 @@
 
     def on_crash(self, fact: membership.Fact) -> None:
         """Count a crash reported by any host."""
-        fingerprint, _, name = fact.key.partition("/")
-        self.counter.record(fingerprint, name, self.clock.monotonic())
+        fingerprint, _, engine = fact.key.partition("/")
+        self.counter.record(fingerprint, engine, self.clock.monotonic())
 
-    def report(self, fingerprint: str, name: str) -> None:
-        """Report a crash to all hosts, this one included."""
-        key = f"{fingerprint}/{name}"
+    def report(self, fingerprint: str, engine: str) -> None:
+        """Report a crash to all hosts, this one included.
+
+        Args:
+          fingerprint: Of the request in flight.
+          engine: Name of the engine's incarnation.
+        """
+        key = f"{fingerprint}/{engine}"
         self.members.publish(CRASH_FACT, key, 1, crash_counter.CRASH_TTL_S)
 
     def barred(self, fingerprint: str) -> bool:
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -672,7 +672,7 @@
             self.parts.active_config.note_leaving(name)
         if self.may_have_crashed(attempt, error):
             self.parts.crashes.report(
-                self.request.fingerprint, f"{self.request.id}.{self.ran}"
+                self.request.fingerprint, incarnation(attempt.upstream)
             )
 
     def decide_on_failure(
@@ -770,6 +770,17 @@
     return max(MIN_GAP_LIMIT_S, GAP_LIMIT_SHARE * route.gap_s)
 
 
+def incarnation(upstream: engine.Upstream) -> str:
+    """Return what tells an engine from others and from its next start.
+
+    >>> from camphortray import config
+    >>> address = config.Address("127.0.0.1", 1)
+    >>> incarnation(engine.Upstream("e1", address, "z", born=7))
+    'e1.7'
+    """
+    return f"{upstream.name}.{upstream.born}"
+
+
 def now_of(parts: ForwarderParts) -> float:
     """Return the monotonic time in seconds."""
     return parts.clock.monotonic()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from camphortray import crash_counter
 from camphortray import errors
 from camphortray import httpserver
 from camphortray import membership
@@ -130,6 +131,37 @@
         assert not [r for e in platform.engines.values() for r in e.ran]
 
 
+@pytest.mark.parametrize("fault", ["reset", "no stamp"])
+async def test_one_engine_that_breaks_requests_has_none_of_them_refused(fault):
+    """Guards against a prompt refused on all hosts for one faulty engine."""
+    async with platformkit.Platform(hosts=2, engines=3) as platform:
+        faulty = platform.engines["i-0"]
+        faulty.always = fault
+        for number in range(40):
+            host = platform.hosts[number % 2]
+            prefix = ("Prompt-Prefix", f"{number:02}:10,bb:20")
+            headers = [("Attempt-Id", f"a{number}"), *ASK[1:3], prefix]
+            status, _, body = await host.call("POST", PATH, headers, b"same")
+            assert (status, body) == (200, whole())
+        assert len(faulty.ran) >= crash_counter.MAX_CRASHES
+
+
+async def test_a_request_that_crashes_three_engines_is_refused():
+    """Guards against a request that takes one engine after the other down."""
+    async with platformkit.Platform(hosts=2, engines=3) as platform:
+        for engine in platform.engines.values():
+            engine.always = "crash"
+        for number in range(12):
+            host = platform.hosts[number % 2]
+            headers = [("Attempt-Id", f"a{number}"), *ASK[1:3]]
+            status, _, _ = await host.call("POST", PATH, headers, b"same")
+            assert status in (502, 503)
+            await asyncio.sleep(1.0)
+        runs = sum(len(engine.ran) for engine in platform.engines.values())
+        # An attempt has two engines.
+        assert 3 <= runs <= 4
+
+
 async def test_a_draining_engine_gets_nothing_new():
     async with platformkit.Platform() as platform:
         (host,) = platform.hosts
