Drain: what may run once is accepted only if it ends before the host

Cause: DrainAdmission accepted every request for 2.8 s, whatever its time limit, as most end long before it.

One that may run once is refused now, from the signal on, if its limit ends behind the host: as not run, with a time to come back. It is checked where the request is about to leave, in both fronts. What may be repeated is accepted as before, so that a stop costs no request that would have ended.

Evidence: the two rows of test_what_may_run_once_is_refused_from_the_signal_on with a limit beyond the grace failed before (200, run) and pass now.

--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -459,8 +459,12 @@
         Raises:
           Refused: it may not.
         """
-        limit_at = self.request.deadline_at
-        if not self.parts.admission.accepts(now_of(self.parts), limit_at):
+        accepted = self.parts.admission.accepts(
+            now_of(self.parts),
+            self.request.deadline_at,
+            self.request.route.repeatable,
+        )
+        if not accepted:
             wait_s = drain_admission.RETRY_AFTER_S
             cause = early_end.Cause.DRAINING
             self.refuse(503, "draining", "host leaves", wait_s, cause)
--- a/camphortray/services.py
+++ b/camphortray/services.py
@@ -172,7 +172,7 @@
                 raise deadline.passed("unknown" if maybe_ran else "no")
             if not maybe_ran:
                 now = self.context.clock.monotonic()
-                self.context.admission.check(now, deadline_at)
+                self.context.admission.check(now, deadline_at, idempotent)
             passed = plain.ServiceCall(
                 call.request.id,
                 call.request.method,
--- a/tests/test_drain_admission.py
+++ b/tests/test_drain_admission.py
@@ -59,8 +59,51 @@
     assert begun(0.0, 0.0).accepts(at, at + limit_s) is accepted
 
 
-def test_a_host_that_does_not_shut_down_accepts_all():
-    assert drain_admission.DrainAdmission().accepts(1e9, 1e12)
+@pytest.mark.parametrize("grace_s", [0.5, 2.0, 8.0, 30.0])
+@pytest.mark.parametrize("limit_s", [0.2, 1.0, 5.0, 15.0])
+def test_what_may_run_once_is_never_cut_off_by_a_drain(grace_s, limit_s):
+    """Guards against a request that may have run, cut off with the host."""
+    admission = begun(0.0, 0.0, grace_s)
+    for step in range(400):
+        at = step * grace_s / 400
+        if admission.accepts(at, at + limit_s, repeatable=False):
+            assert at + limit_s < admission.stop_at
+    assert admission.accepts(0.0, 0.1, repeatable=False)
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_a_host_that_does_not_shut_down_accepts_all(repeatable):
+    assert drain_admission.DrainAdmission().accepts(1e9, 1e12, repeatable)
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "deadline_ms", "status"),
+    [
+        ("non_idempotent", False, 15000, 503),
+        ("streaming", False, 15000, 503),
+        ("streaming", True, 15000, 200),
+        ("idempotent", False, 15000, 200),
+        ("non_idempotent", False, 2000, 200),
+    ],
+)
+async def test_what_may_run_once_is_refused_from_the_signal_on(
+    kind, resumable, deadline_ms, status
+):
+    """Guards against a request that may run once, cut off in a drain."""
+    route = platformkit.route(
+        "r", "/p/", kind, resumable=resumable, timeoutMs=15000
+    )
+    async with platformkit.Platform(engines=1) as platform:
+        (host,) = platform.hosts
+        await platform.store.configure(2, [route])
+        config = host.part(slot_client.SlotClient).active_config
+        await platform.until(lambda: config.view.revision == 2)
+        now = host.kernel.context.clock.monotonic()
+        host.part(front.Front).admission.begin(now, GRACE_S)
+        headers = [("attempt-id", "a"), ("deadline-ms", str(deadline_ms))]
+        got, _, _ = await host.call("POST", "/p/x", headers, b"q")
+        (engine,) = platform.engines.values()
+        assert (got, len(engine.ran)) == (status, status == 200)
 
 
 async def call(host, deadline_ms):
