Engines: an entry of an unknown service keeps no engine out of use

Cause: EngineRegistry.put stored that entry and compared the engine's own, later ones with it by sequence. The other writer's sequence was higher, so that they all passed for late.

Where one of the two entries names a known service and the other does not, their sequences say nothing about each other. An entry of no known service removes the engine, as one that cannot be read does, and the engine's next heartbeat restores it: compared with its own last entry alone. Entries that await a configuration are still kept for it.

--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -121,15 +121,15 @@
     def put(self, entry: EngineEntry) -> bool:
         """Store an entry; return whether more than its sequence changed."""
         held = self.entries.get(entry.id)
-        if held is None:
-            known = self.removed.get(entry.id, (UNKNOWN_START, -1))
-            if entry.age <= known:
-                return False
-        elif entry.age < held.age:
-            # Written by an earlier incarnation, or received out of order.
+        if held is not None and self.is_named(held) != self.is_named(entry):
+            if not self.displace(held, entry):
+                return True
+            held = None
+        if self.is_late(entry, held):
             return False
         self.missing.pop(entry.id, None)
-        self.removed.pop(entry.id, None)
+        if self.is_named(entry):
+            self.removed.pop(entry.id, None)
         same_incarnation = held is not None and held.born == entry.born
         if held is not None and same_incarnation:
             # Draining is final within an incarnation, and hosts of earlier
@@ -155,6 +155,31 @@
             self.cached[entry.name] = entry
         return changed
 
+    def displace(self, held: EngineEntry, entry: EngineEntry) -> bool:
+        """Remove an entry for one of which only one names a known service.
+
+        The other is another writer's, or awaits a newer configuration; its
+        sequence says nothing about the age of the engine's own entries.
+
+        Returns:
+          Whether the new entry is to be stored.
+        """
+        if self.is_named(entry):
+            del self.entries[held.id]
+            return True
+        self.drop(held.id)
+        return entry.born > held.born
+
+    def is_late(self, entry: EngineEntry, held: EngineEntry | None) -> bool:
+        """Return whether an entry is older than what is known.
+
+        It was written by an earlier incarnation, or received out of order.
+        """
+        if held is not None:
+            return entry.age < held.age
+        removed = self.removed.get(entry.id, (UNKNOWN_START, -1))
+        return entry.age <= removed
+
     def handle_missing(self, engine_id: str, now: float) -> bool:
         """Handle a missing entry; return whether the engine was removed.
 
@@ -279,9 +304,7 @@
         service, so that a single stray entry has no effect.
         """
         held = [
-            entry
-            for entry in self.entries.values()
-            if self.services is None or entry.service in self.services
+            entry for entry in self.entries.values() if self.is_named(entry)
         ]
         with_start = collections.Counter(e.service for e in held if e.born)
         without = collections.Counter(e.service for e in held if not e.born)
@@ -291,6 +314,10 @@
             if entry.born or without[entry.service] > with_start[entry.service]
         ]
 
+    def is_named(self, entry: EngineEntry) -> bool:
+        """Return whether the configuration names the service of an entry."""
+        return self.services is None or entry.service in self.services
+
     def usable(self, service: str) -> list[EngineEntry]:
         """Return the engines of a service that take new work."""
         return [
--- a/tests/test_engine_registry.py
+++ b/tests/test_engine_registry.py
@@ -195,3 +195,28 @@
     assert not registry.handle_invalid("i-1")
     assert registry.put(entry(born=1000, sequence=6))
     assert names(registry) == ["i-1"]
+
+
+@pytest.mark.parametrize("born", [0, 1700, 1800])
+@pytest.mark.parametrize("draining", [False, True])
+@pytest.mark.parametrize("first", ["engine", "other writer"])
+def test_an_entry_of_an_unknown_service_keeps_no_engine_out(
+    first, draining, born
+):
+    """Guards against engines out of use for good for one foreign entry."""
+    registry = engine_registry.EngineRegistry()
+    registry.set_services({"s"})
+    if first == "engine":
+        registry.put(entry(born=1700, sequence=5))
+    foreign = entry(
+        born=born, service="none", sequence=9_000, draining=draining
+    )
+    registry.put(foreign)
+    assert names(registry) == []
+    if first == "engine":
+        # One that was on its way does not restore the engine.
+        assert not registry.put(entry(born=1700, sequence=5))
+    assert registry.put(entry(born=1700, sequence=6))
+    assert names(registry) == ["i-1"]
+    assert not registry.put(entry(born=1700, sequence=7))
+    assert names(registry) == ["i-1"]
