Configuration: read on behind what an answer held

With more than 1 MB of versions to read, a host skipped the newest ones.

Cause: read_configuration read on from the end of the partition, which the store tells beside its records, whatever the answer held: 1 MB at most. read_engines did the same, so that an engine's last word could be skipped; the owner of a partition of jobs counted its records, which is right.

LedgerPage.next_offset says where to read on, behind the last record that came. Entries of engines are read to the end before the pause, as a host with a pause before each part could fall behind for good.

--- a/camphortray/active_config.py
+++ b/camphortray/active_config.py
@@ -261,13 +261,15 @@
         topic = ledgers.Topic.CONFIGURATION
         if offset < 0:
             page = await self.ledger.newest(topic)
+            offset = page.end
         else:
             page = await self.ledger.read(
                 topic, 0, offset, self.configuration_wait_s
             )
+            offset = page.next_offset(offset)
         for record in page.records:
             self.take_record(record)
-        return page.end
+        return offset
 
     def take_record(self, record: ledgers.LedgerRecord) -> None:
         """Put a configuration in force if it is newer."""
@@ -324,14 +326,19 @@
             now = self.clock.monotonic()
             changed = self.engines.replace_all(found, now)
             self.listed = True
+            offset = page.end
         else:
             page = await self.ledger.read(topic, 0, offset)
             self.reached()
             changes = [self.take_entry(record) for record in page.records]
             changed = any(changes)
+            offset = page.next_offset(offset)
         if changed:
             self.notify_engines()
-        return page.end
+        if page.records and offset < page.end:
+            # A pause before each part would let a host fall behind for good.
+            return await self.read_engines(offset)
+        return offset
 
     def entry_of(
         self, record: ledgers.LedgerRecord
--- a/camphortray/ledger.py
+++ b/camphortray/ledger.py
@@ -82,6 +82,19 @@
     end: int
     records: tuple[LedgerRecord, ...] = ()
 
+    def next_offset(self, offset: int) -> int:
+        """Return where to read on; an answer may hold but a part.
+
+        Args:
+          offset: From where this page was read.
+
+        >>> LedgerPage(9, (LedgerRecord("k", b"", 4),)).next_offset(4)
+        5
+        >>> LedgerPage(9).next_offset(9)
+        9
+        """
+        return self.records[-1].offset + 1 if self.records else offset
+
 
 class Fence(msgspec.Struct, frozen=True):
     """Who appends; appends of an older epoch are refused by the store.
--- a/tests/test_active_config.py
+++ b/tests/test_active_config.py
@@ -180,3 +180,35 @@
     asking.engines.mark_draining(engines_of(3)[0].name)
     asking.take_answer(reply)
     assert asking.engines.sequences == (1, 1, 1)
+
+
+class PagedLedger(ledger.MemoryLedger):
+    """A ledger whose answers hold two records at most."""
+
+    async def read(self, topic, part, offset, wait_s=0.0):
+        page = await super().read(topic, part, offset, wait_s)
+        return ledger.LedgerPage(page.end, page.records[:2])
+
+
+@pytest.mark.parametrize("count", [0, 1, 2, 3, 4, 7])
+async def test_no_record_is_skipped_that_an_answer_does_not_hold(count):
+    """Guards against hosts that stay at an older version or engine."""
+    part = held()
+    part.ledger = PagedLedger(1)
+    part.configuration_wait_s = 0.0
+    versions, engines = [], []
+    part.take_record = lambda record: versions.append(record.offset)
+    part.take_entry = lambda record: engines.append(record.offset)
+    at = [
+        await part.read_configuration(-1),
+        await part.read_engines(await part.read_engines(-1)),
+    ]
+    for topic in (ledger.Topic.CONFIGURATION, ledger.Topic.ENGINES):
+        records = [ledger.LedgerRecord(f"k{n}", b"{}") for n in range(count)]
+        if records:
+            await part.ledger.append(topic, 0, records)
+    for _ in range(count):
+        at[0] = await part.read_configuration(at[0])
+    at[1] = await part.read_engines(at[1])
+    assert versions == engines == list(range(count))
+    assert at == [count, count]
