Items: those of a service without engines hold up no others

Cause: ItemReconciler started the items of a partition in the order of their jobs, 400 at most at a time, and one that waits for a slot of a service without engines keeps its place until its retention is over.

Items are queued by service now, and the places are shared equally by the services of the configuration, at least 40 for each. A lost service holds its share and no more. With one service nothing changes.

--- a/camphortray/item_reconciler.py
+++ b/camphortray/item_reconciler.py
@@ -12,6 +12,7 @@
 __all__ = ["ItemReconciler"]
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Container
@@ -26,6 +27,7 @@
 from camphortray import logs
 from camphortray import partition_records
 from camphortray import partition_state
+from camphortray import routemap
 from camphortray import tasks
 
 LOG = logs.logger("jobs")
@@ -34,9 +36,11 @@
 StoreResult = Callable[
     [partition_state.Job, partition_records.Result], Awaitable[None]
 ]
-# Items of one partition that run or wait for a slot at the same time. The
+# Items of one partition that run or wait for a slot at the same time, in equal
+# shares for the services of the configuration, and the smallest share. The
 # others are queued here, those of the oldest jobs first.
 MAX_RUNNING_ITEMS = 400
+MIN_RUNNING_ITEMS = 40
 # Delay before an item is run again after an unexpected error, in seconds;
 # doubled with each error up to the maximum, as the same error may recur at
 # once.
@@ -51,8 +55,13 @@
       jobs: Jobs of the partition, by id.
       ending: Ids of jobs whose end may have been stored; their items are not
         run.
-      queued: Keys of the items that wait to be started, in order.
+      queued: Keys of the items that wait to be started, in order, by service.
+        Those of a service without engines hold up no others.
       running: Tasks of the started items.
+      started: Services of the started items.
+      started_by_service: Number of started items.
+      share: Items of one service that may run or wait for a slot here.
+      view: Configuration from which the share follows.
       works: Runs in progress, by the key of the item.
       early_progress: Progress received for items that have not started yet.
       stalled: Items found stalled by the last check, with the time of their
@@ -73,7 +82,13 @@
         self.store_result = store_result
         self.ending = ending
         self.jobs: dict[str, partition_state.Job] = {}
-        self.queued: dict[Key, None] = {}
+        self.queued: dict[str, dict[Key, None]] = {}
+        self.share = MAX_RUNNING_ITEMS
+        self.view: routemap.Configuration | None = None
+        self.started: dict[Key, str] = {}
+        self.started_by_service: collections.Counter[str] = (
+            collections.Counter()
+        )
         self.running: dict[Key, asyncio.Task[None]] = {}
         self.works: dict[Key, itemwork.ItemWork] = {}
         self.early_progress: dict[Key, itemwork.Progress] = {}
@@ -118,29 +133,72 @@
         for index in job.open_items:
             key = job.id, index
             if key not in self.running and self.is_open(key):
-                self.queued.setdefault(key)
+                self.queue(key)
         self.start_queued()
 
+    def queue(self, key: Key) -> None:
+        """Queue an item behind the others of its service, unless it is."""
+        if not self.is_queued(key):
+            self.queued.setdefault(self.service_of(key), {})[key] = None
+
+    def is_queued(self, key: Key) -> bool:
+        """Return whether an item waits to be started."""
+        return any(key in queued for queued in self.queued.values())
+
+    def service_of(self, key: Key) -> str:
+        """Return the service that an item is for; empty without a route."""
+        job_id, index = key
+        job = self.jobs[job_id]
+        item = job.items[index]
+        config = self.parts.active_config
+        if item is None:
+            return ""
+        route = config.routes.find_batch(job.host_name, item.target)
+        return route.service_of(item.id) if route is not None else ""
+
+    def set_share(self) -> None:
+        """Set the share of a service by the configuration in force."""
+        view = self.parts.active_config.view
+        if view is not self.view:
+            self.view = view
+            services = max(1, len(view.service_names))
+            self.share = max(MIN_RUNNING_ITEMS, MAX_RUNNING_ITEMS // services)
+
     def start_queued(self) -> None:
-        """Start queued items up to the limit."""
-        while self.queued and len(self.running) < MAX_RUNNING_ITEMS:
-            key = next(iter(self.queued))
-            del self.queued[key]
+        """Start queued items of each service up to its share."""
+        self.set_share()
+        for service in list(self.queued):
+            self.start_queued_of(service, self.queued[service])
+            if not self.queued[service]:
+                del self.queued[service]
+
+    def start_queued_of(self, service: str, queued: dict[Key, None]) -> None:
+        """Start queued items of a service up to its share."""
+        while queued and self.started_by_service[service] < self.share:
+            key = next(iter(queued))
+            del queued[key]
             if key in self.running or not self.is_open(key):
                 continue
             task = asyncio.get_running_loop().create_task(self.run(key))
             self.running[key] = task
+            self.started[key] = service
+            self.started_by_service[service] += 1
             task.add_done_callback(functools.partial(self.on_task_done, key))
 
+    def forget_task(self, key: Key) -> asyncio.Task[None]:
+        """Return the task of an item, which counts as started no more."""
+        self.works.pop(key, None)
+        self.started_by_service[self.started.pop(key)] -= 1
+        return self.running.pop(key)
+
     def on_task_done(self, key: Key, task: "asyncio.Task[None]") -> None:
         """Queue the item of a finished task again if it is still open."""
         if self.running.get(key) is not task:
             # The task had stalled, and its item has been queued again.
             return
-        del self.running[key]
-        self.works.pop(key, None)
+        self.forget_task(key)
         if self.is_open(key):
-            self.queued.setdefault(key)
+            self.queue(key)
         self.start_queued()
 
     def stop_job(self, job_id: str) -> None:
@@ -273,7 +331,7 @@
             return work.stage
         if key[0] in self.ending:
             return Stage.ENDING
-        if key in self.queued or key in self.running:
+        if key in self.running or self.is_queued(key):
             return Stage.QUEUED
         return Stage.UNASSIGNED
 
@@ -296,7 +354,7 @@
                     index,
                     job.id,
                 )
-                self.queued.setdefault(key)
+                self.queue(key)
         now = self.parts.clock.monotonic()
         # An item must be stalled in two checks in a row: after this host was
         # suspended for seconds, the input that arrived meanwhile is read only
@@ -326,9 +384,8 @@
                 "run": work.number,
             },
         )
-        task = self.running.pop(key)
-        del self.works[key], self.stalled[key]
-        task.cancel()
+        del self.stalled[key]
+        self.forget_task(key).cancel()
         work.abort()
         if self.is_open(key):
-            self.queued.setdefault(key)
+            self.queue(key)
--- a/tests/test_item_reconciler.py
+++ b/tests/test_item_reconciler.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from camphortray import clock as clocks
 from camphortray import errors
 from camphortray import item_reconciler
 from camphortray import ledger
 from camphortray import partition_records
+from camphortray import routemap
 from tests import hostkit
 from tests import test_partition_owner
 
@@ -217,3 +220,57 @@
     assert result.text == b"d1\nd2"
     assert len(owner.parts.backends.party.seen) == 2
     await owner.close()
+
+
+@pytest.mark.parametrize("services", [1, 2, 30])
+async def test_items_of_a_service_without_engines_hold_up_no_others(services):
+    """Guards against items never begun behind those of a lost service."""
+    routes = [
+        msgspec.structs.replace(
+            hostkit.BATCH_ROUTE,
+            name=f"r{number}",
+            prefix=f"/p{number or ''}/",
+            targets=(routemap.Target(f"s{number}"),),
+        )
+        for number in range(services + 1)
+    ]
+    script = [good() for _ in range(20)]
+    owner = await owner_of(ledger.MemoryLedger(), script)
+    config, slots = owner.parts.active_config, owner.parts.slots
+    config.view = routemap.Configuration(2, tuple(routes))
+    config.routes = routemap.RouteMap(routes)
+    acquire = slots.acquire
+
+    async def for_last(service, want, on_revoke=None):
+        if service != f"s{services}":
+            await asyncio.sleep(3600.0)
+        return await acquire(service, want, on_revoke)
+
+    slots.acquire = for_last
+    items = [
+        partition_records.Item(
+            f"i{number}", f"/p{number % services or ''}/x", (), b"b"
+        )
+        for number in range(900)
+    ]
+    await owner.submit(job_of("lost", "/p/", items))
+    items = [
+        partition_records.Item(f"k{number}", f"/p{services}/x", (), b"b")
+        for number in range(20)
+    ]
+    await owner.submit(job_of("served", f"/p{services}/", items))
+    await listed(owner, "served", 20, 5.0)
+    started = len(owner.items.running)
+    assert started <= max(
+        item_reconciler.MAX_RUNNING_ITEMS,
+        item_reconciler.MIN_RUNNING_ITEMS * (services + 1),
+    )
+    await owner.close()
+
+
+def job_of(name, target, items):
+    """Return a job of items, accepted now."""
+    now = clocks.SystemClock().wall()
+    return partition_records.JobPart(
+        name, "h", target, now, len(items), 0, tuple(items)
+    )
