Soak: releases beside hosts that are out of step

The new mode plays that: all engines are replaced in turn, while one or two hosts stand still or are cut off from the others, the store or both, in one direction or in both, and callers take streams up at any host.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -91,7 +91,9 @@
         default="all",
         help="calm: silences, configurations, SIGTERM and SIGHUP alone;"
         " copies: engines refuse, and answers come again late, beside ends"
-        " and pauses of hosts; power: all hosts are killed at once",
+        " and pauses of hosts; power: all hosts are killed at once;"
+        " release: engines of another version join beside hosts that"
+        " stand still or are cut off",
     )
     parser.add_argument("--out", default="out/soak")
     parser.add_argument("--keep", action="store_true", help="keep all logs")
--- a/bench/soak/load.py
+++ b/bench/soak/load.py
@@ -123,7 +123,7 @@
         self.deadly = self.deadly and mode == "all"
         if mode == "copies":
             self.question_s = MANY_S
-        if mode == "power":
+        if mode in ("power", "release"):
             self.question_s, self.patient = POWER_S, True
             self.take_ups = PATIENT_TAKE_UPS
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -310,6 +310,8 @@
             await self.crash(action)
         elif action.kind == "power":
             await self.lose_power(action)
+        elif action.kind == "release":
+            await self.release(action)
         elif action.kind == "silence":
             names = action.target.split("+")
             await asyncio.gather(
@@ -350,7 +352,7 @@
         self, action: schedule.Action
     ) -> contextlib.AbstractContextManager[None]:
         """Keep which parties a fault breaks while it lasts."""
-        if action.kind in HARMLESS or action.kind == "power":
+        if action.kind in (*HARMLESS, "power", "release"):
             return contextlib.nullcontext()
         parties = {schedule.STORE, *self.hosts, *self.engines}
         names = {*action.target.split(">")} & parties
@@ -366,7 +368,10 @@
         hosts_hit &= set(self.site.hosts)
         if action.kind == "reload":
             return
-        if schedule.STORE == action.target or action.kind == "power":
+        if schedule.STORE == action.target or action.kind in (
+            "power",
+            "release",
+        ):
             hosts_hit = {""}
         for host in hosts_hit:
             begun = (host, begun_at, math.inf)
@@ -432,6 +437,15 @@
             for host in self.hosts.values():
                 await self.until_ready(host)
 
+    async def release(self, action: schedule.Action) -> None:
+        """Replace all engines, one by one, by those of another version."""
+        (joining,) = {*standins.VERSIONS} - {action.target}
+        for engine in list(self.engines.values()):
+            with self.window(self.seen.broken, engine.name):
+                await self.leave(engine)
+                await self.begin_engine(engine, joining)
+            await asyncio.sleep(action.length_s)
+
     async def leave(self, engine: standins.Engine) -> None:
         """End an engine, and its entry."""
         await self.end_engine(engine)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -3,6 +3,7 @@
 __all__ = ["Action", "MODES", "Site", "draw"]
 
 import dataclasses
+import itertools
 import random
 
 # Mean pause from one fault to the next, in seconds.
@@ -27,13 +28,24 @@
 }
 # Kinds beside which nothing may be lost: of a run that is calm.
 CALM_KINDS = ("silence", "configure", "term", "reload")
-# Kinds by mode; in the last one all hosts lose power.
+# Kinds by mode; in the last two their own function draws the faults.
 MODES = {
     "all": tuple(KINDS),
     "calm": CALM_KINDS,
     "copies": ("kill", "term", "freeze"),
     "power": (),
+    "release": (),
 }
+# From the start of one release of the engines to that of the next, and from
+# one of its engines to the next; how long before and behind its start one or
+# two hosts fall out of step, and for how long, in seconds. Streams that began
+# at other hosts are taken up there meanwhile.
+RELEASE_EVERY_S, ENGINE_EVERY_S = 7.0, (0.1, 0.9)
+OUT_OF_STEP_HOSTS, OUT_FROM_S, OUT_FOR_S = 2, (-1.0, 1.5), (1.0, 5.0)
+# How a host falls out of step: it stands still, or is cut off from the other
+# hosts, the store or both, in one direction or in both.
+OUT_OF_STEP = ("freeze", "hosts", "store", "all")
+CUTS = ("to", "back", "silence")
 # Times that all hosts lose power in a run, and how long they are down.
 POWER_TIMES, POWER_S = (2, 3), (1.0, 2.6)
 # What becomes meanwhile of a software version: its engines leave as all hosts
@@ -75,13 +87,13 @@
 
     Attributes:
       at: Seconds from the start of the load.
-      kind: A key of ``KINDS``, or ``power``.
+      kind: A key of ``KINDS``, or ``power`` or ``release``.
       target: Host, engine or store; of a link ``DIALS>DIALLED``, of
-        several engines ``ENGINE+ENGINE``; as all hosts lose power, the
-        software version that leaves.
+        several engines ``ENGINE+ENGINE``; as all hosts lose power, and of a
+        release, the software version that leaves.
       fault: Which fault of a link or of the store, or which change of the
         configuration.
-      length_s: How long it lasts.
+      length_s: How long it lasts; of a release, from one engine to the next.
     """
 
     at: float
@@ -102,6 +114,8 @@
     rng = random.Random(f"soak/{seed}")
     if mode == "power":
         return draw_power(rng, seconds)
+    if mode == "release":
+        return draw_releases(rng, seconds, site)
     kinds = MODES[mode]
     weights = [KINDS[kind][0] for kind in kinds]
     found = []
@@ -131,6 +145,42 @@
     )
 
 
+def draw_releases(
+    rng: random.Random, seconds: float, site: Site
+) -> tuple[Action, ...]:
+    """Return releases of all engines, each with hosts that are out of step."""
+    found = []
+    at = QUIET_S + 1.0
+    for leaving in itertools.cycle(VERSIONS):
+        if at >= seconds:
+            return tuple(sorted(found, key=lambda action: action.at))
+        gap_s = round(rng.uniform(*ENGINE_EVERY_S), 2)
+        found.append(Action(round(at, 2), "release", leaving, "", gap_s))
+        count = rng.randint(1, min(OUT_OF_STEP_HOSTS, len(site.hosts) - 1))
+        for host in rng.sample(site.hosts, count):
+            out_at = round(at + rng.uniform(*OUT_FROM_S), 2)
+            found += fall_out_of_step(host, out_at, site, rng)
+        at += RELEASE_EVERY_S
+    raise AssertionError("versions do not end")
+
+
+def fall_out_of_step(
+    host: str, at: float, site: Site, rng: random.Random
+) -> list[Action]:
+    """Return what puts a host out of step with the others."""
+    length_s = round(rng.uniform(*OUT_FOR_S), 2)
+    how = rng.choice(OUT_OF_STEP)
+    if how == "freeze":
+        return [Action(at, "freeze", host, "", length_s)]
+    others = [name for name in site.hosts if name != host]
+    links = [f"{host}>{STORE}"] if how in ("store", "all") else []
+    if how in ("hosts", "all"):
+        links += [f"{host}>{name}" for name in others]
+        links += [f"{name}>{host}" for name in others]
+    fault = rng.choice(CUTS)
+    return [Action(at, "link", link, fault, length_s) for link in links]
+
+
 def aim(kind: str, site: Site, rng: random.Random) -> tuple[str, str]:
     """Return whom a fault meets, and which one it is."""
     if kind in ("kill", "term", "freeze", "refuse-one", "reload"):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -66,6 +66,20 @@
     ]
 
 
+def test_hosts_fall_out_of_step_as_versions_join():
+    """A run of releases in which every host hears of the new engines."""
+    drawn = [schedule.draw(s, 40.0, SITE, mode="release") for s in range(40)]
+    actions = [action for each in drawn for action in each]
+    assert {a.kind for a in actions} == {"release", "freeze", "link"}
+    assert {a.fault for a in actions} == {"", *schedule.CUTS}
+    for each in drawn:
+        releases = [a for a in each if a.kind == "release"]
+        assert {a.target for a in releases} == set(schedule.VERSIONS)
+        for release in releases:
+            beside = [a for a in each if abs(a.at - release.at) <= 1.5]
+            assert len(beside) > 1
+
+
 def test_hosts_end_and_stand_still_beside_copies():
     """A run of copies drew faults that explain more than they do."""
     drawn = {a.kind for a in schedule.draw(3, 90.0, SITE, mode="copies")}
@@ -533,3 +547,13 @@
     assert {"silence", "configure", "term"} <= set(soak.done)
     assert soak.seen.broken == []
     assert verdict.counts[NO_ANSWER] and verdict.counts[CUT_OFF]
+
+
+async def test_a_stream_keeps_its_version_beside_hosts_out_of_step(tmp_path):
+    """Streams taken up at a host that lacked a release went on at it."""
+    soak = run.Soak(1, 12.0, tmp_path, 3, 4, mode="release")
+    verdict = await soak.run()
+    soak.write(verdict)
+    assert verdict.breaches == []
+    assert soak.done["release"] == 2
+    assert verdict.counts["a stream is of one version"]
