--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -120,11 +120,7 @@
 
     def put(self, entry: EngineEntry) -> bool:
         """Store an entry; return whether more than its sequence changed."""
-        held = self.entries.get(entry.id)
-        if held is not None and self.is_named(held) != self.is_named(entry):
-            if not self.displace(held, entry):
-                return True
-            held = None
+        held = self.displace(entry)
         if self.is_late(entry, held):
             return False
         self.missing.pop(entry.id, None)
@@ -155,20 +151,24 @@
             self.cached[entry.name] = entry
         return changed
 
-    def displace(self, held: EngineEntry, entry: EngineEntry) -> bool:
-        """Remove an entry for one of which only one names a known service.
-
-        The other is another writer's, or awaits a newer configuration; its
-        sequence says nothing about the age of the engine's own entries.
+    def displace(self, entry: EngineEntry) -> EngineEntry | None:
+        """Return the entry held under the id of one to be stored, if any.
 
-        Returns:
-          Whether the new entry is to be stored.
+        Where only one of them names a known service, the other is another
+        writer's, or awaits a newer configuration: its sequence says nothing
+        about the age of the engine's own entries, and it is dropped.
         """
+        held = self.entries.get(entry.id)
+        if held is None or self.is_named(held) == self.is_named(entry):
+            return held
         if self.is_named(entry):
             del self.entries[held.id]
-            return True
+            return None
+        if entry.age < held.age:
+            return held
+        # The engine's next heartbeat restores it.
         self.drop(held.id)
-        return entry.born > held.born
+        return None
 
     def is_late(self, entry: EngineEntry, held: EngineEntry | None) -> bool:
         """Return whether an entry is older than what is known.
