Streams: the host that asked for a slot is asked before its version counts

Cause: a coordinator keeps a version as it grants the slot of a stream. A request that was held back on the way is granted one that its host, which has had events by a slot from elsewhere, does not use; the hosts that are asked as the stream is taken up need not include that one.

Coordinators and standbys keep which host asked. Where several versions have served meanwhile and no host that was asked has had events, that host decides: its version if it has had some, 503 if not or if it may live and does not answer, and the slot's version if it is gone or has started since.

--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -191,6 +191,11 @@
             and member.started == started
         )
 
+    def is_live(self, name: str) -> bool:
+        """Return whether a member is not known to be gone."""
+        member = self.members.member(name)
+        return member is not None and not member.dead
+
     def sent(self, workspace: str, now: float) -> int:
         """Return how many limited requests this host sent in the window."""
         return self.admitted.count(workspace, now)
--- a/camphortray/slot_coordinator.py
+++ b/camphortray/slot_coordinator.py
@@ -395,7 +395,11 @@
         entry = self.host.active_config.engines.current().get(engine)
         if want.stream and entry is not None:
             self.host.streams.record(
-                self.service, want.stream, entry.version, want.left_s
+                self.service,
+                want.stream,
+                entry.version,
+                want.left_s,
+                want.holder,
             )
 
     def on_holder_report(
--- a/camphortray/slot_messages.py
+++ b/camphortray/slot_messages.py
@@ -412,6 +412,7 @@
       earlier: Versions that had served before the host started, by the
         store's record; None if it has not read that, or it does not tell.
       followed: Whether the host was in reach of the store all that time.
+      holder: Member that asked for the slot of the stream, if it is known.
     """
 
     version: str = ""
@@ -422,6 +423,7 @@
     lived: bool = False
     earlier: tuple[str, ...] | None = None
     followed: bool = False
+    holder: str = ""
 
 
 @messages.message("stream.update")
@@ -433,11 +435,16 @@
       versions: Versions that ``streams`` refers to.
       streams: Digest, index of the version, and milliseconds for which the
         stream may still be taken up, of each.
+      holders: Members that ``held_by`` refers to.
+      held_by: Index of the member that asked for its slot, of each; none
+        from an earlier release.
     """
 
     service: str
     versions: tuple[str, ...]
     streams: tuple[tuple[int, int, int], ...]
+    holders: tuple[str, ...] = ()
+    held_by: tuple[int, ...] = ()
 
     @classmethod
     def of(
@@ -448,21 +455,38 @@
     ) -> "StreamUpdate":
         """Return the message about some streams."""
         index: dict[str, int] = {}
-        streams = []
+        holders: dict[str, int] = {}
+        streams, held_by = [], []
         for stream in begun:
             if stream.version is not None:
                 number = index.setdefault(stream.version, len(index))
                 left_ms = round((stream.until - now) * 1000)
                 streams.append((stream.digest, number, left_ms))
-        return cls(service, tuple(index), tuple(streams))
+                held_by.append(holders.setdefault(stream.holder, len(holders)))
+        return cls(
+            service,
+            tuple(index),
+            tuple(streams),
+            tuple(holders),
+            tuple(held_by),
+        )
 
     def begun(self, now: float, source: str) -> list[stream_versions.Begun]:
         """Return the streams, recorded by a member."""
+        held_by = [self.holders[index] for index in self.held_by]
+        if len(held_by) != len(self.streams):
+            held_by = [""] * len(self.streams)
         return [
             stream_versions.Begun(
-                digest, self.versions[index], now + left_ms / 1000, source
+                digest,
+                self.versions[index],
+                now + left_ms / 1000,
+                source,
+                holder=holder,
+            )
+            for (digest, index, left_ms), holder in zip(
+                self.streams, held_by, strict=True
             )
-            for digest, index, left_ms in self.streams
         ]
 
 
--- a/camphortray/standby_updates.py
+++ b/camphortray/standby_updates.py
@@ -71,6 +71,10 @@
     def runs(self, name: str, started: int) -> bool:
         """Return whether that process of a member still runs."""
 
+    @abc.abstractmethod
+    def is_live(self, name: str) -> bool:
+        """Return whether a member is not known to be gone."""
+
     @abc.abstractmethod
     def standbys(self, service: str, count: int) -> list[str]:
         """Return the members that would coordinate a service next."""
--- a/camphortray/stream_lookup.py
+++ b/camphortray/stream_lookup.py
@@ -144,7 +144,12 @@
     # Streams that begin.
 
     def record(
-        self, service: str, attempt: str, version: str, left_s: float
+        self,
+        service: str,
+        attempt: str,
+        version: str,
+        left_s: float,
+        holder: str = "",
     ) -> None:
         """Record a stream and keep it at the standbys.
 
@@ -153,9 +158,10 @@
           attempt: Id of the attempt that began it.
           version: Software version of its engine.
           left_s: Time after which its present attempt has ended.
+          holder: Member that asked for its slot.
         """
         streams = self.of(service)
-        streams.record(self.begun(attempt, version, left_s))
+        streams.record(self.begun(attempt, version, left_s, holder))
         if len(streams.serving) > 1:
             self.schedule(service)
 
@@ -168,16 +174,17 @@
         self, service: str, attempt: str, version: str, left_s: float
     ) -> None:
         """Keep a stream at this host alone; see ``record``."""
-        self.of(service).note(self.begun(attempt, version, left_s))
+        holder = self.host.own_name
+        self.of(service).note(self.begun(attempt, version, left_s, holder))
 
     def begun(
-        self, attempt: str, version: str, left_s: float
+        self, attempt: str, version: str, left_s: float, holder: str
     ) -> stream_versions.Begun:
         """Return a stream that begins now."""
         until = self.host.clock.monotonic() + left_s + KEEP_MARGIN_S
         digest = stream_versions.digest_of(attempt)
         return stream_versions.Begun(
-            digest, version, until, self.host.own_name
+            digest, version, until, self.host.own_name, holder=holder
         )
 
     def targets(self, service: str) -> list[str]:
@@ -290,6 +297,9 @@
         if len(begun) > 1 or ambiguous:
             return Finding(None)
         if begun:
+            holders = {a.holder for a in answers if a.known and a.holder}
+            if not seen and self.has_changed(ask):
+                return await self.confirm(ask, begun.pop(), holders)
             return Finding(begun.pop())
         versions = {v for answer in answers for v in answer.versions}
         if not any(a.lived and a.followed for a in answers):
@@ -301,15 +311,63 @@
             versions.update(*records)
         return Finding(None, frozenset(versions), alone)
 
+    def has_changed(self, ask: StreamAsk) -> bool:
+        """Return whether several versions served while a stream lasted."""
+        now = self.host.clock.monotonic()
+        recent = self.of(ask.service).recent(ask.keep_ms / 1000, now)
+        return len(recent) > 1
+
+    async def confirm(
+        self, ask: StreamAsk, version: str, holders: set[str]
+    ) -> Finding:
+        """Ask the hosts that were granted the slots of a stream.
+
+        A request for a slot may arrive late, and be granted one that its host
+        does not use: meanwhile that host had a slot from another coordinator,
+        or from itself.
+
+        Args:
+          ask: The question.
+          version: Version at which the slots were granted.
+          holders: Members that asked for them.
+        """
+        for name in holders:
+            try:
+                answer = await self.ask_host(name, ask)
+            except errors.MessageError as error:
+                refused = isinstance(error.__cause__, ConnectionRefusedError)
+                if refused or not self.host.is_live(name):
+                    continue
+                LOG.info("Holder {} not asked for a stream: {}", name, error)
+                return Finding(None)
+            if answer.seen:
+                return Finding(answer.version)
+            if answer.lived or answer.known:
+                # It has received no event of the stream.
+                return Finding(None)
+        return Finding(version)
+
+    async def ask_host(self, name: str, ask: StreamAsk) -> StreamAnswer:
+        """Ask one host, which may be this one.
+
+        Raises:
+          MessageError: it does not answer.
+        """
+        if name == self.host.own_name:
+            return self.answer(ask)
+        address = self.host.peer_address(name)
+        reply = await self.host.links.ask(address, ask, ASK_TIMEOUT_S)
+        if not isinstance(reply, StreamAnswer):
+            raise errors.MessageError("no answer", step="ask", peer=name)
+        return reply
+
     async def ask(self, name: str, ask: StreamAsk) -> StreamAnswer | None:
         """Ask one host; return None if it does not answer."""
         try:
-            address = self.host.peer_address(name)
-            reply = await self.host.links.ask(address, ask, ASK_TIMEOUT_S)
+            return await self.ask_host(name, ask)
         except errors.MessageError as error:
             LOG.info("Host {} not asked for a stream: {}", name, error)
             return None
-        return reply if isinstance(reply, StreamAnswer) else None
 
     def answer(self, ask: StreamAsk) -> StreamAnswer:
         """Return what this host knows of a stream."""
@@ -328,7 +386,13 @@
             )
         if stream.version is None:
             return StreamAnswer(ambiguous=True)
-        return StreamAnswer(stream.version, True, seen=stream.seen)
+        return StreamAnswer(
+            stream.version,
+            True,
+            seen=stream.seen,
+            lived=self.has_lived(ask.keep_ms / 1000),
+            holder=stream.holder,
+        )
 
     def has_lived(self, seconds: float) -> bool:
         """Return whether this host has known the engines for so long."""
--- a/camphortray/stream_versions.py
+++ b/camphortray/stream_versions.py
@@ -18,6 +18,7 @@
       until: Time until which it may be taken up, in monotonic seconds.
       source: Member that recorded it.
       seen: Whether this host has received events of it.
+      holder: Member that asked for its slot; empty if not known.
     """
 
     digest: int
@@ -25,6 +26,7 @@
     until: float
     source: str
     seen: bool = False
+    holder: str = ""
 
 
 class StreamVersions:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -577,6 +577,69 @@
     assert found.versions == expected
 
 
+V1 = {"version": "v1", "known": True, "lived": True, "holder": "holder"}
+SEEN = V1 | {"version": "v2", "seen": True}
+
+
+@pytest.mark.parametrize(
+    ("holder", "live", "several", "version"),
+    [
+        # The slot was granted late; its host had events from elsewhere.
+        (SEEN, True, True, "v2"),
+        (SEEN | {"version": "v1"}, True, True, "v1"),
+        # Its host has received no event.
+        ({"lived": True}, True, True, None),
+        (V1, True, True, None),
+        # Its host has started since.
+        ({}, True, True, "v1"),
+        ("silent", True, True, None),
+        ("silent", False, True, "v1"),
+        ("refused", True, True, "v1"),
+        ("silent", True, False, "v1"),
+    ],
+)
+async def test_a_slot_that_was_granted_late_begins_no_stream(
+    holder, live, several, version
+):
+    """Guards against a stream taken up at the version of an unused slot."""
+    host = types.SimpleNamespace(
+        own_name="own",
+        is_live=lambda name: live,
+        peer_address=lambda name: name,
+        links=types.SimpleNamespace(),
+    )
+
+    async def ask(name, message, timeout_s):
+        if name == "coordinator":
+            return slot_messages.StreamAnswer(**V1)
+        if isinstance(holder, dict):
+            return slot_messages.StreamAnswer(**holder)
+        cause = ConnectionRefusedError() if holder == "refused" else None
+        raise errors.MessageError("no", step="ask", peer=name) from cause
+
+    host.links.ask = ask
+    lookup = stream_lookup.StreamLookup(host)
+    lookup.targets = lambda service: ["coordinator"]
+    lookup.answer = lambda ask: slot_messages.StreamAnswer()
+    lookup.has_changed = lambda ask: several
+    found = await lookup.find(slot_messages.StreamAsk(SERVICE, 7, 9000))
+    assert found.version == version
+
+
+async def test_standbys_know_which_host_asked_for_the_slot_of_a_stream():
+    """Guards against a holder that is lost with the coordinator."""
+    begun = [
+        stream_versions.Begun(n, f"v{n % 2}", 9.0, "c", holder=f"h{n % 3}")
+        for n in range(5)
+    ]
+    update = slot_messages.StreamUpdate.of(SERVICE, begun, 0.0)
+    assert update.begun(0.0, "c") == begun
+    earlier = slot_messages.StreamUpdate(
+        SERVICE, update.versions, update.streams
+    )
+    assert {each.holder for each in earlier.begun(0.0, "c")} == {""}
+
+
 @pytest.mark.parametrize("away", [False, True])
 async def test_a_host_without_the_store_does_not_speak_for_all_versions(away):
     """A host cut off from the store overruled the record of versions."""
--- a/tests/test_version_record.py
+++ b/tests/test_version_record.py
@@ -39,6 +39,9 @@
     def runs(self, name, started):
         return name in self.running
 
+    def is_live(self, name):
+        return name in self.running
+
 
 async def kept(ledger):
     """Return the versions on record."""
