--- a/camphortray/clientconnection.py
+++ b/camphortray/clientconnection.py
@@ -221,7 +221,7 @@
     def on_eof(self) -> None:
         """Let h11 judge whether the end of the stream ends the body."""
         if self.ended_early and self.is_unframed:
-            # No server ends a whole answer so before it has read the request.
+            # A server that has not read the request has not answered it whole.
             self.failure = self.failure or "answer was cut off"
             return
         try:
