Jobs: items stay with the route that accepted their job

Cause: a job was stored without the route that accepted it.

The job now keeps the name and prefix of its route, in messages and records, and RouteMap.find_accepting finds it in each version by its name, else by its host name and prefix. A route that moves takes its items along wherever it goes; one that is removed ends them, also where another route covers the path. Jobs of earlier releases have no stored route and go by their own path; messages and records without one keep their bytes.

The rig of items hooked the look-up by the item's path. It now knows the item by the name of its task, and where no task runs it by Route.service_of: the same steps break at the same places.

A record is split by the size of what all parts repeat, as the route adds to it: a job at a path of 2,000 bytes had records beyond the limit before (a row of test_a_large_job_is_split_and_read_back_whole).

--- a/camphortray/backlog_reporting.py
+++ b/camphortray/backlog_reporting.py
@@ -284,8 +284,8 @@
         """Return the waiting tokens of a partition, by ``backlog_key``."""
         counts: dict[str, int] = {}
         for job in owner.waiting_jobs:
-            route = self.active_config.routes.find_batch(
-                job.host_name, job.target
+            route = self.active_config.routes.find_accepting(
+                job.host_name, job.target, job.route
             )
             tokens = job.waiting_tokens
             if route is not None and tokens:
@@ -443,8 +443,8 @@
         Returns:
           Whether it fits.
         """
-        route = self.active_config.routes.find_batch(
-            part.host_name, part.target
+        route = self.active_config.routes.find_accepting(
+            part.host_name, part.target, part.route
         )
         if route is None or not route.waiting_limit:
             return True
--- a/camphortray/item_reconciler.py
+++ b/camphortray/item_reconciler.py
@@ -153,7 +153,9 @@
         config = self.parts.active_config
         if item is None:
             return ""
-        route = config.routes.find_batch(job.host_name, item.target)
+        route = config.routes.find_accepting(
+            job.host_name, job.target, job.route
+        )
         return route.service_of(item.id) if route is not None else ""
 
     def set_share(self) -> None:
@@ -179,7 +181,9 @@
             del queued[key]
             if key in self.running or not self.is_open(key):
                 continue
-            task = asyncio.get_running_loop().create_task(self.run(key))
+            task = asyncio.get_running_loop().create_task(
+                self.run(key), name=task_name(key)
+            )
             self.running[key] = task
             self.started[key] = service
             self.started_by_service[service] += 1
@@ -389,3 +393,9 @@
         work.abort()
         if self.is_open(key):
             self.queue(key)
+
+
+def task_name(key: Key) -> str:
+    """Return the name of the task that runs an item."""
+    job_id, index = key
+    return f"item {index} of job {job_id}"
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -310,9 +310,7 @@
         missing_since: float | None = None
         while True:
             config = self.parts.active_config
-            route = config.routes.find_batch(
-                self.job.host_name, self.item.target
-            )
+            route = self.find_route()
             if route is not None:
                 return route
             now = self.parts.clock.monotonic()
@@ -324,11 +322,15 @@
                 return None
             await asyncio.sleep(ROUTE_POLL_INTERVAL_S)
 
+    def find_route(self) -> routemap.Route | None:
+        """Return the route by the configuration in force, if it is there."""
+        return self.parts.active_config.routes.find_accepting(
+            self.job.host_name, self.job.target, self.job.route
+        )
+
     def route_matches(self, lease: lease_table.HeldLease) -> bool:
         """Return whether the route still leads to the service of a slot."""
-        route = self.parts.active_config.routes.find_batch(
-            self.job.host_name, self.item.target
-        )
+        route = self.find_route()
         return route is not None and (
             route.service_of(self.item.id) == lease.service
         )
--- a/camphortray/partition_owner.py
+++ b/camphortray/partition_owner.py
@@ -19,6 +19,7 @@
 from camphortray import partition_records
 from camphortray import partition_state
 from camphortray import partwriter
+from camphortray import routemap
 from camphortray import tasks
 
 LOG = logs.logger("jobs")
@@ -52,6 +53,7 @@
     Attributes:
       host_name: As of the job.
       target: As of the job.
+      route: As of the job.
       workspace: As of the job.
       waiting_tokens: Tokens of all its items.
       write: The write that is to store it, once there is one. Its outcome
@@ -60,6 +62,7 @@
 
     host_name: str
     target: str
+    route: routemap.RouteId | msgspec.UnsetType
     workspace: str
     waiting_tokens: int
     write: partwriter.Write | None = None
@@ -67,7 +70,9 @@
     @classmethod
     def from_part(cls, part: partition_records.JobPart) -> "PendingJob":
         tokens = sum(item.tokens for item in part.items)
-        return cls(part.host_name, part.target, part.workspace, tokens)
+        return cls(
+            part.host_name, part.target, part.route, part.workspace, tokens
+        )
 
 
 class PartitionOwner:
--- a/camphortray/partition_records.py
+++ b/camphortray/partition_records.py
@@ -25,6 +25,7 @@
 
 from camphortray import errors
 from camphortray import ledger as ledgers
+from camphortray import routemap
 
 # Upper bound, in bytes, on what encoding adds to an item and to a record.
 ITEM_OVERHEAD_BYTES = 256
@@ -90,6 +91,8 @@
       first: Index of the first item of this part.
       items: Items of this part.
       workspace: Workspace that owns the job; empty if it belongs to none.
+      route: Route that accepted the job; hosts of earlier releases leave it
+        out.
     """
 
     job: str
@@ -100,6 +103,7 @@
     first: int
     items: tuple[Item, ...]
     workspace: str = ""
+    route: routemap.RouteId | msgspec.UnsetType = msgspec.UNSET
 
 
 PARTS = msgspec.msgpack.Decoder(JobPart)
@@ -119,18 +123,20 @@
     Raises:
       RecordError: An item does not fit in a record.
     """
+    head = ENCODER.encode(msgspec.structs.replace(job, items=()))
+    head_bytes = max(ITEM_OVERHEAD_BYTES, len(head))
     groups: list[list[Item]] = [[]]
-    size = ITEM_OVERHEAD_BYTES
+    size = head_bytes
     for item in job.items:
         item_size = size_of(item)
-        if item_size + ITEM_OVERHEAD_BYTES > record_bytes:
+        if item_size + head_bytes > record_bytes:
             raise errors.RecordError(
                 f"item {item.id!r} is larger than a record may be",
                 step="accept",
             )
         if groups[-1] and size + item_size > record_bytes:
             groups.append([])
-            size = ITEM_OVERHEAD_BYTES
+            size = head_bytes
         groups[-1].append(item)
         size += item_size
     records = []
--- a/camphortray/partition_state.py
+++ b/camphortray/partition_state.py
@@ -15,6 +15,7 @@
 from camphortray import errors
 from camphortray import ledger as ledgers
 from camphortray import partition_records
+from camphortray import routemap
 
 
 class Job(msgspec.Struct, eq=False):
@@ -30,6 +31,7 @@
       finished: Indexes of the items that have a result.
       ended: Whether the caller has ended the job.
       workspace: Workspace that owns the job; empty if it belongs to none.
+      route: Route that accepted the job, if that is stored.
     """
 
     id: str
@@ -43,6 +45,7 @@
     finished: set[int] = msgspec.field(default_factory=set)
     ended: bool = False
     workspace: str = ""
+    route: routemap.RouteId | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def complete(self) -> bool:
@@ -218,6 +221,7 @@
                 part.taken_at,
                 [None] * part.total,
                 workspace=part.workspace,
+                route=part.route,
             )
         if not 0 <= part.first <= len(job.items) - len(part.items):
             raise ValueError(
@@ -317,16 +321,3 @@
             for name, job in self.jobs.items()
             if now > job.taken_at + keep_s and not job.open_items
         ]
-
-    def waiting_tokens(self, host_name: str, prefix: str) -> int:
-        """Return the tokens of open items on one route.
-
-        Args:
-          host_name: Host name that the route matches.
-          prefix: Path prefix that the route matches.
-        """
-        return sum(
-            job.waiting_tokens
-            for job in self.jobs.values()
-            if job.host_name == host_name and job.target.startswith(prefix)
-        )
--- a/camphortray/routemap.py
+++ b/camphortray/routemap.py
@@ -8,6 +8,7 @@
     "Kind",
     "RateLimit",
     "Route",
+    "RouteId",
     "RouteMap",
     "Target",
     "Workspace",
@@ -15,6 +16,7 @@
 
 from collections.abc import Iterable
 import enum
+import itertools
 
 import msgspec
 import xxhash
@@ -36,6 +38,18 @@
     weight: float = 1.0
 
 
+class RouteId(msgspec.Struct, frozen=True):
+    """Identifies a route over the versions of the configuration.
+
+    Attributes:
+      name: Its name.
+      prefix: Its path prefix, which finds it again after it was renamed.
+    """
+
+    name: str
+    prefix: str
+
+
 class Route(msgspec.Struct, frozen=True):
     """Where requests of one host name and path prefix go.
 
@@ -76,6 +90,11 @@
     gap_s: float = 0.0
     anonymous: bool = False
 
+    @property
+    def id(self) -> RouteId:
+        """What identifies the route in later versions."""
+        return RouteId(self.name, self.prefix)
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
@@ -209,6 +228,13 @@
             self.by_host.setdefault(route.host_name, []).append(route)
         for found in self.by_host.values():
             found.sort(key=lambda route: -len(route.prefix))
+        self.batch_by_name: dict[str, Route] = {}
+        self.batch_by_prefix: dict[tuple[str, str], Route] = {}
+        for route in itertools.chain.from_iterable(self.by_host.values()):
+            if route.kind is Kind.BATCH:
+                self.batch_by_name[route.name] = route
+                place = route.host_name, route.prefix
+                self.batch_by_prefix[place] = route
 
     def of_host(self, host_name: str) -> tuple[Route, ...]:
         """Return the routes of a host name."""
@@ -222,12 +248,34 @@
         return None
 
     def find_batch(self, host_name: str, path: str) -> Route | None:
-        """Return the batch route with the longest prefix of a path, if any.
-
-        Jobs and items belong to batch routes, also where a route of another
-        kind has a longer prefix.
-        """
+        """Return the batch route with the longest prefix of a path, if any."""
         for route in self.by_host.get(host_name, ()):
             if route.kind is Kind.BATCH and path.startswith(route.prefix):
                 return route
         return None
+
+    def find_accepting(
+        self,
+        host_name: str,
+        path: str,
+        accepted_by: RouteId | msgspec.UnsetType,
+    ) -> Route | None:
+        """Return the batch route that accepted a job, as it is now.
+
+        The paths of a job and of its items do not say which route that is:
+        another route may have come whose prefix covers them.
+
+        Args:
+          host_name: Host name of the job.
+          path: Path to which the job was submitted.
+          accepted_by: The route; unset for a job that a host of an earlier
+            release accepted, which goes by its path.
+
+        Returns:
+          The route, or None if it has been removed.
+        """
+        if isinstance(accepted_by, msgspec.UnsetType):
+            return self.find_batch(host_name, path)
+        return self.batch_by_name.get(
+            accepted_by.name
+        ) or self.batch_by_prefix.get((host_name, accepted_by.prefix))
--- a/tests/itemrig.py
+++ b/tests/itemrig.py
@@ -23,10 +23,10 @@
 EVENTS = 8
 # Until the group notices a lost owner and deals its partition to another.
 DEAL_S = 1.5
-MARKED = breakrig.MARKED
-TEXT = b"\n".join(b"d%d" % n for n in range(1, EVENTS + 1))
 # Failures of engines are to end no item here.
 ROUTE = msgspec.structs.replace(hostkit.BATCH_ROUTE, max_attempts=99)
+MARKED = breakrig.MARKED
+TEXT = b"\n".join(b"d%d" % n for n in range(1, EVENTS + 1))
 
 
 class RigStream(engine.EngineStream):
@@ -95,20 +95,40 @@
         self.broken.now("release", item)
 
 
+def item_of_task() -> str:
+    """Return the item that the current task runs, or an empty text."""
+    task = asyncio.current_task()
+    words = task.get_name().split() if task is not None else []
+    return f"{words[-1]}-{words[1]}" if words[:1] == ["item"] else ""
+
+
+class RigRoute(routemap.Route, frozen=True):
+    """A route; its look-up for an item that no task runs is a step, too."""
+
+    broken: breakrig.Break | None = None
+
+    def service_of(self, request_id):
+        if self.broken is not None and not item_of_task():
+            self.broken.now("route", request_id)
+        return super().service_of(request_id)
+
+
 class RigRoutes(routemap.RouteMap):
     """Routes; the look after a grant is a step of its own."""
 
-    def __init__(self, broken: breakrig.Break, slots: RigSlots) -> None:
-        super().__init__([ROUTE])
+    def __init__(
+        self, route: RigRoute, broken: breakrig.Break, slots: RigSlots
+    ) -> None:
+        super().__init__([route])
         self.broken = broken
         self.slots = slots
 
-    def find_batch(self, host_name, target):
-        item = target.rpartition("/")[2]
+    def find_accepting(self, host_name, path, accepted_by):
+        item = item_of_task()
         granted = item in self.slots.granted
         self.slots.granted.discard(item)
         self.broken.now("still_leads" if granted else "route", item)
-        return super().find_batch(host_name, target)
+        return super().find_accepting(host_name, path, accepted_by)
 
 
 class RigEstimator(item_retry.DurationEstimator):
@@ -138,8 +158,9 @@
 def work_parts(broken: breakrig.Break) -> itemwork.WorkParts:
     """Return the parts that items are run with."""
     slots = RigSlots(broken)
-    active_config = hostkit.ActiveConfig([ROUTE])
-    active_config.routes = RigRoutes(broken, slots)
+    route = RigRoute(**msgspec.structs.asdict(ROUTE), broken=broken)
+    active_config = hostkit.ActiveConfig([route])
+    active_config.routes = RigRoutes(route, broken, slots)
     return itemwork.WorkParts(
         clocks.SystemClock(),
         hostkit.Backends(RigEngine(broken)),
--- a/tests/test_backlog_reporting.py
+++ b/tests/test_backlog_reporting.py
@@ -182,6 +182,7 @@
         workspace=workspace,
         host_name=LIMITED.host_name,
         target=LIMITED.prefix,
+        route=LIMITED.id,
         items=[types.SimpleNamespace(tokens=tokens)],
     )
 
@@ -224,6 +225,18 @@
     assert reporter.links.take() == {}
 
 
+@pytest.mark.parametrize("moved", [{"prefix": "/q/"}, {"host_name": "h2"}])
+async def test_a_job_counts_against_the_route_that_accepted_it(moved):
+    """Guards against jobs that a route added later takes out of the count."""
+    own = msgspec.structs.replace(LIMITED, **moved)
+    added = msgspec.structs.replace(LIMITED, name="n", waiting_limit=0)
+    reporter = reporter_of((own, added))
+    reporter.report()
+    assert all(rows == BOTH for rows in reporter.links.take().values())
+    reporter.links.granted = dict.fromkeys(other_hosts(reporter), False)
+    assert not await admits(reporter, job_of(701))
+
+
 @pytest.mark.parametrize("change", ["lost", "restarted"])
 async def test_a_quota_host_that_lacks_counts_receives_them(change):
     """Guards against a limit enforced without the counts of all owners."""
--- a/tests/test_partition_state.py
+++ b/tests/test_partition_state.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import msgspec
 import pytest
 
 from camphortray import errors
@@ -64,8 +65,12 @@
     assert count == 3
 
 
-def test_a_large_job_is_split_and_read_back_whole():
-    part = part_of(count=50, size=1000)
+@pytest.mark.parametrize("path_bytes", [3, 2_000])
+def test_a_large_job_is_split_and_read_back_whole(path_bytes):
+    """Guards against records that a long path of the job makes too large."""
+    part = msgspec.structs.replace(
+        part_of(count=50, size=1000), target="/" * path_bytes
+    )
     records = partition_records.accept_records(part, 8_000)
     assert len(records) > 5
     assert all(len(r.value) <= 8_000 for r in records)
--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -173,6 +173,43 @@
         assert len(engine.ran) == 6
 
 
+@pytest.mark.parametrize("replaced", [False, True])
+@pytest.mark.parametrize("below", ["9/", "", "j"])
+@pytest.mark.parametrize("kind", ["batch", "streaming"])
+async def test_items_stay_with_the_route_that_accepted_their_job(
+    kind, below, replaced
+):
+    """Guards against items run by the service of a route added later."""
+    prefix = platformkit.BATCH_PREFIX
+    batch = platformkit.batch_route("r-2", prefix, 60)
+    if not below:
+        # It covers all paths, and the route of the job moves away from them.
+        batch["pathPrefix"] = "/moved/"
+    added = platformkit.route("r-3", prefix + below, kind, service="other")
+    platform = platformkit.Platform(hosts=2)
+    own, other = platform.engines.values()
+    own.always, other.service = "full", "other"
+    async with platform:
+        first, second = platform.hosts
+        jobs = [f"j{number}" for number in range(4)]
+        for job in jobs:
+            await submit(first, job)
+        await platform.store.configure(4, [batch, added])
+        for host in platform.hosts:
+            config = host.part(slot_client.SlotClient).active_config
+            await platform.until(lambda c=config: c.view.revision == 4)
+        if replaced:
+            router = first.part(job_router.JobRouter)
+            await first.kernel.stop()
+            platform.hosts.remove(first)
+            platform.store.held.lapse(router.owners.member)
+        own.always = ""
+        for job in jobs:
+            found = await results_of(second, job, 3)
+            assert {result["text"] for result in found} == {TEXT}
+        assert not other.ran
+
+
 @pytest.mark.parametrize("down_s", [0.5, 1.9, 3.0, 4.5])
 @pytest.mark.parametrize("outage", ["busy", "silent", "answers lost"])
 async def test_a_limit_of_waiting_tokens_holds_over_an_outage(outage, down_s):
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -30,6 +30,7 @@
 from camphortray import orders
 from camphortray import partition_records
 from camphortray import ratelimits
+from camphortray import routemap
 from camphortray import slot_messages
 from camphortray import slot_queue
 from camphortray import snapshot
@@ -72,6 +73,9 @@
 OWNED_JOB = partition_records.JobPart(
     "job-1", "api", "/v1/jobs", 1700.5, 1, 0, (ITEM,), "home-1"
 )
+ROUTED_JOB = msgspec.structs.replace(
+    OWNED_JOB, route=routemap.RouteId("r-1", "/v1/")
+)
 PROGRESS = itemwork.Progress(1, "e7", (b"x", b"y"))
 REQUEST = slot_messages.WireRequest.of(
     slot_queue.SlotRequest("r1", "host-1", True, 1, 10.0), 12.0
@@ -286,6 +290,16 @@
         "826168617664626f6479427b7d66746f6b656e730c69776f726b737061636566"
         "686f6d652d31",
     ),
+    (
+        jobmessages.SubmitAsk(ROUTED_JOB),
+        "85016a6a6f622e7375626d697405f5a1636a6f62a9636a6f62656a6f622d3169"
+        "686f73745f6e616d656361706966746172676574682f76312f6a6f6273687461"
+        "6b656e5f6174fb409a92000000000065746f74616c0165666972737400656974"
+        "656d7381a5626964616166746172676574652f76312f78676865616465727381"
+        "826168617664626f6479427b7d66746f6b656e730c69776f726b737061636566"
+        "686f6d652d3165726f757465a2646e616d6563722d3166707265666978642f76"
+        "312f",
+    ),
     (
         jobmessages.PageAsk("job-1", 0, 0.0),
         "8501686a6f622e7061676505f5a3636a6f62656a6f622d316561667465720066"
@@ -577,6 +591,20 @@
             ),
         ),
     ),
+    (
+        partition_records.accept_records(ROUTED_JOB, 900),
+        (
+            (
+                "j/job-1/0",
+                "89a36a6f62a56a6f622d31a9686f73745f6e616d65a3617069a674617267"
+                "6574a82f76312f6a6f6273a874616b656e5f6174cb409a920000000000a5"
+                "746f74616c01a5666972737400a56974656d739185a26964a161a6746172"
+                "676574a52f76312f78a7686561646572739192a168a176a4626f6479c402"
+                "7b7da6746f6b656e730ca9776f726b7370616365a6686f6d652d31a5726f"
+                "75746582a46e616d65a3722d31a6707265666978a42f76312f",
+            ),
+        ),
+    ),
     (
         [partition_records.result_record("job-1", 7, (RESULT, CUT))],
         (
@@ -683,7 +711,7 @@
 
 def test_stored_parts_and_results_are_read_back():
     """As above, for what is already stored."""
-    (_, part), (_, split), (_, owned), (_, results), _ = [
+    (_, part), (_, split), (_, owned), (_, routed), (_, results), _ = [
         (key, bytes.fromhex(digits))
         for _, stored in RECORDS
         for key, digits in stored[-1:]
@@ -691,6 +719,7 @@
     assert partition_records.PARTS.decode(part) == JOB
     assert partition_records.PARTS.decode(split).items == (BARE_ITEM,)
     assert partition_records.PARTS.decode(owned) == OWNED_JOB
+    assert partition_records.PARTS.decode(routed) == ROUTED_JOB
     assert partition_records.RESULTS.decode(results) == (RESULT, CUT)
 
 
