--- a/tests/test_platform_jobs.py
+++ b/tests/test_platform_jobs.py
@@ -138,6 +138,15 @@
             assert json.loads(told)["error"]["param"] == "items"
 
 
+@pytest.mark.parametrize("after", ["1e400", "inf", "nan", "-inf", "x"])
+async def test_a_position_that_is_no_number_is_refused(after):
+    """Guards against a 500 for a read from a position without an end."""
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        status, _, _ = await host.call("GET", f"/lots/x?after={after}")
+        assert status == 400
+
+
 @pytest.mark.parametrize(
     "added",
     [
