JSON: what others have written is read in one place, with one error

What callers saw: a job whose JSON is nested 60,000 deep got 500 in place of 400. One record like that among those of the hosts made every read of the list of hosts fail, so that hosts that start without seeds found no other host; one among the versions on record ended its first read for good, so that streams were refused; one among the quarantines left them unread.

Cause: msgspec raises RecursionError for values that are nested deeply, which is no DecodeError, also in a field that nobody asks for. Some 25 readers each caught what their author had thought of; one of them knew all of it.

json_reader reads all JSON that callers, engines, the store and other programs have written, and raises DecodeError alone.

Evidence: failed before, with the tests of this commit: a nested job, test_hosts_serve_on_beside_an_odd_record for the topics of hosts, quarantines and versions, an invalid record of versions, an odd report.

--- a/camphortray/client.py
+++ b/camphortray/client.py
@@ -24,6 +24,7 @@
 from camphortray import endpoint_cache
 from camphortray import errors
 from camphortray import httpclient
+from camphortray import json_reader
 
 MAX_TRIES = 4
 HOSTS_TIMEOUTS = httpclient.Timeouts(1.0, 2.0, 2.0)
@@ -80,7 +81,7 @@
 
     async def json(self) -> Any:
         """Return the whole answer as plain data."""
-        return msgspec.json.decode(await self.body())
+        return json_reader.read(await self.body())
 
     def close(self) -> None:
         """Give up on the rest."""
@@ -276,7 +277,7 @@
                     target,
                     timeouts=HOSTS_TIMEOUTS,
                 )
-                answer = msgspec.json.decode(body)
+                answer = json_reader.read(body)
                 hosts = [host["address"] for host in answer["hosts"]]
                 keep_s = float(answer["keep_s"])
             except (errors.UpstreamBroken, msgspec.DecodeError, KeyError):
--- a/camphortray/collector.py
+++ b/camphortray/collector.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from camphortray import errors
+from camphortray import json_reader
 
 DONE = b"[DONE]"
 # Fields of a chunk's choice that are put together here, not copied.
@@ -66,7 +67,7 @@
     def take(self, payload: bytes) -> None:
         """Take one event."""
         try:
-            chunk = msgspec.json.decode(payload)
+            chunk = json_reader.read(payload)
             choices = chunk.get("choices") or []
             if "error" in chunk:
                 raise ValueError(str(chunk["error"]))
--- a/camphortray/completing.py
+++ b/camphortray/completing.py
@@ -11,6 +11,7 @@
 from camphortray import engine
 from camphortray import engine_failover
 from camphortray import errors
+from camphortray import json_reader
 from camphortray import logs
 from camphortray import poison
 from camphortray import prefix
@@ -417,7 +418,7 @@
     """A JSON object whose fields are not decoded."""
 
 
-OBJECT_DECODER = msgspec.json.Decoder(UndecodedObject)
+OBJECT_DECODER = json_reader.Reader(UndecodedObject)
 
 
 def check_complete(body: bytes, upstream: engine.Upstream) -> None:
@@ -431,8 +432,8 @@
       UpstreamBroken: the body is not a complete JSON object.
     """
     try:
-        OBJECT_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        OBJECT_DECODER.read(body)
+    except msgspec.DecodeError as error:
         raise errors.UpstreamBroken(
             f"the answer is not whole: {error}",
             ran=True,
--- a/camphortray/completion.py
+++ b/camphortray/completion.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from camphortray import errors
+from camphortray import json_reader
 
 CHAT_PATH = "/v1/chat/completions"
 # Matches the path of the invalid field in a msgspec error message, such as
@@ -119,7 +120,7 @@
         )
 
 
-DECODER = msgspec.json.Decoder(Completion)
+DECODER = json_reader.Reader(Completion)
 
 
 def parse(path: str, body: bytes) -> Completion:
@@ -129,10 +130,10 @@
       Refused: the body is not JSON, or a field is invalid.
     """
     try:
-        completion = DECODER.decode(body)
+        completion = DECODER.read(body)
     except msgspec.ValidationError as error:
         raise invalid_field(str(error)) from error
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except msgspec.DecodeError as error:
         raise errors.Refused(
             400, "bad_json", f"body is not JSON: {error}", field="(body)"
         ) from error
--- a/camphortray/ctl_client.py
+++ b/camphortray/ctl_client.py
@@ -12,6 +12,7 @@
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import httpclient
+from camphortray import json_reader
 
 ENTRY_ADDRESS = "127.0.0.1:8000"
 # Keys come from the environment, so that no process list shows them.
@@ -63,13 +64,13 @@
 ) -> Any:
     """Make a call and return its JSON; see ``open_call``."""
     async with open_call(address, method, target, body, more) as response:
-        return msgspec.json.decode(await response.body())
+        return json_reader.read(await response.body())
 
 
 def refusal(status: int, body: bytes, address: str) -> Exception:
     """Return the error that a refusal stands for."""
     try:
-        error = msgspec.json.decode(body)["error"]
+        error = json_reader.read(body)["error"]
         text = f"{error['message']} ({error['code']}, ran: {error['ran']})"
     except (msgspec.DecodeError, LookupError, TypeError):
         text = body[:200].decode("latin1")
--- a/camphortray/demo.py
+++ b/camphortray/demo.py
@@ -11,6 +11,7 @@
 from camphortray import cluster as clusters
 from camphortray import errors
 from camphortray import httpclient
+from camphortray import json_reader
 from camphortray import logs
 
 ITEMS = 50
@@ -46,7 +47,7 @@
     while data := await response.read():
         for line in data.decode().splitlines():
             if line.startswith("data: {"):
-                tokens += show_chunk(msgspec.json.decode(line[6:]))
+                tokens += show_chunk(json_reader.read(line[6:]))
     response.close()
     print()
     return tokens
@@ -91,7 +92,7 @@
     _, _, body = await client.call(
         host.address, "GET", path + "/results", auth()
     )
-    return [msgspec.json.decode(line) for line in body.splitlines()]
+    return [json_reader.read(line) for line in body.splitlines()]
 
 
 def show_bar(done: int, count: int) -> None:
@@ -117,7 +118,7 @@
     status, _, answer = await client.call(
         host.address, method, target, headers, body
     )
-    data: dict[str, Any] = msgspec.json.decode(answer)
+    data: dict[str, Any] = json_reader.read(answer)
     if status >= 400:
         raise errors.Refused(status, "demo", data["error"]["message"])
     return data
--- a/camphortray/hostlist.py
+++ b/camphortray/hostlist.py
@@ -16,6 +16,7 @@
 
 from camphortray import config as configs
 from camphortray import errors
+from camphortray import json_reader
 from camphortray import ledger as ledgers
 from camphortray import logs
 from camphortray import registry
@@ -111,7 +112,7 @@
         found = []
         for record in page.records:
             try:
-                entry = msgspec.json.decode(record.value, type=RollEntry)
+                entry = json_reader.read(record.value, RollEntry)
             except msgspec.DecodeError as error:
                 LOG.warning("Entry {} left out: {}", record.key, error)
                 continue
--- a/camphortray/httpmessage.py
+++ b/camphortray/httpmessage.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from camphortray import errors
+from camphortray import json_reader
 
 REQUEST_ID_HEADER = "x-request-id"
 # An id from outside goes into logs, headers and paths of other calls.
@@ -167,8 +168,8 @@
         """
         body = await self.body()
         try:
-            data = msgspec.json.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            data = json_reader.read(body)
+        except msgspec.DecodeError as error:
             raise errors.Refused(
                 400, "bad_json", f"body is not JSON: {error}", field="(body)"
             ) from error
--- a/camphortray/itemrun.py
+++ b/camphortray/itemrun.py
@@ -13,6 +13,7 @@
 from camphortray import collector
 from camphortray import engine
 from camphortray import errors
+from camphortray import json_reader
 from camphortray import kernel
 from camphortray import log_backends
 from camphortray import logs
@@ -72,7 +73,7 @@
             partial = self.collector = collector.Collector()
             partial.version = version
         partial.restart()
-        data: dict[str, Any] = msgspec.json.decode(self.body)
+        data: dict[str, Any] = json_reader.read(self.body)
         data["stream"] = True
         data["stream_options"] = STREAM_OPTIONS
         return engine.EngineRequest(
--- a/camphortray/job_reader.py
+++ b/camphortray/job_reader.py
@@ -21,6 +21,7 @@
 import xxhash
 
 from camphortray import errors
+from camphortray import json_reader
 
 # Largest size of an item.
 MAX_ITEM_BYTES = 262_144
@@ -59,14 +60,14 @@
       ValueError: The line is not a valid item; the text says why.
     """
     try:
-        fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+        fields = json_reader.read(data, dict[str, msgspec.Raw])
         line = (
-            msgspec.json.decode(data, type=Line)
+            json_reader.read(data, Line)
             if "body" in fields
             else Line(msgspec.Raw(data))
         )
-        body = msgspec.json.decode(line.body, type=Body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        body = json_reader.read(line.body, Body)
+    except msgspec.MsgspecError as error:
         raise ValueError(str(error)) from error
     return line, body
 
--- a/camphortray/load.py
+++ b/camphortray/load.py
@@ -16,6 +16,7 @@
 from camphortray import errors
 from camphortray import experiment as experiments
 from camphortray import httpclient
+from camphortray import json_reader
 from camphortray import loadplot
 from camphortray import loadresult
 from camphortray import logs
@@ -95,7 +96,7 @@
                     address, "GET", "/v1/hosts"
                 )
                 if status == 200:
-                    return self.take_addresses(msgspec.json.decode(body))
+                    return self.take_addresses(json_reader.read(body))
             except errors.CamphortrayError as error:
                 LOG.warning("No addresses from {}: {}", address, error)
         return ADDRESSES_S
@@ -223,7 +224,7 @@
 def refusal(status: int, body: bytes) -> str:
     """Return the code of a refusal."""
     try:
-        return str(msgspec.json.decode(body)["error"]["code"])
+        return str(json_reader.read(body)["error"]["code"])
     except (msgspec.DecodeError, KeyError, TypeError):
         return f"status {status}"
 
--- a/camphortray/openai_batch.py
+++ b/camphortray/openai_batch.py
@@ -12,6 +12,7 @@
 from camphortray import forward
 from camphortray import jobcalls
 from camphortray import jobs
+from camphortray import json_reader
 from camphortray import kernel
 from camphortray import openai_format
 from camphortray import tree
@@ -186,8 +187,8 @@
     """
     data = await call.request.body(forward.MAX_SMALL_BODY_BYTES)
     try:
-        request = msgspec.json.decode(data, type=BatchRequest)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        request = json_reader.read(data, BatchRequest)
+    except msgspec.MsgspecError as error:
         raise errors.Refused(
             400, "bad_field", str(error), field="(body)"
         ) from error
--- a/camphortray/openai_format.py
+++ b/camphortray/openai_format.py
@@ -14,6 +14,7 @@
 
 from camphortray import errors
 from camphortray import jobs
+from camphortray import json_reader
 
 FILE = "file-"
 OUTPUT = "file-out-"
@@ -126,7 +127,7 @@
 
 def error_line(result: jobs.ItemResult) -> bytes:
     """Return the line of the error file for an item without an answer."""
-    body = msgspec.json.decode(result.body)
+    body = json_reader.read(result.body)
     return msgspec.json.encode(
         {
             "id": request_id(result),
--- a/camphortray/plugins/http_host_list.py
+++ b/camphortray/plugins/http_host_list.py
@@ -2,12 +2,12 @@
 
 __all__ = ["HttpHostList"]
 
-import msgspec
 
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import hostlist
 from camphortray import httpclient
+from camphortray import json_reader
 
 
 @hostlist.HOST_LISTS.register("http")
@@ -31,7 +31,7 @@
             raise errors.CamphortrayError(
                 f"status {status}", step="list", peer=str(self.address)
             )
-        return msgspec.json.decode(body, type=tuple[hostlist.ListedHost, ...])
+        return json_reader.read(body, tuple[hostlist.ListedHost, ...])
 
     async def close(self) -> None:
         await self.client.close()
--- a/camphortray/plugins/http_weights.py
+++ b/camphortray/plugins/http_weights.py
@@ -2,11 +2,11 @@
 
 __all__ = ["HttpWeightStore"]
 
-import msgspec
 
 from camphortray import config as configs
 from camphortray import errors
 from camphortray import httpclient
+from camphortray import json_reader
 from camphortray import weights
 
 
@@ -33,7 +33,7 @@
             raise errors.CamphortrayError(
                 f"status {status}", step="size", peer=str(self.address)
             )
-        return msgspec.json.decode(body, type=weights.WeightSize)
+        return json_reader.read(body, weights.WeightSize)
 
     async def close(self) -> None:
         await self.client.close()
--- a/camphortray/plugins/openai_engine.py
+++ b/camphortray/plugins/openai_engine.py
@@ -11,6 +11,7 @@
 from camphortray import errors
 from camphortray import httpclient
 from camphortray import httpstream
+from camphortray import json_reader
 from camphortray import request_echo
 from camphortray.plugins import http_service
 
@@ -158,8 +159,8 @@
       UpstreamGarbled: it is not what was asked for, or a part of it.
     """
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return json_reader.read(body, kind)
+    except msgspec.DecodeError as error:
         raise errors.UpstreamGarbled(
             f"no {kind.__name__}: {error}",
             ran=True,
@@ -200,7 +201,7 @@
     """Return the body, with the text to resume from if there is one."""
     if not request.resume_tokens:
         return request.body
-    data: dict[str, Any] = msgspec.json.decode(request.body)
+    data: dict[str, Any] = json_reader.read(request.body)
     data["resume"] = {
         "text": request.resume_text,
         "tokens": request.resume_tokens,
@@ -231,6 +232,6 @@
 def message_of(body: bytes) -> str:
     """Return the message of a JSON error."""
     try:
-        return str(msgspec.json.decode(body)["error"]["message"])
+        return str(json_reader.read(body)["error"]["message"])
     except (msgspec.DecodeError, LookupError, TypeError):
         return body[:200].decode("latin1")
--- a/camphortray/resume.py
+++ b/camphortray/resume.py
@@ -9,6 +9,7 @@
 
 from camphortray import errors
 from camphortray import eventstream
+from camphortray import json_reader
 
 EVENT_END = b"\n\n"
 DONE = b"data: [DONE]\n\n"
@@ -62,7 +63,7 @@
     error: Any = None
 
 
-EVENT_DECODER = msgspec.json.Decoder(Event)
+EVENT_DECODER = json_reader.Reader(Event)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -236,7 +237,7 @@
         """Return an event with the id and creation time of the first one."""
         if self.identity is None:
             return raw
-        body = msgspec.json.decode(raw[len(DATA) :])
+        body = json_reader.read(raw[len(DATA) :])
         body["id"], body["created"] = self.identity
         return DATA + msgspec.json.encode(body) + EVENT_END
 
@@ -258,7 +259,7 @@
             events.append((None, raw))
             continue
         try:
-            events.append((EVENT_DECODER.decode(part[len(DATA) :]), raw))
+            events.append((EVENT_DECODER.read(part[len(DATA) :]), raw))
         except msgspec.DecodeError as error:
             raise errors.UpstreamBroken(
                 f"an event cannot be read: {error}", ran=True, step="stream"
--- a/camphortray/stored_quarantine.py
+++ b/camphortray/stored_quarantine.py
@@ -15,6 +15,7 @@
 from camphortray import crash_attribution
 from camphortray import engine_crashes
 from camphortray import errors
+from camphortray import json_reader
 from camphortray import kernel
 from camphortray import ledger as ledgers
 from camphortray import logs
@@ -179,7 +180,7 @@
 def decode(record: ledgers.LedgerRecord) -> Quarantine | None:
     """Return the quarantine of a record, or None if it cannot be read."""
     try:
-        return msgspec.json.decode(record.value, type=Quarantine)
+        return json_reader.read(record.value, Quarantine)
     except msgspec.DecodeError as error:
         LOG.error("Invalid record {}: {}", record.key, error)
         return None
--- a/camphortray/version_record.py
+++ b/camphortray/version_record.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from camphortray import errors
+from camphortray import json_reader
 from camphortray import ledger as ledgers
 from camphortray import logs
 from camphortray import standby_updates
@@ -344,7 +345,7 @@
 def decode(record: ledgers.LedgerRecord) -> Entry | None:
     """Return the entry of a record, or None if it cannot be read."""
     try:
-        return msgspec.json.decode(record.value, type=Entry)
+        return json_reader.read(record.value, Entry)
     except msgspec.DecodeError as error:
         LOG.error("Invalid record {}: {}", record.key, error)
         return None
--- /dev/null
+++ b/tests/test_odd_records.py
@@ -0,0 +1,118 @@
+"""Odd records in the store, and odd JSON of callers and engines."""
+
+import asyncio
+import gc
+import itertools
+import json
+
+from camphortray_platform import engines
+import pytest
+
+from camphortray import config as configs
+from camphortray import engine
+from camphortray import errors
+from camphortray import ledger
+from camphortray import membership
+from tests import platformkit
+from tests import skiploop
+from tests import test_platform_jobs
+from tests.test_platform_path import ASK
+from tests.test_platform_path import PATH
+from tests.test_platform_path import whole
+
+event_loop_policy = skiploop.event_loop_policy
+
+DEEP = b"[" * 60_000 + b"]" * 60_000
+ODD = {
+    "nested": DEEP,
+    "nested in a field": b'{"service":"s","writer":"a","more":%s}' % DEEP,
+    "number too large": b'{"peer_address":"127.0.0.1:9","started":1e400}',
+    "long number": b'{"service":"s","started":%s}' % (b"9" * 5_000),
+    "no text": b'{"service":"\xff","version":"\\ud800"}',
+    "no bytes of text": b"\xff\xfe\x00",
+}
+
+
+NUMBERS = itertools.count()
+
+
+async def ask(host):
+    """Send a request with an id of its own; return status and body."""
+    headers = [("Attempt-Id", f"a{next(NUMBERS)}"), *ASK[1:]]
+    status, _, body = await host.call("POST", PATH, headers)
+    return status, body
+
+
+@pytest.mark.parametrize("value", ODD.values(), ids=list(ODD))
+@pytest.mark.parametrize("topic", ledger.Topic, ids=lambda t: t.value)
+async def test_hosts_serve_on_beside_an_odd_record(topic, value):
+    """Guards against hosts that an odd record ends, or that follow no more."""
+    key = "j/odd/0" if topic is ledger.Topic.JOBS else "odd"
+    ended = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: ended.append(context))
+    async with platformkit.Platform(hosts=1) as platform:
+        await platform.store.write_raw(topic, key, value)
+        # It starts without seeds: the list of hosts is all it has.
+        late = platformkit.Host(platformkit.node_file("late", platform.store))
+        await late.start()
+        platform.hosts.append(late)
+        await platform.until(platform.settled)
+        added = platformkit.EngineStandin("i-9")
+        await added.server.start(platformkit.ANY_PORT)
+        platform.engines[added.name] = added
+        await platform.register(added)
+        for number, host in enumerate(platform.hosts):
+            job = f"j{number}"
+            await test_platform_jobs.submit(host, job)
+            assert len(await test_platform_jobs.results_of(host, job, 3)) == 3
+            engines_of = host.part(membership.Membership)
+            assert len(engines_of.live("host")) == 2
+        for name in set(platform.engines) - {added.name}:
+            await platform.store.write(ledger.Topic.ENGINES, name, None)
+
+        async with asyncio.timeout(platformkit.READY_S):
+            while not added.ran:
+                await asyncio.sleep(0.1)
+                for host in platform.hosts:
+                    await ask(host)
+        for host in platform.hosts:
+            assert await ask(host) == (200, whole())
+    # A task whose error nobody has read tells so as it is collected.
+    gc.collect()
+    assert not ended
+
+
+async def test_a_nested_job_is_refused():
+    """Guards against a 500 for a job whose JSON is nested deeply."""
+    async with platformkit.Platform() as platform:
+        (host,) = platform.hosts
+        path = platformkit.BATCH_PREFIX + "x"
+        for body in (
+            DEEP,
+            b'{"items":[{"id":"a","path":"/p","x":%s}]}' % DEEP,
+        ):
+            status, _, told = await host.call(
+                "POST", path, [("Attempt-Id", "x")], body
+            )
+            assert status == 400
+            assert json.loads(told)["error"]["param"] == "items"
+
+
+UPSTREAM = engine.Upstream("i-1", configs.Address("127.0.0.1", 9), "z1")
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        DEEP,
+        b'{"more":%s}' % DEEP,
+        b'{"running":1e400}',
+        b'{"more":"\\ud800"}',
+    ],
+    ids=range(4),
+)
+def test_an_odd_report_is_an_error_of_its_engine(body):
+    """Guards against requests that end with an unforeseen error."""
+    with pytest.raises(errors.UpstreamError):
+        engines.report_of(UPSTREAM, body)
--- a/tests/test_version_record.py
+++ b/tests/test_version_record.py
@@ -185,10 +185,15 @@
     assert host.record.earlier_versions("other", within_s) is None
 
 
-async def test_an_invalid_record_is_left_out():
+@pytest.mark.parametrize(
+    "value",
+    [b"{", b"\xff", b'{"service":"s","more":%s}' % (b"[" * 60_000)],
+    ids=["cut off", "no text", "nested"],
+)
+async def test_an_invalid_record_is_left_out(value):
     """One record that cannot be read hides all others."""
     ledger = ledgers.MemoryLedger()
-    await ledger.append(TOPIC, 0, [ledgers.LedgerRecord("x", b"{")])
+    await ledger.append(TOPIC, 0, [ledgers.LedgerRecord("x", value)])
     host = Host("a", ledger)
     host.record.update({"s" * 300: {"v1"}})
     await asyncio.sleep(1.0)
