Hosts: an entry whose address leads nowhere is left out

What callers saw: one record with such an address among those of the hosts ended a task of membership with a ValueError that nobody read, at each host and each read of the list.

--- a/camphortray/config.py
+++ b/camphortray/config.py
@@ -19,6 +19,7 @@
     "TlsConfig",
 ]
 
+import ipaddress
 import pathlib
 import tomllib
 from typing import Annotated
@@ -37,6 +38,9 @@
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Amount = Annotated[float, msgspec.Meta(ge=0)]
+# Larger numbers are not whole in the floating point of other programs.
+Whole = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+MAX_PORT = 65_535
 
 
 class Address(NamedTuple):
@@ -55,6 +59,27 @@
         ip, _, port = text.rpartition(":")
         return cls(ip.strip("[]"), int(port))
 
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Parse ``IP:PORT`` that another program has written.
+
+        Raises:
+          ValueError: Nothing can be connected to there.
+
+        >>> Address.parse("127.0.0.1:65536")
+        Traceback (most recent call last):
+        ValueError: no address to connect to: '127.0.0.1:65536'
+        """
+        ip, _, port = text.rpartition(":")
+        try:
+            ipaddress.ip_address(ip.strip("[]"))
+            address = cls.from_text(text)
+        except ValueError:
+            address = cls(ip, 0)
+        if not 1 <= address.port <= MAX_PORT:
+            raise ValueError(f"no address to connect to: {text[:80]!r}")
+        return address
+
     def __str__(self) -> str:
         ip = f"[{self.ip}]" if ":" in self.ip else self.ip
         return f"{ip}:{self.port}"
--- a/camphortray/hostlist.py
+++ b/camphortray/hostlist.py
@@ -113,7 +113,8 @@
         for record in page.records:
             try:
                 entry = json_reader.read(record.value, RollEntry)
-            except msgspec.DecodeError as error:
+                configs.Address.parse(entry.peer_address)
+            except ValueError as error:
                 LOG.warning("Entry {} left out: {}", record.key, error)
                 continue
             found.append(
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -28,6 +28,8 @@
     "nested in a field": b'{"service":"s","writer":"a","more":%s}' % DEEP,
     "number too large": b'{"peer_address":"127.0.0.1:9","started":1e400}',
     "long number": b'{"service":"s","started":%s}' % (b"9" * 5_000),
+    "port out of range": b'{"peer_address":"127.0.0.1:99999","started":1}',
+    "no address": b'{"peer_address":"nowhere","started":1}',
     "no text": b'{"service":"\xff","version":"\\ud800"}',
     "no bytes of text": b"\xff\xfe\x00",
 }
@@ -107,10 +109,12 @@
     [
         DEEP,
         b'{"more":%s}' % DEEP,
+        b'{"kvUsed":%s}' % (b"9" * 400),
+        b'{"running":-1}',
         b'{"running":1e400}',
         b'{"more":"\\ud800"}',
     ],
-    ids=range(4),
+    ids=range(6),
 )
 def test_an_odd_report_is_an_error_of_its_engine(body):
     """Guards against requests that end with an unforeseen error."""
