Tasks: an error that nobody foresaw ends no background work unseen

What callers saw: hosts that went on as if all of their tasks ran. One odd record ended the first read of the versions on record for good, and the host refused streams from then on; nothing said so until the task was collected ("Task exception was never retrieved"), if at all.

Cause: loops that have to go on run under tasks.forever. Work that runs once, which Peers.spawn and three copies of it begin, did not: its error was read by nobody. A listener of members, facts, engines or the configuration that failed kept what had changed from all listeners behind it, and a version is not passed on again.

tasks.spawn and TaskSet, in place of the copies, log such an error with its trace at once and count it (camphortray_background_errors_total), as forever does now. The versions on record are read until that is done. tasks.contained keeps a failing listener from the others. An entry or configuration that raises an unforeseen error is left out, and those after it are followed. What the event loop reports goes to the log as well.

--- a/camphortray/active_config.py
+++ b/camphortray/active_config.py
@@ -277,8 +277,11 @@
             return
         try:
             found = self.dialect.configuration(record.key, record.value)
-        except errors.RecordError as error:
-            LOG.error("Configuration left out: {}", error)
+        except Exception as error:
+            # Whatever is wrong with it, those after it are followed.
+            known = isinstance(error, errors.RecordError)
+            why = str(error) if known else repr(error)
+            LOG.error("Configuration left out: {}", why)
             return
         if found is None or found.revision <= self.view.revision:
             return
@@ -293,7 +296,10 @@
             len(found.routes),
         )
         for listener in self.listeners:
-            listener(found)
+            # The version is not read again: one that fails must not keep it
+            # from the others.
+            with tasks.contained("listener of the configuration"):
+                listener(found)
         self.notify_engines()
 
     # The engines.
@@ -346,9 +352,12 @@
         """Return the entry of a record, or None if it names no engine."""
         try:
             entry = self.dialect.engine(record.key, record.value)
-        except errors.RecordError as error:
+        except Exception as error:
+            # Whatever is wrong with one entry, the others are followed.
             if self.invalid_entries.add(record.key, record.value):
-                LOG.warning("Entry {!r} left out: {}", record.key, error)
+                known = isinstance(error, errors.RecordError)
+                why = str(error) if known else repr(error)
+                LOG.warning("Entry {!r} left out: {}", record.key, why)
             return None
         self.invalid_entries.discard(record.key)
         return entry
@@ -391,7 +400,8 @@
     def notify_engines(self) -> None:
         """Tell whoever listens."""
         for listener in self.engine_listeners:
-            listener()
+            with tasks.contained("listener of the engines"):
+                listener()
 
     # Peers.
 
--- a/camphortray/engine_failover.py
+++ b/camphortray/engine_failover.py
@@ -26,6 +26,7 @@
 from camphortray import errors
 from camphortray import logs
 from camphortray import metrics as metrics_module
+from camphortray import tasks
 from camphortray import timers
 
 LOG = logs.logger("failover")
@@ -416,8 +417,7 @@
 
     def drop(self, attempt: Try, error: Exception | None = None) -> None:
         """End an attempt that is not needed, or has failed."""
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(self.end(attempt, error))
+        task = tasks.spawn("end of an attempt", self.end(attempt, error))
         self.ending.add(task)
         task.add_done_callback(self.ending.discard)
 
--- a/camphortray/kernel.py
+++ b/camphortray/kernel.py
@@ -27,6 +27,7 @@
 from camphortray import errors
 from camphortray import logs
 from camphortray import metrics as metrics_module
+from camphortray import tasks
 
 LOG = logs.logger("kernel")
 # Seconds from one look at what is in flight to the next while draining.
@@ -202,6 +203,7 @@
         Raises:
           PluginError: a part failed; those started are stopped again.
         """
+        tasks.METRICS.set(self.context.metrics)
         for cls in PARTS.ordered(self.context.program):
             try:
                 part = cls.from_config(self.context)
@@ -299,6 +301,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.on_signal)
+        loop.set_exception_handler(tasks.log_loop_error)
         await self.start()
         await self.ended.wait()
         await self.stop()
--- a/camphortray/links.py
+++ b/camphortray/links.py
@@ -14,6 +14,7 @@
 from camphortray import errors
 from camphortray import logs
 from camphortray import messages
+from camphortray import tasks
 from camphortray import timers
 from camphortray import traffic as traffics
 
@@ -123,9 +124,7 @@
             self.queue.get_nowait()
         self.queue.put_nowait(message)
         if self.sender is None or self.sender.done():
-            self.sender = asyncio.get_running_loop().create_task(
-                self.send_queued()
-            )
+            self.sender = tasks.spawn("sending to a peer", self.send_queued())
 
     async def send_queued(self) -> None:
         """Send what is queued; on a fault the queue is dropped."""
@@ -224,7 +223,9 @@
             abort(socket)
             raise ConnectionError("link is closed")
         self.socket = socket
-        self.reader = asyncio.get_running_loop().create_task(self.read(socket))
+        self.reader = tasks.spawn(
+            "reading of a link to a peer", self.read(socket)
+        )
 
     def opened(self, task: "asyncio.Task[None]") -> None:
         """Take note that a socket is open, or that it could not be."""
--- a/camphortray/membership.py
+++ b/camphortray/membership.py
@@ -267,12 +267,14 @@
         if self.node.known.replaced and member.name == self.own_name:
             LOG.error("Another process has taken the name {}.", member.name)
         for listener in self.listeners:
-            listener(member)
+            with tasks.contained("listener of members"):
+                listener(member)
 
     def notify_fact(self, fact: Fact) -> None:
         """Tell whoever listens to that kind."""
         for listener in self.fact_listeners.get(fact.kind, []):
-            listener(fact)
+            with tasks.contained("listener of facts"):
+                listener(fact)
 
     def on_view(self, view: Any) -> None:
         """Take note of the settings revision in force."""
@@ -401,8 +403,8 @@
         hosts = len(self.node.known.directory.by_host)
         wanted = self.node.wants_list or not self.node.known.joined
         if self.list_pace.due(now, hosts, wanted):
-            self.list_task = asyncio.get_running_loop().create_task(
-                self.read_list()
+            self.list_task = tasks.spawn(
+                "reading of the list of hosts", self.read_list()
             )
 
     async def read_list(self) -> None:
@@ -423,7 +425,8 @@
             ],
         )
         for listener in self.list_listeners:
-            listener(self.listed)
+            with tasks.contained("listener of the list of hosts"):
+                listener(self.listed)
 
     async def drain(self) -> None:
         """Tell that this program leaves, if nobody has yet."""
--- a/camphortray/partition_manager.py
+++ b/camphortray/partition_manager.py
@@ -384,8 +384,8 @@
         now = self.clock.monotonic()
         if self.owner_query is None and now >= self.next_query_at:
             self.next_query_at = now + OWNER_QUERY_INTERVAL_S
-            self.owner_query = asyncio.get_running_loop().create_task(
-                self.query_owners()
+            self.owner_query = tasks.spawn(
+                "query of the owners of partitions", self.query_owners()
             )
         if self.owner_query is None:
             await asyncio.sleep(pause_s)
--- a/camphortray/peers.py
+++ b/camphortray/peers.py
@@ -21,6 +21,7 @@
 from camphortray import links
 from camphortray import logs
 from camphortray import messages
+from camphortray import tasks
 from camphortray import tls
 from camphortray import traffic as traffics
 
@@ -184,7 +185,7 @@
         self.server = PeerServer(self)
         self.address = configs.Address("", 0)
         self.traffic = traffics.Traffic()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = tasks.TaskSet()
         self.sender = Sender(
             context.config.host.name, context.program, context.incarnation
         )
@@ -224,9 +225,7 @@
 
     def spawn(self, work: Any) -> None:
         """Run work in the background until done or stopped."""
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks.spawn(work)
 
     async def connect(
         self, address: configs.Address
@@ -288,6 +287,5 @@
     async def stop(self) -> None:
         for address in list(self.links):
             self.forget(address)
-        for task in list(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
         await self.server.stop()
--- a/camphortray/shardrun.py
+++ b/camphortray/shardrun.py
@@ -64,7 +64,7 @@
         )
         self.stopping: set[str] = set()
         self.running: set[str] = set()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = tasks.TaskSet()
 
     def start(self) -> None:
         """Start the outbox, the running jobs and the expiry."""
@@ -80,9 +80,7 @@
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a background task that ends with the ownership of the shard."""
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks.spawn(work)
 
     def start_job(self, job: jobs.Job) -> None:
         """Start or resume a job, unless it has ended or is being run."""
@@ -263,6 +261,5 @@
         """Stop all jobs and tasks: this host no longer runs the shard."""
         for name in list(self.running):
             self.stop_job(name)
-        for task in list(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
         await self.outbox.stop()
--- a/camphortray/upstreams.py
+++ b/camphortray/upstreams.py
@@ -3,10 +3,12 @@
 __all__ = ["Probe", "Upstreams"]
 
 import asyncio
+from collections.abc import Coroutine
 from collections.abc import Iterator
 import contextlib
 import enum
 import functools
+from typing import Any
 from typing import ClassVar
 
 from camphortray import draining as leaving_module
@@ -90,7 +92,7 @@
         self.probes: dict[str, asyncio.Task[Probe]] = {}
         self.budgets: dict[str, retry.RetryBudget] = {}
         self.subsets: dict[str, frozenset[str]] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = tasks.TaskSet()
         self.polled = 0
         self.members.on_fact(LEAVING, self.on_leaving)
         self.members.listen(self.on_member)
@@ -105,14 +107,13 @@
             self.spawn(tasks.forever("watch of upstreams", loop))
 
     async def stop(self) -> None:
-        for task in [*self.tasks, *self.probes.values()]:
+        self.tasks.cancel()
+        for task in list(self.probes.values()):
             task.cancel()
 
-    def spawn(self, work: "asyncio._CoroutineLike[None]") -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine in the background until done or stopped."""
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks.spawn(work)
 
     def on_view(self, view: settings.View) -> None:
         """Forget upstreams that are no longer in the settings."""
--- a/camphortray/version_record.py
+++ b/camphortray/version_record.py
@@ -20,6 +20,7 @@
 from camphortray import ledger as ledgers
 from camphortray import logs
 from camphortray import standby_updates
+from camphortray import tasks
 
 LOG = logs.logger("streams")
 TOPIC = ledgers.Topic.VERSIONS
@@ -153,7 +154,10 @@
         self.serving = serving
         if self.serving and not self.reading:
             self.reading = True
-            self.host.links.spawn(self.begin())
+            # It is read for the first time once, whatever goes wrong.
+            self.host.links.spawn(
+                tasks.forever("versions on record", self.begin)
+            )
         self.compare()
 
     def compare(self) -> None:
