Engines: the store's order of records decides which entry is newer

What callers saw: another writer's entry over an engine's own, with a sequence or born of 2**53, kept the engine out of use as long as it was watched: at an address that leads nowhere, or as draining. Over all engines of a service it took the service down.

An entry keeps the offset of its record, which orders those of one id. One that contradicts the entry held by its own numbers, or by another service or address in the same start, may have been stored late or be another writer's: it replaces the one held as the second in a row. Behind a draining entry it takes three, as an engine that drains says so in between. The offset is told to other hosts in a field of its own; entries without one are ordered as before, and their messages are unchanged.

That a late record restores no draining engine is kept, with the store's order, in test_entries_stored_behind_a_later_one_restore_no_engine.

--- a/camphortray/active_config.py
+++ b/camphortray/active_config.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 from typing import Any
 from typing import ClassVar
 
@@ -112,6 +113,7 @@
       engines: The engines.
       reached_at: When the ledger answered last.
       peer_reached_at: When a peer last said that it reaches the ledger.
+      peers_of: Returns the peers that can be asked.
     """
 
     name: ClassVar[str] = "settings"
@@ -330,7 +332,7 @@
             entries = [self.entry_of(record) for record in page.records]
             found = [entry for entry in entries if entry is not None]
             now = self.clock.monotonic()
-            changed = self.engines.replace_all(found, now)
+            changed = self.engines.replace_all(found, now, page.end - 1)
             self.listed = True
             offset = page.end
         else:
@@ -360,17 +362,19 @@
                 LOG.warning("Entry {!r} left out: {}", record.key, why)
             return None
         self.invalid_entries.discard(record.key)
-        return entry
+        if record.offset < 0:
+            return entry
+        return msgspec.structs.replace(entry, offset=record.offset)
 
     def take_entry(self, record: ledgers.LedgerRecord) -> bool:
         """Take one record; return whether it changed anything."""
         if not record.value:
             return self.engines.handle_missing(
-                record.key, self.clock.monotonic()
+                record.key, self.clock.monotonic(), record.offset
             )
         entry = self.entry_of(record)
         if entry is None:
-            return self.engines.handle_invalid(record.key)
+            return self.engines.handle_invalid(record.key, record.offset)
         return self.engines.put(entry)
 
     def reached(self) -> None:
@@ -463,9 +467,12 @@
             return
         now = self.clock.monotonic()
         if reply.fresh or not self.listed:
-            changed = self.engines.replace_all(reply.engines, now)
+            changed = self.engines.replace_all(
+                reply.engines, now, from_peer=True
+            )
         else:
-            changed = any([self.engines.put(e) for e in reply.engines])
+            put = functools.partial(self.engines.put, from_peer=True)
+            changed = any([put(entry) for entry in reply.engines])
         self.listed = True
         if changed:
             self.notify_engines()
--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -24,6 +24,10 @@
 MAX_SLOTS = 4_096
 # Start time of an engine that does not report it.
 UNKNOWN_START = 0
+# Entries in a row that contradict the one held before they replace it, and as
+# many where they would restore an engine that is draining.
+CONFIRMATIONS = 2
+DRAIN_CONFIRMATIONS = 3
 
 
 class EngineEntry(msgspec.Struct, frozen=True):
@@ -40,6 +44,8 @@
       born: Start time in Unix milliseconds, or 0 if not reported.
       software: Version of its software; unset if not known, and then not
         sent to other hosts.
+      offset: Of its record in the registry, which orders all entries; unset
+        if not known.
     """
 
     id: str
@@ -51,6 +57,7 @@
     sequence: int = 0
     born: int = UNKNOWN_START
     software: str | msgspec.UnsetType = msgspec.UNSET
+    offset: int | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def version(self) -> str:
@@ -71,7 +78,7 @@
 
     @property
     def content(self) -> tuple[Any, ...]:
-        """All fields but the sequence number, which each heartbeat raises."""
+        """All fields but those that each heartbeat raises."""
         return (
             self.id,
             self.born,
@@ -85,9 +92,59 @@
 
     @property
     def age(self) -> tuple[int, int]:
-        """Version of the entry; entries of one id sort oldest first."""
+        """What the engine itself orders its entries by, oldest first.
+
+        Another writer's entry may claim any age.
+        """
         return self.born, self.sequence
 
+    @property
+    def identity(self) -> tuple[Any, ...]:
+        """What stays the same as long as an incarnation runs."""
+        return self.born, self.service, self.address
+
+    def contradicts(self, held: "EngineEntry") -> bool:
+        """Return whether not both entries can be the engine's own.
+
+        Args:
+          held: Of the same id, with an earlier record.
+        """
+        if self.born and self.born == held.born:
+            return self.identity != held.identity or self.age < held.age
+        return self.age < held.age
+
+
+class Version(msgspec.Struct, frozen=True):
+    """Version of the last entry known of an engine.
+
+    Attributes:
+      offset: Offset up to which records of the engine are known, or -1.
+      age: Age of its last entry.
+    """
+
+    offset: int
+    age: tuple[int, int]
+
+    def covers(self, entry: EngineEntry) -> bool:
+        """Return whether an entry is that one or an earlier one."""
+        if self.offset >= 0 and not isinstance(
+            entry.offset, msgspec.UnsetType
+        ):
+            return entry.offset <= self.offset
+        return entry.age <= self.age
+
+
+class Contender(msgspec.Struct, frozen=True):
+    """Entries in a row that contradict the one held.
+
+    Attributes:
+      entry: The latest.
+      count: Number of them, as if an engine had written each.
+    """
+
+    entry: EngineEntry
+    count: int
+
 
 class EngineRegistry:
     """Engines known to this host.
@@ -96,6 +153,9 @@
       entries: Latest entry by engine id, including draining engines.
       services: Services in the configuration, or None before one is loaded.
         Entries of other services are ignored.
+      contenders: Entries that contradict the one held, by engine id.
+      announced: Names of engines that are draining by what they have said
+        to a host.
       missing: Engines whose entry is missing after an outage, and the time
         until which they are kept.
       removed: Version of the last entry of each removed engine.
@@ -105,8 +165,10 @@
     def __init__(self) -> None:
         self.entries: dict[str, EngineEntry] = {}
         self.services: frozenset[str] | None = None
+        self.contenders: dict[str, Contender] = {}
+        self.announced: set[str] = set()
         self.missing: dict[str, float] = {}
-        self.removed: dict[str, tuple[int, int]] = {}
+        self.removed: dict[str, Version] = {}
         self.returned_at = -RETURN_S
         # Cached results of ``current`` and ``digest``; None if they have to be
         # recomputed.
@@ -118,11 +180,23 @@
         self.services = frozenset(services)
         self.invalidate()
 
-    def put(self, entry: EngineEntry) -> bool:
-        """Store an entry; return whether more than its sequence changed."""
+    def put(self, entry: EngineEntry, from_peer: bool = False) -> bool:
+        """Store an entry; return whether more than its sequence changed.
+
+        Args:
+          entry: The entry.
+          from_peer: Whether another host has stored it.
+        """
         held = self.displace(entry)
-        if self.is_late(entry, held):
+        if self.is_late(entry, held, from_peer):
             return False
+        if held is not None and self.contradicts(entry, held, from_peer):
+            if not from_peer and not self.is_confirmed(entry, held):
+                return False
+            # The one held is another writer's.
+            self.remove(held.id)
+            held = None
+        self.contenders.pop(entry.id, None)
         self.missing.pop(entry.id, None)
         if self.is_named(entry):
             self.removed.pop(entry.id, None)
@@ -135,16 +209,14 @@
                 draining=entry.draining or held.draining,
                 software=entry.software or held.software,
             )
-        if not same_incarnation:
+        if held is not None and not same_incarnation:
             # ``current`` relies on the order of arrival.
-            self.entries.pop(entry.id, None)
+            self.remove(held.id)
         self.entries[entry.id] = entry
         if held is None or not same_incarnation:
             self.invalidate()
             return True
-        changed = (
-            msgspec.structs.replace(held, sequence=entry.sequence) != entry
-        )
+        changed = held.content != entry.content
         if changed:
             self.invalidate()
         elif self.cached is not None and entry.name in self.cached:
@@ -162,7 +234,7 @@
         if held is None or self.is_named(held) == self.is_named(entry):
             return held
         if self.is_named(entry):
-            del self.entries[held.id]
+            self.remove(held.id)
             return None
         if entry.age < held.age:
             return held
@@ -170,21 +242,69 @@
         self.drop(held.id)
         return None
 
-    def is_late(self, entry: EngineEntry, held: EngineEntry | None) -> bool:
+    def is_late(
+        self, entry: EngineEntry, held: EngineEntry | None, from_peer: bool
+    ) -> bool:
         """Return whether an entry is older than what is known.
 
         It was written by an earlier incarnation, or received out of order.
         """
-        if held is not None:
+        if held is None:
+            removed = self.removed.get(entry.id)
+            return removed is not None and removed.covers(entry)
+        contender = self.contenders.get(entry.id)
+        newest = held if contender is None else contender.entry
+        if isinstance(entry.offset, msgspec.UnsetType):
             return entry.age < held.age
-        removed = self.removed.get(entry.id, (UNKNOWN_START, -1))
-        return entry.age <= removed
+        if isinstance(newest.offset, msgspec.UnsetType):
+            return from_peer and entry.age < held.age
+        return entry.offset < newest.offset
+
+    def contradicts(
+        self, entry: EngineEntry, held: EngineEntry, from_peer: bool
+    ) -> bool:
+        """Return whether not both entries can be the engine's own.
+
+        An engine whose entry says that it drains writes none behind it that
+        says otherwise. What it has said to a host is not in its entries, and
+        a peer may not have read yet that it drains.
+        """
+        restores = held.draining and held.born == entry.born
+        if restores and not entry.draining and not from_peer:
+            return held.name not in self.announced
+        return entry.contradicts(held)
+
+    def is_confirmed(self, entry: EngineEntry, held: EngineEntry) -> bool:
+        """Return whether enough entries contradict the one held.
 
-    def handle_missing(self, engine_id: str, now: float) -> bool:
+        An engine writes on, so that several in a row are its own, and the
+        one held is another writer's. A single one may have been written
+        before the one held and stored behind it, or be another writer's.
+        """
+        restores = held.draining and held.born == entry.born
+        count = 0 if restores and entry.draining else 1
+        contender = self.contenders.get(entry.id)
+        if contender is not None and count:
+            before = contender.entry
+            if before.offset == entry.offset != msgspec.UNSET:
+                return False
+            if before.identity == entry.identity and before.age < entry.age:
+                count += contender.count
+        self.contenders[entry.id] = Contender(entry, count)
+        return count >= (DRAIN_CONFIRMATIONS if restores else CONFIRMATIONS)
+
+    def handle_missing(
+        self, engine_id: str, now: float, offset: int = -1
+    ) -> bool:
         """Handle a missing entry; return whether the engine was removed.
 
         Within ``RETURN_S`` of a registry outage the engine is kept, as its
         entry may have lapsed only because it could not be renewed.
+
+        Args:
+          engine_id: Id of the engine.
+          now: Current time.
+          offset: Offset up to which its records are known, or -1.
         """
         if engine_id not in self.entries:
             return False
@@ -192,36 +312,67 @@
         if now < until:
             self.missing.setdefault(engine_id, until)
             return False
-        self.drop(engine_id)
+        self.drop(engine_id, offset)
         return True
 
-    def handle_invalid(self, engine_id: str) -> bool:
+    def handle_invalid(self, engine_id: str, offset: int = -1) -> bool:
         """Handle an entry that became invalid; return whether it was known.
 
         Another writer has overwritten it. The engine's own next heartbeat
         restores the engine.
+
+        Args:
+          engine_id: Id of the engine.
+          offset: Offset of the invalid record, or -1.
         """
         if engine_id not in self.entries:
             return False
-        self.drop(engine_id)
+        self.drop(engine_id, offset)
         return True
 
-    def drop(self, engine_id: str) -> None:
-        """Remove an engine; remember the version of its last entry."""
+    def remove(self, engine_id: str) -> EngineEntry:
+        """Remove and return an entry, with all that is kept about it."""
         entry = self.entries.pop(engine_id)
-        self.invalidate()
+        self.contenders.pop(engine_id, None)
         self.missing.pop(engine_id, None)
-        self.removed[engine_id] = entry.age
+        self.announced.discard(entry.name)
+        self.invalidate()
+        return entry
+
+    def drop(self, engine_id: str, offset: int = -1) -> None:
+        """Remove an engine; remember the version of its last entry."""
+        contender = self.contenders.get(engine_id)
+        known = [self.remove(engine_id)]
+        if contender is not None:
+            known.append(contender.entry)
+        for entry in known:
+            if not isinstance(entry.offset, msgspec.UnsetType):
+                offset = max(offset, entry.offset)
+        age = max(entry.age for entry in known)
+        self.removed[engine_id] = Version(offset, age)
         while len(self.removed) > MAX_REMEMBERED:
             del self.removed[next(iter(self.removed))]
 
-    def replace_all(self, entries: Iterable[EngineEntry], now: float) -> bool:
-        """Replace all entries by a listing; return whether any changed."""
+    def replace_all(
+        self,
+        entries: Iterable[EngineEntry],
+        now: float,
+        offset: int = -1,
+        from_peer: bool = False,
+    ) -> bool:
+        """Replace all entries by a listing; return whether any changed.
+
+        Args:
+          entries: All entries.
+          now: Current time.
+          offset: Offset up to which the listing holds all records, or -1.
+          from_peer: Whether it is what another host has stored.
+        """
         found = {entry.id: entry for entry in entries}
-        changes = [self.put(entry) for entry in found.values()]
+        changes = [self.put(entry, from_peer) for entry in found.values()]
         absent = self.entries.keys() - found.keys()
         changes += [
-            self.handle_missing(engine_id, now) for engine_id in absent
+            self.handle_missing(engine_id, now, offset) for engine_id in absent
         ]
         return any(changes)
 
@@ -239,7 +390,10 @@
     def mark_draining(self, name: str) -> bool:
         """Mark an incarnation as draining; return whether that is new."""
         entry = self.current().get(name)
-        if entry is None or entry.draining:
+        if entry is None:
+            return False
+        self.announced.add(name)
+        if entry.draining:
             return False
         self.entries[entry.id] = msgspec.structs.replace(entry, draining=True)
         self.invalidate()
@@ -272,13 +426,19 @@
         )
 
     def renew(self, sequences: tuple[int, ...]) -> None:
-        """Raise the sequence numbers to those of a peer with equal entries."""
+        """Raise the sequence numbers to those of a peer with equal entries.
+
+        Their records are not known any more, only that they came later.
+        """
         for engine_id, sequence in zip(
             sorted(self.entries), sequences, strict=False
         ):
             held = self.entries[engine_id]
             if sequence > held.sequence:
-                self.put(msgspec.structs.replace(held, sequence=sequence))
+                newer = msgspec.structs.replace(
+                    held, sequence=sequence, offset=msgspec.UNSET
+                )
+                self.put(newer, from_peer=True)
 
     def current(self) -> dict[str, EngineEntry]:
         """Return the valid entries by name of the incarnation.
--- a/tests/test_engine_registry.py
+++ b/tests/test_engine_registry.py
@@ -222,3 +222,127 @@
     assert names(registry) == ["i-1"]
     assert not registry.put(entry(born=1700, sequence=7))
     assert names(registry) == ["i-1"]
+
+
+# Order of entries: the registry's, not that of numbers that anyone can write.
+
+OWN = entry(born=1700)
+LARGE = 2**53
+
+
+def stored(registry, *entries):
+    """Store entries as records in a row; return the engines in use."""
+    for found in entries:
+        offset = 1 + max(
+            [e.offset for e in registry.entries.values()]
+            + [c.entry.offset for c in registry.contenders.values()]
+            + [held.offset for held in registry.removed.values()]
+            + [-1]
+        )
+        registry.put(msgspec.structs.replace(found, offset=offset))
+    return [e.name for e in registry.usable("s")]
+
+
+def beats(first, last, **fields):
+    """Return heartbeats of the engine."""
+    return [
+        entry(**{"born": 1700, **fields}, sequence=n)
+        for n in range(first, last + 1)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("fields", "needed"),
+    [
+        ({"sequence": 0}, 0),
+        ({"sequence": 0, "draining": True}, 0),
+        ({"born": 1600, "address": "10.0.0.9:80"}, 0),
+        ({"sequence": LARGE}, 0),
+        ({"sequence": LARGE, "address": "10.0.0.9:80"}, 0),
+        ({"sequence": LARGE, "service": "t"}, 0),
+        ({"sequence": LARGE, "address": "10.0.0.9:80", "draining": True}, 0),
+        ({"sequence": LARGE, "service": "none"}, 1),
+        ({"born": LARGE}, 2),
+        ({"born": LARGE, "address": "10.0.0.9:80"}, 2),
+        ({"born": LARGE, "draining": True}, 2),
+        ({"sequence": LARGE, "draining": True}, 3),
+    ],
+    ids=str,
+)
+@pytest.mark.parametrize("first", ["engine", "other writer"])
+def test_an_engine_is_back_after_few_heartbeats(first, fields, needed):
+    """Guards against an engine kept out by a number that is too large."""
+    registry = engine_registry.EngineRegistry()
+    registry.set_services({"s", "t"})
+    odd = msgspec.structs.replace(OWN, **fields)
+    if first == "engine":
+        stored(registry, *beats(1, 5))
+        used = stored(registry, odd)
+    else:
+        used, needed = stored(registry, odd), None
+    for count, beat in enumerate(beats(6, 9)):
+        if needed is not None:
+            assert (used == ["i-1~1700"]) == (count >= needed), count
+        used = stored(registry, beat)
+    assert used == ["i-1~1700"]
+    assert registry.entries["i-1"].sequence == 9
+    assert not registry.contenders
+
+
+@pytest.mark.parametrize(
+    "late",
+    [beats(4, 4), beats(3, 4), beats(2, 2, born=1600)],
+    ids=["one", "two", "earlier start"],
+)
+def test_entries_stored_behind_a_later_one_restore_no_engine(late):
+    """Guards against requests to an engine that has said that it leaves."""
+    registry = engine_registry.EngineRegistry()
+    stored(registry, *beats(1, 2), *beats(5, 5, draining=True))
+    assert stored(registry, *late) == []
+    assert stored(registry, *beats(6, 6, draining=True), *late) == []
+    registry.handle_missing("i-1", 100.0, 99)
+    assert not registry.put(entry(born=1700, sequence=9, offset=99))
+    assert not registry.entries
+
+
+def test_an_engine_whose_clock_went_back_is_used():
+    """Guards against a restarted engine that seems older than before."""
+    registry = engine_registry.EngineRegistry()
+    stored(registry, *beats(1, 9, born=1800))
+    assert stored(registry, *beats(1, 1)) == ["i-1~1800"]
+    assert stored(registry, *beats(2, 2)) == ["i-1~1700"]
+
+
+@pytest.mark.parametrize(
+    ("held", "told", "used"),
+    [
+        # A peer that has read on.
+        ({"sequence": LARGE, "offset": 6}, {"sequence": 7, "offset": 8}, 7),
+        ({"sequence": 7, "offset": 8}, {"sequence": LARGE, "offset": 6}, 7),
+        ({"sequence": 7, "offset": 8}, {"sequence": 8, "offset": 9}, 8),
+        # One of the release before tells no offset.
+        ({"sequence": 7, "offset": 8}, {"sequence": 6}, 7),
+        ({"sequence": 7, "offset": 8}, {"sequence": 8}, 8),
+    ],
+    ids=str,
+)
+def test_what_a_peer_tells_is_ordered_like_the_registry(held, told, used):
+    """Guards against a host out of touch that keeps another writer's entry."""
+    registry = engine_registry.EngineRegistry()
+    registry.put(entry(born=1700, **held))
+    registry.put(entry(born=1700, **told), from_peer=True)
+    assert registry.entries["i-1"].sequence == used
+
+
+def test_a_peer_that_lags_undoes_no_numbers_of_another():
+    """Guards against an offset that is older than the numbers beside it."""
+    registry = engine_registry.EngineRegistry()
+    registry.put(entry(born=1700, sequence=7, offset=8))
+    registry.renew((100,))
+    assert registry.sequences == (100,)
+    lags = entry(born=1700, sequence=50, offset=60, draining=True)
+    assert not registry.put(lags, from_peer=True)
+    assert names(registry) == ["i-1"]
+    # The registry's own records are the newest again.
+    assert registry.put(entry(born=1700, sequence=101, offset=120)) is False
+    assert registry.sequences == (101,)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -13,6 +13,7 @@
 from camphortray import errors
 from camphortray import ledger
 from camphortray import membership
+from camphortray import slot_client
 from tests import platformkit
 from tests import skiploop
 from tests import test_platform_jobs
@@ -120,3 +121,81 @@
     """Guards against requests that end with an unforeseen error."""
     with pytest.raises(errors.UpstreamError):
         engines.report_of(UPSTREAM, body)
+
+
+LARGE = 2**53
+HEARTBEAT_S = 1.2
+# From an odd entry until its engine is used again: three heartbeats and the
+# reads behind them.
+BACK_S = 4 * HEARTBEAT_S + 1.0
+NOWHERE = "127.0.0.1:9"
+OVER_OWN = {
+    "sequence and address": {"sequence": LARGE, "address": NOWHERE},
+    "start and address": {"born": LARGE, "address": NOWHERE},
+    "draining": {"sequence": LARGE, "state": "draining"},
+    "draining since a later start": {"born": LARGE, "state": "draining"},
+    "another service": {"sequence": LARGE, "service": "other"},
+    "unknown service": {"sequence": LARGE, "service": "none"},
+}
+
+
+class Beats:
+    """Heartbeats of all engines, while the store takes them."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.sequence = 1
+
+    async def run(self):
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            self.sequence += 1
+            if self.platform.store.refuse:
+                continue
+            for found in self.platform.engines.values():
+                await self.platform.register(found, sequence=self.sequence)
+
+
+@pytest.mark.parametrize("outage_s", [0.0, 3.0])
+@pytest.mark.parametrize("fields", OVER_OWN.values(), ids=list(OVER_OWN))
+async def test_odd_entries_over_all_engines_take_no_service_down(
+    fields, outage_s
+):
+    """Guards against engines kept out by numbers that anyone can write."""
+    platform = platformkit.Platform(hosts=2, engines=3)
+    for number, found in enumerate(platform.engines.values()):
+        found.born = 1_700_000_000_000 + number
+    async with platform:
+        beats = Beats(platform)
+        beating = asyncio.create_task(beats.run())
+        other = platformkit.route("r-3", "/other/", "streaming")
+        routes = platformkit.configuration()["routes"]
+        await platform.store.configure(
+            2, [*routes, other | {"service": "other"}]
+        )
+        await asyncio.sleep(3.0)
+        for found in platform.engines.values():
+            odd = found.entry(**{"sequence": beats.sequence, **fields})
+            await platform.store.write(ledger.Topic.ENGINES, found.name, odd)
+        # The hosts have read the entries before the outage begins.
+        await asyncio.sleep(0.6)
+        platform.store.break_off("busy" if outage_s else "")
+        await asyncio.sleep(outage_s)
+        platform.store.break_off("")
+        late = await platform.add("late")
+        loop = asyncio.get_running_loop()
+        served = dict.fromkeys(platform.hosts, 0)
+        ends_at = loop.time() + BACK_S
+        while loop.time() < ends_at:
+            for host in platform.hosts:
+                if host is not late or host.ready:
+                    status, body = await ask(host)
+                    served[host] += (status, body) == (200, whole())
+            await asyncio.sleep(0.1)
+        assert all(served.values())
+        for host in platform.hosts:
+            for _ in range(4):
+                assert await ask(host) == (200, whole())
+            known = host.part(slot_client.SlotClient).active_config.engines
+            assert len(known.usable(platformkit.SERVICE)) == 3
+        beating.cancel()
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -40,6 +40,9 @@
     "engine-1", "lm", "127.0.0.1:9000", "z1", 8, True, 3, 1700
 )
 PLAIN = engine_registry.EngineEntry("engine-2", "lm", "127.0.0.1:9001")
+RECORDED = engine_registry.EngineEntry(
+    "e-1", "s", "10.0.0.1:80", born=1700, sequence=3, offset=9
+)
 VERSIONED = engine_registry.EngineEntry(
     "engine-1", "lm", "127.0.0.1:9000", software="v1"
 )
@@ -492,6 +495,14 @@
         "7a6f6e656065736c6f74730168647261696e696e67f46873657175656e636500"
         "64626f726e0068736f667477617265627631",
     ),
+    (
+        active_config.ActiveConfigAnswer(engines=(RECORDED,)),
+        "8501746163746976655f636f6e6669672e616e7377657205f5a167656e67696e"
+        "657381a962696463652d316773657276696365617367616464726573736b3130"
+        "2e302e302e313a383071617661696c6162696c6974795f7a6f6e656065736c6f"
+        "74730168647261696e696e67f46873657175656e63650364626f726e1906a466"
+        "6f666673657409",
+    ),
     (
         slot_messages.LeaseEnd("lm", "r1", enginehealth.Outcome.GOOD),
         "850169706c6163652e656e6405f5a36773657276696365626c6d626964627231"
