Engines: the engine at an address says whose it is

What callers saw: a copy of an engine's entry under another key took that engine out at each host as long as the copy stood. All engines copied, no request was served.

Cause: of several entries with one address, the one of the latest start was used, and of the same start the one received last: the copy. The engine there refuses requests for another id with 421, which nobody took note of. An entry that gets no requests, as it drains or is of another service, hid the engine all the same.

A refusal with 421, or a report of another start, refutes the entry by which the request was sent, if another claims the address; the fact engine-mismatch tells all hosts. Of the same start the entry known first is used. One that takes no work or is of another service hides none. Hosts may differ in which claim is valid: a slot is used at any claim that is not refuted, else a host that had just started could not use the slots that others granted.

Evidence: all 10 rows of copies in test_odd_entries_over_all_engines_take_no_service_down failed before.

--- a/camphortray/active_config.py
+++ b/camphortray/active_config.py
@@ -50,6 +50,8 @@
 ASK_S = 0.5
 # When a caller should come back whose key a newer configuration may know.
 RETRY_S = 0.3
+# Status with which an engine answers a request for another one.
+MISDIRECTED = 421
 
 
 def paces(config: configs.LedgerConfig) -> tuple[float, float]:
@@ -68,6 +70,10 @@
     )
 
 
+def ignore(name: str) -> None:
+    """Publish nothing."""
+
+
 @messages.message("active_config.ask")
 class ActiveConfigAsk(msgspec.Struct, frozen=True):
     """Asks a peer for what it has in force.
@@ -114,6 +120,8 @@
       reached_at: When the ledger answered last.
       peer_reached_at: When a peer last said that it reaches the ledger.
       peers_of: Returns the peers that can be asked.
+      publish_mismatch: Tells other hosts that an engine's address is another
+        engine's.
     """
 
     name: ClassVar[str] = "settings"
@@ -142,6 +150,7 @@
         self.was_away = True
         self.listed = False
         self.peers_of: Callable[[], list[configs.Address]] = list
+        self.publish_mismatch: Callable[[str], None] = ignore
         self.tasks: list[asyncio.Task[None]] = []
 
     @classmethod
@@ -395,12 +404,38 @@
             LOG.warning("Lost the ledger: {}", error)
             self.was_away = True
 
+    def on_refusal(self, name: str, error: errors.UpstreamRefused) -> None:
+        """Take note of what a refusal says about its engine."""
+        if error.leaving:
+            self.note_leaving(name)
+        if error.status == MISDIRECTED and not error.ran:
+            self.note_mismatch(name)
+
     def note_leaving(self, name: str) -> None:
         """Send an engine nothing new, by its own word."""
         if self.engines.mark_draining(name):
             LOG.notice("{} leaves, by its own word.", name)
             self.notify_engines()
 
+    def note_mismatch(self, name: str) -> None:
+        """Use an engine's address no more, as another answers there."""
+        if self.refute(name):
+            self.publish_mismatch(name)
+
+    def refute(self, name: str) -> bool:
+        """As ``note_mismatch``, by any host's word.
+
+        Returns:
+          Whether that is new here.
+        """
+        refuted = self.engines.refute(name)
+        if refuted:
+            LOG.notice(
+                "Entry {} left out: another engine answers there.", name
+            )
+            self.notify_engines()
+        return refuted
+
     def notify_engines(self) -> None:
         """Tell whoever listens."""
         for listener in self.engine_listeners:
--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -103,6 +103,11 @@
         """What stays the same as long as an incarnation runs."""
         return self.born, self.service, self.address
 
+    @property
+    def endpoint(self) -> configs.Address:
+        """Address on which it listens."""
+        return configs.Address.from_text(self.address)
+
     def contradicts(self, held: "EngineEntry") -> bool:
         """Return whether not both entries can be the engine's own.
 
@@ -156,6 +161,8 @@
       contenders: Entries that contradict the one held, by engine id.
       announced: Names of engines that are draining by what they have said
         to a host.
+      refuted: Names of entries whose address is another engine's, by its own
+        word.
       missing: Engines whose entry is missing after an outage, and the time
         until which they are kept.
       removed: Version of the last entry of each removed engine.
@@ -167,6 +174,7 @@
         self.services: frozenset[str] | None = None
         self.contenders: dict[str, Contender] = {}
         self.announced: set[str] = set()
+        self.refuted: set[str] = set()
         self.missing: dict[str, float] = {}
         self.removed: dict[str, Version] = {}
         self.returned_at = -RETURN_S
@@ -336,6 +344,7 @@
         self.contenders.pop(engine_id, None)
         self.missing.pop(engine_id, None)
         self.announced.discard(entry.name)
+        self.refuted.discard(entry.name)
         self.invalidate()
         return entry
 
@@ -399,6 +408,27 @@
         self.invalidate()
         return True
 
+    def refute(self, name: str) -> bool:
+        """Record that an entry's address is another engine's.
+
+        Returns:
+          Whether that is new, and another entry claims the address.
+        """
+        claims = {entry.name: entry for entry in self.trusted()}
+        entry = claims.pop(name, None)
+        if entry is None or name in self.refuted:
+            return False
+        endpoint = entry.endpoint
+        if not any(
+            other.endpoint == endpoint
+            for other in claims.values()
+            if other.name not in self.refuted
+        ):
+            return False
+        self.refuted.add(name)
+        self.invalidate()
+        return True
+
     def invalidate(self) -> None:
         """Forget what was computed from the entries."""
         self.cached = None
@@ -443,17 +473,23 @@
     def current(self) -> dict[str, EngineEntry]:
         """Return the valid entries by name of the incarnation.
 
-        Of several entries with one address only that of the engine started
-        last is valid, or the one received last if none reports its start.
+        Of several engines of one service with one address only one can take
+        work. One that takes none hides no other: no request would show
+        whose address it is.
         """
         if self.cached is not None:
             return self.cached
-        at_address: dict[str, EngineEntry] = {}
+        valid: dict[tuple[Any, ...], EngineEntry] = {}
         for entry in self.trusted():
-            other = at_address.get(entry.address)
-            if other is None or entry.born >= other.born:
-                at_address[entry.address] = entry
-        self.cached = {entry.name: entry for entry in at_address.values()}
+            if entry.name in self.refuted:
+                continue
+            key: tuple[Any, ...] = entry.service, entry.endpoint
+            if entry.draining:
+                key = (entry.name,)
+            other = valid.get(key)
+            if other is None or supersedes(entry, other):
+                valid[key] = entry
+        self.cached = {entry.name: entry for entry in valid.values()}
         return self.cached
 
     def trusted(self) -> list[EngineEntry]:
@@ -499,6 +535,29 @@
         return any(e.version == version for e in self.usable(service))
 
     def find(self, name: str) -> EngineEntry | None:
-        """Return the engine of that name if it takes new work."""
+        """Return the engine of that name if it takes new work.
+
+        One whose address another entry claims is found as well: hosts may
+        differ in which of them is valid until the engine refuses a request.
+        """
         entry = self.current().get(name)
+        if entry is None and name not in self.refuted:
+            claims = (e for e in self.trusted() if e.name == name)
+            entry = next(claims, None)
         return None if entry is None or entry.draining else entry
+
+
+def supersedes(entry: EngineEntry, other: EngineEntry) -> bool:
+    """Return whether an entry is valid in place of an earlier one.
+
+    The engine started last is. Two of the same start are an engine's and a
+    copy of it, which comes later. Of engines that do not report their start
+    the one received last is valid.
+
+    Args:
+      entry: The entry received later.
+      other: Another of the same address.
+    """
+    if entry.born == other.born:
+        return not entry.born
+    return entry.born > other.born
--- a/camphortray/forwarder.py
+++ b/camphortray/forwarder.py
@@ -672,8 +672,8 @@
                 ),
             },
         )
-        if isinstance(error, errors.UpstreamRefused) and error.leaving:
-            self.parts.active_config.note_leaving(name)
+        if isinstance(error, errors.UpstreamRefused):
+            self.parts.active_config.on_refusal(name, error)
         if self.may_have_crashed(attempt, error):
             self.parts.crashes.report(
                 self.request.fingerprint, incarnation(attempt.upstream)
--- a/camphortray/itemwork.py
+++ b/camphortray/itemwork.py
@@ -529,8 +529,8 @@
                 **early_end.fields_of(error),
             },
         )
-        if isinstance(error, errors.UpstreamRefused) and error.leaving:
-            self.parts.active_config.note_leaving(name)
+        if isinstance(error, errors.UpstreamRefused):
+            self.parts.active_config.on_refusal(name, error)
         now = self.parts.clock.monotonic()
         decision = item_retry.decide(
             self.retries, error, name, now, route.max_attempts, new_events
--- a/camphortray/slot_client.py
+++ b/camphortray/slot_client.py
@@ -54,6 +54,8 @@
 CHECK_PAUSE_S = 0.13
 # Kind of the fact that makes all hosts exclude a coordinator.
 SILENT_COORDINATOR_FACT = "coordinator-silent"
+# Kind of the fact that the engine of an entry is not at its address.
+MISMATCH_FACT = "engine-mismatch"
 # Seconds that an online request waits for the coordinator's answer beyond its
 # maximum time in the queue.
 ANSWER_MARGIN_S = 0.1
@@ -143,6 +145,10 @@
         )
         self.active_config.listen_engines(self.streams.update_engines)
         self.active_config.listen_engines(self.served.update_engines)
+        self.members.on_fact(MISMATCH_FACT, self.on_mismatch)
+        self.active_config.publish_mismatch = functools.partial(
+            self.members.publish, MISMATCH_FACT, value=True
+        )
         self.active_config.peers_of = functools.partial(
             self.members.live_peers, "host"
         )
@@ -254,6 +260,10 @@
         self.members.publish(SILENT_COORDINATOR_FACT, name, started, keep_s)
         self.served.update_engines()
 
+    def on_mismatch(self, fact: membership.Fact) -> None:
+        """Leave an entry out whose address is another engine's."""
+        self.active_config.refute(fact.key)
+
     def on_silent_coordinator(self, fact: membership.Fact) -> None:
         """Exclude a coordinator that its successor could not reach."""
         member = self.members.member(fact.key)
--- a/tests/hostkit.py
+++ b/tests/hostkit.py
@@ -98,8 +98,9 @@
         """Call the listener once; the configuration does not change."""
         listener(self.view)
 
-    def note_leaving(self, name):
-        self.left.append(name)
+    def on_refusal(self, name, error):
+        if error.leaving:
+            self.left.append(name)
 
     def admit(self, route, key_hash):
         return access.AccessControl(self.view).admit(route, key_hash)
--- a/tests/test_engine_registry.py
+++ b/tests/test_engine_registry.py
@@ -346,3 +346,83 @@
     # The registry's own records are the newest again.
     assert registry.put(entry(born=1700, sequence=101, offset=120)) is False
     assert registry.sequences == (101,)
+
+
+# Copies of an engine's entry under other ids.
+
+
+def copy(**fields):
+    """Return a copy of the engine's entry."""
+    fields = {"id": "x", "sequence": LARGE, **fields}
+    return msgspec.structs.replace(OWN, **fields)
+
+
+def test_a_copy_takes_no_engine_out():
+    """Guards against an engine hidden by a copy of its entry."""
+    registry = engine_registry.EngineRegistry()
+    registry.put(OWN)
+    assert not registry.put(copy()) or names(registry) == ["i-1"]
+    assert names(registry) == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    "claims",
+    [
+        [copy(), OWN],
+        [OWN, copy(born=1701)],
+        [OWN, copy(born=LARGE)],
+        [OWN, copy(born=LARGE, address="10.0.0.1:0080")],
+        [OWN, copy(born=1701), copy(id="y", born=1702)],
+    ],
+    ids=range(5),
+)
+def test_the_engine_at_an_address_says_whose_it_is(claims):
+    """Guards against requests that an engine refuses as another's."""
+    registry = engine_registry.EngineRegistry()
+    registry.set_services({"s", "t"})
+    for claim in claims:
+        registry.put(claim)
+    for _ in claims[1:]:
+        (valid,) = registry.current().values()
+        assert valid.id != "i-1"
+        assert registry.refute(valid.name)
+    assert names(registry) == ["i-1"]
+    # Nobody else claims its address.
+    assert not registry.refute("i-1~1700")
+    assert names(registry) == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    "fields", [{"draining": True}, {"service": "t"}, {"service": "none"}]
+)
+def test_a_claim_that_takes_no_requests_hides_no_engine(fields):
+    """Guards against an engine hidden by what no request can refute."""
+    registry = engine_registry.EngineRegistry()
+    registry.set_services({"s", "t"})
+    registry.put(OWN)
+    registry.put(copy(born=LARGE, **fields))
+    assert names(registry) == ["i-1"]
+
+
+def test_hosts_may_differ_in_which_claim_is_valid():
+    """Guards against slots that no other host can use."""
+    registry = engine_registry.EngineRegistry()
+    registry.replace_all([copy(), OWN], 0.0)
+    assert names(registry) == ["x"]
+    assert registry.find(OWN.name) == OWN
+    registry.refute(copy().name)
+    assert registry.find(copy().name) is None
+    assert names(registry) == ["i-1"]
+
+
+def test_an_engine_at_a_reused_address_is_used_after_a_refusal():
+    """Guards against an entry that is left out for good."""
+    registry = engine_registry.EngineRegistry()
+    registry.put(OWN)
+    assert not registry.refute(OWN.name)
+    registry.put(entry(id="i-2", born=1800))
+    assert names(registry) == ["i-2"]
+    assert registry.refute("i-2~1800")
+    registry.handle_missing("i-2", 100.0)
+    registry.put(entry(id="i-2", born=1900))
+    assert names(registry) == ["i-2"]
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -137,6 +137,13 @@
     "another service": {"sequence": LARGE, "service": "other"},
     "unknown service": {"sequence": LARGE, "service": "none"},
 }
+COPIES = {
+    "copy": {},
+    "copy of a higher sequence": {"sequence": LARGE},
+    "copy of a later start": {"born": LARGE},
+    "draining copy": {"born": LARGE, "state": "draining"},
+    "copy of another service": {"born": LARGE, "service": "other"},
+}
 
 
 class Beats:
@@ -157,9 +164,14 @@
 
 
 @pytest.mark.parametrize("outage_s", [0.0, 3.0])
-@pytest.mark.parametrize("fields", OVER_OWN.values(), ids=list(OVER_OWN))
+@pytest.mark.parametrize(
+    ("own", "fields"),
+    [(True, fields) for fields in OVER_OWN.values()]
+    + [(False, fields) for fields in COPIES.values()],
+    ids=[*OVER_OWN, *COPIES],
+)
 async def test_odd_entries_over_all_engines_take_no_service_down(
-    fields, outage_s
+    own, fields, outage_s
 ):
     """Guards against engines kept out by numbers that anyone can write."""
     platform = platformkit.Platform(hosts=2, engines=3)
@@ -176,7 +188,8 @@
         await asyncio.sleep(3.0)
         for found in platform.engines.values():
             odd = found.entry(**{"sequence": beats.sequence, **fields})
-            await platform.store.write(ledger.Topic.ENGINES, found.name, odd)
+            key = found.name if own else f"a-{found.name}"
+            await platform.store.write(ledger.Topic.ENGINES, key, odd)
         # The hosts have read the entries before the outage begins.
         await asyncio.sleep(0.6)
         platform.store.break_off("busy" if outage_s else "")
