--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -124,8 +124,7 @@
         return await self.network.ask(self, address, message, timeout_s)
 
     async def stop(self) -> None:
-        for task in list(self.tasks):
-            task.cancel()
+        self.tasks.cancel()
 
 
 class FixedTree(tree.Tree):
