Engines: an entry stored behind a removal restores no engine

What callers would see: requests sent to an engine that has left, as a heartbeat that was under way reaches the store behind the removal of its entry. Found in reading, which let the offset alone decide there; the order by numbers before it had ignored such an entry.

An entry behind a removal that is no newer than the last one known is taken as one that contradicts an entry held: the second in a row counts. So an engine is also back if the entry that was removed was another writer's and of a number that no heartbeat reaches.

Evidence: the rows removed, overwritten and not listed of test_an_entry_stored_behind_a_removal_restores_no_engine fail on, and so does test_an_engine_is_back_after_another_writers_entry_was_removed.

--- a/camphortray/active_config.py
+++ b/camphortray/active_config.py
@@ -70,7 +70,7 @@
     )
 
 
-def ignore(name: str) -> None:
+def publish_nothing(name: str) -> None:
     """Publish nothing."""
 
 
@@ -150,7 +150,7 @@
         self.was_away = True
         self.listed = False
         self.peers_of: Callable[[], list[configs.Address]] = list
-        self.publish_mismatch: Callable[[str], None] = ignore
+        self.publish_mismatch: Callable[[str], None] = publish_nothing
         self.tasks: list[asyncio.Task[None]] = []
 
     @classmethod
--- a/camphortray/engine_registry.py
+++ b/camphortray/engine_registry.py
@@ -199,7 +199,7 @@
         if self.is_late(entry, held, from_peer):
             return False
         if held is not None and self.contradicts(entry, held, from_peer):
-            if not from_peer and not self.is_confirmed(entry, held):
+            if not from_peer and not self.replaces(entry, held):
                 return False
             # The one held is another writer's.
             self.remove(held.id)
@@ -258,8 +258,7 @@
         It was written by an earlier incarnation, or received out of order.
         """
         if held is None:
-            removed = self.removed.get(entry.id)
-            return removed is not None and removed.covers(entry)
+            return self.is_removed(entry, from_peer)
         contender = self.contenders.get(entry.id)
         newest = held if contender is None else contender.entry
         if isinstance(entry.offset, msgspec.UnsetType):
@@ -282,24 +281,45 @@
             return held.name not in self.announced
         return entry.contradicts(held)
 
-    def is_confirmed(self, entry: EngineEntry, held: EngineEntry) -> bool:
-        """Return whether enough entries contradict the one held.
+    def is_removed(self, entry: EngineEntry, from_peer: bool) -> bool:
+        """Return whether an entry is of an engine that has been removed."""
+        removed = self.removed.get(entry.id)
+        if removed is None or entry.age > removed.age:
+            return removed is not None and removed.covers(entry)
+        if from_peer or removed.covers(entry):
+            return True
+        return not self.is_confirmed(entry, CONFIRMATIONS)
+
+    def replaces(self, entry: EngineEntry, held: EngineEntry) -> bool:
+        """Return whether an entry replaces one that it contradicts."""
+        if not held.draining or held.born != entry.born:
+            return self.is_confirmed(entry, CONFIRMATIONS)
+        if entry.draining:
+            self.contenders[entry.id] = Contender(entry, 0)
+            return False
+        return self.is_confirmed(entry, DRAIN_CONFIRMATIONS)
 
-        An engine writes on, so that several in a row are its own, and the
-        one held is another writer's. A single one may have been written
-        before the one held and stored behind it, or be another writer's.
+    def is_confirmed(self, entry: EngineEntry, needed: int) -> bool:
+        """Return whether enough entries contradict what is known.
+
+        An engine writes on, so that several in a row are its own. A single
+        one may have been written before what is known and stored behind it,
+        or be another writer's.
+
+        Args:
+          entry: The latest of them.
+          needed: Number of entries.
         """
-        restores = held.draining and held.born == entry.born
-        count = 0 if restores and entry.draining else 1
+        count = 1
         contender = self.contenders.get(entry.id)
-        if contender is not None and count:
+        if contender is not None:
             before = contender.entry
             if before.offset == entry.offset != msgspec.UNSET:
                 return False
             if before.identity == entry.identity and before.age < entry.age:
                 count += contender.count
         self.contenders[entry.id] = Contender(entry, count)
-        return count >= (DRAIN_CONFIRMATIONS if restores else CONFIRMATIONS)
+        return count >= needed
 
     def handle_missing(
         self, engine_id: str, now: float, offset: int = -1
@@ -360,7 +380,9 @@
         age = max(entry.age for entry in known)
         self.removed[engine_id] = Version(offset, age)
         while len(self.removed) > MAX_REMEMBERED:
-            del self.removed[next(iter(self.removed))]
+            oldest = next(iter(self.removed))
+            del self.removed[oldest]
+            self.contenders.pop(oldest, None)
 
     def replace_all(
         self,
--- a/tests/test_engine_registry.py
+++ b/tests/test_engine_registry.py
@@ -305,6 +305,40 @@
     assert not registry.entries
 
 
+@pytest.mark.parametrize("how", ["removed", "overwritten", "not listed"])
+def test_an_entry_stored_behind_a_removal_restores_no_engine(how):
+    """Guards against requests to an engine that has left."""
+    registry = engine_registry.EngineRegistry()
+    stored(registry, *beats(1, 5))
+    if how == "removed":
+        registry.handle_missing("i-1", 100.0, 6)
+    elif how == "overwritten":
+        registry.handle_invalid("i-1", 6)
+    else:
+        registry.replace_all([], 100.0, 6)
+    late = entry(born=1700, sequence=5, offset=7)
+    assert not registry.put(late)
+    assert not registry.put(late)
+    assert not registry.put(entry(born=1700, sequence=6, offset=6))
+    assert not registry.put(
+        entry(born=1700, sequence=4, offset=8), from_peer=True
+    )
+    assert names(registry) == []
+    # The engine itself is there.
+    assert registry.put(entry(born=1700, sequence=6, offset=8))
+    assert names(registry) == ["i-1"]
+    assert not registry.contenders
+
+
+def test_an_engine_is_back_after_another_writers_entry_was_removed():
+    """Guards against a removed entry whose number no heartbeat reaches."""
+    registry = engine_registry.EngineRegistry()
+    stored(registry, entry(born=LARGE))
+    registry.handle_invalid("i-1", 2)
+    assert stored(registry, *beats(6, 6)) == []
+    assert stored(registry, *beats(7, 7)) == ["i-1~1700"]
+
+
 def test_an_engine_whose_clock_went_back_is_used():
     """Guards against a restarted engine that seems older than before."""
     registry = engine_registry.EngineRegistry()
